--- /dev/null
+++ b/crates/proof/src/promise_checker.rs
@@ -0,0 +1,246 @@
+use savorywalk::prelude::*;
+
+use crate::{EndpointName, EntryName, HistoryEvent, HistoryRecord, PromiseBreach, RequestMark};
+
+/// How long after its leaving notice an endpoint may still get new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// Checks every promise of the product over one recorded history.
+///
+/// A history is read in the order of its records. What a caller was told, what
+/// endpoints received and what entries served are set side by side, so the
+/// checker needs to know nothing of how the system works.
+#[derive(Debug, Default)]
+pub struct PromiseChecker {
+    requests: BTreeMap<RequestMark, RequestTrace>,
+    leavers: BTreeMap<EndpointName, Duration>,
+    versions: BTreeMap<EntryName, u64>,
+    acknowledged: BTreeMap<u64, String>,
+    kept: BTreeMap<u64, String>,
+    history_was_kept: bool,
+    orders: BTreeMap<EndpointName, (u64, u64)>,
+    stopping: BTreeSet<EntryName>,
+    breaches: Vec<PromiseBreach>,
+}
+
+/// All that a history tells of one request.
+#[derive(Debug, Default)]
+struct RequestTrace {
+    sent: usize,
+    replies: usize,
+    cuts: usize,
+    not_run: usize,
+    non_idempotent: bool,
+    received: BTreeMap<String, Vec<EndpointName>>,
+}
+
+impl PromiseChecker {
+    /// Every breach in `history`, in the order in which it shows.
+    pub fn check(history: &[HistoryRecord]) -> Vec<PromiseBreach> {
+        let mut checker = Self::default();
+        for record in history {
+            checker.read(record);
+        }
+        checker.finish()
+    }
+
+    fn read(&mut self, record: &HistoryRecord) {
+        match &record.event {
+            HistoryEvent::Sent {
+                request,
+                idempotent,
+            } => {
+                let trace = self.trace(request);
+                trace.sent += 1;
+                trace.non_idempotent |= !idempotent;
+            }
+            HistoryEvent::Answered {
+                request,
+                content,
+                expected,
+            } => self.read_answer(request, content, expected),
+            HistoryEvent::NotRun { request } => {
+                let trace = self.trace(request);
+                trace.replies += 1;
+                trace.not_run += 1;
+            }
+            HistoryEvent::Failed { request, kind: _ } => self.trace(request).replies += 1,
+            HistoryEvent::Cut { request, entry } => self.read_cut(request, entry),
+            HistoryEvent::Received {
+                endpoint,
+                request,
+                stage,
+            } => self.read_receipt(record.at, endpoint, request, stage),
+            HistoryEvent::Leaving { endpoint } => {
+                self.leavers.entry(endpoint.clone()).or_insert(record.at);
+            }
+            HistoryEvent::Returned { endpoint } => {
+                self.leavers.remove(endpoint);
+            }
+            HistoryEvent::VersionServed { entry, version } => self.read_version(entry, *version),
+            HistoryEvent::PatchAcknowledged { version, patch } => {
+                self.read_acknowledgement(*version, patch);
+            }
+            HistoryEvent::VersionKept { version, patch } => {
+                self.history_was_kept = true;
+                self.kept.insert(*version, patch.clone());
+            }
+            HistoryEvent::OrderExecuted { endpoint, fencing } => {
+                self.read_order(endpoint, *fencing);
+            }
+            HistoryEvent::StopRequested { entry } => {
+                self.stopping.insert(entry.clone());
+            }
+        }
+    }
+
+    fn trace(&mut self, request: &RequestMark) -> &mut RequestTrace {
+        self.requests.entry(request.clone()).or_default()
+    }
+
+    fn read_answer(&mut self, request: &RequestMark, content: &str, expected: &str) {
+        self.trace(request).replies += 1;
+        if content != expected {
+            self.breaches.push(PromiseBreach::WrongAnswer {
+                request: request.clone(),
+                content: content.to_string(),
+                expected: expected.to_string(),
+            });
+        }
+    }
+
+    fn read_cut(&mut self, request: &RequestMark, entry: &EntryName) {
+        self.trace(request).cuts += 1;
+        if self.stopping.contains(entry) {
+            self.breaches.push(PromiseBreach::CutByStop {
+                request: request.clone(),
+                entry: entry.clone(),
+            });
+        }
+    }
+
+    fn read_receipt(
+        &mut self,
+        at: Duration,
+        endpoint: &EndpointName,
+        request: &RequestMark,
+        stage: &str,
+    ) {
+        let receivers = &mut self.trace(request).received;
+        let receivers = receivers.entry(stage.to_string()).or_default();
+        receivers.push(endpoint.clone());
+        let Some(left) = self.leavers.get(endpoint) else {
+            return;
+        };
+        let after = at.saturating_sub(*left);
+        if after > LEAVING_GRACE {
+            self.breaches.push(PromiseBreach::WorkToLeaver {
+                endpoint: endpoint.clone(),
+                request: request.clone(),
+                after,
+            });
+        }
+    }
+
+    fn read_version(&mut self, entry: &EntryName, version: u64) {
+        let newest = self.versions.entry(entry.clone()).or_default();
+        if version < *newest {
+            self.breaches.push(PromiseBreach::VersionReverted {
+                entry: entry.clone(),
+                newer: *newest,
+                older: version,
+            });
+        }
+        *newest = version.max(*newest);
+    }
+
+    fn read_acknowledgement(&mut self, version: u64, patch: &str) {
+        let first = self.acknowledged.entry(version);
+        let first = first.or_insert_with(|| patch.to_string());
+        if first != patch {
+            self.breaches.push(PromiseBreach::PatchDoubled {
+                version,
+                first: first.clone(),
+                second: patch.to_string(),
+            });
+        }
+    }
+
+    fn read_order(&mut self, endpoint: &EndpointName, fencing: (u64, u64)) {
+        let newest = self.orders.entry(endpoint.clone()).or_insert(fencing);
+        if fencing < *newest {
+            self.breaches.push(PromiseBreach::OrderReverted {
+                endpoint: endpoint.clone(),
+                newer: *newest,
+                older: fencing,
+            });
+        }
+        *newest = fencing.max(*newest);
+    }
+
+    /// What only the end of a history can show.
+    fn finish(mut self) -> Vec<PromiseBreach> {
+        let requests = std::mem::take(&mut self.requests);
+        for (request, trace) in &requests {
+            self.finish_request(request, trace);
+        }
+        if self.history_was_kept {
+            self.finish_patches();
+        }
+        self.breaches
+    }
+
+    fn finish_request(&mut self, request: &RequestMark, trace: &RequestTrace) {
+        if trace.replies + trace.cuts < trace.sent {
+            self.breaches.push(PromiseBreach::Lost {
+                request: request.clone(),
+            });
+        }
+        if trace.replies > trace.sent {
+            self.breaches.push(PromiseBreach::Doubled {
+                request: request.clone(),
+                sent: trace.sent,
+                replies: trace.replies,
+            });
+        }
+        self.finish_not_run(request, trace);
+        for (stage, receivers) in &trace.received {
+            if trace.non_idempotent && receivers.len() > 1 {
+                self.breaches.push(PromiseBreach::RanTwice {
+                    request: request.clone(),
+                    stage: stage.clone(),
+                    times: receivers.len(),
+                });
+            }
+        }
+    }
+
+    /// A request of which every reply was "not run" must have been received by
+    /// nobody; one that was resent and answered may have been.
+    fn finish_not_run(&mut self, request: &RequestMark, trace: &RequestTrace) {
+        if trace.not_run == 0 || trace.not_run < trace.sent {
+            return;
+        }
+        if let Some(endpoint) = trace.received.values().flatten().next() {
+            self.breaches.push(PromiseBreach::RanAfterAll {
+                request: request.clone(),
+                endpoint: endpoint.clone(),
+            });
+        }
+    }
+
+    fn finish_patches(&mut self) {
+        for (version, patch) in &self.acknowledged {
+            if self.kept.get(version) != Some(patch) {
+                self.breaches.push(PromiseBreach::PatchLost {
+                    version: *version,
+                    patch: patch.clone(),
+                });
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "promise_checker_tests.rs"]
+mod tests;
