Let endpoints announce changes of their prefix cache

Routers need hints of which engine holds which prefix. The field is optional, so that endpoints without a cache are unchanged.

--- a/crates/savorywalk/src/directory/endpoint_directory_tests.rs
+++ b/crates/savorywalk/src/directory/endpoint_directory_tests.rs
@@ -17,6 +17,7 @@
         models: Vec::new(),
         load: EndpointLoad::default(),
         slots: 4,
+        cache_events: Vec::new(),
     }
 }
 
--- a/crates/savorywalk/src/directory/endpoint_record.rs
+++ b/crates/savorywalk/src/directory/endpoint_record.rs
@@ -1,3 +1,4 @@
+use super::CacheEvent;
 use crate::prelude::*;
 
 /// What an endpoint says of itself; the body of `POST /v1/endpoints`.
@@ -29,6 +30,10 @@
     /// How many requests it works on at once; 0 when unknown.
     #[serde(default)]
     pub slots: u32,
+    /// Changes of its prefix cache since the last announcement; may be late
+    /// and have gaps.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cache_events: Vec<CacheEvent>,
 }
 
 /// Whether an endpoint takes work.
--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -105,5 +105,6 @@
         models,
         load: EndpointLoad { running, queued: 0 },
         slots: options.slots,
+        cache_events: Vec::new(),
     }
 }
