Make demo and check honest at their edges

Change: reports go through one buffered writer that keeps its failure; a reader that leaves early is no error, a full disk is. `--fail-pool` makes a pool's stand-ins fail. `check` names wrong settings, unusable files and certificates and configuration errors in one report; a relative path starts at the settings file's folder (tags @file and @folder in the schema). Exit code 2 for what the user wrote wrong, 1 otherwise. Help has examples.

Conclusion: covered by crates/daemon/tests/{demo,check}_command.rs, which run the program itself.

--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -7,24 +7,53 @@
     ///
     /// Try `savorywalk demo --once` first: it needs no settings. Then write a
     /// settings file, let `savorywalk check` read it, and start it with
-    /// `savorywalk serve`. `savorywalk check --help` lists every setting.
+    /// `savorywalk serve`.
+    ///
+    /// EXAMPLES:
+    ///     savorywalk demo --once
+    ///     savorywalk check --settings samples/roadside/entry-1.ini
+    ///     savorywalk serve --settings samples/roadside/entry-1.ini
+    ///     savorywalk check --settings -
+    ///
+    /// EXIT CODES: 0 when all went well, 2 when the arguments, the settings or
+    /// the configuration are wrong, 1 for any other failure.
     cmd savorywalk {
         /// Starts a whole deployment in this process, on loopback, with stand-ins
-        /// for its endpoints, and sends a request through each pipeline.
+        /// for its endpoints, and sends a request through each pipeline. Prints
+        /// answers, times and cost by stage, then serves on until Ctrl-C.
+        /// Exits with 0 only when every request was answered whole and in time.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk demo --once
+        ///     savorywalk demo --deployment airport
+        ///     savorywalk demo --once --fail-pool rerankers
         cmd demo {
-            /// Stops after the requests; exits with 0 only when every one was
-            /// answered whole and in time.
+            /// Stops after the requests instead of serving on.
             optional --once
-            /// Deployment to show: roadside or airport.
+            /// Deployment to show: roadside (taken when none is given) or airport.
             optional --deployment name: String
+            /// Pool whose stand-ins fail at every request, to see what a caller gets then.
+            optional --fail-pool pool: String
         }
-        /// Runs a daemon with the roles that its settings name, until SIGTERM.
+        /// Runs a daemon with the roles that its settings name. SIGTERM or Ctrl-C
+        /// stops it gracefully: it answers what is in progress, then exits with 0.
+        /// The environment variable SAVORYWALK_LOG (error, warn, info, debug,
+        /// trace) goes before the level in the settings.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk serve --settings samples/roadside/entry-1.ini
+        ///     SAVORYWALK_LOG=debug savorywalk serve --settings entry.ini
         cmd serve {
             /// Settings file, in INI.
             required --settings file: PathBuf
         }
-        /// Checks a settings file and names every error with its remedy.
-        /// `savorywalk check --settings -` lists every key instead.
+        /// Checks a settings file and the files that it points at, and names every
+        /// error with section, key and remedy. Starts nothing. Exits with 0 when
+        /// there is no error, 2 when there is one.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk check --settings samples/roadside/entry-1.ini
+        ///     savorywalk check --settings -
         cmd check {
             /// Settings file, in INI; `-` lists every key with its meaning.
             required --settings file: PathBuf
--- a/crates/daemon/src/command_error.rs
+++ b/crates/daemon/src/command_error.rs
@@ -8,6 +8,13 @@
 use savorywalk_standin::StandinError;
 use thiserror::Error;
 
+use crate::check_report::CheckReport;
+
+/// Exit code when what the user wrote is wrong; the argument parser's too.
+const WRONG_INPUT: u8 = 2;
+/// Exit code of any other failure.
+const FAILED: u8 = 1;
+
 /// Why a command failed; each message names the remedy.
 #[derive(Debug, Error, Diagnostic)]
 pub(crate) enum CommandError {
@@ -20,7 +27,11 @@
         /// The system's word.
         error: io::Error,
     },
-    /// The settings are wrong.
+    /// The settings, or what they point at, are wrong.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Check(#[from] CheckReport),
+    /// The settings that a command made itself are wrong.
     #[error(transparent)]
     #[diagnostic(transparent)]
     Settings(#[from] SettingsReport),
@@ -32,6 +43,19 @@
     #[error("no deployment {0:?}")]
     #[diagnostic(help("use roadside or airport"))]
     Deployment(String),
+    /// No such pool in the deployment.
+    #[error("no pool {pool:?} in this deployment")]
+    #[diagnostic(help("use one of: {known}"))]
+    Pool {
+        /// The name given.
+        pool: String,
+        /// The names there are.
+        known: String,
+    },
+    /// The report could not be written.
+    #[error("can't write the report: {0}")]
+    #[diagnostic(help("make room where standard output goes, or send it elsewhere"))]
+    Output(io::Error),
     /// The daemon could not start.
     #[error(transparent)]
     Entry(#[from] EntryError),
@@ -51,3 +75,23 @@
     #[diagnostic(help("raise drain_timeout_ms in [entry]"))]
     DrainTimedOut,
 }
+
+impl CommandError {
+    /// The exit code: 2 when what the user wrote is wrong, else 1.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Unreadable { .. }
+            | Self::Check(_)
+            | Self::Settings(_)
+            | Self::Configuration(_)
+            | Self::Deployment(_)
+            | Self::Pool { .. } => WRONG_INPUT,
+            Self::Output(_)
+            | Self::Entry(_)
+            | Self::Standin(_)
+            | Self::Signals(_)
+            | Self::DemoFailed(_)
+            | Self::DrainTimedOut => FAILED,
+        }
+    }
+}
--- a/crates/daemon/src/demo_request.rs
+++ b/crates/daemon/src/demo_request.rs
@@ -12,6 +12,9 @@
 const EVENT_STREAM: &str = "text/event-stream";
 const ANSWER_EVENT: &str = "event: answer\ndata: ";
 
+/// Client of the demo.
+pub(crate) type DemoClient = Client<HttpConnector, Full<Bytes>>;
+
 /// One request of the demo.
 pub(crate) struct DemoRequest<'a> {
     pub(crate) pipeline: &'a str,
@@ -29,7 +32,7 @@
 
 /// Sends a request.
 pub(crate) async fn send(
-    client: &Client<HttpConnector, Full<Bytes>>,
+    client: &DemoClient,
     entry: SocketAddr,
     demo: &DemoRequest<'_>,
 ) -> DemoResult {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,9 +2,14 @@
 //! the library.
 
 mod arguments;
+mod check_report;
 mod command_error;
 mod demo;
+mod demo_deployment;
+mod demo_progress;
+mod demo_report;
 mod demo_request;
+mod report_writer;
 mod serve;
 mod settings_check;
 
@@ -22,8 +27,9 @@
     match run(arguments).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
+            let code = error.exit_code();
             eprintln!("{:?}", miette::Report::new(error));
-            ExitCode::FAILURE
+            ExitCode::from(code)
         }
     }
 }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -8,7 +8,7 @@
 
 /// Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
 pub(crate) async fn run(file: &Path) -> Result<()> {
-    let settings = settings_check::read_settings(file)?;
+    let settings = settings_check::read_checked(file)?;
     let configuration = settings_check::read_configuration(&settings)?;
     let level = settings
         .log
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,11 @@
+//! What the tests of the program share: each test is a few lines of given
+//! this, run this, expect this.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    clippy::unwrap_used,
+    reason = "test code: each file uses a part, and a failure should panic"
+)]
+
+pub mod command_test;
--- a/crates/savorywalk/src/api/http_server.rs
+++ b/crates/savorywalk/src/api/http_server.rs
@@ -60,6 +60,16 @@
 }
 
 impl HttpServer {
+    /// Whether the certificate and key that `settings` name can be used; the
+    /// error says why not.
+    pub(crate) fn check_certificate(settings: &ListenerSettings) -> Result<(), String> {
+        match tls_acceptor(settings) {
+            Ok(_) => Ok(()),
+            Err(ServerError::Tls { error, .. }) => Err(error),
+            Err(error @ ServerError::Listen { .. }) => Err(error.to_string()),
+        }
+    }
+
     /// Binds the listener that `settings` name; it does not serve yet.
     pub(crate) async fn bind(settings: &ListenerSettings) -> Result<BoundListener, ServerError> {
         let listener = TcpListener::bind(&settings.address).await;
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod setting_key;
 mod settings_error;
 mod settings_file;
+mod settings_paths;
 mod settings_rules;
 
 pub use crate::generated::settings::{
@@ -15,7 +16,8 @@
 pub use role_set::RoleSet;
 pub use setting_key::{SettingKey, SettingKind};
 pub use settings_error::{SettingsError, SettingsProblem, SettingsReport};
-pub use settings_file::{key_reference, parse};
+pub use settings_file::{key_reference, parse, parse_in};
+pub use settings_paths::path_errors;
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, SettingsReport>;
--- a/crates/savorywalk/src/settings/setting_key.rs
+++ b/crates/savorywalk/src/settings/setting_key.rs
@@ -20,6 +20,10 @@
 pub enum SettingKind {
     /// Any text.
     Text,
+    /// Path of a file that must be there.
+    File,
+    /// Path of a folder, made at the first start when it isn't there.
+    Folder,
     /// Words separated by commas.
     List,
     /// A whole number between two bounds, both included.
--- a/crates/savorywalk/src/settings/settings_error.rs
+++ b/crates/savorywalk/src/settings/settings_error.rs
@@ -44,6 +44,14 @@
     /// The value can't be read.
     #[error("bad value {0:?}")]
     BadValue(String),
+    /// The file or folder that it names can't be used.
+    #[error("can't use {path:?}: {reason}")]
+    Unusable {
+        /// The path, from the folder in which the process runs.
+        path: String,
+        /// The system's word.
+        reason: String,
+    },
     /// The value contradicts another one.
     #[error("conflict: {0}")]
     Conflict(String),
--- a/crates/savorywalk/src/settings/settings_file.rs
+++ b/crates/savorywalk/src/settings/settings_file.rs
@@ -1,3 +1,5 @@
+use std::path::Path;
+
 use ini::Ini;
 use serde_json::{Map, Value};
 
@@ -8,13 +10,22 @@
 use crate::prelude::*;
 
 /// Reads and checks the settings in `text`; the report names every error.
+///
+/// Relative paths stay as they are, so that they start at the folder in which
+/// the process runs; [`parse_in`] takes them from another one.
 pub fn parse(text: &str) -> Result<DaemonSettings> {
+    parse_in(text, Path::new(""))
+}
+
+/// Reads and checks the settings in `text`; a relative path in them starts at
+/// `folder`, which for a settings file is the folder that it lies in.
+pub fn parse_in(text: &str, folder: &Path) -> Result<DaemonSettings> {
     let ini = Ini::load_from_str(text).map_err(|error| syntax_report(&error))?;
     let mut errors = unknown_names(&ini);
     let mut sections = Map::new();
     for key in SETTING_KEYS {
         if let Some(properties) = ini.section(Some(key.section)) {
-            let value = key_value(key, properties.get(key.name), &mut errors);
+            let value = key_value(key, properties.get(key.name), folder, &mut errors);
             let section = sections
                 .entry(key.section)
                 .or_insert_with(|| Value::Object(Map::new()));
@@ -122,6 +133,7 @@
 fn key_value(
     key: &SettingKey,
     text: Option<&str>,
+    folder: &Path,
     errors: &mut Vec<SettingsError>,
 ) -> Option<Value> {
     let Some(text) = text.map(str::trim).or(key.default) else {
@@ -137,6 +149,7 @@
     };
     let value = match key.kind {
         SettingKind::Text => Some(Value::from(text)),
+        SettingKind::File | SettingKind::Folder => Some(path_value(text, folder)),
         SettingKind::List => Some(list_value(text)),
         SettingKind::Number { min, max } => number_value(text, min, max),
         SettingKind::Flag => text.parse::<bool>().ok().map(Value::from),
@@ -152,6 +165,13 @@
     value
 }
 
+fn path_value(text: &str, folder: &Path) -> Value {
+    if text.is_empty() {
+        return Value::from(text);
+    }
+    Value::from(folder.join(text).to_string_lossy())
+}
+
 fn list_value(text: &str) -> Value {
     let words = text
         .split(',')
@@ -168,6 +188,8 @@
 fn kind_remedy(kind: SettingKind) -> String {
     match kind {
         SettingKind::Text => "write any text".into(),
+        SettingKind::File => "write the path of a file".into(),
+        SettingKind::Folder => "write the path of a folder".into(),
         SettingKind::List => "write words separated by commas".into(),
         SettingKind::Number { min, max } => format!("write a whole number from {min} to {max}"),
         SettingKind::Flag => "write true or false".into(),
--- a/xtask/src/settings_table.rs
+++ b/xtask/src/settings_table.rs
@@ -68,6 +68,7 @@
 fn push_key(text: &mut String, section: &str, field: &FieldDescriptorProto, comment: &str) {
     let mut doc = Vec::new();
     let mut required = false;
+    let mut path = None;
     let (mut default, mut min, mut max) = (None, 0_u64, u64::from(u32::MAX));
     for line in comment.lines().map(str::trim) {
         match line.split_once(' ') {
@@ -75,6 +76,8 @@
             Some(("@min", value)) => min = value.parse().expect("@min is a number"),
             Some(("@max", value)) => max = value.parse().expect("@max is a number"),
             _ if line == "@required" => required = true,
+            _ if line == "@file" => path = Some("File"),
+            _ if line == "@folder" => path = Some("Folder"),
             _ => doc.push(line),
         }
     }
@@ -82,7 +85,7 @@
         (Label::Repeated, _) => "List".to_string(),
         (_, Type::Uint32 | Type::Uint64) => format!("Number {{ min: {min}, max: {max} }}"),
         (_, Type::Bool) => "Flag".to_string(),
-        _ => "Text".to_string(),
+        _ => path.unwrap_or("Text").to_string(),
     };
     let doc = doc.join(" ");
     let _ = writeln!(
