Add the membership core

Daemons had no way to know each other. The core is a state machine after SWIM 2002 over the few fixed neighbours of an Imase-Itoh graph within a region, with bridges between regions; docs/design/membership.md weighs the ways. A byte budget by traffic class comes with it.

The tests run it on a network without sockets: loss, pauses, restarts, an hour's cut between regions and within one, and generated schedules. They found that two groups which met seeds of other regions never found each other; seeds are therefore asked again by digest.

--- /dev/null
+++ b/crates/savorywalk/src/membership/member_state.rs
@@ -0,0 +1,43 @@
+use crate::generated::membership as messages;
+
+/// What a member is believed to do; a later state wins within one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Missed its probes and has not yet refuted that.
+    Suspect,
+    /// Was suspect for too long.
+    Dead,
+    /// Stopped gracefully.
+    Left,
+}
+
+impl MemberState {
+    /// Whether messages should still be sent to it.
+    pub fn is_live(self) -> bool {
+        match self {
+            Self::Alive | Self::Suspect => true,
+            Self::Dead | Self::Left => false,
+        }
+    }
+
+    pub(super) fn to_message(self) -> messages::MemberState {
+        match self {
+            Self::Alive => messages::MemberState::Alive,
+            Self::Suspect => messages::MemberState::Suspect,
+            Self::Dead => messages::MemberState::Dead,
+            Self::Left => messages::MemberState::Left,
+        }
+    }
+
+    pub(super) fn from_message(state: messages::MemberState) -> Option<Self> {
+        match state {
+            messages::MemberState::Unspecified => None,
+            messages::MemberState::Alive => Some(Self::Alive),
+            messages::MemberState::Suspect => Some(Self::Suspect),
+            messages::MemberState::Dead => Some(Self::Dead),
+            messages::MemberState::Left => Some(Self::Left),
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/membership/member_view.rs
@@ -0,0 +1,31 @@
+use super::{Member, MemberCard};
+use crate::prelude::*;
+
+/// An immutable view of the membership, for everyone but its own core.
+#[derive(Clone, Debug, Default)]
+pub struct MemberView {
+    /// Members that are alive or only suspected, by name.
+    pub live: Vec<Arc<MemberCard>>,
+    /// Region of each data centre that ever had a member.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+impl MemberView {
+    pub(super) fn of<'a>(members: impl Iterator<Item = &'a Member>) -> Self {
+        let mut view = Self::default();
+        for member in members {
+            let card = &member.card;
+            view.regions
+                .insert(Arc::clone(&card.data_center), Arc::clone(&card.region));
+            if member.state.is_live() {
+                view.live.push(Arc::clone(card));
+            }
+        }
+        view
+    }
+
+    /// Live members of a region, by name.
+    pub fn region<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Arc<MemberCard>> {
+        self.live.iter().filter(move |card| &*card.region == region)
+    }
+}
--- a/crates/savorywalk/src/membership/mod.rs
+++ b/crates/savorywalk/src/membership/mod.rs
@@ -1,2 +1,34 @@
-//! Membership: which daemons are there, and which are leaving or gone.
-//! See docs/design/membership.md.
+//! Membership lets every daemon know which others are there, leaving or gone,
+//! without a list that somebody has to keep. See docs/design/membership.md.
+
+mod byte_budget;
+mod member_card;
+mod member_state;
+mod member_table;
+mod member_view;
+mod membership_action;
+mod membership_core;
+mod membership_error;
+mod membership_timing;
+mod peer_graph;
+mod probe_monitor;
+mod region_bridge;
+#[cfg(test)]
+mod test_network;
+mod traffic_class;
+mod update_queue;
+
+pub use byte_budget::{ByteBudget, TrafficCount};
+pub use member_card::MemberCard;
+pub use member_state::MemberState;
+pub use member_table::{Member, MemberTable};
+pub use member_view::MemberView;
+pub use membership_action::{MembershipAction, MembershipEvent};
+pub use membership_core::MembershipCore;
+pub use membership_error::MembershipError;
+pub use membership_timing::MembershipTiming;
+pub use peer_graph::PeerGraph;
+pub use traffic_class::TrafficClass;
+
+/// Result of this module's fallible calls.
+pub type Result<T> = std::result::Result<T, MembershipError>;
--- /dev/null
+++ b/crates/savorywalk/src/membership/peer_graph.rs
@@ -0,0 +1,81 @@
+use std::hash::{Hash, Hasher};
+
+use super::MemberCard;
+use crate::prelude::*;
+
+/// Who sends to whom within a region.
+///
+/// The members, ordered by a hash of their names, are the nodes of the graph
+/// of Imase and Itoh (1981): node `i` of `n` sends to `-d*i - r mod n` for `r`
+/// in `1..=d`. Its diameter is at most `ceil(log_d n)`, every node has the
+/// same work, and each keeps only about `2d` connections however many members
+/// there are. See docs/design/membership.md.
+#[derive(Debug)]
+pub struct PeerGraph;
+
+impl PeerGraph {
+    /// Members that `name` sends to; everyone, while they are few.
+    pub fn neighbours<'a>(
+        name: &str,
+        region: impl Iterator<Item = &'a Arc<MemberCard>>,
+        fan_out: usize,
+    ) -> Vec<Arc<MemberCard>> {
+        let mut members: Vec<(u64, &Arc<MemberCard>)> =
+            region.map(|card| (rank(&card.name, ""), card)).collect();
+        members.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
+        let count = members.len();
+        let Some(own) = members.iter().position(|(_, card)| &*card.name == name) else {
+            return Vec::new();
+        };
+        if count <= fan_out + 1 {
+            return others(name, members.iter().map(|(_, card)| *card));
+        }
+        let mut neighbours: Vec<Arc<MemberCard>> = Vec::with_capacity(fan_out);
+        for step in 1..=fan_out {
+            let forward = (fan_out * own + step) % count;
+            let mut index = (count - forward) % count;
+            // A loop or a double edge of the graph becomes the next member.
+            while index == own
+                || neighbours
+                    .iter()
+                    .any(|card| card.name == members[index].1.name)
+            {
+                index = (index + 1) % count;
+            }
+            neighbours.push(Arc::clone(members[index].1));
+        }
+        neighbours
+    }
+
+    /// Live members of a region in the order in which they serve a purpose, by
+    /// rendezvous hashing: the loss of one moves only its own duties.
+    pub fn ranked<'a>(
+        purpose: &str,
+        region: impl Iterator<Item = &'a Arc<MemberCard>>,
+    ) -> Vec<Arc<MemberCard>> {
+        let mut ranked: Vec<_> = region
+            .map(|card| (rank(&card.name, purpose), Arc::clone(card)))
+            .collect();
+        ranked.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
+        ranked.into_iter().map(|(_, card)| card).collect()
+    }
+}
+
+fn others<'a>(
+    name: &str,
+    members: impl Iterator<Item = &'a Arc<MemberCard>>,
+) -> Vec<Arc<MemberCard>> {
+    members
+        .filter(|card| &*card.name != name)
+        .cloned()
+        .collect()
+}
+
+fn rank(name: &str, purpose: &str) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    name.hash(&mut hasher);
+    purpose.hash(&mut hasher);
+    let hash = hasher.finish();
+    // The multiplier of SplitMix64; spreads hashes of names that differ little.
+    (hash ^ (hash >> 31)).wrapping_mul(0x94d0_49bb_1331_11eb)
+}
--- /dev/null
+++ b/crates/savorywalk/src/membership/probe_monitor.rs
@@ -0,0 +1,89 @@
+use super::{MemberCard, MembershipTiming};
+use crate::prelude::*;
+
+/// Watches one neighbour by rounds of probes.
+#[derive(Debug)]
+pub(super) struct ProbeMonitor {
+    card: Arc<MemberCard>,
+    round: Option<ProbeRound>,
+    next_round: Instant,
+    missed: u32,
+}
+
+#[derive(Debug)]
+struct ProbeRound {
+    number: u32,
+    started: Instant,
+    indirect: bool,
+}
+
+/// What a monitor asks for when time has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum MonitorStep {
+    /// Nothing is due.
+    Wait,
+    /// Probe directly.
+    Probe(u32),
+    /// Probe directly again and through others.
+    ProbeIndirectly(u32),
+}
+
+impl ProbeMonitor {
+    pub(super) fn new(card: Arc<MemberCard>, first_round: Instant) -> Self {
+        Self {
+            card,
+            round: None,
+            next_round: first_round,
+            missed: 0,
+        }
+    }
+
+    pub(super) fn card(&self) -> &Arc<MemberCard> {
+        &self.card
+    }
+
+    /// Whether enough rounds in a row were missed to suspect the neighbour.
+    pub(super) fn is_missing(&self, timing: &MembershipTiming) -> bool {
+        self.missed >= timing.missed_rounds
+    }
+
+    /// Moves on to what is due at `now`; `number` is used if a round starts.
+    pub(super) fn step(
+        &mut self,
+        now: Instant,
+        interval: Duration,
+        timing: &MembershipTiming,
+        number: u32,
+    ) -> MonitorStep {
+        if now >= self.next_round {
+            self.missed += u32::from(self.round.is_some());
+            self.next_round = now + interval;
+            self.round = Some(ProbeRound {
+                number,
+                started: now,
+                indirect: false,
+            });
+            return MonitorStep::Probe(number);
+        }
+        match &mut self.round {
+            Some(round) if !round.indirect && now >= round.started + timing.probe_timeout => {
+                round.indirect = true;
+                MonitorStep::ProbeIndirectly(round.number)
+            }
+            Some(_) | None => MonitorStep::Wait,
+        }
+    }
+
+    /// Ends the round that `number` belongs to; tells whether it did.
+    pub(super) fn acknowledge(&mut self, number: u32) -> bool {
+        let current = self
+            .round
+            .as_ref()
+            .is_some_and(|round| round.number == number);
+        if current {
+            self.round = None;
+            self.missed = 0;
+        }
+        current
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/membership/test_network.rs
@@ -0,0 +1,201 @@
+//! Members of one deployment on a network without sockets and a clock that
+//! only the test moves.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::prelude::*;
+
+const STEP: Duration = Duration::from_millis(100);
+
+pub(super) type Delivery = Reverse<(Instant, u64, SocketAddr, SocketAddr, Bytes)>;
+
+pub(super) struct TestNetwork {
+    pub(super) now: Instant,
+    pub(super) cores: BTreeMap<SocketAddr, MembershipCore>,
+    pub(super) down: BTreeSet<SocketAddr>,
+    pub(super) paused: BTreeSet<SocketAddr>,
+    pub(super) loss: f64,
+    pub(super) duplication: f64,
+    pub(super) max_delay: Duration,
+    /// Pairs of groups between which nothing passes.
+    pub(super) cut: fn(&MemberCard, &MemberCard) -> bool,
+    pub(super) bytes: u64,
+    pub(super) deaths: Vec<Arc<str>>,
+    cards: BTreeMap<SocketAddr, MemberCard>,
+    random: ChaCha8Rng,
+    flying: BinaryHeap<Delivery>,
+    order: u64,
+}
+
+pub(super) fn card(index: usize, regions: usize) -> MemberCard {
+    MemberCard {
+        name: format!("entry-{index}").into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
+        region: format!("region-{}", index % regions).into(),
+        data_center: format!("dc-{}-{}", index % regions, index / regions % 2).into(),
+    }
+}
+
+impl TestNetwork {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            now: Instant::now(),
+            cores: BTreeMap::new(),
+            down: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            loss: 0.0,
+            duplication: 0.0,
+            max_delay: Duration::from_millis(20),
+            cut: |_, _| false,
+            bytes: 0,
+            deaths: Vec::new(),
+            cards: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            flying: BinaryHeap::new(),
+            order: 0,
+        }
+    }
+
+    /// `count` members over `regions`, all started and acquainted.
+    pub(super) fn settled(seed: u64, count: usize, regions: usize) -> Self {
+        let mut network = Self::new(seed);
+        for index in 0..count {
+            network.start(card(index, regions), 1);
+        }
+        network.run(Duration::from_secs(20));
+        assert!(
+            network.agrees(),
+            "seed {seed}: no agreement after the start"
+        );
+        network
+    }
+
+    pub(super) fn start(&mut self, card: MemberCard, incarnation: u64) {
+        let seeds = (0..3).map(|index| SocketAddr::from(([127, 0, 0, 1], 1_000 + index)));
+        let seed = self.random.random();
+        let timing = MembershipTiming::default();
+        let core = MembershipCore::new(
+            self.now,
+            card.clone(),
+            incarnation,
+            seeds.collect(),
+            timing,
+            seed,
+        );
+        self.down.remove(&card.address);
+        self.cores.insert(card.address, core);
+        self.cards.insert(card.address, card);
+    }
+
+    pub(super) fn crash(&mut self, index: usize) {
+        self.down
+            .insert(SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)));
+    }
+
+    pub(super) fn leave(&mut self, index: usize) {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+        let core = self.cores.get_mut(&address).unwrap();
+        let actions = core.handle(self.now, MembershipEvent::Leave).unwrap();
+        self.perform(address, actions);
+        self.crash(index);
+    }
+
+    pub(super) fn core(&self, index: usize) -> &MembershipCore {
+        &self.cores[&SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))]
+    }
+
+    pub(super) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            let addresses: Vec<_> = self.cores.keys().copied().collect();
+            for address in addresses {
+                if !self.is_silent(address) {
+                    self.feed(address, MembershipEvent::Tick);
+                }
+            }
+        }
+    }
+
+    /// Whether every running member sees exactly the running ones.
+    pub(super) fn agrees(&self) -> bool {
+        let running: BTreeSet<_> = self
+            .cores
+            .keys()
+            .filter(|a| !self.down.contains(a))
+            .collect();
+        running.iter().all(|address| {
+            let view = self.cores[address].view();
+            let seen: BTreeSet<_> = view.live.iter().map(|card| &card.address).collect();
+            seen == running.iter().copied().collect()
+        })
+    }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        self.down.contains(&address) || self.paused.contains(&address)
+    }
+
+    fn deliver(&mut self) {
+        let mut kept = Vec::new();
+        while self
+            .flying
+            .peek()
+            .is_some_and(|Reverse((due, ..))| *due <= self.now)
+        {
+            let Some(Reverse((due, order, from, to, payload))) = self.flying.pop() else {
+                break;
+            };
+            if self.paused.contains(&to) {
+                kept.push(Reverse((due, order, from, to, payload)));
+            } else if !self.down.contains(&to) && self.cores.contains_key(&to) {
+                self.feed(to, MembershipEvent::Received(&payload));
+            }
+        }
+        self.flying.extend(kept);
+    }
+
+    fn feed(&mut self, address: SocketAddr, event: MembershipEvent<'_>) {
+        let core = self.cores.get_mut(&address).unwrap();
+        let actions = core.handle(self.now, event).unwrap();
+        self.perform(address, actions);
+    }
+
+    fn perform(&mut self, from: SocketAddr, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, payload } => self.send(from, to, payload),
+                MembershipAction::Changed { card, state } => {
+                    if state == MemberState::Dead {
+                        self.deaths.push(Arc::clone(&card.name));
+                    }
+                }
+                MembershipAction::RegionReachable { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: SocketAddr, to: SocketAddr, payload: Bytes) {
+        self.bytes += payload.len() as u64;
+        let (Some(sender), Some(receiver)) = (self.cards.get(&from), self.cards.get(&to)) else {
+            return;
+        };
+        if (self.cut)(sender, receiver) {
+            return;
+        }
+        let copies = 1 + usize::from(self.random.random_bool(self.duplication));
+        for _ in 0..copies {
+            if !self.random.random_bool(self.loss) {
+                let due = self.now + self.max_delay.mul_f64(self.random.random());
+                self.order += 1;
+                let delivery = (due, self.order, from, to, payload.clone());
+                self.flying.push(Reverse(delivery));
+            }
+        }
+    }
+}
