Add the control state: patches, claims, audit trail, order book

The replicated log needs a deterministic machine for what it decides. The state applies commands in order and takes time only from the leader's stamps:

- ConfigurationRegister: merge patches for the version they name, a bounded window of patch ids, a bounded history with undo patches, rollback as a new version.
- ClaimTable: a non-idempotent request's key is granted once; bounded claims and kept answers.
- OrderBook: one outstanding order an endpoint, numbered by term and index.

The configuration gains models, pool roles, the claims' retention and the weight store's rate.

--- a/crates/savorywalk/src/configuration/configuration_snapshot.rs
+++ b/crates/savorywalk/src/configuration/configuration_snapshot.rs
@@ -2,6 +2,7 @@
     Configuration, ConfigurationError, ConfigurationProblem, ConfigurationReport, Result,
     StageKind, TokenDigest,
 };
+use crate::claims::{DEFAULT_RETENTION, MAX_RETENTION, MIN_RETENTION};
 use crate::prelude::*;
 
 const MAX_DEADLINE_MS: u32 = 600_000;
@@ -105,6 +106,8 @@
     pub fn build(version: u64, source: Configuration) -> Result<Self> {
         let mut check = SnapshotCheck::default();
         let pipelines = check.pipelines(&source);
+        check.models(&source);
+        check.claim_retention(&source);
         let (workspaces, callers) = check.workspaces(&source);
         let operators = check.credentials("operators", &source.operators);
         let endpoints = check.credentials("endpoint_credentials", &source.endpoint_credentials);
@@ -225,6 +228,56 @@
         plans
     }
 
+    /// Checks the models, and that stages ask for models that are kept; with
+    /// no models the endpoints bring their own.
+    fn models(&mut self, source: &Configuration) {
+        for (name, model) in &source.models {
+            let path = format!("models.{name}");
+            self.name(&path, name);
+            self.name(&format!("{path}.version"), &model.version);
+            if model.pools.is_empty() {
+                let remedy = "name the pools whose endpoints hold it";
+                self.fail(format!("{path}.pools"), ConfigurationProblem::Empty, remedy);
+            }
+            for (index, pool) in model.pools.iter().enumerate() {
+                if !source.pools.contains_key(pool) {
+                    let path = format!("{path}.pools[{index}]");
+                    self.dangling(path, "pool", pool, "add it under pools or leave it out");
+                }
+            }
+            for (index, adapter) in model.adapters.iter().enumerate() {
+                self.name(&format!("{path}.adapters[{index}]"), adapter);
+            }
+        }
+        if source.models.is_empty() {
+            return;
+        }
+        for (name, pipeline) in &source.pipelines {
+            for (index, stage) in pipeline.stages.iter().enumerate() {
+                if !stage.model.is_empty() && !source.models.contains_key(&stage.model) {
+                    let path = format!("pipelines.{name}.stages[{index}].model");
+                    let remedy = "add it under models or name another one";
+                    self.dangling(path, "model", &stage.model, remedy);
+                }
+            }
+        }
+    }
+
+    fn dangling(&mut self, path: String, kind: &'static str, name: &str, remedy: &str) {
+        let name = name.into();
+        self.fail(path, ConfigurationProblem::Dangling { kind, name }, remedy);
+    }
+
+    /// A claim must outlive its run, so the retention has a least value.
+    fn claim_retention(&mut self, source: &Configuration) {
+        let retention = claim_retention(source);
+        if !(MIN_RETENTION..=MAX_RETENTION).contains(&retention) {
+            let problem = ConfigurationProblem::OutOfBounds(retention.as_secs());
+            let path = "limits.claim_retention_s".into();
+            self.fail(path, problem, "use 3600 to 604800 seconds");
+        }
+    }
+
     fn stages(
         &mut self,
         path: &str,
@@ -356,6 +409,15 @@
     }
 }
 
+/// How long a claim of a non-idempotent request is remembered.
+pub(crate) fn claim_retention(source: &Configuration) -> Duration {
+    let limits = source.limits.as_ref();
+    match limits.map_or(0, |limits| limits.claim_retention_s) {
+        0 => DEFAULT_RETENTION,
+        seconds => Duration::from_secs(seconds.into()),
+    }
+}
+
 fn or_default(value: u32, default: u32) -> u32 {
     if value == 0 { default } else { value }
 }
--- a/crates/savorywalk/src/control/mod.rs
+++ b/crates/savorywalk/src/control/mod.rs
@@ -1,2 +1,24 @@
-//! The control role: what the replicated log decides, and the daemon around it.
-//! See docs/design/control.md.
+//! The control role: what the replicated log decides, and how a process asks
+//! it. See docs/design/control.md.
+
+mod control_error;
+mod control_state;
+
+pub use crate::generated::control::control_command::Body as ControlBody;
+pub use crate::generated::control::control_outcome::Outcome as ControlVerdict;
+pub use crate::generated::control::control_query::Query as ControlQuestion;
+pub use crate::generated::control::control_reply::Reply as ControlAnswer;
+pub use crate::generated::control::patch_command::Change as PatchChange;
+pub use crate::generated::control::patch_outcome::Outcome as PatchVerdict;
+pub use crate::generated::control::{
+    BootstrapCommand, ConfigurationFault, ConfigurationQuery, ConfigurationReply, ControlCommand,
+    ControlOutcome, ControlQuery, ControlReply, ControlSnapshot, ControlStatus, HistoryReply,
+    InvalidConfiguration, LeaseOutcome, Malformed, MembershipNote, Noted, PatchAccepted,
+    PatchCommand, PatchIdConflict, PatchOutcome, RangeQuery, StatusQuery, VersionChange,
+    VersionMismatch,
+};
+pub use control_error::ControlError;
+pub use control_state::ControlState;
+
+/// Result of this module's fallible calls.
+pub type Result<T> = std::result::Result<T, ControlError>;
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -181,7 +181,10 @@
 
 impl DeploymentPlan {
     fn add_pool(&mut self, pool: &str, kind: StageKind, workers: usize) {
-        let configuration = PoolConfiguration { kind: kind.into() };
+        let configuration = PoolConfiguration {
+            kind: kind.into(),
+            ..PoolConfiguration::default()
+        };
         self.configuration.pools.insert(pool.into(), configuration);
         for number in 1..=workers {
             let data_center = &self.data_centers[(number - 1) % self.data_centers.len()];
--- a/xtask/src/generate.rs
+++ b/xtask/src/generate.rs
@@ -12,6 +12,18 @@
 
 const GENERATED_FOLDER: &str = "crates/savorywalk/src/generated";
 const JSON_PACKAGES: [&str; 2] = [".savorywalk.settings", ".savorywalk.configuration"];
+const JSON_MESSAGES: [&str; 8] = [
+    ".savorywalk.control.AuditRecord",
+    ".savorywalk.control.AuditReply",
+    ".savorywalk.control.ConfigurationFault",
+    ".savorywalk.control.ControlStatus",
+    ".savorywalk.control.HistoryReply",
+    ".savorywalk.control.PatchAccepted",
+    ".savorywalk.control.VersionChange",
+    ".savorywalk.control.VersionMismatch",
+];
+/// Keys of sorted maps.
+const CLAIM_KEY: &str = ".savorywalk.claims.ClaimKey";
 const STAGE_KIND_FIELD: &str = ".savorywalk.configuration.PoolConfiguration.kind";
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
@@ -93,6 +105,10 @@
         config.message_attribute(package, "#[derive(serde::Serialize, serde::Deserialize)]");
         config.message_attribute(package, "#[serde(default, deny_unknown_fields)]");
     }
+    config.message_attribute(CLAIM_KEY, "#[derive(PartialOrd, Ord)]");
+    for message in JSON_MESSAGES {
+        config.message_attribute(message, "#[derive(serde::Serialize, serde::Deserialize)]");
+    }
     config.field_attribute(
         STAGE_KIND_FIELD,
         "#[serde(with = \"crate::configuration::stage_kind_text\")]",
