Route by decayed load, latency and health

The adaptive policy compared own outstanding work with reported load at face value and scanned the whole pool for each pick. A slow or failing endpoint kept its part of the work, and an old report of an idle endpoint drew every daemon there.

Turn the policy into a state machine that gets time and randomness from its caller: two endpoints are drawn and checked, the whole pool is scanned only when the draws fail. The cost joins own work, reported work that fades to what is usual in the pool, decayed latency, failures, slow start, distance and a bounded prefix affinity. Failing endpoints are ejected, at most three tenths of a pool at once, and come back by one attempt at a time.

--- a/crates/savorywalk/src/attempt/stage_dispatcher.rs
+++ b/crates/savorywalk/src/attempt/stage_dispatcher.rs
@@ -6,7 +6,7 @@
 use crate::configuration::StagePlan;
 use crate::directory::DirectoryHandle;
 use crate::prelude::*;
-use crate::routing::{EndpointRouter, RouteQuery};
+use crate::routing::{EndpointRouter, PromptPrefix, RouteQuery};
 
 /// Most attempts at one stage of one request.
 const MAX_ATTEMPTS: u16 = 3;
@@ -87,6 +87,7 @@
             Ok(call) => call,
             Err(error) => return Err(failed(failure, error)),
         };
+        let prefix = PromptPrefix::default();
         let mut excluded = Vec::new();
         for attempt in 0..MAX_ATTEMPTS {
             let now = Instant::now();
@@ -96,6 +97,9 @@
             let query = RouteQuery {
                 pool: &request.stage.pool,
                 model: &request.stage.model,
+                version: "",
+                adapter: "",
+                prefix: &prefix,
                 excluded: &excluded,
             };
             let Some(record) = self.router.pick(now, &self.directory.snapshot(), query) else {
--- a/crates/savorywalk/src/directory/endpoint_directory.rs
+++ b/crates/savorywalk/src/directory/endpoint_directory.rs
@@ -57,10 +57,13 @@
         if known.is_some_and(|known| !is_newer(&announcement, &known.announcement)) {
             return Ok(AnnouncementOutcome::Superseded);
         }
+        let same = known.filter(|known| known.announcement.incarnation == announcement.incarnation);
+        let joined = same.map_or(now, |known| known.joined);
         let lease = Duration::from_millis(announcement.lease_ms.into()).min(max_lease);
         let record = EndpointRecord {
             expires: now + lease,
             load_at: now,
+            joined,
             announcement,
         };
         let name = record.announcement.endpoint.clone();
--- a/crates/savorywalk/src/directory/endpoint_record.rs
+++ b/crates/savorywalk/src/directory/endpoint_record.rs
@@ -90,6 +90,8 @@
     pub expires: Instant,
     /// When the load was received.
     pub load_at: Instant,
+    /// When this process first heard of this incarnation.
+    pub joined: Instant,
 }
 
 impl EndpointRecord {
--- a/crates/savorywalk/src/routing/endpoint_router.rs
+++ b/crates/savorywalk/src/routing/endpoint_router.rs
@@ -1,31 +1,19 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use rand::RngExt;
 
-use super::{OutstandingTable, RoutingPolicy};
+use super::{AttemptReport, OutstandingTable, PromptPrefix, RouteQuery, RouterCore, RoutingPolicy};
 use crate::directory::{DirectorySnapshot, EndpointRecord};
 use crate::prelude::*;
 
-/// Cost of crossing into another data centre, in units of one waiting request.
-const DISTANCE_COST: f64 = 0.5;
-
-/// What an attempt needs of its endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct RouteQuery<'a> {
-    /// Pool that serves the stage.
-    pub pool: &'a str,
-    /// Model that it needs; empty for none.
-    pub model: &'a str,
-    /// Endpoints that failed this stage already.
-    pub excluded: &'a [String],
-}
-
 /// Picks endpoints by one policy.
 #[derive(Debug)]
 pub struct EndpointRouter {
     policy: RoutingPolicy,
-    data_center: String,
     turn: AtomicUsize,
+    /// Held for less than a microsecond a pick; see docs/measurements/routing.md.
+    core: Mutex<RouterCore>,
     /// Attempts in progress from this process.
     pub outstanding: OutstandingTable,
 }
@@ -35,8 +23,8 @@
     pub fn new(policy: RoutingPolicy, data_center: &str) -> Self {
         Self {
             policy,
-            data_center: data_center.to_string(),
             turn: AtomicUsize::new(0),
+            core: Mutex::new(RouterCore::new(data_center)),
             outstanding: OutstandingTable::default(),
         }
     }
@@ -47,73 +35,96 @@
         now: Instant,
         directory: &DirectorySnapshot,
         query: RouteQuery<'_>,
+    ) -> Option<Arc<EndpointRecord>> {
+        self.pick_with(now, &mut rand::rng(), directory, query)
+    }
+
+    /// The same, with the caller's source of randomness.
+    pub fn pick_with(
+        &self,
+        now: Instant,
+        random: &mut impl RngExt,
+        directory: &DirectorySnapshot,
+        query: RouteQuery<'_>,
     ) -> Option<Arc<EndpointRecord>> {
         let pool = directory.pool(query.pool);
-        let serving: Vec<&Arc<EndpointRecord>> = pool
-            .iter()
-            .filter(|record| record.takes_work(now) && record.has_model(query.model))
-            .collect();
-        let fresh: Vec<&Arc<EndpointRecord>> = serving
-            .iter()
-            .copied()
-            .filter(|record| !query.excluded.contains(&record.announcement.endpoint))
-            .collect();
-        let candidates = if fresh.is_empty() { serving } else { fresh };
-        if candidates.is_empty() {
-            return None;
-        }
         let picked = match self.policy {
-            RoutingPolicy::RoundRobin => self.in_turn(&candidates),
-            RoutingPolicy::LeastOutstanding => self.least_outstanding(&candidates),
-            RoutingPolicy::Adaptive => self.best_of_two(&candidates),
+            RoutingPolicy::RoundRobin => self.in_turn(&candidates(now, pool, query)),
+            RoutingPolicy::LeastOutstanding => {
+                self.least_outstanding(&candidates(now, pool, query))
+            }
+            RoutingPolicy::Adaptive => {
+                self.core()
+                    .pick(now, random, pool, query, &self.outstanding)
+            }
         };
-        Some(Arc::clone(picked))
+        picked.cloned()
+    }
+
+    /// Takes in what an attempt showed of `endpoint`; tells whether that
+    /// ejected it. The baselines take no notice.
+    pub fn report(
+        &self,
+        now: Instant,
+        directory: &DirectorySnapshot,
+        pool: &str,
+        endpoint: &str,
+        report: AttemptReport,
+    ) -> bool {
+        match self.policy {
+            RoutingPolicy::RoundRobin | RoutingPolicy::LeastOutstanding => false,
+            RoutingPolicy::Adaptive => {
+                let records = directory.pool(pool);
+                self.core().report(now, pool, records, endpoint, report)
+            }
+        }
+    }
+
+    /// Notes that `endpoint` has just worked on a prompt with this prefix.
+    pub fn note_prefix(&self, now: Instant, endpoint: &str, prefix: &PromptPrefix) {
+        self.core().note_prefix(now, endpoint, prefix);
+    }
+
+    fn core(&self) -> MutexGuard<'_, RouterCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn in_turn<'a>(&self, candidates: &[&'a Arc<EndpointRecord>]) -> &'a Arc<EndpointRecord> {
+    fn in_turn<'a>(
+        &self,
+        candidates: &[&'a Arc<EndpointRecord>],
+    ) -> Option<&'a Arc<EndpointRecord>> {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        candidates[turn % candidates.len()]
+        let index = turn.checked_rem(candidates.len())?;
+        Some(candidates[index])
     }
 
     fn least_outstanding<'a>(
         &self,
         candidates: &[&'a Arc<EndpointRecord>],
-    ) -> &'a Arc<EndpointRecord> {
+    ) -> Option<&'a Arc<EndpointRecord>> {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         let rotated =
             (0..candidates.len()).map(|index| candidates[(index + turn) % candidates.len()]);
-        rotated
-            .min_by_key(|record| self.outstanding.count(&record.announcement.endpoint))
-            .unwrap_or(candidates[0])
-    }
-
-    fn best_of_two<'a>(&self, candidates: &[&'a Arc<EndpointRecord>]) -> &'a Arc<EndpointRecord> {
-        if candidates.len() == 1 {
-            return candidates[0];
-        }
-        let mut random = rand::rng();
-        let first = random.random_range(0..candidates.len());
-        let mut second = random.random_range(0..candidates.len() - 1);
-        if second >= first {
-            second += 1;
-        }
-        let (first, second) = (candidates[first], candidates[second]);
-        if self.cost(second) < self.cost(first) {
-            second
-        } else {
-            first
-        }
+        rotated.min_by_key(|record| self.outstanding.count(&record.announcement.endpoint))
     }
+}
 
-    fn cost(&self, record: &EndpointRecord) -> f64 {
-        let announcement = &record.announcement;
-        let own = f64::from(self.outstanding.count(&announcement.endpoint));
-        let reported = f64::from(announcement.load.running + announcement.load.queued);
-        let distance = if announcement.data_center == self.data_center {
-            0.0
-        } else {
-            DISTANCE_COST
-        };
-        (own.max(reported) + 1.0) / f64::from(announcement.slots.max(1)) + distance
-    }
+/// For the baselines: all that serve, without those that failed the stage
+/// unless there is no other.
+fn candidates<'a>(
+    now: Instant,
+    pool: &'a [Arc<EndpointRecord>],
+    query: RouteQuery<'_>,
+) -> Vec<&'a Arc<EndpointRecord>> {
+    let serving = pool.iter().filter(|record| query.is_served_by(now, record));
+    let serving: Vec<&Arc<EndpointRecord>> = serving.collect();
+    let fresh = serving.iter().copied();
+    let fresh: Vec<&Arc<EndpointRecord>> = fresh
+        .filter(|record| !query.excludes(&record.announcement.endpoint))
+        .collect();
+    if fresh.is_empty() { serving } else { fresh }
 }
+
+#[cfg(test)]
+#[path = "endpoint_router_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/routing/outstanding_table.rs
+++ b/crates/savorywalk/src/routing/outstanding_table.rs
@@ -4,6 +4,10 @@
 
 use crate::prelude::*;
 
+/// Endpoints kept before those without an attempt are forgotten; the largest
+/// pool has some 1,100.
+const MAX_ENTRIES: usize = 4_096;
+
 /// Attempts that this process has in progress at each endpoint.
 #[derive(Debug, Default)]
 pub struct OutstandingTable {
@@ -36,7 +40,12 @@
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let count = match counts.get(endpoint) {
             Some(count) => Arc::clone(count),
-            None => Arc::clone(counts.entry(endpoint.to_string()).or_default()),
+            None => {
+                if counts.len() >= MAX_ENTRIES {
+                    counts.retain(|_, count| count.load(Ordering::Relaxed) > 0);
+                }
+                Arc::clone(counts.entry(endpoint.to_string()).or_default())
+            }
         };
         count.fetch_add(1, Ordering::Relaxed);
         OutstandingGuard { count }
--- /dev/null
+++ b/crates/savorywalk/src/routing/test_simulation.rs
@@ -0,0 +1,362 @@
+//! A few fake endpoints in virtual time, for tests of the router.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    AttemptReport, EndpointRouter, OutstandingGuard, PromptPrefix, RouteQuery, RoutingPolicy,
+};
+use crate::directory::{
+    DirectorySnapshot, EndpointAnnouncement, EndpointDirectory, EndpointLoad, EndpointRecord,
+    EndpointState, ModelEntry,
+};
+use crate::prelude::*;
+
+pub(super) const POOL: &str = "engines";
+pub(super) const MODEL: &str = "model-a";
+pub(super) const HOME: &str = "bole";
+const LEASE_MS: u32 = 15_000;
+
+/// An endpoint with first-come-first-served slots.
+pub(super) struct FakeEndpoint {
+    pub(super) name: String,
+    pub(super) slots: u32,
+    pub(super) service: Duration,
+    /// Fails at once rather than work.
+    pub(super) broken: bool,
+    /// Takes this share of the time when it holds the prompt's prefix.
+    pub(super) joins: Duration,
+    free: BinaryHeap<Reverse<Instant>>,
+    /// Requests in progress, or waiting.
+    pub(super) inside: u32,
+    /// Most that were inside at once.
+    pub(super) peak: u32,
+    /// When each request was sent to it.
+    pub(super) sent: Vec<Duration>,
+}
+
+impl FakeEndpoint {
+    pub(super) fn new(number: usize, slots: u32, service_ms: u64) -> Self {
+        Self {
+            name: format!("engine-{number:04}"),
+            slots,
+            service: Duration::from_millis(service_ms),
+            broken: false,
+            joins: Duration::ZERO,
+            free: BinaryHeap::new(),
+            inside: 0,
+            peak: 0,
+            sent: Vec::new(),
+        }
+    }
+
+    fn finish_at(&mut self, now: Instant, random: &mut ChaCha8Rng) -> Instant {
+        if self.broken {
+            return now + Duration::from_millis(1);
+        }
+        let busy = self.free.len() >= self.slots as usize;
+        let begin = match self.free.pop() {
+            Some(Reverse(free)) if busy => free.max(now),
+            Some(Reverse(free)) => {
+                self.free.push(Reverse(free));
+                now
+            }
+            None => now,
+        };
+        let finish = begin + self.service.mul_f64(random.random_range(0.5..1.5));
+        self.free.push(Reverse(finish));
+        finish
+    }
+}
+
+/// What a run is like.
+pub(super) struct SimulationPlan {
+    pub(super) policy: RoutingPolicy,
+    /// Ignore the policy and pick at random.
+    pub(super) blind: bool,
+    pub(super) seed: u64,
+    pub(super) entries: usize,
+    pub(super) requests_per_second: f64,
+    pub(super) seconds: u64,
+    /// Time between an endpoint's load reports.
+    pub(super) report_every: Duration,
+    /// Time that a report takes to arrive.
+    pub(super) report_lag: Duration,
+    /// Share of the requests that open with one common prefix.
+    pub(super) common_prefix: f64,
+}
+
+impl Default for SimulationPlan {
+    fn default() -> Self {
+        Self {
+            policy: RoutingPolicy::Adaptive,
+            blind: false,
+            seed: 7,
+            entries: 6,
+            requests_per_second: 180.0,
+            seconds: 40,
+            report_every: Duration::from_secs(1),
+            report_lag: Duration::from_millis(200),
+            common_prefix: 0.0,
+        }
+    }
+}
+
+/// What came of a run.
+pub(super) struct SimulationResult {
+    pub(super) endpoints: Vec<FakeEndpoint>,
+    /// Times from dispatch to answer, or to the end of the run, sorted.
+    pub(super) latencies: Vec<Duration>,
+    /// Requests with the common prefix, by endpoint.
+    pub(super) common_sent: Vec<u64>,
+}
+
+impl SimulationResult {
+    /// Share of all requests that went to an endpoint.
+    pub(super) fn share(&self, index: usize) -> f64 {
+        let total: usize = self
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.sent.len())
+            .sum();
+        self.endpoints[index].sent.len() as f64 / total as f64
+    }
+
+    /// Requests sent to an endpoint within a span of time.
+    pub(super) fn sent_between(&self, index: usize, from: u64, to: u64) -> usize {
+        let span = Duration::from_secs(from)..Duration::from_secs(to);
+        let sent = self.endpoints[index].sent.iter();
+        sent.filter(|at| span.contains(*at)).count()
+    }
+
+    /// Most requests that were inside one endpoint at once.
+    pub(super) fn peak(&self) -> u32 {
+        let peaks = self.endpoints.iter().map(|endpoint| endpoint.peak);
+        peaks.max().unwrap_or_default()
+    }
+
+    pub(super) fn latency(&self, quantile: f64) -> Duration {
+        self.latencies[(self.latencies.len() as f64 * quantile) as usize]
+    }
+}
+
+enum SimulationEvent {
+    Arrive,
+    Finish {
+        endpoint: usize,
+        entry: usize,
+        sent: Instant,
+    },
+    Report {
+        endpoint: usize,
+    },
+    Deliver {
+        endpoint: usize,
+        load: EndpointLoad,
+        sequence: u64,
+    },
+}
+
+/// Runs a plan against `endpoints`.
+pub(super) fn simulate(
+    plan: &SimulationPlan,
+    mut endpoints: Vec<FakeEndpoint>,
+) -> SimulationResult {
+    let start = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+    let routers: Vec<EndpointRouter> = (0..plan.entries)
+        .map(|_| EndpointRouter::new(plan.policy, HOME))
+        .collect();
+    let mut directory = EndpointDirectory::default();
+    let mut snapshot = DirectorySnapshot::default();
+    let mut events: BTreeMap<(Instant, u64), SimulationEvent> = BTreeMap::new();
+    let mut guards: FastMap<(usize, Instant, u64), OutstandingGuard> = FastMap::default();
+    let mut number = 0;
+    let mut at = |when: Instant, event, events: &mut BTreeMap<_, _>| {
+        number += 1;
+        events.insert((when, number), event);
+        number
+    };
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        at(
+            start + endpoint.joins,
+            SimulationEvent::Report { endpoint: index },
+            &mut events,
+        );
+    }
+    at(
+        start + Duration::from_millis(1),
+        SimulationEvent::Arrive,
+        &mut events,
+    );
+    let common = PromptPrefix::new(&"the same history ".repeat(1_000));
+    let none = PromptPrefix::default();
+    let mut latencies = Vec::new();
+    let mut common_sent = vec![0; endpoints.len()];
+    while let Some(((now, key), event)) = events.pop_first() {
+        if now > start + Duration::from_secs(plan.seconds) {
+            break;
+        }
+        match event {
+            SimulationEvent::Arrive => {
+                let gap = -random.random_range(f64::EPSILON..1.0).ln() / plan.requests_per_second;
+                at(
+                    now + Duration::from_secs_f64(gap),
+                    SimulationEvent::Arrive,
+                    &mut events,
+                );
+                let entry = random.random_range(0..plan.entries);
+                let is_common = random.random_bool(plan.common_prefix);
+                let prefix = if is_common { &common } else { &none };
+                let query = query(prefix, &[]);
+                let router = &routers[entry];
+                let picked = if plan.blind {
+                    let pool = snapshot.pool(POOL);
+                    let index = random.random_range(0..pool.len().max(1));
+                    pool.get(index).cloned()
+                } else {
+                    router.pick_with(now, &mut random, &snapshot, query)
+                };
+                let Some(record) = picked else {
+                    continue;
+                };
+                let name = &record.announcement.endpoint;
+                let index = endpoints
+                    .iter()
+                    .position(|endpoint| &endpoint.name == name)
+                    .unwrap();
+                let endpoint = &mut endpoints[index];
+                endpoint.sent.push(now - start);
+                endpoint.inside += 1;
+                endpoint.peak = endpoint.peak.max(endpoint.inside);
+                common_sent[index] += u64::from(is_common);
+                router.note_prefix(now, name, prefix);
+                let finish = endpoint.finish_at(now, &mut random);
+                let event = SimulationEvent::Finish {
+                    endpoint: index,
+                    entry,
+                    sent: now,
+                };
+                let key = at(finish, event, &mut events);
+                guards.insert((entry, finish, key), router.outstanding.enter(name));
+            }
+            SimulationEvent::Finish {
+                endpoint,
+                entry,
+                sent,
+            } => {
+                guards.remove(&(entry, now, key));
+                let report = if endpoints[endpoint].broken {
+                    AttemptReport::Failed
+                } else {
+                    latencies.push(now - sent);
+                    AttemptReport::Succeeded(now - sent)
+                };
+                endpoints[endpoint].inside -= 1;
+                let name = &endpoints[endpoint].name;
+                routers[entry].report(now, &snapshot, POOL, name, report);
+            }
+            SimulationEvent::Report { endpoint } => {
+                let fake = &endpoints[endpoint];
+                let running = fake.inside.min(fake.slots);
+                let queued = fake.inside - running;
+                let load = EndpointLoad { running, queued };
+                let event = SimulationEvent::Deliver {
+                    endpoint,
+                    load,
+                    sequence: key,
+                };
+                let lag = if now == start + fake.joins {
+                    Duration::ZERO
+                } else {
+                    plan.report_lag
+                };
+                at(now + lag, event, &mut events);
+                at(
+                    now + plan.report_every,
+                    SimulationEvent::Report { endpoint },
+                    &mut events,
+                );
+            }
+            SimulationEvent::Deliver {
+                endpoint,
+                load,
+                sequence,
+            } => {
+                let fake = &endpoints[endpoint];
+                let announcement = announcement(&fake.name, fake.slots, load, sequence);
+                directory
+                    .announce(now, announcement, Duration::from_secs(60))
+                    .unwrap();
+                snapshot = directory.snapshot();
+            }
+        }
+    }
+    let end = start + Duration::from_secs(plan.seconds);
+    let unfinished = events.into_values().filter_map(|event| match event {
+        SimulationEvent::Finish { sent, .. } => Some(end - sent),
+        SimulationEvent::Arrive
+        | SimulationEvent::Report { .. }
+        | SimulationEvent::Deliver { .. } => None,
+    });
+    latencies.extend(unfinished);
+    latencies.sort();
+    SimulationResult {
+        endpoints,
+        latencies,
+        common_sent,
+    }
+}
+
+pub(super) fn query<'a>(prefix: &'a PromptPrefix, excluded: &'a [String]) -> RouteQuery<'a> {
+    RouteQuery {
+        pool: POOL,
+        model: MODEL,
+        version: "",
+        adapter: "",
+        prefix,
+        excluded,
+    }
+}
+
+pub(super) fn announcement(
+    name: &str,
+    slots: u32,
+    load: EndpointLoad,
+    sequence: u64,
+) -> EndpointAnnouncement {
+    EndpointAnnouncement {
+        endpoint: name.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        pool: POOL.into(),
+        data_center: HOME.into(),
+        incarnation: 1,
+        sequence,
+        state: EndpointState::Serving,
+        lease_ms: LEASE_MS,
+        models: vec![ModelEntry {
+            name: MODEL.into(),
+            version: "1".into(),
+            adapters: vec!["tow".into()],
+        }],
+        load,
+        slots,
+    }
+}
+
+/// A pool of idle endpoints, sorted by name as the directory gives it.
+pub(super) fn pool(now: Instant, size: usize) -> Vec<Arc<EndpointRecord>> {
+    let records = (0..size).map(|number| {
+        let name = format!("engine-{number:04}");
+        Arc::new(EndpointRecord {
+            announcement: announcement(&name, 8, EndpointLoad::default(), 1),
+            expires: now + Duration::from_secs(3_600),
+            load_at: now,
+            joined: now,
+        })
+    });
+    records.collect()
+}
