Hint prefixes by the hashes that endpoints announce

The router had digests of its own for a prompt's opening, while announcements name a prefix by its PrefixHash. Use the announced form, and take an endpoint's cache events into the hints.

--- a/crates/savorywalk/src/routing/endpoint_router.rs
+++ b/crates/savorywalk/src/routing/endpoint_router.rs
@@ -4,7 +4,7 @@
 use rand::RngExt;
 
 use super::{AttemptReport, OutstandingTable, PromptPrefix, RouteQuery, RouterCore, RoutingPolicy};
-use crate::directory::{DirectorySnapshot, EndpointRecord};
+use crate::directory::{CacheEvent, DirectorySnapshot, EndpointRecord};
 use crate::prelude::*;
 
 /// Picks endpoints by one policy.
@@ -85,6 +85,11 @@
         self.core().note_prefix(now, endpoint, prefix);
     }
 
+    /// Takes in an endpoint's own word of its prefix cache.
+    pub fn take_cache_events(&self, now: Instant, endpoint: &str, events: &[CacheEvent]) {
+        self.core().take_cache_events(now, endpoint, events);
+    }
+
     fn core(&self) -> MutexGuard<'_, RouterCore> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/savorywalk/src/routing/prefix_hints.rs
+++ b/crates/savorywalk/src/routing/prefix_hints.rs
@@ -1,8 +1,9 @@
 use super::PromptPrefix;
+use crate::directory::{CacheEvent, PrefixHash};
 use crate::prelude::*;
 
-/// Most prefixes remembered; at some 150 bytes each, half a megabyte or so.
-const MAX_PREFIXES: usize = 4_096;
+/// Most prefixes remembered; at some 150 bytes each, a megabyte or so.
+const MAX_PREFIXES: usize = 8_192;
 /// Most endpoints remembered for one prefix.
 const MAX_HOLDERS: usize = 4;
 /// How long a hint is believed. Engines evict under pressure and their events
@@ -21,13 +22,13 @@
 /// Hints only: one that is wrong costs a cache miss, never an answer.
 #[derive(Debug, Default)]
 pub struct PrefixHints {
-    holders: FastMap<u64, Vec<PrefixHolder>>,
-    order: VecDeque<u64>,
+    holders: FastMap<PrefixHash, Vec<PrefixHolder>>,
+    order: VecDeque<PrefixHash>,
 }
 
 impl PrefixHints {
     /// Notes that `endpoint` holds `prefix`.
-    pub fn stored(&mut self, now: Instant, prefix: u64, endpoint: &str) {
+    pub fn stored(&mut self, now: Instant, prefix: PrefixHash, endpoint: &str) {
         if !self.holders.contains_key(&prefix) {
             self.make_room();
             self.order.push_back(prefix);
@@ -44,12 +45,21 @@
     }
 
     /// Notes that `endpoint` no longer holds `prefix`.
-    pub fn evicted(&mut self, prefix: u64, endpoint: &str) {
+    pub fn evicted(&mut self, prefix: PrefixHash, endpoint: &str) {
         if let Some(holders) = self.holders.get_mut(&prefix) {
             holders.retain(|holder| &*holder.endpoint != endpoint);
         }
     }
 
+    /// Takes in an endpoint's own word of its cache.
+    pub fn take_event(&mut self, now: Instant, endpoint: &str, event: CacheEvent) {
+        if event.evicted {
+            self.evicted(event.prefix, endpoint);
+        } else {
+            self.stored(now, event.prefix, endpoint);
+        }
+    }
+
     /// Endpoints that probably hold a part of `prefix`, with the share that
     /// they hold: longest match first, newest first within it.
     pub fn holders<'a>(
@@ -57,9 +67,9 @@
         now: Instant,
         prefix: &'a PromptPrefix,
     ) -> impl Iterator<Item = (&'a str, f64)> {
-        let steps = prefix.digests().iter().enumerate().rev();
-        steps.flat_map(move |(index, digest)| {
-            let holders = self.holders.get(digest).map_or(&[][..], Vec::as_slice);
+        let steps = prefix.hashes().iter().enumerate().rev();
+        steps.flat_map(move |(index, hash)| {
+            let holders = self.holders.get(hash).map_or(&[][..], Vec::as_slice);
             let live = holders
                 .iter()
                 .rev()
--- a/crates/savorywalk/src/routing/prompt_prefix.rs
+++ b/crates/savorywalk/src/routing/prompt_prefix.rs
@@ -1,54 +1,41 @@
-use sha2::{Digest, Sha256};
+use crate::directory::PrefixHash;
 
-/// Lengths at which a prompt's opening is digested, in bytes, shortest first.
+/// Hashes of a prompt's opening at growing lengths.
 ///
-/// Engines cache whole blocks of some tens of tokens; coarse steps keep the
-/// hints few, and reading at most 8 KiB bounds the time for a long prompt.
-const STEPS: [usize; 3] = [512, 2_048, 8_192];
-
-/// Digests of a prompt's opening at growing lengths.
-///
-/// Equal digests mean equal openings, so an engine that worked on one prompt
-/// probably holds the start of the other in its prefix cache. The digests are
-/// the same at every daemon.
+/// Equal hashes mean equal openings, so an engine that worked on one prompt
+/// probably holds the start of the other in its prefix cache.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PromptPrefix {
-    digests: Vec<u64>,
+    hashes: Vec<PrefixHash>,
 }
 
 impl PromptPrefix {
-    /// The digests of `prompt`; none when it is shorter than the first step.
+    /// The hashes of `prompt`; none when it is shorter than a block.
     pub fn new(prompt: &str) -> Self {
-        let bytes = prompt.as_bytes();
-        let mut hasher = Sha256::new();
-        let mut read = 0;
-        let mut digests = Vec::new();
-        for step in STEPS {
-            if bytes.len() < step {
-                break;
-            }
-            hasher.update(&bytes[read..step]);
-            read = step;
-            digests.push(truncated(hasher.clone()));
+        Self {
+            hashes: PrefixHash::of_blocks(prompt.as_bytes()),
         }
-        Self { digests }
     }
 
-    /// Digests, of the shortest opening first.
-    pub fn digests(&self) -> &[u64] {
-        &self.digests
+    /// Hashes, of the shortest opening first.
+    pub fn hashes(&self) -> &[PrefixHash] {
+        &self.hashes
     }
 
-    /// Share of this prefix that a match on its `index`-th digest covers.
+    /// Share of this prefix that a match on its `index`-th hash covers.
     pub fn share(&self, index: usize) -> f64 {
-        (index + 1) as f64 / self.digests.len().max(1) as f64
+        (index + 1) as f64 / self.hashes.len().max(1) as f64
     }
-}
 
-fn truncated(hasher: Sha256) -> u64 {
-    let digest = hasher.finalize();
-    digest
-        .iter()
-        .take(size_of::<u64>())
-        .fold(0, |number, byte| (number << u8::BITS) | u64::from(*byte))
+    /// Hashes worth remembering: those of one, two, four blocks and so on, and
+    /// of the whole prefix.
+    pub fn landmarks(&self) -> impl Iterator<Item = PrefixHash> {
+        let last = self.hashes.len();
+        let numbered = self.hashes.iter().enumerate();
+        let landmarks = numbered.filter(move |(index, _)| {
+            let length = index + 1;
+            length.is_power_of_two() || length == last
+        });
+        landmarks.map(|(_, hash)| *hash)
+    }
 }
--- a/crates/savorywalk/src/routing/router_core.rs
+++ b/crates/savorywalk/src/routing/router_core.rs
@@ -4,7 +4,7 @@
 use super::candidate_sampler::CandidateSampler;
 use super::pool_health::find;
 use super::{AttemptReport, OutstandingTable, PoolHealth, PrefixHints, PromptPrefix, RouteQuery};
-use crate::directory::EndpointRecord;
+use crate::directory::{CacheEvent, EndpointRecord};
 use crate::prelude::*;
 
 /// Endpoints taken from prefix hints beside the two that are drawn.
@@ -95,14 +95,16 @@
 
     /// Notes that `endpoint` has just worked on a prompt with this prefix.
     pub fn note_prefix(&mut self, now: Instant, endpoint: &str, prefix: &PromptPrefix) {
-        for digest in prefix.digests() {
-            self.hints.stored(now, *digest, endpoint);
+        for hash in prefix.landmarks() {
+            self.hints.stored(now, hash, endpoint);
         }
     }
 
-    /// The hints, to take in the endpoints' own cache events.
-    pub fn hints_mut(&mut self) -> &mut PrefixHints {
-        &mut self.hints
+    /// Takes in an endpoint's own word of its prefix cache.
+    pub fn take_cache_events(&mut self, now: Instant, endpoint: &str, events: &[CacheEvent]) {
+        for event in events {
+            self.hints.take_event(now, endpoint, *event);
+        }
     }
 }
 
--- a/crates/savorywalk/src/routing/test_simulation.rs
+++ b/crates/savorywalk/src/routing/test_simulation.rs
@@ -344,6 +344,7 @@
         }],
         load,
         slots,
+        cache_events: Vec::new(),
     }
 }
 
