Answer every wrong call with a typed error and stop without a cut

Cause: a token that came together with the end of an answer was dropped from a streamed answer; a connection that never sent a byte, or a body that never came, held its place for ever; a refused connection stayed open; the Bearer scheme was compared with case; a stop waited for operators' and endpoints' calls as long as for callers'.

Change: the streamed answer drains its tokens before the last event. A listener cuts silent connections after header_timeout_ms and slow bodies after body_timeout_ms, pings HTTP/2 connections, reads what had reached the VM before it closes, and closes connections answer by answer while the daemon is not ready. Every response carries savorywalk-request; 405 names Allow, 401 names WWW-Authenticate. The server is split by job.

Conclusion: tests/http_errors.rs, http_connections.rs, graceful_stop.rs and log_lines.rs run the real program over real sockets; a stop with a held stream, idle HTTP/1 and HTTP/2 connections and calls in the notice time are covered.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -9,3 +9,7 @@
 )]
 
 pub mod command_test;
+pub mod held_engine;
+pub mod http_call;
+pub mod log_lines;
+pub mod serve_test;
--- a/crates/savorywalk/src/api/api_error.rs
+++ b/crates/savorywalk/src/api/api_error.rs
@@ -39,6 +39,15 @@
         /// The limit, in bytes.
         limit: u32,
     },
+    /// The body did not come in time.
+    #[error(
+        "the body did not come within {} ms; send it faster or raise body_timeout_ms",
+        timeout.as_millis()
+    )]
+    BodyTimeout {
+        /// The time it had.
+        timeout: Duration,
+    },
     /// The head is over the limit.
     #[error("the head is over {limit} bytes; send fewer headers or raise max_header_bytes")]
     HeaderTooLarge {
@@ -89,6 +98,7 @@
             Self::NotFound(_) => "not_found",
             Self::MethodNotAllowed(_) => "method_not_allowed",
             Self::BodyTooLarge { .. } => "body_too_large",
+            Self::BodyTimeout { .. } => "body_timeout",
             Self::HeaderTooLarge { .. } => "header_too_large",
             Self::TooManyConnections { .. } => "too_many_connections",
             Self::BadConfiguration(_) => "invalid_configuration",
@@ -106,6 +116,7 @@
             Self::NotFound(_) => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::HeaderTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BadConfiguration(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TooManyConnections { .. } | Self::Unavailable(_) => {
@@ -127,6 +138,7 @@
             | Self::NotFound(_)
             | Self::MethodNotAllowed(_)
             | Self::BodyTooLarge { .. }
+            | Self::BodyTimeout { .. }
             | Self::HeaderTooLarge { .. }
             | Self::BadConfiguration(_)
             | Self::BadAnnouncement(_) => None,
--- a/crates/savorywalk/src/api/api_surface.rs
+++ b/crates/savorywalk/src/api/api_surface.rs
@@ -2,10 +2,13 @@
 use hyper::{Method, Request, StatusCode};
 
 use super::request_parts::{self, RequestHead};
-use super::{ApiError, ApiResponse, Result, caller_api, endpoint_api, operator_api, response_body};
+use super::{
+    ApiError, ApiResponse, BodyLimit, Result, caller_api, endpoint_api, operator_api, response_body,
+};
 use crate::attempt::RequestId;
 use crate::entry::EntryNode;
 use crate::prelude::*;
+use crate::settings::ListenerSettings;
 
 /// Who a listener is for; each takes its own calls alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,30 +26,31 @@
 pub struct ApiSurface {
     kind: SurfaceKind,
     node: Arc<EntryNode>,
-    max_body_bytes: u32,
+    body_limit: BodyLimit,
     max_header_bytes: u32,
 }
 
 impl ApiSurface {
-    /// The surface of `kind` before `node`.
-    pub fn new(
-        kind: SurfaceKind,
-        node: Arc<EntryNode>,
-        max_body_bytes: u32,
-        max_header_bytes: u32,
-    ) -> Self {
+    /// The surface of `kind` before `node`, with the limits of its listener.
+    pub fn new(kind: SurfaceKind, node: Arc<EntryNode>, settings: &ListenerSettings) -> Self {
         Self {
             kind,
             node,
-            max_body_bytes,
-            max_header_bytes,
+            body_limit: BodyLimit {
+                bytes: settings.max_body_bytes,
+                timeout: Duration::from_millis(settings.body_timeout_ms.into()),
+            },
+            max_header_bytes: settings.max_header_bytes,
         }
     }
 
-    /// Answers one call; an error becomes its JSON form.
+    /// Answers one call; an error becomes its JSON form. While the daemon is
+    /// not ready, each answer closes its connection, so that callers move on
+    /// before the listener closes.
     pub async fn handle(&self, request: Request<Incoming>) -> ApiResponse {
         let id = RequestId::random();
-        match self.route(id, request).await {
+        let version = request.version();
+        let mut response = match self.route(id, request).await {
             Ok(response) => response,
             Err(error) => {
                 log_event!(
@@ -56,9 +60,14 @@
                     kind = error.kind(),
                     message = error
                 );
-                response_body::error(&error, &id.to_string())
+                response_body::error(&error, id)
             }
+        };
+        response_body::name_request(&mut response, id);
+        if !self.node.is_ready() {
+            response_body::close_connection(&mut response, version);
         }
+        response
     }
 
     async fn route(&self, id: RequestId, request: Request<Incoming>) -> Result<ApiResponse> {
@@ -71,7 +80,7 @@
             return Ok(response);
         }
         let node = &self.node;
-        let limit = self.max_body_bytes;
+        let limit = self.body_limit;
         match self.kind {
             SurfaceKind::Callers => caller_api::handle(node, id, &head, body, limit).await,
             SurfaceKind::Operators => operator_api::handle(node, &head),
--- /dev/null
+++ b/crates/savorywalk/src/api/bound_listener.rs
@@ -0,0 +1,83 @@
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
+
+use super::connection_acceptor::ConnectionAcceptor;
+use super::{ApiSurface, HttpServer};
+use crate::prelude::*;
+use crate::settings::ListenerSettings;
+
+/// Connections over the limit that still get a typed refusal; further ones
+/// are closed without a word.
+const REFUSAL_CONNECTIONS: usize = 64;
+/// Room above `max_header_bytes`, so that a head over it can be refused by name.
+const HEADER_SLACK: usize = 64 << 10;
+/// How often an HTTP/2 connection is asked for a sign of life, and how long
+/// the answer may take: a caller that went silent frees its place, and holds
+/// up a stop no longer than both together.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+const PING_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A listener that is bound and not yet served.
+pub(crate) struct BoundListener {
+    pub(super) listener: TcpListener,
+    pub(super) address: SocketAddr,
+    pub(super) tls: Option<TlsAcceptor>,
+    pub(super) settings: ListenerSettings,
+}
+
+impl fmt::Debug for BoundListener {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("BoundListener");
+        shown
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl BoundListener {
+    /// Serves `surface` until the server is closed.
+    pub(crate) fn serve(self, surface: ApiSurface) -> HttpServer {
+        let stopping = CancellationToken::new();
+        let acceptor = ConnectionAcceptor {
+            slots: Arc::new(Semaphore::new(self.settings.max_connections as usize)),
+            refusals: Arc::new(Semaphore::new(REFUSAL_CONNECTIONS)),
+            builder: connection_builder(&self.settings),
+            surface,
+            tls: self.tls,
+            limit: self.settings.max_connections,
+            header_timeout: header_timeout(&self.settings),
+            stopping: stopping.clone(),
+        };
+        let address = self.address;
+        let task = tokio::spawn(acceptor.accept(self.listener));
+        HttpServer {
+            address,
+            stopping,
+            task,
+        }
+    }
+}
+
+fn header_timeout(settings: &ListenerSettings) -> Duration {
+    Duration::from_millis(settings.header_timeout_ms.into())
+}
+
+fn connection_builder(settings: &ListenerSettings) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout(settings))
+        .max_buf_size(settings.max_header_bytes as usize + HEADER_SLACK);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .max_header_list_size(settings.max_header_bytes + HEADER_SLACK as u32);
+    builder
+}
--- /dev/null
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -0,0 +1,154 @@
+use std::convert::Infallible;
+
+use futures::FutureExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
+
+use super::{ApiError, ApiResponse, ApiSurface, response_body};
+use crate::attempt::RequestId;
+use crate::prelude::*;
+
+/// Pause after a failed accept, so that a lack of descriptors is no busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest TLS handshake.
+const TLS_TIMEOUT: Duration = Duration::from_secs(10);
+/// After the last accept, how long a call that had already reached this VM
+/// has to be read, before connections without a call are closed.
+const BACKLOG_GRACE: Duration = Duration::from_millis(100);
+
+/// Accepts the connections of one listener and serves each in its own task.
+#[derive(Clone)]
+pub(super) struct ConnectionAcceptor {
+    pub(super) slots: Arc<Semaphore>,
+    pub(super) refusals: Arc<Semaphore>,
+    pub(super) builder: auto::Builder<TokioExecutor>,
+    pub(super) surface: ApiSurface,
+    pub(super) tls: Option<TlsAcceptor>,
+    pub(super) limit: u32,
+    pub(super) header_timeout: Duration,
+    pub(super) stopping: CancellationToken,
+}
+
+/// A place among a listener's connections, given back when it is dropped.
+struct ConnectionPlace {
+    _permit: OwnedSemaphorePermit,
+    /// True for a connection over the limit, which gets a typed refusal.
+    refused: bool,
+}
+
+impl ConnectionAcceptor {
+    /// Accepts until the listener stops, then waits for open calls to finish.
+    pub(super) async fn accept(self, listener: TcpListener) {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                () = self.stopping.cancelled() => break,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.spawn(stream, graceful.watcher()),
+                Err(error) => {
+                    log_event!(warn, "accept_failed", error = error);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            self.spawn(stream, graceful.watcher());
+        }
+        drop(listener);
+        tokio::time::sleep(BACKLOG_GRACE).await;
+        graceful.shutdown().await;
+    }
+
+    fn spawn(&self, stream: TcpStream, watcher: Watcher) {
+        let Some(place) = self.place() else {
+            log_event!(debug, "connection_dropped", limit = self.limit);
+            return;
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log_event!(debug, "nodelay_not_set", error = error);
+        }
+        let acceptor = self.clone();
+        tokio::spawn(async move {
+            let Some(tls) = acceptor.tls.clone() else {
+                return acceptor.serve(stream, watcher, place).await;
+            };
+            match tokio::time::timeout(TLS_TIMEOUT, tls.accept(stream)).await {
+                Ok(Ok(stream)) => acceptor.serve(stream, watcher, place).await,
+                Ok(Err(error)) => log_event!(debug, "handshake_failed", error = error),
+                Err(_) => log_event!(debug, "handshake_timed_out"),
+            }
+        });
+    }
+
+    fn place(&self) -> Option<ConnectionPlace> {
+        let slot = Arc::clone(&self.slots).try_acquire_owned().ok();
+        let refused = slot.is_none();
+        let permit = slot.or_else(|| Arc::clone(&self.refusals).try_acquire_owned().ok())?;
+        Some(ConnectionPlace {
+            _permit: permit,
+            refused,
+        })
+    }
+
+    async fn serve<S>(self, stream: S, watcher: Watcher, place: ConnectionPlace)
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let called = CancellationToken::new();
+        let service = service_fn(|request| {
+            called.cancel();
+            let answer = self.answer(request, place.refused);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = self
+            .builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        tokio::select! {
+            ended = watcher.watch(connection) => {
+                if let Err(error) = ended {
+                    log_event!(debug, "connection_ended", error = error);
+                }
+            }
+            () = self.no_call(&called) => log_event!(debug, "connection_without_call_closed"),
+        }
+    }
+
+    /// Answers one call; a refused connection is closed after its refusal.
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+        refused: bool,
+    ) -> impl Future<Output = ApiResponse> + Send + 'static {
+        let surface = self.surface.clone();
+        let limit = self.limit;
+        async move {
+            if !refused {
+                return surface.handle(request).await;
+            }
+            let error = ApiError::TooManyConnections { limit };
+            let mut response = response_body::error(&error, RequestId::random());
+            response_body::close_connection(&mut response, request.version());
+            response
+        }
+    }
+
+    /// Ends when the connection has brought no call within the time for a head.
+    async fn no_call(&self, called: &CancellationToken) {
+        let first = tokio::time::timeout(self.header_timeout, called.cancelled()).await;
+        if first.is_ok() {
+            std::future::pending().await
+        }
+    }
+}
--- a/crates/savorywalk/src/api/endpoint_api.rs
+++ b/crates/savorywalk/src/api/endpoint_api.rs
@@ -4,7 +4,7 @@
 use hyper::{Method, StatusCode};
 
 use super::request_parts::{self, RequestHead};
-use super::{ApiError, ApiResponse, Result, response_body};
+use super::{ApiError, ApiResponse, BodyLimit, Result, response_body};
 use crate::directory::{AnnouncementOutcome, EndpointAnnouncement};
 use crate::entry::EntryNode;
 use crate::prelude::*;
@@ -20,7 +20,7 @@
     node: &EntryNode,
     head: &RequestHead,
     body: Incoming,
-    max_body_bytes: u32,
+    body_limit: BodyLimit,
 ) -> Result<ApiResponse> {
     let configuration = node.configuration().load();
     let credential = configuration.endpoint_credential_of(head.token()?);
@@ -30,7 +30,7 @@
         return Err(ApiError::NotFound(message.into()));
     }
     head.require(&Method::POST, "POST")?;
-    let body = request_parts::read_body(body, max_body_bytes).await?;
+    let body = request_parts::read_body(body, body_limit).await?;
     let announcement: EndpointAnnouncement = request_parts::parse_json(&body)?;
     let lease = Duration::from_millis(announcement.lease_ms.into()).min(configuration.max_lease);
     let outcome = node
--- a/crates/savorywalk/src/api/mod.rs
+++ b/crates/savorywalk/src/api/mod.rs
@@ -1,19 +1,27 @@
 //! HTTP towards callers, operators and endpoints. Every call is described in
 //! docs/API.md.
 
+mod answer_stream;
 mod api_error;
 mod api_surface;
+mod body_limit;
+mod bound_listener;
 mod caller_api;
+mod connection_acceptor;
 mod endpoint_api;
 mod http_server;
 mod operator_api;
 mod request_parts;
 mod response_body;
+mod server_error;
+mod tls_setup;
 
 pub use api_error::ApiError;
 pub use api_surface::{ApiSurface, SurfaceKind};
-pub use http_server::{HttpServer, ServerError};
-pub use response_body::{ApiBody, ApiResponse};
+pub(crate) use body_limit::BodyLimit;
+pub use http_server::HttpServer;
+pub use response_body::{ApiBody, ApiResponse, REQUEST_HEADER};
+pub use server_error::ServerError;
 
 /// Result of handling one call.
 pub type Result<T> = std::result::Result<T, ApiError>;
--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -6,10 +6,11 @@
 use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 
-use super::{ApiError, Result};
+use super::{ApiError, BodyLimit, Result};
 use crate::prelude::*;
 
-const BEARER: &str = "Bearer ";
+/// Scheme of the token; HTTP compares schemes without regard to case.
+const BEARER: &str = "bearer";
 
 /// A request without its body.
 #[derive(Debug)]
@@ -34,8 +35,9 @@
     /// The bearer token.
     pub(super) fn token(&self) -> Result<&str> {
         self.header(AUTHORIZATION.as_str())?
-            .and_then(|value| value.strip_prefix(BEARER))
-            .map(str::trim)
+            .and_then(|value| value.split_once(' '))
+            .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(BEARER))
+            .map(|(_, token)| token.trim())
             .filter(|token| !token.is_empty())
             .ok_or(ApiError::Unauthorized)
     }
@@ -69,9 +71,14 @@
     }
 }
 
-/// Reads a whole body within `limit` bytes.
-pub(super) async fn read_body(body: Incoming, limit: u32) -> Result<Bytes> {
-    let collected = Limited::new(body, limit as usize).collect().await;
+/// Reads a whole body within `limit`.
+pub(super) async fn read_body(body: Incoming, limit: impl Into<BodyLimit>) -> Result<Bytes> {
+    let BodyLimit { bytes, timeout } = limit.into();
+    let limit = bytes;
+    let collected = Limited::new(body, limit as usize).collect();
+    let Ok(collected) = tokio::time::timeout(timeout, collected).await else {
+        return Err(ApiError::BodyTimeout { timeout });
+    };
     match collected {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(ApiError::BodyTooLarge { limit }),
--- a/crates/savorywalk/src/api/response_body.rs
+++ b/crates/savorywalk/src/api/response_body.rs
@@ -4,10 +4,13 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Response, StatusCode};
+use hyper::header::{
+    ALLOW, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
+use hyper::{Response, StatusCode, Version};
 
 use super::ApiError;
+use crate::attempt::RequestId;
 use crate::prelude::*;
 
 /// Body of every response: whole or streamed.
@@ -16,6 +19,9 @@
 /// Response of every call.
 pub type ApiResponse = Response<ApiBody>;
 
+/// Header of every response: the request's identity, as in logs and errors.
+pub const REQUEST_HEADER: &str = "savorywalk-request";
+
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
 const EVENT_STREAM: &str = "text/event-stream";
@@ -48,18 +54,40 @@
     whole(status, TEXT, body.into())
 }
 
-/// An error in its JSON form, with `Retry-After` where it passes.
-pub(super) fn error(error: &ApiError, request_id: &str) -> ApiResponse {
-    let mut response = json(error.status(), &error.document(request_id));
+/// An error in its JSON form, with the headers that its status asks for.
+pub(super) fn error(error: &ApiError, id: RequestId) -> ApiResponse {
+    let mut response = json(error.status(), &error.document(&id.to_string()));
+    let headers = response.headers_mut();
     if let Some(retry_after) = error.retry_after() {
         let seconds = retry_after.as_secs().max(1);
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if let ApiError::MethodNotAllowed(allowed) = error {
+        headers.insert(ALLOW, HeaderValue::from_static(allowed));
     }
+    if let ApiError::Unauthorized = error {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    name_request(&mut response, id);
     response
 }
 
+/// Puts the request's identity on a response.
+pub(super) fn name_request(response: &mut ApiResponse, id: RequestId) {
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        response.headers_mut().insert(REQUEST_HEADER, id);
+    }
+}
+
+/// Closes the connection after a response. HTTP/2 has no such header: there
+/// the server's own goodbye does it.
+pub(super) fn close_connection(response: &mut ApiResponse, version: Version) {
+    if version <= Version::HTTP_11 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+}
+
 /// A stream of server-sent events.
 pub(super) fn event_stream(events: impl Stream<Item = Bytes> + Send + 'static) -> ApiResponse {
     use futures::StreamExt;
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -13,6 +13,9 @@
 use crate::telemetry::{MetricError, MetricSet};
 
 const DEFAULT_MAX_REQUESTS: u32 = 4096;
+/// Longest wait for operators' and endpoints' calls at a stop; they are short,
+/// and each may be sent again elsewhere.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why the entry role could not start.
 #[derive(Debug, Error)]
@@ -122,22 +125,29 @@
 
     /// Stops gracefully: not ready, wait for the balancer, finish what is in
     /// progress, close. Tells whether every request finished.
+    ///
+    /// The endpoints' listener outlives the callers': requests in progress
+    /// still need endpoints whose leases are renewed.
     pub async fn stop(self) -> bool {
         self.node.ready.store(false, Ordering::Relaxed);
         log_event!(info, "entry_draining", node = self.node.name());
         tokio::time::sleep(Duration::from_millis(self.entry.drain_notice_ms.into())).await;
         let timeout = Duration::from_millis(self.entry.drain_timeout_ms.into());
         let finished = self.callers.close(timeout).await;
-        let operators = self.operators.close(timeout).await;
-        let endpoints = self.endpoints.close(timeout).await;
+        let (operators, endpoints) = tokio::join!(
+            self.operators.close(CLOSE_TIMEOUT),
+            self.endpoints.close(CLOSE_TIMEOUT)
+        );
         self.node.directory.stop();
         log_event!(
             info,
             "entry_closed",
             node = self.node.name(),
-            finished = finished
+            finished = finished,
+            operators = operators,
+            endpoints = endpoints,
         );
-        finished && operators && endpoints
+        finished
     }
 }
 
@@ -147,11 +157,6 @@
     node: &Arc<EntryNode>,
 ) -> Result<HttpServer> {
     let listener = HttpServer::bind(settings).await?;
-    let surface = ApiSurface::new(
-        kind,
-        Arc::clone(node),
-        settings.max_body_bytes,
-        settings.max_header_bytes,
-    );
+    let surface = ApiSurface::new(kind, Arc::clone(node), settings);
     Ok(listener.serve(surface))
 }
