--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -233,5 +233,6 @@
         base_time: Duration::from_millis(base_ms),
         time_per_kilobyte: Duration::from_micros(500),
         time_per_token: Duration::from_millis(2),
+        ..StandinOptions::default()
     }
 }
--- a/crates/standin/src/endpoint_work.rs
+++ b/crates/standin/src/endpoint_work.rs
@@ -1,11 +1,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde_json::{Value, json};
 
 use crate::{StandinKind, StandinOptions};
 
-const BYTES_PER_TOKEN: usize = 4;
+pub(crate) const BYTES_PER_TOKEN: usize = 4;
 const EMBEDDING_SIZE: usize = 8;
 const BYTES_PER_KILOBYTE: f64 = 1024.0;
 /// How much longer a token takes for each further request in the batch.
@@ -18,8 +19,6 @@
     pub seen: AtomicU64,
     /// Requests whose work was done to its end.
     pub ran: AtomicU64,
-    /// Requests in progress.
-    pub running: AtomicU64,
 }
 
 impl EndpointCounts {
@@ -41,7 +40,7 @@
 }
 
 /// Time for one token while `running` requests share the engine.
-pub(crate) fn token_time(options: &StandinOptions, running: u64) -> Duration {
+pub(crate) fn token_time(options: &StandinOptions, running: usize) -> Duration {
     let others = running.saturating_sub(1) as f64;
     options
         .time_per_token
@@ -59,9 +58,28 @@
     }
 }
 
-/// The words that an engine generates for a request.
-pub(crate) fn words(request: &Value) -> Vec<String> {
-    let max_tokens = request["max_tokens"].as_u64().unwrap_or(16) as usize;
+/// The events of a completion, numbered from 0, without its end marker.
+pub(crate) fn completion_events(request: &Value) -> Vec<Bytes> {
+    let words = words(request);
+    let prompt = request["prompt"].as_str().unwrap_or_default();
+    let total = words.len();
+    let total_tokens = token_count(prompt) + total as u64;
+    let events = words.into_iter().enumerate().map(|(offset, word)| {
+        let last = offset + 1 == total;
+        let reason = if last { json!("stop") } else { Value::Null };
+        let choice = json!({"index": 0, "text": word, "finish_reason": reason});
+        let mut chunk = json!({"offset": offset, "choices": [choice]});
+        if last {
+            chunk["usage"] = json!({"total_tokens": total_tokens});
+        }
+        Bytes::from(format!("data: {chunk}\n\n"))
+    });
+    events.collect()
+}
+
+/// The words that an engine generates for a request; always at least one.
+fn words(request: &Value) -> Vec<String> {
+    let max_tokens = request["max_tokens"].as_u64().unwrap_or(16).max(1) as usize;
     let prompt = request["prompt"].as_str().unwrap_or_default();
     let last = prompt.rsplit("\n\n").next().unwrap_or_default();
     let opening = ["In", "short:"].into_iter().map(String::from);
