Learn stage times by input size and judge deadlines by them

Nothing told whether a request could still meet its deadline. EstimateTable learns a decayed mean and deviation for each stage and doubling size class, under the stage's own size and under the request's size on arrival, so that the split of a deadline follows the input. DeadlineBudget refuses a new request that is likely late; a probe a second ends an estimate that refusals would otherwise keep alive.

--- /dev/null
+++ b/crates/savorywalk/src/admission/estimate_table_tests.rs
@@ -0,0 +1,189 @@
+use rstest::rstest;
+
+use super::*;
+use crate::admission::{BudgetVerdict, DeadlineBudget};
+use crate::configuration::{StageKind, StagePlan};
+
+const DEADLINE: Duration = Duration::from_secs(7);
+
+fn plan(stages: &[&str]) -> PipelinePlan {
+    let stage = |name: &&str| StagePlan {
+        name: name.to_string(),
+        kind: StageKind::Generate,
+        pool: "pool".into(),
+        model: String::new(),
+        idempotent: true,
+        max_tokens: 1,
+        top_documents: 1,
+        path: String::new(),
+    };
+    PipelinePlan {
+        name: "p".into(),
+        deadline: DEADLINE,
+        stages: stages.iter().map(stage).collect(),
+    }
+}
+
+fn sample(stage: &str, bytes: usize, millis: u64) -> ServiceSample<'_> {
+    ServiceSample {
+        pipeline: "p",
+        stage,
+        request_size: SizeClass::of(bytes),
+        own_size: SizeClass::of(bytes),
+        service: Duration::from_millis(millis),
+        finished: true,
+    }
+}
+
+fn verdict(
+    table: &EstimateTable,
+    now: Instant,
+    plan: &PipelinePlan,
+    bytes: usize,
+) -> BudgetVerdict {
+    let budget = DeadlineBudget {
+        remaining: DEADLINE,
+        wait: Duration::ZERO,
+        forecast: table.forecast(now, plan, 0, SizeClass::of(bytes)),
+    };
+    budget.verdict()
+}
+
+#[rstest]
+#[case(0, 0)]
+#[case(64, 0)]
+#[case(127, 0)]
+#[case(128, 1)]
+#[case(1 << 20, 14)]
+#[case(usize::MAX, 15)]
+fn sizes_fall_into_doubling_classes(#[case] bytes: usize, #[case] class: usize) {
+    assert_eq!(SizeClass::of(bytes).index(), class);
+}
+
+#[test]
+fn a_cold_start_admits_all() {
+    let table = EstimateTable::default();
+    let verdict = verdict(&table, Instant::now(), &plan(&["encode"]), 1 << 16);
+    assert_eq!(verdict, BudgetVerdict::Fits);
+}
+
+#[test]
+fn the_budget_follows_the_size_of_the_request() {
+    let mut table = EstimateTable::default();
+    let now = Instant::now();
+    let plan = plan(&["encode", "generate"]);
+    for _ in 0..20 {
+        table.learn(now, &sample("encode", 64, 10));
+        table.learn(now, &sample("generate", 64, 5));
+        table.learn(now, &sample("encode", 1 << 18, 40));
+        table.learn(now, &sample("generate", 1 << 18, 9_000));
+    }
+    assert_eq!(verdict(&table, now, &plan, 64), BudgetVerdict::Fits);
+    let long = verdict(&table, now, &plan, 1 << 18);
+    assert_eq!(long, BudgetVerdict::WorkTooLong(StageEstimate::LIFETIME));
+    let rest = table.forecast(now, &plan, 1, SizeClass::of(64));
+    assert_eq!(rest.mean().as_millis(), 5);
+}
+
+#[test]
+fn a_larger_input_is_judged_by_the_nearest_smaller_one() {
+    let mut table = EstimateTable::default();
+    let now = Instant::now();
+    table.learn(now, &sample("encode", 1_000, 30));
+    let larger = table.stage(now, "p", "encode", SizeClass::of(1 << 20));
+    assert_eq!(larger.map(|estimate| estimate.mean().as_millis()), Some(30));
+    let smaller = table.stage(now, "p", "encode", SizeClass::of(64));
+    assert_eq!(smaller, None);
+}
+
+#[test]
+fn estimates_learn_the_spread_and_end_with_age() {
+    let mut table = EstimateTable::default();
+    let now = Instant::now();
+    for index in 0..200 {
+        let millis = if index % 10 == 0 { 200 } else { 20 };
+        table.learn(now, &sample("encode", 64, millis));
+    }
+    let size = SizeClass::of(64);
+    let estimate = table.stage(now, "p", "encode", size).unwrap();
+    assert!((20..80).contains(&estimate.mean().as_millis()));
+    assert!(estimate.high() > estimate.mean() * 2);
+    assert_eq!(table.report(now).len(), 1);
+    let later = now + StageEstimate::LIFETIME;
+    assert_eq!(table.stage(later, "p", "encode", size), None);
+    assert!(table.report(later).is_empty());
+}
+
+/// Endpoints were slow, so all is refused by estimate; then they are well
+/// again. Only probes can tell, and a few of them must be enough.
+#[test]
+fn refusals_do_not_keep_a_wrong_estimate_alive() {
+    let mut table = EstimateTable::default();
+    let start = Instant::now();
+    let plan = plan(&["generate"]);
+    for _ in 0..50 {
+        table.learn(start, &sample("generate", 64, 20_000));
+    }
+    let mut probes = 0;
+    let mut refused = 0;
+    for step in 1..=200 {
+        let now = start + Duration::from_millis(50) * step;
+        if verdict(&table, now, &plan, 64) == BudgetVerdict::Fits {
+            assert!(
+                probes <= 6 && refused > 0,
+                "{probes} probes, {refused} refused"
+            );
+            return;
+        }
+        if table.take_probe(now, "p", SizeClass::of(64)) {
+            probes += 1;
+            table.learn(now, &sample("generate", 64, 50));
+        } else {
+            refused += 1;
+        }
+    }
+    panic!("{probes} probes did not end the wrong estimate");
+}
+
+#[test]
+fn a_stage_that_was_cut_off_raises_the_estimate_only_when_it_was_slow() {
+    let mut table = EstimateTable::default();
+    let now = Instant::now();
+    let size = SizeClass::of(64);
+    table.learn(now, &sample("encode", 64, 100));
+    let cut = |millis| ServiceSample {
+        finished: false,
+        ..sample("encode", 64, millis)
+    };
+    table.learn(now, &cut(10));
+    let mean = |table: &EstimateTable| table.stage(now, "p", "encode", size).unwrap().mean();
+    assert_eq!(mean(&table).as_millis(), 100);
+    table.learn(now, &cut(1_000));
+    assert!(mean(&table).as_millis() > 100);
+}
+
+#[test]
+fn a_wait_that_will_pass_says_when() {
+    let mut forecast = RunForecast::default();
+    forecast.add(&StageEstimate::new(Instant::now(), Duration::from_secs(2)));
+    let budget = DeadlineBudget {
+        remaining: DEADLINE,
+        wait: Duration::from_secs(9),
+        forecast,
+    };
+    let verdict = budget.verdict();
+    assert_eq!(verdict, BudgetVerdict::WaitTooLong(Duration::from_secs(4)));
+}
+
+#[test]
+fn names_that_come_and_go_leave_nothing_behind() {
+    let mut table = EstimateTable::default();
+    let start = Instant::now();
+    for index in 0..MAX_STAGES * 2 {
+        let now = start + Duration::from_millis(100) * index as u32;
+        let stage = format!("stage-{index}");
+        table.learn(now, &sample(&stage, 64, 10));
+    }
+    let known: usize = table.stages.values().map(FastMap::len).sum();
+    assert!(known <= MAX_STAGES);
+}
