--- a/crates/savorywalk/src/queueing/fair_queue.rs
+++ b/crates/savorywalk/src/queueing/fair_queue.rs
@@ -77,6 +77,11 @@
         self.flows.len()
     }
 
+    /// Name of the workspace of a stage that waits or runs.
+    pub fn workspace(&self, ticket: &QueueTicket) -> Option<&Arc<str>> {
+        self.flows.get(ticket.flow).map(|flow| &flow.name)
+    }
+
     /// Puts a stage into the queue.
     ///
     /// A workspace may hold its weight's part of the room that is left, after
--- /dev/null
+++ b/crates/savorywalk/src/queueing/pool_schedule.rs
@@ -0,0 +1,148 @@
+use super::usage_meter::UsageMeter;
+use super::{
+    FairQueue, PoolCapacity, PoolLimit, QueueItem, QueueStatus, QueueTicket, QueueTurn, Result,
+    UsageReport,
+};
+use crate::prelude::*;
+
+/// A pool's queue, limit and usage together, without clock or tasks.
+#[derive(Debug)]
+pub struct PoolSchedule {
+    pool: String,
+    queue: FairQueue,
+    limit: PoolLimit,
+    in_use: u32,
+    usage: UsageMeter,
+}
+
+impl PoolSchedule {
+    /// The schedule of `pool`, in which `capacity` new stages may wait.
+    pub fn new(pool: &str, capacity: usize) -> Self {
+        Self {
+            pool: pool.to_string(),
+            queue: FairQueue::new(capacity),
+            limit: PoolLimit::default(),
+            in_use: 0,
+            usage: UsageMeter::default(),
+        }
+    }
+
+    /// The limit, for what the directory and membership tell.
+    pub fn limit_mut(&mut self) -> &mut PoolLimit {
+        &mut self.limit
+    }
+
+    /// Takes over the capacity that the directory tells.
+    pub fn set_capacity(&mut self, capacity: PoolCapacity) {
+        self.limit.set_capacity(capacity);
+    }
+
+    /// Puts a stage into the queue; [`Self::next`] gives it its turn.
+    pub fn offer(&mut self, item: &QueueItem<'_>) -> Result<QueueTicket> {
+        self.queue.offer(item)
+    }
+
+    /// The next turn, as long as the limit leaves room.
+    pub fn next(&mut self, now: Instant) -> Option<QueueTurn> {
+        let slots = self.limit.slots(now);
+        if slots.is_some_and(|slots| self.in_use >= slots) {
+            return None;
+        }
+        let turn = self.queue.pop(now)?;
+        if let QueueTurn::Run(ticket) = &turn {
+            self.in_use += 1;
+            if let Some(workspace) = self.queue.workspace(ticket) {
+                self.usage.charge(workspace, ticket.cost());
+            }
+        }
+        Some(turn)
+    }
+
+    /// Takes a waiting stage out; false when it waits no more.
+    pub fn cancel(&mut self, ticket: &QueueTicket) -> bool {
+        self.queue.cancel(ticket)
+    }
+
+    /// Ends a stage that had its turn `service` ago and took `actual` endpoint
+    /// time.
+    pub fn release(
+        &mut self,
+        now: Instant,
+        ticket: &QueueTicket,
+        service: Duration,
+        actual: Duration,
+    ) {
+        if let Some(workspace) = self.queue.workspace(ticket) {
+            self.usage.correct(workspace, ticket.cost(), actual);
+        }
+        self.queue.settle(ticket, actual);
+        self.limit.learn(now, service, self.in_use);
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+
+    /// How long a stage would wait if it came now.
+    pub fn wait(&self, now: Instant, item: &QueueItem<'_>) -> Duration {
+        match self.limit.slots(now) {
+            Some(slots) => self.queue.wait(item, slots),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Endpoint time that this entry gave since the last call.
+    pub fn drain_usage(&mut self) -> Vec<UsageReport> {
+        let drained = self.usage.drain();
+        let reports = drained
+            .into_iter()
+            .map(|(workspace, endpoint_micros)| UsageReport {
+                pool: self.pool.clone(),
+                workspace: workspace.to_string(),
+                endpoint_micros,
+            });
+        reports.collect()
+    }
+
+    /// Takes in endpoint time that other entries gave at this pool, each with
+    /// the weight of its workspace.
+    pub fn take_usage<'a>(
+        &mut self,
+        now: Instant,
+        reports: impl Iterator<Item = (&'a UsageReport, u32)>,
+    ) {
+        let slots = self.limit.slots(now).unwrap_or(1);
+        let mut total = Duration::ZERO;
+        let mut total_weight = 0_u32;
+        for (report, weight) in reports {
+            let cost = report.cost();
+            self.queue
+                .charge_remote(&report.workspace, weight, cost, slots);
+            total += cost;
+            total_weight = total_weight.saturating_add(weight);
+        }
+        if total_weight == 0 {
+            return;
+        }
+        self.limit.add_remote(now, total);
+        self.queue.pass_remote(total, total_weight);
+    }
+
+    /// Whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.in_use == 0 && self.queue.queued() == 0
+    }
+
+    /// What operators see.
+    pub fn status(&self, now: Instant) -> QueueStatus {
+        QueueStatus {
+            pool: self.pool.clone(),
+            limit: self.limit.slots(now),
+            in_use: self.in_use,
+            queued: self.queue.queued(),
+            workspaces_waiting: self.queue.backlogged_workspaces(),
+            backlog_ms: self.queue.backlog().as_millis() as u64,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "pool_schedule_tests.rs"]
+mod tests;
