--- a/crates/savorywalk/src/queueing/pool_queue_tests.rs
+++ b/crates/savorywalk/src/queueing/pool_queue_tests.rs
@@ -1,35 +1,31 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::*;
-use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointState};
+use crate::directory::EndpointDirectory;
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
 fn pool(slots: u32) -> Arc<PoolQueue> {
     let queue = Arc::new(PoolQueue::new("pool", 1_024));
-    queue.observe(monotonic_now(), &[record(slots)]);
+    queue.observe(monotonic_now(), &records(&[slots]));
     queue
 }
 
-fn record(slots: u32) -> Arc<EndpointRecord> {
-    let now = monotonic_now();
-    Arc::new(EndpointRecord {
-        announcement: EndpointAnnouncement {
-            slots,
-            ..announcement()
-        },
-        expires: now + PATIENCE,
-        load_at: now,
-    })
-}
-
-fn announcement() -> EndpointAnnouncement {
-    let json = r#"{"endpoint":"e","address":"127.0.0.1:1","pool":"pool","data_center":"d",
-        "incarnation":1,"sequence":1,"state":"serving","lease_ms":1000}"#;
-    let announcement: EndpointAnnouncement = serde_json::from_str(json).unwrap();
-    assert_eq!(announcement.state, EndpointState::Serving);
-    assert_eq!(announcement.load, EndpointLoad::default());
-    announcement
+/// Records of endpoints with these slots.
+fn records(slots: &[u32]) -> Vec<Arc<EndpointRecord>> {
+    let mut directory = EndpointDirectory::default();
+    for (index, slots) in slots.iter().enumerate() {
+        let announcement = serde_json::json!({
+            "endpoint": format!("e{index}"), "address": "127.0.0.1:1", "pool": "pool",
+            "data_center": "d", "incarnation": 1, "sequence": 1, "state": "serving",
+            "lease_ms": 60_000, "slots": slots,
+        });
+        let announcement = serde_json::from_value(announcement).unwrap();
+        directory
+            .announce(monotonic_now(), announcement, PATIENCE)
+            .unwrap();
+    }
+    directory.snapshot().pool("pool").to_vec()
 }
 
 fn item(patience: Duration) -> QueueItem<'static> {
@@ -115,7 +111,7 @@
     let _held = enqueue(&queue, PATIENCE).permit().await.unwrap();
     let waiting = enqueue(&queue, PATIENCE);
     tokio::time::advance(CAPACITY_AGE).await;
-    queue.observe(monotonic_now(), &[record(1), record(1)]);
+    queue.observe(monotonic_now(), &records(&[1, 1]));
     assert!(waiting.permit().await.is_ok());
 }
 
