Address members by the names of their certificates

Links are opened by name, and a record's sender must be who its certificate says. Digests and graph order use CRC-32C, which is the same in all versions, instead of the hasher of maps.

--- a/crates/savorywalk/src/membership/member_table.rs
+++ b/crates/savorywalk/src/membership/member_table.rs
@@ -1,5 +1,3 @@
-use std::hash::{Hash, Hasher};
-
 use super::{MemberCard, MemberState};
 use crate::generated::membership::MemberRecord;
 use crate::prelude::*;
@@ -30,17 +28,14 @@
 
 impl Member {
     fn digest(&self) -> u32 {
-        let mut hasher = rustc_hash::FxHasher::default();
-        self.card.name.hash(&mut hasher);
-        self.incarnation.hash(&mut hasher);
         let settled = match self.state {
             MemberState::Alive | MemberState::Suspect => MemberState::Alive,
             MemberState::Dead => MemberState::Dead,
             MemberState::Left => MemberState::Left,
         };
-        settled.hash(&mut hasher);
-        let hash = hasher.finish();
-        (hash ^ (hash >> 32)) as u32
+        let name = crc32c::crc32c(self.card.name.as_bytes());
+        let incarnation = crc32c::crc32c_append(name, &self.incarnation.to_le_bytes());
+        crc32c::crc32c_append(incarnation, &[settled as u8])
     }
 
     pub(super) fn to_record(&self) -> MemberRecord {
@@ -189,9 +184,7 @@
 }
 
 fn bucket(name: &str) -> usize {
-    let mut hasher = rustc_hash::FxHasher::default();
-    name.hash(&mut hasher);
-    (hasher.finish() >> 32) as usize % BUCKETS
+    crc32c::crc32c(name.as_bytes()) as usize % BUCKETS
 }
 
 fn parse_card(record: &MemberRecord) -> Option<MemberCard> {
--- a/crates/savorywalk/src/membership/membership_action.rs
+++ b/crates/savorywalk/src/membership/membership_action.rs
@@ -7,7 +7,12 @@
     /// Time has passed; due every 100 to 200 ms.
     Tick,
     /// A message came in.
-    Received(&'a [u8]),
+    Received {
+        /// Name of the sender, as its certificate states it.
+        from: &'a str,
+        /// The encoded message.
+        payload: &'a [u8],
+    },
     /// This daemon is about to stop.
     Leave,
 }
@@ -17,8 +22,8 @@
 pub enum MembershipAction {
     /// Send these bytes; a lost message is made good by a later one.
     Send {
-        /// Link address of the receiver.
-        to: SocketAddr,
+        /// Name of the receiver.
+        to: Arc<str>,
         /// The encoded message.
         payload: Bytes,
     },
--- a/crates/savorywalk/src/membership/membership_core.rs
+++ b/crates/savorywalk/src/membership/membership_core.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub struct MembershipCore {
     own: Arc<MemberCard>,
-    seeds: Vec<SocketAddr>,
+    seeds: Vec<Arc<str>>,
     timing: MembershipTiming,
     random: ChaCha8Rng,
     table: MemberTable,
@@ -63,7 +63,7 @@
 struct RelayedProbe {
     own_number: u32,
     number: u32,
-    asker: SocketAddr,
+    asker: Arc<str>,
 }
 
 impl MembershipCore {
@@ -76,7 +76,7 @@
         now: Instant,
         own: MemberCard,
         incarnation: u64,
-        seeds: Vec<SocketAddr>,
+        seeds: Vec<Arc<str>>,
         timing: MembershipTiming,
         seed: u64,
     ) -> Self {
@@ -91,10 +91,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let stagger = timing.dead_interval.mul_f64(random.random());
         Self {
-            seeds: seeds
-                .into_iter()
-                .filter(|seed| *seed != own.address)
-                .collect(),
+            seeds: seeds.into_iter().filter(|seed| *seed != own.name).collect(),
             own,
             timing,
             random,
@@ -138,7 +135,9 @@
         let mut actions = Vec::new();
         match event {
             MembershipEvent::Tick => self.tick(now, &mut actions),
-            MembershipEvent::Received(payload) => self.receive(now, payload, &mut actions)?,
+            MembershipEvent::Received { from, payload } => {
+                self.receive(now, from, payload, &mut actions)?;
+            }
             MembershipEvent::Leave => self.leave(now, &mut actions),
         }
         Ok(actions)
@@ -238,7 +237,7 @@
         let mut message = self.message_with_news(&card.region);
         message.probe = number;
         self.remind(&card.name, &mut message);
-        actions.push(send(card.address, &message));
+        actions.push(send(&card.name, &message));
     }
 
     fn probe_through_others(
@@ -254,13 +253,13 @@
             .collect();
         let helpers: Vec<_> = candidates
             .sample(&mut self.random, INDIRECT_PROBES)
-            .map(|card| card.address)
+            .map(|card| Arc::clone(&card.name))
             .collect();
         for helper in helpers {
             let mut message = self.message();
             message.probe = number;
             message.probe_target = target.name.to_string();
-            actions.push(send(helper, &message));
+            actions.push(send(&helper, &message));
         }
     }
 
@@ -374,11 +373,11 @@
         };
         let stretch = 1.0 + self.random.random::<f64>();
         self.next_join = now + interval.mul_f64(stretch);
-        if let Some(seed) = self.seeds.choose(&mut self.random).copied() {
+        if let Some(seed) = self.seeds.choose(&mut self.random).cloned() {
             let mut message = self.message();
             message.join = true;
             message.bucket_digests = self.table.bucket_digests(CompareScope::Everyone);
-            actions.push(send(seed, &message));
+            actions.push(send(&seed, &message));
         }
     }
 
@@ -394,19 +393,20 @@
         self.table.put(left);
         let message = self.message();
         let view = self.view();
-        let neighbours = self.monitors.iter().map(|monitor| monitor.card().address);
-        let mut receivers: BTreeSet<SocketAddr> = neighbours.collect();
+        let neighbours = self.monitors.iter().map(|monitor| &monitor.card().name);
+        let mut receivers: BTreeSet<&Arc<str>> = neighbours.collect();
         let others: Vec<_> = view.region(&self.own.region).collect();
         let extra = others.sample(&mut self.random, INDIRECT_PROBES);
-        receivers.extend(extra.map(|card| card.address));
-        for address in receivers {
-            actions.push(send(address, &message));
+        receivers.extend(extra.map(|card| &card.name));
+        for receiver in receivers {
+            actions.push(send(receiver, &message));
         }
     }
 
     fn receive(
         &mut self,
         now: Instant,
+        from: &str,
         payload: &[u8],
         actions: &mut Vec<MembershipAction>,
     ) -> Result<()> {
@@ -415,10 +415,9 @@
         }
         let message = MembershipMessage::decode(payload)?;
         let sender = message.sender.as_ref().ok_or(MembershipError::NoSender)?;
-        let address: SocketAddr = match sender.address.parse() {
-            Ok(address) => address,
-            Err(_) => return Err(MembershipError::NoSender),
-        };
+        if sender.name != from {
+            return Err(MembershipError::WrongSender);
+        }
         self.apply(now, sender, actions);
         for record in &message.records {
             if self.may_tell(&sender.region, record) {
@@ -426,7 +425,7 @@
             }
         }
         self.take_ack(&message, actions);
-        self.answer(now, &message, sender, address, actions);
+        self.answer(now, &message, sender, actions);
         Ok(())
     }
 
@@ -453,7 +452,7 @@
         if let Some(probe) = relayed.and_then(|index| self.relayed.remove(index)) {
             let mut answer = self.message();
             answer.probe_ack = probe.number;
-            actions.push(send(probe.asker, &answer));
+            actions.push(send(&probe.asker, &answer));
         }
     }
 
@@ -462,28 +461,27 @@
         now: Instant,
         message: &MembershipMessage,
         sender: &MemberRecord,
-        address: SocketAddr,
         actions: &mut Vec<MembershipAction>,
     ) {
         if message.probe != 0 && !message.probe_target.is_empty() {
-            self.relay_probe(message, address, actions);
+            self.relay_probe(message, &sender.name, actions);
         } else if message.probe != 0 {
             let mut answer = self.message_with_news(&sender.region);
             answer.probe_ack = message.probe;
             self.remind(&sender.name, &mut answer);
-            actions.push(send(address, &answer));
+            actions.push(send(&sender.name, &answer));
         }
         if !message.bucket_digests.is_empty() {
-            self.answer_comparison(message, &sender.region, address, actions);
+            self.answer_comparison(message, sender, actions);
         } else if message.view_digest != 0 {
-            self.compare(now, message.view_digest, &sender.region, address, actions);
+            self.compare(now, message.view_digest, sender, actions);
         }
     }
 
     fn relay_probe(
         &mut self,
         message: &MembershipMessage,
-        asker: SocketAddr,
+        asker: &str,
         actions: &mut Vec<MembershipAction>,
     ) {
         let target = self.table.get(&message.probe_target);
@@ -497,7 +495,7 @@
         self.relayed.push_back(RelayedProbe {
             own_number,
             number: message.probe,
-            asker,
+            asker: asker.into(),
         });
         self.probe(&target, own_number, actions);
     }
@@ -508,13 +506,12 @@
         &mut self,
         now: Instant,
         digest: u32,
-        region: &str,
-        address: SocketAddr,
+        sender: &MemberRecord,
         actions: &mut Vec<MembershipAction>,
     ) {
-        let scope = match *region == *self.own.region {
+        let scope = match *sender.region == *self.own.region {
             true => CompareScope::Everyone,
-            false => CompareScope::Region(region),
+            false => CompareScope::Region(&sender.region),
         };
         if digest == self.table.digest(scope) || now < self.next_sync {
             return;
@@ -526,20 +523,19 @@
         }
         let mut message = self.message();
         message.bucket_digests = self.table.bucket_digests(scope);
-        actions.push(send(address, &message));
+        actions.push(send(&sender.name, &message));
     }
 
     fn answer_comparison(
         &mut self,
         message: &MembershipMessage,
-        region: &str,
-        address: SocketAddr,
+        sender: &MemberRecord,
         actions: &mut Vec<MembershipAction>,
     ) {
         if message.bucket_digests.len() != BUCKETS {
             return;
         }
-        let everyone = message.join || *region == *self.own.region;
+        let everyone = message.join || *sender.region == *self.own.region;
         let scope = match everyone {
             true => CompareScope::Everyone,
             false => CompareScope::Region(&self.own.region),
@@ -549,7 +545,7 @@
         for part in records.chunks(MAX_RECORDS) {
             let mut answer = self.message();
             answer.records = part.to_vec();
-            actions.push(send(address, &answer));
+            actions.push(send(&sender.name, &answer));
         }
     }
 
@@ -634,7 +630,7 @@
         for card in targets {
             if !self.queue.is_empty() {
                 let message = self.message_with_news(&card.region);
-                actions.push(send(card.address, &message));
+                actions.push(send(&card.name, &message));
             }
         }
     }
@@ -727,9 +723,9 @@
     }
 }
 
-fn send(to: SocketAddr, message: &MembershipMessage) -> MembershipAction {
+fn send(to: &str, message: &MembershipMessage) -> MembershipAction {
     MembershipAction::Send {
-        to,
+        to: to.into(),
         payload: message.encode_to_vec().into(),
     }
 }
--- a/crates/savorywalk/src/membership/membership_core_tests.rs
+++ b/crates/savorywalk/src/membership/membership_core_tests.rs
@@ -62,10 +62,10 @@
 fn a_pause_of_half_a_second_is_no_death() {
     let mut network = TestNetwork::settled(16, 20, 1);
     for index in 0..20 {
-        let address = network.core(index).own().address;
-        network.paused.insert(address);
+        let name = Arc::clone(&network.core(index).own().name);
+        network.paused.insert(Arc::clone(&name));
         network.run(SECOND / 2);
-        network.paused.remove(&address);
+        network.paused.remove(&name);
         network.run(SECOND / 5);
     }
     assert!(network.deaths.is_empty(), "{:?}", network.deaths);
@@ -131,21 +131,35 @@
 }
 
 #[test]
-fn bytes_that_are_no_message_are_refused() {
+fn bytes_that_are_no_message_and_false_senders_are_refused() {
     let now = Instant::now();
-    let mut core = MembershipCore::new(
-        now,
-        card(0, 1),
-        1,
-        Vec::new(),
-        MembershipTiming::default(),
-        1,
-    );
-    assert!(
-        core.handle(now, MembershipEvent::Received(&[0xff; 9]))
-            .is_err()
-    );
-    assert!(core.handle(now, MembershipEvent::Received(&[])).is_err());
+    let timing = MembershipTiming::default();
+    let mut core = MembershipCore::new(now, card(0, 1), 1, Vec::new(), timing, 1);
+    let mut from = |from: &str, payload: &[u8]| {
+        let event = MembershipEvent::Received { from, payload };
+        core.handle(now, event).map(|actions| actions.len())
+    };
+    let message = MembershipMessage {
+        sender: Some(MemberRecord {
+            name: "entry-1".into(),
+            ..MemberRecord::default()
+        }),
+        ..MembershipMessage::default()
+    };
+    let payload = message.encode_to_vec();
+    assert!(matches!(
+        from("entry-1", &[0xff; 9]),
+        Err(MembershipError::Decode(_))
+    ));
+    assert!(matches!(
+        from("entry-1", &[]),
+        Err(MembershipError::NoSender)
+    ));
+    assert!(matches!(
+        from("entry-2", &payload),
+        Err(MembershipError::WrongSender)
+    ));
+    assert!(from("entry-1", &payload).is_ok());
 }
 
 /// One thing that a schedule does to the members.
--- a/crates/savorywalk/src/membership/membership_error.rs
+++ b/crates/savorywalk/src/membership/membership_error.rs
@@ -11,4 +11,9 @@
     /// The sender's record is missing or incomplete.
     #[error("a membership message names no sender; run the same version on all daemons of a link")]
     NoSender,
+    /// The sender's record names somebody else.
+    #[error(
+        "a membership message names a sender other than its certificate; give each daemon its own certificate"
+    )]
+    WrongSender,
 }
--- a/crates/savorywalk/src/membership/peer_graph.rs
+++ b/crates/savorywalk/src/membership/peer_graph.rs
@@ -1,8 +1,10 @@
-use std::hash::{Hash, Hasher};
-
 use super::MemberCard;
 use crate::prelude::*;
 
+/// Knuth's multiplier (2^32 over the golden ratio); a cyclic code alone leaves
+/// names that differ in one digit in a fixed pattern.
+const SPREAD: u32 = 2_654_435_769;
+
 /// Who sends to whom within a region.
 ///
 /// The members, ordered by a hash of their names, are the nodes of the graph
@@ -20,7 +22,7 @@
         region: impl Iterator<Item = &'a Arc<MemberCard>>,
         fan_out: usize,
     ) -> Vec<Arc<MemberCard>> {
-        let mut members: Vec<(u64, &Arc<MemberCard>)> =
+        let mut members: Vec<(u32, &Arc<MemberCard>)> =
             region.map(|card| (rank(&card.name, ""), card)).collect();
         members.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
         let count = members.len();
@@ -71,11 +73,8 @@
         .collect()
 }
 
-fn rank(name: &str, purpose: &str) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    name.hash(&mut hasher);
-    purpose.hash(&mut hasher);
-    let hash = hasher.finish();
-    // The multiplier of SplitMix64; spreads hashes of names that differ little.
-    (hash ^ (hash >> 31)).wrapping_mul(0x94d0_49bb_1331_11eb)
+/// The same on all machines and in all versions, unlike the hasher of maps.
+fn rank(name: &str, purpose: &str) -> u32 {
+    let hash = crc32c::crc32c(name.as_bytes());
+    crc32c::crc32c_append(hash, purpose.as_bytes()).wrapping_mul(SPREAD)
 }
--- a/crates/savorywalk/src/membership/test_network.rs
+++ b/crates/savorywalk/src/membership/test_network.rs
@@ -12,13 +12,13 @@
 
 const STEP: Duration = Duration::from_millis(100);
 
-pub(super) type Delivery = Reverse<(Instant, u64, SocketAddr, SocketAddr, Bytes)>;
+pub(super) type Delivery = Reverse<(Instant, u64, Arc<str>, Arc<str>, Bytes)>;
 
 pub(super) struct TestNetwork {
     pub(super) now: Instant,
-    pub(super) cores: BTreeMap<SocketAddr, MembershipCore>,
-    pub(super) down: BTreeSet<SocketAddr>,
-    pub(super) paused: BTreeSet<SocketAddr>,
+    pub(super) cores: BTreeMap<Arc<str>, MembershipCore>,
+    pub(super) down: BTreeSet<Arc<str>>,
+    pub(super) paused: BTreeSet<Arc<str>>,
     pub(super) loss: f64,
     pub(super) duplication: f64,
     pub(super) max_delay: Duration,
@@ -26,15 +26,19 @@
     pub(super) cut: fn(&MemberCard, &MemberCard) -> bool,
     pub(super) bytes: u64,
     pub(super) deaths: Vec<Arc<str>>,
-    cards: BTreeMap<SocketAddr, MemberCard>,
+    cards: BTreeMap<Arc<str>, MemberCard>,
     random: ChaCha8Rng,
     flying: BinaryHeap<Delivery>,
     order: u64,
 }
 
+fn name(index: usize) -> Arc<str> {
+    format!("entry-{index}").into()
+}
+
 pub(super) fn card(index: usize, regions: usize) -> MemberCard {
     MemberCard {
-        name: format!("entry-{index}").into(),
+        name: name(index),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
         region: format!("region-{}", index % regions).into(),
         data_center: format!("dc-{}-{}", index % regions, index / regions % 2).into(),
@@ -76,7 +80,7 @@
     }
 
     pub(super) fn start(&mut self, card: MemberCard, incarnation: u64) {
-        let seeds = (0..3).map(|index| SocketAddr::from(([127, 0, 0, 1], 1_000 + index)));
+        let seeds = (0..3).map(name);
         let seed = self.random.random();
         let timing = MembershipTiming::default();
         let core = MembershipCore::new(
@@ -87,26 +91,25 @@
             timing,
             seed,
         );
-        self.down.remove(&card.address);
-        self.cores.insert(card.address, core);
-        self.cards.insert(card.address, card);
+        self.down.remove(&card.name);
+        self.cores.insert(Arc::clone(&card.name), core);
+        self.cards.insert(Arc::clone(&card.name), card);
     }
 
     pub(super) fn crash(&mut self, index: usize) {
-        self.down
-            .insert(SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)));
+        self.down.insert(name(index));
     }
 
     pub(super) fn leave(&mut self, index: usize) {
-        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+        let address = name(index);
         let core = self.cores.get_mut(&address).unwrap();
         let actions = core.handle(self.now, MembershipEvent::Leave).unwrap();
-        self.perform(address, actions);
+        self.perform(&address, actions);
         self.crash(index);
     }
 
     pub(super) fn core(&self, index: usize) -> &MembershipCore {
-        &self.cores[&SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))]
+        &self.cores[&name(index)]
     }
 
     pub(super) fn run(&mut self, time: Duration) {
@@ -114,10 +117,10 @@
         while self.now < end {
             self.now += STEP;
             self.deliver();
-            let addresses: Vec<_> = self.cores.keys().copied().collect();
+            let addresses: Vec<_> = self.cores.keys().cloned().collect();
             for address in addresses {
-                if !self.is_silent(address) {
-                    self.feed(address, MembershipEvent::Tick);
+                if !self.is_silent(&address) {
+                    self.feed(&address, MembershipEvent::Tick);
                 }
             }
         }
@@ -128,17 +131,17 @@
         let running: BTreeSet<_> = self
             .cores
             .keys()
-            .filter(|a| !self.down.contains(a))
+            .filter(|name| !self.down.contains(&***name))
             .collect();
-        running.iter().all(|address| {
-            let view = self.cores[address].view();
-            let seen: BTreeSet<_> = view.live.iter().map(|card| &card.address).collect();
+        running.iter().all(|name| {
+            let view = self.cores[&***name].view();
+            let seen: BTreeSet<_> = view.live.iter().map(|card| &card.name).collect();
             seen == running.iter().copied().collect()
         })
     }
 
-    fn is_silent(&self, address: SocketAddr) -> bool {
-        self.down.contains(&address) || self.paused.contains(&address)
+    fn is_silent(&self, name: &str) -> bool {
+        self.down.contains(name) || self.paused.contains(name)
     }
 
     fn deliver(&mut self) {
@@ -154,19 +157,23 @@
             if self.paused.contains(&to) {
                 kept.push(Reverse((due, order, from, to, payload)));
             } else if !self.down.contains(&to) && self.cores.contains_key(&to) {
-                self.feed(to, MembershipEvent::Received(&payload));
+                let event = MembershipEvent::Received {
+                    from: &from,
+                    payload: &payload,
+                };
+                self.feed(&to, event);
             }
         }
         self.flying.extend(kept);
     }
 
-    fn feed(&mut self, address: SocketAddr, event: MembershipEvent<'_>) {
-        let core = self.cores.get_mut(&address).unwrap();
+    fn feed(&mut self, name: &Arc<str>, event: MembershipEvent<'_>) {
+        let core = self.cores.get_mut(name).unwrap();
         let actions = core.handle(self.now, event).unwrap();
-        self.perform(address, actions);
+        self.perform(name, actions);
     }
 
-    fn perform(&mut self, from: SocketAddr, actions: Vec<MembershipAction>) {
+    fn perform(&mut self, from: &Arc<str>, actions: Vec<MembershipAction>) {
         for action in actions {
             match action {
                 MembershipAction::Send { to, payload } => self.send(from, to, payload),
@@ -180,9 +187,9 @@
         }
     }
 
-    fn send(&mut self, from: SocketAddr, to: SocketAddr, payload: Bytes) {
+    fn send(&mut self, from: &Arc<str>, to: Arc<str>, payload: Bytes) {
         self.bytes += payload.len() as u64;
-        let (Some(sender), Some(receiver)) = (self.cards.get(&from), self.cards.get(&to)) else {
+        let (Some(sender), Some(receiver)) = (self.cards.get(from), self.cards.get(&to)) else {
             return;
         };
         if (self.cut)(sender, receiver) {
@@ -193,7 +200,13 @@
             if !self.random.random_bool(self.loss) {
                 let due = self.now + self.max_delay.mul_f64(self.random.random());
                 self.order += 1;
-                let delivery = (due, self.order, from, to, payload.clone());
+                let delivery = (
+                    due,
+                    self.order,
+                    Arc::clone(from),
+                    Arc::clone(&to),
+                    payload.clone(),
+                );
                 self.flying.push(Reverse(delivery));
             }
         }
