Spread endpoints, load and usage between the entries of a region

Every entry listed only the endpoints that told it themselves. The directory's core now passes on renewals of seven bytes over the region's graph, fetches details once, pushes leaving notices at once, asks others for what it missed, and tells other regions totals by pool. Leases are cut to 2.9 s, since a notice that dies with its entry can only end by the lease; docs/design/directory.md has the arithmetic.

Tests on a network without sockets found three faults, mended here: the usual transit of each hop kept leases alive beyond 3 s, one random entry asked for a missed renewal was not enough with a third of the region dead, and an announcement for another region went out with a wrong clock.

--- a/crates/savorywalk/src/api/endpoint_api.rs
+++ b/crates/savorywalk/src/api/endpoint_api.rs
@@ -5,7 +5,7 @@
 
 use super::request_parts::{self, RequestHead};
 use super::{ApiError, ApiResponse, BodyLimit, Result, response_body};
-use crate::directory::{AnnouncementOutcome, EndpointAnnouncement};
+use crate::directory::{AnnouncementOutcome, EndpointAnnouncement, MAX_SPREAD_LEASE};
 use crate::entry::EntryNode;
 use crate::prelude::*;
 
@@ -32,7 +32,8 @@
     head.require(&Method::POST, "POST")?;
     let body = request_parts::read_body(body, body_limit).await?;
     let announcement: EndpointAnnouncement = request_parts::parse_json(&body)?;
-    let lease = Duration::from_millis(announcement.lease_ms.into()).min(configuration.max_lease);
+    let max_lease = configuration.max_lease.min(MAX_SPREAD_LEASE);
+    let lease = Duration::from_millis(announcement.lease_ms.into()).min(max_lease);
     let outcome = node
         .directory()
         .announce(announcement, configuration.max_lease)
--- a/crates/savorywalk/src/directory/directory_actor.rs
+++ b/crates/savorywalk/src/directory/directory_actor.rs
@@ -1,17 +1,18 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
 use super::{
-    AnnouncementOutcome, DirectorySnapshot, EndpointAnnouncement, EndpointDirectory, Result,
+    AnnouncementOutcome, DirectoryAction, DirectoryCore, DirectoryEvent, DirectorySnapshot,
+    DirectoryTiming, EndpointAnnouncement, Result,
 };
+use crate::membership::MemberCard;
 use crate::prelude::*;
 
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
-const TOMBSTONE_TIME: Duration = Duration::from_secs(60);
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Messages of the actor that owns the directory.
 enum DirectoryMessage {
     Announce(Box<AnnounceCall>),
-    Expire,
+    Tick,
 }
 
 struct AnnounceCall {
@@ -69,13 +70,25 @@
         published: Arc::clone(&published),
     };
     let (actor, _task) = Actor::spawn(None, directory, ()).await?;
-    actor.send_interval(EXPIRY_INTERVAL, || DirectoryMessage::Expire);
+    actor.send_interval(TICK_INTERVAL, || DirectoryMessage::Tick);
     Ok(DirectoryHandle { published, actor })
 }
 
+impl DirectoryActor {
+    fn perform(&self, core: &DirectoryCore, actions: Vec<DirectoryAction>) {
+        for action in actions {
+            match action {
+                DirectoryAction::Publish => self.published.store(Arc::new(core.snapshot())),
+                // A sole entry has nobody to send to or to hear from.
+                DirectoryAction::Send { .. } | DirectoryAction::Used(_) => {}
+            }
+        }
+    }
+}
+
 impl Actor for DirectoryActor {
     type Msg = DirectoryMessage;
-    type State = EndpointDirectory;
+    type State = DirectoryCore;
     type Arguments = ();
 
     async fn pre_start(
@@ -83,32 +96,51 @@
         _myself: ActorRef<Self::Msg>,
         _arguments: (),
     ) -> std::result::Result<Self::State, ActorProcessingErr> {
-        Ok(EndpointDirectory::default())
+        let timing = DirectoryTiming::default();
+        let seed = rand::random();
+        Ok(DirectoryCore::new(
+            Instant::now(),
+            sole_card(),
+            1,
+            timing,
+            seed,
+        ))
     }
 
     async fn handle(
         &self,
         _myself: ActorRef<Self::Msg>,
         message: Self::Msg,
-        directory: &mut Self::State,
+        core: &mut Self::State,
     ) -> std::result::Result<(), ActorProcessingErr> {
         let now = Instant::now();
         match message {
             DirectoryMessage::Announce(call) => {
-                let outcome = directory.announce(now, call.announcement, call.max_lease);
-                if outcome == Ok(AnnouncementOutcome::Applied) {
-                    self.published.store(Arc::new(directory.snapshot()));
-                }
+                let outcome = core.announce(now, call.announcement, call.max_lease);
+                let outcome = outcome.map(|(outcome, actions)| {
+                    self.perform(core, actions);
+                    outcome
+                });
                 if call.reply.send(outcome).is_err() {
                     log_event!(debug, "announcer_left");
                 }
             }
-            DirectoryMessage::Expire => {
-                if directory.expire(now, TOMBSTONE_TIME) > 0 {
-                    self.published.store(Arc::new(directory.snapshot()));
-                }
-            }
+            DirectoryMessage::Tick => match core.handle(now, DirectoryEvent::Tick) {
+                Ok(actions) => self.perform(core, actions),
+                Err(error) => log_event!(warn, "directory_tick_failed", error = error),
+            },
         }
         Ok(())
     }
 }
+
+/// Who an entry is that has no links: its name never leaves the process.
+fn sole_card() -> Arc<MemberCard> {
+    Arc::new(MemberCard {
+        name: "sole".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        region: "local".into(),
+        data_center: "local".into(),
+        entry: true,
+    })
+}
--- a/crates/savorywalk/src/directory/endpoint_record.rs
+++ b/crates/savorywalk/src/directory/endpoint_record.rs
@@ -79,6 +79,9 @@
     /// A name is missing or too long.
     #[error("{0} must have 1 to 128 bytes; send the endpoint's own")]
     BadName(&'static str),
+    /// Too many endpoints are listed.
+    #[error("this entry lists as many endpoints as it can; take unused ones away")]
+    Full,
 }
 
 /// An endpoint as the directory holds it.
--- /dev/null
+++ b/crates/savorywalk/src/directory/workspace_usage.rs
@@ -0,0 +1,25 @@
+use crate::prelude::*;
+
+/// Endpoint time that one entry gave one workspace at one pool since its last
+/// report.
+///
+/// Reports are increments: they add up, and a receiver gets each one once or
+/// not at all. An entry sends the heaviest few of all that it has gathered;
+/// the rest goes on gathering until it is among them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkspaceUsage {
+    /// The pool.
+    pub pool: Arc<str>,
+    /// The workspace, by [`WorkspaceUsage::key`] of its name.
+    pub workspace: u32,
+    /// Endpoint time, in microseconds.
+    pub endpoint_micros: u64,
+}
+
+impl WorkspaceUsage {
+    /// Names a workspace in four bytes; every entry knows all names from the
+    /// configuration and so finds it back.
+    pub fn key(workspace: &str) -> u32 {
+        crc32c::crc32c(workspace.as_bytes())
+    }
+}
--- a/crates/savorywalk/src/membership/member_card.rs
+++ b/crates/savorywalk/src/membership/member_card.rs
@@ -11,4 +11,6 @@
     pub region: Arc<str>,
     /// Data centre in which it stands.
     pub data_center: Arc<str>,
+    /// Whether it takes callers' requests and so needs the directory.
+    pub entry: bool,
 }
--- a/crates/savorywalk/src/membership/member_table.rs
+++ b/crates/savorywalk/src/membership/member_table.rs
@@ -44,6 +44,7 @@
             address: self.card.address.to_string(),
             region: self.card.region.to_string(),
             data_center: self.card.data_center.to_string(),
+            entry: self.card.entry,
             incarnation: self.incarnation,
             state: self.state.to_message().into(),
         }
@@ -196,5 +197,6 @@
         address: record.address.parse().ok()?,
         region: record.region.as_str().into(),
         data_center: record.data_center.as_str().into(),
+        entry: record.entry,
     })
 }
--- a/crates/savorywalk/src/membership/member_view.rs
+++ b/crates/savorywalk/src/membership/member_view.rs
@@ -28,4 +28,9 @@
     pub fn region<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Arc<MemberCard>> {
         self.live.iter().filter(move |card| &*card.region == region)
     }
+
+    /// Live members of a region that take callers' requests, by name.
+    pub fn entries<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Arc<MemberCard>> {
+        self.region(region).filter(|card| card.entry)
+    }
 }
--- a/crates/savorywalk/src/membership/test_network.rs
+++ b/crates/savorywalk/src/membership/test_network.rs
@@ -42,6 +42,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
         region: format!("region-{}", index % regions).into(),
         data_center: format!("dc-{}-{}", index % regions, index / regions % 2).into(),
+        entry: true,
     }
 }
 
