Show operators what a daemon holds, and check links and faults

Cause: requests in progress, endpoints, configuration version and build could not be scraped; metrics had no help text and a label of the library's own on every line; the operators' pages did not exist, and nothing checked links or the fault matrix.

Change: gauges read from the entry at each scrape, calls by listener and outcome, process metrics. Pages for settings (its tables made from the schema), monitoring, upgrade and restart. `cargo xtask check-links` and `check-faults`. A test fails when a metric is missing from monitoring.md.

--- a/crates/savorywalk/src/api/api_surface.rs
+++ b/crates/savorywalk/src/api/api_surface.rs
@@ -21,6 +21,17 @@
     Endpoints,
 }
 
+impl SurfaceKind {
+    /// Name of the listener's section in the settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Operators => "operators",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
 /// Handles the calls of one listener.
 #[derive(Clone, Debug)]
 pub struct ApiSurface {
@@ -51,8 +62,13 @@
         let id = RequestId::random();
         let version = request.version();
         let mut response = match self.route(id, request).await {
-            Ok(response) => response,
+            Ok(response) => {
+                self.node.metrics().record_call(self.kind.name(), "ok");
+                response
+            }
             Err(error) => {
+                let metrics = self.node.metrics();
+                metrics.record_call(self.kind.name(), error.kind());
                 log_event!(
                     debug,
                     "call_refused",
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
-use super::{EntryNode, Result};
+use super::{EntryNode, Result, entry_gauges};
 use crate::api::{ApiSurface, HttpServer, ServerError, SurfaceKind};
 use crate::attempt::{EndpointClient, StageDispatcher};
 use crate::configuration::{ConfigurationCell, ConfigurationSnapshot};
@@ -84,6 +84,7 @@
                 given => given,
             },
         });
+        entry_gauges::register(&node);
         let daemon = Self {
             callers: serve(&callers, SurfaceKind::Callers, &node).await?,
             operators: serve(&operators, SurfaceKind::Operators, &node).await?,
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //! and stops. See docs/design/shape.md.
 
 mod entry_daemon;
+mod entry_gauges;
 mod entry_node;
 mod entry_status;
 
--- a/crates/savorywalk/src/telemetry/metric_set.rs
+++ b/crates/savorywalk/src/telemetry/metric_set.rs
@@ -1,6 +1,7 @@
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::process_collector::ProcessCollector;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use super::Result;
@@ -17,9 +18,9 @@
     /// The exporter refused its registry.
     #[error("metrics could not be set up: {0}; start the daemon again")]
     Setup(String),
-    /// The registry could not be written as text.
-    #[error("metrics could not be written: {0}; scrape again")]
-    Encode(#[from] prometheus::Error),
+    /// The registry refused a collector or could not be written as text.
+    #[error("metrics could not be collected: {0}; scrape again, or start the daemon again")]
+    Registry(#[from] prometheus::Error),
 }
 
 /// How a request ended, as the label of its metric.
@@ -57,6 +58,8 @@
 pub struct MetricSet {
     registry: Registry,
     _provider: SdkMeterProvider,
+    meter: Meter,
+    calls: Counter<u64>,
     requests: Counter<u64>,
     request_seconds: Histogram<f64>,
     stage_seconds: Counter<f64>,
@@ -69,33 +72,64 @@
     /// that several daemons can live in one process.
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
+        registry.register(Box::new(ProcessCollector::for_self()))?;
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
             .build()
             .map_err(|error| MetricError::Setup(error.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("savorywalk");
         Ok(Self {
             registry,
-            requests: meter.u64_counter("savorywalk_requests").build(),
+            calls: meter
+                .u64_counter("savorywalk_api_calls")
+                .with_description("HTTP calls by listener and by how they ended")
+                .build(),
+            requests: meter
+                .u64_counter("savorywalk_requests")
+                .with_description("Pipeline requests that have ended")
+                .build(),
             request_seconds: meter
                 .f64_histogram("savorywalk_request_duration")
+                .with_description("Time from a request's arrival to its end")
                 .with_unit("s")
                 .with_boundaries(DURATION_BUCKETS.to_vec())
                 .build(),
             stage_seconds: meter
                 .f64_counter("savorywalk_stage_endpoint")
+                .with_description("Endpoint time that gave a result")
                 .with_unit("s")
                 .build(),
-            stage_tokens: meter.u64_counter("savorywalk_stage_tokens").build(),
+            stage_tokens: meter
+                .u64_counter("savorywalk_stage_tokens")
+                .with_description("Tokens read and written by endpoints")
+                .build(),
             wasted_seconds: meter
                 .f64_counter("savorywalk_stage_wasted")
+                .with_description("Endpoint time that gave no result")
                 .with_unit("s")
                 .build(),
+            meter,
             _provider: provider,
         })
     }
 
+    /// Where another part adds instruments of its own.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Counts a call that has been answered; `outcome` is `ok` or the error's kind.
+    pub fn record_call(&self, listener: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("listener", listener),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.calls.add(1, &labels);
+    }
+
     /// Counts a request that has ended.
     pub fn record_request(&self, pipeline: &str, outcome: RequestOutcome, elapsed: Duration) {
         let outcome = match outcome {
--- a/xtask/src/arguments.rs
+++ b/xtask/src/arguments.rs
@@ -3,9 +3,13 @@
 xflags::xflags! {
     /// Routine jobs of the developers.
     cmd xtask {
-        /// Writes the code generated from schema/*.proto.
+        /// Writes the code and the settings page generated from schema/*.proto.
         cmd generate {}
-        /// Fails when the committed generated code differs from the schema's.
+        /// Fails when a committed generated file differs from the schema's.
         cmd check {}
+        /// Fails when a link in the pages, or a page named in the sources, leads nowhere.
+        cmd check-links {}
+        /// Fails when a cell of docs/FAULTS.md names a test that is not in the sources.
+        cmd check-faults {}
     }
 }
--- a/xtask/src/generate.rs
+++ b/xtask/src/generate.rs
@@ -8,9 +8,10 @@
 
 use prost_types::FileDescriptorSet;
 
-use crate::settings_table;
+use crate::{repository, settings_page, settings_table};
 
 const GENERATED_FOLDER: &str = "crates/savorywalk/src/generated";
+const SETTINGS_PAGE: &str = "docs/operators/settings.md";
 const JSON_PACKAGES: [&str; 2] = [".savorywalk.settings", ".savorywalk.configuration"];
 const JSON_MESSAGES: [&str; 8] = [
     ".savorywalk.control.AuditRecord",
@@ -29,53 +30,57 @@
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 type FileTexts = BTreeMap<String, String>;
 
-/// Writes the generated files into the library.
+/// Writes the generated files.
 pub(crate) fn write() -> Result<()> {
-    let folder = root().join(GENERATED_FOLDER);
-    fs::create_dir_all(&folder)?;
-    for (name, text) in texts()? {
-        fs::write(folder.join(name), text)?;
+    fs::create_dir_all(repository::root().join(GENERATED_FOLDER))?;
+    for (path, text) in files()? {
+        fs::write(path, text)?;
     }
     Ok(())
 }
 
 /// Exits with 1 when a committed file differs from what the schema gives.
 pub(crate) fn check() -> Result<()> {
-    let folder = root().join(GENERATED_FOLDER);
     let mut stale = Vec::new();
-    for (name, text) in texts()? {
-        if fs::read_to_string(folder.join(&name)).ok().as_deref() != Some(&text) {
-            stale.push(name);
+    for (path, text) in files()? {
+        if fs::read_to_string(&path).ok().as_deref() != Some(&text) {
+            stale.push(path.display().to_string());
         }
     }
     if stale.is_empty() {
         return Ok(());
     }
     eprintln!(
-        "generated code is stale: {}; run `cargo xtask generate` and commit",
+        "generated files are stale: {}; run `cargo xtask generate` and commit",
         stale.join(", ")
     );
     process::exit(1);
 }
 
-fn root() -> PathBuf {
-    let manifest = env::var("CARGO_MANIFEST_DIR").unwrap_or_else(|_| "xtask".into());
-    Path::new(&manifest)
-        .parent()
-        .unwrap_or(Path::new("."))
-        .to_path_buf()
+/// Every generated file: the library's code and the operators' page.
+fn files() -> Result<Vec<(PathBuf, String)>> {
+    let root = repository::root();
+    let descriptors = descriptors()?;
+    let folder = root.join(GENERATED_FOLDER);
+    let texts = texts(&descriptors)?.into_iter();
+    let mut files: Vec<_> = texts
+        .map(|(name, text)| (folder.join(name), text))
+        .collect();
+    let page = root.join(SETTINGS_PAGE);
+    let text = settings_page::text(&fs::read_to_string(&page)?, &descriptors);
+    files.push((page, text.ok_or("the settings page has lost its marks")?));
+    Ok(files)
 }
 
-fn texts() -> Result<FileTexts> {
-    let descriptors = descriptors()?;
+fn texts(descriptors: &FileDescriptorSet) -> Result<FileTexts> {
     let out = env::temp_dir().join(format!("savorywalk-generate-{}", process::id()));
     fs::create_dir_all(&out)?;
-    let result = messages(&descriptors, &out);
+    let result = messages(descriptors, &out);
     fs::remove_dir_all(&out)?;
     let mut texts = result?;
     texts.insert(
         "settings_table.rs".into(),
-        settings_table::text(&descriptors),
+        settings_table::text(descriptors),
     );
     let modules = module_text(&texts);
     texts.insert("mod.rs".into(), modules);
@@ -83,7 +88,7 @@
 }
 
 fn descriptors() -> Result<FileDescriptorSet> {
-    let folder = root().join("schema");
+    let folder = repository::root().join("schema");
     let mut files = Vec::new();
     for entry in fs::read_dir(&folder)? {
         let path = entry?.path();
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,14 +1,50 @@
-//! Routine jobs of the developers: `cargo xtask generate`, `cargo xtask check`.
+//! Routine jobs of the developers; `cargo xtask --help` lists them.
 
 mod arguments;
+mod fault_check;
 mod generate;
+mod link_check;
+mod repository;
+mod settings_page;
 mod settings_table;
 
+use std::error::Error;
+use std::process;
+
 use arguments::{Xtask, XtaskCmd};
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
+fn main() -> Result<(), Box<dyn Error>> {
     match Xtask::from_env_or_exit().subcommand {
         XtaskCmd::Generate(_) => generate::write(),
         XtaskCmd::Check(_) => generate::check(),
+        XtaskCmd::CheckLinks(_) => check_links(),
+        XtaskCmd::CheckFaults(_) => check_faults(),
+    }
+}
+
+fn check_links() -> Result<(), Box<dyn Error>> {
+    exit_on(&link_check::problems(&repository::root())?);
+    println!("every link leads to a file");
+    Ok(())
+}
+
+fn check_faults() -> Result<(), Box<dyn Error>> {
+    let summary = fault_check::summary(&repository::root())?;
+    exit_on(&summary.problems);
+    println!(
+        "fault matrix: {} cells tested, {} that cannot happen, {} open",
+        summary.tested, summary.impossible, summary.open
+    );
+    Ok(())
+}
+
+/// Prints problems and exits with 1 when there are any.
+fn exit_on(problems: &[String]) {
+    if problems.is_empty() {
+        return;
+    }
+    for problem in problems {
+        eprintln!("{problem}");
     }
+    process::exit(1);
 }
--- a/xtask/src/settings_table.rs
+++ b/xtask/src/settings_table.rs
@@ -11,36 +11,86 @@
 const MESSAGE_TAG: i32 = 4;
 const FIELD_TAG: i32 = 2;
 
+/// One key of one section, as the schema describes it.
+#[derive(Debug)]
+pub(crate) struct SettingField {
+    pub(crate) section: String,
+    pub(crate) name: String,
+    pub(crate) kind: FieldKind,
+    pub(crate) required: bool,
+    pub(crate) default: Option<String>,
+    pub(crate) doc: String,
+}
+
+/// What a value must look like.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum FieldKind {
+    Text,
+    File,
+    Folder,
+    List,
+    Number { min: u64, max: u64 },
+    Flag,
+}
+
+impl FieldKind {
+    /// For the operators' page.
+    pub(crate) fn shown(self) -> String {
+        match self {
+            Self::Text => "text".into(),
+            Self::File => "file".into(),
+            Self::Folder => "folder".into(),
+            Self::List => "words, separated by commas".into(),
+            Self::Number { min, max } => format!("{min} to {max}"),
+            Self::Flag => "`true` or `false`".into(),
+        }
+    }
+}
+
 /// The text of `settings_table.rs`.
 pub(crate) fn text(descriptors: &FileDescriptorSet) -> String {
     let mut text = String::from("use crate::settings::{SettingKey, SettingKind};\n\n");
     text.push_str("/// Every key of every section, in the schema's order.\n");
     text.push_str("pub const SETTING_KEYS: &[SettingKey] = &[\n");
-    let file = descriptors
-        .file
-        .iter()
-        .find(|file| file.package() == SETTINGS_PACKAGE);
-    if let Some(file) = file {
-        push_sections(&mut text, file);
+    for field in fields(descriptors) {
+        let SettingField {
+            section,
+            name,
+            kind,
+            required,
+            default,
+            doc,
+        } = field;
+        let _ = writeln!(
+            text,
+            "    SettingKey {{ section: {section:?}, name: {name:?}, kind: SettingKind::{kind:?}, required: {required}, default: {default:?}, doc: {doc:?} }},",
+        );
     }
     text.push_str("];\n");
     text
 }
 
-fn push_sections(text: &mut String, file: &FileDescriptorProto) {
-    let Some(root) = message(file, ROOT_MESSAGE) else {
-        return;
+/// Every key of every section, in the schema's order.
+pub(crate) fn fields(descriptors: &FileDescriptorSet) -> Vec<SettingField> {
+    let mut files = descriptors.file.iter();
+    let Some(file) = files.find(|file| file.package() == SETTINGS_PACKAGE) else {
+        return Vec::new();
     };
-    for section in &root.1.field {
+    let Some((_, root)) = message(file, ROOT_MESSAGE) else {
+        return Vec::new();
+    };
+    let mut fields = Vec::new();
+    for section in &root.field {
         let type_name = section.type_name().rsplit('.').next().unwrap_or_default();
         let Some((index, message)) = message(file, type_name) else {
             continue;
         };
         for (number, field) in message.field.iter().enumerate() {
             let comment = comment(file, &[MESSAGE_TAG, index, FIELD_TAG, number as i32]);
-            push_key(text, section.name(), field, &comment);
+            fields.push(setting_field(section.name(), field, &comment));
         }
     }
+    fields
 }
 
 fn message<'a>(file: &'a FileDescriptorProto, name: &str) -> Option<(i32, &'a DescriptorProto)> {
@@ -65,10 +115,10 @@
         .unwrap_or_default()
 }
 
-fn push_key(text: &mut String, section: &str, field: &FieldDescriptorProto, comment: &str) {
+fn setting_field(section: &str, field: &FieldDescriptorProto, comment: &str) -> SettingField {
     let mut doc = Vec::new();
     let mut required = false;
-    let mut path = None;
+    let mut text_kind = FieldKind::Text;
     let (mut default, mut min, mut max) = (None, 0_u64, u64::from(u32::MAX));
     for line in comment.lines().map(str::trim) {
         match line.split_once(' ') {
@@ -76,22 +126,23 @@
             Some(("@min", value)) => min = value.parse().expect("@min is a number"),
             Some(("@max", value)) => max = value.parse().expect("@max is a number"),
             _ if line == "@required" => required = true,
-            _ if line == "@file" => path = Some("File"),
-            _ if line == "@folder" => path = Some("Folder"),
+            _ if line == "@file" => text_kind = FieldKind::File,
+            _ if line == "@folder" => text_kind = FieldKind::Folder,
             _ => doc.push(line),
         }
     }
     let kind = match (field.label(), field.r#type()) {
-        (Label::Repeated, _) => "List".to_string(),
-        (_, Type::Uint32 | Type::Uint64) => format!("Number {{ min: {min}, max: {max} }}"),
-        (_, Type::Bool) => "Flag".to_string(),
-        _ => path.unwrap_or("Text").to_string(),
+        (Label::Repeated, _) => FieldKind::List,
+        (_, Type::Uint32 | Type::Uint64) => FieldKind::Number { min, max },
+        (_, Type::Bool) => FieldKind::Flag,
+        _ => text_kind,
     };
-    let doc = doc.join(" ");
-    let _ = writeln!(
-        text,
-        "    SettingKey {{ section: {section:?}, name: {:?}, kind: SettingKind::{kind}, required: {required}, default: {default:?}, doc: {:?} }},",
-        field.name(),
-        doc.trim(),
-    );
+    SettingField {
+        section: section.to_string(),
+        name: field.name().to_string(),
+        kind,
+        required,
+        default,
+        doc: doc.join(" ").trim().to_string(),
+    }
 }
