Claim non-idempotent requests and let operators change the configuration over HTTP

A caller who resends a booking after losing the answer must not get a second tow, and two operators with one version must not overwrite each other.

- ClaimClient: claims in this process's memory, or in control, batched into one command while another is being decided.
- ClaimedRun: a request with an Idempotency-Key that is non-idempotent, or goes through a non-idempotent stage, is claimed before its first dispatch and runs as a task of its own; a resend waits for it or gets its kept answer.
A run of which no part ran gives its claim back.
A planned stop waits for such runs.
- ControlClient::Sole: one in-process control state, persisted nowhere.
- PATCH /v1/config, POST /v1/config/rollback, GET /v1/config/history, GET /v1/audit; GET /v1/status tells of control.
- The claims' time follows the leader's stamps in steps of at most 10 s, so that a clock far ahead forgets no claim.

Tests over real sockets count what the stand-in service ran: 1 for resends after, together with and after the caller left the first.

--- a/crates/savorywalk/src/admission/unstarted_request.rs
+++ b/crates/savorywalk/src/admission/unstarted_request.rs
@@ -60,6 +60,9 @@
     /// The daemon can't confirm that its configuration is in force.
     #[error("the configuration can't be confirmed")]
     StaleConfiguration,
+    /// The claim of a non-idempotent request can't be recorded.
+    #[error("its claim can't be recorded")]
+    ClaimNotRecorded,
 }
 
 impl UnstartedRequest {
--- a/crates/savorywalk/src/api/api_error.rs
+++ b/crates/savorywalk/src/api/api_error.rs
@@ -1,13 +1,16 @@
 use hyper::StatusCode;
+use serde_json::{Value, json};
 
+use crate::claims::ClaimError;
 use crate::configuration::ConfigurationReport;
+use crate::control::{ControlError, InvalidConfiguration, VersionMismatch};
 use crate::directory::AnnouncementError;
 use crate::pipeline::PipelineError;
 use crate::prelude::*;
 
 /// Why a call was not answered with success; each kind has one status and a
 /// message that names the remedy.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Error)]
 pub enum ApiError {
     /// The request itself is wrong.
     #[error("{0}")]
@@ -69,11 +72,40 @@
     /// A pipeline gave no answer.
     #[error(transparent)]
     Pipeline(#[from] PipelineError),
+    /// A claimed request has no answer of its own.
+    #[error(transparent)]
+    Claim(#[from] ClaimError),
+    /// A change doesn't name the version that it is for.
+    #[error(
+        "the version is missing; send `If-Match: \"N\"` with the version that GET /v1/config gave"
+    )]
+    VersionRequired,
+    /// A change is for another version than the current one.
+    #[error(
+        "the change is for version {}, the current one is {}; read what changed, then send it for {} under a new patch id",
+        .0.expected_version, .0.current_version, .0.current_version
+    )]
+    VersionMismatch(VersionMismatch),
+    /// A change would make a wrong configuration.
+    #[error("the change has {} error(s); mend them all: {}", .0.errors.len(), fault_texts(.0))]
+    InvalidChange(InvalidConfiguration),
+    /// The patch id was used for another change.
+    #[error("patch id {0:?} was used for another change; send a new one")]
+    PatchIdConflict(String),
+    /// Control can't decide or be read now.
+    #[error(transparent)]
+    Control(#[from] ControlError),
     /// This daemon can't do it now.
     #[error("{0}")]
     Unavailable(String),
 }
 
+fn fault_texts(invalid: &InvalidConfiguration) -> String {
+    let texts = invalid.errors.iter();
+    let texts = texts.map(|it| format!("{}: {}; {}", it.path, it.problem, it.remedy));
+    texts.collect::<Vec<_>>().join("; ")
+}
+
 /// The JSON form of an error.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct ErrorDocument {
@@ -86,6 +118,9 @@
     pub kind: String,
     pub message: String,
     pub request_id: String,
+    /// What a program needs to act on the error, where there is more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub details: Option<Value>,
 }
 
 impl ApiError {
@@ -103,7 +138,12 @@
             Self::TooManyConnections { .. } => "too_many_connections",
             Self::BadConfiguration(_) => "invalid_configuration",
             Self::Pipeline(error) => error.kind(),
-            Self::Unavailable(_) => "unavailable",
+            Self::Claim(error) => claim_kind(error),
+            Self::VersionRequired => "version_required",
+            Self::VersionMismatch(_) => "version_mismatch",
+            Self::InvalidChange(_) => "invalid_configuration",
+            Self::PatchIdConflict(_) => "patch_id_conflict",
+            Self::Control(_) | Self::Unavailable(_) => "unavailable",
         }
     }
 
@@ -118,10 +158,14 @@
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::HeaderTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::BadConfiguration(_) => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::TooManyConnections { .. } | Self::Unavailable(_) => {
+            Self::BadConfiguration(_) | Self::InvalidChange(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::TooManyConnections { .. } | Self::Control(_) | Self::Unavailable(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::Claim(error) => claim_status(error),
+            Self::VersionRequired => StatusCode::PRECONDITION_REQUIRED,
+            Self::VersionMismatch(_) => StatusCode::PRECONDITION_FAILED,
+            Self::PatchIdConflict(_) => StatusCode::CONFLICT,
             Self::Pipeline(error) => pipeline_status(error),
         }
     }
@@ -130,8 +174,15 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Pipeline(PipelineError::NotRun(refusal)) => Some(refusal.retry_after),
-            Self::TooManyConnections { .. } | Self::Unavailable(_) => Some(Duration::from_secs(1)),
+            Self::TooManyConnections { .. } | Self::Control(_) | Self::Unavailable(_) => {
+                Some(Duration::from_secs(1))
+            }
             Self::Pipeline(_)
+            | Self::Claim(_)
+            | Self::VersionRequired
+            | Self::VersionMismatch(_)
+            | Self::InvalidChange(_)
+            | Self::PatchIdConflict(_)
             | Self::InvalidRequest(_)
             | Self::Unauthorized
             | Self::Forbidden { .. }
@@ -152,9 +203,55 @@
                 kind: self.kind().to_string(),
                 message: self.to_string(),
                 request_id: request_id.to_string(),
+                details: self.details(),
             },
         }
     }
+
+    fn details(&self) -> Option<Value> {
+        match self {
+            Self::VersionMismatch(mismatch) => serde_json::to_value(mismatch).ok(),
+            Self::InvalidChange(invalid) => {
+                let errors = serde_json::to_value(&invalid.errors).ok()?;
+                Some(json!({ "errors": errors }))
+            }
+            Self::InvalidRequest(_)
+            | Self::Unauthorized
+            | Self::Forbidden { .. }
+            | Self::NotFound(_)
+            | Self::MethodNotAllowed(_)
+            | Self::BodyTooLarge { .. }
+            | Self::BodyTimeout { .. }
+            | Self::HeaderTooLarge { .. }
+            | Self::TooManyConnections { .. }
+            | Self::BadConfiguration(_)
+            | Self::BadAnnouncement(_)
+            | Self::Pipeline(_)
+            | Self::Claim(_)
+            | Self::VersionRequired
+            | Self::PatchIdConflict(_)
+            | Self::Control(_)
+            | Self::Unavailable(_) => None,
+        }
+    }
+}
+
+fn claim_kind(error: &ClaimError) -> &'static str {
+    match error {
+        ClaimError::Conflict => "idempotency_conflict",
+        ClaimError::StillRunning => "deadline_exceeded",
+        ClaimError::OutcomeUnknown { .. } | ClaimError::Interrupted => "outcome_unknown",
+        ClaimError::AnswerDropped => "answer_dropped",
+    }
+}
+
+fn claim_status(error: &ClaimError) -> StatusCode {
+    match error {
+        ClaimError::Conflict => StatusCode::CONFLICT,
+        ClaimError::StillRunning => StatusCode::GATEWAY_TIMEOUT,
+        ClaimError::OutcomeUnknown { .. } | ClaimError::Interrupted => StatusCode::BAD_GATEWAY,
+        ClaimError::AnswerDropped => StatusCode::GONE,
+    }
 }
 
 fn pipeline_status(error: &PipelineError) -> StatusCode {
--- a/crates/savorywalk/src/api/api_surface.rs
+++ b/crates/savorywalk/src/api/api_surface.rs
@@ -99,7 +99,7 @@
         let limit = self.body_limit;
         match self.kind {
             SurfaceKind::Callers => caller_api::handle(node, id, &head, body, limit).await,
-            SurfaceKind::Operators => operator_api::handle(node, &head),
+            SurfaceKind::Operators => operator_api::handle(node, &head, body, limit).await,
             SurfaceKind::Endpoints => endpoint_api::handle(node, &head, body, limit).await,
         }
     }
--- a/crates/savorywalk/src/api/caller_api.rs
+++ b/crates/savorywalk/src/api/caller_api.rs
@@ -3,18 +3,22 @@
 use hyper::body::Incoming;
 use hyper::header::ACCEPT;
 use hyper::{Method, StatusCode};
+use sha2::{Digest, Sha256};
 
 use super::request_parts::{self, RequestHead};
 use super::{ApiError, ApiResponse, BodyLimit, Result, answer_stream, response_body};
 use crate::admission::{RequestDeadline, RequestPhase};
 use crate::attempt::RequestId;
-use crate::entry::EntryNode;
-use crate::pipeline::{PipelineInput, PipelineRequest};
+use crate::claims::{ClaimAnswer, ClaimKey, ClaimTicket};
+use crate::entry::{ClaimedAnswer, ClaimedRun, EntryNode};
+use crate::pipeline::{PipelineAnswer, PipelineError, PipelineInput, PipelineRequest};
 use crate::prelude::*;
 
 const PIPELINES: &str = "/v1/pipelines/";
 const DEADLINE_HEADER: &str = "savorywalk-deadline-ms";
 const IDEMPOTENT_HEADER: &str = "savorywalk-idempotent";
+const KEY_HEADER: &str = "idempotency-key";
+const MAX_KEY_BYTES: usize = 256;
 const EVENT_STREAM: &str = "text/event-stream";
 const MAX_DEADLINE_MS: u64 = 600_000;
 
@@ -34,6 +38,9 @@
     let mut request = read_head(node, id, head, pipeline, arrived)?;
     let body = request_parts::read_body(body, body_limit).await?;
     request.input = request_parts::parse_json::<PipelineInput>(&body)?;
+    if let Some(ticket) = claim_ticket(head, &request, &body)? {
+        return run_claimed(node, head, ticket, request).await;
+    }
     if accepts_events(head)? {
         return Ok(answer_stream::start(node, request));
     }
@@ -101,6 +108,82 @@
     }
 }
 
+/// The claim that a non-idempotent request with a key must hold; without a key
+/// it runs once too, but a resend can't be recognised.
+fn claim_ticket(
+    head: &RequestHead,
+    request: &PipelineRequest,
+    body: &[u8],
+) -> Result<Option<ClaimTicket>> {
+    let mut stages = request.pipeline.stages.iter();
+    let is_idempotent = request.idempotent && stages.all(|stage| stage.idempotent);
+    let Some(key) = head.header(KEY_HEADER)?.filter(|_| !is_idempotent) else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let message =
+            format!("{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes; send a shorter one");
+        return Err(ApiError::InvalidRequest(message));
+    }
+    let mut digest = Sha256::new();
+    digest.update(request.pipeline.name.as_bytes());
+    digest.update([0]);
+    digest.update(body);
+    Ok(Some(ClaimTicket {
+        key: ClaimKey {
+            workspace: request.workspace.name.clone(),
+            key: key.to_string(),
+        },
+        digest: Bytes::from_owner(digest.finalize()),
+        run: request.id.bytes(),
+    }))
+}
+
+/// Runs a request at most once, whoever resends it. A stream of its events
+/// holds the whole answer alone, since a resend could not be given the rest.
+async fn run_claimed(
+    node: &Arc<EntryNode>,
+    head: &RequestHead,
+    ticket: ClaimTicket,
+    request: PipelineRequest,
+) -> Result<ApiResponse> {
+    let run = ClaimedRun::new(node, ticket, claim_answer);
+    let answer = match run.answer(request).await? {
+        ClaimedAnswer::Answer(answer) => answer,
+        ClaimedAnswer::NotRun(refusal) => return Err(PipelineError::from(refusal).into()),
+    };
+    let status = StatusCode::from_u16(answer.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
+    if accepts_events(head)? {
+        let name = if status.is_success() {
+            "answer"
+        } else {
+            "error"
+        };
+        let event = response_body::written_event(name, &answer.body);
+        return Ok(response_body::event_stream(futures::stream::iter([event])));
+    }
+    Ok(response_body::written_json(status, answer.body))
+}
+
+/// What the caller of a claimed run gets, and a resend again.
+fn claim_answer(
+    id: RequestId,
+    result: std::result::Result<PipelineAnswer, PipelineError>,
+) -> ClaimAnswer {
+    let (status, body) = match result {
+        Ok(answer) => (StatusCode::OK, serde_json::to_vec(&answer)),
+        Err(error) => {
+            let error = ApiError::from(error);
+            let document = error.document(&id.to_string());
+            (error.status(), serde_json::to_vec(&document))
+        }
+    };
+    ClaimAnswer {
+        status: status.as_u16().into(),
+        body: body.unwrap_or_default().into(),
+    }
+}
+
 fn accepts_events(head: &RequestHead) -> Result<bool> {
     let accept = head.header(ACCEPT.as_str())?;
     Ok(accept.is_some_and(|accept| accept.contains(EVENT_STREAM)))
--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -17,6 +17,7 @@
 pub(super) struct RequestHead {
     pub method: Method,
     pub path: String,
+    pub query: String,
     pub headers: HeaderMap,
 }
 
@@ -26,6 +27,7 @@
     let head = RequestHead {
         method: parts.method,
         path: parts.uri.path().to_string(),
+        query: parts.uri.query().unwrap_or_default().to_string(),
         headers: parts.headers,
     };
     (head, body)
@@ -53,6 +55,18 @@
         Ok(Some(text.trim()))
     }
 
+    /// A number in the query part; it is an error when it is no number.
+    pub(super) fn query_number(&self, name: &str) -> Result<Option<u64>> {
+        let mut pairs = form_urlencoded::parse(self.query.as_bytes());
+        let Some((_, text)) = pairs.find(|(key, _)| key == name) else {
+            return Ok(None);
+        };
+        let number = text.parse().map_err(|_| {
+            ApiError::InvalidRequest(format!("{name} is {text:?}; send a whole number"))
+        })?;
+        Ok(Some(number))
+    }
+
     /// Refuses all methods but `method`.
     pub(super) fn require(&self, method: &Method, name: &'static str) -> Result<()> {
         if self.method == *method {
@@ -68,6 +82,7 @@
             .map(|(name, value)| name.as_str().len() + value.len() + 4)
             .sum::<usize>()
             + self.path.len()
+            + self.query.len()
     }
 }
 
--- a/crates/savorywalk/src/api/response_body.rs
+++ b/crates/savorywalk/src/api/response_body.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// A response whose JSON is written already.
+pub(super) fn written_json(status: StatusCode, body: Bytes) -> ApiResponse {
+    whole(status, JSON, body)
+}
+
 /// A plain text response.
 pub(super) fn text(status: StatusCode, body: impl Into<Bytes>) -> ApiResponse {
     whole(status, TEXT, body.into())
@@ -104,3 +109,9 @@
     let data = serde_json::to_string(value).unwrap_or_default();
     format!("event: {name}\ndata: {data}\n\n").into()
 }
+
+/// One server-sent event whose JSON is written already, on one line.
+pub(super) fn written_event(name: &str, json: &[u8]) -> Bytes {
+    let data = String::from_utf8_lossy(json);
+    format!("event: {name}\ndata: {data}\n\n").into()
+}
--- a/crates/savorywalk/src/attempt/attempt_id.rs
+++ b/crates/savorywalk/src/attempt/attempt_id.rs
@@ -11,6 +11,11 @@
     pub fn random() -> Self {
         Self(rand::rng().random())
     }
+
+    /// The identity as 16 bytes.
+    pub fn bytes(self) -> Bytes {
+        Bytes::copy_from_slice(&self.0.to_be_bytes())
+    }
 }
 
 impl From<u128> for RequestId {
--- a/crates/savorywalk/src/configuration/configuration_register.rs
+++ b/crates/savorywalk/src/configuration/configuration_register.rs
@@ -35,6 +35,16 @@
 }
 
 impl ConfigurationRegister {
+    /// The register of a deployment whose first configuration is given from
+    /// outside.
+    pub fn starting_at(version: u64, source: Configuration) -> Self {
+        Self {
+            version,
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Number of the version in force; 0 before the bootstrap.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/savorywalk/src/control/control_state.rs
+++ b/crates/savorywalk/src/control/control_state.rs
@@ -8,13 +8,18 @@
 };
 use crate::audit::{AuditEvent, AuditTrail};
 use crate::claims::{ClaimLimits, ClaimTable};
-use crate::configuration::{ConfigurationRegister, claim_retention};
+use crate::configuration::{Configuration, ConfigurationRegister, claim_retention};
 use crate::orders::{OrderBook, OrderCommand, OrderOutcome, OrderStep, OrderVerdict};
 use crate::prelude::*;
 
 /// Form of the snapshot that this program writes.
 const SNAPSHOT_FORMAT: u32 = 1;
 
+/// Most time that may pass for the claims between two commands: a leader whose
+/// clock is far ahead must not make them forget. Entries renew their leases
+/// within it, so it only ever slows the claims' time down.
+const MAX_CLAIM_STEP_MS: u64 = 10_000;
+
 /// Everything that the replicated log decides, as a deterministic machine.
 ///
 /// Time enters only as the leader's stamp in a command, and never goes back:
@@ -23,6 +28,7 @@
 pub struct ControlState {
     index: u64,
     stamp_ms: u64,
+    claim_ms: u64,
     limits: ClaimLimits,
     configuration: ConfigurationRegister,
     claims: ClaimTable,
@@ -52,6 +58,7 @@
         Self {
             index: 0,
             stamp_ms: 0,
+            claim_ms: 0,
             limits,
             configuration: ConfigurationRegister::default(),
             claims: ClaimTable::new(limits),
@@ -60,20 +67,34 @@
         }
     }
 
+    /// The state of a deployment whose configuration is given from outside.
+    pub fn starting_at(version: u64, source: Configuration) -> Self {
+        Self {
+            configuration: ConfigurationRegister::starting_at(version, source),
+            ..Self::default()
+        }
+    }
+
+    /// Index of the last command applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
     /// Applies the command at `index` of the log.
     pub fn apply(&mut self, index: u64, command: ControlCommand) -> ControlOutcome {
         self.index = index;
+        self.claim_ms = self.claim_time(command.stamp_ms);
         self.stamp_ms = self.stamp_ms.max(command.stamp_ms);
         let verdict = match command.body {
             Some(ControlBody::Bootstrap(command)) => self.bootstrap(&command),
             Some(ControlBody::Patch(command)) => self.patch(&command),
             Some(ControlBody::Claims(batch)) => {
                 let retention = claim_retention(self.configuration.source());
-                let outcome = self.claims.apply(self.stamp_ms, retention, batch);
+                let outcome = self.claims.apply(self.claim_ms, retention, batch);
                 ControlVerdict::Claims(outcome)
             }
             Some(ControlBody::Lease(lease)) => {
-                let alive = self.claims.renew(self.stamp_ms, lease);
+                let alive = self.claims.renew(self.claim_ms, lease);
                 ControlVerdict::Lease(LeaseOutcome { alive })
             }
             Some(ControlBody::Order(command)) => self.order(&command),
@@ -100,6 +121,12 @@
         outcome.encode_to_vec().into()
     }
 
+    /// The claims' time at a moment of the stamps' time.
+    fn claim_time(&self, stamp_ms: u64) -> u64 {
+        let step = stamp_ms.saturating_sub(self.stamp_ms);
+        self.claim_ms + step.min(MAX_CLAIM_STEP_MS)
+    }
+
     fn bootstrap(&mut self, command: &BootstrapCommand) -> ControlVerdict {
         let outcome = self.configuration.bootstrap(self.stamp_ms, command);
         self.note(patch_note("bootstrap", &command.author, "", &outcome));
@@ -151,7 +178,7 @@
 
     /// Reads a part of the state; `now_ms` is the reader's wall time.
     pub fn query(&self, now_ms: u64, query: &ControlQuery) -> ControlReply {
-        let now_ms = now_ms.max(self.stamp_ms);
+        let now_ms = self.claim_time(now_ms);
         let answer = match &query.query {
             Some(ControlQuestion::Configuration(query)) => {
                 let register = &self.configuration;
@@ -219,6 +246,7 @@
             format: SNAPSHOT_FORMAT,
             index: self.index,
             stamp_ms: self.stamp_ms,
+            claim_ms: self.claim_ms,
             configuration: Some(self.configuration.snapshot()),
             claims: Some(self.claims.snapshot()),
             audit: Some(self.audit.snapshot()),
@@ -241,6 +269,7 @@
         let claims = snapshot.claims.unwrap_or_default();
         self.index = snapshot.index;
         self.stamp_ms = snapshot.stamp_ms;
+        self.claim_ms = snapshot.claim_ms;
         self.configuration = ConfigurationRegister::restore(configuration);
         self.claims = ClaimTable::restore(self.limits, claims);
         self.audit = AuditTrail::restore(snapshot.audit.unwrap_or_default());
--- a/crates/savorywalk/src/control/control_state_tests.rs
+++ b/crates/savorywalk/src/control/control_state_tests.rs
@@ -428,6 +428,33 @@
     assert_eq!(reply.records[0].outcome, "refused");
 }
 
+#[test]
+fn a_clock_far_ahead_does_not_make_claims_forgotten() {
+    let mut harness = Harness::new();
+    let (lease, claim) = (
+        Step::Lease {
+            entry: 1,
+            incarnation: 1,
+        },
+        Step::Claim {
+            key: 1,
+            digest: 1,
+            entry: 1,
+            run: 1,
+        },
+    );
+    harness.run(lease);
+    harness.run(claim);
+    harness.stamp_ms += 10 * 86_400_000;
+    harness.run(Step::Claim {
+        key: 1,
+        digest: 1,
+        entry: 1,
+        run: 2,
+    });
+    assert_eq!(harness.state.claims().len(), 1);
+}
+
 #[test]
 fn a_stamp_that_goes_back_does_not_take_time_back() {
     let mut harness = Harness::new();
--- a/crates/savorywalk/src/control/mod.rs
+++ b/crates/savorywalk/src/control/mod.rs
@@ -1,8 +1,11 @@
 //! The control role: what the replicated log decides, and how a process asks
 //! it. See docs/design/control.md.
 
+mod control_client;
 mod control_error;
 mod control_state;
+mod sole_control;
+mod stamp_clock;
 
 pub use crate::generated::control::control_command::Body as ControlBody;
 pub use crate::generated::control::control_outcome::Outcome as ControlVerdict;
@@ -17,8 +20,12 @@
     PatchCommand, PatchIdConflict, PatchOutcome, RangeQuery, StatusQuery, VersionChange,
     VersionMismatch,
 };
+pub use control_client::ControlClient;
+pub(crate) use control_client::unexpected;
 pub use control_error::ControlError;
 pub use control_state::ControlState;
+pub use sole_control::SoleControl;
+pub use stamp_clock::StampClock;
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, ControlError>;
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -1,9 +1,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
+use tokio_util::task::TaskTracker;
+
 use super::{EntryNode, Result, entry_gauges};
 use crate::api::{ApiSurface, HttpServer, ServerError, SurfaceKind};
 use crate::attempt::{EndpointClient, StageDispatcher};
+use crate::claims::{ClaimClient, LocalClaims};
 use crate::configuration::{ConfigurationCell, ConfigurationSnapshot};
+use crate::control::ControlClient;
 use crate::cost::CostLedger;
 use crate::directory::start_directory;
 use crate::pipeline::PipelineRunner;
@@ -70,7 +74,12 @@
         let router = EndpointRouter::new(policy, &node_settings.data_center);
         let dispatcher = StageDispatcher::new(router, EndpointClient::default(), directory.clone());
         let runner = PipelineRunner::new(dispatcher, Arc::clone(&ledger), Arc::clone(&metrics));
+        let control = ControlClient::sole(&configuration);
+        let claims = ClaimClient::Local(LocalClaims::new(&node_settings.name));
         let node = Arc::new(EntryNode {
+            control,
+            claims,
+            detached: TaskTracker::new(),
             settings: node_settings,
             configuration: ConfigurationCell::new(configuration),
             directory,
@@ -134,7 +143,10 @@
         log_event!(info, "entry_draining", node = self.node.name());
         tokio::time::sleep(Duration::from_millis(self.entry.drain_notice_ms.into())).await;
         let timeout = Duration::from_millis(self.entry.drain_timeout_ms.into());
-        let finished = self.callers.close(timeout).await;
+        let answered = self.callers.close(timeout).await;
+        self.node.detached.close();
+        let detached = tokio::time::timeout(timeout, self.node.detached.wait()).await;
+        let finished = answered && detached.is_ok();
         let (operators, endpoints) = tokio::join!(
             self.operators.close(CLOSE_TIMEOUT),
             self.endpoints.close(CLOSE_TIMEOUT)
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -1,8 +1,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
+use tokio_util::task::TaskTracker;
+
 use super::EntryStatus;
 use crate::admission::RefusalReason;
+use crate::claims::ClaimClient;
 use crate::configuration::ConfigurationCell;
+use crate::control::ControlClient;
 use crate::cost::CostLedger;
 use crate::directory::DirectoryHandle;
 use crate::pipeline::{PipelineAnswer, PipelineRequest, PipelineRunner, Result};
@@ -25,6 +29,10 @@
     pub(super) ready: AtomicBool,
     pub(super) in_progress: AtomicU32,
     pub(super) max_requests: u32,
+    pub(super) control: ControlClient,
+    pub(super) claims: ClaimClient,
+    /// Runs that their callers' leaving doesn't stop.
+    pub(super) detached: TaskTracker,
 }
 
 /// Counts one request in progress until it is dropped.
@@ -59,6 +67,28 @@
         &self.metrics
     }
 
+    /// What decides on changes.
+    pub fn control(&self) -> &ControlClient {
+        &self.control
+    }
+
+    /// What decides who runs a non-idempotent request.
+    pub fn claims(&self) -> &ClaimClient {
+        &self.claims
+    }
+
+    /// Puts the newest configuration that control decided in force here.
+    pub async fn refresh_configuration(&self) -> crate::control::Result<()> {
+        let known = self.configuration.load().version;
+        if let Some(snapshot) = self.control.configuration(known).await? {
+            let version = snapshot.version;
+            if self.configuration.advance(snapshot) {
+                log_event!(info, "configuration_in_force", version = version);
+            }
+        }
+        Ok(())
+    }
+
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -1,11 +1,13 @@
 //! The entry role joined together: what one daemon holds and how it starts
 //! and stops. See docs/design/shape.md.
 
+mod claimed_run;
 mod entry_daemon;
 mod entry_gauges;
 mod entry_node;
 mod entry_status;
 
+pub use claimed_run::{AnswerWriter, ClaimedAnswer, ClaimedRun};
 pub use entry_daemon::{EntryDaemon, EntryError};
 pub use entry_node::EntryNode;
 pub use entry_status::EntryStatus;
