--- a/crates/daemon/src/settings_check.rs
+++ b/crates/daemon/src/settings_check.rs
@@ -41,7 +41,7 @@
     settings::parse_in(&text, folder).map_err(|wrong| report(file, wrong.errors))
 }
 
-/// Reads the configuration file that [entry] names.
+/// Reads the configuration file that `[entry]` names.
 pub(crate) fn read_configuration(settings: &DaemonSettings) -> Result<ConfigurationSnapshot> {
     let Some((_, file)) = configuration_files(settings)
         .into_iter()
