Link daemons by name over QUIC with their own authority

Daemons need to reach each other by a proved name, to notice a connection that has gone silent, and to stay within the budget for control. LinkHub gives one-way messages by class and calls over quinn with mutual TLS; savorywalk keys makes the authority and the certificates. Certificates are reloaded while running, and a replaced connection lingers for the calls on it.

--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -58,5 +58,23 @@
             /// Settings file, in INI; `-` lists every key with its meaning.
             required --settings file: PathBuf
         }
+        /// Makes the keys and certificates of the links between daemons; see
+        /// docs/operators/rotate-keys.md.
+        cmd keys {
+            /// Makes the deployment's certificate authority in a folder.
+            cmd authority {
+                /// Folder for its files; keep it off the daemons' VMs.
+                required --folder folder: PathBuf
+            }
+            /// Issues the key and certificate of one daemon.
+            cmd issue {
+                /// Folder of the authority; the daemon's files go there too.
+                required --folder folder: PathBuf
+                /// Name of the daemon, as in [node] name.
+                required --name name: String
+                /// Days for which the certificate is good; 90 by default.
+                optional --days days: u32
+            }
+        }
     }
 }
--- a/crates/daemon/src/command_error.rs
+++ b/crates/daemon/src/command_error.rs
@@ -5,6 +5,7 @@
 use savorywalk::configuration::ConfigurationReport;
 use savorywalk::entry::EntryError;
 use savorywalk::settings::SettingsReport;
+use savorywalk::transport::KeyError;
 use savorywalk_standin::StandinError;
 use thiserror::Error;
 
@@ -62,6 +63,10 @@
     /// A stand-in could not start.
     #[error(transparent)]
     Standin(#[from] StandinError),
+    /// A key or certificate could not be made.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Keys(#[from] KeyError),
     /// Signals can't be waited for.
     #[error("can't wait for signals: {0}")]
     #[diagnostic(help("start the daemon as an ordinary process"))]
@@ -85,6 +90,7 @@
             | Self::Settings(_)
             | Self::Configuration(_)
             | Self::Deployment(_)
+            | Self::Keys(_)
             | Self::Pool { .. } => WRONG_INPUT,
             Self::Output(_)
             | Self::Entry(_)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod demo_progress;
 mod demo_report;
 mod demo_request;
+mod keys;
 mod report_writer;
 mod serve;
 mod settings_check;
@@ -39,5 +40,6 @@
         SavorywalkCmd::Demo(arguments) => demo::run(arguments).await,
         SavorywalkCmd::Serve(arguments) => serve::run(&arguments.settings).await,
         SavorywalkCmd::Check(arguments) => settings_check::run(&arguments.settings),
+        SavorywalkCmd::Keys(arguments) => keys::run(arguments),
     }
 }
--- a/crates/savorywalk/src/settings/settings_file_tests.rs
+++ b/crates/savorywalk/src/settings/settings_file_tests.rs
@@ -66,3 +66,23 @@
         assert!(reference.contains(key.name), "{} is missing", key.name);
     }
 }
+
+#[test]
+fn links_need_files_and_names_that_certificates_can_hold() {
+    let text = "
+[node]
+name = Entry 1
+data_center = bole
+[callers]
+address = 127.0.0.1:0
+[operators]
+address = 127.0.0.1:0
+[endpoints]
+address = 127.0.0.1:0
+[link]
+address = here
+seeds = control-1
+key = entry-1.key
+";
+    insta::assert_snapshot!(errors(text).join("\n"));
+}
--- a/crates/savorywalk/src/settings/settings_rules.rs
+++ b/crates/savorywalk/src/settings/settings_rules.rs
@@ -3,6 +3,7 @@
 use super::{DaemonSettings, ListenerSettings, RoleSet, SettingsError, SettingsProblem};
 use crate::prelude::*;
 use crate::routing::RoutingPolicy;
+use crate::transport::{PeerName, parse_peers};
 
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -13,6 +14,7 @@
     check_listener("operators", settings.operators.as_ref(), &mut errors);
     check_listener("endpoints", settings.endpoints.as_ref(), &mut errors);
     check_entry(settings, &mut errors);
+    check_link(settings, &mut errors);
     check_log(settings, &mut errors);
     errors
 }
@@ -95,6 +97,37 @@
     }
 }
 
+fn check_link(settings: &DaemonSettings, errors: &mut Vec<SettingsError>) {
+    let Some(link) = &settings.link else { return };
+    let files = [
+        ("certificate", &link.certificate),
+        ("key", &link.key),
+        ("authority", &link.authority),
+    ];
+    for (key, file) in files {
+        if file.is_empty() {
+            errors.push(missing(
+                "link",
+                key,
+                "name the file that `savorywalk keys` wrote",
+            ));
+        }
+    }
+    if link.address.parse::<SocketAddr>().is_err() {
+        let remedy = "write an IP number and a port, such as 127.0.0.1:7113";
+        errors.push(bad_value("link", "address", &link.address, remedy));
+    }
+    if let Err(problem) = parse_peers(&link.seeds) {
+        let seeds = link.seeds.join(", ");
+        errors.push(bad_value("link", "seeds", &seeds, &problem.to_string()));
+    }
+    let name = settings.node.as_ref().map(|node| node.name.as_str());
+    if let Some(Err(problem)) = name.map(PeerName::new) {
+        let name = name.unwrap_or_default();
+        errors.push(bad_value("node", "name", name, &problem.to_string()));
+    }
+}
+
 fn check_log(settings: &DaemonSettings, errors: &mut Vec<SettingsError>) {
     let Some(log) = &settings.log else { return };
     if !LOG_LEVELS.contains(&log.level.as_str()) {
--- /dev/null
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -0,0 +1,365 @@
+use std::sync::Mutex;
+
+use arc_swap::ArcSwapOption;
+use prost::Message;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::Instant as TokioInstant;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::hub_core::HubCore;
+use super::link_connection::{ConnectionOrigin, LinkConnection};
+use super::link_identity::LinkIdentity;
+use super::link_metrics::count;
+use super::peer_certificate::PeerCertificate;
+use super::peer_slot::{DialFailure, PeerSlot};
+use super::queue_quota::QueueQuota;
+use super::send_queue::QueueOutcome;
+use super::{
+    AddressBook, InboundCall, InboundMessage, LinkBudget, LinkChannel, LinkClass, LinkError,
+    LinkMetrics, LinkOptions, PeerName, Result, connection_keeper, link_limits as limits,
+    peer_writer,
+};
+use crate::generated::link::call_reply::Outcome;
+use crate::generated::link::{CallRefusal, CallReply, CallRequest};
+use crate::prelude::*;
+
+const CLOSE_STOPPED: u32 = 0;
+
+/// All links of one daemon; clones share them. They close when the last clone
+/// is dropped or by [`LinkHub::close`].
+#[derive(Clone, Debug)]
+pub struct LinkHub {
+    core: Arc<HubCore>,
+    _guard: Arc<DropGuard>,
+}
+
+impl LinkHub {
+    /// Checks the certificate files, binds the socket and starts to accept
+    /// peers. It must be called within a tokio runtime.
+    pub fn start(options: LinkOptions) -> Result<Self> {
+        let texts = options.files.read()?;
+        let identity = LinkIdentity::load(&options.name, 0, texts)?;
+        let address = options.address;
+        let endpoint = quinn::Endpoint::server(identity.server.clone(), address);
+        let endpoint = endpoint.map_err(|error| LinkError::Bind { address, error })?;
+        let stop = CancellationToken::new();
+        let core = Arc::new(HubCore {
+            name: options.name,
+            files: options.files,
+            identity: ArcSwap::from_pointee(identity),
+            endpoint,
+            ip: address.ip(),
+            book: AddressBook::default(),
+            budget: Mutex::new(LinkBudget::new(Instant::now(), options.budget)),
+            metrics: Arc::new(LinkMetrics::default()),
+            handshakes: Arc::new(Semaphore::new(limits::MAX_HANDSHAKES)),
+            stop: stop.clone(),
+            subscribers: std::array::from_fn(|_| ArcSwapOption::empty()),
+            servers: std::array::from_fn(|_| ArcSwapOption::empty()),
+            quota: Arc::new(QueueQuota::default()),
+            slots: Default::default(),
+        });
+        for (peer, address) in options.peers {
+            core.book.set(peer, address);
+        }
+        tokio::spawn(accept(Arc::clone(&core)));
+        tokio::spawn(reload_often(Arc::clone(&core), options.reload_interval));
+        log_event!(info, "links_ready", node = core.name, address = address);
+        Ok(Self {
+            core,
+            _guard: Arc::new(stop.drop_guard()),
+        })
+    }
+
+    /// Name of this daemon.
+    pub fn name(&self) -> &PeerName {
+        &self.core.name
+    }
+
+    /// Address on which this daemon accepts peers.
+    pub fn address(&self) -> Result<SocketAddr> {
+        let address = self.core.endpoint.local_addr();
+        address.map_err(|_| LinkError::Closed)
+    }
+
+    /// Where peers listen; membership keeps it current.
+    pub fn addresses(&self) -> &AddressBook {
+        &self.core.book
+    }
+
+    /// What the links have carried.
+    pub fn metrics(&self) -> &Arc<LinkMetrics> {
+        &self.core.metrics
+    }
+
+    /// Peers with an open connection.
+    pub fn connected_peers(&self) -> Vec<PeerName> {
+        let slots = self.core.slots.read();
+        let slots = slots.unwrap_or_else(|poison| poison.into_inner());
+        let open = slots.values().filter(|slot| slot.has_open());
+        open.map(|slot| slot.name.clone()).collect()
+    }
+
+    /// Sends `payload` to `peer` under the channel's usual class.
+    pub fn send(&self, peer: &str, channel: LinkChannel, payload: Bytes) -> Result<()> {
+        self.send_as(peer, channel, channel.default_class(), payload)
+    }
+
+    /// Sends `payload` to `peer` under `class`. It returns at once; a message
+    /// is lost when its queue is full or its connection breaks, except that a
+    /// notice is sent again and may so arrive twice.
+    pub fn send_as(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        class: LinkClass,
+        payload: Bytes,
+    ) -> Result<()> {
+        check_size(channel, payload.len(), channel.max_message_bytes())?;
+        let slot = self.core.slot(peer)?;
+        let outcome = slot.lock_queue().push(channel, class, payload);
+        peer_writer::note(&self.core.metrics, class, outcome);
+        slot.queued.notify_one();
+        match outcome {
+            QueueOutcome::Queued | QueueOutcome::Displaced(_) => Ok(()),
+            QueueOutcome::Full => Err(LinkError::QueueFull {
+                peer: slot.name.clone(),
+                class,
+            }),
+        }
+    }
+
+    /// Asks `peer` and waits for its answer, for `timeout` at most and never
+    /// longer than [`MAX_CALL_TIME`](limits::MAX_CALL_TIME). An error after the request went
+    /// out doesn't say whether the peer has acted on it.
+    pub async fn call(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes> {
+        check_size(channel, payload.len(), channel.max_message_bytes())?;
+        let slot = self.core.slot(peer)?;
+        let deadline = TokioInstant::now() + timeout.min(limits::MAX_CALL_TIME);
+        let request = CallRequest {
+            channel: channel.wire().into(),
+            payload,
+        };
+        let request = Bytes::from(request.encode_to_vec());
+        let (connection, streams) = open_call(&slot, deadline).await?;
+        count(&self.core.metrics.calls_sent, 1);
+        count(&self.core.metrics.call_bytes_sent, request.len());
+        let exchange = exchange(&slot.name, streams, request, channel);
+        match tokio::time::timeout_at(deadline, exchange).await {
+            Ok(Err(LinkError::Lost { peer, detail })) => Err(lost(&connection, peer, detail)),
+            Ok(outcome) => outcome,
+            Err(_) => Err(LinkError::TimedOut {
+                peer: slot.name.clone(),
+            }),
+        }
+    }
+
+    /// Takes the one-way messages of `channel` from now on; an earlier
+    /// subscriber gets no more. A slow one loses messages.
+    pub fn subscribe(&self, channel: LinkChannel) -> mpsc::Receiver<InboundMessage> {
+        let (sender, receiver) = mpsc::channel(limits::SUBSCRIBER_QUEUE);
+        self.core.subscribers[channel.index()].store(Some(Arc::new(sender)));
+        receiver
+    }
+
+    /// Takes the calls of `channel` from now on, in the place of an earlier
+    /// server. When it is slow, callers are refused as busy.
+    pub fn serve(&self, channel: LinkChannel) -> mpsc::Receiver<InboundCall> {
+        let (sender, receiver) = mpsc::channel(limits::SERVER_QUEUE);
+        self.core.servers[channel.index()].store(Some(Arc::new(sender)));
+        receiver
+    }
+
+    /// Reads the certificate files again; when they have changed and are good,
+    /// new connections use them and dialled ones are replaced. Bad files leave
+    /// everything as it was. Tells whether there was a change.
+    pub fn reload(&self) -> Result<bool> {
+        reload(&self.core)
+    }
+
+    /// Closes every connection; nothing is sent or accepted any more.
+    pub async fn close(&self) {
+        self.core.stop.cancel();
+        self.core.endpoint.close(CLOSE_STOPPED.into(), b"stopped");
+        self.core.endpoint.wait_idle().await;
+    }
+}
+
+fn check_size(channel: LinkChannel, bytes: usize, limit: usize) -> Result<()> {
+    if bytes <= limit {
+        return Ok(());
+    }
+    Err(LinkError::TooLarge {
+        bytes,
+        limit,
+        channel,
+    })
+}
+
+type CallStreams = (quinn::SendStream, quinn::RecvStream);
+
+/// Opens the streams of a call. Nothing has been sent until they are open, so
+/// a connection that is found closed is simply passed over.
+async fn open_call(
+    slot: &PeerSlot,
+    deadline: TokioInstant,
+) -> Result<(Arc<LinkConnection>, CallStreams)> {
+    loop {
+        let connection = slot.connection(deadline).await?;
+        match tokio::time::timeout_at(deadline, connection.quic.open_bi()).await {
+            Ok(Ok(streams)) => return Ok((connection, streams)),
+            Ok(Err(_)) => slot.prune(),
+            Err(_) => {
+                return Err(LinkError::Unreachable {
+                    peer: slot.name.clone(),
+                    detail: "too many calls are open".into(),
+                });
+            }
+        }
+    }
+}
+
+async fn exchange(
+    peer: &PeerName,
+    (mut send, mut receive): CallStreams,
+    request: Bytes,
+    channel: LinkChannel,
+) -> Result<Bytes> {
+    let lost = |detail: String| LinkError::Lost {
+        peer: peer.clone(),
+        detail,
+    };
+    // A refused request may be stopped before it is all written; the answer
+    // tells why.
+    let written = send.write_chunk(request).await;
+    if written.is_ok() {
+        let _ = send.finish();
+    }
+    let limit = channel.max_reply_bytes() + limits::REPLY_ENVELOPE_BYTES;
+    let bytes = receive.read_to_end(limit).await;
+    let bytes = bytes.map_err(|error| lost(error.to_string()))?;
+    let reply = CallReply::decode(Bytes::from(bytes));
+    match reply.ok().and_then(|reply| reply.outcome) {
+        Some(Outcome::Payload(payload)) => Ok(payload),
+        Some(Outcome::Refusal(refusal)) => Err(LinkError::Refused {
+            peer: peer.clone(),
+            refusal: CallRefusal::try_from(refusal).unwrap_or(CallRefusal::Unspecified),
+        }),
+        None => Err(LinkError::Malformed { peer: peer.clone() }),
+    }
+}
+
+/// What a call is told that was lost with its connection.
+fn lost(connection: &LinkConnection, peer: PeerName, detail: String) -> LinkError {
+    let reason = connection.quic.close_reason();
+    let detail = reason.map_or(detail, |reason| reason.to_string());
+    LinkError::Lost { peer, detail }
+}
+
+async fn accept(core: Arc<HubCore>) {
+    loop {
+        let incoming = tokio::select! {
+            () = core.stop.cancelled() => return,
+            incoming = core.endpoint.accept() => incoming,
+        };
+        let Some(incoming) = incoming else { return };
+        let free = core.handshakes.available_permits();
+        let busy = free < limits::MAX_HANDSHAKES - limits::VALIDATED_HANDSHAKES;
+        if busy && incoming.may_retry() && !incoming.remote_address_validated() {
+            // It fails only when a retry is not allowed, which was asked.
+            let _ = incoming.retry();
+            continue;
+        }
+        match Arc::clone(&core.handshakes).try_acquire_owned() {
+            Ok(permit) => {
+                let core = Arc::clone(&core);
+                tokio::spawn(async move {
+                    welcome(core, incoming).await;
+                    drop(permit);
+                });
+            }
+            Err(_) => incoming.refuse(),
+        }
+    }
+}
+
+/// Finishes a handshake and takes the peer that its certificate names.
+async fn welcome(core: Arc<HubCore>, incoming: quinn::Incoming) {
+    let address = incoming.remote_address();
+    let handshake = async {
+        let quic = incoming.await?;
+        connection_keeper::greet(&quic).await?;
+        Ok(quic)
+    };
+    let quic = match tokio::time::timeout(limits::HANDSHAKE_TIMEOUT, handshake).await {
+        Ok(Ok(quic)) => quic,
+        Ok(Err(error)) => return refused(address, &error),
+        Err(_) => return,
+    };
+    let certificate = PeerCertificate::of(&quic);
+    let stranger = certificate.filter(|certificate| certificate.name != core.name);
+    let slot = stranger.and_then(|certificate| core.slot(certificate.name.as_str()).ok());
+    match slot {
+        Some(slot) => core.adopt(&slot, quic, ConnectionOrigin::Accepted, None),
+        None => {
+            log_event!(
+                warn,
+                "link_refused",
+                address = address,
+                reason = "no good peer name"
+            );
+            quic.close(CLOSE_STOPPED.into(), b"no good peer name");
+        }
+    }
+}
+
+fn refused(address: SocketAddr, error: &quinn::ConnectionError) {
+    match connection_keeper::failure_of(error) {
+        DialFailure::Certificate(detail) => log_event!(
+            warn,
+            "link_refused",
+            address = address,
+            reason = detail,
+            remedy = "issue the peer a new certificate by `savorywalk keys issue` from an authority that both ends name",
+        ),
+        DialFailure::Unknown | DialFailure::Unreachable(_) => {
+            log_event!(debug, "link_not_opened", address = address, reason = error);
+        }
+    }
+}
+
+async fn reload_often(core: Arc<HubCore>, interval: Duration) {
+    loop {
+        tokio::select! {
+            () = core.stop.cancelled() => return,
+            () = tokio::time::sleep(interval) => {}
+        }
+        if let Err(error) = reload(&core) {
+            log_event!(error, "link_reload_failed", error = error);
+        }
+    }
+}
+
+fn reload(core: &HubCore) -> Result<bool> {
+    let current = core.identity.load_full();
+    let texts = core.files.read()?;
+    if texts == current.texts {
+        return Ok(false);
+    }
+    let identity = LinkIdentity::load(&core.name, current.generation + 1, texts)?;
+    core.endpoint
+        .set_server_config(Some(identity.server.clone()));
+    core.identity.store(Arc::new(identity));
+    log_event!(info, "link_identity_reloaded", node = core.name);
+    Ok(true)
+}
+
+#[cfg(test)]
+#[path = "link_hub_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -0,0 +1,567 @@
+use std::collections::hash_map::Entry;
+use std::fs;
+
+use tempfile::TempDir;
+use time::OffsetDateTime;
+use tokio::net::UdpSocket;
+
+use super::*;
+use crate::transport::{CertificateFiles, KeyAuthority, LoadError};
+
+/// Far longer than anything here takes, for machines that run other builds.
+const PATIENCE: Duration = Duration::from_secs(60);
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const NEVER: Duration = Duration::from_secs(3600);
+const CHANNEL: LinkChannel = LinkChannel::Control;
+
+/// An authority with its folder.
+struct TestAuthority {
+    folder: TempDir,
+    authority: KeyAuthority,
+}
+
+impl TestAuthority {
+    fn new() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let authority = KeyAuthority::create(folder.path()).expect("it is empty");
+        Self { folder, authority }
+    }
+
+    fn options(&self, name: &str) -> LinkOptions {
+        let certificate = self.authority.issue(name, 2).expect("a good name");
+        LinkOptions {
+            name: PeerName::new(name).expect("a good name"),
+            address: "127.0.0.1:0".parse().expect("an address"),
+            files: CertificateFiles {
+                key: certificate.with_extension("key"),
+                authority: self.folder.path().join("authority.pem"),
+                certificate,
+            },
+            peers: BTreeMap::new(),
+            budget: 1_000_000,
+            reload_interval: NEVER,
+        }
+    }
+
+    fn hub(&self, name: &str) -> LinkHub {
+        LinkHub::start(self.options(name)).expect("it starts")
+    }
+
+    /// An identity that has expired, which no hub would start with.
+    fn expired(&self, name: &str) -> LinkIdentity {
+        let end = OffsetDateTime::now_utc() - time::Duration::hours(1);
+        let start = end - time::Duration::days(1);
+        let options = self.options(name);
+        let issued = self.authority.issue_between(name, start, end);
+        issued.expect("a good name");
+        let texts = options.files.read().expect("they are there");
+        LinkIdentity::build(0, texts).expect("they fit together")
+    }
+}
+
+fn acquaint(hub: &LinkHub, peer: &LinkHub) {
+    let address = peer.address().expect("it is open");
+    hub.addresses().set(peer.name().clone(), address);
+}
+
+/// Answers every call with its own request.
+fn echo(hub: &LinkHub) {
+    let mut calls = hub.serve(CHANNEL);
+    tokio::spawn(async move {
+        while let Some(call) = calls.recv().await {
+            let payload = call.payload.clone();
+            call.reply.answer(payload);
+        }
+    });
+}
+
+async fn call(hub: &LinkHub, peer: &str) -> Result<Bytes> {
+    let payload = Bytes::from_static(b"hello");
+    hub.call(peer, CHANNEL, payload, CALL_TIMEOUT).await
+}
+
+async fn patiently<T>(future: impl Future<Output = T>) -> T {
+    tokio::time::timeout(PATIENCE, future)
+        .await
+        .expect("in time")
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    patiently(async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn messages_and_calls_carry_the_certified_name() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    acquaint(&one, &two);
+    echo(&two);
+    let mut messages = two.subscribe(LinkChannel::Directory);
+    one.send_as(
+        "two",
+        LinkChannel::Directory,
+        LinkClass::Notice,
+        "bye".into(),
+    )
+    .expect("there is room");
+    let message = patiently(messages.recv()).await.expect("it arrives");
+    assert_eq!(message.from.as_str(), "one");
+    assert_eq!(message.class, LinkClass::Notice);
+    assert_eq!(message.payload, "bye");
+    assert_eq!(call(&one, "two").await.expect("an answer"), "hello");
+}
+
+#[tokio::test]
+async fn a_peer_without_an_address_is_reached_over_its_own_connection() {
+    let authority = TestAuthority::new();
+    let (entry, control) = (authority.hub("entry-1"), authority.hub("control-1"));
+    acquaint(&entry, &control);
+    echo(&control);
+    echo(&entry);
+    let unknown = call(&control, "entry-1").await;
+    assert!(
+        matches!(unknown, Err(LinkError::UnknownPeer(_))),
+        "{unknown:?}"
+    );
+    call(&entry, "control-1").await.expect("an answer");
+    call(&control, "entry-1").await.expect("an answer");
+}
+
+#[tokio::test]
+async fn a_foreign_certificate_is_refused_with_the_remedy() {
+    let (ours, theirs) = (TestAuthority::new(), TestAuthority::new());
+    let (one, two) = (ours.hub("one"), theirs.hub("two"));
+    acquaint(&one, &two);
+    echo(&two);
+    let error = call(&one, "two").await.expect_err("it is foreign");
+    assert!(matches!(error, LinkError::Certificate { .. }), "{error}");
+    assert!(
+        error.to_string().contains("savorywalk keys issue"),
+        "{error}"
+    );
+    assert!(two.connected_peers().is_empty());
+}
+
+#[tokio::test]
+async fn a_certificate_for_another_name_is_refused() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    let address = two.address().expect("it is open");
+    one.addresses()
+        .set(PeerName::new("three").expect("good"), address);
+    let error = call(&one, "three").await.expect_err("it is two");
+    assert!(matches!(error, LinkError::Certificate { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn an_expired_certificate_is_refused_by_whoever_sees_it() {
+    let authority = TestAuthority::new();
+    let hub = authority.hub("one");
+    let expired = authority.expired("two");
+
+    let address = hub.address().expect("it is open");
+    let dialler = quinn::Endpoint::client("127.0.0.1:0".parse().expect("an address"));
+    let dialler = dialler.expect("a socket");
+    let connecting = dialler.connect_with(expired.client.clone(), address, "one");
+    let outcome = match patiently(connecting.expect("good options")).await {
+        Ok(quic) => patiently(quic.closed()).await,
+        Err(error) => error,
+    };
+    let failure = connection_keeper::failure_of(&outcome);
+    assert!(
+        matches!(failure, DialFailure::Certificate(_)),
+        "{failure:?}"
+    );
+
+    let listener = quinn::Endpoint::server(expired.server, "127.0.0.1:0".parse().expect("good"));
+    let listener = listener.expect("a socket");
+    let address = listener.local_addr().expect("it is open");
+    tokio::spawn(async move {
+        while let Some(incoming) = listener.accept().await {
+            drop(incoming.await);
+        }
+    });
+    hub.addresses()
+        .set(PeerName::new("two").expect("good"), address);
+    let error = call(&hub, "two").await.expect_err("it has expired");
+    assert!(matches!(error, LinkError::Certificate { .. }), "{error}");
+    assert!(
+        error.to_string().contains("savorywalk keys issue"),
+        "{error}"
+    );
+}
+
+#[tokio::test]
+async fn a_hub_does_not_start_with_bad_files() {
+    let (ours, theirs) = (TestAuthority::new(), TestAuthority::new());
+    let mut options = ours.options("one");
+    options.files.authority = theirs.folder.path().join("authority.pem");
+    let error = LinkHub::start(options).expect_err("it is foreign");
+    assert!(
+        matches!(error, LinkError::Load(LoadError::Foreign(_))),
+        "{error}"
+    );
+
+    let mut options = ours.options("one");
+    options.name = PeerName::new("two").expect("good");
+    let error = LinkHub::start(options).expect_err("it is another's");
+    assert!(
+        matches!(error, LinkError::Load(LoadError::OtherName { .. })),
+        "{error}"
+    );
+
+    let options = ours.options("one");
+    ours.expired("one");
+    let error = LinkHub::start(options).expect_err("it has expired");
+    assert!(
+        matches!(error, LinkError::Load(LoadError::Expired { .. })),
+        "{error}"
+    );
+}
+
+#[tokio::test]
+async fn sizes_are_checked_at_both_ends() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    acquaint(&one, &two);
+    echo(&two);
+    let huge = Bytes::from(vec![0; CHANNEL.max_message_bytes() + 1]);
+    let sent = one.send("two", CHANNEL, huge.clone());
+    assert!(matches!(sent, Err(LinkError::TooLarge { .. })));
+    let called = one.call("two", CHANNEL, huge.clone(), CALL_TIMEOUT).await;
+    assert!(matches!(called, Err(LinkError::TooLarge { .. })));
+
+    // A peer that doesn't check what it sends.
+    let request = CallRequest {
+        channel: CHANNEL.wire().into(),
+        payload: huge,
+    };
+    let slot = one.core.slot("two").expect("there is room");
+    let deadline = TokioInstant::now() + PATIENCE;
+    let (_, streams) = open_call(&slot, deadline).await.expect("a connection");
+    let request = Bytes::from(request.encode_to_vec());
+    let error = exchange(&slot.name, streams, request, CHANNEL).await;
+    assert!(
+        matches!(
+            error,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::TooLarge,
+                ..
+            })
+        ),
+        "{error:?}"
+    );
+    let (_, streams) = open_call(&slot, deadline).await.expect("a connection");
+    let endless = Bytes::from(vec![0; limits::MAX_STREAM_BYTES + 1]);
+    let error = exchange(&slot.name, streams, endless, CHANNEL).await;
+    assert!(
+        matches!(
+            error,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::TooLarge,
+                ..
+            })
+        ),
+        "{error:?}"
+    );
+    call(&one, "two").await.expect("the link goes on");
+}
+
+#[tokio::test]
+async fn a_peer_over_its_rate_is_refused_and_others_are_not() {
+    let authority = TestAuthority::new();
+    let (one, two, three) = (
+        authority.hub("one"),
+        authority.hub("two"),
+        authority.hub("three"),
+    );
+    acquaint(&one, &three);
+    acquaint(&two, &three);
+    echo(&three);
+    let slot = three.core.slot("one").expect("there is room");
+    let far = Instant::now() + PATIENCE;
+    while slot.lock_meter().admit(far, CHANNEL, 1_000_000) {}
+    let error = call(&one, "three").await;
+    assert!(
+        matches!(
+            error,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::TooFast,
+                ..
+            })
+        ),
+        "{error:?}"
+    );
+    call(&two, "three").await.expect("it has its own limit");
+}
+
+#[tokio::test]
+async fn a_call_that_nobody_serves_or_answers_is_refused() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    acquaint(&one, &two);
+    let error = call(&one, "two").await;
+    assert!(
+        matches!(
+            error,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::NotServed,
+                ..
+            })
+        ),
+        "{error:?}"
+    );
+    let mut calls = two.serve(CHANNEL);
+    tokio::spawn(async move { drop(calls.recv().await) });
+    let error = call(&one, "two").await;
+    assert!(
+        matches!(
+            error,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::Unanswered,
+                ..
+            })
+        ),
+        "{error:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_queue_for_an_unreachable_peer_is_bounded_by_class() {
+    let authority = TestAuthority::new();
+    let hub = authority.hub("one");
+    for class in LinkClass::ALL {
+        let bound = class.bound().messages;
+        let full = (0..bound + 10).filter(|_| {
+            let sent = hub.send_as("away", LinkChannel::Directory, class, "x".into());
+            matches!(sent, Err(LinkError::QueueFull { .. }))
+        });
+        let full = full.count();
+        let dropped = hub.metrics().counts(class).messages_dropped;
+        assert_eq!(dropped, 10, "{class}");
+        let refused = matches!(class, LinkClass::Replication | LinkClass::Notice);
+        assert_eq!(full, if refused { 10 } else { 0 }, "{class}");
+    }
+}
+
+#[tokio::test]
+async fn what_waits_goes_out_once_the_address_is_known() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    let mut messages = two.subscribe(LinkChannel::Membership);
+    one.send("two", LinkChannel::Membership, "late".into())
+        .expect("there is room");
+    until(|| {
+        matches!(
+            one.core.slot("two").expect("it is there").failure(),
+            LinkError::UnknownPeer(_)
+        )
+    })
+    .await;
+    acquaint(&one, &two);
+    let message = patiently(messages.recv()).await.expect("it arrives");
+    assert_eq!(message.payload, "late");
+}
+
+#[tokio::test]
+async fn a_restarted_peer_is_found_again() {
+    let authority = TestAuthority::new();
+    let one = authority.hub("one");
+    let mut options = authority.options("two");
+    let two = LinkHub::start(options.clone()).expect("it starts");
+    acquaint(&one, &two);
+    echo(&two);
+    call(&one, "two").await.expect("an answer");
+    options.address = two.address().expect("it is open");
+    patiently(two.close()).await;
+    drop(two);
+    let two = patiently(async {
+        loop {
+            match LinkHub::start(options.clone()) {
+                Ok(hub) => return hub,
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    })
+    .await;
+    echo(&two);
+    patiently(async { while call(&one, "two").await.is_err() {} }).await;
+}
+
+#[tokio::test]
+async fn new_certificates_and_a_second_authority_lose_no_call() {
+    let (old, next) = (TestAuthority::new(), TestAuthority::new());
+    let (one_options, two_options) = (old.options("one"), old.options("two"));
+    let one = LinkHub::start(one_options.clone()).expect("it starts");
+    let two = LinkHub::start(two_options.clone()).expect("it starts");
+    acquaint(&one, &two);
+    echo(&two);
+    assert!(!one.reload().expect("good files"), "nothing has changed");
+    let caller = one.clone();
+    let calls = tokio::spawn(async move {
+        let mut made = 0;
+        while caller.core.identity.load().generation < 3 || made < 50 {
+            call(&caller, "two").await.expect("no call is lost");
+            made += 1;
+        }
+    });
+
+    // First both ends believe both authorities, then each daemon takes a
+    // certificate of the new one, then the old one is believed no more.
+    let authority_file = |authority: &TestAuthority| {
+        fs::read(authority.folder.path().join("authority.pem")).expect("it is there")
+    };
+    let (old_text, next_text) = (authority_file(&old), authority_file(&next));
+    let bundle = [old_text, next_text.clone()].concat();
+    fs::write(&one_options.files.authority, &bundle).expect("a file");
+    assert!(one.reload().expect("good files"));
+    assert!(two.reload().expect("good files"));
+    for (hub, options) in [(&one, &one_options), (&two, &two_options)] {
+        let fresh = next.options(hub.name().as_str()).files;
+        fs::copy(fresh.key, &options.files.key).expect("a file");
+        hub.reload()
+            .expect_err("the key is there and the certificate is not");
+        fs::copy(fresh.certificate, &options.files.certificate).expect("a file");
+        assert!(hub.reload().expect("good files"));
+    }
+    fs::write(&one_options.files.authority, &next_text).expect("a file");
+    assert!(two.reload().expect("good files"));
+    assert!(one.reload().expect("good files"));
+    patiently(calls).await.expect("no call is lost");
+    until(|| {
+        let slot = one.core.slot("two").expect("it is there");
+        slot.current().is_some_and(|connection| {
+            connection.origin == ConnectionOrigin::Dialled { generation: 3 }
+        })
+    })
+    .await;
+    call(&one, "two").await.expect("an answer");
+}
+
+/// Passes datagrams to one address and back, and can lose track of senders.
+struct UdpRelay {
+    address: SocketAddr,
+    senders: Arc<Mutex<Vec<SocketAddr>>>,
+    silenced: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl UdpRelay {
+    async fn start(target: SocketAddr) -> Self {
+        let front = Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a socket"));
+        let relay = Self {
+            address: front.local_addr().expect("it is open"),
+            senders: Arc::default(),
+            silenced: Arc::default(),
+        };
+        let (senders, silenced) = (Arc::clone(&relay.senders), Arc::clone(&relay.silenced));
+        tokio::spawn(async move {
+            let mut backs: FastMap<SocketAddr, Arc<UdpSocket>> = FastMap::default();
+            let mut buffer = vec![0; 65_536];
+            loop {
+                let Ok((size, from)) = front.recv_from(&mut buffer).await else {
+                    continue;
+                };
+                if let Entry::Vacant(vacancy) = backs.entry(from) {
+                    let back = Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a socket"));
+                    back.connect(target).await.expect("an address");
+                    senders.lock().expect("unpoisoned").push(from);
+                    tokio::spawn(pass_back(
+                        Arc::clone(&front),
+                        Arc::clone(&back),
+                        from,
+                        Arc::clone(&silenced),
+                    ));
+                    vacancy.insert(back);
+                }
+                if !silenced.lock().expect("unpoisoned").contains(&from) {
+                    let _ = backs[&from].send(&buffer[..size]).await;
+                }
+            }
+        });
+        relay
+    }
+
+    /// Drops everything from and to those that have sent so far, for good.
+    fn silence(&self) {
+        let senders = self.senders.lock().expect("unpoisoned").clone();
+        *self.silenced.lock().expect("unpoisoned") = senders;
+    }
+}
+
+async fn pass_back(
+    front: Arc<UdpSocket>,
+    back: Arc<UdpSocket>,
+    to: SocketAddr,
+    silenced: Arc<Mutex<Vec<SocketAddr>>>,
+) {
+    let mut buffer = vec![0; 65_536];
+    loop {
+        let Ok(size) = back.recv(&mut buffer).await else {
+            continue;
+        };
+        if !silenced.lock().expect("unpoisoned").contains(&to) {
+            let _ = front.send_to(&buffer[..size], to).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced_while_others_go_on() {
+    let authority = TestAuthority::new();
+    let (one, two, three) = (
+        authority.hub("one"),
+        authority.hub("two"),
+        authority.hub("three"),
+    );
+    let relay = UdpRelay::start(two.address().expect("it is open")).await;
+    one.addresses().set(two.name().clone(), relay.address);
+    acquaint(&one, &three);
+    echo(&two);
+    echo(&three);
+    let mut notices = two.subscribe(LinkChannel::Directory);
+    call(&one, "two").await.expect("an answer");
+    for round in 0..2_u8 {
+        relay.silence();
+        let notice = Bytes::from(vec![round]);
+        one.send_as("two", LinkChannel::Directory, LinkClass::Notice, notice)
+            .expect("there is room");
+        call(&one, "three").await.expect("the other link goes on");
+        patiently(async {
+            while notices.recv().await.expect("the hub is open").payload[0] != round {}
+        })
+        .await;
+        call(&one, "two")
+            .await
+            .expect("the fresh connection serves");
+    }
+    assert!(
+        relay.senders.lock().expect("unpoisoned").len() >= 3,
+        "each from a socket of its own"
+    );
+}
+
+#[tokio::test]
+async fn two_that_dial_each_other_settle_on_one_connection() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    acquaint(&one, &two);
+    acquaint(&two, &one);
+    echo(&one);
+    echo(&two);
+    let (there, back) = tokio::join!(call(&one, "two"), call(&two, "one"));
+    assert!(there.is_ok() && back.is_ok());
+    let (first, second) = (one.core.slot("two"), two.core.slot("one"));
+    let (first, second) = (first.expect("there"), second.expect("there"));
+    until(|| {
+        let (Some(first), Some(second)) = (first.current(), second.current()) else {
+            return false;
+        };
+        first.is_dialled() != second.is_dialled()
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/savorywalk/src/transport/link_options.rs
@@ -0,0 +1,51 @@
+use super::link_limits::DEFAULT_BUDGET;
+use super::{BadPeer, CertificateFiles, PeerName, parse_peers};
+use crate::prelude::*;
+use crate::settings::LinkSettings;
+
+/// Pause between looks at the certificate files, when the settings give none.
+const DEFAULT_RELOAD_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How a hub is to be started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkOptions {
+    /// Name of this daemon; its certificate must hold it.
+    pub name: PeerName,
+    /// UDP address to listen on; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Who this daemon is and whom it believes.
+    pub files: CertificateFiles,
+    /// Peers known from the start.
+    pub peers: BTreeMap<PeerName, SocketAddr>,
+    /// Budget for control traffic, in bytes a second.
+    pub budget: u32,
+    /// Pause between looks at the certificate files.
+    pub reload_interval: Duration,
+}
+
+impl LinkOptions {
+    /// Reads the options of the daemon `name` from its settings.
+    pub fn from_settings(name: &str, settings: &LinkSettings) -> Result<Self, BadPeer> {
+        let address = settings.address.parse();
+        let reload_interval = match settings.reload_interval_ms {
+            0 => DEFAULT_RELOAD_INTERVAL,
+            given => Duration::from_millis(given.into()),
+        };
+        let budget = match settings.budget_bytes_per_second {
+            0 => DEFAULT_BUDGET,
+            given => given,
+        };
+        Ok(Self {
+            name: PeerName::new(name)?,
+            address: address.map_err(|_| BadPeer::Address(settings.address.clone()))?,
+            files: CertificateFiles {
+                certificate: settings.certificate.clone().into(),
+                key: settings.key.clone().into(),
+                authority: settings.authority.clone().into(),
+            },
+            peers: parse_peers(&settings.seeds)?,
+            budget,
+            reload_interval,
+        })
+    }
+}
--- a/crates/savorywalk/src/transport/mod.rs
+++ b/crates/savorywalk/src/transport/mod.rs
@@ -1,1 +1,51 @@
-//! Links between the system's own processes. See docs/design/links.md.
+//! Links carry messages between the system's own processes, so that every
+//! other part addresses a peer by its certified name and never sees a socket.
+//! See docs/design/links.md.
+
+mod address_book;
+mod call_reply;
+mod certificate_files;
+mod connection_health;
+mod connection_keeper;
+mod hub_core;
+mod inbound_call;
+mod inbound_message;
+mod inbound_reader;
+mod key_authority;
+mod link_budget;
+mod link_channel;
+mod link_class;
+mod link_connection;
+mod link_error;
+mod link_hub;
+mod link_identity;
+pub mod link_limits;
+mod link_metrics;
+mod link_options;
+mod peer_certificate;
+mod peer_name;
+mod peer_slot;
+mod peer_writer;
+mod queue_quota;
+mod receive_meter;
+mod send_queue;
+mod token_bucket;
+
+pub use crate::generated::link::CallRefusal;
+pub use address_book::AddressBook;
+pub use call_reply::CallReplier;
+pub use certificate_files::CertificateFiles;
+pub use inbound_call::InboundCall;
+pub use inbound_message::InboundMessage;
+pub use key_authority::{KeyAuthority, KeyError};
+pub use link_budget::LinkBudget;
+pub use link_channel::LinkChannel;
+pub use link_class::LinkClass;
+pub use link_error::{LinkError, LoadError};
+pub use link_hub::LinkHub;
+pub use link_metrics::{ClassCounts, LinkMetrics};
+pub use link_options::LinkOptions;
+pub use peer_name::{BadPeer, PeerName, parse_peers};
+
+/// Result of this module's fallible calls.
+pub type Result<T> = std::result::Result<T, LinkError>;
