Compute the capacity page from recorded slopes

Cause: a page of capacity written by hand drifts from what was measured. Conclusion: the page follows as the measurements land.

--- a/xtask/src/arguments.rs
+++ b/xtask/src/arguments.rs
@@ -11,5 +11,10 @@
         cmd check-links {}
         /// Fails when a cell of docs/FAULTS.md names a test that is not in the sources.
         cmd check-faults {}
+        /// Recomputes the tables of docs/CAPACITY.md from the recorded slopes.
+        cmd capacity {
+            /// Writes nothing; fails when the page differs.
+            optional --check
+        }
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Routine jobs of the developers; `cargo xtask --help` lists them.
 
 mod arguments;
+mod capacity;
 mod fault_check;
 mod generate;
 mod link_check;
@@ -19,6 +20,13 @@
         XtaskCmd::Check(_) => generate::check(),
         XtaskCmd::CheckLinks(_) => check_links(),
         XtaskCmd::CheckFaults(_) => check_faults(),
+        XtaskCmd::Capacity(arguments) => {
+            let root = repository::root();
+            match arguments.check {
+                true => Ok(capacity::check(&root)?),
+                false => Ok(capacity::write(&root)?),
+            }
+        }
     }
 }
 
