--- a/crates/standin/src/endpoint_server.rs
+++ b/crates/standin/src/endpoint_server.rs
@@ -11,8 +11,8 @@
 use crate::silent_connection::SilentConnection;
 use crate::standin_endpoint::StandinEndpoint;
 use crate::{
-    EndpointCounts, FaultSwitch, OrderState, Result, RunLedger, StandinError, StandinKind,
-    StandinOptions,
+    EndpointCounts, FaultSwitch, OrderState, ReceiptObserver, Result, RunLedger, StandinError,
+    StandinKind, StandinOptions,
 };
 
 /// A running stand-in; dropping it breaks its connections, as a crash would.
@@ -73,6 +73,12 @@
         self.endpoint.load()
     }
 
+    /// Has `observer` called with each request that it starts to work on;
+    /// tells whether there was no observer before.
+    pub fn observe(&self, observer: ReceiptObserver) -> bool {
+        self.endpoint.receipts.observe(observer)
+    }
+
     /// Its faults.
     pub fn faults(&self) -> &FaultSwitch {
         &self.endpoint.faults
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -29,6 +29,7 @@
 mod token_bucket;
 mod weight_store;
 mod work_queue;
+mod work_receipts;
 
 pub use announcement_options::AnnouncementOptions;
 pub use announcer::{AnnounceTarget, start_announcer};
@@ -43,6 +44,7 @@
 pub use standin_error::StandinError;
 pub use standin_options::{StandinKind, StandinOptions};
 pub use weight_store::WeightStore;
+pub use work_receipts::ReceiptObserver;
 
 /// Result of this crate's fallible calls.
 pub type Result<T> = std::result::Result<T, StandinError>;
--- a/crates/standin/src/request_handler.rs
+++ b/crates/standin/src/request_handler.rs
@@ -202,6 +202,7 @@
     }
     endpoint.counts.seen.fetch_add(1, Ordering::SeqCst);
     if fault == EndpointFault::Silent {
+        endpoint.receipts.tell(&request.body);
         return std::future::pending().await;
     }
     let Ok(document) = serde_json::from_slice::<Value>(&request.body) else {
@@ -231,6 +232,7 @@
     let Some(_slot) = endpoint.queue.enter().await else {
         return not_run("its queue is full");
     };
+    endpoint.receipts.tell(&request.body);
     let span = endpoint_work::start_time(&endpoint.options, request.body.len());
     pause(span.mul_f64(fault.slowness())).await;
     record_run(endpoint, request);
@@ -258,6 +260,7 @@
     let Some(stream) = stream else {
         return echoed(not_run("its queue is full"), request.attempt, fault);
     };
+    endpoint.receipts.tell(&request.body);
     record_run(endpoint, &request);
     let reader = stream.read_from(0);
     let watch = ReaderWatch::new(endpoint, &stream);
--- a/crates/standin/src/standin_endpoint.rs
+++ b/crates/standin/src/standin_endpoint.rs
@@ -10,6 +10,7 @@
 use crate::order_desk::OrderDesk;
 use crate::silent_connection::ConnectionSilencer;
 use crate::work_queue::WorkQueue;
+use crate::work_receipts::WorkReceipts;
 use crate::{EndpointCounts, FaultSwitch, RunLedger, StandinKind, StandinOptions};
 
 /// How often a leaver looks whether its work is done.
@@ -22,6 +23,7 @@
     pub(crate) counts: EndpointCounts,
     pub(crate) faults: FaultSwitch,
     pub(crate) runs: RunLedger,
+    pub(crate) receipts: WorkReceipts,
     pub(crate) queue: WorkQueue,
     pub(crate) engine: ModelEngine,
     pub(crate) silencer: Arc<ConnectionSilencer>,
@@ -53,6 +55,7 @@
             counts: EndpointCounts::default(),
             faults: FaultSwitch::default(),
             runs: RunLedger::default(),
+            receipts: WorkReceipts::default(),
             queue: WorkQueue::new(options.slots, options.queue_limit),
             engine: ModelEngine::new(&options),
             silencer: Arc::default(),
