Admit, queue and account every run

The runner sent stages straight to endpoints. Now AdmissionControl refuses at once what is likely late, each stage waits for a permit from its pool's fair queue, leaves it when its caller leaves or its deadline can't be met, and is charged its actual cost. An idempotent stage is cut off when the later ones can't fit any more. Baseline routing runs as AdmissionMode::Passthrough: no estimates, no queues, no limits.

Costs are booked when a run ends: endpoint time that gave no answer counts as waste by reason (failed attempt, lost hedge, late, cancelled), also when the caller left in the middle. The ledger is sharded and bounded. An error names the completed stages once a non-idempotent one has run. Savorywalk-Priority (0 to 9) orders a workspace's own requests.

--- a/crates/savorywalk/src/admission/deadline_budget.rs
+++ b/crates/savorywalk/src/admission/deadline_budget.rs
@@ -29,7 +29,7 @@
     /// Judges the budget.
     pub fn verdict(&self) -> BudgetVerdict {
         let work = self.forecast.likely();
-        if work > self.remaining {
+        if work > self.remaining || self.remaining.is_zero() {
             return BudgetVerdict::WorkTooLong(StageEstimate::LIFETIME);
         }
         let needed = work + self.wait;
--- a/crates/savorywalk/src/admission/mod.rs
+++ b/crates/savorywalk/src/admission/mod.rs
@@ -1,22 +1,31 @@
 //! Admission decides whether a request may start, and makes the promise of
 //! `not_run` a type. See docs/design/not-run.md and docs/design/estimates.md.
 
+mod admission_control;
 mod admission_mode;
+mod admission_refusal;
 mod deadline_budget;
 mod estimate_table;
 mod request_deadline;
 mod run_forecast;
+mod run_profile;
 mod size_class;
 mod stage_estimate;
+mod stage_visit;
 mod unstarted_request;
 
+use crate::queueing::monotonic_now;
+pub use admission_control::AdmissionControl;
 pub use admission_mode::AdmissionMode;
+pub use admission_refusal::AdmissionRefusal;
 pub use deadline_budget::{BudgetVerdict, DeadlineBudget};
 pub use estimate_table::{EstimateLine, EstimateTable, ServiceSample};
 pub use request_deadline::RequestDeadline;
 pub use run_forecast::RunForecast;
+pub use run_profile::RunProfile;
 pub use size_class::SizeClass;
 pub use stage_estimate::StageEstimate;
+pub use stage_visit::StageVisit;
 pub use unstarted_request::{
     FirstDispatch, NothingRan, RefusalReason, RequestPhase, RunRefusal, UnstartedRequest,
 };
--- a/crates/savorywalk/src/admission/request_deadline.rs
+++ b/crates/savorywalk/src/admission/request_deadline.rs
@@ -32,6 +32,15 @@
         self.ends.saturating_duration_since(now)
     }
 
+    /// The deadline of an earlier step that leaves `reserve` for later ones.
+    pub fn leaving(&self, reserve: Duration) -> Self {
+        let ends = self.ends.checked_sub(reserve).unwrap_or(self.started);
+        Self {
+            started: self.started,
+            ends: ends.max(self.started),
+        }
+    }
+
     /// Whether the deadline has passed at `now`.
     pub fn has_passed(&self, now: Instant) -> bool {
         now >= self.ends
--- a/crates/savorywalk/src/admission/unstarted_request.rs
+++ b/crates/savorywalk/src/admission/unstarted_request.rs
@@ -65,6 +65,21 @@
     ClaimNotRecorded,
 }
 
+impl RefusalReason {
+    /// The reason as the label of its metric.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::TooMany => "too_many",
+            Self::DeadlineTooShort => "deadline_too_short",
+            Self::NoEndpoint => "no_endpoint",
+            Self::OverShare => "over_share",
+            Self::Stopping => "stopping",
+            Self::StaleConfiguration => "stale_configuration",
+            Self::ClaimNotRecorded => "claim_not_recorded",
+        }
+    }
+}
+
 impl UnstartedRequest {
     /// Refuses the request with the promise that nothing ran.
     pub fn refuse(self, reason: RefusalReason, retry_after: Duration) -> RunRefusal {
--- a/crates/savorywalk/src/api/api_error.rs
+++ b/crates/savorywalk/src/api/api_error.rs
@@ -121,6 +121,9 @@
     /// What a program needs to act on the error, where there is more.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub details: Option<Value>,
+    /// Stages that had completed, when a non-idempotent one is among them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub completed_stages: Vec<String>,
 }
 
 impl ApiError {
@@ -196,6 +199,13 @@
         }
     }
 
+    fn completed_stages(&self) -> &[String] {
+        if let Self::Pipeline(error) = self {
+            return error.completed_stages();
+        }
+        &[]
+    }
+
     /// The JSON form.
     pub(super) fn document(&self, request_id: &str) -> ErrorDocument {
         ErrorDocument {
@@ -204,6 +214,7 @@
                 message: self.to_string(),
                 request_id: request_id.to_string(),
                 details: self.details(),
+                completed_stages: self.completed_stages().to_vec(),
             },
         }
     }
--- a/crates/savorywalk/src/api/caller_api.rs
+++ b/crates/savorywalk/src/api/caller_api.rs
@@ -16,10 +16,12 @@
 
 const PIPELINES: &str = "/v1/pipelines/";
 const DEADLINE_HEADER: &str = "savorywalk-deadline-ms";
+const PRIORITY_HEADER: &str = "savorywalk-priority";
 const IDEMPOTENT_HEADER: &str = "savorywalk-idempotent";
 const KEY_HEADER: &str = "idempotency-key";
 const MAX_KEY_BYTES: usize = 256;
 const EVENT_STREAM: &str = "text/event-stream";
+const MAX_PRIORITY: u8 = 9;
 const MAX_DEADLINE_MS: u64 = 600_000;
 
 pub(super) async fn handle(
@@ -78,6 +80,7 @@
         configuration_version: configuration.version,
         input: PipelineInput::default(),
         deadline: RequestDeadline::new(arrived, wish, plan.deadline),
+        priority: priority(head)?,
         idempotent: is_idempotent(head)?,
         sink: None,
         phase: RequestPhase::new(),
@@ -98,6 +101,19 @@
     }
 }
 
+/// Rank among the workspace's own requests; it takes nothing from others.
+fn priority(head: &RequestHead) -> Result<u8> {
+    let Some(text) = head.header(PRIORITY_HEADER)? else {
+        return Ok(0);
+    };
+    match text.parse::<u8>() {
+        Ok(priority) if priority <= MAX_PRIORITY => Ok(priority),
+        _ => Err(ApiError::InvalidRequest(format!(
+            "priority {text:?} is unknown; send a whole number from 0 to {MAX_PRIORITY}"
+        ))),
+    }
+}
+
 fn is_idempotent(head: &RequestHead) -> Result<bool> {
     match head.header(IDEMPOTENT_HEADER)? {
         None | Some("true") => Ok(true),
--- a/crates/savorywalk/src/cost/cost_ledger.rs
+++ b/crates/savorywalk/src/cost/cost_ledger.rs
@@ -1,7 +1,16 @@
+use std::hash::{BuildHasher, RandomState};
 use std::sync::{Mutex, PoisonError};
 
+use super::CostEntry;
 use crate::prelude::*;
 
+/// Parts of the ledger, each with a lock of its own.
+const SHARDS: usize = 16;
+/// Lines kept in one part; 16 parts of about 250 bytes a line are 2 MB.
+const MAX_LINES_PER_SHARD: usize = 512;
+/// Workspace under which lines beyond that are added up.
+pub const OTHER_WORKSPACES: &str = "(other)";
+
 /// Whose cost an entry is.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 pub struct CostKey {
@@ -13,19 +22,6 @@
     pub stage: String,
 }
 
-/// Sums of cost.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct CostEntry {
-    /// Stages that gave a result.
-    pub results: u64,
-    /// Endpoint time that gave a result, in seconds.
-    pub endpoint_seconds: f64,
-    /// Endpoint time that gave none, in seconds.
-    pub wasted_seconds: f64,
-    /// Tokens read and written.
-    pub tokens: u64,
-}
-
 /// One line of a cost report.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct CostLine {
@@ -37,34 +33,50 @@
     pub entry: CostEntry,
 }
 
+type CostShard = Mutex<FastMap<CostKey, CostEntry>>;
+
 /// Cost by workspace, pipeline and stage since the process began.
+///
+/// A full part adds further workspaces up in one line for each stage, so that
+/// memory is bounded and the sums by stage stay whole.
 #[derive(Debug, Default)]
 pub struct CostLedger {
-    entries: Mutex<FastMap<CostKey, CostEntry>>,
+    shards: [CostShard; SHARDS],
+    hasher: RandomState,
 }
 
 impl CostLedger {
     /// Adds to an entry.
-    pub fn add(&self, key: CostKey, change: CostEntry) {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = entries.entry(key).or_default();
-        entry.results += change.results;
-        entry.endpoint_seconds += change.endpoint_seconds;
-        entry.wasted_seconds += change.wasted_seconds;
-        entry.tokens += change.tokens;
+    pub fn add(&self, key: CostKey, change: &CostEntry) {
+        let hash = self.hasher.hash_one(&key) as usize;
+        let shard = &self.shards[hash % SHARDS];
+        let mut entries = shard.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_full = entries.len() >= MAX_LINES_PER_SHARD;
+        let key = if is_full && !entries.contains_key(&key) {
+            CostKey {
+                workspace: OTHER_WORKSPACES.to_string(),
+                ..key
+            }
+        } else {
+            key
+        };
+        entries.entry(key).or_default().add(change);
     }
 
     /// All entries, ordered by key.
     pub fn report(&self) -> Vec<CostLine> {
-        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut lines: Vec<CostLine> = entries
-            .iter()
-            .map(|(key, entry)| CostLine {
-                key: key.clone(),
-                entry: *entry,
-            })
-            .collect();
-        lines.sort_by(|a, b| a.key.cmp(&b.key));
-        lines
+        let mut sums: BTreeMap<CostKey, CostEntry> = BTreeMap::new();
+        for shard in &self.shards {
+            let entries = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for (key, entry) in entries.iter() {
+                sums.entry(key.clone()).or_default().add(entry);
+            }
+        }
+        let lines = sums.into_iter();
+        lines.map(|(key, entry)| CostLine { key, entry }).collect()
     }
 }
+
+#[cfg(test)]
+#[path = "cost_ledger_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -2,7 +2,8 @@
 
 use tokio_util::task::TaskTracker;
 
-use super::{EntryNode, Result, entry_gauges};
+use super::{EntryNode, Result, entry_gauges, queue_gauges};
+use crate::admission::{AdmissionControl, AdmissionMode};
 use crate::api::{ApiSurface, HttpServer, ServerError, SurfaceKind};
 use crate::attempt::{EndpointClient, StageDispatcher};
 use crate::claims::{ClaimClient, LocalClaims};
@@ -73,7 +74,14 @@
         let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
         let router = EndpointRouter::new(policy, &node_settings.data_center);
         let dispatcher = StageDispatcher::new(router, EndpointClient::default(), directory.clone());
-        let runner = PipelineRunner::new(dispatcher, Arc::clone(&ledger), Arc::clone(&metrics));
+        let admission =
+            AdmissionControl::new(AdmissionMode::for_routing(policy), directory.clone());
+        let runner = PipelineRunner::new(
+            dispatcher,
+            admission,
+            Arc::clone(&ledger),
+            Arc::clone(&metrics),
+        );
         let control = ControlClient::sole(&configuration);
         let claims = ClaimClient::Local(LocalClaims::new(&node_settings.name));
         let node = Arc::new(EntryNode {
@@ -94,6 +102,7 @@
             },
         });
         entry_gauges::register(&node);
+        queue_gauges::register(&node);
         let daemon = Self {
             callers: serve(&callers, SurfaceKind::Callers, &node).await?,
             operators: serve(&operators, SurfaceKind::Operators, &node).await?,
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -11,6 +11,7 @@
 use crate::directory::DirectoryHandle;
 use crate::pipeline::{PipelineAnswer, PipelineRequest, PipelineRunner, Result};
 use crate::prelude::*;
+use crate::queueing::QueueTable;
 use crate::settings::NodeSettings;
 use crate::telemetry::MetricSet;
 
@@ -89,6 +90,12 @@
         Ok(())
     }
 
+    /// The queues of the pools: their usage, for the other entries, and the
+    /// number of entries between which capacity is shared.
+    pub fn queues(&self) -> &QueueTable {
+        self.runner.admission().queues()
+    }
+
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -109,6 +116,8 @@
 
     /// What operators see.
     pub fn status(&self) -> EntryStatus {
+        let now = Instant::now();
+        let admission = self.runner.admission();
         let directory = self.directory.snapshot();
         let mut endpoints: Vec<_> = directory
             .endpoints()
@@ -123,6 +132,8 @@
             requests_in_progress: self.in_progress.load(Ordering::Relaxed),
             endpoints,
             costs: self.ledger.report(),
+            queues: admission.queues().status(now),
+            estimates: admission.estimates(now),
         }
     }
 }
--- a/crates/savorywalk/src/entry/entry_status.rs
+++ b/crates/savorywalk/src/entry/entry_status.rs
@@ -1,6 +1,8 @@
+use crate::admission::EstimateLine;
 use crate::cost::CostLine;
 use crate::directory::EndpointAnnouncement;
 use crate::prelude::*;
+use crate::queueing::QueueStatus;
 
 /// What `GET /v1/status` tells of a daemon.
 #[derive(Clone, Debug, Serialize)]
@@ -19,4 +21,8 @@
     pub endpoints: Vec<EndpointAnnouncement>,
     /// Cost by workspace, pipeline and stage.
     pub costs: Vec<CostLine>,
+    /// Queue of each pool at this daemon.
+    pub queues: Vec<QueueStatus>,
+    /// Service times that this daemon has learnt.
+    pub estimates: Vec<EstimateLine>,
 }
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod entry_gauges;
 mod entry_node;
 mod entry_status;
+mod queue_gauges;
 
 pub use claimed_run::{AnswerWriter, ClaimedAnswer, ClaimedRun};
 pub use entry_daemon::{EntryDaemon, EntryError};
--- a/crates/savorywalk/src/pipeline/pipeline_error.rs
+++ b/crates/savorywalk/src/pipeline/pipeline_error.rs
@@ -15,6 +15,8 @@
     DeadlineExceeded {
         /// Stage that was running.
         stage: String,
+        /// Stages that had completed, when a non-idempotent one is among them.
+        completed_stages: Vec<String>,
     },
     /// A non-idempotent stage may or may not have run.
     #[error("stage {stage:?} may have run: {reason}; ask the service before sending it again")]
@@ -23,6 +25,8 @@
         stage: String,
         /// What happened.
         reason: AttemptError,
+        /// Stages that had completed, when a non-idempotent one is among them.
+        completed_stages: Vec<String>,
     },
     /// A stage gave no result, for all tries.
     #[error("stage {stage:?} failed: {reason}")]
@@ -31,12 +35,16 @@
         stage: String,
         /// What happened last.
         reason: AttemptError,
+        /// Stages that had completed, when a non-idempotent one is among them.
+        completed_stages: Vec<String>,
     },
     /// No endpoint serves a stage after the first.
     #[error("no endpoint serves stage {stage:?}; check that its pool has endpoints with its model")]
     NoEndpoint {
         /// The stage.
         stage: String,
+        /// Stages that had completed, when a non-idempotent one is among them.
+        completed_stages: Vec<String>,
     },
 }
 
@@ -51,4 +59,24 @@
             Self::NoEndpoint { .. } => "no_endpoint",
         }
     }
+
+    /// Stages that had completed, when a non-idempotent one is among them;
+    /// empty otherwise.
+    pub fn completed_stages(&self) -> &[String] {
+        match self {
+            Self::NotRun(_) => &[],
+            Self::DeadlineExceeded {
+                completed_stages, ..
+            }
+            | Self::OutcomeUnknown {
+                completed_stages, ..
+            }
+            | Self::StageFailed {
+                completed_stages, ..
+            }
+            | Self::NoEndpoint {
+                completed_stages, ..
+            } => completed_stages,
+        }
+    }
 }
--- a/crates/savorywalk/src/pipeline/pipeline_request.rs
+++ b/crates/savorywalk/src/pipeline/pipeline_request.rs
@@ -29,6 +29,8 @@
     pub input: PipelineInput,
     /// When it must be answered.
     pub deadline: RequestDeadline,
+    /// Rank among the workspace's own requests, higher first.
+    pub priority: u8,
     /// False when the caller marked the whole request as non-idempotent.
     pub idempotent: bool,
     /// Where generated text goes as it arrives.
--- a/crates/savorywalk/src/queueing/mod.rs
+++ b/crates/savorywalk/src/queueing/mod.rs
@@ -26,6 +26,7 @@
 pub use pool_capacity::PoolCapacity;
 pub use pool_limit::PoolLimit;
 pub use pool_queue::PoolQueue;
+pub(crate) use pool_queue::monotonic_now;
 pub use pool_schedule::PoolSchedule;
 pub use queue_item::{ItemOrder, QueueItem, QueueTicket};
 pub use queue_refusal::QueueRefusal;
--- a/crates/savorywalk/src/queueing/pool_queue.rs
+++ b/crates/savorywalk/src/queueing/pool_queue.rs
@@ -166,7 +166,7 @@
 }
 
 /// Now, by the clock of the runtime, which tests can pause.
-pub(super) fn monotonic_now() -> Instant {
+pub(crate) fn monotonic_now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
 
--- a/crates/savorywalk/src/telemetry/metric_set.rs
+++ b/crates/savorywalk/src/telemetry/metric_set.rs
@@ -5,6 +5,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use super::Result;
+use crate::cost::{CostEntry, WasteReason};
 use crate::prelude::*;
 
 /// Upper bounds of the duration buckets, in seconds.
@@ -65,6 +66,8 @@
     stage_seconds: Counter<f64>,
     stage_tokens: Counter<u64>,
     wasted_seconds: Counter<f64>,
+    refusals: Counter<u64>,
+    queue_seconds: Histogram<f64>,
 }
 
 impl MetricSet {
@@ -99,7 +102,7 @@
                 .build(),
             stage_seconds: meter
                 .f64_counter("savorywalk_stage_endpoint")
-                .with_description("Endpoint time that gave a result")
+                .with_description("Endpoint time that went into answers")
                 .with_unit("s")
                 .build(),
             stage_tokens: meter
@@ -108,9 +111,19 @@
                 .build(),
             wasted_seconds: meter
                 .f64_counter("savorywalk_stage_wasted")
-                .with_description("Endpoint time that gave no result")
+                .with_description("Endpoint time that went into no answer, by reason")
                 .with_unit("s")
                 .build(),
+            refusals: meter
+                .u64_counter("savorywalk_refusals")
+                .with_description("Requests refused before any part of them ran")
+                .build(),
+            queue_seconds: meter
+                .f64_histogram("savorywalk_queue_wait")
+                .with_description("Time that a stage waited for its turn at a pool")
+                .with_unit("s")
+                .with_boundaries(DURATION_BUCKETS.to_vec())
+                .build(),
             meter,
             _provider: provider,
         })
@@ -144,17 +157,31 @@
         self.request_seconds.record(elapsed.as_secs_f64(), &labels);
     }
 
-    /// Counts the cost of a stage that gave a result.
-    pub fn record_stage(&self, labels: StageLabels<'_>, endpoint_time: Duration, tokens: u64) {
-        let labels = labels.pairs();
-        self.stage_seconds.add(endpoint_time.as_secs_f64(), &labels);
-        self.stage_tokens.add(tokens, &labels);
+    /// Counts the cost of a stage of a run that has ended.
+    pub fn record_cost(&self, labels: StageLabels<'_>, entry: &CostEntry) {
+        let pairs = labels.pairs();
+        self.stage_seconds.add(entry.endpoint_seconds, &pairs);
+        self.stage_tokens.add(entry.tokens, &pairs);
+        for reason in WasteReason::ALL {
+            let seconds = entry.waste.of(reason);
+            if seconds > 0.0 {
+                let [workspace, pipeline, stage] = pairs.clone();
+                let reason = KeyValue::new("reason", reason.label());
+                self.wasted_seconds
+                    .add(seconds, &[workspace, pipeline, stage, reason]);
+            }
+        }
+    }
+
+    /// Counts a request that was refused before any part of it ran.
+    pub fn record_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Counts endpoint time that gave no result.
-    pub fn record_waste(&self, labels: StageLabels<'_>, endpoint_time: Duration) {
-        self.wasted_seconds
-            .add(endpoint_time.as_secs_f64(), &labels.pairs());
+    /// Counts how long a stage waited for its turn at a pool.
+    pub fn record_queue_wait(&self, pool: &str, wait: Duration) {
+        let labels = [KeyValue::new("pool", pool.to_string())];
+        self.queue_seconds.record(wait.as_secs_f64(), &labels);
     }
 
     /// All metrics as Prometheus text.
