Show how evenly a run's answers fell on the engines

The attainment bench printed totals only, so that a routing which was behind gave no hint why. Each line now has the busiest engine's answers in units of the average, and the report the answers of each engine.

--- a/crates/bench/src/attainment_bench.rs
+++ b/crates/bench/src/attainment_bench.rs
@@ -98,15 +98,24 @@
 
 fn print_head() {
     println!(
-        "{:<19} {:>5} {:<18} {:>6} {:>8} {:>8} {:>8} {:>6} {:>5}  errors; endpoint s by stage",
-        "routing", "load", "fault", "attain", "goodput", "p50 ms", "p99 ms", "waste", "late"
+        "{:<19} {:>5} {:<18} {:>6} {:>8} {:>8} {:>8} {:>6} {:>5} {:>5}  errors; endpoint s by stage",
+        "routing",
+        "load",
+        "fault",
+        "attain",
+        "goodput",
+        "p50 ms",
+        "p99 ms",
+        "waste",
+        "late",
+        "imbal"
     );
 }
 
 fn print_line(line: &AttainmentLine) {
     let report = &line.report;
     println!(
-        "{:<19} {:>4}% {:<18} {:>6.2} {:>8.1} {:>8.1} {:>8.1} {:>6.2} {:>5}  {}; {}",
+        "{:<19} {:>4}% {:<18} {:>6.2} {:>8.1} {:>8.1} {:>8.1} {:>6.2} {:>5} {:>5.2}  {}; {}",
         line.routing,
         line.load,
         line.trouble.name(),
@@ -116,6 +125,7 @@
         report.p99_ms,
         report.wasted,
         report.late,
+        report.imbalance(),
         listed(&report.errors, |count| count.to_string()),
         listed(&report.stage_seconds, |seconds| format!("{seconds:.1}")),
     );
--- a/crates/bench/src/bench_deployment.rs
+++ b/crates/bench/src/bench_deployment.rs
@@ -12,7 +12,7 @@
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
-use crate::{BenchError, Result};
+use crate::{BenchError, Result, bench_plan};
 
 const FREE_PORT: &str = "127.0.0.1:0";
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(20);
@@ -68,7 +68,7 @@
 
     /// The first engine, at which faults strike.
     pub(crate) fn engine(&self) -> &Arc<EndpointServer> {
-        self.pool("engines")
+        self.pool(bench_plan::ENGINES)
             .first()
             .copied()
             .unwrap_or(&self.endpoints[0])
--- a/crates/bench/src/bench_plan.rs
+++ b/crates/bench/src/bench_plan.rs
@@ -28,6 +28,8 @@
     cache_gap: 5,
 };
 
+/// Pool of the model engines.
+pub(crate) const ENGINES: &str = "engines";
 /// One pipeline of a single plain service, for the least work per request.
 pub(crate) const SINGLE_PIPELINE: &str = "lookup-only";
 /// One pipeline of a single long stream.
--- a/crates/bench/src/load_report.rs
+++ b/crates/bench/src/load_report.rs
@@ -33,6 +33,8 @@
     pub(crate) stage_seconds: BTreeMap<String, f64>,
     /// Share of endpoint time that gave no result, in percent.
     pub(crate) wasted: f64,
+    /// Answers that each engine made, warm-up included.
+    pub(crate) engine_answers: BTreeMap<String, u64>,
 }
 
 /// Requests of one group that were answered in time, and all of them.
@@ -94,6 +96,14 @@
         shares.iter().sum::<f64>() / shares.len().max(1) as f64
     }
 
+    /// Answers of the busiest engine, in units of the average.
+    pub(crate) fn imbalance(&self) -> f64 {
+        let answers = self.engine_answers.values();
+        let total: u64 = answers.clone().sum();
+        let most = answers.clone().max().copied().unwrap_or_default();
+        most as f64 * answers.len() as f64 / total.max(1) as f64
+    }
+
     /// Counts one request; tells whether it was answered in time.
     fn count(&mut self, record: &RequestRecord, deadline: Duration) -> bool {
         match &record.outcome {
--- a/crates/bench/src/load_run.rs
+++ b/crates/bench/src/load_run.rs
@@ -53,14 +53,14 @@
         let records = driver.open_loop(arrivals).await?;
         strike.await?;
         let costs = deployment.costs();
+        let deadline = bench_plan::deadline();
+        let mut report = LoadReport::new(&records, WARM_UP, self.span, deadline, &costs);
+        for engine in deployment.pool(bench_plan::ENGINES) {
+            let name = engine.options().name.clone();
+            report.engine_answers.insert(name, engine.counts().ran());
+        }
         deployment.stop().await;
-        Ok(LoadReport::new(
-            &records,
-            WARM_UP,
-            self.span,
-            bench_plan::deadline(),
-            &costs,
-        ))
+        Ok(report)
     }
 
     fn arrivals(&self) -> ArrivalOptions {
