Keep a replicated log and its disk

The control role needs state that outlasts any minority of its VMs, without an outside store.

What it says of terms, votes and entries is held until the disk has confirmed them. A replica whose disk was lost comes back under a new identity, as a learner, and votes once a committed change admits it.

--- /dev/null
+++ b/crates/savorywalk/src/consensus/message_check.rs
@@ -0,0 +1,164 @@
+use super::{
+    AppendRequest, Body, EntryKind, LogEntry, MembershipRecord, ReplicaId, ReplicaMembership,
+    ReplicaMessage, ReplicaOptions, Result, SnapshotChunk, VoteRequest,
+};
+use crate::prelude::*;
+
+/// Above any index or term that a log can reach; keeps sums from overflowing.
+const NUMBER_LIMIT: u64 = 1 << 62;
+
+/// Why a message from another replica was dropped.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum MessageError {
+    /// It can't be read.
+    #[error("the message can't be read: {0}; run one version of savorywalk at all replicas")]
+    Unreadable(String),
+    /// It has no body that this version knows.
+    #[error("the message has no known body; run one version of savorywalk at all replicas")]
+    NoBody,
+    /// It is not for this replica.
+    #[error("the message is for replica {0}; check that each node has its own name")]
+    NotForUs(ReplicaId),
+    /// Its sender can't be what it says.
+    #[error("the message names {0} as its sender; check that each node has its own name")]
+    BadSender(ReplicaId),
+    /// A number in it can't be right.
+    #[error("{0} of the message is out of bounds; check the sender's version and memory")]
+    OutOfBounds(&'static str),
+    /// Its entries don't follow one another.
+    #[error("the entries do not follow one another; check the sender's version and memory")]
+    BrokenEntries,
+    /// A membership in it can't be used.
+    #[error("the membership has no voter or can't be read; check the sender's version and memory")]
+    BadMembership,
+}
+
+/// Checks all of a message that can be checked without the log.
+pub(super) fn check(
+    message: &ReplicaMessage,
+    own: ReplicaId,
+    options: &ReplicaOptions,
+) -> Result<()> {
+    let body = message.body.as_ref().ok_or(MessageError::NoBody)?;
+    check_addresses(message, body, own)?;
+    check_number("term", message.term)?;
+    match body {
+        Body::JoinRequest(_) => Ok(()),
+        Body::FormationOffer(offer) => check_length("replicas", offer.replicas.len(), 64),
+        Body::VoteRequest(request) => check_vote(message.term, request),
+        Body::AppendRequest(request) => check_append(message.term, request),
+        Body::SnapshotChunk(chunk) => check_chunk(message.term, chunk, options),
+        Body::VoteReply(_) | Body::TimeoutNow(_) => check_term(message.term),
+        Body::AppendReply(reply) => {
+            check_term(message.term)?;
+            check_number("index", reply.index)?;
+            check_number("refused", reply.refused)
+        }
+        Body::SnapshotReply(reply) => {
+            check_term(message.term)?;
+            check_number("next_offset", reply.next_offset)
+        }
+    }
+}
+
+fn check_addresses(message: &ReplicaMessage, body: &Body, own: ReplicaId) -> Result<()> {
+    let from = ReplicaId::from_u64(message.from);
+    if from.incarnation() == 0 || from == own {
+        return Err(MessageError::BadSender(from));
+    }
+    let to = ReplicaId::from_u64(message.to);
+    let is_open = matches!(body, Body::JoinRequest(_) | Body::FormationOffer(_));
+    let is_ours = to == own || (is_open && to == own.node().anyone());
+    if is_ours {
+        return Ok(());
+    }
+    Err(MessageError::NotForUs(to))
+}
+
+fn check_term(term: u64) -> Result<()> {
+    if term == 0 {
+        return Err(MessageError::OutOfBounds("term"));
+    }
+    Ok(())
+}
+
+fn check_number(name: &'static str, number: u64) -> Result<()> {
+    if number >= NUMBER_LIMIT {
+        return Err(MessageError::OutOfBounds(name));
+    }
+    Ok(())
+}
+
+fn check_length(name: &'static str, length: usize, limit: usize) -> Result<()> {
+    if length > limit {
+        return Err(MessageError::OutOfBounds(name));
+    }
+    Ok(())
+}
+
+fn check_vote(term: u64, request: &VoteRequest) -> Result<()> {
+    check_term(term)?;
+    check_number("last_index", request.last_index)?;
+    if request.last_term >= term {
+        return Err(MessageError::OutOfBounds("last_term"));
+    }
+    Ok(())
+}
+
+fn check_append(term: u64, request: &AppendRequest) -> Result<()> {
+    check_term(term)?;
+    check_number("prev_index", request.prev_index)?;
+    if (request.prev_index == 0) != (request.prev_term == 0) {
+        return Err(MessageError::OutOfBounds("prev_term"));
+    }
+    let mut previous = (request.prev_index, request.prev_term);
+    for entry in &request.entries {
+        let follows = entry.index == previous.0 + 1 && entry.term >= previous.1.max(1);
+        if !follows {
+            return Err(MessageError::BrokenEntries);
+        }
+        check_entry(entry)?;
+        previous = (entry.index, entry.term);
+    }
+    if previous.1 > term {
+        return Err(MessageError::OutOfBounds("entry term"));
+    }
+    Ok(())
+}
+
+fn check_entry(entry: &LogEntry) -> Result<()> {
+    match entry.kind() {
+        EntryKind::Unspecified => Err(MessageError::OutOfBounds("entry kind")),
+        EntryKind::Noop | EntryKind::Command => Ok(()),
+        EntryKind::Membership => {
+            let membership = ReplicaMembership::from_payload(&entry.payload);
+            check_membership(membership.as_ref())
+        }
+    }
+}
+
+fn check_chunk(term: u64, chunk: &SnapshotChunk, options: &ReplicaOptions) -> Result<()> {
+    check_term(term)?;
+    check_number("index", chunk.index)?;
+    check_number("offset", chunk.offset)?;
+    if chunk.index == 0 || chunk.term == 0 || chunk.term > term {
+        return Err(MessageError::OutOfBounds("snapshot term"));
+    }
+    let end = chunk.offset + chunk.data.len() as u64;
+    if end > chunk.total || chunk.total > options.max_snapshot_bytes {
+        return Err(MessageError::OutOfBounds("snapshot size"));
+    }
+    let record: Option<&MembershipRecord> = chunk.membership.as_ref();
+    check_membership(record.map(ReplicaMembership::from_record).as_ref())
+}
+
+fn check_membership(membership: Option<&ReplicaMembership>) -> Result<()> {
+    match membership {
+        Some(membership) if membership.voters().next().is_some() => Ok(()),
+        Some(_) | None => Err(MessageError::BadMembership),
+    }
+}
+
+#[cfg(test)]
+#[path = "message_check_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/consensus/replica_id.rs
@@ -0,0 +1,78 @@
+use crate::prelude::*;
+
+const INCARNATION_BITS: u32 = 32;
+
+/// Number of a node: the same for every replica that ever ran at its place.
+///
+/// Made from the node's name, so that each process works it out alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct NodeNumber(u32);
+
+/// Identity of one replica: its node and the incarnation of its data folder.
+///
+/// A replica whose disk was lost comes back under another incarnation, so
+/// nothing that the lost one promised is expected of it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ReplicaId(u64);
+
+impl NodeNumber {
+    /// The number of the node that is called `name`.
+    pub fn from_name(name: &str) -> Self {
+        Self(crc32c::crc32c(name.as_bytes()))
+    }
+
+    /// A number chosen by the caller, as tests do.
+    pub const fn new(number: u32) -> Self {
+        Self(number)
+    }
+
+    /// Stands for whichever replica runs at the node now.
+    pub const fn anyone(self) -> ReplicaId {
+        ReplicaId::new(self, 0)
+    }
+}
+
+impl ReplicaId {
+    /// The identity of one incarnation at `node`; incarnation 0 is nobody's.
+    pub const fn new(node: NodeNumber, incarnation: u32) -> Self {
+        Self(((node.0 as u64) << INCARNATION_BITS) | incarnation as u64)
+    }
+
+    /// The identity as messages and files carry it.
+    pub const fn from_u64(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// The form that messages and files carry.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+
+    /// The node at which the replica runs.
+    pub const fn node(self) -> NodeNumber {
+        NodeNumber((self.0 >> INCARNATION_BITS) as u32)
+    }
+
+    /// The incarnation of the replica's data folder.
+    pub const fn incarnation(self) -> u32 {
+        self.0 as u32
+    }
+}
+
+impl fmt::Display for NodeNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
+
+impl fmt::Display for ReplicaId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{:08x}", self.node(), self.incarnation())
+    }
+}
+
+impl fmt::Debug for ReplicaId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/consensus/replica_options.rs
@@ -0,0 +1,89 @@
+use super::NodeNumber;
+use crate::prelude::*;
+
+/// Times and bounds of one replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaOptions {
+    /// Nodes that may hold replicas, this one's included; a new cluster is
+    /// founded by these.
+    pub nodes: Vec<NodeNumber>,
+    /// Shortest time without a leader before an election; the longest is
+    /// twice that. Voters promise a leader this long.
+    pub election_timeout: Duration,
+    /// Time between a leader's rounds of heartbeats.
+    pub heartbeat_interval: Duration,
+    /// How much of the election timeout a lease leaves unused, in thousandths,
+    /// so that it ends before the voters' promises at clocks that drift.
+    pub lease_margin_permille: u32,
+    /// Time between requests to be taken in.
+    pub join_interval: Duration,
+    /// Most bytes of entries in one message.
+    pub max_append_bytes: usize,
+    /// Most append messages to one replica that are not yet answered.
+    pub max_inflight: usize,
+    /// Most entries of the log not yet committed; further proposals are refused.
+    pub max_uncommitted: u64,
+    /// Bytes of one part of a snapshot.
+    pub snapshot_chunk_bytes: usize,
+    /// Largest snapshot that is taken from a leader, in bytes.
+    pub max_snapshot_bytes: u64,
+    /// Entries kept behind a snapshot for replicas that lag a little.
+    pub trailing_entries: u64,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    /// Mistake that a test plants.
+    #[cfg(test)]
+    pub mistake: Option<SeededMistake>,
+}
+
+/// Mistakes that tests plant to see that their checks catch them.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SeededMistake {
+    /// A vote is answered before it is synced.
+    VoteNotSynced,
+    /// A lease outlasts the voters' promises.
+    LeaseTooLong,
+    /// A replica whose disk was lost comes back under its old identity.
+    ReturningReplicaVotes,
+}
+
+impl ReplicaOptions {
+    /// Options for voters a few milliseconds apart; see docs/design/consensus.md.
+    pub fn new(nodes: Vec<NodeNumber>, seed: u64) -> Self {
+        Self {
+            nodes,
+            election_timeout: Duration::from_millis(500),
+            heartbeat_interval: Duration::from_millis(100),
+            lease_margin_permille: 100,
+            join_interval: Duration::from_millis(250),
+            max_append_bytes: 256 * 1024,
+            max_inflight: 32,
+            max_uncommitted: 16_384,
+            snapshot_chunk_bytes: 256 * 1024,
+            max_snapshot_bytes: 256 * 1024 * 1024,
+            trailing_entries: 1_000,
+            seed,
+            #[cfg(test)]
+            mistake: None,
+        }
+    }
+
+    /// How long a lease lasts from the sending of its round.
+    pub(super) fn lease_time(&self) -> Duration {
+        #[cfg(test)]
+        if self.mistake == Some(SeededMistake::LeaseTooLong) {
+            return self.election_timeout * 8;
+        }
+        let used = 1_000_u32.saturating_sub(self.lease_margin_permille);
+        self.election_timeout * used / 1_000
+    }
+
+    /// Whether answers wait until what they tell of is synced.
+    pub(super) fn syncs_votes(&self) -> bool {
+        #[cfg(test)]
+        return self.mistake != Some(SeededMistake::VoteNotSynced);
+        #[cfg(not(test))]
+        true
+    }
+}
