--- a/crates/savorywalk/src/api/endpoint_api.rs
+++ b/crates/savorywalk/src/api/endpoint_api.rs
@@ -34,6 +34,10 @@
     let announcement: EndpointAnnouncement = request_parts::parse_json(&body)?;
     let max_lease = configuration.max_lease.min(MAX_SPREAD_LEASE);
     let lease = Duration::from_millis(announcement.lease_ms.into()).min(max_lease);
+    let (endpoint, cache_events) = (
+        announcement.endpoint.clone(),
+        announcement.cache_events.clone(),
+    );
     let outcome = node
         .directory()
         .announce(announcement, configuration.max_lease)
@@ -42,9 +46,13 @@
         let message = "the daemon is stopping; announce to another entry";
         return Err(ApiError::Unavailable(message.into()));
     };
+    let applied = outcome? == AnnouncementOutcome::Applied;
+    if applied {
+        node.take_cache_events(&endpoint, &cache_events);
+    }
     let answer = AnnouncementAnswer {
         entry: node.name(),
-        applied: outcome? == AnnouncementOutcome::Applied,
+        applied,
         lease_ms: lease.as_millis() as u64,
     };
     Ok(response_body::json(StatusCode::OK, &answer))
--- /dev/null
+++ b/crates/savorywalk/src/attempt/attempt_ledger.rs
@@ -0,0 +1,138 @@
+use futures::future::AbortHandle;
+
+use super::{LaunchKind, WasteReason, WasteTally};
+use crate::prelude::*;
+use crate::routing::OutstandingGuard;
+
+/// An attempt as the dispatcher keeps its books.
+#[derive(Debug)]
+pub(super) struct AttemptEntry {
+    pub(super) kind: LaunchKind,
+    pub(super) endpoint: String,
+    pub(super) address: SocketAddr,
+    pub(super) started: Instant,
+    pub(super) first_event: Option<Instant>,
+    pub(super) last_event: Option<Instant>,
+    pub(super) longest_gap: Option<Duration>,
+    pub(super) stalled: bool,
+    ended: Option<(Instant, WasteReason)>,
+    abort: AbortHandle,
+    guard: Option<OutstandingGuard>,
+}
+
+impl AttemptEntry {
+    pub(super) fn new(
+        now: Instant,
+        kind: LaunchKind,
+        endpoint: String,
+        address: SocketAddr,
+        abort: AbortHandle,
+        guard: OutstandingGuard,
+    ) -> Self {
+        Self {
+            kind,
+            endpoint,
+            address,
+            started: now,
+            first_event: None,
+            last_event: None,
+            longest_gap: None,
+            stalled: false,
+            ended: None,
+            abort,
+            guard: Some(guard),
+        }
+    }
+
+    /// Notes that a token event came.
+    pub(super) fn note_piece(&mut self, now: Instant) {
+        self.first_event.get_or_insert(now);
+        if let Some(last) = self.last_event.replace(now) {
+            let gap = now.saturating_duration_since(last);
+            self.longest_gap = self.longest_gap.max(Some(gap));
+        }
+    }
+
+    /// Notes that it ended, and no longer counts as in progress.
+    pub(super) fn end(&mut self, now: Instant, reason: WasteReason) {
+        self.ended.get_or_insert((now, reason));
+        self.guard = None;
+    }
+
+    /// Closes its connection.
+    pub(super) fn abort(&mut self, now: Instant) {
+        let reason = match self.stalled {
+            true => WasteReason::Stalled,
+            false => WasteReason::Hedged,
+        };
+        self.abort.abort();
+        self.end(now, reason);
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+
+    fn time(&self, now: Instant) -> Duration {
+        let ended = self.ended.map_or(now, |(ended, _)| ended);
+        ended.saturating_duration_since(self.started)
+    }
+}
+
+/// The attempts of one stage, and what they cost.
+#[derive(Debug, Default)]
+pub(super) struct AttemptLedger {
+    /// `None` for one that found no endpoint.
+    pub(super) entries: Vec<Option<AttemptEntry>>,
+}
+
+impl AttemptLedger {
+    pub(super) fn entry(&mut self, attempt: u16) -> Option<&mut AttemptEntry> {
+        self.entries.get_mut(usize::from(attempt))?.as_mut()
+    }
+
+    /// Endpoints that were tried.
+    pub(super) fn endpoints(&self) -> Vec<String> {
+        let entries = self.entries.iter().flatten();
+        entries.map(|entry| entry.endpoint.clone()).collect()
+    }
+
+    /// Attempts that were sent.
+    pub(super) fn sent(&self) -> u16 {
+        self.entries.iter().flatten().count() as u16
+    }
+
+    /// Endpoint time of `winner` with those that it resumed, and the rest by
+    /// reason.
+    pub(super) fn costs(&self, now: Instant, winner: Option<u16>) -> (Duration, WasteTally) {
+        let chain = self.chain(winner);
+        let mut used = Duration::ZERO;
+        let mut waste = WasteTally::default();
+        for (number, entry) in (0_u16..).zip(&self.entries) {
+            let Some(entry) = entry else { continue };
+            if chain.contains(&number) {
+                used += entry.time(now);
+                continue;
+            }
+            let reason = entry
+                .ended
+                .map_or(WasteReason::Expired, |(_, reason)| reason);
+            waste.add(reason, entry.time(now));
+        }
+        (used, waste)
+    }
+
+    fn chain(&self, winner: Option<u16>) -> Vec<u16> {
+        let mut chain = Vec::new();
+        let mut next = winner;
+        while let Some(attempt) = next {
+            chain.push(attempt);
+            let entry = self.entries.get(usize::from(attempt));
+            next = match entry.and_then(Option::as_ref).map(|entry| &entry.kind) {
+                Some(LaunchKind::Resume(point)) => Some(point.attempt),
+                Some(LaunchKind::First | LaunchKind::Retry | LaunchKind::Hedge) | None => None,
+            };
+        }
+        chain
+    }
+}
--- a/crates/savorywalk/src/attempt/endpoint_client.rs
+++ b/crates/savorywalk/src/attempt/endpoint_client.rs
@@ -1,13 +1,17 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::mpsc;
 
-use super::completion_stream::read_completion;
-use super::{AttemptError, AttemptId, Result, StageCall, StageReply, TokenSink};
+use super::completion_stream::{CompletionStream, StreamItem};
+use super::connection_pool::{ConnectionChoice, ConnectionPool};
+use super::open_streams::OpenStreams;
+use super::pooled_connection::{PooledConnection, SendFailure};
+use super::{
+    AttemptError, AttemptEvent, AttemptId, ProgressLimits, Result, ResumePoint, StageCall,
+    StageEvent,
+};
 use crate::configuration::StageKind;
 use crate::prelude::*;
 
@@ -15,85 +19,270 @@
 pub const ATTEMPT_HEADER: &str = "savorywalk-attempt";
 /// Header that carries the time left, in milliseconds.
 pub const DEADLINE_HEADER: &str = "savorywalk-deadline-ms";
+/// Header by which an engine names a stream that it can resume.
+pub const STREAM_HEADER: &str = "savorywalk-stream";
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Where streams are resumed and cancelled, by their name.
+const STREAMS_PATH: &str = "/v1/completions/streams";
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const MAX_ERROR_BYTES: usize = 4 << 10;
+/// Time for the end of a body after its last event; longer is not waited for
+/// a connection that would be used again.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to tell an engine that its work is not wanted any more.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most bytes of a stream's name.
+const MAX_STREAM_NAME: usize = 128;
 
 /// Calls endpoints over HTTP.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct EndpointClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: Arc<ConnectionPool>,
 }
 
-impl Default for EndpointClient {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
-    }
+/// One attempt to make.
+#[derive(Debug)]
+pub(super) struct AttemptRequest<'a> {
+    pub(super) address: SocketAddr,
+    pub(super) id: AttemptId,
+    pub(super) call: &'a StageCall,
+    pub(super) resume: Option<ResumePoint>,
+    /// False when a request that got lost on its way must be told apart.
+    pub(super) idempotent: bool,
+    pub(super) remaining: Duration,
+    /// `None` for an attempt that is never replaced.
+    pub(super) limits: Option<ProgressLimits>,
+    pub(super) streams: Arc<OpenStreams>,
+    pub(super) events: mpsc::Sender<StageEvent>,
 }
 
 impl EndpointClient {
-    /// Makes one attempt within `timeout` and checks that its answer is whole.
-    pub async fn attempt(
+    /// Makes one attempt; all that comes of it is sent as events, the last of
+    /// which is its result.
+    pub(super) async fn attempt(&self, request: AttemptRequest<'_>) {
+        let last = match self.exchange(&request).await {
+            Ok(event) => event,
+            Err(error) => AttemptEvent::Failed(error),
+        };
+        request.tell(last).await;
+    }
+
+    /// Tells an engine, in the background, that a stream is not wanted.
+    pub(super) fn cancel_stream(&self, address: SocketAddr, stream: &str) {
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let client = self.clone();
+        let path = format!("{STREAMS_PATH}/{stream}");
+        runtime.spawn(async move {
+            let cancelling = client.send_cancel(address, &path);
+            match tokio::time::timeout(CANCEL_TIMEOUT, cancelling).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log_event!(debug, "cancel_failed", path = path, error = error),
+                Err(_) => log_event!(debug, "cancel_timed_out", path = path),
+            }
+        });
+    }
+
+    async fn send_cancel(&self, address: SocketAddr, path: &str) -> Result<()> {
+        let request = Request::builder()
+            .method(Method::DELETE)
+            .uri(path)
+            .header(HOST, address.to_string())
+            .body(Full::default())
+            .map_err(|error| AttemptError::Unreachable(error.to_string()))?;
+        let (mut connection, _) = self.pool.get(address, ConnectionChoice::Fresh).await?;
+        let response = connection.send(request).await.map_err(AttemptError::from)?;
+        read_body(response.into_body(), MAX_ERROR_BYTES).await?;
+        self.pool.put(connection);
+        Ok(())
+    }
+
+    async fn exchange(&self, request: &AttemptRequest<'_>) -> Result<AttemptEvent> {
+        let sending = self.send(request);
+        let started = Instant::now();
+        let first = request.limits.map(|limits| limits.first);
+        let sent = self.watch(request, first, sending).await;
+        let (connection, response) = sent?;
+        let echo = AttemptEcho::read(&response, request.id)?;
+        let response = match check_status(response).await {
+            Ok(response) => response,
+            Err(error) => return Err(request.judge(echo, error)),
+        };
+        echo.require()?;
+        if request.call.kind == StageKind::Generate {
+            let first = first.map(|first| first.saturating_sub(started.elapsed()));
+            return self.read_stream(request, connection, response, first).await;
+        }
+        let reading = read_body(response.into_body(), MAX_ANSWER_BYTES);
+        let body = self.watch(request, first, reading).await?;
+        self.pool.put(connection);
+        Ok(AttemptEvent::Answered(request.call.read(&body)?))
+    }
+
+    /// Sends the request, on a fresh connection when a used one turns out to
+    /// be closed before a byte is written.
+    async fn send(
         &self,
-        address: SocketAddr,
-        id: AttemptId,
-        call: &StageCall,
-        timeout: Duration,
-        sink: Option<&TokenSink>,
-    ) -> Result<StageReply> {
-        let exchange = self.exchange(address, id, call, timeout, sink);
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(AttemptError::TimedOut),
+        request: &AttemptRequest<'_>,
+    ) -> Result<(PooledConnection, Response<Incoming>)> {
+        let choice = match request.idempotent && request.resume.is_none() {
+            true => ConnectionChoice::Reused,
+            false => ConnectionChoice::Fresh,
+        };
+        let (mut connection, reused) = self.pool.get(request.address, choice).await?;
+        match connection.send(request.build()?).await {
+            Ok(response) => return Ok((connection, response)),
+            Err(SendFailure::Unsent(_)) if reused => {}
+            Err(failure) => return Err(failure.into()),
         }
+        let fresh = self.pool.get(request.address, ConnectionChoice::Fresh);
+        let (mut connection, _) = fresh.await?;
+        let response = connection.send(request.build()?).await?;
+        Ok((connection, response))
     }
 
-    async fn exchange(
+    async fn read_stream(
         &self,
-        address: SocketAddr,
-        id: AttemptId,
-        call: &StageCall,
-        timeout: Duration,
-        sink: Option<&TokenSink>,
-    ) -> Result<StageReply> {
+        request: &AttemptRequest<'_>,
+        connection: PooledConnection,
+        response: Response<Incoming>,
+        first: Option<Duration>,
+    ) -> Result<AttemptEvent> {
+        if let Some(stream) = stream_name(&response) {
+            let attempt = request.id.attempt;
+            request.streams.opened(attempt, request.address, stream);
+            let named = AttemptEvent::StreamNamed(stream.to_string());
+            request.tell(named).await;
+        }
+        let mut stream = CompletionStream::new(response.into_body());
+        let between = request.limits.map(|limits| limits.between);
+        let mut limit = first;
+        loop {
+            let item = self.watch(request, limit, stream.next()).await?;
+            limit = between;
+            match item {
+                StreamItem::Piece(piece) => request.tell(AttemptEvent::Piece(piece)).await,
+                StreamItem::End(tokens) => {
+                    request.streams.closed(request.id.attempt);
+                    self.put_drained(connection, stream);
+                    return Ok(AttemptEvent::StreamEnded(tokens));
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection once the rest of its stream has come, without
+    /// making the answer wait for that.
+    fn put_drained(&self, connection: PooledConnection, stream: CompletionStream) {
+        let pool = Arc::clone(&self.pool);
+        tokio::spawn(async move {
+            if let Ok(true) = tokio::time::timeout(DRAIN_TIMEOUT, stream.drain()).await {
+                pool.put(connection);
+            }
+        });
+    }
+
+    /// Waits for a step of an attempt; tells once when it takes longer than
+    /// `limit`, and goes on waiting. The connection is suspect from then on,
+    /// and so are the idle ones to the same endpoint.
+    async fn watch<T>(
+        &self,
+        request: &AttemptRequest<'_>,
+        limit: Option<Duration>,
+        step: impl Future<Output = T>,
+    ) -> T {
+        tokio::pin!(step);
+        if let Some(limit) = limit {
+            if let Ok(done) = tokio::time::timeout(limit, &mut step).await {
+                return done;
+            }
+            self.pool.distrust(Instant::now(), request.address);
+            request.tell(AttemptEvent::Stalled).await;
+        }
+        step.await
+    }
+}
+
+impl AttemptRequest<'_> {
+    async fn tell(&self, event: AttemptEvent) {
+        let event = StageEvent::Attempt(self.id.attempt, event);
+        if self.events.send(event).await.is_err() {
+            log_event!(debug, "stage_left", attempt = self.id);
+        }
+    }
+
+    /// What an endpoint's error means: one without the attempt's echo proves
+    /// nothing, and a resume that is rejected says nothing of the work.
+    fn judge(&self, echo: AttemptEcho, error: AttemptError) -> AttemptError {
+        match error {
+            AttemptError::Rejected { message, .. } if self.resume.is_some() => {
+                AttemptError::UnknownStream(message)
+            }
+            AttemptError::Refused(message) if echo == AttemptEcho::Missing => {
+                AttemptError::Failed {
+                    status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+                    message,
+                }
+            }
+            AttemptError::Rejected { status, message } if echo == AttemptEcho::Missing => {
+                AttemptError::Failed { status, message }
+            }
+            error => error,
+        }
+    }
+
+    fn build(&self) -> Result<Request<Full<Bytes>>> {
         let request = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{address}{}", call.path))
-            .header(CONTENT_TYPE, "application/json")
-            .header(ATTEMPT_HEADER, id.to_string())
-            .header(DEADLINE_HEADER, timeout.as_millis().to_string())
-            .body(Full::new(call.body.clone()))
-            .map_err(|error| AttemptError::Unreachable(error.to_string()))?;
-        let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                AttemptError::Unreachable(error.to_string())
-            } else {
-                AttemptError::Cut(error.to_string())
+            .header(HOST, self.address.to_string())
+            .header(ATTEMPT_HEADER, self.id.to_string())
+            .header(DEADLINE_HEADER, self.remaining.as_millis().to_string());
+        let request = match &self.resume {
+            Some(point) => {
+                let ResumePoint { stream, offset, .. } = point;
+                request
+                    .method(Method::GET)
+                    .uri(format!("{STREAMS_PATH}/{stream}?offset={offset}"))
+                    .body(Full::default())
             }
-        })?;
-        let response = check_status(response).await?;
-        check_attempt(&response, id)?;
-        if call.kind == StageKind::Generate {
-            return read_completion(response.into_body(), sink).await;
+            None => request
+                .method(Method::POST)
+                .uri(&self.call.path)
+                .header(CONTENT_TYPE, "application/json")
+                .body(Full::new(self.call.body.clone())),
+        };
+        request.map_err(|error| AttemptError::Rejected {
+            status: StatusCode::BAD_REQUEST.as_u16(),
+            message: error.to_string(),
+        })
+    }
+}
+
+impl From<SendFailure> for AttemptError {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::Unsent(error) => Self::Unreachable(error),
+            SendFailure::Cut(error) => Self::Cut(error),
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|error| AttemptError::Cut(error.to_string()))?;
-        call.read(&body.to_bytes())
     }
 }
 
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes> {
+    let body = Limited::new(body, most).collect().await;
+    let body = body.map_err(|error| AttemptError::Cut(error.to_string()))?;
+    Ok(body.to_bytes())
+}
+
+/// The engine's name of its stream, if it is one that fits into a path.
+fn stream_name(response: &Response<Incoming>) -> Option<&str> {
+    let name = response.headers().get(STREAM_HEADER)?.to_str().ok()?;
+    let fits = (1..=MAX_STREAM_NAME).contains(&name.len())
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'));
+    fits.then_some(name)
+}
+
 #[derive(Deserialize)]
 struct EndpointError {
     error: EndpointErrorBody,
@@ -111,16 +300,14 @@
     if status == StatusCode::OK {
         return Ok(response);
     }
-    let body = Limited::new(response.into_body(), MAX_ERROR_BYTES)
-        .collect()
-        .await;
-    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
-    let error: Option<EndpointError> = serde_json::from_slice(&body).ok();
-    let error = error.map(|error| error.error).unwrap_or_default();
-    if error.kind == "not_run" {
-        return Err(AttemptError::Refused(error.message));
+    let body = read_body(response.into_body(), MAX_ERROR_BYTES).await;
+    let error: Option<EndpointError> = serde_json::from_slice(&body.unwrap_or_default()).ok();
+    let EndpointErrorBody { kind, message } = error.map(|error| error.error).unwrap_or_default();
+    match kind.as_str() {
+        "not_run" => return Err(AttemptError::Refused(message)),
+        "unknown_stream" => return Err(AttemptError::UnknownStream(message)),
+        _ => {}
     }
-    let (status, message) = (status, error.message);
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
         return Err(AttemptError::Rejected {
             status: status.as_u16(),
@@ -133,11 +320,31 @@
     })
 }
 
-fn check_attempt(response: &Response<Incoming>, id: AttemptId) -> Result<()> {
-    let echo = response.headers().get(ATTEMPT_HEADER);
-    let echo = echo.and_then(|value| value.to_str().ok()).unwrap_or("none");
-    if echo == id.to_string() {
-        return Ok(());
+/// Whether an answer names the attempt that asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptEcho {
+    Named,
+    Missing,
+}
+
+impl AttemptEcho {
+    /// Reads the echo; an answer that names another attempt is dropped,
+    /// whatever it says.
+    fn read(response: &Response<Incoming>, id: AttemptId) -> Result<Self> {
+        let Some(echo) = response.headers().get(ATTEMPT_HEADER) else {
+            return Ok(Self::Missing);
+        };
+        if echo.as_bytes() == id.to_string().as_bytes() {
+            return Ok(Self::Named);
+        }
+        let echo = String::from_utf8_lossy(echo.as_bytes());
+        Err(AttemptError::WrongAttempt(echo.into_owned()))
+    }
+
+    fn require(self) -> Result<()> {
+        match self {
+            Self::Named => Ok(()),
+            Self::Missing => Err(AttemptError::WrongAttempt("none".into())),
+        }
     }
-    Err(AttemptError::WrongAttempt(echo.to_string()))
 }
--- a/crates/savorywalk/src/attempt/stage_call.rs
+++ b/crates/savorywalk/src/attempt/stage_call.rs
@@ -8,6 +8,7 @@
 use super::{AttemptError, Result};
 use crate::configuration::{StageKind, StagePlan};
 use crate::prelude::*;
+use crate::routing::PromptPrefix;
 
 /// Where the pieces of a generated text go as they arrive.
 pub type TokenSink = mpsc::Sender<String>;
@@ -65,6 +66,8 @@
     pub path: String,
     /// JSON body.
     pub body: Bytes,
+    /// Opening of the prompt; empty for other kinds than generate.
+    pub prefix: PromptPrefix,
 }
 
 /// A stage's answer, read and found whole.
@@ -119,6 +122,7 @@
     /// The call for `stage`, given what earlier stages made.
     pub fn new(stage: &StagePlan, state: &StageState) -> Result<Self> {
         let model = stage.model.as_str();
+        let mut prefix = PromptPrefix::default();
         let (path, body) = match stage.kind {
             StageKind::Encode => {
                 let input = &state.input;
@@ -142,9 +146,11 @@
                 ("/v1/rerank", json(&request)?)
             }
             StageKind::Generate => {
+                let prompt = prompt(state);
+                prefix = PromptPrefix::new(&prompt);
                 let request = CompletionRequest {
                     model,
-                    prompt: &prompt(state),
+                    prompt: &prompt,
                     max_tokens: stage.max_tokens,
                     stream: true,
                     priority: 0,
@@ -164,9 +170,15 @@
             kind: stage.kind,
             path: path.to_string(),
             body,
+            prefix,
         })
     }
 
+    /// Whether the answer comes as a stream of token events.
+    pub fn is_streamed(&self) -> bool {
+        self.kind == StageKind::Generate
+    }
+
     /// Reads the whole body of an answer that is not streamed.
     pub fn read(&self, body: &[u8]) -> Result<StageReply> {
         match self.kind {
--- a/crates/savorywalk/src/attempt/stage_formats.rs
+++ b/crates/savorywalk/src/attempt/stage_formats.rs
@@ -83,6 +83,9 @@
     pub choices: Vec<CompletionChoice>,
     #[serde(default)]
     pub usage: Option<TokenUsage>,
+    /// Token events before this one; only engines that can resume tell it.
+    #[serde(default)]
+    pub offset: Option<u64>,
 }
 
 #[derive(Deserialize)]
--- /dev/null
+++ b/crates/savorywalk/src/attempt/stage_machine.rs
@@ -0,0 +1,401 @@
+use super::attempt_track::{AttemptState, AttemptTrack, PieceOrder};
+use super::{
+    AttemptError, AttemptEvent, LaunchKind, PoolBudgets, StageAction, StageEnd, StageEvent,
+    StageReply, StreamPiece,
+};
+use crate::prelude::*;
+
+/// Most times that a stage's work is begun, hedges included.
+const MAX_STARTS: usize = 3;
+/// Most times that a stage's streams are resumed.
+const MAX_RESUMES: usize = 4;
+
+/// What a stage allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StageRules {
+    /// False when the stage may run at most once.
+    pub idempotent: bool,
+    /// True when text goes to the caller as it comes, and so can't be taken back.
+    pub passes_text_on: bool,
+}
+
+/// What became of a stage's attempts, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StageCounts {
+    /// Attempts after a failure or a stall.
+    pub retries: u32,
+    /// Attempts beside a slow one.
+    pub hedges: u32,
+    /// Streams that were resumed.
+    pub resumes: u32,
+    /// Attempts that made no progress for too long.
+    pub stalls: u32,
+    /// Events of attempts that had been given up; dropped.
+    pub late: u32,
+    /// Events that had come before; dropped.
+    pub doubled: u32,
+}
+
+/// Decides all attempts of one stage of one request.
+///
+/// Its promises: one result at most is taken, of an attempt that is current;
+/// a stage that may run once is begun again only on proof that nothing ran;
+/// and the text passed on is the opening of the text in the result.
+#[derive(Debug)]
+pub struct StageMachine {
+    rules: StageRules,
+    tracks: Vec<AttemptTrack>,
+    /// Text that the caller has.
+    passed: String,
+    /// Failure of an attempt that may have run.
+    unproven: Option<AttemptError>,
+    last: Option<AttemptError>,
+    finished: bool,
+    counts: StageCounts,
+}
+
+impl StageMachine {
+    /// A machine for one stage.
+    pub fn new(rules: StageRules) -> Self {
+        Self {
+            rules,
+            tracks: Vec::new(),
+            passed: String::new(),
+            unproven: None,
+            last: None,
+            finished: false,
+            counts: StageCounts::default(),
+        }
+    }
+
+    /// The first attempt.
+    pub fn start(&mut self) -> StageAction {
+        self.launch(AttemptTrack::new(LaunchKind::First))
+    }
+
+    /// What became of the attempts so far.
+    pub fn counts(&self) -> StageCounts {
+        self.counts
+    }
+
+    /// Takes in what happened; `budgets` are those of the stage's pool.
+    pub fn handle(
+        &mut self,
+        now: Instant,
+        event: StageEvent,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        match event {
+            StageEvent::Attempt(attempt, event) => {
+                self.handle_attempt(now, attempt, event, budgets)
+            }
+            StageEvent::HedgeDue => self.hedge(now, budgets).into_iter().collect(),
+            StageEvent::DeadlinePassed => self.expire(),
+        }
+    }
+
+    fn handle_attempt(
+        &mut self,
+        now: Instant,
+        attempt: u16,
+        event: AttemptEvent,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        let state = self.track(attempt).state;
+        match state {
+            AttemptState::Running if !self.finished => {}
+            AttemptState::Won => {
+                self.counts.doubled += 1;
+                return Vec::new();
+            }
+            AttemptState::Running
+            | AttemptState::Unsent
+            | AttemptState::Failed
+            | AttemptState::Abandoned => {
+                self.counts.late += 1;
+                return Vec::new();
+            }
+        }
+        match event {
+            AttemptEvent::NoEndpoint => self.give_up_launch(attempt),
+            AttemptEvent::StreamNamed(stream) => {
+                self.track_mut(attempt).name_stream(stream);
+                Vec::new()
+            }
+            AttemptEvent::Piece(piece) => self.take_piece(now, attempt, piece, budgets),
+            AttemptEvent::StreamEnded(tokens) => self.end_stream(now, attempt, tokens, budgets),
+            AttemptEvent::Answered(reply) => self.win(attempt, reply, budgets),
+            AttemptEvent::Failed(error) => self.fail(now, attempt, error, budgets),
+            AttemptEvent::Stalled => self.stall(now, attempt, budgets),
+        }
+    }
+
+    fn track(&self, attempt: u16) -> &AttemptTrack {
+        &self.tracks[usize::from(attempt)]
+    }
+
+    fn track_mut(&mut self, attempt: u16) -> &mut AttemptTrack {
+        &mut self.tracks[usize::from(attempt)]
+    }
+
+    fn launch(&mut self, track: AttemptTrack) -> StageAction {
+        let attempt = self.tracks.len() as u16;
+        let kind = track.kind.clone();
+        match &kind {
+            LaunchKind::First => {}
+            LaunchKind::Retry => self.counts.retries += 1,
+            LaunchKind::Hedge => self.counts.hedges += 1,
+            LaunchKind::Resume(_) => self.counts.resumes += 1,
+        }
+        self.tracks.push(track);
+        StageAction::Launch(attempt, kind)
+    }
+
+    fn is_running(&self) -> bool {
+        self.tracks.iter().any(AttemptTrack::is_running)
+    }
+
+    /// Whether an attempt runs that has not stalled.
+    fn is_progressing(&self) -> bool {
+        let mut tracks = self.tracks.iter();
+        tracks.any(|track| track.is_running() && !track.stalled)
+    }
+
+    fn give_up_launch(&mut self, attempt: u16) -> Vec<StageAction> {
+        self.track_mut(attempt).state = AttemptState::Unsent;
+        if self.is_running() {
+            return Vec::new();
+        }
+        vec![self.finish_failed()]
+    }
+
+    fn take_piece(
+        &mut self,
+        now: Instant,
+        attempt: u16,
+        piece: StreamPiece,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        let track = self.track_mut(attempt);
+        let expected = track.events;
+        match track.place(piece.offset) {
+            PieceOrder::Next => {}
+            PieceOrder::Doubled => {
+                self.counts.doubled += 1;
+                return Vec::new();
+            }
+            PieceOrder::Gap => {
+                let error = AttemptError::Cut(format!("token event {expected} is missing"));
+                return self.fail(now, attempt, error, budgets);
+            }
+            PieceOrder::Unplaced => {
+                let error = AttemptError::Unreadable("a resumed stream names no offset".into());
+                return self.fail(now, attempt, error, budgets);
+            }
+        }
+        let before = track.text.len();
+        track.events += 1;
+        track.stalled = false;
+        track.text.push_str(&piece.text);
+        if !self.rules.passes_text_on {
+            return self.cancel_others(attempt);
+        }
+        let text = &self.tracks[usize::from(attempt)].text;
+        let overlap = before..self.passed.len().min(text.len()).max(before);
+        if text.as_bytes()[overlap.clone()] != self.passed.as_bytes()[overlap] {
+            return self.fail(now, attempt, AttemptError::Diverged, budgets);
+        }
+        let Some(more) = text
+            .get(self.passed.len()..)
+            .filter(|more| !more.is_empty())
+        else {
+            return Vec::new();
+        };
+        let more = more.to_string();
+        self.passed.push_str(&more);
+        let mut actions = self.cancel_others(attempt);
+        actions.push(StageAction::PassOn(more));
+        actions
+    }
+
+    fn end_stream(
+        &mut self,
+        now: Instant,
+        attempt: u16,
+        tokens: u64,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        let track = self.track_mut(attempt);
+        let text = std::mem::take(&mut track.text);
+        if self.rules.passes_text_on && text.len() < self.passed.len() {
+            return self.fail(now, attempt, AttemptError::Diverged, budgets);
+        }
+        self.win(attempt, StageReply::Text { text, tokens }, budgets)
+    }
+
+    fn win(
+        &mut self,
+        attempt: u16,
+        reply: StageReply,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        budgets.deposit();
+        let mut actions = self.cancel_others(attempt);
+        self.track_mut(attempt).state = AttemptState::Won;
+        self.finished = true;
+        actions.push(StageAction::Finish(StageEnd::Answered { attempt, reply }));
+        actions
+    }
+
+    fn cancel_others(&mut self, attempt: u16) -> Vec<StageAction> {
+        let mut actions = Vec::new();
+        for (number, track) in (0_u16..).zip(&mut self.tracks) {
+            if number != attempt && track.is_running() {
+                track.state = AttemptState::Abandoned;
+                actions.push(StageAction::Cancel(number));
+            }
+        }
+        actions
+    }
+
+    fn fail(
+        &mut self,
+        now: Instant,
+        attempt: u16,
+        error: AttemptError,
+        budgets: &mut PoolBudgets,
+    ) -> Vec<StageAction> {
+        let track = self.track_mut(attempt);
+        track.state = AttemptState::Failed;
+        // What a resume meets proves nothing of the work that it resumes.
+        if track.is_resume() || error.nothing_ran().is_none() {
+            self.unproven.get_or_insert(error.clone());
+        }
+        self.last = Some(error.clone());
+        if self.is_progressing() {
+            return Vec::new();
+        }
+        if let Some(action) = self.resume(attempt, &error) {
+            return vec![action];
+        }
+        if error.is_worth_retrying()
+            && let Some(action) = self.retry(now, error.never_arrived(), budgets)
+        {
+            return vec![action];
+        }
+        if self.is_running() {
+            return Vec::new();
+        }
+        vec![self.finish_failed()]
+    }
+
+    fn stall(&mut self, now: Instant, attempt: u16, budgets: &mut PoolBudgets) -> Vec<StageAction> {
+        self.counts.stalls += 1;
+        self.track_mut(attempt).stalled = true;
+        if self.is_progressing() {
+            return Vec::new();
+        }
+        if let Some(action) = self.resume(attempt, &AttemptError::TimedOut) {
+            self.track_mut(attempt).state = AttemptState::Abandoned;
+            self.unproven.get_or_insert(AttemptError::TimedOut);
+            return vec![StageAction::Detach(attempt), action];
+        }
+        // The stalled attempt goes on beside the new one: it may be slow
+        // rather than lost, and the first to make progress is kept.
+        self.retry(now, false, budgets).into_iter().collect()
+    }
+
+    fn resume(&mut self, attempt: u16, error: &AttemptError) -> Option<StageAction> {
+        let resumes = self.tracks.iter().filter(|track| track.is_resume()).count();
+        if resumes >= MAX_RESUMES || !error.leaves_stream() {
+            return None;
+        }
+        let point = self.track(attempt).resume_point(attempt)?;
+        let track = self.track(attempt).resumed(point);
+        Some(self.launch(track))
+    }
+
+    /// Begins the work again elsewhere, where that is allowed. An attempt that
+    /// never arrived is no load, and so needs no budget.
+    fn retry(
+        &mut self,
+        now: Instant,
+        never_arrived: bool,
+        budgets: &mut PoolBudgets,
+    ) -> Option<StageAction> {
+        let may_repeat = self.rules.idempotent || self.nothing_ran();
+        let starts = self
+            .tracks
+            .iter()
+            .filter(|track| !track.is_resume())
+            .count();
+        if !may_repeat || starts >= MAX_STARTS {
+            return None;
+        }
+        if !never_arrived && !budgets.retry.try_take(now) {
+            return None;
+        }
+        Some(self.launch(AttemptTrack::new(LaunchKind::Retry)))
+    }
+
+    fn hedge(&mut self, now: Instant, budgets: &mut PoolBudgets) -> Option<StageAction> {
+        let [only] = self.tracks.as_slice() else {
+            return None;
+        };
+        let is_waiting = only.is_running() && only.text.is_empty() && !only.stalled;
+        if self.finished || !self.rules.idempotent || !is_waiting {
+            return None;
+        }
+        if !budgets.hedge.try_take(now) {
+            return None;
+        }
+        Some(self.launch(AttemptTrack::new(LaunchKind::Hedge)))
+    }
+
+    fn expire(&mut self) -> Vec<StageAction> {
+        if self.finished {
+            return Vec::new();
+        }
+        let error = match self.nothing_ran() {
+            true => AttemptError::Expired,
+            false => AttemptError::TimedOut,
+        };
+        let mut actions = Vec::new();
+        for (number, track) in (0_u16..).zip(&mut self.tracks) {
+            if track.is_running() {
+                track.state = AttemptState::Abandoned;
+                actions.push(StageAction::Cancel(number));
+            }
+        }
+        self.last = Some(error);
+        actions.push(self.finish_failed());
+        actions
+    }
+
+    /// Whether it is proven of every attempt that nothing ran.
+    fn nothing_ran(&self) -> bool {
+        let mut tracks = self.tracks.iter();
+        self.unproven.is_none()
+            && tracks.all(|track| match track.state {
+                AttemptState::Unsent | AttemptState::Failed => true,
+                AttemptState::Running | AttemptState::Abandoned | AttemptState::Won => false,
+            })
+    }
+
+    /// Ends the stage with the failure that tells most: for a stage that may
+    /// run once, that of the attempt which may have run.
+    fn finish_failed(&mut self) -> StageAction {
+        self.finished = true;
+        let nothing_ran = self.nothing_ran();
+        let last = self.last.take();
+        let error = match self.rules.idempotent {
+            true => last,
+            false => self.unproven.take().or(last),
+        };
+        StageAction::Finish(StageEnd::Failed { error, nothing_ran })
+    }
+}
+
+#[cfg(test)]
+#[path = "stage_machine_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/attempt/stage_machine_tests.rs
@@ -0,0 +1,410 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+
+use super::*;
+
+const TEXT: [&str; 8] = ["Tow ", "the ", "mini", "bus ", "to ", "Adá", "ma", "."];
+const CASES: u32 = 4_000;
+
+/// A machine with what it has asked for.
+struct MachineDriver {
+    machine: StageMachine,
+    budgets: PoolBudgets,
+    now: Instant,
+    launched: Vec<LaunchKind>,
+    cancelled: Vec<u16>,
+    passed: String,
+    ends: Vec<StageEnd>,
+}
+
+impl MachineDriver {
+    fn new(idempotent: bool, passes_text_on: bool) -> Self {
+        let rules = StageRules {
+            idempotent,
+            passes_text_on,
+        };
+        let mut driver = Self {
+            machine: StageMachine::new(rules),
+            budgets: PoolBudgets::default(),
+            now: Instant::now(),
+            launched: Vec::new(),
+            cancelled: Vec::new(),
+            passed: String::new(),
+            ends: Vec::new(),
+        };
+        let first = driver.machine.start();
+        driver.perform(vec![first]);
+        driver
+    }
+
+    fn perform(&mut self, actions: Vec<StageAction>) {
+        for action in actions {
+            assert!(self.ends.is_empty(), "{action:?} after the end");
+            match action {
+                StageAction::Launch(attempt, kind) => {
+                    assert_eq!(usize::from(attempt), self.launched.len());
+                    self.launched.push(kind);
+                }
+                StageAction::Cancel(attempt) | StageAction::Detach(attempt) => {
+                    self.cancelled.push(attempt);
+                }
+                StageAction::PassOn(text) => self.passed.push_str(&text),
+                StageAction::Finish(end) => self.ends.push(end),
+            }
+        }
+    }
+
+    fn event(&mut self, event: StageEvent) {
+        let actions = self.machine.handle(self.now, event, &mut self.budgets);
+        self.perform(actions);
+    }
+
+    fn attempt(&mut self, attempt: u16, event: AttemptEvent) {
+        self.event(StageEvent::Attempt(attempt, event));
+    }
+
+    fn piece(&mut self, attempt: u16, index: usize) {
+        self.attempt(attempt, piece(index, TEXT[index]));
+    }
+
+    fn answer(&self) -> &StageReply {
+        match self.ends.as_slice() {
+            [StageEnd::Answered { reply, .. }] => reply,
+            other => panic!("no answer but {other:?}"),
+        }
+    }
+
+    fn failure(&self) -> (Option<AttemptError>, bool) {
+        match self.ends.as_slice() {
+            [StageEnd::Failed { error, nothing_ran }] => (error.clone(), *nothing_ran),
+            other => panic!("no failure but {other:?}"),
+        }
+    }
+}
+
+fn piece(index: usize, text: &str) -> AttemptEvent {
+    AttemptEvent::Piece(StreamPiece {
+        offset: Some(index as u64),
+        text: text.into(),
+    })
+}
+
+fn cut() -> AttemptEvent {
+    AttemptEvent::Failed(AttemptError::Cut("reset".into()))
+}
+
+fn refused() -> AttemptEvent {
+    AttemptEvent::Failed(AttemptError::Refused("full".into()))
+}
+
+fn service() -> StageReply {
+    StageReply::Service {
+        value: serde_json::Value::Null,
+    }
+}
+
+#[test]
+fn a_cut_stream_is_resumed_at_its_offset() {
+    let mut driver = MachineDriver::new(true, true);
+    driver.attempt(0, AttemptEvent::StreamNamed("s".into()));
+    driver.piece(0, 0);
+    driver.piece(0, 1);
+    driver.attempt(0, cut());
+    let LaunchKind::Resume(point) = &driver.launched[1] else {
+        panic!("{:?}", driver.launched);
+    };
+    assert_eq!((point.attempt, point.offset), (0, 2));
+    for index in 2..TEXT.len() {
+        driver.piece(1, index);
+    }
+    driver.attempt(1, AttemptEvent::StreamEnded(9));
+    let text = TEXT.concat();
+    assert_eq!(driver.passed, text);
+    assert_eq!(*driver.answer(), StageReply::Text { text, tokens: 9 });
+}
+
+#[test]
+fn a_stalled_stream_is_resumed_on_another_connection() {
+    let mut driver = MachineDriver::new(false, true);
+    driver.attempt(0, AttemptEvent::StreamNamed("s".into()));
+    driver.piece(0, 0);
+    driver.attempt(0, AttemptEvent::Stalled);
+    assert_eq!(driver.cancelled, [0]);
+    assert!(matches!(driver.launched[1], LaunchKind::Resume(_)));
+    driver.attempt(
+        1,
+        AttemptEvent::Failed(AttemptError::Refused("gone".into())),
+    );
+    let (error, nothing_ran) = driver.failure();
+    assert_eq!((error, nothing_ran), (Some(AttemptError::TimedOut), false));
+}
+
+#[test]
+fn a_retried_text_that_differs_is_never_mixed_in() {
+    let mut driver = MachineDriver::new(true, true);
+    driver.piece(0, 0);
+    driver.attempt(0, cut());
+    assert_eq!(driver.launched[1], LaunchKind::Retry);
+    driver.attempt(1, piece(0, "Toe "));
+    assert_eq!(driver.failure().0, Some(AttemptError::Diverged));
+    assert_eq!(driver.passed, TEXT[0]);
+}
+
+#[test]
+fn a_retried_text_that_stops_short_is_an_error() {
+    let mut driver = MachineDriver::new(true, true);
+    driver.piece(0, 0);
+    driver.piece(0, 1);
+    driver.attempt(0, cut());
+    driver.piece(1, 0);
+    driver.attempt(1, AttemptEvent::StreamEnded(1));
+    assert_eq!(driver.failure().0, Some(AttemptError::Diverged));
+}
+
+#[test]
+fn a_text_that_nobody_has_seen_may_differ_when_retried() {
+    let mut driver = MachineDriver::new(true, false);
+    driver.piece(0, 0);
+    driver.attempt(0, cut());
+    driver.attempt(1, piece(0, "Another."));
+    driver.attempt(1, AttemptEvent::StreamEnded(1));
+    let text = "Another.".to_string();
+    assert_eq!(*driver.answer(), StageReply::Text { text, tokens: 1 });
+}
+
+#[test]
+fn a_stage_that_may_run_once_is_not_begun_again_after_a_cut() {
+    let mut driver = MachineDriver::new(false, false);
+    driver.attempt(0, cut());
+    assert_eq!(driver.launched.len(), 1);
+    let (error, nothing_ran) = driver.failure();
+    assert!(!error.unwrap().outcome_is_known());
+    assert!(!nothing_ran);
+}
+
+#[test]
+fn a_stage_that_may_run_once_goes_elsewhere_on_proof() {
+    let mut driver = MachineDriver::new(false, false);
+    driver.attempt(0, refused());
+    driver.attempt(1, AttemptEvent::Answered(service()));
+    assert_eq!(*driver.answer(), service());
+}
+
+#[test]
+fn a_stage_that_may_run_once_is_neither_hedged_nor_replaced() {
+    let mut driver = MachineDriver::new(false, false);
+    driver.event(StageEvent::HedgeDue);
+    driver.attempt(0, AttemptEvent::Stalled);
+    assert_eq!(driver.launched.len(), 1);
+    driver.attempt(0, AttemptEvent::Answered(service()));
+    assert_eq!(*driver.answer(), service());
+}
+
+#[test]
+fn the_loser_of_a_hedge_is_cancelled_and_its_answer_dropped() {
+    let mut driver = MachineDriver::new(true, false);
+    driver.event(StageEvent::HedgeDue);
+    assert_eq!(driver.launched[1], LaunchKind::Hedge);
+    driver.attempt(1, AttemptEvent::Answered(service()));
+    assert_eq!(driver.cancelled, [0]);
+    driver.attempt(0, AttemptEvent::Answered(service()));
+    driver.attempt(1, AttemptEvent::Answered(service()));
+    let counts = driver.machine.counts();
+    assert_eq!((counts.late, counts.doubled), (1, 1));
+    assert_eq!(driver.ends.len(), 1);
+}
+
+#[test]
+fn a_stalled_attempt_may_still_answer_before_its_replacement() {
+    let mut driver = MachineDriver::new(true, false);
+    driver.attempt(0, AttemptEvent::Stalled);
+    assert_eq!(driver.launched[1], LaunchKind::Retry);
+    driver.attempt(0, AttemptEvent::Answered(service()));
+    assert_eq!(driver.cancelled, [1]);
+    assert_eq!(*driver.answer(), service());
+}
+
+#[test]
+fn without_budget_a_stalled_attempt_goes_on_alone() {
+    let mut driver = MachineDriver::new(true, false);
+    while driver.budgets.retry.try_take(driver.now) {}
+    driver.attempt(0, AttemptEvent::Stalled);
+    assert_eq!(driver.launched.len(), 1);
+    assert!(driver.ends.is_empty() && driver.cancelled.is_empty());
+}
+
+#[test]
+fn an_endpoint_that_can_t_be_reached_costs_no_budget() {
+    let mut driver = MachineDriver::new(true, false);
+    while driver.budgets.retry.try_take(driver.now) {}
+    let gone = AttemptError::Unreachable("refused".into());
+    driver.attempt(0, AttemptEvent::Failed(gone));
+    driver.attempt(1, refused());
+    let (error, nothing_ran) = driver.failure();
+    assert_eq!(error, Some(AttemptError::Refused("full".into())));
+    assert!(nothing_ran);
+}
+
+#[test]
+fn a_deadline_between_attempts_is_no_unknown_outcome() {
+    let mut driver = MachineDriver::new(false, false);
+    driver.attempt(0, refused());
+    driver.attempt(1, AttemptEvent::NoEndpoint);
+    assert!(driver.failure().1);
+    let mut driver = MachineDriver::new(false, false);
+    driver.event(StageEvent::DeadlinePassed);
+    assert_eq!(driver.failure(), (Some(AttemptError::TimedOut), false));
+}
+
+/// What a random schedule does to one attempt.
+#[derive(Clone, Copy, Debug)]
+enum ScheduleStep {
+    Name,
+    Next,
+    Repeat,
+    Skip,
+    Cut,
+    Refuse,
+    Vanish,
+    Stall,
+    End,
+    Hedge,
+    Expire,
+}
+
+fn step() -> impl Strategy<Value = (ScheduleStep, usize)> {
+    let step = prop_oneof![
+        2 => Just(ScheduleStep::Name),
+        24 => Just(ScheduleStep::Next),
+        2 => Just(ScheduleStep::Repeat),
+        1 => Just(ScheduleStep::Skip),
+        3 => Just(ScheduleStep::Cut),
+        1 => Just(ScheduleStep::Refuse),
+        1 => Just(ScheduleStep::Vanish),
+        2 => Just(ScheduleStep::Stall),
+        6 => Just(ScheduleStep::End),
+        1 => Just(ScheduleStep::Hedge),
+        1 => Just(ScheduleStep::Expire),
+    ];
+    (step, 0_usize..6)
+}
+
+/// An engine's side of one attempt, which goes on after it was given up.
+struct FakeStream {
+    next: usize,
+    differs: bool,
+}
+
+fn run_schedule(idempotent: bool, passes: bool, steps: &[(ScheduleStep, usize)]) {
+    let mut driver = MachineDriver::new(idempotent, passes);
+    let mut streams: Vec<FakeStream> = Vec::new();
+    let mut proven: Vec<bool> = Vec::new();
+    for (step, pick) in steps {
+        while streams.len() < driver.launched.len() {
+            let kind = &driver.launched[streams.len()];
+            if !idempotent && *kind == LaunchKind::Retry {
+                assert!(
+                    proven.iter().all(|proven| *proven),
+                    "begun again without proof"
+                );
+            }
+            assert!(idempotent || *kind != LaunchKind::Hedge, "hedged");
+            let next = match kind {
+                LaunchKind::Resume(point) => point.offset as usize,
+                LaunchKind::First | LaunchKind::Retry | LaunchKind::Hedge => 0,
+            };
+            let differs = match kind {
+                LaunchKind::Resume(point) => streams[usize::from(point.attempt)].differs,
+                LaunchKind::First | LaunchKind::Retry | LaunchKind::Hedge => pick % 3 == 2,
+            };
+            streams.push(FakeStream { next, differs });
+            proven.push(false);
+        }
+        let index = pick % streams.len();
+        let attempt = index as u16;
+        let stream = &mut streams[index];
+        let token = |number: usize| match (stream.differs, number) {
+            (true, 4) => "at ",
+            _ => TEXT[number],
+        };
+        match step {
+            ScheduleStep::Name => driver.attempt(attempt, AttemptEvent::StreamNamed("s".into())),
+            ScheduleStep::Next if stream.next < TEXT.len() => {
+                driver.attempt(attempt, piece(stream.next, token(stream.next)));
+                stream.next += 1;
+            }
+            ScheduleStep::Repeat if stream.next > 0 => {
+                driver.attempt(attempt, piece(stream.next - 1, token(stream.next - 1)));
+            }
+            ScheduleStep::Skip if stream.next + 1 < TEXT.len() => {
+                driver.attempt(attempt, piece(stream.next + 1, token(stream.next + 1)));
+            }
+            ScheduleStep::End if stream.next == TEXT.len() => {
+                driver.attempt(attempt, AttemptEvent::StreamEnded(8));
+            }
+            ScheduleStep::Next | ScheduleStep::Repeat | ScheduleStep::Skip | ScheduleStep::End => {}
+            ScheduleStep::Cut => driver.attempt(attempt, cut()),
+            ScheduleStep::Refuse | ScheduleStep::Vanish if stream.next > 0 => {}
+            ScheduleStep::Refuse => {
+                proven[index] = !matches!(driver.launched[index], LaunchKind::Resume(_));
+                driver.attempt(attempt, refused());
+            }
+            ScheduleStep::Vanish => {
+                proven[index] = !matches!(driver.launched[index], LaunchKind::Resume(_));
+                let error = AttemptError::Unreachable("refused".into());
+                driver.attempt(attempt, AttemptEvent::Failed(error));
+            }
+            ScheduleStep::Stall => driver.attempt(attempt, AttemptEvent::Stalled),
+            ScheduleStep::Hedge => driver.event(StageEvent::HedgeDue),
+            ScheduleStep::Expire => driver.event(StageEvent::DeadlinePassed),
+        }
+    }
+    assert!(driver.ends.len() <= 1);
+    let other = TEXT.concat().replace("to ", "at ");
+    assert!(TEXT.concat().starts_with(&driver.passed) || other.starts_with(&driver.passed));
+    match driver.ends.first() {
+        Some(StageEnd::Answered { attempt, reply }) => {
+            let StageReply::Text { text, .. } = reply else {
+                panic!("{reply:?}");
+            };
+            let whole = match streams[usize::from(*attempt)].differs {
+                true => other,
+                false => TEXT.concat(),
+            };
+            assert_eq!(*text, whole);
+            assert!(!passes || driver.passed == whole);
+        }
+        Some(StageEnd::Failed {
+            nothing_ran: true, ..
+        }) => {
+            assert!(proven.iter().all(|proven| *proven), "not run without proof");
+        }
+        Some(StageEnd::Failed { error, .. }) if !idempotent => {
+            assert!(!error.as_ref().unwrap().outcome_is_known(), "{error:?}");
+        }
+        Some(StageEnd::Failed { .. }) | None => {}
+    }
+}
+
+#[test]
+fn any_order_of_events_keeps_the_promises() {
+    let config = Config {
+        cases: CASES,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let schedule = (
+        any::<bool>(),
+        any::<bool>(),
+        prop::collection::vec(step(), 1..80),
+    );
+    let result = TestRunner::new(config).run(&schedule, |(idempotent, passes, steps)| {
+        run_schedule(idempotent, passes, &steps);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("seed 41: {error}");
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/attempt/stage_run.rs
@@ -0,0 +1,378 @@
+use futures::StreamExt;
+use futures::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
+use futures::stream::FuturesUnordered;
+use tokio::sync::mpsc;
+
+use super::attempt_ledger::{AttemptEntry, AttemptLedger};
+use super::endpoint_client::AttemptRequest;
+use super::open_streams::OpenStreams;
+use super::{
+    AttemptError, AttemptEvent, AttemptId, LaunchKind, PaceKey, StageAction, StageCall,
+    StageDispatcher, StageEnd, StageEvent, StageFailure, StageMachine, StageOutcome, StageRequest,
+    StageRules, WasteReason,
+};
+use crate::admission::{FirstDispatch, RequestPhase};
+use crate::prelude::*;
+use crate::routing::{AttemptReport, RouteQuery};
+
+/// Events that may wait while the caller takes its text.
+const EVENT_CAPACITY: usize = 32;
+
+/// Performs what the machine of one stage asks for, and tells it what happens.
+pub(super) struct StageRun<'a> {
+    dispatcher: &'a StageDispatcher,
+    request: StageRequest<'a>,
+    call: &'a StageCall,
+    pace: PaceKey,
+    machine: StageMachine,
+    ledger: AttemptLedger,
+    attempts: FuturesUnordered<BoxFuture<'a, ()>>,
+    sender: mpsc::Sender<StageEvent>,
+    events: mpsc::Receiver<StageEvent>,
+    streams: Arc<OpenStreams>,
+    first: Option<FirstDispatch>,
+}
+
+impl<'a> StageRun<'a> {
+    pub(super) fn new(
+        dispatcher: &'a StageDispatcher,
+        request: StageRequest<'a>,
+        call: &'a StageCall,
+    ) -> Self {
+        let rules = StageRules {
+            idempotent: request.idempotent,
+            passes_text_on: request.sink.is_some(),
+        };
+        let stage = request.stage;
+        let (sender, events) = mpsc::channel(EVENT_CAPACITY);
+        Self {
+            dispatcher,
+            request,
+            call,
+            pace: PaceKey::new(&stage.pool, &stage.model, call.body.len()),
+            machine: StageMachine::new(rules),
+            ledger: AttemptLedger::default(),
+            attempts: FuturesUnordered::new(),
+            sender,
+            events,
+            streams: Arc::new(OpenStreams::new(&dispatcher.client)),
+            first: None,
+        }
+    }
+
+    /// Runs the stage to its end.
+    pub(super) async fn drive(
+        mut self,
+        phase: &mut RequestPhase,
+    ) -> Result<StageOutcome, StageFailure> {
+        let deadline = tokio::time::Instant::from_std(self.request.deadline.ends());
+        let expiry = tokio::time::sleep_until(deadline);
+        tokio::pin!(expiry);
+        let hedge_delay = self.dispatcher.paces.hedge_delay(&self.pace);
+        let hedge = tokio::time::sleep(hedge_delay.unwrap_or(Duration::MAX));
+        tokio::pin!(hedge);
+        let mut may_hedge = hedge_delay.is_some() && self.request.idempotent;
+        let mut actions = vec![self.machine.start()];
+        loop {
+            if let Some(end) = self.perform(actions, phase).await {
+                return self.finish(end, phase);
+            }
+            let event = tokio::select! {
+                biased;
+                Some(event) = self.events.recv() => event,
+                Some(()) = self.attempts.next() => {
+                    actions = Vec::new();
+                    continue;
+                }
+                () = &mut expiry => StageEvent::DeadlinePassed,
+                () = &mut hedge, if may_hedge => {
+                    may_hedge = false;
+                    StageEvent::HedgeDue
+                }
+            };
+            self.note(&event);
+            actions = self.decide(event);
+        }
+    }
+
+    fn decide(&mut self, event: StageEvent) -> Vec<StageAction> {
+        let now = Instant::now();
+        let machine = &mut self.machine;
+        let budgets = &self.dispatcher.budgets;
+        budgets.with(&self.request.stage.pool, |budgets| {
+            machine.handle(now, event, budgets)
+        })
+    }
+
+    /// Performs actions; gives the stage's end when it has come.
+    async fn perform(
+        &mut self,
+        actions: Vec<StageAction>,
+        phase: &mut RequestPhase,
+    ) -> Option<StageEnd> {
+        let mut waiting = VecDeque::from(actions);
+        while let Some(action) = waiting.pop_front() {
+            match action {
+                StageAction::Launch(attempt, kind) => {
+                    if !self.launch(attempt, kind, phase) {
+                        let event = StageEvent::Attempt(attempt, AttemptEvent::NoEndpoint);
+                        waiting.extend(self.decide(event));
+                    }
+                }
+                StageAction::Cancel(attempt) => {
+                    self.streams.cancel(attempt);
+                    self.abort(attempt);
+                }
+                StageAction::Detach(attempt) => {
+                    self.streams.closed(attempt);
+                    self.abort(attempt);
+                }
+                StageAction::PassOn(text) => self.pass_on(text).await,
+                StageAction::Finish(end) => return Some(end),
+            }
+        }
+        None
+    }
+
+    /// Sends an attempt on its way; false when no endpoint serves it.
+    fn launch(&mut self, attempt: u16, kind: LaunchKind, phase: &mut RequestPhase) -> bool {
+        let now = Instant::now();
+        let Some((endpoint, address)) = self.place(now, &kind) else {
+            self.ledger.entries.push(None);
+            return false;
+        };
+        let id = AttemptId {
+            request: self.request.request,
+            stage: self.request.index,
+            attempt,
+        };
+        let resume = match &kind {
+            LaunchKind::Resume(point) => {
+                // The stream is the new attempt's now.
+                self.streams.closed(point.attempt);
+                self.streams.opened(attempt, address, &point.stream);
+                Some(point.clone())
+            }
+            LaunchKind::First | LaunchKind::Retry | LaunchKind::Hedge => None,
+        };
+        if attempt > 0 {
+            log_event!(
+                info,
+                "attempt_added",
+                attempt = id,
+                endpoint = endpoint,
+                kind = kind.label()
+            );
+        }
+        let remaining = self.request.deadline.remaining(now);
+        let is_replaceable = self.request.idempotent || self.call.is_streamed();
+        let limits = self.dispatcher.paces.limits(&self.pace, remaining);
+        let request = AttemptRequest {
+            address,
+            id,
+            call: self.call,
+            resume,
+            idempotent: self.request.idempotent,
+            remaining,
+            limits: is_replaceable.then_some(limits),
+            streams: Arc::clone(&self.streams),
+            events: self.sender.clone(),
+        };
+        if kind == LaunchKind::Retry {
+            self.cancel_ended();
+        }
+        if let Some(first) = phase.dispatch() {
+            self.first = Some(first);
+        }
+        let client = &self.dispatcher.client;
+        let (abort, registration) = AbortHandle::new_pair();
+        let exchange = Abortable::new(client.attempt(request), registration);
+        self.attempts.push(exchange.map(|_| ()).boxed());
+        let guard = self.dispatcher.router.outstanding.enter(&endpoint);
+        let entry = AttemptEntry::new(now, kind, endpoint, address, abort, guard);
+        self.ledger.entries.push(Some(entry));
+        true
+    }
+
+    /// The endpoint for an attempt: a resume goes where its stream is, and a
+    /// hedge never where the first attempt is.
+    fn place(&mut self, now: Instant, kind: &LaunchKind) -> Option<(String, SocketAddr)> {
+        if let LaunchKind::Resume(point) = kind {
+            let entry = self.ledger.entry(point.attempt)?;
+            return Some((entry.endpoint.clone(), entry.address));
+        }
+        let excluded = self.ledger.endpoints();
+        let query = RouteQuery {
+            pool: &self.request.stage.pool,
+            model: &self.request.stage.model,
+            version: "",
+            adapter: "",
+            prefix: &self.call.prefix,
+            excluded: &excluded,
+        };
+        let directory = self.dispatcher.directory.snapshot();
+        let record = self.dispatcher.router.pick(now, &directory, query)?;
+        let announcement = &record.announcement;
+        if *kind == LaunchKind::Hedge && query.excludes(&announcement.endpoint) {
+            return None;
+        }
+        Some((announcement.endpoint.clone(), announcement.address))
+    }
+
+    /// Cancels streams that were cut, now that the work begins again elsewhere.
+    fn cancel_ended(&self) {
+        for (attempt, entry) in (0..).zip(&self.ledger.entries) {
+            if entry.as_ref().is_some_and(AttemptEntry::has_ended) {
+                self.streams.cancel(attempt);
+            }
+        }
+    }
+
+    fn abort(&mut self, attempt: u16) {
+        if let Some(entry) = self.ledger.entry(attempt) {
+            entry.abort(Instant::now());
+        }
+    }
+
+    async fn pass_on(&mut self, text: String) {
+        let Some(sink) = self.request.sink else {
+            return;
+        };
+        let deadline = tokio::time::Instant::from_std(self.request.deadline.ends());
+        match tokio::time::timeout_at(deadline, sink.send(text)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => log_event!(debug, "token_sink_closed"),
+            Err(_) => log_event!(info, "caller_too_slow", request = self.request.request),
+        }
+    }
+
+    /// Keeps the books on what an attempt shows of its endpoint.
+    fn note(&mut self, event: &StageEvent) {
+        let now = Instant::now();
+        let StageEvent::Attempt(attempt, event) = event else {
+            return;
+        };
+        let Some(entry) = self.ledger.entry(*attempt) else {
+            return;
+        };
+        let report = match event {
+            AttemptEvent::NoEndpoint | AttemptEvent::StreamNamed(_) => None,
+            AttemptEvent::Piece(_) => {
+                entry.note_piece(now);
+                None
+            }
+            AttemptEvent::Stalled => {
+                entry.stalled = true;
+                Some(AttemptReport::Failed)
+            }
+            AttemptEvent::StreamEnded(_) | AttemptEvent::Answered(_) => {
+                entry.end(now, WasteReason::Hedged);
+                Some(AttemptReport::Succeeded(now - entry.started))
+            }
+            AttemptEvent::Failed(error) => {
+                entry.end(now, waste_reason(error));
+                error.blames_endpoint().then_some(AttemptReport::Failed)
+            }
+        };
+        let endpoint = entry.endpoint.clone();
+        if let AttemptEvent::Failed(error) = event {
+            let request = self.request.request;
+            log_event!(
+                warn,
+                "attempt_failed",
+                request = request,
+                attempt = attempt,
+                endpoint = endpoint,
+                error = error
+            );
+        }
+        if let Some(report) = report {
+            self.dispatcher
+                .report(now, &self.request.stage.pool, &endpoint, report);
+        }
+    }
+
+    fn finish(
+        mut self,
+        end: StageEnd,
+        phase: &mut RequestPhase,
+    ) -> Result<StageOutcome, StageFailure> {
+        let now = Instant::now();
+        let pool = &self.request.stage.pool;
+        let metrics = &self.dispatcher.metrics;
+        metrics.record_counts(pool, self.machine.counts());
+        match end {
+            StageEnd::Answered { attempt, reply } => {
+                let (endpoint_time, waste) = self.ledger.costs(now, Some(attempt));
+                metrics.record_waste(pool, &waste);
+                let endpoint = self.learn(now, attempt);
+                Ok(StageOutcome {
+                    reply,
+                    endpoint,
+                    attempts: self.ledger.sent(),
+                    endpoint_time,
+                    wasted_time: waste.total(),
+                    waste,
+                })
+            }
+            StageEnd::Failed { error, nothing_ran } => {
+                let (_, waste) = self.ledger.costs(now, None);
+                metrics.record_waste(pool, &waste);
+                self.revert(error.as_ref(), nothing_ran, phase);
+                Err(StageFailure {
+                    error,
+                    wasted_time: waste.total(),
+                    waste,
+                })
+            }
+        }
+    }
+
+    /// Takes the request's start back when it is proven that nothing ran.
+    fn revert(
+        &mut self,
+        error: Option<&AttemptError>,
+        nothing_ran: bool,
+        phase: &mut RequestPhase,
+    ) {
+        let proof = error.and_then(AttemptError::nothing_ran);
+        if let (true, Some(first), Some(proof)) = (nothing_ran, self.first.take(), proof) {
+            phase.revert(first, proof);
+        }
+    }
+
+    /// Learns from the attempt that gave the result; gives its endpoint.
+    fn learn(&mut self, now: Instant, attempt: u16) -> String {
+        let Some(entry) = self.ledger.entry(attempt) else {
+            return String::new();
+        };
+        let first = entry.first_event.unwrap_or(now) - entry.started;
+        let (gap, endpoint) = (entry.longest_gap, entry.endpoint.clone());
+        let is_resume = match entry.kind {
+            LaunchKind::Resume(_) => true,
+            LaunchKind::First | LaunchKind::Retry | LaunchKind::Hedge => false,
+        };
+        if !is_resume {
+            self.dispatcher.paces.record(&self.pace, first, gap);
+        }
+        self.dispatcher
+            .router
+            .note_prefix(now, &endpoint, &self.call.prefix);
+        endpoint
+    }
+}
+
+fn waste_reason(error: &AttemptError) -> WasteReason {
+    match error {
+        AttemptError::Refused(_) | AttemptError::NoConnection(_) => WasteReason::Refused,
+        AttemptError::TimedOut | AttemptError::Expired => WasteReason::Expired,
+        AttemptError::Unreachable(_)
+        | AttemptError::Rejected { .. }
+        | AttemptError::Failed { .. }
+        | AttemptError::Cut(_)
+        | AttemptError::Unreadable(_)
+        | AttemptError::WrongAttempt(_)
+        | AttemptError::UnknownStream(_)
+        | AttemptError::Diverged => WasteReason::Failed,
+    }
+}
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -15,7 +15,7 @@
 use crate::prelude::*;
 use crate::routing::{EndpointRouter, RoutingPolicy};
 use crate::settings::{DaemonSettings, EntrySettings, ListenerSettings};
-use crate::telemetry::{MetricError, MetricSet};
+use crate::telemetry::{AttemptMetrics, MetricError, MetricSet};
 
 const DEFAULT_MAX_REQUESTS: u32 = 4096;
 /// Longest wait for operators' and endpoints' calls at a stop; they are short,
@@ -73,7 +73,9 @@
         let ledger = Arc::new(CostLedger::default());
         let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
         let router = EndpointRouter::new(policy, &node_settings.data_center);
-        let dispatcher = StageDispatcher::new(router, EndpointClient::default(), directory.clone());
+        let client = EndpointClient::default();
+        let attempt_metrics = AttemptMetrics::new(metrics.meter());
+        let dispatcher = StageDispatcher::new(router, client, directory.clone(), attempt_metrics);
         let admission =
             AdmissionControl::new(AdmissionMode::for_routing(policy), directory.clone());
         let runner = PipelineRunner::new(
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -8,7 +8,7 @@
 use crate::configuration::ConfigurationCell;
 use crate::control::ControlClient;
 use crate::cost::CostLedger;
-use crate::directory::DirectoryHandle;
+use crate::directory::{CacheEvent, DirectoryHandle};
 use crate::pipeline::{PipelineAnswer, PipelineRequest, PipelineRunner, Result};
 use crate::prelude::*;
 use crate::queueing::QueueTable;
@@ -96,6 +96,12 @@
         self.runner.admission().queues()
     }
 
+    /// Takes in what an endpoint announces of its prefix cache.
+    pub fn take_cache_events(&self, endpoint: &str, events: &[CacheEvent]) {
+        let router = self.runner.router();
+        router.take_cache_events(Instant::now(), endpoint, events);
+    }
+
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
--- a/crates/savorywalk/src/pipeline/pipeline_runner.rs
+++ b/crates/savorywalk/src/pipeline/pipeline_runner.rs
@@ -10,6 +10,7 @@
 use crate::configuration::{StageKind, StagePlan};
 use crate::cost::{CostLedger, WasteReason};
 use crate::prelude::*;
+use crate::routing::EndpointRouter;
 use crate::telemetry::{MetricSet, RequestOutcome};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -49,6 +50,11 @@
         &self.admission
     }
 
+    /// The router, to tell it what endpoints announce of their caches.
+    pub fn router(&self) -> &EndpointRouter {
+        self.dispatcher.router()
+    }
+
     /// Runs a request to its answer or its error.
     pub async fn run(&self, request: PipelineRequest) -> Result<PipelineAnswer> {
         let pipeline = Arc::clone(&request.pipeline);
@@ -214,7 +220,9 @@
 ) -> PipelineError {
     if let Some(unstarted) = phase.into_unstarted() {
         let (reason, retry_after) = match failure.error {
-            Some(AttemptError::TimedOut) => (RefusalReason::DeadlineTooShort, DEADLINE_RETRY),
+            Some(AttemptError::TimedOut | AttemptError::Expired) => {
+                (RefusalReason::DeadlineTooShort, DEADLINE_RETRY)
+            }
             Some(_) | None => (RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY),
         };
         return unstarted.refuse(reason, retry_after).into();
@@ -233,7 +241,7 @@
                 completed_stages,
             }
         }
-        Some(AttemptError::TimedOut) => PipelineError::DeadlineExceeded {
+        Some(AttemptError::TimedOut | AttemptError::Expired) => PipelineError::DeadlineExceeded {
             stage,
             completed_stages,
         },
--- a/crates/savorywalk/src/telemetry/mod.rs
+++ b/crates/savorywalk/src/telemetry/mod.rs
@@ -1,9 +1,11 @@
 //! What a daemon tells its operators: log lines and metrics.
 //! See docs/operators/monitoring.md.
 
+mod attempt_metrics;
 mod log_event;
 mod metric_set;
 
+pub use attempt_metrics::AttemptMetrics;
 pub use log_event::{LogValue, init_logging};
 pub use metric_set::{MetricError, MetricSet, RequestOutcome, StageLabels};
 
