Drop what is likely late only while others wait

A stage that is likely late now gives way while others wait, and still runs when the place would stay empty.

--- a/crates/savorywalk/src/admission/admission_control.rs
+++ b/crates/savorywalk/src/admission/admission_control.rs
@@ -3,7 +3,7 @@
 use super::stage_visit::VisitEnding;
 use super::{
     AdmissionMode, AdmissionRefusal, BudgetVerdict, DeadlineBudget, EstimateLine, EstimateTable,
-    RefusalReason, RunProfile, ServiceSample, SizeClass, StageVisit,
+    RefusalReason, RunProfile, ServiceSample, SizeClass, StageTimes, StageVisit,
 };
 use crate::directory::DirectoryHandle;
 use crate::prelude::*;
@@ -21,17 +21,6 @@
     directory: DirectoryHandle,
 }
 
-/// What the estimates say of a stage that is about to run.
-#[derive(Clone, Copy, Debug, Default)]
-struct StageTimes {
-    /// Endpoint time that it is expected to take.
-    cost: Duration,
-    /// Least time from its start to the request's answer.
-    rest: Duration,
-    /// Least time of the stages after it.
-    reserve: Duration,
-}
-
 impl AdmissionControl {
     /// Control by the capacity that `directory` knows.
     pub fn new(mode: AdmissionMode, directory: DirectoryHandle) -> Self {
@@ -132,15 +121,15 @@
         };
         let now = super::monotonic_now();
         let mut times = self.times(now, profile, stage, own_size);
-        let is_hopeless = profile.deadline.leaving(times.rest).has_passed(now);
+        let latest_start = profile.deadline.leaving(times.rest.least());
+        let is_hopeless = latest_start.has_passed(now);
         if profile.is_probe || (is_hopeless && self.take_probe(now, profile)) {
             times = StageTimes {
                 cost: times.cost,
                 ..StageTimes::default()
             };
         }
-        let latest_start = profile.deadline.leaving(times.rest).ends();
-        let item = profile.item(times.cost, latest_start, stage > 0);
+        let item = profile.item(&times, stage > 0);
         let queue = self.queues.pool(&plan.pool);
         queue.observe(now, self.directory.snapshot().pool(&plan.pool));
         let permit = match queue.enqueue(now, &item) {
@@ -148,7 +137,7 @@
             Err(refusal) => Err(refusal),
         };
         match permit {
-            Ok(permit) => Ok((permit, times.reserve)),
+            Ok(permit) => Ok((permit, times.later.least())),
             Err(refusal) => Err(denial(refusal, &queue, &item)),
         }
     }
@@ -171,8 +160,8 @@
         }
         StageTimes {
             cost: own.map_or(UNKNOWN_COST, |own| own.mean()),
-            rest: rest.least(),
-            reserve: later.least(),
+            rest,
+            later,
         }
     }
 
@@ -183,8 +172,11 @@
 
     /// Time that a new request would wait at all its pools together.
     fn waits(&self, now: Instant, profile: &RunProfile) -> Duration {
-        let ends = profile.deadline.ends();
-        let item = profile.item(UNKNOWN_COST, ends, false);
+        let times = StageTimes {
+            cost: UNKNOWN_COST,
+            ..StageTimes::default()
+        };
+        let item = profile.item(&times, false);
         let stages = profile.pipeline.stages.iter();
         stages
             .map(|stage| self.queues.wait(now, &stage.pool, &item))
--- a/crates/savorywalk/src/admission/mod.rs
+++ b/crates/savorywalk/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod run_profile;
 mod size_class;
 mod stage_estimate;
+mod stage_times;
 mod stage_visit;
 mod unstarted_request;
 
@@ -25,6 +26,7 @@
 pub use run_profile::RunProfile;
 pub use size_class::SizeClass;
 pub use stage_estimate::StageEstimate;
+use stage_times::StageTimes;
 pub use stage_visit::StageVisit;
 pub use unstarted_request::{
     FirstDispatch, NothingRan, RefusalReason, RequestPhase, RunRefusal, UnstartedRequest,
--- a/crates/savorywalk/src/admission/run_profile.rs
+++ b/crates/savorywalk/src/admission/run_profile.rs
@@ -1,4 +1,4 @@
-use super::{RequestDeadline, SizeClass};
+use super::{RequestDeadline, SizeClass, StageTimes};
 use crate::configuration::{PipelinePlan, WorkspacePlan};
 use crate::prelude::*;
 use crate::queueing::QueueItem;
@@ -21,21 +21,16 @@
 }
 
 impl RunProfile {
-    /// The request as its pool's queue sees it, for a stage that is expected
-    /// to take `cost` and must start by `latest_start`.
-    pub(super) fn item(
-        &self,
-        cost: Duration,
-        latest_start: Instant,
-        started: bool,
-    ) -> QueueItem<'_> {
+    /// The request as its pool's queue sees it, for a stage with these times.
+    pub(super) fn item(&self, times: &StageTimes, started: bool) -> QueueItem<'_> {
         QueueItem {
             workspace: &self.workspace.name,
             weight: self.workspace.share,
             priority: self.priority,
             deadline: self.deadline.ends(),
-            latest_start,
-            cost,
+            latest_start: self.deadline.leaving(times.rest.least()).ends(),
+            likely_start: self.deadline.leaving(times.rest.likely()).ends(),
+            cost: times.cost,
             started,
         }
     }
--- a/crates/savorywalk/src/queueing/fair_queue.rs
+++ b/crates/savorywalk/src/queueing/fair_queue.rs
@@ -96,6 +96,7 @@
         let waiting = WaitingItem {
             cost: item.cost,
             latest_start: item.latest_start,
+            likely_start: item.likely_start,
         };
         self.detach(flow);
         let present = self.present;
@@ -119,6 +120,10 @@
 
     /// Takes out the stage that goes next, and charges its workspace if it may
     /// still run.
+    ///
+    /// The earliest deadline first would give a busy pool to just those that
+    /// are about to miss theirs; so one that is likely late gives way to the
+    /// others that wait.
     pub fn pop(&mut self, now: Instant) -> Option<QueueTurn> {
         let (virtual_time, index) = *self.backlogged.first()?;
         self.detach(index);
@@ -129,7 +134,8 @@
             order,
             cost: item.cost,
         };
-        let expired = now > item.latest_start;
+        let others_wait = self.queued > 1;
+        let expired = now > item.latest_start || (others_wait && now > item.likely_start);
         if !expired {
             flow.running += 1;
             flow.virtual_time = virtual_time.plus(item.cost, flow.weight);
--- a/crates/savorywalk/src/queueing/fair_queue_tests.rs
+++ b/crates/savorywalk/src/queueing/fair_queue_tests.rs
@@ -17,6 +17,7 @@
         priority: 0,
         deadline: now + FAR,
         latest_start: now + FAR,
+        likely_start: now + FAR,
         cost: Duration::from_millis(cost_ms),
         started: false,
     }
@@ -231,6 +232,7 @@
     let mut queue = FairQueue::new(CAPACITY);
     let stale = QueueItem {
         latest_start: now,
+        likely_start: now,
         ..item(now, "a", 1, 1_000)
     };
     let ticket = queue.offer(&stale).unwrap();
@@ -243,6 +245,25 @@
     assert!(next.contains(&fresh.number()), "a was charged for nothing");
 }
 
+#[test]
+fn what_is_likely_late_gives_way_but_runs_when_nobody_else_waits() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(1);
+    let doubtful = QueueItem {
+        likely_start: now,
+        ..item(now, "a", 1, 1_000)
+    };
+    let mut queue = FairQueue::new(CAPACITY);
+    let alone = queue.offer(&doubtful).unwrap();
+    assert_eq!(run(queue.pop(later)), alone);
+    let beside_others = queue.offer(&doubtful).unwrap();
+    queue.offer(&item(now, "b", 1, 2_000)).unwrap();
+    let other = run(queue.pop(later));
+    assert_ne!(other, beside_others, "b is behind a in service");
+    queue.offer(&item(now, "b", 1, 10)).unwrap();
+    assert_eq!(queue.pop(later), Some(QueueTurn::Expired(beside_others)));
+}
+
 #[test]
 fn a_flood_leaves_room_for_others_and_one_alone_may_use_half() {
     let now = Instant::now();
--- a/crates/savorywalk/src/queueing/pool_queue_tests.rs
+++ b/crates/savorywalk/src/queueing/pool_queue_tests.rs
@@ -36,6 +36,7 @@
         priority: 0,
         deadline: now + patience,
         latest_start: now + patience,
+        likely_start: now + patience,
         cost: Duration::from_millis(10),
         started: false,
     }
--- a/crates/savorywalk/src/queueing/pool_schedule_tests.rs
+++ b/crates/savorywalk/src/queueing/pool_schedule_tests.rs
@@ -85,6 +85,7 @@
             priority: 0,
             deadline: now + Duration::from_secs(600),
             latest_start: now + Duration::from_secs(600),
+            likely_start: now + Duration::from_secs(600),
             cost: ESTIMATE,
             started: false,
         };
@@ -229,6 +230,7 @@
         priority: 0,
         deadline: now + Duration::from_secs(9),
         latest_start: now + Duration::from_secs(9),
+        likely_start: now + Duration::from_secs(9),
         cost: ESTIMATE,
         started: false,
     };
--- a/crates/savorywalk/src/queueing/queue_item.rs
+++ b/crates/savorywalk/src/queueing/queue_item.rs
@@ -17,6 +17,9 @@
     pub deadline: Instant,
     /// After this moment the request can't be answered in time any more.
     pub latest_start: Instant,
+    /// After this moment the request is likely to be late; the stage then runs
+    /// only when no other one waits for the place.
+    pub likely_start: Instant,
     /// Endpoint time that the stage is expected to take.
     pub cost: Duration,
     /// True when an earlier stage has run: its cost is spent, so the bounds of
--- a/crates/savorywalk/src/queueing/workspace_flow.rs
+++ b/crates/savorywalk/src/queueing/workspace_flow.rs
@@ -20,6 +20,7 @@
 pub(super) struct WaitingItem {
     pub cost: Duration,
     pub latest_start: Instant,
+    pub likely_start: Instant,
 }
 
 impl WorkspaceFlow {
