Spread usage between the bench's entries and show the engines' queues

The bench started its entries without links, so each believed itself alone and ran as many stages as the whole pool has slots: six times too many. At 200% load 182 to 214 requests waited within the engines, and goodput fell to 343 a second of a capacity of 568.

--- a/crates/bench/src/attainment_bench.rs
+++ b/crates/bench/src/attainment_bench.rs
@@ -98,7 +98,7 @@
 
 fn print_head() {
     println!(
-        "{:<19} {:>5} {:<18} {:>6} {:>8} {:>8} {:>8} {:>6} {:>5} {:>5}  errors; endpoint s by stage",
+        "{:<19} {:>5} {:<18} {:>6} {:>8} {:>8} {:>8} {:>6} {:>5} {:>5} {:>6}  errors; endpoint s by stage",
         "routing",
         "load",
         "fault",
@@ -108,14 +108,15 @@
         "p99 ms",
         "waste",
         "late",
-        "imbal"
+        "imbal",
+        "queue"
     );
 }
 
 fn print_line(line: &AttainmentLine) {
     let report = &line.report;
     println!(
-        "{:<19} {:>4}% {:<18} {:>6.2} {:>8.1} {:>8.1} {:>8.1} {:>6.2} {:>5} {:>5.2}  {}; {}",
+        "{:<19} {:>4}% {:<18} {:>6.2} {:>8.1} {:>8.1} {:>8.1} {:>6.2} {:>5} {:>5.2} {:>6.1}  {}; {}",
         line.routing,
         line.load,
         line.trouble.name(),
@@ -126,6 +127,7 @@
         report.wasted,
         report.late,
         report.imbalance(),
+        report.engine_queue,
         listed(&report.errors, |count| count.to_string()),
         listed(&report.stage_seconds, |seconds| format!("{seconds:.1}")),
     );
--- a/crates/bench/src/bench_deployment.rs
+++ b/crates/bench/src/bench_deployment.rs
@@ -12,6 +12,7 @@
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
+use crate::usage_exchange::UsageExchange;
 use crate::{BenchError, Result, bench_plan};
 
 const FREE_PORT: &str = "127.0.0.1:0";
@@ -24,6 +25,7 @@
     pub(crate) entries: Vec<EntryDaemon>,
     pub(crate) endpoints: Vec<Arc<EndpointServer>>,
     announcers: Vec<JoinHandle<()>>,
+    exchange: JoinHandle<()>,
 }
 
 /// Where a deployment's parts run, and how its entries route.
@@ -52,8 +54,11 @@
             let _inside = host.standin.enter();
             start_announcer(server, target.clone())
         });
+        let nodes = entries.iter().map(|entry| Arc::clone(entry.node()));
+        let exchange = UsageExchange::new(nodes.collect(), plan);
         let deployment = Self {
             announcers: announcers.collect(),
+            exchange: host.entry.spawn(exchange.run()),
             entries,
             endpoints,
         };
@@ -66,12 +71,9 @@
         entries.map(EntryDaemon::callers_address).collect()
     }
 
-    /// The first engine, at which faults strike.
-    pub(crate) fn engine(&self) -> &Arc<EndpointServer> {
-        self.pool(bench_plan::ENGINES)
-            .first()
-            .copied()
-            .unwrap_or(&self.endpoints[0])
+    pub(crate) fn engines(&self) -> Vec<Arc<EndpointServer>> {
+        let engines = self.pool(bench_plan::ENGINES).into_iter();
+        engines.cloned().collect()
     }
 
     pub(crate) fn pool(&self, name: &str) -> Vec<&Arc<EndpointServer>> {
@@ -91,6 +93,7 @@
 
     /// Stops announcing, then the entries; endpoints go when this is dropped.
     pub(crate) async fn stop(self) {
+        self.exchange.abort();
         for announcer in &self.announcers {
             announcer.abort();
         }
--- a/crates/bench/src/load_report.rs
+++ b/crates/bench/src/load_report.rs
@@ -33,6 +33,8 @@
     pub(crate) stage_seconds: BTreeMap<String, f64>,
     /// Share of endpoint time that gave no result, in percent.
     pub(crate) wasted: f64,
+    /// Requests that waited within the engines, on average over the run.
+    pub(crate) engine_queue: f64,
     /// Answers that each engine made, warm-up included.
     pub(crate) engine_answers: BTreeMap<String, u64>,
 }
--- a/crates/bench/src/load_run.rs
+++ b/crates/bench/src/load_run.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use savorywalk_standin::DeploymentPlan;
+use savorywalk_standin::{DeploymentPlan, EndpointServer};
 use tokio::runtime::Handle;
 
 use crate::Result;
@@ -27,6 +27,9 @@
 /// Requests that a calibration draws from, again and again.
 const CALIBRATION_RATE: f64 = 1_000.0;
 
+/// How often the engines' queues are looked at.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// One run of load against a fresh deployment.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadRun {
@@ -45,17 +48,19 @@
     pub(crate) async fn measure(&self) -> Result<LoadReport> {
         let plan = bench_plan::scaled();
         let deployment = start(&plan, &self.routing).await?;
-        let engine = Arc::clone(deployment.engine());
+        let engine = Arc::clone(&deployment.engines()[0]);
         let trouble = self.trouble;
         let strike = tokio::spawn(async move { trouble.strike(&engine, WARM_UP).await });
         let arrivals = arrival_plan::draw(&self.arrivals());
         let driver = driver(&deployment, bench_plan::deadline());
+        let queue = tokio::spawn(mean_queue(deployment.engines(), WARM_UP, self.span));
         let records = driver.open_loop(arrivals).await?;
         strike.await?;
         let costs = deployment.costs();
         let deadline = bench_plan::deadline();
         let mut report = LoadReport::new(&records, WARM_UP, self.span, deadline, &costs);
-        for engine in deployment.pool(bench_plan::ENGINES) {
+        report.engine_queue = queue.await?;
+        for engine in deployment.engines() {
             let name = engine.options().name.clone();
             report.engine_answers.insert(name, engine.counts().ran());
         }
@@ -100,6 +105,21 @@
     Ok(rate)
 }
 
+/// Requests that wait within all engines together, on average over `span`.
+async fn mean_queue(engines: Vec<Arc<EndpointServer>>, wait: Duration, span: Duration) -> f64 {
+    tokio::time::sleep(wait).await;
+    let samples = (span.as_secs_f64() / SAMPLE_INTERVAL.as_secs_f64()) as u32;
+    let mut total = 0;
+    for _ in 0..samples {
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+        total += engines
+            .iter()
+            .map(|engine| engine.load().queued)
+            .sum::<u32>();
+    }
+    f64::from(total) / f64::from(samples.max(1))
+}
+
 async fn start(plan: &DeploymentPlan, routing: &str) -> Result<BenchDeployment> {
     let host = DeploymentHost {
         entry: Handle::current(),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -20,6 +20,7 @@
 mod processor_time;
 mod report_folder;
 mod text_source;
+mod usage_exchange;
 
 use std::process::ExitCode;
 use std::time::Duration;
