--- a/crates/savorywalk/src/consensus/core_leader.rs
+++ b/crates/savorywalk/src/consensus/core_leader.rs
@@ -3,7 +3,7 @@
 use super::replica_core::{CoreRole, MessageGate, ReplicaCore};
 use super::{
     AppendReply, AppendRequest, Body, EntryKind, MembershipChange, RefusalReason, ReplicaAction,
-    ReplicaId, ReplicaProposal, TimeoutNow,
+    ReplicaId, ReplicaProposal, Result, TimeoutNow,
 };
 use crate::prelude::*;
 
@@ -331,10 +331,7 @@
     }
 
     /// Appends a membership that differs by one step, if the last one is committed.
-    pub(super) fn try_change(
-        &mut self,
-        change: MembershipChange,
-    ) -> std::result::Result<u64, RefusalReason> {
+    pub(super) fn try_change(&mut self, change: MembershipChange) -> Result<u64, RefusalReason> {
         if self.leader_state().is_none() {
             return Err(self.not_leader());
         }
--- /dev/null
+++ b/crates/savorywalk/src/consensus/driver_options.rs
@@ -0,0 +1,30 @@
+use super::ReplicaOptions;
+use crate::prelude::*;
+
+/// Bounds of a driver, beside those of its core.
+#[derive(Clone, Debug)]
+pub struct DriverOptions {
+    /// Times and bounds of the core.
+    pub replica: ReplicaOptions,
+    /// Entries applied after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Bytes of commands applied after which a snapshot is taken.
+    pub snapshot_bytes: u64,
+    /// Largest command, in bytes.
+    pub max_command_bytes: usize,
+    /// Longest wait for the outcome of a command; then it is unknown.
+    pub outcome_timeout: Duration,
+}
+
+impl DriverOptions {
+    /// Bounds that suit configuration and claims; see docs/design/consensus.md.
+    pub fn new(replica: ReplicaOptions) -> Self {
+        Self {
+            replica,
+            snapshot_entries: 10_000,
+            snapshot_bytes: 16 * 1024 * 1024,
+            max_command_bytes: 1024 * 1024,
+            outcome_timeout: Duration::from_secs(5),
+        }
+    }
+}
--- a/crates/savorywalk/src/consensus/message_check.rs
+++ b/crates/savorywalk/src/consensus/message_check.rs
@@ -38,7 +38,7 @@
     message: &ReplicaMessage,
     own: ReplicaId,
     options: &ReplicaOptions,
-) -> Result<()> {
+) -> Result<(), MessageError> {
     let body = message.body.as_ref().ok_or(MessageError::NoBody)?;
     check_addresses(message, body, own)?;
     check_number("term", message.term)?;
@@ -61,7 +61,11 @@
     }
 }
 
-fn check_addresses(message: &ReplicaMessage, body: &Body, own: ReplicaId) -> Result<()> {
+fn check_addresses(
+    message: &ReplicaMessage,
+    body: &Body,
+    own: ReplicaId,
+) -> Result<(), MessageError> {
     let from = ReplicaId::from_u64(message.from);
     if from.incarnation() == 0 || from == own {
         return Err(MessageError::BadSender(from));
@@ -75,28 +79,28 @@
     Err(MessageError::NotForUs(to))
 }
 
-fn check_term(term: u64) -> Result<()> {
+fn check_term(term: u64) -> Result<(), MessageError> {
     if term == 0 {
         return Err(MessageError::OutOfBounds("term"));
     }
     Ok(())
 }
 
-fn check_number(name: &'static str, number: u64) -> Result<()> {
+fn check_number(name: &'static str, number: u64) -> Result<(), MessageError> {
     if number >= NUMBER_LIMIT {
         return Err(MessageError::OutOfBounds(name));
     }
     Ok(())
 }
 
-fn check_length(name: &'static str, length: usize, limit: usize) -> Result<()> {
+fn check_length(name: &'static str, length: usize, limit: usize) -> Result<(), MessageError> {
     if length > limit {
         return Err(MessageError::OutOfBounds(name));
     }
     Ok(())
 }
 
-fn check_vote(term: u64, request: &VoteRequest) -> Result<()> {
+fn check_vote(term: u64, request: &VoteRequest) -> Result<(), MessageError> {
     check_term(term)?;
     check_number("last_index", request.last_index)?;
     if request.last_term >= term {
@@ -105,7 +109,7 @@
     Ok(())
 }
 
-fn check_append(term: u64, request: &AppendRequest) -> Result<()> {
+fn check_append(term: u64, request: &AppendRequest) -> Result<(), MessageError> {
     check_term(term)?;
     check_number("prev_index", request.prev_index)?;
     if (request.prev_index == 0) != (request.prev_term == 0) {
@@ -126,7 +130,7 @@
     Ok(())
 }
 
-fn check_entry(entry: &LogEntry) -> Result<()> {
+fn check_entry(entry: &LogEntry) -> Result<(), MessageError> {
     match entry.kind() {
         EntryKind::Unspecified => Err(MessageError::OutOfBounds("entry kind")),
         EntryKind::Noop | EntryKind::Command => Ok(()),
@@ -137,7 +141,11 @@
     }
 }
 
-fn check_chunk(term: u64, chunk: &SnapshotChunk, options: &ReplicaOptions) -> Result<()> {
+fn check_chunk(
+    term: u64,
+    chunk: &SnapshotChunk,
+    options: &ReplicaOptions,
+) -> Result<(), MessageError> {
     check_term(term)?;
     check_number("index", chunk.index)?;
     check_number("offset", chunk.offset)?;
@@ -152,7 +160,7 @@
     check_membership(record.map(ReplicaMembership::from_record).as_ref())
 }
 
-fn check_membership(membership: Option<&ReplicaMembership>) -> Result<()> {
+fn check_membership(membership: Option<&ReplicaMembership>) -> Result<(), MessageError> {
     match membership {
         Some(membership) if membership.voters().next().is_some() => Ok(()),
         Some(_) | None => Err(MessageError::BadMembership),
--- a/crates/savorywalk/src/consensus/message_check_tests.rs
+++ b/crates/savorywalk/src/consensus/message_check_tests.rs
@@ -14,7 +14,7 @@
     }
 }
 
-fn verdict(message: &ReplicaMessage) -> Result<()> {
+fn verdict(message: &ReplicaMessage) -> Result<(), MessageError> {
     check(message, OWN, &ReplicaOptions::new(Vec::new(), 1))
 }
 
--- a/crates/savorywalk/src/consensus/replica_core.rs
+++ b/crates/savorywalk/src/consensus/replica_core.rs
@@ -42,7 +42,7 @@
     pub(super) staged: StagedPersist,
     pub(super) actions: Vec<ReplicaAction>,
     outgoing: Vec<OutgoingMessage>,
-    held: VecDeque<HeldMessage>,
+    pub(super) held: VecDeque<HeldMessage>,
     dropped_messages: u64,
 }
 
@@ -97,7 +97,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct HeldMessage {
+pub(super) struct HeldMessage {
     sequence: u64,
     message: Box<ReplicaMessage>,
 }
--- a/crates/savorywalk/src/storage/data_folder.rs
+++ b/crates/savorywalk/src/storage/data_folder.rs
@@ -2,9 +2,10 @@
 use std::path::Path;
 
 use super::{
-    DiskFolder, OsFolder, Result, SegmentOptions, SegmentedLog, StorageError, sealed_file,
+    DiskFolder, LogStorage, OsFolder, Result, SegmentOptions, SegmentedLog, StorageError,
+    sealed_file,
 };
-use crate::consensus::{IdentityRecord, NodeNumber, ReplicaId};
+use crate::consensus::{IdentityRecord, NodeNumber, PersistBatch, RecoveredState, ReplicaId};
 use crate::prelude::*;
 
 const IDENTITY_FILE: &str = "identity";
@@ -53,6 +54,16 @@
     }
 }
 
+impl LogStorage for DataFolder {
+    fn recover(&mut self) -> Result<RecoveredState> {
+        self.log.recover()
+    }
+
+    fn persist(&mut self, batches: &[PersistBatch]) -> Result<()> {
+        self.log.persist(batches)
+    }
+}
+
 impl FolderLock {
     fn take(path: &Path) -> Result<Self> {
         let failed = |error| StorageError::io("open", LOCK_FILE, error);
