Search every order of a few events of the replicated log

Seeds sample long schedules; a search leaves no short one out.

Three replicas start from a founded log. Every message may arrive at any time or never, every sync may end late, and a replica may crash between the two. In each state the search checks one leader a term, log matching, leader completeness and that what is committed is on two disks.

--- a/crates/savorywalk/src/consensus/core_election.rs
+++ b/crates/savorywalk/src/consensus/core_election.rs
@@ -11,7 +11,10 @@
         }
         self.reset_election();
         if self.is_voter() {
-            self.start_pre_vote();
+            match self.options.asks_first() {
+                true => self.start_pre_vote(),
+                false => self.start_election(false),
+            }
         }
     }
 
--- a/crates/savorywalk/src/consensus/replica_options.rs
+++ b/crates/savorywalk/src/consensus/replica_options.rs
@@ -34,6 +34,9 @@
     /// Mistake that a test plants.
     #[cfg(test)]
     pub mistake: Option<SeededMistake>,
+    /// Stands for election without asking first, which no promise rests on.
+    #[cfg(test)]
+    pub skips_pre_vote: bool,
 }
 
 /// Mistakes that tests plant to see that their checks catch them.
@@ -66,6 +69,8 @@
             seed,
             #[cfg(test)]
             mistake: None,
+            #[cfg(test)]
+            skips_pre_vote: false,
         }
     }
 
@@ -79,6 +84,14 @@
         self.election_timeout * used / 1_000
     }
 
+    /// Whether an election is asked about before it is held.
+    pub(super) fn asks_first(&self) -> bool {
+        #[cfg(test)]
+        return !self.skips_pre_vote;
+        #[cfg(not(test))]
+        true
+    }
+
     /// Whether answers wait until what they tell of is synced.
     pub(super) fn syncs_votes(&self) -> bool {
         #[cfg(test)]
--- a/crates/savorywalk/src/consensus/simulation/mod.rs
+++ b/crates/savorywalk/src/consensus/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod fault_schedule;
 mod history_check;
 mod list_machine;
+mod model_tests;
 mod schedule_tests;
 mod simulated_replica;
 
