--- a/crates/savorywalk/src/directory/directory_core.rs
+++ b/crates/savorywalk/src/directory/directory_core.rs
@@ -39,9 +39,13 @@
 /// Entries that one which starts asks for all details, until one answers.
 const DETAIL_REQUESTS: u32 = 2;
 
-/// Entries asked for a renewal that was missed; one of them may be dead too.
+/// Entries asked for renewals that this one must have missed.
 const LAPSING_PEERS: usize = 2;
 
+/// With less of a lease left, random entries are asked for its renewal too: those
+/// that were heard last may have missed it for the same reason.
+const LAPSING_SOON: Duration = Duration::from_millis(700);
+
 /// Most keys whose details are being asked for.
 const MAX_ASKED: usize = 8_192;
 
@@ -54,7 +58,7 @@
 
 /// Pause for each entry of the region between two reports of usage, so that
 /// their sum stays the same.
-const USAGE_PAUSE_PER_ENTRY: Duration = Duration::from_millis(200);
+const USAGE_PAUSE_PER_ENTRY: Duration = Duration::from_millis(300);
 
 /// Purpose under which a region's members are ranked for telling its totals.
 const TOTALS_PURPOSE: &str = "totals";
@@ -75,6 +79,7 @@
     neighbours: Vec<Arc<str>>,
     transits: FastMap<Arc<str>, TransitClock>,
     fresh_keys: FastSet<u32>,
+    announced_keys: Vec<u32>,
     fresh_details: Vec<Arc<str>>,
     asked: FastMap<u32, Instant>,
     totals: PoolTotals,
@@ -124,6 +129,7 @@
             neighbours: Vec::new(),
             transits: FastMap::default(),
             fresh_keys: FastSet::default(),
+            announced_keys: Vec::new(),
             fresh_details: Vec::new(),
             asked: FastMap::default(),
             totals: PoolTotals::default(),
@@ -192,6 +198,7 @@
         let outcome = self.directory.announce(now, announcement, max_lease)?;
         if outcome == AnnouncementOutcome::Applied {
             self.note_applied(&endpoint);
+            self.announced_keys.extend(self.index.key(&endpoint));
             actions.push(DirectoryAction::Publish);
             if !was_leaving {
                 self.push_leave_of(now, &endpoint, &mut actions);
@@ -228,6 +235,7 @@
         self.report_usage(now);
         if now >= self.next_spread {
             self.next_spread = now + self.timing.spread_interval;
+            self.spread_announced(now, actions);
             self.spread(now, actions);
         }
         if std::mem::take(&mut self.changed) {
@@ -392,6 +400,22 @@
         }
     }
 
+    /// Tells what was announced here to one more entry, which is surely alive,
+    /// so that it isn't stuck when both neighbours have just died.
+    fn spread_announced(&mut self, now: Instant, actions: &mut Vec<DirectoryAction>) {
+        let keys = std::mem::take(&mut self.announced_keys);
+        let heard = self.heard_peers(now, 1);
+        let others = heard.iter().find(|peer| !self.neighbours.contains(peer));
+        let Some(peer) = others else {
+            return;
+        };
+        let mut message = self.message(now);
+        self.add_renewals(now, &keys, true, &mut message);
+        if !message.renewal_keys.is_empty() {
+            self.send(now, peer, TrafficClass::EndpointState, &message, actions);
+        }
+    }
+
     fn affords(&mut self, now: Instant, class: TrafficClass, bytes: usize) -> bool {
         let size = bytes * self.neighbours.len();
         size > 0 && self.budget.spend(now, class, size)
@@ -540,24 +564,45 @@
             return;
         }
         self.next_lapsing = now + self.timing.lapsing_interval;
-        let soon = now + self.timing.lapsing;
-        let lapsing: Vec<u32> = self
+        let lapsing: Vec<(Duration, u32)> = self
             .directory
             .iter()
-            .filter(|record| record.takes_work(now) && record.expires < soon)
-            .filter_map(|record| self.index.key(&record.announcement.endpoint))
+            .filter(|record| record.takes_work(now))
+            .filter_map(|record| {
+                let left = record.expires.saturating_duration_since(now);
+                let key = self.index.key(&record.announcement.endpoint)?;
+                (left < self.timing.lapsing).then_some((left, key))
+            })
             .take(MAX_RENEWALS)
             .collect();
         if lapsing.is_empty() {
             return;
         }
+        let urgent = lapsing.iter().any(|(left, _)| *left < LAPSING_SOON);
+        let random = if urgent { LAPSING_PEERS } else { 0 };
+        let mut peers = self.random_peers(random);
+        peers.extend(self.heard_peers(now, LAPSING_PEERS));
         let mut message = self.message(now);
-        message.lapsing_keys = lapsing;
-        for peer in self.random_peers(LAPSING_PEERS) {
+        message.lapsing_keys = lapsing.into_iter().map(|(_, key)| key).collect();
+        for peer in peers {
             self.send(now, &peer, TrafficClass::EndpointState, &message, actions);
         }
     }
 
+    /// Entries of the region that were heard last: most likely alive, and a
+    /// connection to them is open.
+    fn heard_peers(&self, now: Instant, count: usize) -> Vec<Arc<str>> {
+        let live = self.view.entries(&self.own.region);
+        let clocks = live.filter_map(|card| Some((self.transits.get(&card.name)?, card)));
+        let mut heard: Vec<_> = clocks
+            .map(|(clock, card)| (clock.heard_at(), Arc::clone(&card.name)))
+            .filter(|(heard_at, _)| now < *heard_at + self.timing.stale_after)
+            .collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard.truncate(count);
+        heard.into_iter().map(|(_, name)| name).collect()
+    }
+
     fn random_peers(&mut self, count: usize) -> Vec<Arc<str>> {
         let own = &self.own;
         let region = self.view.entries(&own.region);
--- a/crates/savorywalk/src/directory/transit_clock.rs
+++ b/crates/savorywalk/src/directory/transit_clock.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(super) struct TransitClock {
     epoch: u32,
+    heard_at: Instant,
     base: i64,
     next_base: i64,
     window_end: Instant,
@@ -23,12 +24,18 @@
     pub(super) fn new(now: Instant, epoch: u32, difference_ms: i64) -> Self {
         Self {
             epoch,
+            heard_at: now,
             base: difference_ms,
             next_base: difference_ms,
             window_end: now + WINDOW,
         }
     }
 
+    /// When the sender was heard last.
+    pub(super) fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
     /// Time that a message spent beyond the usual; `difference_ms` is the
     /// receiver's clock at arrival less the sender's at sending. A message of
     /// a former life of the sender took longer than anything is good for.
@@ -39,6 +46,7 @@
         if epoch > self.epoch {
             *self = Self::new(now, epoch, difference_ms);
         }
+        self.heard_at = now;
         if now >= self.window_end {
             self.base = self.next_base;
             self.next_base = difference_ms;
--- a/crates/savorywalk/src/directory/usage_book.rs
+++ b/crates/savorywalk/src/directory/usage_book.rs
@@ -15,8 +15,7 @@
 /// What other entries gave to workspaces lately, decaying.
 #[derive(Debug, Default)]
 pub struct UsageBook {
-    pools: FastMap<Arc<str>, FastMap<u32, DecayingUsage>>,
-    pairs: usize,
+    pairs: FastMap<(u32, u32), DecayingUsage>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -35,36 +34,31 @@
 impl UsageBook {
     /// Adds what one entry reported of one workspace.
     pub fn add(&mut self, now: Instant, usage: &WorkspaceUsage) {
-        if self.pairs >= MAX_PAIRS {
+        if self.pairs.len() >= MAX_PAIRS {
             self.forget(now);
         }
-        let pool = self.pools.entry(Arc::clone(&usage.pool)).or_default();
-        let known = pool.get(&usage.workspace).copied();
-        if known.is_none() {
-            if self.pairs >= MAX_PAIRS {
-                return;
-            }
-            self.pairs += 1;
+        let pair = (usage.pool, usage.workspace);
+        let known = self.pairs.get(&pair);
+        if known.is_none() && self.pairs.len() >= MAX_PAIRS {
+            return;
         }
         let before = known.map_or(0.0, |known| known.micros(now));
         let micros = before + usage.endpoint_micros as f64;
-        pool.insert(usage.workspace, DecayingUsage { micros, at: now });
+        self.pairs.insert(pair, DecayingUsage { micros, at: now });
     }
 
-    /// Endpoint time that others gave a workspace at a pool lately.
-    pub fn remote(&self, now: Instant, pool: &str, workspace: u32) -> Duration {
-        let usage = self.pools.get(pool).and_then(|pool| pool.get(&workspace));
+    /// Endpoint time that others gave a workspace at a pool lately, both by
+    /// their [`WorkspaceUsage::key`].
+    pub fn remote(&self, now: Instant, pool: u32, workspace: u32) -> Duration {
+        let usage = self.pairs.get(&(pool, workspace));
         let micros = usage.map_or(0.0, |usage| usage.micros(now));
         Duration::from_micros(micros as u64)
     }
 
     /// Forgets what has decayed to nothing.
     pub fn forget(&mut self, now: Instant) {
-        for pool in self.pools.values_mut() {
-            pool.retain(|_, usage| usage.micros(now) >= FORGOTTEN_MICROS);
-        }
-        self.pools.retain(|_, pool| !pool.is_empty());
-        self.pairs = self.pools.values().map(FastMap::len).sum();
+        self.pairs
+            .retain(|_, usage| usage.micros(now) >= FORGOTTEN_MICROS);
     }
 }
 
--- a/crates/savorywalk/src/directory/usage_gatherer.rs
+++ b/crates/savorywalk/src/directory/usage_gatherer.rs
@@ -1,10 +1,10 @@
 use super::WorkspaceUsage;
-use crate::generated::directory::{PoolUsage, UsageReport};
+use crate::generated::directory::UsageReport;
 use crate::prelude::*;
 
-/// Most pairs of pool and workspace in one report; at some six bytes each they
-/// bound a report to about 150 bytes.
-const MAX_REPORTED: usize = 16;
+/// Most pairs of pool and workspace in one report; at some eleven bytes each
+/// they bound a report to about 100 bytes.
+const MAX_REPORTED: usize = 8;
 
 /// Most pairs that are gathered; beyond it a new pair waits for room.
 const MAX_GATHERED: usize = 16_384;
@@ -15,7 +15,7 @@
 /// Local usage that waits to be reported, and what was heard from others.
 #[derive(Debug, Default)]
 pub(super) struct UsageGatherer {
-    micros: FastMap<(Arc<str>, u32), u64>,
+    micros: FastMap<(u32, u32), u64>,
     last_number: u32,
     heard: FastMap<String, (u32, u32)>,
 }
@@ -34,31 +34,28 @@
             .micros
             .iter()
             .filter(|(_, micros)| **micros >= 1_000)
-            .map(|((pool, workspace), micros)| (*micros, Arc::clone(pool), *workspace))
+            .map(|(pair, micros)| (*micros, *pair))
             .collect();
-        heaviest.sort_unstable_by(|a, b| b.cmp(a));
-        heaviest.truncate(MAX_REPORTED);
-        let mut pools: BTreeMap<Arc<str>, PoolUsage> = BTreeMap::new();
-        for (micros, pool, workspace) in heaviest {
-            let millis = u32::try_from(micros / 1_000).unwrap_or(u32::MAX);
-            let usage = pools.entry(Arc::clone(&pool)).or_insert_with(|| PoolUsage {
-                pool: pool.to_string(),
-                ..PoolUsage::default()
-            });
-            usage.workspaces.push(workspace);
-            usage.endpoint_ms.push(millis);
-            self.take((pool, workspace), u64::from(millis) * 1_000);
-        }
-        if pools.is_empty() {
+        if heaviest.is_empty() {
             return None;
         }
+        heaviest.sort_unstable_by(|a, b| b.cmp(a));
+        heaviest.truncate(MAX_REPORTED);
         self.last_number += 1;
-        Some(UsageReport {
+        let mut report = UsageReport {
             entry: entry.to_string(),
             epoch,
             number: self.last_number,
-            pools: pools.into_values().collect(),
-        })
+            ..UsageReport::default()
+        };
+        for (micros, (pool, workspace)) in heaviest {
+            let millis = u32::try_from(micros / 1_000).unwrap_or(u32::MAX);
+            report.pools.push(pool);
+            report.workspaces.push(workspace);
+            report.endpoint_ms.push(millis);
+            self.take((pool, workspace), u64::from(millis) * 1_000);
+        }
+        Some(report)
     }
 
     /// Whether a report is new; it then counts as heard.
@@ -73,7 +70,7 @@
         new && room
     }
 
-    fn take(&mut self, key: (Arc<str>, u32), micros: u64) {
+    fn take(&mut self, key: (u32, u32), micros: u64) {
         let Some(gathered) = self.micros.get_mut(&key) else {
             return;
         };
@@ -86,18 +83,14 @@
 
 /// The lines of a report; columns of unequal length end with the shorter.
 pub(super) fn lines(report: &UsageReport) -> Vec<WorkspaceUsage> {
-    let mut lines = Vec::new();
-    for usage in &report.pools {
-        let pool: Arc<str> = usage.pool.as_str().into();
-        for (workspace, millis) in usage.workspaces.iter().zip(&usage.endpoint_ms) {
-            lines.push(WorkspaceUsage {
-                pool: Arc::clone(&pool),
-                workspace: *workspace,
-                endpoint_micros: u64::from(*millis) * 1_000,
-            });
-        }
-    }
-    lines
+    let names = report.pools.iter().zip(&report.workspaces);
+    let lines = names.zip(&report.endpoint_ms);
+    let lines = lines.map(|((pool, workspace), millis)| WorkspaceUsage {
+        pool: *pool,
+        workspace: *workspace,
+        endpoint_micros: u64::from(*millis) * 1_000,
+    });
+    lines.collect()
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/membership/membership_core.rs
+++ b/crates/savorywalk/src/membership/membership_core.rs
@@ -612,8 +612,10 @@
     }
 
     fn tell(&mut self, name: &Arc<str>) {
-        // As in SWIM, a small multiple of log n tells reach everyone.
-        let tells = 3 * (self.table.len().ilog2() + 1);
+        // News flow along a graph: one tell to each neighbour on either side
+        // and to a bridge reaches everyone, and digests find what was lost.
+        // SWIM's multiple of log n would go on telling for minutes.
+        let tells = 2 * self.timing.fan_out + 2;
         self.queue.push(name, tells);
         self.fresh_news = true;
     }
--- a/crates/savorywalk/src/membership/membership_timing.rs
+++ b/crates/savorywalk/src/membership/membership_timing.rs
@@ -33,7 +33,7 @@
 impl Default for MembershipTiming {
     fn default() -> Self {
         Self {
-            probe_interval: Duration::from_secs(1),
+            probe_interval: Duration::from_millis(1_500),
             probe_timeout: Duration::from_millis(400),
             missed_rounds: 2,
             suspicion: Duration::from_secs(3),
@@ -41,7 +41,7 @@
             dead_interval: Duration::from_secs(10),
             join_interval: Duration::from_secs(1),
             join_time: Duration::from_secs(5),
-            seed_interval: Duration::from_secs(30),
+            seed_interval: Duration::from_secs(600),
             sync_interval: Duration::from_secs(2),
             memory: Duration::from_secs(24 * 60 * 60),
             fan_out: 2,
--- a/crates/savorywalk/src/membership/update_queue.rs
+++ b/crates/savorywalk/src/membership/update_queue.rs
@@ -13,12 +13,12 @@
 #[derive(Debug)]
 struct PendingUpdate {
     name: Arc<str>,
-    tells_left: u32,
+    tells_left: usize,
 }
 
 impl UpdateQueue {
     /// Puts news of a member first, to be told `tells` times.
-    pub(super) fn push(&mut self, name: &Arc<str>, tells: u32) {
+    pub(super) fn push(&mut self, name: &Arc<str>, tells: usize) {
         self.waiting.retain(|update| update.name != *name);
         self.waiting.push_front(PendingUpdate {
             name: Arc::clone(name),
