Let an entry be ready only once it knows its endpoints

Cause: a restarted entry took requests before any endpoint had announced itself to it; found by `savorywalk-proof rolling-restart`.

--- /dev/null
+++ b/crates/daemon/tests/fault_runs.rs
@@ -0,0 +1,57 @@
+//! Every promise holds for all requests while processes are stopped and killed
+//! and endpoints misbehave, two faults at once. The long form is the command
+//! `savorywalk-proof`; see docs/design/proof.md.
+
+#![allow(clippy::unwrap_used, reason = "test code: a failure should panic")]
+
+use std::path::PathBuf;
+
+use rstest::rstest;
+use savorywalk_proof::{FaultScript, ProofPlan, ProofReport, run_proof};
+use savorywalk_standin::Deployment;
+
+const ENTRIES: usize = 3;
+const REQUESTS: usize = 240;
+const CALLERS: usize = 12;
+const PAIRS: usize = 3;
+
+async fn run(deployment: Deployment, script: FaultScript) -> ProofReport {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = ProofPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        deployment,
+        entries: ENTRIES,
+        requests: REQUESTS,
+        callers: CALLERS,
+        script,
+    };
+    run_proof(plan).await.unwrap()
+}
+
+#[rstest]
+#[case(Deployment::Roadside)]
+#[case(Deployment::Airport)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_calm_run_answers_everything(#[case] deployment: Deployment) {
+    let report = run(deployment, FaultScript::none()).await;
+    assert!(report.is_sound(), "{report}");
+    assert_eq!(report.answered, REQUESTS, "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_cuts_nothing() {
+    let script = FaultScript::rolling_restart(ENTRIES, REQUESTS);
+    let report = run(Deployment::Roadside, script).await;
+    assert!(report.is_sound(), "{report}");
+    assert_eq!(report.errors.get("cut"), None, "{report}");
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn pairs_of_faults_break_no_promise(#[values(1, 2, 3)] seed: u64) {
+    let endpoints = Deployment::Airport.plan().endpoints.len();
+    let script = FaultScript::pairs(seed, ENTRIES, endpoints, REQUESTS, PAIRS);
+    let report = run(Deployment::Airport, script).await;
+    assert!(report.is_sound(), "seed {seed}: {report}");
+}
--- a/crates/savorywalk/src/api/api_surface.rs
+++ b/crates/savorywalk/src/api/api_surface.rs
@@ -6,7 +6,7 @@
     ApiError, ApiResponse, BodyLimit, Result, caller_api, endpoint_api, operator_api, response_body,
 };
 use crate::attempt::RequestId;
-use crate::entry::EntryNode;
+use crate::entry::{EntryNode, ReadinessState};
 use crate::prelude::*;
 use crate::settings::ListenerSettings;
 
@@ -80,7 +80,7 @@
             }
         };
         response_body::name_request(&mut response, id);
-        if !self.node.is_ready() {
+        if self.node.readiness() == ReadinessState::Stopping {
             response_body::close_connection(&mut response, version);
         }
         response
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -1,8 +1,9 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::AtomicU32;
 
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::{EntryNode, Result, entry_gauges, queue_gauges};
+use super::{EntryNode, ReadinessGate, ReadinessState, Result, entry_gauges, queue_gauges};
 use crate::admission::{AdmissionControl, AdmissionMode};
 use crate::api::{ApiSurface, HttpServer, ServerError, SurfaceKind};
 use crate::attempt::{EndpointClient, StageDispatcher};
@@ -21,6 +22,8 @@
 /// Longest wait for operators' and endpoints' calls at a stop; they are short,
 /// and each may be sent again elsewhere.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a started entry looks whether it is warm.
+const READINESS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why the entry role could not start.
 #[derive(Debug, Error)]
@@ -96,7 +99,7 @@
             runner,
             metrics,
             ledger,
-            ready: AtomicBool::new(false),
+            readiness: watch::Sender::new(ReadinessState::Warming),
             in_progress: AtomicU32::new(0),
             max_requests: match entry.max_requests {
                 0 => DEFAULT_MAX_REQUESTS,
@@ -112,7 +115,8 @@
             node,
             entry,
         };
-        daemon.node.ready.store(true, Ordering::Relaxed);
+        let warm_up = Duration::from_millis(daemon.entry.warm_up_ms.into());
+        warm_up_node(&daemon.node, ReadinessGate::new(Instant::now(), warm_up));
         log_event!(
             info,
             "entry_ready",
@@ -150,7 +154,7 @@
     /// The endpoints' listener outlives the callers': requests in progress
     /// still need endpoints whose leases are renewed.
     pub async fn stop(self) -> bool {
-        self.node.ready.store(false, Ordering::Relaxed);
+        self.node.readiness.send_replace(ReadinessState::Stopping);
         log_event!(info, "entry_draining", node = self.node.name());
         tokio::time::sleep(Duration::from_millis(self.entry.drain_notice_ms.into())).await;
         let timeout = Duration::from_millis(self.entry.drain_timeout_ms.into());
@@ -175,6 +179,43 @@
     }
 }
 
+/// Makes the node ready as soon as it is warm, unless it is stopped before.
+fn warm_up_node(node: &Arc<EntryNode>, gate: ReadinessGate) {
+    if open_gate(node, gate) {
+        return;
+    }
+    let node = Arc::downgrade(node);
+    tokio::spawn(async move {
+        let mut looks = tokio::time::interval(READINESS_INTERVAL);
+        loop {
+            looks.tick().await;
+            let is_over = node.upgrade().is_none_or(|node| open_gate(&node, gate));
+            if is_over {
+                return;
+            }
+        }
+    });
+}
+
+/// Tells whether there is nothing left to wait for.
+fn open_gate(node: &EntryNode, gate: ReadinessGate) -> bool {
+    let now = Instant::now();
+    if !gate.is_warm(now, node.readiness_view(now)) {
+        return node.readiness() == ReadinessState::Stopping;
+    }
+    let opened = node.readiness.send_if_modified(|state| {
+        let is_warming = *state == ReadinessState::Warming;
+        if is_warming {
+            *state = ReadinessState::Ready;
+        }
+        is_warming
+    });
+    if opened {
+        log_event!(info, "entry_warm", node = node.name());
+    }
+    true
+}
+
 async fn serve(
     settings: &ListenerSettings,
     kind: SurfaceKind,
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -1,8 +1,9 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::EntryStatus;
+use super::{EntryStatus, ReadinessState, ReadinessView};
 use crate::admission::RefusalReason;
 use crate::claims::ClaimClient;
 use crate::configuration::ConfigurationCell;
@@ -27,7 +28,7 @@
     pub(super) runner: PipelineRunner,
     pub(super) metrics: Arc<MetricSet>,
     pub(super) ledger: Arc<CostLedger>,
-    pub(super) ready: AtomicBool,
+    pub(super) readiness: watch::Sender<ReadinessState>,
     pub(super) in_progress: AtomicU32,
     pub(super) max_requests: u32,
     pub(super) control: ControlClient,
@@ -104,7 +105,31 @@
 
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        self.readiness() == ReadinessState::Ready
+    }
+
+    /// How far the daemon is between its start and its stop.
+    pub fn readiness(&self) -> ReadinessState {
+        *self.readiness.borrow()
+    }
+
+    /// What the readiness gate looks at.
+    pub(super) fn readiness_view(&self, now: Instant) -> ReadinessView {
+        let directory = self.directory.snapshot();
+        let configuration = self.configuration.load();
+        let mut stages = configuration
+            .pipelines()
+            .flat_map(|plan| plan.stages.iter());
+        let is_served = |pool: &str| {
+            directory
+                .pool(pool)
+                .iter()
+                .any(|record| record.takes_work(now))
+        };
+        ReadinessView {
+            pools_served: stages.all(|stage| is_served(&stage.pool)),
+            directory_synced: false,
+        }
     }
 
     /// Runs a request, or refuses it when the daemon is full.
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -7,11 +7,13 @@
 mod entry_node;
 mod entry_status;
 mod queue_gauges;
+mod readiness_gate;
 
 pub use claimed_run::{AnswerWriter, ClaimedAnswer, ClaimedRun};
 pub use entry_daemon::{EntryDaemon, EntryError};
 pub use entry_node::EntryNode;
 pub use entry_status::EntryStatus;
+pub use readiness_gate::{ReadinessGate, ReadinessState, ReadinessView};
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, EntryError>;
