--- a/crates/savorywalk/src/attempt/attempt_ledger.rs
+++ b/crates/savorywalk/src/attempt/attempt_ledger.rs
@@ -1,6 +1,7 @@
 use futures::future::AbortHandle;
 
-use super::{LaunchKind, WasteReason, WasteTally};
+use super::{LaunchKind, WasteTally};
+use crate::cost::WasteReason;
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
 
@@ -62,8 +63,8 @@
     /// Closes its connection.
     pub(super) fn abort(&mut self, now: Instant) {
         let reason = match self.stalled {
-            true => WasteReason::Stalled,
-            false => WasteReason::Hedged,
+            true => WasteReason::FailedAttempt,
+            false => WasteReason::LostHedge,
         };
         self.abort.abort();
         self.end(now, reason);
@@ -114,9 +115,7 @@
                 used += entry.time(now);
                 continue;
             }
-            let reason = entry
-                .ended
-                .map_or(WasteReason::Expired, |(_, reason)| reason);
+            let reason = entry.ended.map_or(WasteReason::Late, |(_, reason)| reason);
             waste.add(reason, entry.time(now));
         }
         (used, waste)
@@ -136,3 +135,7 @@
         chain
     }
 }
+
+#[cfg(test)]
+#[path = "attempt_ledger_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/attempt/mod.rs
+++ b/crates/savorywalk/src/attempt/mod.rs
@@ -44,7 +44,7 @@
 pub use stage_machine::{StageCounts, StageMachine, StageRules};
 pub use stage_outcome::{StageFailure, StageOutcome};
 pub use stage_request::StageRequest;
-pub use waste_tally::{WasteReason, WasteTally};
+pub use waste_tally::WasteTally;
 
 /// Result of one attempt.
 pub type Result<T> = std::result::Result<T, AttemptError>;
--- a/crates/savorywalk/src/attempt/stage_run.rs
+++ b/crates/savorywalk/src/attempt/stage_run.rs
@@ -9,9 +9,10 @@
 use super::{
     AttemptError, AttemptEvent, AttemptId, LaunchKind, PaceKey, StageAction, StageCall,
     StageDispatcher, StageEnd, StageEvent, StageFailure, StageMachine, StageOutcome, StageRequest,
-    StageRules, WasteReason,
+    StageRules,
 };
 use crate::admission::{FirstDispatch, RequestPhase};
+use crate::cost::WasteReason;
 use crate::prelude::*;
 use crate::routing::{AttemptReport, RouteQuery};
 
@@ -266,7 +267,7 @@
                 Some(AttemptReport::Failed)
             }
             AttemptEvent::StreamEnded(_) | AttemptEvent::Answered(_) => {
-                entry.end(now, WasteReason::Hedged);
+                entry.end(now, WasteReason::LostHedge);
                 Some(AttemptReport::Succeeded(now - entry.started))
             }
             AttemptEvent::Failed(error) => {
@@ -304,7 +305,6 @@
         match end {
             StageEnd::Answered { attempt, reply } => {
                 let (endpoint_time, waste) = self.ledger.costs(now, Some(attempt));
-                metrics.record_waste(pool, &waste);
                 let endpoint = self.learn(now, attempt);
                 Ok(StageOutcome {
                     reply,
@@ -317,7 +317,6 @@
             }
             StageEnd::Failed { error, nothing_ran } => {
                 let (_, waste) = self.ledger.costs(now, None);
-                metrics.record_waste(pool, &waste);
                 self.revert(error.as_ref(), nothing_ran, phase);
                 Err(StageFailure {
                     error,
@@ -364,15 +363,16 @@
 
 fn waste_reason(error: &AttemptError) -> WasteReason {
     match error {
-        AttemptError::Refused(_) | AttemptError::NoConnection(_) => WasteReason::Refused,
-        AttemptError::TimedOut | AttemptError::Expired => WasteReason::Expired,
+        AttemptError::TimedOut | AttemptError::Expired => WasteReason::Late,
         AttemptError::Unreachable(_)
+        | AttemptError::NoConnection(_)
+        | AttemptError::Refused(_)
         | AttemptError::Rejected { .. }
         | AttemptError::Failed { .. }
         | AttemptError::Cut(_)
         | AttemptError::Unreadable(_)
         | AttemptError::WrongAttempt(_)
         | AttemptError::UnknownStream(_)
-        | AttemptError::Diverged => WasteReason::Failed,
+        | AttemptError::Diverged => WasteReason::FailedAttempt,
     }
 }
--- a/crates/savorywalk/src/pipeline/run_account.rs
+++ b/crates/savorywalk/src/pipeline/run_account.rs
@@ -1,5 +1,5 @@
 use super::PipelineError;
-use crate::attempt::{StageFailure, StageOutcome};
+use crate::attempt::{StageFailure, StageOutcome, WasteTally};
 use crate::configuration::{PipelinePlan, WorkspacePlan};
 use crate::cost::{CostEntry, CostKey, CostLedger, WasteReason};
 use crate::prelude::*;
@@ -22,14 +22,13 @@
 }
 
 /// What one stage of the run has cost so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StageCost {
     stage: usize,
     results: u64,
     endpoint_time: Duration,
     tokens: u64,
-    wasted: Duration,
-    reason: Option<WasteReason>,
+    waste: WasteTally,
 }
 
 impl RunAccount {
@@ -64,8 +63,7 @@
             results: 1,
             endpoint_time: outcome.endpoint_time,
             tokens: outcome.reply.tokens(),
-            wasted: outcome.wasted_time,
-            reason: Some(WasteReason::FailedAttempt),
+            waste: outcome.waste.clone(),
         });
     }
 
@@ -74,8 +72,7 @@
         self.running = None;
         self.stages.push(StageCost {
             stage,
-            wasted: failure.wasted_time,
-            reason: Some(reason),
+            waste: WasteTally::of(reason, failure.wasted_time),
             ..StageCost::default()
         });
     }
@@ -103,8 +100,8 @@
             None => entry.endpoint_seconds = cost.endpoint_time.as_secs_f64(),
             Some(reason) => entry.add_waste(reason, cost.endpoint_time),
         }
-        if let Some(reason) = cost.reason {
-            entry.add_waste(reason, cost.wasted);
+        for (reason, time) in cost.waste.times() {
+            entry.add_waste(*reason, *time);
         }
         self.metrics.record_cost(labels, &entry);
         let key = CostKey {
@@ -121,8 +118,7 @@
         if let Some((stage, began)) = self.running.take() {
             self.stages.push(StageCost {
                 stage,
-                wasted: began.elapsed(),
-                reason: Some(WasteReason::Cancelled),
+                waste: WasteTally::of(WasteReason::Cancelled, began.elapsed()),
                 ..StageCost::default()
             });
         }
--- a/crates/savorywalk/src/telemetry/attempt_metrics.rs
+++ b/crates/savorywalk/src/telemetry/attempt_metrics.rs
@@ -1,7 +1,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 
-use crate::attempt::{StageCounts, WasteTally};
+use crate::attempt::StageCounts;
 
 /// Metrics of attempts, by pool.
 #[derive(Clone, Debug)]
@@ -10,7 +10,6 @@
     stalls: Counter<u64>,
     dropped: Counter<u64>,
     ejections: Counter<u64>,
-    wasted: Counter<f64>,
 }
 
 impl AttemptMetrics {
@@ -33,11 +32,6 @@
                 .u64_counter("savorywalk_endpoint_ejections")
                 .with_description("Endpoints taken out of routing for failing")
                 .build(),
-            wasted: meter
-                .f64_counter("savorywalk_attempt_wasted")
-                .with_description("Endpoint time that gave no result, by reason")
-                .with_unit("s")
-                .build(),
         }
     }
 
@@ -51,14 +45,6 @@
         self.add(&self.dropped, pool, "reason", "doubled", counts.doubled);
     }
 
-    /// Counts endpoint time that gave no result.
-    pub fn record_waste(&self, pool: &str, waste: &WasteTally) {
-        for (reason, time) in waste.times() {
-            let labels = labels(pool, "reason", reason.label());
-            self.wasted.add(time.as_secs_f64(), &labels);
-        }
-    }
-
     /// Counts an endpoint that was ejected from its pool.
     pub fn record_ejection(&self, pool: &str) {
         let labels = [KeyValue::new("pool", pool.to_string())];
