Add the operators' commands: config, status, audit

config get, patch, rollback and history, status and audit [--verify] speak to an entry over HTTP with the token of a file. A change whose answer is lost is sent again under the same patch id.

Only plain HTTP to the entry; TLS on the operators' listener is not spoken yet.

--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -1,5 +1,6 @@
 #![allow(missing_docs, unreachable_pub, reason = "the macro writes these items")]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -76,5 +77,88 @@
                 optional --days days: u32
             }
         }
+        /// Reads and changes the configuration of a running deployment.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk config get --entry 127.0.0.1:7111 --token-file operator.token
+        ///     savorywalk config patch --file patch.json --version 7 --entry 127.0.0.1:7111 --token-file operator.token
+        cmd config {
+            /// Prints the configuration in force as JSON, and its version on
+            /// standard error.
+            cmd get {
+                /// Address of an entry's listener for operators.
+                required --entry address: SocketAddr
+                /// File that holds the operator's token.
+                required --token-file file: PathBuf
+            }
+            /// Sends a JSON Merge Patch for the version that it was written for.
+            /// When another change came first, prints what changed since and
+            /// exits with 2. A lost answer is asked for again under the same
+            /// patch id, so the patch is decided once.
+            cmd patch {
+                /// File with the patch.
+                required --file file: PathBuf
+                /// Version that the patch is for.
+                required --version version: u64
+                /// Patch id; a new one when none is given. Give the id of an
+                /// earlier try to learn its outcome.
+                optional --id id: String
+                /// Address of an entry's listener for operators.
+                required --entry address: SocketAddr
+                /// File that holds the operator's token.
+                required --token-file file: PathBuf
+            }
+            /// Makes the content of an earlier version the next version.
+            cmd rollback {
+                /// Version whose content is wanted.
+                required --to version: u64
+                /// Version in force.
+                required --version version: u64
+                /// Patch id; a new one when none is given.
+                optional --id id: String
+                /// Address of an entry's listener for operators.
+                required --entry address: SocketAddr
+                /// File that holds the operator's token.
+                required --token-file file: PathBuf
+            }
+            /// Prints who changed what, oldest first.
+            cmd history {
+                /// Only versions after this one.
+                optional --after version: u64
+                /// Most versions (100 when none is given).
+                optional --limit count: u64
+                /// Address of an entry's listener for operators.
+                required --entry address: SocketAddr
+                /// File that holds the operator's token.
+                required --token-file file: PathBuf
+            }
+        }
+        /// Prints what an entry and control tell of themselves, as JSON.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk status --entry 127.0.0.1:7111 --token-file operator.token
+        cmd status {
+            /// Address of an entry's listener for operators.
+            required --entry address: SocketAddr
+            /// File that holds the operator's token.
+            required --token-file file: PathBuf
+        }
+        /// Prints the audit trail, or verifies its chain of hashes.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk audit --entry 127.0.0.1:7111 --token-file operator.token
+        ///     savorywalk audit --verify --entry 127.0.0.1:7111 --token-file operator.token
+        cmd audit {
+            /// Recomputes the hashes of all records and names the first gap.
+            optional --verify
+            /// Only records after this one.
+            optional --after sequence: u64
+            /// Most records (100 when none is given).
+            optional --limit count: u64
+            /// Address of an entry's listener for operators.
+            required --entry address: SocketAddr
+            /// File that holds the operator's token.
+            required --token-file file: PathBuf
+        }
     }
 }
--- a/crates/daemon/src/command_error.rs
+++ b/crates/daemon/src/command_error.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::check_report::CheckReport;
+use crate::operator_error::OperatorError;
 
 /// Exit code when what the user wrote is wrong; the argument parser's too.
 const WRONG_INPUT: u8 = 2;
@@ -75,6 +76,10 @@
     #[error("{0} request(s) of the demo were not answered whole and in time")]
     #[diagnostic(help("run it again with SAVORYWALK_LOG=debug and read the log"))]
     DemoFailed(usize),
+    /// An operator's command failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Operator(#[from] OperatorError),
     /// Requests were cut by a stop.
     #[error("requests were still in progress when the drain timed out")]
     #[diagnostic(help("raise drain_timeout_ms in [entry]"))]
@@ -92,7 +97,9 @@
             | Self::Deployment(_)
             | Self::Keys(_)
             | Self::Pool { .. } => WRONG_INPUT,
-            Self::Output(_)
+            Self::Operator(error) if error.is_wrong_input() => WRONG_INPUT,
+            Self::Operator(_)
+            | Self::Output(_)
             | Self::Entry(_)
             | Self::Standin(_)
             | Self::Signals(_)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,17 +2,23 @@
 //! the library.
 
 mod arguments;
+mod audit_command;
 mod check_report;
 mod command_error;
+mod config_command;
 mod demo;
 mod demo_deployment;
 mod demo_progress;
 mod demo_report;
 mod demo_request;
 mod keys;
+mod operator_client;
+mod operator_error;
 mod report_writer;
 mod serve;
 mod settings_check;
+mod status_command;
+mod time_text;
 
 use std::process::ExitCode;
 
@@ -41,5 +47,8 @@
         SavorywalkCmd::Serve(arguments) => serve::run(&arguments.settings).await,
         SavorywalkCmd::Check(arguments) => settings_check::run(&arguments.settings),
         SavorywalkCmd::Keys(arguments) => keys::run(arguments),
+        SavorywalkCmd::Config(arguments) => config_command::run(arguments).await,
+        SavorywalkCmd::Status(arguments) => status_command::run(arguments).await,
+        SavorywalkCmd::Audit(arguments) => audit_command::run(arguments).await,
     }
 }
