--- a/crates/savorywalk/src/claims/claim_limits.rs
+++ b/crates/savorywalk/src/claims/claim_limits.rs
@@ -19,12 +19,13 @@
 }
 
 impl Default for ClaimLimits {
-    /// Sized for one log group: a million claims are about 300 MB, and an hour
-    /// of 270 bookings a second.
+    /// Sized for one log group: a claim takes some 0.8 KB
+    /// (docs/measurements/control.md), so these are about 200 MB, and a day of
+    /// three bookings a second.
     fn default() -> Self {
         Self {
-            claims: 1_000_000,
-            workspace_claims: 250_000,
+            claims: 250_000,
+            workspace_claims: 100_000,
             answers: 10_000,
             answer_bytes: 32 << 20,
             largest_answer: 64 << 10,
