Let a booking that failed before its stage be sent again under its key

A deadline or a failed stage before the non-idempotent one was kept as the answer, so a resend under the same key could never book. Nothing that may run at most once had been sent to an endpoint by then: the claim is given back. The error is kept as before when the caller marked the request as a whole, and from the non-idempotent stage on.

A resend also waits before its first look-up, so that a look-up which lags behind the log can't make it spin.

--- a/crates/savorywalk/src/entry/claimed_run.rs
+++ b/crates/savorywalk/src/entry/claimed_run.rs
@@ -7,6 +7,7 @@
 use crate::claims::{
     ClaimAnswer, ClaimDecision, ClaimError, ClaimRefusal, ClaimTicket, Result as ClaimResult,
 };
+use crate::configuration::PipelinePlan;
 use crate::pipeline::{PipelineAnswer, PipelineError, PipelineRequest};
 use crate::prelude::*;
 
@@ -87,13 +88,13 @@
     /// or time is up.
     async fn wait(&self, ends: Instant) -> Option<ClaimDecision> {
         while Instant::now() < ends {
+            sleep(POLL_INTERVAL.min(ends.saturating_duration_since(Instant::now()))).await;
             match self.node.claims().look_up(&self.ticket.key).await {
                 Ok(ClaimDecision::Running(_)) => {}
                 Ok(ClaimDecision::Unknown(_)) => return None,
                 Ok(decision) => return Some(decision),
                 Err(error) => log_event!(warn, "claim_look_up_failed", error = error),
             }
-            sleep(POLL_INTERVAL.min(ends.saturating_duration_since(Instant::now()))).await;
         }
         None
     }
@@ -117,11 +118,17 @@
 
     async fn run(self, request: PipelineRequest, caller: oneshot::Sender<ClaimedAnswer>) {
         let id = request.id;
+        let pipeline = Arc::clone(&request.pipeline);
+        let idempotent = request.idempotent;
         let answer = match self.node.run(request).await {
             Err(PipelineError::NotRun(refusal)) => {
                 self.record(None).await;
                 ClaimedAnswer::NotRun(refusal)
             }
+            Err(error) if idempotent && may_run_again(&pipeline, &error) => {
+                self.record(None).await;
+                ClaimedAnswer::Answer((self.write)(id, Err(error)))
+            }
             result => {
                 let answer = (self.write)(id, result);
                 self.record(Some(answer.clone())).await;
@@ -165,6 +172,27 @@
     log_event!(error, "claim_record_given_up", key = ticket.key.key);
 }
 
+/// Whether a run ended before any stage that may run at most once was sent to
+/// an endpoint: then a resend is a new try, and not a second booking.
+fn may_run_again(pipeline: &PipelinePlan, error: &PipelineError) -> bool {
+    let (failed, was_sent) = match error {
+        PipelineError::NotRun(_) => return true,
+        PipelineError::OutcomeUnknown { .. } => return false,
+        PipelineError::NoEndpoint { stage, .. } => (stage, false),
+        PipelineError::DeadlineExceeded { stage, .. }
+        | PipelineError::StageFailed { stage, .. } => (stage, true),
+    };
+    for stage in &pipeline.stages {
+        if stage.name == *failed {
+            return stage.idempotent || !was_sent;
+        }
+        if !stage.idempotent {
+            return false;
+        }
+    }
+    false
+}
+
 /// What a decision that ends the wait means to the caller.
 fn settled(decision: ClaimDecision) -> ClaimResult<ClaimedAnswer> {
     match decision {
--- a/crates/standin/tests/booking_resends.rs
+++ b/crates/standin/tests/booking_resends.rs
@@ -112,6 +112,36 @@
     assert_eq!(deployment.bookings(), 1);
 }
 
+#[tokio::test]
+async fn a_booking_that_failed_before_its_stage_can_be_sent_again() {
+    let deployment = deployment().await;
+    let engine = &deployment.services[0];
+    assert_eq!(engine.options().pool, "engines");
+    engine.faults().set(EndpointFault::Fail);
+    let booking = TestRequest::booking("tow-1", "Minibus at kilometre 61");
+    let failed = deployment.send(booking.clone()).await;
+    assert_eq!(failed.body["error"]["kind"], "stage_failed");
+    engine.faults().set(EndpointFault::None);
+    let marked = booking.clone().header("savorywalk-idempotent", "false");
+    let second = deployment.send(booking).await;
+    assert_eq!(second.status, 200, "{second:?}");
+    assert_eq!(deployment.send(marked).await, second);
+    assert_eq!(deployment.bookings(), 1);
+}
+
+#[tokio::test]
+async fn a_failed_request_that_is_marked_as_a_whole_is_not_run_again() {
+    let deployment = deployment().await;
+    let engine = &deployment.services[0];
+    engine.faults().set(EndpointFault::Fail);
+    let booking = TestRequest::booking("tow-1", "Minibus at kilometre 61");
+    let booking = booking.header("savorywalk-idempotent", "false");
+    let failed = deployment.send(booking.clone()).await;
+    engine.faults().set(EndpointFault::None);
+    assert_eq!(deployment.send(booking).await, failed);
+    assert_eq!(deployment.bookings(), 0);
+}
+
 #[tokio::test]
 async fn an_unknown_outcome_is_kept_and_the_booking_not_run_again() {
     let deployment = deployment().await;
