--- a/crates/daemon/src/audit_command.rs
+++ b/crates/daemon/src/audit_command.rs
@@ -1,11 +1,11 @@
 use savorywalk::audit::{AuditRecord, AuditReply, verify_chain};
+use savorywalk::telemetry::time_text;
 
 use crate::Result;
 use crate::arguments::Audit;
 use crate::operator_client::OperatorClient;
 use crate::operator_error::OperatorError;
 use crate::report_writer::ReportWriter;
-use crate::time_text::time_text;
 
 const DEFAULT_LIMIT: u64 = 100;
 /// Records of one page while a trail is verified.
@@ -55,7 +55,8 @@
 
 async fn read(client: &OperatorClient, after: u64, limit: u64) -> Result<AuditReply> {
     let path = format!("/v1/audit?after={after}&limit={limit}");
-    client.get_json(&path).await
+    let reply = client.get(&path).await?;
+    Ok(serde_json::from_slice(&reply.body).map_err(OperatorError::BadAnswer)?)
 }
 
 fn write_record(report: &mut ReportWriter<std::io::Stdout>, record: &AuditRecord) {
--- a/crates/daemon/src/config_command.rs
+++ b/crates/daemon/src/config_command.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use hyper::Method;
 use savorywalk::control::{HistoryReply, VersionChange};
+use savorywalk::telemetry::time_text;
 use serde_json::{Value, json};
 
 use crate::arguments::{Config, ConfigCmd, Get, History, Patch, Rollback};
 use crate::operator_client::{ChangeRequest, OperatorClient, OperatorReply};
 use crate::operator_error::OperatorError;
 use crate::report_writer::ReportWriter;
-use crate::time_text::time_text;
 use crate::{CommandError, Result};
 
 const DEFAULT_LIMIT: u64 = 100;
@@ -29,8 +29,7 @@
 async fn get(arguments: Get) -> Result<()> {
     let client = OperatorClient::new(arguments.entry, &arguments.token_file)?;
     let reply = client.get("/v1/config").await?;
-    let document: Value = serde_json::from_slice(&reply.body)
-        .map_err(|error| OperatorError::BadAnswer(error.to_string()))?;
+    let document: Value = serde_json::from_slice(&reply.body).map_err(OperatorError::BadAnswer)?;
     let mut report = ReportWriter::stdout();
     report.line(format_args!("{document:#}"));
     eprintln!("version {}", reply.version.unwrap_or_default());
@@ -66,7 +65,9 @@
     let after = arguments.after.unwrap_or(0);
     let limit = arguments.limit.unwrap_or(DEFAULT_LIMIT);
     let path = format!("/v1/config/history?after={after}&limit={limit}");
-    let history: HistoryReply = client.get_json(&path).await?;
+    let reply = client.get(&path).await?;
+    let history: HistoryReply =
+        serde_json::from_slice(&reply.body).map_err(OperatorError::BadAnswer)?;
     let mut report = ReportWriter::stdout();
     for change in &history.changes {
         write_change(&mut report, change);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,7 +18,6 @@
 mod serve;
 mod settings_check;
 mod status_command;
-mod time_text;
 
 use std::process::ExitCode;
 
--- a/crates/daemon/src/operator_client.rs
+++ b/crates/daemon/src/operator_client.rs
@@ -10,7 +10,6 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use savorywalk::attempt::RequestId;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::operator_error::OperatorError;
@@ -70,12 +69,6 @@
         Ok(self.send(request, Bytes::new()).await?)
     }
 
-    /// Reads a path as a typed answer.
-    pub(crate) async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        let reply = self.get(path).await?;
-        Ok(parse(&reply.body)?)
-    }
-
     /// Sends a change. It is sent again under the same id when its answer is
     /// lost, so it is decided once.
     pub(crate) async fn change(&self, change: ChangeRequest) -> Result<OperatorReply> {
@@ -142,10 +135,6 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(body: &[u8]) -> std::result::Result<T, OperatorError> {
-    serde_json::from_slice(body).map_err(|error| OperatorError::BadAnswer(error.to_string()))
-}
-
 /// The entry's own words, with what changed where it tells that.
 fn refusal(status: u16, body: &[u8]) -> OperatorError {
     let document: Value = serde_json::from_slice(body).unwrap_or_default();
--- a/crates/daemon/src/operator_error.rs
+++ b/crates/daemon/src/operator_error.rs
@@ -39,7 +39,7 @@
     /// The answer can't be read.
     #[error("the answer can't be read: {0}")]
     #[diagnostic(help("use the same version of savorywalk as the entry"))]
-    BadAnswer(String),
+    BadAnswer(serde_json::Error),
     /// The audit trail doesn't hold together.
     #[error("the audit trail has a gap: {0}")]
     Gap(#[from] AuditGap),
