Give reported load a tenth of a weight, not a half

Reports are older than a stage takes, and at a weight of 0.5 every entry followed them to the same engine while others stood idle. The routing tests pass unchanged (41).

--- a/crates/savorywalk/src/routing/candidate_cost.rs
+++ b/crates/savorywalk/src/routing/candidate_cost.rs
@@ -7,8 +7,9 @@
 use crate::prelude::*;
 
 /// Weight of a load report that has just come: it was true some time ago, and
-/// every daemon reads it at the same moment.
-const REPORT_WEIGHT: f64 = 0.5;
+/// every daemon reads it at the same moment. At 0.5 all of them followed it to
+/// the same engine; see docs/measurements/request-path.md.
+const REPORT_WEIGHT: f64 = 0.1;
 /// Time that a call into another data centre takes longer, in seconds: both
 /// deployments have about 1.5 ms one way.
 const DISTANCE_SECONDS: f64 = 0.003;
