--- a/crates/savorywalk/examples/replica_bench.rs
+++ b/crates/savorywalk/examples/replica_bench.rs
@@ -257,12 +257,13 @@
     let start = Instant::now();
     let handle = cluster.start(0, 9).await?;
     let read = start.elapsed();
-    let ready = leader_of(std::slice::from_ref(&handle)).await;
-    let applied = handle.status().applied_index;
+    leader_of(std::slice::from_ref(&handle)).await;
+    let ready_time = start.elapsed();
+    let applied = handle.read_barrier().await?;
     println!(
-        "restart entries={entries} read_ms={:.1} ready_ms={:.1} applied={applied} leader={ready}",
+        "restart entries={entries} read_ms={:.1} ready_ms={:.1} applied={applied}",
         read.as_secs_f64() * 1e3,
-        start.elapsed().as_secs_f64() * 1e3,
+        ready_time.as_secs_f64() * 1e3,
     );
     Ok(())
 }
