--- a/crates/savorywalk/src/routing/endpoint_router.rs
+++ b/crates/savorywalk/src/routing/endpoint_router.rs
@@ -12,7 +12,7 @@
 pub struct EndpointRouter {
     policy: RoutingPolicy,
     turn: AtomicUsize,
-    /// Held for less than a microsecond a pick; see docs/measurements/routing.md.
+    /// Held for a few microseconds a pick; see docs/measurements/routing.md.
     core: Mutex<RouterCore>,
     /// Attempts in progress from this process.
     pub outstanding: OutstandingTable,
