--- a/crates/daemon/tests/http_errors.rs
+++ b/crates/daemon/tests/http_errors.rs
@@ -58,14 +58,19 @@
     insta::assert_snapshot!(name, error_of(call).await);
 }
 
+#[rstest]
+#[case(Callers, "/v1/pipelines/brief", "POST")]
+#[case(Operators, "/v1/config", "GET, PATCH")]
 #[tokio::test]
-async fn a_wrong_method_names_the_right_one_in_a_header() {
+async fn a_wrong_method_names_the_right_ones_in_a_header(
+    #[case] listener: ListenerKind,
+    #[case] path: &str,
+    #[case] allowed: &str,
+) {
     let daemon = ServeTest::new().start();
-    let answer = daemon
-        .call(Callers, "PUT", "/v1/pipelines/brief")
-        .send()
-        .await;
-    assert_eq!((answer.status, answer.header("allow")), (405, "POST"));
+    let call = daemon.call(listener, "PUT", path);
+    let answer = call.token(&token_for("operator")).send().await;
+    assert_eq!((answer.status, answer.header("allow")), (405, allowed));
 }
 
 #[tokio::test]
--- a/crates/savorywalk/src/api/response_body.rs
+++ b/crates/savorywalk/src/api/response_body.rs
@@ -68,7 +68,8 @@
         headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     if let ApiError::MethodNotAllowed(allowed) = error {
-        headers.insert(ALLOW, HeaderValue::from_static(allowed));
+        let methods = allowed.replace(" or ", ", ");
+        headers.extend(HeaderValue::from_str(&methods).map(|methods| (ALLOW, methods)));
     }
     if let ApiError::Unauthorized = error {
         headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
