--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -9,6 +9,7 @@
 )]
 
 pub mod command_test;
+pub mod endpoint_set;
 pub mod held_engine;
 pub mod http_call;
 pub mod log_lines;
