--- a/crates/savorywalk/src/pipeline/mod.rs
+++ b/crates/savorywalk/src/pipeline/mod.rs
@@ -7,6 +7,7 @@
 mod pipeline_runner;
 mod run_account;
 mod stage_progress;
+mod stage_stop;
 
 pub use pipeline_answer::{PipelineAnswer, StageReport};
 pub use pipeline_error::PipelineError;
--- a/crates/savorywalk/src/pipeline/pipeline_runner.rs
+++ b/crates/savorywalk/src/pipeline/pipeline_runner.rs
@@ -1,24 +1,14 @@
 use super::stage_progress::StageProgress;
-use super::{PipelineAnswer, PipelineError, PipelineRequest, Result, RunAccount, StageReport};
-use crate::admission::{
-    AdmissionControl, AdmissionRefusal, RefusalReason, RequestPhase, RunProfile, SizeClass,
-    StageVisit,
-};
-use crate::attempt::{
-    AttemptError, StageDispatcher, StageFailure, StageOutcome, StageRequest, StageState,
-};
-use crate::configuration::{StageKind, StagePlan};
-use crate::cost::{CostLedger, WasteReason};
+use super::stage_stop::StageStop;
+use super::{PipelineAnswer, PipelineError, PipelineRequest, Result, RunAccount};
+use crate::admission::{AdmissionControl, RequestPhase, RunProfile, SizeClass, StageVisit};
+use crate::attempt::{AttemptError, StageDispatcher, StageRequest, StageState};
+use crate::configuration::StageKind;
+use crate::cost::CostLedger;
 use crate::prelude::*;
 use crate::routing::EndpointRouter;
 use crate::telemetry::{MetricSet, RequestOutcome};
 
-const MILLIS_PER_SECOND: f64 = 1_000.0;
-/// Advice to a caller whose first stage nobody serves: a lease is renewed within it.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(2);
-/// Advice to a caller whose deadline passed while an endpoint refused the work.
-const DEADLINE_RETRY: Duration = Duration::from_secs(1);
-
 /// Carries requests through their pipelines.
 #[derive(Debug)]
 pub struct PipelineRunner {
@@ -82,55 +72,62 @@
     ) -> Result<PipelineAnswer> {
         let mut phase = std::mem::replace(&mut request.phase, RequestPhase::new());
         let mut profile = profile(&request);
-        let now = Instant::now();
-        if let Err(refusal) = self.admission.admit(now, &mut profile) {
-            return Err(refusal_error("", refusal, phase, &StageProgress::default()));
+        let mut progress = StageProgress::new(&mut request.input);
+        if let Err(refusal) = self.admission.admit(Instant::now(), &mut profile) {
+            return Err(StageStop::Denied(refusal).into_error("", phase, &progress));
         }
-        let mut state = StageState {
-            input: std::mem::take(&mut request.input.input),
-            documents: std::mem::take(&mut request.input.documents),
-            ..StageState::default()
-        };
-        let mut progress = StageProgress::default();
         for (index, stage) in profile.pipeline.stages.iter().enumerate() {
-            let stage_started = Instant::now();
-            let own_size = SizeClass::of(state.input_bytes(stage.kind));
-            let visit = match self.admission.enter(&profile, index, own_size).await {
-                Ok(visit) => visit,
-                Err(refusal) => return Err(refusal_error(&stage.name, refusal, phase, &progress)),
-            };
-            self.metrics
-                .record_queue_wait(&stage.pool, stage_started.elapsed());
-            account.begin(index, Instant::now());
-            let stage_request = stage_request(&request, index, stage, &state, &visit);
-            let idempotent = stage_request.idempotent;
-            let outcome = match self.dispatcher.run(stage_request, &mut phase).await {
-                Ok(outcome) => outcome,
-                Err(failure) => {
-                    let timed_out = failure.error == Some(AttemptError::TimedOut);
-                    visit.fail(failure.wasted_time, timed_out);
-                    account.fail(index, &failure, waste_reason(timed_out));
-                    return Err(failure_error(stage, idempotent, failure, phase, &progress));
-                }
-            };
-            visit.finish(outcome.endpoint_time + outcome.wasted_time);
-            account.finish(index, &outcome);
-            progress.complete(
-                idempotent,
-                stage_report(stage, &outcome, stage_started.elapsed()),
+            let ran = self.run_stage(
+                &request,
+                &profile,
+                index,
+                &mut phase,
+                &mut progress,
+                account,
             );
-            state.apply(stage, outcome.reply);
+            if let Err(stop) = ran.await {
+                return Err(stop.into_error(&stage.name, phase, &progress));
+            }
+        }
+        Ok(progress.into_answer(&request))
+    }
+
+    async fn run_stage(
+        &self,
+        request: &PipelineRequest,
+        profile: &RunProfile,
+        index: usize,
+        phase: &mut RequestPhase,
+        progress: &mut StageProgress,
+        account: &mut RunAccount,
+    ) -> std::result::Result<(), StageStop> {
+        let stage = &profile.pipeline.stages[index];
+        let started = Instant::now();
+        let own_size = SizeClass::of(progress.state().input_bytes(stage.kind));
+        let visit = self.admission.enter(profile, index, own_size).await;
+        let visit = visit.map_err(StageStop::Denied)?;
+        self.metrics
+            .record_queue_wait(&stage.pool, started.elapsed());
+        account.begin(index, Instant::now());
+        let stage_request = stage_request(request, index, progress.state(), &visit);
+        let idempotent = stage_request.idempotent;
+        match self.dispatcher.run(stage_request, phase).await {
+            Ok(outcome) => {
+                visit.finish(outcome.endpoint_time + outcome.wasted_time);
+                account.finish(index, &outcome);
+                progress.complete(stage, idempotent, outcome, started.elapsed());
+                Ok(())
+            }
+            Err(failure) => {
+                let timed_out = failure.error == Some(AttemptError::TimedOut);
+                visit.fail(failure.wasted_time, timed_out);
+                account.fail(index, &failure);
+                Err(StageStop::Failed {
+                    failure,
+                    idempotent,
+                })
+            }
         }
-        Ok(PipelineAnswer {
-            request_id: request.id.to_string(),
-            pipeline: profile.pipeline.name.clone(),
-            configuration_version: request.configuration_version,
-            answer: state.answer,
-            documents: state.documents,
-            services: state.services,
-            elapsed_ms: millis(request.deadline.started().elapsed()),
-            stages: progress.into_reports(),
-        })
     }
 }
 
@@ -152,10 +149,10 @@
 fn stage_request<'a>(
     request: &'a PipelineRequest,
     index: usize,
-    stage: &'a StagePlan,
     state: &'a StageState,
     visit: &StageVisit<'_>,
 ) -> StageRequest<'a> {
+    let stage = &request.pipeline.stages[index];
     let idempotent = stage.idempotent && request.idempotent;
     let sink = request.sink.as_ref();
     StageRequest {
@@ -172,87 +169,3 @@
         sink: sink.filter(|_| stage.kind == StageKind::Generate),
     }
 }
-
-fn waste_reason(timed_out: bool) -> WasteReason {
-    if timed_out {
-        WasteReason::Late
-    } else {
-        WasteReason::FailedAttempt
-    }
-}
-
-fn stage_report(stage: &StagePlan, outcome: &StageOutcome, elapsed: Duration) -> StageReport {
-    StageReport {
-        stage: stage.name.clone(),
-        endpoint: outcome.endpoint.clone(),
-        attempts: outcome.attempts,
-        elapsed_ms: millis(elapsed),
-        endpoint_ms: millis(outcome.endpoint_time),
-        wasted_ms: millis(outcome.wasted_time),
-        tokens: outcome.reply.tokens(),
-    }
-}
-
-/// A stage that got no turn: "not run" when it would have been the first.
-fn refusal_error(
-    stage: &str,
-    refusal: AdmissionRefusal,
-    phase: RequestPhase,
-    progress: &StageProgress,
-) -> PipelineError {
-    match phase.into_unstarted() {
-        Some(unstarted) => unstarted.refuse(refusal.reason, refusal.retry_after).into(),
-        None => PipelineError::DeadlineExceeded {
-            stage: stage.to_string(),
-            completed_stages: progress.completed_stages(),
-        },
-    }
-}
-
-/// The honest error: "not run" only from a request that nothing has seen, and
-/// "outcome unknown" wherever a non-idempotent stage may have run.
-fn failure_error(
-    stage: &StagePlan,
-    idempotent: bool,
-    failure: StageFailure,
-    phase: RequestPhase,
-    progress: &StageProgress,
-) -> PipelineError {
-    if let Some(unstarted) = phase.into_unstarted() {
-        let (reason, retry_after) = match failure.error {
-            Some(AttemptError::TimedOut | AttemptError::Expired) => {
-                (RefusalReason::DeadlineTooShort, DEADLINE_RETRY)
-            }
-            Some(_) | None => (RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY),
-        };
-        return unstarted.refuse(reason, retry_after).into();
-    }
-    let stage = stage.name.clone();
-    let completed_stages = progress.completed_stages();
-    match failure.error {
-        None => PipelineError::NoEndpoint {
-            stage,
-            completed_stages,
-        },
-        Some(reason) if !idempotent && !reason.outcome_is_known() => {
-            PipelineError::OutcomeUnknown {
-                stage,
-                reason,
-                completed_stages,
-            }
-        }
-        Some(AttemptError::TimedOut | AttemptError::Expired) => PipelineError::DeadlineExceeded {
-            stage,
-            completed_stages,
-        },
-        Some(reason) => PipelineError::StageFailed {
-            stage,
-            reason,
-            completed_stages,
-        },
-    }
-}
-
-fn millis(span: Duration) -> f64 {
-    span.as_secs_f64() * MILLIS_PER_SECOND
-}
--- a/crates/savorywalk/src/pipeline/run_account.rs
+++ b/crates/savorywalk/src/pipeline/run_account.rs
@@ -68,11 +68,11 @@
     }
 
     /// The stage gave none.
-    pub(super) fn fail(&mut self, stage: usize, failure: &StageFailure, reason: WasteReason) {
+    pub(super) fn fail(&mut self, stage: usize, failure: &StageFailure) {
         self.running = None;
         self.stages.push(StageCost {
             stage,
-            waste: WasteTally::of(reason, failure.wasted_time),
+            waste: failure.waste.clone(),
             ..StageCost::default()
         });
     }
