--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -12,7 +12,7 @@
 use crate::directory::{CacheEvent, DirectoryHandle};
 use crate::pipeline::{PipelineAnswer, PipelineRequest, PipelineRunner, Result};
 use crate::prelude::*;
-use crate::queueing::QueueTable;
+use crate::queueing::{QueueTable, UsageReport};
 use crate::settings::NodeSettings;
 use crate::telemetry::MetricSet;
 
@@ -103,6 +103,17 @@
         router.take_cache_events(Instant::now(), endpoint, events);
     }
 
+    /// Takes in endpoint time that other entries gave, by the shares in force.
+    pub fn take_usage(&self, now: Instant, reports: &[UsageReport]) {
+        let configuration = self.configuration.load();
+        let workspaces = &configuration.source.workspaces;
+        let weight_of = |name: &str| {
+            let share = workspaces.get(name).map_or(1, |workspace| workspace.share);
+            share.max(1)
+        };
+        self.queues().take_usage(now, reports, weight_of);
+    }
+
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         self.readiness() == ReadinessState::Ready
