Measure what links carry and cost

The bench gets `links`; the hub tells the bytes on the wire and exports its counters, and may now be sent through from any thread.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -46,5 +46,10 @@
             /// Folder for the JSON report.
             optional --out folder: PathBuf
         }
+        /// What links between daemons carry and cost, on loopback.
+        cmd links {
+            /// Seconds for each measurement; 4 without it.
+            optional --seconds seconds: f64
+        }
     }
 }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -30,6 +30,12 @@
         "the endpoints were not known to every entry in time; try again when the machine is less busy"
     )]
     NoEndpoints,
+    #[error(transparent)]
+    Keys(#[from] savorywalk::transport::KeyError),
+    #[error(transparent)]
+    Link(#[from] savorywalk::transport::LinkError),
+    #[error("a name or address of the bench is wrong: {0}")]
+    Peer(#[from] savorywalk::transport::BadPeer),
     #[error("{path:?} can't be written: {error}; name a folder that can")]
     Report { path: PathBuf, error: String },
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod bench_runtimes;
 mod engine_trouble;
 mod fairness_bench;
+mod link_bench;
 mod load_driver;
 mod load_report;
 mod load_run;
@@ -48,6 +49,7 @@
         SavorywalkBenchCmd::Overhead(arguments) => overhead(arguments),
         SavorywalkBenchCmd::Attainment(arguments) => attainment(&arguments),
         SavorywalkBenchCmd::Fairness(arguments) => fairness(arguments),
+        SavorywalkBenchCmd::Links(arguments) => link_bench::run(arguments.seconds),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -2,6 +2,7 @@
 use std::sync::{Mutex, RwLock};
 
 use arc_swap::ArcSwapOption;
+use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +22,7 @@
 #[derive(Debug)]
 pub(super) struct HubCore {
     pub(super) name: PeerName,
+    pub(super) runtime: Handle,
     pub(super) files: CertificateFiles,
     pub(super) identity: ArcSwap<LinkIdentity>,
     pub(super) endpoint: quinn::Endpoint,
@@ -59,8 +61,10 @@
         let slot = PeerSlot::new(&self.name, name.clone(), Arc::clone(&self.quota));
         let slot = Arc::new(slot);
         slots.insert(name, Arc::clone(&slot));
-        tokio::spawn(connection_keeper::run(Arc::clone(self), Arc::clone(&slot)));
-        tokio::spawn(peer_writer::run(Arc::clone(self), Arc::clone(&slot)));
+        self.runtime
+            .spawn(connection_keeper::run(Arc::clone(self), Arc::clone(&slot)));
+        self.runtime
+            .spawn(peer_writer::run(Arc::clone(self), Arc::clone(&slot)));
         Ok(slot)
     }
 
@@ -89,12 +93,12 @@
             address = quic.remote_address()
         );
         let connection = LinkConnection::new(Instant::now(), quic, origin, socket);
-        tokio::spawn(inbound_reader::read_batches(
+        self.runtime.spawn(inbound_reader::read_batches(
             Arc::clone(self),
             Arc::clone(slot),
             connection.quic.clone(),
         ));
-        tokio::spawn(inbound_reader::read_calls(
+        self.runtime.spawn(inbound_reader::read_calls(
             Arc::clone(self),
             Arc::clone(slot),
             connection.quic.clone(),
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwapOption;
 use prost::Message;
+use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant as TokioInstant;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -16,8 +17,8 @@
 use super::send_queue::QueueOutcome;
 use super::{
     AddressBook, InboundCall, InboundMessage, LinkBudget, LinkChannel, LinkClass, LinkError,
-    LinkMetrics, LinkOptions, PeerName, Result, connection_keeper, link_limits as limits,
-    peer_writer,
+    LinkMetrics, LinkOptions, PeerName, Result, WireCounts, connection_keeper,
+    link_limits as limits, peer_writer,
 };
 use crate::generated::link::call_reply::Outcome;
 use crate::generated::link::{CallRefusal, CallReply, CallRequest};
@@ -45,6 +46,7 @@
         let stop = CancellationToken::new();
         let core = Arc::new(HubCore {
             name: options.name,
+            runtime: Handle::current(),
             files: options.files,
             identity: ArcSwap::from_pointee(identity),
             endpoint,
@@ -100,6 +102,17 @@
         open.map(|slot| slot.name.clone()).collect()
     }
 
+    /// What the open connections have put on the wire.
+    pub fn wire_counts(&self) -> WireCounts {
+        let slots = self.core.slots.read();
+        let slots = slots.unwrap_or_else(|poison| poison.into_inner());
+        let mut counts = WireCounts::default();
+        for slot in slots.values() {
+            counts += slot.wire_counts();
+        }
+        counts
+    }
+
     /// Sends `payload` to `peer` under the channel's usual class.
     pub fn send(&self, peer: &str, channel: LinkChannel, payload: Bytes) -> Result<()> {
         self.send_as(peer, channel, channel.default_class(), payload)
--- a/crates/savorywalk/src/transport/mod.rs
+++ b/crates/savorywalk/src/transport/mod.rs
@@ -17,6 +17,7 @@
 mod link_class;
 mod link_connection;
 mod link_error;
+mod link_gauges;
 mod link_hub;
 mod link_identity;
 pub mod link_limits;
@@ -30,6 +31,7 @@
 mod receive_meter;
 mod send_queue;
 mod token_bucket;
+mod wire_counts;
 
 pub use crate::generated::link::CallRefusal;
 pub use address_book::AddressBook;
@@ -42,10 +44,12 @@
 pub use link_channel::LinkChannel;
 pub use link_class::LinkClass;
 pub use link_error::{LinkError, LoadError};
+pub use link_gauges::register as register_link_metrics;
 pub use link_hub::LinkHub;
 pub use link_metrics::{ClassCounts, LinkMetrics};
 pub use link_options::LinkOptions;
 pub use peer_name::{BadPeer, PeerName, parse_peers};
+pub use wire_counts::WireCounts;
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, LinkError>;
--- a/crates/savorywalk/src/transport/peer_slot.rs
+++ b/crates/savorywalk/src/transport/peer_slot.rs
@@ -8,7 +8,7 @@
 use super::queue_quota::QueueQuota;
 use super::receive_meter::ReceiveMeter;
 use super::send_queue::SendQueue;
-use super::{LinkError, PeerName, Result, link_limits as limits};
+use super::{LinkError, PeerName, Result, WireCounts, link_limits as limits};
 use crate::prelude::*;
 
 /// Why the last dial failed.
@@ -112,6 +112,15 @@
             .any(|connection| connection.is_open())
     }
 
+    /// What the open connections have put on the wire.
+    pub(super) fn wire_counts(&self) -> WireCounts {
+        let mut counts = WireCounts::default();
+        for connection in &self.state.borrow().connections {
+            counts += WireCounts::of(&connection.quic);
+        }
+        counts
+    }
+
     /// Whether something waits for a connection.
     pub(super) fn is_wanted(&self) -> bool {
         self.waiting.load(Ordering::Relaxed) > 0 || !self.lock_queue().is_empty()
