Join control to the running daemons

Control, the replicated log and the links existed apart: an entry took its configuration from a file and kept claims in its own memory.

`savorywalk serve` now starts the roles that the settings name. A control daemon runs a replica over the links and answers for it; an entry follows the newest committed version, confirmed by the leader after a read barrier, sends patches, claims and signs of life to the leader, and admits nothing while its version can't be confirmed and others' can.

Tests start real processes: leaders killed in turn, two of three voters killed, a disk lost and a second voter after it.

--- a/crates/daemon/src/settings_check.rs
+++ b/crates/daemon/src/settings_check.rs
@@ -97,7 +97,8 @@
     })
 }
 
-fn read(file: &Path) -> Result<String> {
+/// Reads a text file.
+pub(crate) fn read(file: &Path) -> Result<String> {
     std::fs::read_to_string(file).map_err(|error| CommandError::Unreadable {
         file: file.to_path_buf(),
         error,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -8,6 +8,7 @@
     reason = "test code: each file uses a part, and a failure should panic"
 )]
 
+pub mod cluster_test;
 pub mod command_test;
 pub mod endpoint_set;
 pub mod held_engine;
--- a/crates/savorywalk/src/control/control_client.rs
+++ b/crates/savorywalk/src/control/control_client.rs
@@ -1,7 +1,7 @@
 use super::{
     ConfigurationQuery, ControlAnswer, ControlBody, ControlError, ControlQuestion, ControlStatus,
-    ControlVerdict, HistoryReply, PatchCommand, PatchVerdict, RangeQuery, Result, SoleControl,
-    StatusQuery,
+    ControlVerdict, HistoryReply, PatchCommand, PatchVerdict, RangeQuery, RemoteControl, Result,
+    SoleControl, StatusQuery,
 };
 use crate::audit::AuditReply;
 use crate::configuration::ConfigurationSnapshot;
@@ -12,6 +12,8 @@
 pub enum ControlClient {
     /// Control lives in this process alone and is persisted nowhere.
     Sole(Arc<SoleControl>),
+    /// Control is a replicated log of voters, which are asked over the links.
+    Remote(Arc<RemoteControl>),
 }
 
 impl ControlClient {
@@ -24,6 +26,7 @@
     pub fn mode(&self) -> &'static str {
         match self {
             Self::Sole(_) => "sole, persisted nowhere",
+            Self::Remote(_) => "replicated",
         }
     }
 
@@ -31,6 +34,7 @@
     pub async fn propose(&self, body: ControlBody) -> Result<ControlVerdict> {
         match self {
             Self::Sole(control) => control.propose(body),
+            Self::Remote(control) => control.propose(body).await,
         }
     }
 
@@ -38,6 +42,7 @@
     pub async fn query(&self, question: ControlQuestion) -> Result<ControlAnswer> {
         match self {
             Self::Sole(control) => control.query(question),
+            Self::Remote(control) => control.query(question).await,
         }
     }
 
--- a/crates/savorywalk/src/control/control_error.rs
+++ b/crates/savorywalk/src/control/control_error.rs
@@ -23,6 +23,9 @@
     /// Control has no quorum, or can't be reached, for now.
     #[error("control can't decide now: {0}; ask again in a second")]
     Unavailable(String),
+    /// The data folder, or the replica in it, can't be used.
+    #[error("the data folder can't be used: {0}")]
+    Folder(String),
     /// The first configuration is wrong.
     #[error(transparent)]
     Configuration(#[from] ConfigurationReport),
--- a/crates/savorywalk/src/control/mod.rs
+++ b/crates/savorywalk/src/control/mod.rs
@@ -3,9 +3,14 @@
 
 mod control_client;
 mod control_error;
+mod control_machine;
 mod control_state;
+mod hub_link;
+mod remote_control;
 mod sole_control;
 mod stamp_clock;
+mod voter_picker;
+mod voter_service;
 
 pub use crate::generated::control::control_command::Body as ControlBody;
 pub use crate::generated::control::control_outcome::Outcome as ControlVerdict;
@@ -23,9 +28,14 @@
 pub use control_client::ControlClient;
 pub(crate) use control_client::unexpected;
 pub use control_error::ControlError;
+pub use control_machine::{ControlCell, ControlMachine};
 pub use control_state::ControlState;
+pub use hub_link::HubLink;
+pub use remote_control::RemoteControl;
 pub use sole_control::SoleControl;
 pub use stamp_clock::StampClock;
+pub use voter_picker::VoterPicker;
+pub use voter_service::{VoterService, VoterTasks};
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, ControlError>;
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -3,13 +3,15 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::{EntryNode, ReadinessGate, ReadinessState, Result, entry_gauges, queue_gauges};
+use super::{
+    EntryNode, FollowerStanding, ReadinessGate, ReadinessState, Result, entry_gauges, queue_gauges,
+};
 use crate::admission::{AdmissionControl, AdmissionMode};
 use crate::api::{ApiSurface, HttpServer, ServerError, SurfaceKind};
 use crate::attempt::{EndpointClient, StageDispatcher};
 use crate::claims::{ClaimClient, LocalClaims};
-use crate::configuration::{ConfigurationCell, ConfigurationSnapshot};
-use crate::control::ControlClient;
+use crate::configuration::{ConfigurationCell, ConfigurationReport, ConfigurationSnapshot};
+use crate::control::{ControlClient, ControlError};
 use crate::cost::CostLedger;
 use crate::directory::start_directory;
 use crate::pipeline::PipelineRunner;
@@ -17,6 +19,7 @@
 use crate::routing::{EndpointRouter, RoutingPolicy};
 use crate::settings::{DaemonSettings, EntrySettings, ListenerSettings};
 use crate::telemetry::{AttemptMetrics, MetricError, MetricSet};
+use crate::transport::{BadPeer, LinkError};
 
 const DEFAULT_MAX_REQUESTS: u32 = 4096;
 /// Longest wait for operators' and endpoints' calls at a stop; they are short,
@@ -40,6 +43,27 @@
     /// The settings lack a section.
     #[error("the settings lack [{0}]; run `savorywalk check` on them")]
     MissingSection(&'static str),
+    /// The links could not be opened.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// A peer in the settings can't be one.
+    #[error(transparent)]
+    Peer(#[from] BadPeer),
+    /// The control role could not start.
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    /// The empty configuration, or another one, is refused.
+    #[error(transparent)]
+    Configuration(#[from] ConfigurationReport),
+}
+
+/// What decides for an entry, and the configuration that it starts with.
+#[derive(Debug)]
+pub(super) struct EntryParts {
+    pub(super) configuration: ConfigurationSnapshot,
+    pub(super) control: ControlClient,
+    pub(super) claims: ClaimClient,
+    pub(super) standing: FollowerStanding,
 }
 
 /// A running entry with its listeners.
@@ -53,67 +77,35 @@
 }
 
 impl EntryDaemon {
-    /// Opens the listeners and starts to serve `configuration`.
+    /// Opens the listeners and starts to serve `configuration`, with a control
+    /// of its own that ends with the process.
     pub async fn start(
         settings: DaemonSettings,
         configuration: ConfigurationSnapshot,
     ) -> Result<Self> {
-        let node_settings = settings.node.ok_or(EntryError::MissingSection("node"))?;
-        let callers = settings
-            .callers
-            .ok_or(EntryError::MissingSection("callers"))?;
-        let operators = settings
-            .operators
-            .ok_or(EntryError::MissingSection("operators"))?;
-        let endpoints = settings
-            .endpoints
-            .ok_or(EntryError::MissingSection("endpoints"))?;
-        let entry = settings.entry.unwrap_or_default();
-
-        let directory = start_directory().await;
-        let directory = directory.map_err(|error| EntryError::Actor(error.to_string()))?;
-        let metrics = Arc::new(MetricSet::new()?);
-        let ledger = Arc::new(CostLedger::default());
-        let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
-        let router = EndpointRouter::new(policy, &node_settings.data_center);
-        let client = EndpointClient::default();
-        let attempt_metrics = AttemptMetrics::new(metrics.meter());
-        let dispatcher = StageDispatcher::new(router, client, directory.clone(), attempt_metrics);
-        let admission =
-            AdmissionControl::new(AdmissionMode::for_routing(policy), directory.clone());
-        let runner = PipelineRunner::new(
-            dispatcher,
-            admission,
-            Arc::clone(&ledger),
-            Arc::clone(&metrics),
-        );
-        let control = ControlClient::sole(&configuration);
-        let claims = ClaimClient::Local(LocalClaims::new(&node_settings.name));
-        let node = Arc::new(EntryNode {
-            control,
-            claims,
-            detached: TaskTracker::new(),
-            settings: node_settings,
-            configuration: ConfigurationCell::new(configuration),
-            directory,
-            runner,
-            metrics,
-            ledger,
-            readiness: watch::Sender::new(ReadinessState::Warming),
-            in_progress: AtomicU32::new(0),
-            max_requests: match entry.max_requests {
-                0 => DEFAULT_MAX_REQUESTS,
-                given => given,
-            },
-        });
-        entry_gauges::register(&node);
-        queue_gauges::register(&node);
+        let name = settings.node.as_ref().map(|node| node.name.clone());
+        let parts = EntryParts {
+            control: ControlClient::sole(&configuration),
+            claims: ClaimClient::Local(LocalClaims::new(&name.unwrap_or_default())),
+            standing: FollowerStanding::Confirmed,
+            configuration,
+        };
+        Self::start_with(settings, parts).await
+    }
+
+    /// Opens the listeners before what decides for them.
+    pub(super) async fn start_with(settings: DaemonSettings, parts: EntryParts) -> Result<Self> {
+        let missing = EntryError::MissingSection;
+        let callers = settings.callers.as_ref().ok_or(missing("callers"))?;
+        let operators = settings.operators.as_ref().ok_or(missing("operators"))?;
+        let endpoints = settings.endpoints.as_ref().ok_or(missing("endpoints"))?;
+        let node = build_node(&settings, parts).await?;
         let daemon = Self {
-            callers: serve(&callers, SurfaceKind::Callers, &node).await?,
-            operators: serve(&operators, SurfaceKind::Operators, &node).await?,
-            endpoints: serve(&endpoints, SurfaceKind::Endpoints, &node).await?,
+            callers: serve(callers, SurfaceKind::Callers, &node).await?,
+            operators: serve(operators, SurfaceKind::Operators, &node).await?,
+            endpoints: serve(endpoints, SurfaceKind::Endpoints, &node).await?,
             node,
-            entry,
+            entry: settings.entry.unwrap_or_default(),
         };
         let warm_up = Duration::from_millis(daemon.entry.warm_up_ms.into());
         warm_up_node(&daemon.node, ReadinessGate::new(Instant::now(), warm_up));
@@ -216,7 +208,7 @@
     true
 }
 
-async fn serve(
+pub(super) async fn serve(
     settings: &ListenerSettings,
     kind: SurfaceKind,
     node: &Arc<EntryNode>,
@@ -225,3 +217,50 @@
     let surface = ApiSurface::new(kind, Arc::clone(node), settings);
     Ok(listener.serve(surface))
 }
+
+/// Makes what the request path of one daemon shares; it is not open yet.
+pub(super) async fn build_node(
+    settings: &DaemonSettings,
+    parts: EntryParts,
+) -> Result<Arc<EntryNode>> {
+    let node_settings = settings.node.clone();
+    let node_settings = node_settings.ok_or(EntryError::MissingSection("node"))?;
+    let entry = settings.entry.clone().unwrap_or_default();
+    let directory = start_directory().await;
+    let directory = directory.map_err(|error| EntryError::Actor(error.to_string()))?;
+    let metrics = Arc::new(MetricSet::new()?);
+    let ledger = Arc::new(CostLedger::default());
+    let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
+    let router = EndpointRouter::new(policy, &node_settings.data_center);
+    let client = EndpointClient::default();
+    let attempt_metrics = AttemptMetrics::new(metrics.meter());
+    let dispatcher = StageDispatcher::new(router, client, directory.clone(), attempt_metrics);
+    let admission = AdmissionControl::new(AdmissionMode::for_routing(policy), directory.clone());
+    let runner = PipelineRunner::new(
+        dispatcher,
+        admission,
+        Arc::clone(&ledger),
+        Arc::clone(&metrics),
+    );
+    let node = Arc::new(EntryNode {
+        control: parts.control,
+        claims: parts.claims,
+        detached: TaskTracker::new(),
+        settings: node_settings,
+        configuration: ConfigurationCell::new(parts.configuration),
+        directory,
+        runner,
+        metrics,
+        ledger,
+        readiness: watch::Sender::new(ReadinessState::Warming),
+        standing: ArcSwap::from_pointee(parts.standing),
+        in_progress: AtomicU32::new(0),
+        max_requests: match entry.max_requests {
+            0 => DEFAULT_MAX_REQUESTS,
+            given => given,
+        },
+    });
+    entry_gauges::register(&node);
+    queue_gauges::register(&node);
+    Ok(node)
+}
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -3,7 +3,7 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::{EntryStatus, ReadinessState, ReadinessView};
+use super::{EntryStatus, FollowerStanding, ReadinessState, ReadinessView};
 use crate::admission::RefusalReason;
 use crate::claims::ClaimClient;
 use crate::configuration::ConfigurationCell;
@@ -19,6 +19,10 @@
 /// Advice to a caller who met a full daemon.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
+/// Advice to a caller who met a daemon whose configuration is not confirmed;
+/// others may serve.
+const STALE_RETRY: Duration = Duration::from_secs(2);
+
 /// What the request path of one daemon shares.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -29,6 +33,7 @@
     pub(super) metrics: Arc<MetricSet>,
     pub(super) ledger: Arc<CostLedger>,
     pub(super) readiness: watch::Sender<ReadinessState>,
+    pub(super) standing: ArcSwap<FollowerStanding>,
     pub(super) in_progress: AtomicU32,
     pub(super) max_requests: u32,
     pub(super) control: ControlClient,
@@ -116,7 +121,7 @@
 
     /// Whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
-        self.readiness() == ReadinessState::Ready
+        self.readiness() == ReadinessState::Ready && self.standing().admits()
     }
 
     /// How far the daemon is between its start and its stop.
@@ -138,24 +143,48 @@
                 .any(|record| record.takes_work(now))
         };
         ReadinessView {
-            pools_served: stages.all(|stage| is_served(&stage.pool)),
+            pools_served: self.standing().admits() && stages.all(|stage| is_served(&stage.pool)),
             directory_synced: false,
         }
     }
 
+    /// Lets requests in, now that the listeners are there.
+    pub(super) fn open(&self) {
+        self.readiness.send_replace(ReadinessState::Ready);
+    }
+
+    /// Whether the configuration in force may be relied on.
+    pub fn standing(&self) -> FollowerStanding {
+        **self.standing.load()
+    }
+
+    /// Sets whether it may, and returns what was set before.
+    pub(super) fn set_standing(&self, standing: FollowerStanding) -> FollowerStanding {
+        *self.standing.swap(Arc::new(standing))
+    }
+
     /// Runs a request, or refuses it when the daemon is full.
     pub async fn run(&self, request: PipelineRequest) -> Result<PipelineAnswer> {
         let before = self.in_progress.fetch_add(1, Ordering::Relaxed);
         let _guard = ProgressGuard { node: self };
-        if before >= self.max_requests {
+        if let Some((reason, retry_after)) = self.refusal(before) {
             if let Some(unstarted) = request.phase.into_unstarted() {
-                return Err(unstarted.refuse(RefusalReason::TooMany, BUSY_RETRY).into());
+                return Err(unstarted.refuse(reason, retry_after).into());
             }
             unreachable!("a request that was never dispatched is unstarted");
         }
         self.runner.run(request).await
     }
 
+    /// Why one more request is refused, when as many are in progress.
+    fn refusal(&self, in_progress: u32) -> Option<(RefusalReason, Duration)> {
+        if !self.standing().admits() {
+            return Some((RefusalReason::StaleConfiguration, STALE_RETRY));
+        }
+        let is_full = in_progress >= self.max_requests;
+        is_full.then_some((RefusalReason::TooMany, BUSY_RETRY))
+    }
+
     /// What operators see.
     pub fn status(&self) -> EntryStatus {
         let now = Instant::now();
--- a/crates/savorywalk/src/entry/follower_core.rs
+++ b/crates/savorywalk/src/entry/follower_core.rs
@@ -58,8 +58,13 @@
     /// The leader, with a majority behind it, has said at a moment not before
     /// `asked` that `version` is the newest, and it is in force here.
     pub fn confirm(&mut self, asked: Instant, version: u64) {
-        self.in_force = self.in_force.max(version);
+        self.install(version);
         self.confirmed = self.confirmed.max(Some(asked));
+    }
+
+    /// `version` is in force here, without anybody's word that it is the newest.
+    pub fn install(&mut self, version: u64) {
+        self.in_force = self.in_force.max(version);
         self.newer_at = None;
     }
 
--- a/crates/savorywalk/src/entry/follower_standing.rs
+++ b/crates/savorywalk/src/entry/follower_standing.rs
@@ -1,3 +1,5 @@
+use crate::prelude::*;
+
 /// Whether an entry may rely on the configuration in force at it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FollowerStanding {
@@ -22,3 +24,14 @@
         }
     }
 }
+
+impl fmt::Display for FollowerStanding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Learning => "learning",
+            Self::Confirmed => "confirmed",
+            Self::NoQuorum => "no_quorum",
+            Self::Stale => "stale",
+        })
+    }
+}
--- a/crates/savorywalk/src/settings/settings_rules.rs
+++ b/crates/savorywalk/src/settings/settings_rules.rs
@@ -14,6 +14,7 @@
     check_listener("operators", settings.operators.as_ref(), &mut errors);
     check_listener("endpoints", settings.endpoints.as_ref(), &mut errors);
     check_entry(settings, &mut errors);
+    check_control(settings, roles_of(settings), &mut errors);
     check_link(settings, &mut errors);
     check_log(settings, &mut errors);
     errors
@@ -97,6 +98,37 @@
     }
 }
 
+fn roles_of(settings: &DaemonSettings) -> RoleSet {
+    let roles = settings.node.as_ref().map(RoleSet::from_settings);
+    roles.and_then(Result::ok).unwrap_or_default()
+}
+
+fn check_control(settings: &DaemonSettings, roles: RoleSet, errors: &mut Vec<SettingsError>) {
+    let control = settings.control.clone().unwrap_or_default();
+    let name = settings.node.as_ref().map(|node| node.name.as_str());
+    match parse_peers(&control.voters) {
+        Ok(voters) if roles.control && !voters.contains_key(name.unwrap_or_default()) => {
+            let remedy = "name every daemon with the control role, this one included";
+            errors.push(missing("control", "voters", remedy));
+        }
+        Ok(_) => {}
+        Err(problem) => {
+            let voters = control.voters.join(", ");
+            errors.push(bad_value(
+                "control",
+                "voters",
+                &voters,
+                &problem.to_string(),
+            ));
+        }
+    }
+    let is_joined = roles.control || !control.voters.is_empty();
+    if is_joined && settings.link.is_none() {
+        let remedy = "add a [link] section; control is reached over links";
+        errors.push(missing("link", "*", remedy));
+    }
+}
+
 fn check_link(settings: &DaemonSettings, errors: &mut Vec<SettingsError>) {
     let Some(link) = &settings.link else { return };
     let files = [
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -43,6 +43,7 @@
         let address = options.address;
         let endpoint = quinn::Endpoint::server(identity.server.clone(), address);
         let endpoint = endpoint.map_err(|error| LinkError::Bind { address, error })?;
+        let bound = endpoint.local_addr().unwrap_or(address);
         let stop = CancellationToken::new();
         let core = Arc::new(HubCore {
             name: options.name,
@@ -66,7 +67,7 @@
         }
         tokio::spawn(accept(Arc::clone(&core)));
         tokio::spawn(reload_often(Arc::clone(&core), options.reload_interval));
-        log_event!(info, "links_ready", node = core.name, address = address);
+        log_event!(info, "links_ready", node = core.name, address = bound);
         Ok(Self {
             core,
             _guard: Arc::new(stop.drop_guard()),
