--- a/xtask/src/capacity/deployment_size.rs
+++ b/xtask/src/capacity/deployment_size.rs
@@ -63,4 +63,19 @@
             _ => None,
         }
     }
+
+    /// What a count is called in a formula.
+    pub(crate) fn label(name: &str) -> &str {
+        match name {
+            "daemon" => "daemons",
+            "endpoint" => "endpoints",
+            "region_endpoint" => "endpoints of a region",
+            "workspace" => "workspaces",
+            "request" => "requests a second",
+            "request_of_entry" => "requests a second of an entry",
+            "token_of_entry" => "tokens a second of an entry",
+            "change" => "changes a day",
+            other => other,
+        }
+    }
 }
--- a/xtask/src/capacity/slope_book.rs
+++ b/xtask/src/capacity/slope_book.rs
@@ -96,12 +96,13 @@
 
     /// The formula, for the reader.
     pub(crate) fn formula(&self) -> String {
-        let mut formula = shown(self.base);
-        for term in &self.terms {
-            let count = term.count.replace('_', " ");
-            formula.push_str(&format!(" + {} × {count}s", shown(term.factor)));
-        }
-        formula
+        let base = (self.base != 0.0 || self.terms.is_empty()).then(|| shown(self.base));
+        let terms = self.terms.iter().map(|term| {
+            let label = DeploymentSize::label(&term.count);
+            format!("{} × {label}", shown(term.factor))
+        });
+        let parts: Vec<String> = base.into_iter().chain(terms).collect();
+        parts.join(" + ")
     }
 }
 
@@ -117,7 +118,10 @@
     if size >= 1.0 {
         return format!("{number:.2}");
     }
-    format!("{number:.3e}")
+    if size >= 0.01 {
+        return format!("{number:.3}");
+    }
+    format!("{number:.6}")
 }
 
 fn number(section: &str, key: &str, text: &str) -> Result<f64> {
--- a/xtask/src/capacity/slope_book_tests.rs
+++ b/xtask/src/capacity/slope_book_tests.rs
@@ -21,7 +21,7 @@
     assert_eq!(book.slopes[0].at(&TARGET), 100.0 + 700.0 + 1_580.0);
     assert_eq!(
         book.slopes[0].formula(),
-        "100 + 2.00 × daemons + 10.00 × region endpoints"
+        "100 + 2.00 × daemons + 10.00 × endpoints of a region"
     );
 }
 
