Weigh a small pool whole in place of two of its endpoints

Change: pools of up to 16 endpoints are weighed whole, from a random place on so that equal ones take turns; larger ones keep two draws. Conclusion: today's size gets the whole look, the target's the cheap one.

--- a/crates/savorywalk/src/routing/candidate_sampler.rs
+++ b/crates/savorywalk/src/routing/candidate_sampler.rs
@@ -7,8 +7,15 @@
 /// sixteen draws find two of them nine times in ten.
 const MAX_DRAWS: usize = 16;
 
-/// Draws up to two different endpoints that pass a check, without looking at
-/// the whole pool unless the draws fail.
+/// Pools up to this size are weighed whole: that costs no more than the draws,
+/// and finds the idle endpoint that two choices often miss.
+const WEIGHED_WHOLE: usize = MAX_DRAWS;
+
+/// Candidates of one pick.
+pub(super) type Candidates<'a> = Vec<&'a Arc<EndpointRecord>>;
+
+/// Draws two different endpoints that pass a check, without looking at the
+/// whole pool unless the draws fail; of a small pool takes all that pass.
 #[derive(Debug)]
 pub(super) struct CandidateSampler<'a> {
     pool: &'a [Arc<EndpointRecord>],
@@ -20,25 +27,41 @@
         Self { pool }
     }
 
-    /// Two endpoints, or fewer when no more pass.
-    pub(super) fn pair(
+    /// The endpoints to choose from; none when none passes.
+    pub(super) fn candidates(
         &self,
         random: &mut impl RngExt,
         passes: impl Fn(&EndpointRecord) -> bool,
-    ) -> [Option<&'a Arc<EndpointRecord>>; 2] {
-        if self.pool.len() > MAX_DRAWS
-            && let Some(pair) = self.drawn(random, &passes)
-        {
-            return pair;
+    ) -> Candidates<'a> {
+        if self.pool.len() <= WEIGHED_WHOLE {
+            return self.whole(random, &passes);
+        }
+        if let Some(pair) = self.drawn(random, &passes) {
+            return pair.to_vec();
         }
         self.scanned(random, &passes)
     }
 
+    /// All that pass, from a random place on, so that equal ones take turns.
+    fn whole(
+        &self,
+        random: &mut impl RngExt,
+        passes: &impl Fn(&EndpointRecord) -> bool,
+    ) -> Candidates<'a> {
+        if self.pool.is_empty() {
+            return Vec::new();
+        }
+        let start = random.random_range(0..self.pool.len());
+        let (before, after) = self.pool.split_at(start);
+        let turned = after.iter().chain(before);
+        turned.filter(|record| passes(record)).collect()
+    }
+
     fn drawn(
         &self,
         random: &mut impl RngExt,
         passes: &impl Fn(&EndpointRecord) -> bool,
-    ) -> Option<[Option<&'a Arc<EndpointRecord>>; 2]> {
+    ) -> Option<[&'a Arc<EndpointRecord>; 2]> {
         let mut first = None;
         for _ in 0..MAX_DRAWS {
             let index = random.random_range(0..self.pool.len());
@@ -47,7 +70,7 @@
             }
             match first {
                 None => first = Some(index),
-                Some(first) => return Some([Some(&self.pool[first]), Some(&self.pool[index])]),
+                Some(first) => return Some([&self.pool[first], &self.pool[index]]),
             }
         }
         None
@@ -58,16 +81,17 @@
         &self,
         random: &mut impl RngExt,
         passes: &impl Fn(&EndpointRecord) -> bool,
-    ) -> [Option<&'a Arc<EndpointRecord>>; 2] {
-        let mut pair = [None, None];
+    ) -> Candidates<'a> {
+        let mut pair = Vec::with_capacity(2);
         let passing = self.pool.iter().filter(|record| passes(record));
         for (index, record) in passing.enumerate() {
-            let slot = match index {
-                0 | 1 => index,
-                _ => random.random_range(0..=index),
-            };
+            if index < 2 {
+                pair.push(record);
+                continue;
+            }
+            let slot = random.random_range(0..=index);
             if let Some(place) = pair.get_mut(slot) {
-                *place = Some(record);
+                *place = record;
             }
         }
         pair
--- a/crates/savorywalk/src/routing/router_core.rs
+++ b/crates/savorywalk/src/routing/router_core.rs
@@ -1,7 +1,7 @@
 use rand::RngExt;
 
 use super::candidate_cost::{RouteCandidate, candidate_cost, reported_others};
-use super::candidate_sampler::CandidateSampler;
+use super::candidate_sampler::{CandidateSampler, Candidates};
 use super::pool_health::find;
 use super::{AttemptReport, OutstandingTable, PoolHealth, PrefixHints, PromptPrefix, RouteQuery};
 use crate::directory::{CacheEvent, EndpointRecord};
@@ -28,8 +28,8 @@
         }
     }
 
-    /// The better of two endpoints drawn at random, and of those that hold
-    /// the prompt's prefix; `None` when nobody serves the query.
+    /// The best of a small pool, or the better of two endpoints drawn at random
+    /// from a large one, and of those that hold the prompt's prefix; `None` when nobody serves the query.
     ///
     /// An endpoint that is ejected or failed this stage already is taken only
     /// when there is no other.
@@ -46,7 +46,7 @@
             None => self.pools.entry(query.pool.to_string()).or_default(),
         };
         let drawn = draw(now, random, pool, query, health, outstanding);
-        let first = drawn[0]?;
+        let first = drawn.first()?;
         let own = outstanding.count(&first.announcement.endpoint);
         health.note_pick(reported_others(first, own));
         let hinted = self.hints.holders(now, query.prefix);
@@ -57,7 +57,7 @@
                     && health.allows_affinity(&record.announcement.endpoint, pool.len())
             })
             .take(MAX_HINTED);
-        let drawn = drawn.into_iter().flatten().map(|record| (record, 0.0));
+        let drawn = drawn.into_iter().map(|record| (record, 0.0));
         let candidates = hinted
             .chain(drawn)
             .map(|(record, held_prefix)| RouteCandidate {
@@ -108,7 +108,7 @@
     }
 }
 
-/// Two endpoints drawn from the best class that is not empty: those admitted,
+/// Endpoints from the best class that is not empty: those admitted,
 /// those ejected, those that failed this stage already.
 fn draw<'a>(
     now: Instant,
@@ -117,21 +117,21 @@
     query: RouteQuery<'_>,
     health: &PoolHealth,
     outstanding: &OutstandingTable,
-) -> [Option<&'a Arc<EndpointRecord>>; 2] {
+) -> Candidates<'a> {
     let sampler = CandidateSampler::new(pool);
-    let admitted = sampler.pair(random, |record| {
+    let admitted = sampler.candidates(random, |record| {
         is_admitted(now, record, query, health, outstanding)
     });
-    if admitted[0].is_some() {
+    if !admitted.is_empty() {
         return admitted;
     }
-    let untried = sampler.pair(random, |record| {
+    let untried = sampler.candidates(random, |record| {
         query.is_served_by(now, record) && !query.excludes(&record.announcement.endpoint)
     });
-    if untried[0].is_some() {
+    if !untried.is_empty() {
         return untried;
     }
-    sampler.pair(random, |record| query.is_served_by(now, record))
+    sampler.candidates(random, |record| query.is_served_by(now, record))
 }
 
 fn is_admitted(
