--- a/crates/standin/src/bin/savorywalk-standin.rs
+++ b/crates/standin/src/bin/savorywalk-standin.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use savorywalk_standin::{AnnounceTarget, Deployment, EndpointServer, start_announcer, token_for};
+use tokio::signal::unix::{SignalKind, signal};
 
 use arguments::SavorywalkStandin;
 
@@ -12,7 +13,7 @@
     #![allow(missing_docs, unreachable_pub, reason = "the macro writes these items")]
 
     xflags::xflags! {
-        /// Runs the stand-ins of a deployment on loopback until it is ended.
+        /// Runs the stand-ins of a deployment on loopback until SIGTERM or Ctrl-C.
         cmd savorywalk-standin {
             /// Deployment: roadside or airport.
             required --deployment name: String
@@ -37,6 +38,8 @@
         token: token_for("endpoint"),
         everywhere: true,
     };
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut servers = Vec::new();
     for planned in deployment.plan().endpoints {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -45,6 +48,9 @@
         servers.push(server);
     }
     log::info!("event=standins_ready count={}", servers.len());
-    tokio::signal::ctrl_c().await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
     Ok(())
 }
