Join membership and directory to the running daemons

MemberExchange now carries the membership over the links, keeps the address book, and tells the directory its members and the queues how many entries of the region share each pool. The directory's actor sends over its own channel and takes others' messages one at a time. A stopping daemon tells its neighbours by calls, since messages that are still queued are lost when the links close.

--- a/crates/savorywalk/src/directory/directory_actor.rs
+++ b/crates/savorywalk/src/directory/directory_actor.rs
@@ -1,17 +1,22 @@
+use ractor::rpc::CallResult;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use tokio::sync::mpsc;
 
 use super::{
-    AnnouncementOutcome, DirectoryAction, DirectoryCore, DirectoryEvent, DirectorySnapshot,
-    DirectoryTiming, EndpointAnnouncement, Result,
+    AnnouncementOutcome, DirectoryAction, DirectoryCore, DirectoryEvent, DirectoryLink,
+    DirectorySnapshot, DirectoryTiming, EndpointAnnouncement, Result,
 };
-use crate::membership::MemberCard;
+use crate::membership::{MemberCard, MemberView, TrafficClass};
 use crate::prelude::*;
+use crate::transport::{InboundMessage, LinkChannel, LinkClass, LinkHub};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Messages of the actor that owns the directory.
 enum DirectoryMessage {
     Announce(Box<AnnounceCall>),
+    Members(Arc<MemberView>, RpcReplyPort<()>),
+    Received(InboundMessage, RpcReplyPort<()>),
     Tick,
 }
 
@@ -23,6 +28,7 @@
 
 struct DirectoryActor {
     published: Arc<ArcSwap<DirectorySnapshot>>,
+    hub: Option<LinkHub>,
 }
 
 /// Access to the directory: snapshots for reading, the actor for changes.
@@ -52,59 +58,114 @@
             }))
         };
         match self.actor.call(call, None).await {
-            Ok(ractor::rpc::CallResult::Success(outcome)) => Some(outcome),
-            _ => None,
+            Ok(CallResult::Success(outcome)) => Some(outcome),
+            Ok(CallResult::SenderError | CallResult::Timeout) | Err(_) => None,
         }
     }
 
+    /// Tells the actor who the members are, and waits until it has taken them;
+    /// false when it has stopped.
+    pub async fn take_members(&self, view: Arc<MemberView>) -> bool {
+        let call = |reply| DirectoryMessage::Members(view, reply);
+        let outcome = self.actor.call(call, None).await;
+        matches!(outcome, Ok(CallResult::Success(())))
+    }
+
     /// Stops the actor.
     pub fn stop(&self) {
         self.actor.stop(None);
     }
 }
 
-/// Starts the actor that owns the directory of this process.
-pub async fn start_directory() -> std::result::Result<DirectoryHandle, ractor::SpawnErr> {
+/// Starts the actor that owns the directory of this process. Without a link
+/// the directory knows only the endpoints that announce to this process.
+pub async fn start_directory(
+    link: Option<DirectoryLink>,
+) -> std::result::Result<DirectoryHandle, ractor::SpawnErr> {
     let published = Arc::new(ArcSwap::from_pointee(DirectorySnapshot::default()));
+    let hub = link.as_ref().map(|link| link.hub.clone());
+    let inbound = hub
+        .as_ref()
+        .map(|hub| hub.subscribe(LinkChannel::Directory));
     let directory = DirectoryActor {
         published: Arc::clone(&published),
+        hub,
+    };
+    let (own, epoch) = match link {
+        Some(link) => (link.own, link.epoch),
+        None => (sole_card(), 1),
     };
-    let (actor, _task) = Actor::spawn(None, directory, ()).await?;
+    let (actor, _task) = Actor::spawn(None, directory, (own, epoch)).await?;
     actor.send_interval(TICK_INTERVAL, || DirectoryMessage::Tick);
+    if let Some(inbound) = inbound {
+        tokio::spawn(forward(inbound, actor.clone()));
+    }
     Ok(DirectoryHandle { published, actor })
 }
 
+/// Hands the others' messages to the actor one by one, so that those which wait
+/// are bounded by the hub's queue and not by the actor's mailbox.
+async fn forward(mut inbound: mpsc::Receiver<InboundMessage>, actor: ActorRef<DirectoryMessage>) {
+    while let Some(message) = inbound.recv().await {
+        let call = |reply| DirectoryMessage::Received(message, reply);
+        if actor.call(call, None).await.is_err() {
+            return;
+        }
+    }
+}
+
 impl DirectoryActor {
+    fn handle_event(&self, core: &mut DirectoryCore, event: DirectoryEvent<'_>) {
+        match core.handle(Instant::now(), event) {
+            Ok(actions) => self.perform(core, actions),
+            Err(error) => log_event!(warn, "directory_message_refused", reason = error),
+        }
+    }
+
     fn perform(&self, core: &DirectoryCore, actions: Vec<DirectoryAction>) {
         for action in actions {
             match action {
                 DirectoryAction::Publish => self.published.store(Arc::new(core.snapshot())),
-                // A sole entry has nobody to send to or to hear from.
-                DirectoryAction::Send { .. } | DirectoryAction::Used(_) => {}
+                DirectoryAction::Send { to, class, payload } => self.send(&to, class, payload),
+                // Usage isn't reported yet, so none comes in.
+                DirectoryAction::Used(_) => {}
             }
         }
     }
+
+    /// Sends without waiting; what is lost is made good by a later message.
+    fn send(&self, to: &str, class: TrafficClass, payload: Bytes) {
+        let Some(hub) = &self.hub else { return };
+        let sent = hub.send_as(to, LinkChannel::Directory, link_class(class), payload);
+        if let Err(error) = sent {
+            log_event!(debug, "directory_message_dropped", to = to, reason = error);
+        }
+    }
+}
+
+fn link_class(class: TrafficClass) -> LinkClass {
+    match class {
+        TrafficClass::Leave => LinkClass::Notice,
+        TrafficClass::Membership | TrafficClass::EndpointState | TrafficClass::Usage => {
+            LinkClass::Update
+        }
+        TrafficClass::Load => LinkClass::Detail,
+    }
 }
 
 impl Actor for DirectoryActor {
     type Msg = DirectoryMessage;
     type State = DirectoryCore;
-    type Arguments = ();
+    type Arguments = (Arc<MemberCard>, u32);
 
     async fn pre_start(
         &self,
         _myself: ActorRef<Self::Msg>,
-        _arguments: (),
+        (own, epoch): Self::Arguments,
     ) -> std::result::Result<Self::State, ActorProcessingErr> {
         let timing = DirectoryTiming::default();
         let seed = rand::random();
-        Ok(DirectoryCore::new(
-            Instant::now(),
-            sole_card(),
-            1,
-            timing,
-            seed,
-        ))
+        Ok(DirectoryCore::new(Instant::now(), own, epoch, timing, seed))
     }
 
     async fn handle(
@@ -125,15 +186,30 @@
                     log_event!(debug, "announcer_left");
                 }
             }
-            DirectoryMessage::Tick => match core.handle(now, DirectoryEvent::Tick) {
-                Ok(actions) => self.perform(core, actions),
-                Err(error) => log_event!(warn, "directory_tick_failed", error = error),
-            },
+            DirectoryMessage::Members(view, reply) => {
+                self.handle_event(core, DirectoryEvent::Members(view));
+                acknowledge(reply);
+            }
+            DirectoryMessage::Received(message, reply) => {
+                let event = DirectoryEvent::Received {
+                    from: message.from.as_str(),
+                    payload: &message.payload,
+                };
+                self.handle_event(core, event);
+                acknowledge(reply);
+            }
+            DirectoryMessage::Tick => self.handle_event(core, DirectoryEvent::Tick),
         }
         Ok(())
     }
 }
 
+fn acknowledge(reply: RpcReplyPort<()>) {
+    if reply.send(()).is_err() {
+        log_event!(debug, "directory_caller_left");
+    }
+}
+
 /// Who an entry is that has no links: its name never leaves the process.
 fn sole_card() -> Arc<MemberCard> {
     Arc::new(MemberCard {
--- a/crates/savorywalk/src/directory/mod.rs
+++ b/crates/savorywalk/src/directory/mod.rs
@@ -6,6 +6,7 @@
 mod directory_core;
 mod directory_error;
 mod directory_event;
+mod directory_link;
 mod directory_timing;
 mod endpoint_detail;
 mod endpoint_directory;
@@ -26,6 +27,7 @@
 pub use directory_core::DirectoryCore;
 pub use directory_error::DirectoryError;
 pub use directory_event::{DirectoryAction, DirectoryEvent};
+pub use directory_link::DirectoryLink;
 pub use directory_timing::{DirectoryTiming, MAX_SPREAD_LEASE};
 pub use endpoint_directory::{
     AnnouncementOutcome, DirectorySnapshot, EndpointDirectory, TOMBSTONE,
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -13,7 +13,7 @@
 use crate::configuration::{ConfigurationCell, ConfigurationReport, ConfigurationSnapshot};
 use crate::control::{ControlClient, ControlError};
 use crate::cost::CostLedger;
-use crate::directory::start_directory;
+use crate::directory::{DirectoryLink, start_directory};
 use crate::pipeline::PipelineRunner;
 use crate::prelude::*;
 use crate::routing::{EndpointRouter, RoutingPolicy};
@@ -64,6 +64,8 @@
     pub(super) control: ControlClient,
     pub(super) claims: ClaimClient,
     pub(super) standing: FollowerStanding,
+    /// How the directory reaches the other entries; none for a daemon alone.
+    pub(super) link: Option<DirectoryLink>,
 }
 
 /// A running entry with its listeners.
@@ -89,6 +91,7 @@
             claims: ClaimClient::Local(LocalClaims::new(&name.unwrap_or_default())),
             standing: FollowerStanding::Confirmed,
             configuration,
+            link: None,
         };
         Self::start_with(settings, parts).await
     }
@@ -226,7 +229,7 @@
     let node_settings = settings.node.clone();
     let node_settings = node_settings.ok_or(EntryError::MissingSection("node"))?;
     let entry = settings.entry.clone().unwrap_or_default();
-    let directory = start_directory().await;
+    let directory = start_directory(parts.link).await;
     let directory = directory.map_err(|error| EntryError::Actor(error.to_string()))?;
     let metrics = Arc::new(MetricSet::new()?);
     let ledger = Arc::new(CostLedger::default());
--- a/crates/savorywalk/src/entry/joined_daemon.rs
+++ b/crates/savorywalk/src/entry/joined_daemon.rs
@@ -5,6 +5,7 @@
 
 use super::control_server::{self, ControlAnswerer};
 use super::entry_daemon::{self, EntryParts};
+use super::member_exchange::MemberExchange;
 use super::{
     ControlFollower, EntryDaemon, EntryError, EntryNode, FollowerStanding, FollowerTask, Result,
 };
@@ -12,6 +13,8 @@
 use crate::claims::{ClaimClient, ClaimOwner, ControlClaims, LocalClaims};
 use crate::configuration::ConfigurationSnapshot;
 use crate::control::{ControlClient, RemoteControl, VoterService, VoterTasks};
+use crate::directory::DirectoryLink;
+use crate::membership::{MemberCard, MemberView};
 use crate::prelude::*;
 use crate::settings::{ControlSettings, DaemonSettings, RoleSet};
 use crate::transport::{
@@ -28,6 +31,7 @@
     hub: LinkHub,
     voter: Option<VoterTasks>,
     listeners: RoleListeners,
+    members: MemberExchange,
     _follower: FollowerTask,
     answering: AbortHandle,
 }
@@ -61,8 +65,17 @@
         let service = voter.as_ref().map(|voter| Arc::clone(voter.service()));
         let control = Arc::new(RemoteControl::new(hub.clone(), names, service.clone()));
         let others = other_entries(&settings, &hub, &voters)?;
-        let listeners = start_listeners(settings, roles, &hub, &control).await?;
+        let card = Arc::new(member_card(&settings, roles, &hub)?);
+        let seeds = first_peers(&settings, &voters)?;
+        let link = roles.entry.then(|| DirectoryLink {
+            hub: hub.clone(),
+            own: Arc::clone(&card),
+            epoch: wall_time().as_secs() as u32,
+        });
+        let listeners = start_listeners(settings, roles, &hub, &control, link).await?;
         let node = Arc::clone(listeners.node());
+        let incarnation = wall_time().as_millis() as u64;
+        let members = MemberExchange::start(&node, &hub, &card, incarnation, seeds);
         register_link_metrics(node.metrics().meter(), hub.metrics());
         if let Some(voter) = &service {
             voter.register_metrics(node.metrics().meter());
@@ -79,13 +92,29 @@
             hub,
             voter,
             listeners,
+            members,
             _follower: follower,
             answering,
         })
     }
 
+    /// What the roles share.
+    pub fn node(&self) -> &Arc<EntryNode> {
+        self.listeners.node()
+    }
+
+    /// Address on which this daemon accepts its peers' links.
+    pub fn link_address(&self) -> Result<SocketAddr> {
+        Ok(self.hub.address()?)
+    }
+
+    /// Who is there, as this daemon knows it.
+    pub fn members(&self) -> Arc<MemberView> {
+        self.members.view()
+    }
+
     /// Stops gracefully: the listeners finish what is in progress, the voter
-    /// hands over, the links close. Tells whether every request finished.
+    /// hands over, the members are told, the links close. Tells whether every request finished.
     pub async fn stop(self) -> bool {
         let finished = match self.listeners {
             RoleListeners::Entry(daemon) => daemon.stop().await,
@@ -94,6 +123,7 @@
         if let Some(voter) = self.voter {
             voter.stop().await;
         }
+        self.members.leave().await;
         self.answering.abort();
         self.hub.close().await;
         finished
@@ -148,6 +178,7 @@
     roles: RoleSet,
     hub: &LinkHub,
     control: &Arc<RemoteControl>,
+    link: Option<DirectoryLink>,
 ) -> Result<RoleListeners> {
     let client = ControlClient::Remote(Arc::clone(control));
     let claims = match roles.entry {
@@ -159,6 +190,7 @@
         control: client,
         claims,
         standing: FollowerStanding::Learning,
+        link,
     };
     if roles.entry {
         let daemon = EntryDaemon::start_with(settings, parts).await?;
@@ -181,9 +213,42 @@
 /// This life of the entry. A start takes longer than a millisecond, so each
 /// one has a greater incarnation than the one before.
 fn owner(hub: &LinkHub) -> ClaimOwner {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
     ClaimOwner {
         entry: hub.name().to_string(),
-        incarnation: wall.unwrap_or_default().as_millis() as u64,
+        incarnation: wall_time().as_millis() as u64,
     }
 }
+
+/// Time of day since the epoch of Unix.
+fn wall_time() -> Duration {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    wall.unwrap_or_default()
+}
+
+/// Who this daemon is to the other members.
+fn member_card(settings: &DaemonSettings, roles: RoleSet, hub: &LinkHub) -> Result<MemberCard> {
+    let node = settings.node.as_ref();
+    let node = node.ok_or(EntryError::MissingSection("node"))?;
+    Ok(MemberCard {
+        name: node.name.as_str().into(),
+        address: hub.address()?,
+        region: node.region.as_str().into(),
+        data_center: node.data_center.as_str().into(),
+        entry: roles.entry,
+    })
+}
+
+/// The peers that the settings name, whose addresses are always known.
+fn first_peers(
+    settings: &DaemonSettings,
+    voters: &BTreeMap<PeerName, SocketAddr>,
+) -> Result<BTreeSet<PeerName>> {
+    let seeds = settings.link.as_ref().map(|link| link.seeds.as_slice());
+    let mut first: BTreeSet<_> = peers(seeds.unwrap_or_default())?.into_keys().collect();
+    first.extend(voters.keys().cloned());
+    Ok(first)
+}
+
+#[cfg(test)]
+#[path = "joined_daemon_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/entry/joined_daemon_tests.rs
@@ -0,0 +1,196 @@
+//! Three entries in one process, over real links.
+
+use tempfile::TempDir;
+
+use super::*;
+use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointState};
+use crate::settings::{EntrySettings, LinkSettings, ListenerSettings, NodeSettings};
+use crate::transport::KeyAuthority;
+
+/// Far longer than anything here takes, for machines that run other builds.
+const PATIENCE: Duration = Duration::from_secs(120);
+const POLL: Duration = Duration::from_millis(20);
+const MAX_LEASE: Duration = Duration::from_secs(15);
+const POOL: &str = "generate";
+
+struct EntryGroup {
+    folder: TempDir,
+    authority: KeyAuthority,
+    daemons: Vec<JoinedDaemon>,
+}
+
+impl EntryGroup {
+    /// Starts `count` entries; all but the first know only the first.
+    async fn start(count: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let authority = KeyAuthority::create(folder.path()).unwrap();
+        let mut group = Self {
+            folder,
+            authority,
+            daemons: Vec::new(),
+        };
+        for index in 0..count {
+            let settings = group.settings(&format!("entry-{index}"));
+            let daemon = JoinedDaemon::start(settings, None).await.unwrap();
+            group.daemons.push(daemon);
+        }
+        group.wait_for_members(count).await;
+        group
+    }
+
+    fn settings(&self, name: &str) -> DaemonSettings {
+        let certificate = self.authority.issue(name, 1).unwrap();
+        let text = |path: &Path| path.to_str().unwrap().to_string();
+        let listener = || {
+            Some(ListenerSettings {
+                address: "127.0.0.1:0".into(),
+                ..Default::default()
+            })
+        };
+        let seed = self.daemons.first();
+        let seed = seed.map(|first| format!("entry-0={}", first.link_address().unwrap()));
+        DaemonSettings {
+            node: Some(NodeSettings {
+                name: name.into(),
+                data_center: "bole".into(),
+                region: "addis".into(),
+                roles: vec!["entry".into()],
+            }),
+            callers: listener(),
+            operators: listener(),
+            endpoints: listener(),
+            entry: Some(EntrySettings {
+                drain_timeout_ms: 1_000,
+                ..Default::default()
+            }),
+            link: Some(LinkSettings {
+                address: "127.0.0.1:0".into(),
+                seeds: seed.into_iter().collect(),
+                key: text(&certificate.with_extension("key")),
+                authority: text(&self.folder.path().join("authority.pem")),
+                certificate: text(&certificate),
+                ..Default::default()
+            }),
+            ..Default::default()
+        }
+    }
+
+    async fn wait_for_members(&self, count: usize) {
+        self.wait("the members", |daemon| {
+            let shared = daemon.node().queues().entries() as usize;
+            daemon.members().live.len() == count && shared == count
+        })
+        .await;
+    }
+
+    /// Waits until `holds` at every entry.
+    async fn wait(&self, what: &str, holds: impl Fn(&JoinedDaemon) -> bool) {
+        let all = async {
+            while !self.daemons.iter().all(&holds) {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, all).await;
+        assert!(waited.is_ok(), "no end of waiting for {what}");
+    }
+
+    async fn announce(&self, entry: usize, sequence: u64, state: EndpointState) {
+        let announcement = EndpointAnnouncement {
+            endpoint: "gpu-1".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            pool: POOL.into(),
+            data_center: "bole".into(),
+            incarnation: 1,
+            sequence,
+            state,
+            lease_ms: 15_000,
+            models: Vec::new(),
+            load: EndpointLoad::default(),
+            slots: 8,
+            cache_events: Vec::new(),
+        };
+        let directory = self.daemons[entry].node().directory();
+        let outcome = directory.announce(announcement, MAX_LEASE).await;
+        outcome.expect("the directory runs").unwrap();
+    }
+
+    /// Announces at `entry` again and again, as an endpoint does, until every
+    /// entry routes to it; gives the last sequence.
+    async fn announce_until_routable(&self, entry: usize) -> u64 {
+        let renewals = async {
+            let mut sequence = 1;
+            loop {
+                self.announce(entry, sequence, EndpointState::Serving).await;
+                if self.daemons.iter().all(is_routable) {
+                    return sequence;
+                }
+                sequence += 1;
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, renewals).await;
+        waited.expect("routable everywhere in time")
+    }
+
+    async fn stop(self) {
+        for daemon in self.daemons {
+            daemon.stop().await;
+        }
+    }
+}
+
+fn is_routable(daemon: &JoinedDaemon) -> bool {
+    let snapshot = daemon.node().directory().snapshot();
+    let now = Instant::now();
+    snapshot
+        .pool(POOL)
+        .iter()
+        .any(|record| record.takes_work(now))
+}
+
+/// Whether it has the notice itself; a lease that lapsed is none.
+fn has_notice(daemon: &JoinedDaemon) -> bool {
+    let snapshot = daemon.node().directory().snapshot();
+    let mut endpoints = snapshot.endpoints();
+    endpoints.any(|record| record.announcement.state == EndpointState::Leaving)
+}
+
+fn knows(daemon: &JoinedDaemon, member: &str) -> bool {
+    daemon.hub.addresses().get(member).is_some()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_an_endpoint_tells_one_entry_reaches_all() {
+    let group = EntryGroup::start(3).await;
+    let sequence = group.announce_until_routable(1).await;
+    // The notice goes to another entry than the announcements.
+    group
+        .announce(2, sequence + 1, EndpointState::Leaving)
+        .await;
+    group.wait("the leaving notice", has_notice).await;
+    assert!(!group.daemons.iter().any(is_routable));
+    group.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_stops_is_noticed_by_all() {
+    let mut group = EntryGroup::start(3).await;
+    let stopped = group.daemons.remove(2);
+    stopped.stop().await;
+    group.wait_for_members(2).await;
+    // It said so itself: one that is only dead would keep its address.
+    assert!(!group.daemons.iter().any(|daemon| knows(daemon, "entry-2")));
+    group.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_is_cut_off_is_noticed_by_all() {
+    let mut group = EntryGroup::start(3).await;
+    let lost = group.daemons.remove(2);
+    // Its links close without a word, as at a crash.
+    lost.hub.close().await;
+    group.wait_for_members(2).await;
+    // It may come back, and is tried again at its address.
+    assert!(group.daemons.iter().all(|daemon| knows(daemon, "entry-2")));
+    group.stop().await;
+}
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod follower_core;
 mod follower_standing;
 mod joined_daemon;
+mod member_exchange;
 mod queue_gauges;
 mod readiness_gate;
 
--- a/crates/savorywalk/src/queueing/queue_table.rs
+++ b/crates/savorywalk/src/queueing/queue_table.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Between how many entries each pool's slots are shared.
+    pub fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed)
+    }
+
     /// Endpoint time that this entry gave since the last call, for the other
     /// entries.
     pub fn drain_usage(&self) -> Vec<UsageReport> {
