Count use at one entry at the region's others

The directory's core spread usage that nobody gave it, so shares held at each entry alone.

UsageExchange now takes what the queues gave to the directory, and what other entries gave back to the queues, by the names of the configuration in force. A bounded queue stands between; when it is full a report is lost.

--- a/crates/savorywalk/src/directory/directory_actor.rs
+++ b/crates/savorywalk/src/directory/directory_actor.rs
@@ -4,11 +4,11 @@
 
 use super::{
     AnnouncementOutcome, DirectoryAction, DirectoryCore, DirectoryEvent, DirectoryLink,
-    DirectorySnapshot, DirectoryTiming, EndpointAnnouncement, Result,
+    DirectorySnapshot, DirectoryTiming, EndpointAnnouncement, Result, WorkspaceUsage,
 };
 use crate::membership::{MemberCard, MemberView, TrafficClass};
 use crate::prelude::*;
-use crate::transport::{InboundMessage, LinkChannel, LinkClass, LinkHub};
+use crate::transport::{InboundMessage, LinkChannel, LinkClass};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -17,6 +17,7 @@
     Announce(Box<AnnounceCall>),
     Members(Arc<MemberView>, RpcReplyPort<()>),
     Received(InboundMessage, RpcReplyPort<()>),
+    OwnUsage(Vec<WorkspaceUsage>, RpcReplyPort<()>),
     Tick,
 }
 
@@ -28,7 +29,7 @@
 
 struct DirectoryActor {
     published: Arc<ArcSwap<DirectorySnapshot>>,
-    hub: Option<LinkHub>,
+    link: Option<DirectoryLink>,
 }
 
 /// Access to the directory: snapshots for reading, the actor for changes.
@@ -71,6 +72,14 @@
         matches!(outcome, Ok(CallResult::Success(())))
     }
 
+    /// Tells the actor what this entry gave to workspaces, for the others; false
+    /// when it has stopped.
+    pub async fn take_own_usage(&self, lines: Vec<WorkspaceUsage>) -> bool {
+        let call = |reply| DirectoryMessage::OwnUsage(lines, reply);
+        let outcome = self.actor.call(call, None).await;
+        matches!(outcome, Ok(CallResult::Success(())))
+    }
+
     /// Stops the actor.
     pub fn stop(&self) {
         self.actor.stop(None);
@@ -83,17 +92,16 @@
     link: Option<DirectoryLink>,
 ) -> std::result::Result<DirectoryHandle, ractor::SpawnErr> {
     let published = Arc::new(ArcSwap::from_pointee(DirectorySnapshot::default()));
-    let hub = link.as_ref().map(|link| link.hub.clone());
-    let inbound = hub
+    let inbound = link
         .as_ref()
-        .map(|hub| hub.subscribe(LinkChannel::Directory));
+        .map(|link| link.hub.subscribe(LinkChannel::Directory));
+    let (own, epoch) = match &link {
+        Some(link) => (Arc::clone(&link.own), link.epoch),
+        None => (sole_card(), 1),
+    };
     let directory = DirectoryActor {
         published: Arc::clone(&published),
-        hub,
-    };
-    let (own, epoch) = match link {
-        Some(link) => (link.own, link.epoch),
-        None => (sole_card(), 1),
+        link,
     };
     let (actor, _task) = Actor::spawn(None, directory, (own, epoch)).await?;
     actor.send_interval(TICK_INTERVAL, || DirectoryMessage::Tick);
@@ -127,20 +135,27 @@
             match action {
                 DirectoryAction::Publish => self.published.store(Arc::new(core.snapshot())),
                 DirectoryAction::Send { to, class, payload } => self.send(&to, class, payload),
-                // Usage isn't reported yet, so none comes in.
-                DirectoryAction::Used(_) => {}
+                DirectoryAction::Used(lines) => self.report(lines),
             }
         }
     }
 
     /// Sends without waiting; what is lost is made good by a later message.
     fn send(&self, to: &str, class: TrafficClass, payload: Bytes) {
-        let Some(hub) = &self.hub else { return };
+        let Some(link) = &self.link else { return };
+        let hub = &link.hub;
         let sent = hub.send_as(to, LinkChannel::Directory, link_class(class), payload);
         if let Err(error) = sent {
             log_event!(debug, "directory_message_dropped", to = to, reason = error);
         }
     }
+
+    fn report(&self, lines: Vec<WorkspaceUsage>) {
+        let Some(link) = &self.link else { return };
+        if link.used.try_send(lines).is_err() {
+            log_event!(debug, "usage_report_dropped");
+        }
+    }
 }
 
 fn link_class(class: TrafficClass) -> LinkClass {
@@ -198,6 +213,10 @@
                 self.handle_event(core, event);
                 acknowledge(reply);
             }
+            DirectoryMessage::OwnUsage(lines, reply) => {
+                self.handle_event(core, DirectoryEvent::Used(lines));
+                acknowledge(reply);
+            }
             DirectoryMessage::Tick => self.handle_event(core, DirectoryEvent::Tick),
         }
         Ok(())
--- a/crates/savorywalk/src/directory/directory_link.rs
+++ b/crates/savorywalk/src/directory/directory_link.rs
@@ -1,3 +1,6 @@
+use tokio::sync::mpsc;
+
+use super::WorkspaceUsage;
 use crate::membership::MemberCard;
 use crate::prelude::*;
 use crate::transport::LinkHub;
@@ -12,4 +15,7 @@
     /// Number of this life of the entry, greater than that of any before; in
     /// seconds, such as the time of day.
     pub epoch: u32,
+    /// Takes what other entries gave to workspaces; when it is full, a report is
+    /// lost and shares are less exact for its interval.
+    pub used: mpsc::Sender<Vec<WorkspaceUsage>>,
 }
--- a/crates/savorywalk/src/entry/joined_daemon.rs
+++ b/crates/savorywalk/src/entry/joined_daemon.rs
@@ -1,11 +1,13 @@
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use super::control_server::{self, ControlAnswerer};
 use super::entry_daemon::{self, EntryParts};
 use super::member_exchange::MemberExchange;
+use super::usage_exchange::UsageExchange;
 use super::{
     ControlFollower, EntryDaemon, EntryError, EntryNode, FollowerStanding, FollowerTask, Result,
 };
@@ -24,6 +26,10 @@
 /// Longest wait for operators' calls at a stop.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Most reports of other entries that wait for the queues; a region's entries
+/// together send some three a second.
+const USAGE_REPORTS: usize = 256;
+
 /// A daemon of a deployment with control: it plays the roles that its settings
 /// name, and is linked to the others.
 #[derive(Debug)]
@@ -32,6 +38,7 @@
     voter: Option<VoterTasks>,
     listeners: RoleListeners,
     members: MemberExchange,
+    _usage: UsageExchange,
     _follower: FollowerTask,
     answering: AbortHandle,
 }
@@ -67,13 +74,16 @@
         let others = other_entries(&settings, &hub, &voters)?;
         let card = Arc::new(member_card(&settings, roles, &hub)?);
         let seeds = first_peers(&settings, &voters)?;
+        let (sender, used) = mpsc::channel(USAGE_REPORTS);
         let link = roles.entry.then(|| DirectoryLink {
             hub: hub.clone(),
             own: Arc::clone(&card),
             epoch: wall_time().as_secs() as u32,
+            used: sender,
         });
         let listeners = start_listeners(settings, roles, &hub, &control, link).await?;
         let node = Arc::clone(listeners.node());
+        let usage = UsageExchange::start(&node, used);
         let incarnation = wall_time().as_millis() as u64;
         let members = MemberExchange::start(&node, &hub, &card, incarnation, seeds);
         register_link_metrics(node.metrics().meter(), hub.metrics());
@@ -93,6 +103,7 @@
             voter,
             listeners,
             members,
+            _usage: usage,
             _follower: follower,
             answering,
         })
--- a/crates/savorywalk/src/entry/joined_daemon_tests.rs
+++ b/crates/savorywalk/src/entry/joined_daemon_tests.rs
@@ -3,7 +3,9 @@
 use tempfile::TempDir;
 
 use super::*;
-use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointState};
+use crate::configuration::configuration_from_json;
+use crate::directory::{EndpointAnnouncement, EndpointDirectory, EndpointLoad, EndpointState};
+use crate::queueing::{QueueItem, QueueWait};
 use crate::settings::{EntrySettings, LinkSettings, ListenerSettings, NodeSettings};
 use crate::transport::KeyAuthority;
 
@@ -95,20 +97,7 @@
     }
 
     async fn announce(&self, entry: usize, sequence: u64, state: EndpointState) {
-        let announcement = EndpointAnnouncement {
-            endpoint: "gpu-1".into(),
-            address: "127.0.0.1:9".parse().unwrap(),
-            pool: POOL.into(),
-            data_center: "bole".into(),
-            incarnation: 1,
-            sequence,
-            state,
-            lease_ms: 15_000,
-            models: Vec::new(),
-            load: EndpointLoad::default(),
-            slots: 8,
-            cache_events: Vec::new(),
-        };
+        let announcement = announcement(sequence, state);
         let directory = self.daemons[entry].node().directory();
         let outcome = directory.announce(announcement, MAX_LEASE).await;
         outcome.expect("the directory runs").unwrap();
@@ -139,6 +128,23 @@
     }
 }
 
+fn announcement(sequence: u64, state: EndpointState) -> EndpointAnnouncement {
+    EndpointAnnouncement {
+        endpoint: "gpu-1".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        pool: POOL.into(),
+        data_center: "bole".into(),
+        incarnation: 1,
+        sequence,
+        state,
+        lease_ms: 15_000,
+        models: Vec::new(),
+        load: EndpointLoad::default(),
+        slots: 8,
+        cache_events: Vec::new(),
+    }
+}
+
 fn is_routable(daemon: &JoinedDaemon) -> bool {
     let snapshot = daemon.node().directory().snapshot();
     let now = Instant::now();
@@ -194,3 +200,71 @@
     assert!(group.daemons.iter().all(|daemon| knows(daemon, "entry-2")));
     group.stop().await;
 }
+
+const CONFIGURATION: &[u8] = br#"{"pools": {"generate": {"kind": "generate"}},
+    "workspaces": {"north": {}, "south": {}, "east": {}}}"#;
+
+fn item(workspace: &str) -> QueueItem<'_> {
+    let late = Instant::now() + PATIENCE;
+    QueueItem {
+        workspace,
+        weight: 1,
+        priority: 0,
+        deadline: late,
+        latest_start: late,
+        likely_start: late,
+        cost: Duration::from_millis(100),
+        started: false,
+    }
+}
+
+/// Puts a stage into the queue of an entry whose pool has one endpoint.
+fn enqueue(daemon: &JoinedDaemon, workspace: &str) -> QueueWait {
+    let queue = daemon.node().queues().pool(POOL);
+    let now = Instant::now();
+    // It is made here so that no lease can end before the queue has seen it.
+    let mut directory = EndpointDirectory::default();
+    let announcement = announcement(1, EndpointState::Serving);
+    directory.announce(now, announcement, MAX_LEASE).unwrap();
+    queue.observe(now, directory.snapshot().pool(POOL));
+    queue.enqueue(now, &item(workspace)).unwrap()
+}
+
+/// How long a stage of `workspace` would wait if it came now.
+fn wait_of(daemon: &JoinedDaemon, workspace: &str) -> Duration {
+    let queues = daemon.node().queues();
+    queues.wait(Instant::now(), POOL, &item(workspace))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn use_at_one_entry_counts_at_the_others() {
+    /// More stages than the endpoint has slots, so that some wait.
+    const STAGES: usize = 30;
+    let group = EntryGroup::start(3).await;
+    for daemon in &group.daemons {
+        let source = configuration_from_json(CONFIGURATION).unwrap();
+        let configuration = ConfigurationSnapshot::build(1, source).unwrap();
+        daemon.node().configuration.advance(configuration);
+    }
+    let others = &group.daemons[1..];
+    let waiting: Vec<_> = others
+        .iter()
+        .flat_map(|daemon| (0..STAGES).map(|_| enqueue(daemon, "south")))
+        .collect();
+    for daemon in others {
+        assert_eq!(wait_of(daemon, "north"), Duration::ZERO);
+    }
+    let permit = enqueue(&group.daemons[0], "north").permit().await;
+    permit.unwrap().complete(Duration::from_secs(5));
+    group
+        .wait("the use by north", |daemon| {
+            let is_first = daemon.node().name() == "entry-0";
+            is_first || wait_of(daemon, "north") > Duration::ZERO
+        })
+        .await;
+    for daemon in others {
+        assert_eq!(wait_of(daemon, "east"), Duration::ZERO);
+    }
+    drop(waiting);
+    group.stop().await;
+}
--- a/crates/savorywalk/src/entry/mod.rs
+++ b/crates/savorywalk/src/entry/mod.rs
@@ -14,6 +14,8 @@
 mod member_exchange;
 mod queue_gauges;
 mod readiness_gate;
+mod usage_exchange;
+mod usage_names;
 
 pub use claimed_run::{AnswerWriter, ClaimedAnswer, ClaimedRun};
 pub use control_follower::{ControlFollower, FollowerTask};
