--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -398,7 +398,7 @@
         last_event: Option<u64>,
     ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
         let mut call = EndpointCall::open(member.address()).await?;
-        let inputs = self.results.as_ref().map(|results| results.last(&self.context));
+        let inputs = self.results.as_ref().map(|results| results.last());
         let order = EndpointOrder {
             target: EndpointTarget {
                 endpoint: member.endpoint(),
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -53,6 +53,7 @@
         let follower = EntryFollower::start(hub.clone(), options);
         let bound = Duration::from_millis(gateway.key_bound_ms.into());
         let node = GatewayNode::start(NodeParts {
+            hub: hub.clone(),
             wire,
             follower,
             data_center: own.data_center.clone(),
@@ -101,6 +102,7 @@
     pub async fn stop(self) -> bool {
         let began = Instant::now();
         self.node.stopping.store(true, Ordering::Relaxed);
+        self.node.follower.leave();
         log_event!(info, "gateway_draining");
         tokio::time::sleep(STOP_NOTICE.min(self.stop_time / 2)).await;
         let left = self
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -2,12 +2,14 @@
 
 use super::endpoint_score::EndpointScores;
 use super::gateway_metrics::GatewayMetrics;
-use super::piece_board::PieceBoard;
+use super::piece_board::{BoardKey, PieceBoard};
 use super::release_queue::ReleaseQueue;
+use super::work_exchange::{self, WorkExchange};
 use super::{EndpointRoster, RetryLimits, RetryWindow, RouteTable, WireFormat};
 use crate::prelude::*;
 use crate::registry::EntryFollower;
 use crate::telemetry::MetricSet;
+use crate::transport::{LinkChannel, LinkHub, PeerName};
 
 /// What the requests of one entry share.
 #[derive(Debug)]
@@ -17,6 +19,7 @@
     pub(super) data_center: String,
     pub(super) view: ArcSwap<GatewayView>,
     pub(super) scores: EndpointScores,
+    pub(super) exchange: WorkExchange,
     pub(super) releases: ReleaseQueue,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
@@ -25,7 +28,7 @@
     pub(super) stopping: std::sync::atomic::AtomicBool,
     retry_limits: RetryLimits,
     retries: Mutex<FastMap<String, RetryWindow>>,
-    boards: Mutex<FastMap<String, Arc<PieceBoard>>>,
+    boards: Mutex<FastMap<BoardKey, Arc<PieceBoard>>>,
 }
 
 /// What is in force at this entry: an immutable view for the request path.
@@ -35,12 +38,13 @@
     pub(super) table: Option<Arc<RouteTable>>,
     /// Endpoints that may get new work.
     pub(super) roster: Arc<EndpointRoster>,
-    /// Entries that share budgets with this one, itself included.
-    pub(super) entries: u32,
+    /// Entries that share budgets and pools with this one, itself included.
+    pub(super) entries: Vec<PeerName>,
 }
 
 /// How a node is made.
 pub(super) struct NodeParts {
+    pub(super) hub: LinkHub,
     pub(super) wire: Arc<dyn WireFormat>,
     pub(super) follower: Arc<EntryFollower>,
     pub(super) data_center: String,
@@ -58,6 +62,7 @@
             data_center: parts.data_center,
             view: ArcSwap::default(),
             scores: EndpointScores::default(),
+            exchange: WorkExchange::new(parts.hub.clone()),
             metrics: GatewayMetrics::new(parts.metric_set.meter()),
             metric_set: parts.metric_set,
             max_key_age: parts.max_key_age,
@@ -67,6 +72,8 @@
             boards: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).follow());
+        let calls = parts.hub.serve(LinkChannel::Work);
+        tokio::spawn(work_exchange::serve(Arc::clone(&node), calls));
         node
     }
 
@@ -109,7 +116,7 @@
                 state.document_number(),
                 state.document().clone(),
                 EndpointRoster::of(state),
-                state.entries(),
+                state.entries().to_vec(),
             )
         });
         let mut table = before.table.clone();
@@ -141,7 +148,7 @@
 
     /// Takes one repeat from the budget of `pool`.
     pub(super) fn may_repeat(&self, pool: &str) -> bool {
-        let entries = self.view.load().entries;
+        let entries = self.view.load().entries.len() as u32;
         let granted =
             self.retry_window(pool, |window| window.try_repeat(Instant::now(), entries));
         self.metrics.record_repeat(pool, granted);
@@ -156,18 +163,18 @@
         act(window)
     }
 
-    /// Where pieces for `pool` gather.
-    pub(super) fn board(self: &Arc<Self>, pool: &str) -> Arc<PieceBoard> {
+    /// Where pieces for `key` gather at this entry.
+    pub(super) fn board(self: &Arc<Self>, key: &BoardKey) -> Arc<PieceBoard> {
         let mut boards = self.boards();
-        if let Some(board) = boards.get(pool) {
+        if let Some(board) = boards.get(key) {
             return Arc::clone(board);
         }
-        let board = PieceBoard::start(Arc::clone(self), pool);
-        boards.insert(pool.to_string(), Arc::clone(&board));
+        let board = PieceBoard::start(Arc::clone(self), key);
+        boards.insert(key.clone(), Arc::clone(&board));
         board
     }
 
-    fn boards(&self) -> std::sync::MutexGuard<'_, FastMap<String, Arc<PieceBoard>>> {
+    fn boards(&self) -> std::sync::MutexGuard<'_, FastMap<BoardKey, Arc<PieceBoard>>> {
         self.boards.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -26,9 +26,11 @@
 mod route_table;
 mod run_ledger;
 mod stage_plan;
+mod stage_progress;
 mod stream_relay;
 mod table_error;
 mod wire_format;
+mod work_exchange;
 
 pub use endpoint_roster::{EndpointRoster, PoolMember};
 pub use endpoint_score::PlacementQuery;
@@ -44,6 +46,7 @@
     EngineProfile, PieceProfile, PoolProfile, RequestLimits, RouteTable, TableParts,
 };
 pub use run_ledger::{NotRun, RunLedger};
+pub use stage_progress::{LostTooOften, StageProgress, StageStart};
 pub use table_error::TableError;
 pub use wire_format::{
     CallerHead, EndpointHead, EndpointOrder, EndpointTarget, LoadReport, PieceOrder, PieceOutcome,
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -41,11 +41,20 @@
     pub(super) verdict: PieceVerdict,
 }
 
+/// Where pieces gather: for a whole pool, or for its endpoints in one data
+/// centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct BoardKey {
+    pub(super) pool: String,
+    pub(super) shard: Option<String>,
+}
+
 /// Gathers the pieces for one pool and makes the calls.
 #[derive(Debug)]
 pub(super) struct PieceBoard {
     node: Arc<GatewayNode>,
     pool: String,
+    shard: Option<String>,
     state: Mutex<BoardState>,
     wake: Notify,
 }
@@ -91,11 +100,12 @@
 }
 
 impl PieceBoard {
-    /// Starts the board of `pool`.
-    pub(super) fn start(node: Arc<GatewayNode>, pool: &str) -> Arc<Self> {
+    /// Starts the board for `key`.
+    pub(super) fn start(node: Arc<GatewayNode>, key: &BoardKey) -> Arc<Self> {
         let board = Arc::new(Self {
             node,
-            pool: pool.to_string(),
+            pool: key.pool.clone(),
+            shard: key.shard.clone(),
             state: Mutex::default(),
             wake: Notify::new(),
         });
@@ -180,6 +190,10 @@
     /// The endpoints in use; those that are ill only when there is no other.
     fn workers<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceWorker<'a>> {
         let members = view.roster.pool(&self.pool).iter();
+        let members = members.filter(|member| {
+            let shard = self.shard.as_deref();
+            shard.is_none_or(|shard| shard == member.data_center())
+        });
         let mut workers: Vec<PieceWorker<'_>> = members
             .map(|member| {
                 let cost = self.node.scores.cost(now, &self.pool, member);
--- /dev/null
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -0,0 +1,347 @@
+use std::hash::Hasher;
+use std::sync::{Mutex, PoisonError};
+
+use prost::Message;
+use tokio::sync::mpsc;
+
+use super::gateway_node::{GatewayNode, GatewayView};
+use super::piece_board::{self, BoardKey, PieceVerdict};
+use super::{PieceSource, PieceTask, ResultHandle};
+use crate::generated::work::{StageCall, StageEnd, StageReply};
+use crate::prelude::*;
+use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkHub, PeerName};
+
+/// Members of a pool up to which one entry gathers for all of it. Larger pools
+/// are split by data centre, so that no entry has to gather for more than a
+/// sixteenth of a core can carry.
+const WHOLE_POOL: usize = 6;
+
+/// Time for which an entry that did not answer is passed over; by then the
+/// registry has told whether it is gone.
+const AVOID_TIME: Duration = Duration::from_secs(3);
+
+/// Time beyond a stage's deadline in which its gatherer tells that it is over.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
+/// Entries tried for one stage before this one gathers for itself alone.
+const MAX_GATHERERS: usize = 2;
+
+/// All pieces of one stage of one request.
+#[derive(Clone, Debug)]
+pub(super) struct StageOrder {
+    pub(super) request_id: Arc<str>,
+    pub(super) stage: u32,
+    pub(super) pool: String,
+    pub(super) pieces: u32,
+    pub(super) rank: u8,
+    pub(super) due: Instant,
+    pub(super) deadline: Instant,
+    pub(super) source: PieceSource,
+    pub(super) near: Option<Arc<str>>,
+}
+
+/// Why a stage came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StageStop {
+    Late,
+    InputGone,
+    Failed,
+}
+
+/// Sends the pieces of all entries for one pool to one of them, which fills
+/// calls with them. A call takes nearly as long for one piece as for ten, so
+/// entries that call on their own use up the pool with calls that are nearly
+/// empty, and learn of each other only by being refused.
+#[derive(Debug)]
+pub(super) struct WorkExchange {
+    hub: LinkHub,
+    avoided: Mutex<FastMap<PeerName, Instant>>,
+}
+
+impl WorkExchange {
+    pub(super) fn new(hub: LinkHub) -> Self {
+        Self {
+            hub,
+            avoided: Mutex::default(),
+        }
+    }
+
+    /// Has a stage worked on, by the entry that gathers for its pool.
+    pub(super) async fn work_on(
+        &self,
+        node: &Arc<GatewayNode>,
+        order: StageOrder,
+    ) -> Result<Arc<[ResultHandle]>, StageStop> {
+        for _ in 0..MAX_GATHERERS {
+            let view = node.view.load_full();
+            let key = key_for(&view, &order);
+            let Some(gatherer) = self.gatherer(&view, &key) else {
+                break;
+            };
+            match self.ask(&gatherer, &key, &order).await {
+                Ok(outcome) => return outcome,
+                Err(reason) => {
+                    log_event!(
+                        info,
+                        "gatherer_lost",
+                        request = order.request_id,
+                        pool = key.pool,
+                        gatherer = gatherer,
+                        reason = reason
+                    );
+                    self.avoid(gatherer);
+                }
+            }
+        }
+        let key = key_for(&node.view.load(), &order);
+        work_here(node, &key, order).await
+    }
+
+    /// The entry that gathers for `key`; `None` when it is this one.
+    fn gatherer(&self, view: &GatewayView, key: &BoardKey) -> Option<PeerName> {
+        let now = Instant::now();
+        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.retain(|_, until| now < *until);
+        let usable = view.entries.iter();
+        let usable = usable.filter(|entry| !avoided.contains_key(*entry));
+        let chosen = usable.max_by_key(|entry| ranking(key, entry))?;
+        (chosen != self.hub.name()).then(|| chosen.clone())
+    }
+
+    fn avoid(&self, entry: PeerName) {
+        let until = Instant::now() + AVOID_TIME;
+        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.insert(entry, until);
+    }
+
+    async fn ask(
+        &self,
+        gatherer: &PeerName,
+        key: &BoardKey,
+        order: &StageOrder,
+    ) -> Result<Result<Arc<[ResultHandle]>, StageStop>, String> {
+        let now = Instant::now();
+        let left = order.deadline.saturating_duration_since(now);
+        let call = call_of(now, key, order);
+        let payload = call.encode_to_vec().into();
+        let channel = LinkChannel::Work;
+        let answer = self
+            .hub
+            .call(gatherer.as_str(), channel, payload, left + ANSWER_MARGIN);
+        let answer = answer.await.map_err(|error| error.to_string())?;
+        let reply = StageReply::decode(answer).map_err(|error| error.to_string())?;
+        match reply.end() {
+            StageEnd::Made if reply.handles.len() == order.pieces as usize => {
+                let handles = reply.handles.into_iter();
+                Ok(Ok(handles.map(|handle| ResultHandle(handle.into())).collect()))
+            }
+            StageEnd::Made | StageEnd::Unspecified => Err("an answer that can't be read".into()),
+            StageEnd::Late => Ok(Err(StageStop::Late)),
+            StageEnd::InputGone => Ok(Err(StageStop::InputGone)),
+            StageEnd::Failed => Ok(Err(StageStop::Failed)),
+        }
+    }
+}
+
+/// Gathers for other entries until the hub closes.
+pub(super) async fn serve(node: Arc<GatewayNode>, mut calls: mpsc::Receiver<InboundCall>) {
+    while let Some(inbound) = calls.recv().await {
+        let node = Arc::clone(&node);
+        tokio::spawn(async move { serve_call(&node, inbound).await });
+    }
+}
+
+async fn serve_call(node: &Arc<GatewayNode>, inbound: InboundCall) {
+    let InboundCall {
+        payload, mut reply, ..
+    } = inbound;
+    let Ok(call) = StageCall::decode(payload) else {
+        reply.refuse(CallRefusal::Malformed);
+        return;
+    };
+    let (key, order) = order_of(Instant::now(), call);
+    let outcome = tokio::select! {
+        outcome = work_here(node, &key, order) => outcome,
+        () = reply.abandoned() => return,
+    };
+    let handles = match &outcome {
+        Ok(handles) => handles.iter().map(|handle| handle.0.to_string()).collect(),
+        Err(_) => Vec::new(),
+    };
+    let end = match &outcome {
+        Ok(_) => StageEnd::Made,
+        Err(StageStop::Late) => StageEnd::Late,
+        Err(StageStop::InputGone) => StageEnd::InputGone,
+        Err(StageStop::Failed) => StageEnd::Failed,
+    };
+    let answer = StageReply {
+        end: end.into(),
+        handles,
+    };
+    let is_told = reply.answer(answer.encode_to_vec().into());
+    if let (false, Ok(handles)) = (is_told, outcome) {
+        for handle in handles.iter() {
+            node.releases.release(handle.clone());
+        }
+    }
+}
+
+/// Works on a stage with the pieces that have been gathered here.
+async fn work_here(
+    node: &Arc<GatewayNode>,
+    key: &BoardKey,
+    order: StageOrder,
+) -> Result<Arc<[ResultHandle]>, StageStop> {
+    let pieces = order.pieces;
+    let task = PieceTask {
+        request_id: order.request_id,
+        stage: order.stage,
+        rank: order.rank,
+        due: order.due,
+        deadline: order.deadline,
+        source: order.source,
+        near: order.near,
+        abandoned: piece_board::not_abandoned(),
+    };
+    let mut batch = node.board(key).submit(task, pieces);
+    let mut made = MadePieces {
+        node,
+        handles: BTreeMap::new(),
+    };
+    while made.handles.len() < pieces as usize {
+        let Some(news) = batch.news.recv().await else {
+            return Err(StageStop::Failed);
+        };
+        match news.verdict {
+            PieceVerdict::Made(handle) => drop(made.handles.insert(news.piece, handle)),
+            PieceVerdict::Late => return Err(StageStop::Late),
+            PieceVerdict::InputGone => return Err(StageStop::InputGone),
+            PieceVerdict::Failed => return Err(StageStop::Failed),
+        }
+    }
+    Ok(made.take())
+}
+
+/// Results of a stage that is not complete; given up when this is dropped.
+struct MadePieces<'a> {
+    node: &'a GatewayNode,
+    handles: BTreeMap<u32, ResultHandle>,
+}
+
+impl MadePieces<'_> {
+    fn take(mut self) -> Arc<[ResultHandle]> {
+        std::mem::take(&mut self.handles).into_values().collect()
+    }
+}
+
+impl Drop for MadePieces<'_> {
+    fn drop(&mut self) {
+        for handle in std::mem::take(&mut self.handles).into_values() {
+            self.node.releases.release(handle);
+        }
+    }
+}
+
+/// Where the pieces of a stage gather: a small pool in one place, a large one
+/// in a place for each data centre.
+fn key_for(view: &GatewayView, order: &StageOrder) -> BoardKey {
+    let members = view.roster.pool(&order.pool);
+    let whole = BoardKey {
+        pool: order.pool.clone(),
+        shard: None,
+    };
+    if members.len() <= WHOLE_POOL {
+        return whole;
+    }
+    let live = members.iter().filter(|member| !member.is_silent);
+    let centers: Vec<&str> = live.map(|member| member.data_center()).collect();
+    let near = order.near.as_deref().filter(|near| centers.contains(near));
+    // A draw among members, not among data centres, follows their sizes.
+    let drawn = || {
+        let draw = hash_of(&[&order.request_id]) as usize;
+        let place = draw.checked_rem(centers.len())?;
+        centers.get(place).copied()
+    };
+    BoardKey {
+        shard: near.or_else(drawn).map(String::from),
+        ..whole
+    }
+}
+
+fn ranking(key: &BoardKey, entry: &PeerName) -> u64 {
+    let shard = key.shard.as_deref().unwrap_or_default();
+    hash_of(&[&key.pool, shard, entry.as_str()])
+}
+
+fn hash_of(words: &[&str]) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    for word in words {
+        hasher.write(word.as_bytes());
+        hasher.write_u8(0);
+    }
+    // The fast hasher leaves its high bits better mixed than its low ones.
+    hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16
+}
+
+fn call_of(now: Instant, key: &BoardKey, order: &StageOrder) -> StageCall {
+    let due_ms = match order.due.checked_duration_since(now) {
+        Some(left) => left.as_millis() as i32,
+        None => -((now - order.due).as_millis() as i32),
+    };
+    let deadline = order.deadline.saturating_duration_since(now);
+    let (work_key, inputs) = match &order.source {
+        PieceSource::Key(key) => (key.to_string(), Vec::new()),
+        PieceSource::Inputs(inputs) => {
+            let inputs = inputs.iter().map(|handle| handle.0.to_string());
+            (String::new(), inputs.collect())
+        }
+    };
+    StageCall {
+        request_id: order.request_id.to_string(),
+        stage: order.stage,
+        pool: key.pool.clone(),
+        shard: key.shard.clone().unwrap_or_default(),
+        pieces: order.pieces,
+        rank: order.rank.into(),
+        due_ms,
+        deadline_ms: deadline.as_millis() as u32,
+        key: work_key,
+        inputs,
+        near: order.near.as_deref().unwrap_or_default().to_string(),
+    }
+}
+
+fn order_of(now: Instant, call: StageCall) -> (BoardKey, StageOrder) {
+    let late = Duration::from_millis(u64::from(call.due_ms.min(0).unsigned_abs()));
+    let left = Duration::from_millis(u64::from(call.due_ms.max(0).unsigned_abs()));
+    let due = now.checked_sub(late).unwrap_or(now) + left;
+    let source = match call.key.is_empty() {
+        true => PieceSource::Inputs(
+            call.inputs
+                .into_iter()
+                .map(|handle| ResultHandle(handle.into()))
+                .collect(),
+        ),
+        false => PieceSource::Key(call.key.into()),
+    };
+    let key = BoardKey {
+        pool: call.pool.clone(),
+        shard: (!call.shard.is_empty()).then_some(call.shard),
+    };
+    let order = StageOrder {
+        request_id: call.request_id.into(),
+        stage: call.stage,
+        pool: call.pool,
+        pieces: call.pieces,
+        rank: call.rank.min(u8::MAX.into()) as u8,
+        due,
+        deadline: now + Duration::from_millis(call.deadline_ms.into()),
+        source,
+        near: (!call.near.is_empty()).then(|| call.near.into()),
+    };
+    (key, order)
+}
+
+#[cfg(test)]
+#[path = "work_exchange_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -1,5 +1,5 @@
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 use prost::Message;
 use tokio::sync::watch;
@@ -42,6 +42,7 @@
 pub struct EntryFollower {
     hub: LinkHub,
     clock: BootClock,
+    is_leaving: AtomicBool,
     state: Mutex<FollowState>,
     seeds: watch::Sender<Vec<PeerName>>,
     confirmed: watch::Sender<Option<BootTime>>,
@@ -64,6 +65,7 @@
         let follower = Arc::new(Self {
             hub,
             clock: BootClock,
+            is_leaving: AtomicBool::new(false),
             state: Mutex::default(),
             seeds: watch::Sender::new(options.seeds.clone()),
             confirmed: watch::Sender::default(),
@@ -101,6 +103,11 @@
         self.news.subscribe()
     }
 
+    /// Has control tell the other entries not to count on this one.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Replaces the seeds, after the settings have changed.
     pub fn set_seeds(&self, seeds: Vec<PeerName>) {
         self.seeds.send_replace(seeds);
@@ -135,7 +142,8 @@
     }
 
     async fn ask(&self, target: &PeerName) -> std::result::Result<TimedReply, String> {
-        let call = self.read(|state| state.next_call(HOLD));
+        let mut call = self.read(|state| state.next_call(HOLD));
+        call.leaving = self.is_leaving.load(Ordering::Relaxed);
         let call = ControlCall {
             call: Some(Call::Follow(call)),
         };
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -1,5 +1,6 @@
 use super::{BootTime, EndpointReport, FollowCall, FollowReply};
 use crate::prelude::*;
+use crate::transport::PeerName;
 
 /// How long an endpoint that a control daemon does not list stays known: a
 /// daemon that was just started hears of all endpoints within this time.
@@ -23,6 +24,8 @@
     pub document: bool,
     /// Endpoints came, changed or were retired.
     pub endpoints: bool,
+    /// Entries came or went.
+    pub entries: bool,
 }
 
 /// What an entry knows from control, as a state machine without I/O.
@@ -34,7 +37,8 @@
     table_epoch: u64,
     table_revision: u64,
     confirmed_at: Option<BootTime>,
-    entries: u32,
+    entries: Vec<PeerName>,
+    entries_digest: u64,
     endpoints: BTreeMap<String, KnownEndpoint>,
     retired: FastSet<String>,
 }
@@ -49,6 +53,8 @@
             table_revision: self.table_revision,
             wait_ms: hold.as_millis() as u32,
             entry: true,
+            leaving: false,
+            entries_digest: self.entries_digest,
         }
     }
 
@@ -80,7 +86,12 @@
             news.endpoints |= self.take_report(report);
         }
         news.endpoints |= self.forget(now);
-        self.entries = reply.entries.max(1);
+        if reply.entries_digest != self.entries_digest {
+            self.entries_digest = reply.entries_digest;
+            let entries = reply.entries.iter();
+            self.entries = entries.filter_map(|name| PeerName::new(name).ok()).collect();
+            news.entries = true;
+        }
         let is_current = reply.document_number >= self.document_number
             && reply.retired_total >= self.retired_total;
         if reply.confirmed && is_current {
@@ -146,9 +157,9 @@
         self.confirmed_at
     }
 
-    /// Entries that follow control, as far as known; at least 1.
-    pub fn entries(&self) -> u32 {
-        self.entries.max(1)
+    /// Entries that follow control, as far as known, sorted by name.
+    pub fn entries(&self) -> &[PeerName] {
+        &self.entries
     }
 }
 
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -6,6 +6,7 @@
 mod confirm_gate;
 mod entry_follower;
 mod follow_state;
+mod follower_list;
 mod member_ring;
 mod registry_error;
 mod registry_node;
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::confirm_gate::{self, ConfirmGate};
+use super::follower_list::FollowerList;
 use super::report_outbox::ReportOutbox;
 use super::voter_keeper::VoterKeeper;
 use super::{
@@ -45,9 +46,6 @@
 /// Time for another control daemon's whole table.
 const TABLE_CALL_TIME: Duration = Duration::from_millis(800);
 
-/// Time since its last call after which a follower is not counted any more.
-const FOLLOWER_TIME: Duration = Duration::from_secs(4);
-
 /// How a registry node is started.
 #[derive(Clone, Debug)]
 pub struct RegistryOptions {
@@ -69,31 +67,10 @@
     outbox: Mutex<ReportOutbox>,
     urgent: Notify,
     gate: ConfirmGate,
-    followers: Mutex<FollowerCount>,
+    followers: Mutex<FollowerList>,
     wants_table: Notify,
 }
 
-/// Who follows control: here, and at the other control daemons.
-#[derive(Debug, Default)]
-struct FollowerCount {
-    own: FastMap<PeerName, Instant>,
-    others: FastMap<PeerName, (u32, Instant)>,
-}
-
-impl FollowerCount {
-    fn own(&mut self, now: Instant) -> u32 {
-        self.own.retain(|_, heard| now < *heard + FOLLOWER_TIME);
-        self.own.len() as u32
-    }
-
-    fn all(&mut self, now: Instant) -> u32 {
-        self.others
-            .retain(|_, (_, heard)| now < *heard + FOLLOWER_TIME);
-        let others: u32 = self.others.values().map(|(count, _)| count).sum();
-        (self.own(now) + others).max(1)
-    }
-}
-
 impl RegistryNode {
     /// Starts the voter and the exchange with the other control daemons.
     pub fn start(hub: LinkHub, options: RegistryOptions) -> Arc<Self> {
@@ -239,7 +216,7 @@
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_followers(&self) -> MutexGuard<'_, FollowerCount> {
+    fn lock_followers(&self) -> MutexGuard<'_, FollowerList> {
         self.followers
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -347,7 +324,7 @@
                 self.publish_revision();
             }
             let followers = self.lock_followers().own(now);
-            let batch = self.lock_outbox().take(followers);
+            let batch = self.lock_outbox().take(now, followers);
             if let Some(batch) = batch {
                 self.tell_members(&batch);
             }
@@ -375,7 +352,7 @@
     async fn take_batches(self: Arc<Self>, mut batches: mpsc::Receiver<InboundMessage>) {
         while let Some(message) = batches.recv().await {
             match ReportBatch::decode(message.payload) {
-                Ok(batch) => self.take_batch(&message.from, batch),
+                Ok(batch) => self.take_batch(batch),
                 Err(error) => log_event!(
                     warn,
                     "report_batch_unreadable",
@@ -386,10 +363,9 @@
         }
     }
 
-    fn take_batch(&self, from: &PeerName, batch: ReportBatch) {
+    fn take_batch(&self, batch: ReportBatch) {
         let now = Instant::now();
-        let heard = (batch.followers, now);
-        self.lock_followers().others.insert(from.clone(), heard);
+        self.lock_followers().take_others(now, batch.followers);
         let mut is_incomplete = false;
         {
             let mut table = self.table();
@@ -485,7 +461,8 @@
     async fn follow(&self, from: &PeerName, call: &FollowCall) -> FollowReply {
         let arrived = Instant::now();
         if call.entry {
-            self.lock_followers().own.insert(from.clone(), arrived);
+            self.lock_followers()
+                .take_own(arrived, from, call.leaving);
         }
         self.wait_for_news(call).await;
         let held = arrived.elapsed();
@@ -555,7 +532,11 @@
         let members = self.voter().map(|voter| voter.member_names());
         let members = members.unwrap_or_default().into_iter();
         reply.members = members.map(|member| member.to_string()).collect();
-        reply.entries = self.lock_followers().all(Instant::now());
+        let entries = self.lock_followers().all(Instant::now());
+        reply.entries_digest = entries.digest;
+        if entries.digest != call.entries_digest {
+            reply.entries = entries.names;
+        }
         reply
     }
 }
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -1,12 +1,16 @@
 use super::{EndpointRefresh, EndpointReport, HearOutcome, ReportBatch};
 use crate::prelude::*;
 
+/// Longest time between two lists of the sender's followers.
+const FOLLOWER_INTERVAL: Duration = Duration::from_millis(800);
+
 /// What waits to be told to the other control daemons: changes go out at once,
 /// signs of life together with others, at every flush.
 #[derive(Debug, Default)]
 pub(super) struct ReportOutbox {
     reports: FastMap<String, EndpointReport>,
     refreshes: FastMap<String, u64>,
+    told: Option<Instant>,
 }
 
 impl ReportOutbox {
@@ -27,11 +31,15 @@
         }
     }
 
-    /// Takes what waits; `None` when nothing does.
-    pub(super) fn take(&mut self, followers: u32) -> Option<ReportBatch> {
-        if self.reports.is_empty() && self.refreshes.is_empty() {
+    /// Takes what waits. Without news the followers alone are told, now and
+    /// then; `None` when that is not due either.
+    pub(super) fn take(&mut self, now: Instant, followers: Vec<String>) -> Option<ReportBatch> {
+        let is_empty = self.reports.is_empty() && self.refreshes.is_empty();
+        let is_due = self.told.is_none_or(|told| now >= told + FOLLOWER_INTERVAL);
+        if is_empty && !is_due {
             return None;
         }
+        self.told = Some(now);
         let reports = std::mem::take(&mut self.reports);
         let refreshes = std::mem::take(&mut self.refreshes);
         Some(ReportBatch {
--- a/crates/savorywalk/src/transport/call_reply.rs
+++ b/crates/savorywalk/src/transport/call_reply.rs
@@ -25,6 +25,11 @@
         self.sender.send(Err(refusal)).is_ok()
     }
 
+    /// Waits until the caller has left.
+    pub async fn abandoned(&mut self) {
+        self.sender.closed().await;
+    }
+
     /// Whether the caller has left.
     pub fn is_abandoned(&self) -> bool {
         self.sender.is_closed()
--- a/crates/savorywalk/src/transport/link_channel.rs
+++ b/crates/savorywalk/src/transport/link_channel.rs
@@ -16,6 +16,8 @@
     Membership,
     /// Endpoints' announcements and load.
     Directory,
+    /// Work that one entry has another gather with its own.
+    Work,
 }
 
 /// What one peer may send on a channel; more is refused by the receiver.
@@ -29,11 +31,12 @@
 
 impl LinkChannel {
     /// Every channel.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Consensus,
         Self::Control,
         Self::Membership,
         Self::Directory,
+        Self::Work,
     ];
 
     /// Place of the channel in tables.
@@ -43,6 +46,7 @@
             Self::Control => 1,
             Self::Membership => 2,
             Self::Directory => 3,
+            Self::Work => 4,
         }
     }
 
@@ -52,7 +56,7 @@
             Self::Consensus => 4 * MIB,
             Self::Control => MIB,
             Self::Membership => 64 * KIB,
-            Self::Directory => 256 * KIB,
+            Self::Directory | Self::Work => 256 * KIB,
         }
     }
 
@@ -63,7 +67,7 @@
             Self::Consensus => 4 * MIB,
             Self::Control => 8 * MIB,
             Self::Membership => 64 * KIB,
-            Self::Directory => 256 * KIB,
+            Self::Directory | Self::Work => 256 * KIB,
         }
     }
 
@@ -75,6 +79,7 @@
             Self::Control => (5_000.0, (16 * MIB) as f64),
             Self::Membership => (1_000.0, MIB as f64),
             Self::Directory => (1_000.0, MIB as f64),
+            Self::Work => (2_000.0, (4 * MIB) as f64),
         };
         ReceiveLimit {
             messages_per_second,
@@ -86,7 +91,7 @@
     pub const fn default_class(self) -> LinkClass {
         match self {
             Self::Consensus => LinkClass::Replication,
-            Self::Control | Self::Membership | Self::Directory => LinkClass::Update,
+            Self::Control | Self::Membership | Self::Directory | Self::Work => LinkClass::Update,
         }
     }
 
@@ -96,6 +101,7 @@
             Self::Control => Channel::Control,
             Self::Membership => Channel::Membership,
             Self::Directory => Channel::Directory,
+            Self::Work => Channel::Work,
         }
     }
 
@@ -106,6 +112,7 @@
             Channel::Control => Some(Self::Control),
             Channel::Membership => Some(Self::Membership),
             Channel::Directory => Some(Self::Directory),
+            Channel::Work => Some(Self::Work),
         }
     }
 }
@@ -117,6 +124,7 @@
             Self::Control => "control",
             Self::Membership => "membership",
             Self::Directory => "directory",
+            Self::Work => "work",
         })
     }
 }
