Know the room for results where pieces gather, and make large results just in time

Change: ResultRoom counts results from the call to their release, which goes through the entry that gathers; a piece without room waits there. A stage with large results starts when the chain beside it is as short as its own.

Ruled out: asking endpoints for their free room (priced, and old by then).

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -263,9 +263,19 @@
         };
         let remaining = self.context.remaining(Instant::now());
         let near = planned.data_center();
+        let began = Instant::now();
         let working = stage_plan::run(&self.node, &self.context, near);
         match tokio::time::timeout(remaining, working).await {
             Ok(Ok(results)) => {
+                log_event!(
+                    info,
+                    "stages_done",
+                    request = self.context.id,
+                    route = self.context.route.name,
+                    pieces = format!("{:?}", self.context.head.piece_counts),
+                    near = near,
+                    ms = began.elapsed().as_millis()
+                );
                 self.results = Some(results);
                 Ok(())
             }
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -3,7 +3,7 @@
 use super::endpoint_score::EndpointScores;
 use super::gateway_metrics::GatewayMetrics;
 use super::piece_board::{BoardKey, PieceBoard};
-use super::release_queue::ReleaseQueue;
+use super::release_queue::{self, ReleaseQueue};
 use super::work_exchange::{self, WorkExchange};
 use super::{EndpointRoster, RetryLimits, RetryWindow, RouteTable, WireFormat};
 use crate::prelude::*;
@@ -55,8 +55,9 @@
 
 impl GatewayNode {
     pub(super) fn start(parts: NodeParts) -> Arc<Self> {
+        let (releases, given_up) = ReleaseQueue::new();
         let node = Arc::new(Self {
-            releases: ReleaseQueue::start(Arc::clone(&parts.wire)),
+            releases,
             wire: parts.wire,
             follower: parts.follower,
             data_center: parts.data_center,
@@ -72,6 +73,9 @@
             boards: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).follow());
+        tokio::spawn(release_queue::run(Arc::clone(&node), given_up));
+        let notices = parts.hub.subscribe(LinkChannel::Work);
+        tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
         let calls = parts.hub.serve(LinkChannel::Work);
         tokio::spawn(work_exchange::serve(Arc::clone(&node), calls));
         node
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod registry_surface;
 mod release_queue;
 mod request_context;
+mod result_room;
 mod retry_window;
 mod route_rule;
 mod route_table;
@@ -40,6 +41,7 @@
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
 pub use piece_queue::{PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece};
 pub use registry_daemon::RegistryDaemon;
+pub use result_room::ResultRoom;
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use route_rule::{PoolShare, RouteKind, RouteRule, StageRule, WorkspaceRule};
 pub use route_table::{
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -43,7 +43,7 @@
 
 /// Where pieces gather: for a whole pool, or for its endpoints in one data
 /// centre.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct BoardKey {
     pub(super) pool: String,
     pub(super) shard: Option<String>,
@@ -93,7 +93,7 @@
         self.news.close();
         while let Ok(news) = self.news.try_recv() {
             if let PieceVerdict::Made(handle) = news.verdict {
-                self.board.node.releases.release(handle);
+                self.board.node.releases.release(self.board.key(), handle);
             }
         }
     }
@@ -241,7 +241,7 @@
         }
         self.end_call(&call, profile, result.load());
         match result {
-            CallResult::Answered { outcomes, .. } => self.take_outcomes(call, outcomes),
+            CallResult::Answered { outcomes, .. } => self.take_outcomes(call, &profile, outcomes),
             CallResult::Denied { .. } => {
                 self.state().queue.deny(Instant::now(), &call.endpoint);
                 self.send_back(call.pieces, false);
@@ -270,15 +270,38 @@
     ) {
         let mut state = self.state();
         let now = Instant::now();
-        state.queue.finish(now, &profile, &call.endpoint, load);
+        state.queue.finish(now, &profile, call, load);
     }
 
-    fn take_outcomes(&self, call: PieceCall, outcomes: Vec<PieceOutcome>) {
+    /// Notes that results are given up, which makes room for others.
+    pub(super) fn note_released(&self, handles: &[ResultHandle]) {
+        let mut state = self.state();
+        for handle in handles {
+            state.queue.release(handle);
+        }
+        drop(state);
+        self.wake();
+    }
+
+    fn take_outcomes(
+        &self,
+        call: PieceCall,
+        profile: &PieceProfile,
+        outcomes: Vec<PieceOutcome>,
+    ) {
+        let now = Instant::now();
         let mut again = Vec::new();
         let mut lacks_room = false;
         for (piece, outcome) in call.pieces.into_iter().zip(outcomes) {
             match outcome {
-                PieceOutcome::Made(handle) => self.tell(&piece, PieceVerdict::Made(handle)),
+                PieceOutcome::Made(handle) => {
+                    let bytes = piece.task.result_bytes;
+                    let kept = handle.clone();
+                    self.state()
+                        .queue
+                        .keep(now, profile, &call.endpoint, kept, bytes);
+                    self.tell(&piece, PieceVerdict::Made(handle));
+                }
                 PieceOutcome::Late => self.tell(&piece, PieceVerdict::Late),
                 PieceOutcome::InputGone => self.tell(&piece, PieceVerdict::InputGone),
                 PieceOutcome::NoRoom => {
@@ -289,7 +312,12 @@
             }
         }
         if lacks_room {
-            log_event!(info, "results_lack_room", endpoint = call.endpoint);
+            log_event!(
+                info,
+                "results_lack_room",
+                pool = self.pool,
+                endpoint = call.endpoint
+            );
             self.state().queue.lack_room(Instant::now(), &call.endpoint);
         }
         self.send_back(again, true);
@@ -323,7 +351,15 @@
         let is_told = waiter.is_some_and(|waiter| waiter.send(news).is_ok());
         drop(state);
         if let (false, PieceVerdict::Made(handle)) = (is_told, verdict) {
-            self.node.releases.release(handle);
+            self.node.releases.release(self.key(), handle);
+        }
+    }
+
+    /// Where this board's pieces gather.
+    pub(super) fn key(&self) -> BoardKey {
+        BoardKey {
+            pool: self.pool.clone(),
+            shard: self.shard.clone(),
         }
     }
 }
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use super::{LoadReport, PieceProfile, PieceSource};
+use super::{LoadReport, PieceProfile, PieceSource, ResultHandle, ResultRoom};
 use crate::prelude::*;
 
 /// How long a piece whose result is large waits for an endpoint in the data
@@ -33,6 +33,8 @@
     pub deadline: Instant,
     /// What the pieces work on.
     pub source: PieceSource,
+    /// Size of one result, in bytes, about.
+    pub result_bytes: u64,
     /// Data centre where the results are needed, if they are large.
     pub near: Option<Arc<str>>,
     /// Set when nobody waits for the pieces any more.
@@ -82,6 +84,7 @@
     waiting: BTreeMap<PieceKey, QueuedPiece>,
     next: u64,
     endpoints: FastMap<Arc<str>, EndpointLoadView>,
+    room: ResultRoom,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -174,11 +177,12 @@
             if self.waiting.is_empty() {
                 break;
             }
-            let pieces = self.gather(now, profile.batch.max(1) as usize, worker);
+            let pieces = self.gather(now, profile, worker);
             if pieces.is_empty() {
                 continue;
             }
             let endpoint: Arc<str> = worker.endpoint.into();
+            self.room.reserve(&endpoint, result_bytes(&pieces));
             let view = self.endpoints.entry(Arc::clone(&endpoint)).or_default();
             view.own_calls += 1;
             calls.push(PieceCall { endpoint, pieces });
@@ -197,7 +201,27 @@
             is_near.then(|| piece.queued + NEAR_WAIT)
         });
         let deadlines = self.waiting.values().map(|piece| piece.task.deadline);
-        frees.chain(nears).chain(deadlines).filter(|at| *at > now).min()
+        let rooms = self.room.next_expiry();
+        let times = frees.chain(nears).chain(deadlines).chain(rooms);
+        times.filter(|at| *at > now).min()
+    }
+
+    /// Notes a result, which takes up room at its endpoint.
+    pub fn keep(
+        &mut self,
+        now: Instant,
+        profile: &PieceProfile,
+        endpoint: &Arc<str>,
+        handle: ResultHandle,
+        bytes: u64,
+    ) {
+        let expires = now + profile.result_life;
+        self.room.keep(expires, endpoint, handle, bytes);
+    }
+
+    /// Notes that a result is given up.
+    pub fn release(&mut self, handle: &ResultHandle) {
+        self.room.release(handle);
     }
 
     /// Notes the end of a call, with the load that the endpoint reported.
@@ -205,10 +229,12 @@
         &mut self,
         now: Instant,
         profile: &PieceProfile,
-        endpoint: &str,
+        call: &PieceCall,
         load: Option<LoadReport>,
     ) {
-        let Some(view) = self.endpoints.get_mut(endpoint) else {
+        self.room
+            .unreserve(&call.endpoint, result_bytes(&call.pieces));
+        let Some(view) = self.endpoints.get_mut(&call.endpoint) else {
             return;
         };
         view.own_calls = view.own_calls.saturating_sub(1);
@@ -238,6 +264,7 @@
 
     /// Forgets endpoints that are gone.
     pub fn retain_endpoints(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.room.retain_endpoints(&is_there);
         self.endpoints
             .retain(|endpoint, view| view.own_calls > 0 || is_there(endpoint));
     }
@@ -254,9 +281,11 @@
     fn gather(
         &mut self,
         now: Instant,
-        batch: usize,
+        profile: &PieceProfile,
         worker: &PieceWorker<'_>,
     ) -> Vec<QueuedPiece> {
+        self.room.expire(now);
+        let mut free = self.room.free(worker.endpoint, profile.room_bytes);
         let fits = |piece: &QueuedPiece| {
             let is_near = match &piece.task.near {
                 Some(near) => &**near == worker.data_center,
@@ -264,19 +293,30 @@
             };
             is_near || now >= piece.queued + NEAR_WAIT
         };
-        let keys: Vec<PieceKey> = self
-            .waiting
-            .iter()
-            .filter(|(_, piece)| !piece.task.is_abandoned() && fits(piece))
-            .take(batch)
-            .map(|(key, _)| *key)
-            .collect();
+        let mut keys = Vec::new();
+        for (key, piece) in &self.waiting {
+            if keys.len() >= profile.batch.max(1) as usize {
+                break;
+            }
+            if piece.task.is_abandoned() || !fits(piece) {
+                continue;
+            }
+            // A smaller result behind one that does not fit may go first.
+            if piece.task.result_bytes <= free {
+                free -= piece.task.result_bytes;
+                keys.push(*key);
+            }
+        }
         keys.iter()
             .filter_map(|key| self.waiting.remove(key))
             .collect()
     }
 }
 
+fn result_bytes(pieces: &[QueuedPiece]) -> u64 {
+    pieces.iter().map(|piece| piece.task.result_bytes).sum()
+}
+
 #[cfg(test)]
 #[path = "piece_queue_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -28,6 +28,7 @@
         due: now + Duration::from_millis(due_ms),
         deadline: now + Duration::from_secs(10),
         source: PieceSource::Key("k".into()),
+        result_bytes: 1_000,
         near: None,
         abandoned: AtomicBool::new(false),
     })
@@ -68,12 +69,12 @@
     let mut queue = PieceQueue::default();
     let workers = [worker("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
-    assert_eq!(queue.next_calls(now, &profile(), &workers).len(), 1);
+    let call = queue.next_calls(now, &profile(), &workers).remove(0);
     for name in ["two", "three", "four"] {
         push(&mut queue, now, &task(now, name, 1, 100), 1);
         assert!(queue.next_calls(now, &profile(), &workers).is_empty());
     }
-    queue.finish(now, &profile(), "a", None);
+    queue.finish(now, &profile(), &call, None);
     let calls = queue.next_calls(now, &profile(), &workers);
     assert_eq!(calls[0].pieces.len(), 3);
 }
@@ -84,12 +85,12 @@
     let mut queue = PieceQueue::default();
     let workers = [worker("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
-    queue.next_calls(now, &profile(), &workers);
+    let call = queue.next_calls(now, &profile(), &workers).remove(0);
     let load = LoadReport {
         running: 1,
         waiting: 1,
     };
-    queue.finish(now, &profile(), "a", Some(load));
+    queue.finish(now, &profile(), &call, Some(load));
     push(&mut queue, now, &task(now, "two", 1, 100), 1);
     assert!(queue.next_calls(now, &profile(), &workers).is_empty());
     let due = queue.next_due(now).unwrap();
@@ -131,7 +132,7 @@
     let workers = [worker("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
     let call = queue.next_calls(now, &profile(), &workers).remove(0);
-    queue.finish(now, &profile(), "a", None);
+    queue.finish(now, &profile(), &call, None);
     queue.deny(now, "a");
     for piece in call.pieces {
         queue.push(piece);
@@ -140,3 +141,29 @@
     let later = now + DENIED_PAUSE;
     assert_eq!(queue.next_calls(later, &profile(), &workers).len(), 1);
 }
+
+/// Seen on asist-kosice quiet-1: 1,528 of 11,257 pieces found no room, and
+/// their calls took as long as if they had been made.
+#[test]
+fn pieces_wait_here_until_there_is_room_for_their_results() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let workers = [worker("a", "x")];
+    let mut large = task(now, "large", 1, 100);
+    Arc::get_mut(&mut large).unwrap().result_bytes = 400_000;
+    push(&mut queue, now, &large, 4);
+    push(&mut queue, now, &task(now, "small", 1, 900), 1);
+    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    assert_eq!(names(&call), ["large", "large", "small"]);
+    queue.finish(now, &profile(), &call, None);
+    let endpoint: Arc<str> = "a".into();
+    for name in ["r1", "r2"] {
+        let handle = ResultHandle(name.into());
+        queue.keep(now, &profile(), &endpoint, handle, 400_000);
+    }
+    assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+    assert_eq!(queue.next_due(now), Some(now + profile().result_life));
+    queue.release(&ResultHandle("r1".into()));
+    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    assert_eq!(names(&call), ["large"]);
+}
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -2,21 +2,20 @@
 use futures::stream::FuturesUnordered;
 
 use super::gateway_node::GatewayNode;
+use super::piece_board::BoardKey;
 use super::request_context::RequestContext;
-use super::stage_progress::{StageProgress, StageStart};
-use super::work_exchange::{StageOrder, StageStop};
+use super::stage_progress::{LARGE_RESULT_BYTES, StageProgress, StageStart};
+use super::work_exchange::{MadeStage, StageOrder, StageStop};
 use super::{NotRunReason, PieceSource, ResultHandle};
 use crate::prelude::*;
 
-/// Size from which on a result is made in the data centre that needs it: it
-/// then takes longer on the way than a request does.
-const LARGE_RESULT_BYTES: u64 = 200_000;
-
 /// Results of a request's stages, given up when this is dropped.
 #[derive(Debug)]
 pub(super) struct StageResults {
     node: Arc<GatewayNode>,
     progress: StageProgress,
+    /// Where each result was gathered.
+    keys: FastMap<ResultHandle, BoardKey>,
 }
 
 impl Drop for StageResults {
@@ -29,7 +28,9 @@
 impl StageResults {
     fn release(&self, handles: Vec<ResultHandle>) {
         for handle in handles {
-            self.node.releases.release(handle);
+            if let Some(key) = self.keys.get(&handle) {
+                self.node.releases.release(key.clone(), handle);
+            }
         }
     }
 
@@ -50,6 +51,7 @@
     let mut results = StageResults {
         node: Arc::clone(node),
         progress: StageProgress::new(Arc::clone(&context.route)),
+        keys: FastMap::default(),
     };
     let mut running = FuturesUnordered::new();
     loop {
@@ -63,8 +65,10 @@
             };
         };
         match outcome {
-            Ok(handles) => {
-                let unneeded = results.progress.finish(stage, handles);
+            Ok(made) => {
+                let keyed = made.handles.iter().map(|handle| (handle.clone(), made.key.clone()));
+                results.keys.extend(keyed);
+                let unneeded = results.progress.finish(stage, made.handles);
                 results.release(unneeded);
             }
             Err(StageStop::InputGone) => {
@@ -85,11 +89,15 @@
     context: &RequestContext,
     near: &str,
     start: StageStart,
-) -> (usize, Result<Arc<[ResultHandle]>, StageStop>) {
+) -> (usize, Result<MadeStage, StageStop>) {
     let stage = start.stage;
     let pieces = context.head.piece_counts.get(stage).copied().unwrap_or(0);
     if pieces == 0 {
-        return (stage, Ok(Arc::default()));
+        let nothing = MadeStage {
+            key: BoardKey::default(),
+            handles: Arc::default(),
+        };
+        return (stage, Ok(nothing));
     }
     let rule = &context.route.stages[stage];
     let is_large = rule.result_bytes >= LARGE_RESULT_BYTES;
@@ -106,6 +114,7 @@
         due: context.due,
         deadline: context.deadline,
         source,
+        result_bytes: rule.result_bytes,
         near: is_large.then(|| near.into()),
     };
     (stage, node.exchange.work_on(node, order).await)
--- a/crates/savorywalk/src/gateway/stage_progress.rs
+++ b/crates/savorywalk/src/gateway/stage_progress.rs
@@ -1,13 +1,20 @@
 use super::{ResultHandle, RouteRule};
 use crate::prelude::*;
 
+/// Size from which on results are large, in bytes: a few of them fill an
+/// endpoint's room, and they take longer on the way than a request does.
+pub(super) const LARGE_RESULT_BYTES: u64 = 200_000;
+
 /// How often results that were lost are made again for one request.
 const MAX_REMAKES: u32 = 2;
 
 /// How far the stages of one request are, as a state machine without I/O.
 ///
 /// A stage starts once all results that it needs are there, and results go as
-/// soon as every stage that needs them is done: room for them is scarce.
+/// soon as every stage that needs them is done: room for them is scarce. For
+/// the same reason a stage with large results starts only when the longest
+/// chain beside it has no more steps left than it has itself, so that its
+/// results do not lie about while the chain is worked on.
 #[derive(Clone, Debug)]
 pub struct StageProgress {
     route: Arc<RouteRule>,
@@ -64,6 +71,10 @@
     }
 
     fn start_of(&self, stage: usize) -> Option<StageStart> {
+        let is_large = self.route.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
+        if is_large && self.steps_left() > self.steps_from(stage) {
+            return None;
+        }
         let after = &self.route.stages[stage].after;
         let mut inputs = Vec::new();
         for input in after {
@@ -79,6 +90,19 @@
         })
     }
 
+    /// Steps of the longest chain that is not done.
+    fn steps_left(&self) -> usize {
+        let stages = 0..self.states.len();
+        let open = stages.filter(|stage| !self.is_done(*stage));
+        open.map(|stage| self.steps_from(stage)).max().unwrap_or(0)
+    }
+
+    /// Steps of the longest chain that begins with `stage`.
+    fn steps_from(&self, stage: usize) -> usize {
+        let users = self.users_of(stage);
+        1 + users.map(|user| self.steps_from(user)).max().unwrap_or(0)
+    }
+
     /// Notes the results of a stage; gives back those that nobody needs now.
     pub fn finish(&mut self, stage: usize, handles: Arc<[ResultHandle]>) -> Vec<ResultHandle> {
         self.states[stage] = StageState::Done(handles);
--- a/crates/savorywalk/src/gateway/stage_progress_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_progress_tests.rs
@@ -24,6 +24,20 @@
     }))
 }
 
+/// Seen on asist-kosice quiet-1: results of 3 MB lay about for the second that
+/// the chain beside them took, and filled the room of their pool.
+#[test]
+fn large_results_are_made_just_in_time() {
+    let mut route = (*progress().route).clone();
+    route.stages[3].result_bytes = LARGE_RESULT_BYTES;
+    let mut progress = StageProgress::new(Arc::new(route));
+    assert_eq!(started(&mut progress), [0]);
+    progress.finish(0, handles(&["a"]));
+    assert_eq!(started(&mut progress), [1]);
+    progress.finish(1, handles(&["b"]));
+    assert_eq!(started(&mut progress), [2, 3]);
+}
+
 fn handles(names: &[&str]) -> Arc<[ResultHandle]> {
     names.iter().map(|name| ResultHandle((*name).into())).collect()
 }
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -131,6 +131,14 @@
         }
         self.has_events = true;
         let time = self.source.started.elapsed();
+        log_event!(
+            info,
+            "stream_started",
+            request = self.run.context.id,
+            endpoint = self.source.endpoint,
+            prompt = format!("{:?}", self.run.context.head.prefix.iter().map(|part| part.tokens).collect::<Vec<_>>()),
+            ms = time.as_millis()
+        );
         self.run.report_success(&self.source.endpoint, time);
         self.run.release_results();
     }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -7,9 +7,11 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_board::{self, BoardKey, PieceVerdict};
 use super::{PieceSource, PieceTask, ResultHandle};
-use crate::generated::work::{StageCall, StageEnd, StageReply};
+use crate::generated::work::{ReleaseNotice, StageCall, StageEnd, StageReply};
 use crate::prelude::*;
-use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkHub, PeerName};
+use crate::transport::{
+    CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName,
+};
 
 /// Members of a pool up to which one entry gathers for all of it. Larger pools
 /// are split by data centre, so that no entry has to gather for more than a
@@ -37,9 +39,17 @@
     pub(super) due: Instant,
     pub(super) deadline: Instant,
     pub(super) source: PieceSource,
+    pub(super) result_bytes: u64,
     pub(super) near: Option<Arc<str>>,
 }
 
+/// Results of a stage, and where they were gathered.
+#[derive(Clone, Debug)]
+pub(super) struct MadeStage {
+    pub(super) key: BoardKey,
+    pub(super) handles: Arc<[ResultHandle]>,
+}
+
 /// Why a stage came to nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StageStop {
@@ -71,7 +81,7 @@
         &self,
         node: &Arc<GatewayNode>,
         order: StageOrder,
-    ) -> Result<Arc<[ResultHandle]>, StageStop> {
+    ) -> Result<MadeStage, StageStop> {
         for _ in 0..MAX_GATHERERS {
             let view = node.view.load_full();
             let key = key_for(&view, &order);
@@ -79,7 +89,7 @@
                 break;
             };
             match self.ask(&gatherer, &key, &order).await {
-                Ok(outcome) => return outcome,
+                Ok(outcome) => return outcome.map(|handles| MadeStage { key, handles }),
                 Err(reason) => {
                     log_event!(
                         info,
@@ -94,7 +104,32 @@
             }
         }
         let key = key_for(&node.view.load(), &order);
-        work_here(node, &key, order).await
+        let handles = work_here(node, &key, order).await?;
+        Ok(MadeStage { key, handles })
+    }
+
+    /// Tells the entry that gathers for `key` that results are given up; false
+    /// when that is this one, or when it can't be told.
+    pub(super) fn tell_released(
+        &self,
+        node: &GatewayNode,
+        key: &BoardKey,
+        handles: &[ResultHandle],
+    ) -> bool {
+        let view = node.view.load_full();
+        let Some(gatherer) = self.gatherer(&view, key) else {
+            return false;
+        };
+        let notice = ReleaseNotice {
+            pool: key.pool.clone(),
+            shard: key.shard.clone().unwrap_or_default(),
+            handles: handles.iter().map(|handle| handle.0.to_string()).collect(),
+        };
+        let payload = notice.encode_to_vec().into();
+        let sent = self
+            .hub
+            .send_as(gatherer.as_str(), LinkChannel::Work, LinkClass::Notice, payload);
+        sent.is_ok()
     }
 
     /// The entry that gathers for `key`; `None` when it is this one.
@@ -181,7 +216,7 @@
     let is_told = reply.answer(answer.encode_to_vec().into());
     if let (false, Ok(handles)) = (is_told, outcome) {
         for handle in handles.iter() {
-            node.releases.release(handle.clone());
+            node.releases.release(key.clone(), handle.clone());
         }
     }
 }
@@ -200,12 +235,14 @@
         due: order.due,
         deadline: order.deadline,
         source: order.source,
+        result_bytes: order.result_bytes,
         near: order.near,
         abandoned: piece_board::not_abandoned(),
     };
     let mut batch = node.board(key).submit(task, pieces);
     let mut made = MadePieces {
         node,
+        key,
         handles: BTreeMap::new(),
     };
     while made.handles.len() < pieces as usize {
@@ -225,6 +262,7 @@
 /// Results of a stage that is not complete; given up when this is dropped.
 struct MadePieces<'a> {
     node: &'a GatewayNode,
+    key: &'a BoardKey,
     handles: BTreeMap<u32, ResultHandle>,
 }
 
@@ -237,7 +275,7 @@
 impl Drop for MadePieces<'_> {
     fn drop(&mut self) {
         for handle in std::mem::take(&mut self.handles).into_values() {
-            self.node.releases.release(handle);
+            self.node.releases.release(self.key.clone(), handle);
         }
     }
 }
@@ -308,6 +346,7 @@
         key: work_key,
         inputs,
         near: order.near.as_deref().unwrap_or_default().to_string(),
+        result_bytes: order.result_bytes,
     }
 }
 
@@ -337,6 +376,7 @@
         due,
         deadline: now + Duration::from_millis(call.deadline_ms.into()),
         source,
+        result_bytes: call.result_bytes,
         near: (!call.near.is_empty()).then(|| call.near.into()),
     };
     (key, order)
--- a/crates/savorywalk/src/gateway/work_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/work_exchange_tests.rs
@@ -10,6 +10,7 @@
         due: now + Duration::from_millis(700),
         deadline: now + Duration::from_millis(9_000),
         source,
+        result_bytes: 60_000,
         near: Some("east".into()),
     }
 }
