Serve first what can be in time, and refuse at once what would only wait

Change: PieceQueue puts what can be in time first, by rank and due, and the late behind it, holders of results first. Gatherers tell their backlog with each answer; stage_admission begins a request that can't be in time only if its pools have time left over, else refuses it unrun with a spread time to come back. Time that a caller has used up in an earlier try counts against its objective.

Ruled out: newest first (loses the oldest although they could be in time).

Conclusion: keeps the whole capacity for answers in time.

--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -1,6 +1,6 @@
-use std::hash::Hasher;
 use std::sync::{Mutex, PoisonError};
 
+use super::stable_hash::stable_hash;
 use super::{PoolMember, RunLedger};
 use crate::directory::EndpointRecord;
 use crate::prelude::*;
@@ -151,11 +151,7 @@
 }
 
 fn ranking(affinity: u64, endpoint: &str) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    hasher.write_u64(affinity);
-    hasher.write(endpoint.as_bytes());
-    // The fast hasher leaves its high bits better mixed than its low ones.
-    hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    stable_hash(&[&affinity.to_le_bytes(), endpoint.as_bytes()])
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -8,11 +8,12 @@
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::request_context::RequestContext;
+use super::stage_admission;
 use super::stage_plan::{self, StageResults};
 use super::stream_relay::StreamRelay;
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRun, NotRunReason, PlacementQuery,
-    PoolMember, RouteKind, RunLedger,
+    EndpointOrder, EndpointTarget, GatewayRefusal, NotRun, NotRunReason, PieceBacklog,
+    PlacementQuery, PoolMember, RouteKind, RouteRule, RunLedger, StageQuery, StageVerdict,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -139,13 +140,21 @@
         pool: route.pool_for(rand::rng().random()).to_string(),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         rank: rank.unwrap_or(route.rank),
-        due: arrived + route.objective,
+        due: due_time(route, arrived, time),
         deadline: arrived + time,
         route: Arc::clone(route),
         head,
     })
 }
 
+/// When a request should be answered. A caller that waits for less than the
+/// route allows has most likely used up the rest in an earlier try, and its
+/// objective counts from there.
+fn due_time(route: &RouteRule, arrived: Instant, left: Duration) -> Instant {
+    let used = route.timeout.saturating_sub(left);
+    arrived + route.objective.saturating_sub(used)
+}
+
 async fn forward(
     node: &Arc<GatewayNode>,
     view: &GatewayView,
@@ -177,6 +186,7 @@
         results: None,
         last_answer: None,
     };
+    run.judge_backlog()?;
     run.work_on_stages().await?;
     run.send_until_answered().await
 }
@@ -250,6 +260,49 @@
         scores.place(Instant::now(), pool, members, query).cloned()
     }
 
+    /// Refuses a request that would only wait for its stages.
+    fn judge_backlog(&self) -> Result<(), GatewayRefusal> {
+        let route = &self.context.route;
+        let view = self.node.view.load_full();
+        let (false, Some(table)) = (route.stages.is_empty(), &view.table) else {
+            return Ok(());
+        };
+        let now = Instant::now();
+        let stages = route.stages.iter();
+        let backlogs: Vec<PieceBacklog> = stages
+            .map(|stage| {
+                let exchange = &self.node.exchange;
+                exchange.backlog(&self.node, &stage.pool, &self.context.id, None)
+            })
+            .collect();
+        let query = StageQuery {
+            table,
+            route,
+            pieces: &self.context.head.piece_counts,
+            rank: self.context.rank,
+            due: self.context.due.saturating_duration_since(now),
+            left: self.context.remaining(now),
+        };
+        match stage_admission::judge(query, &backlogs) {
+            StageVerdict::Timely => Ok(()),
+            StageVerdict::Late => {
+                log_event!(info, "request_begun_late", request = self.context.id);
+                Ok(())
+            }
+            StageVerdict::Refused { retry_after } => {
+                let Some(proof) = self.ledger.not_run() else {
+                    return Err(self.refuse(NotRunReason::Overload));
+                };
+                let spread = rand::rng().random_range(0..=retry_after.as_millis() as u64 / 2);
+                Err(GatewayRefusal::NotRun {
+                    proof,
+                    reason: NotRunReason::Overload,
+                    retry_after: retry_after / 2 + Duration::from_millis(spread),
+                })
+            }
+        }
+    }
+
     /// Has the stages worked on near the endpoint that will probably get the
     /// request.
     pub(super) async fn work_on_stages(&mut self) -> Result<(), GatewayRefusal> {
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -26,6 +26,9 @@
 mod route_rule;
 mod route_table;
 mod run_ledger;
+mod stable_hash;
+mod stage_admission;
+mod stage_forecast;
 mod stage_plan;
 mod stage_progress;
 mod stream_relay;
@@ -39,7 +42,9 @@
 pub use gateway_daemon::GatewayDaemon;
 pub use gateway_error::GatewayError;
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
-pub use piece_queue::{PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece};
+pub use piece_queue::{
+    PieceBacklog, PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
+};
 pub use registry_daemon::RegistryDaemon;
 pub use result_room::ResultRoom;
 pub use retry_window::{RetryLimits, RetryWindow};
@@ -48,6 +53,8 @@
     EngineProfile, PieceProfile, PoolProfile, RequestLimits, RouteTable, TableParts,
 };
 pub use run_ledger::{NotRun, RunLedger};
+pub use stage_admission::{StageQuery, StageVerdict};
+pub use stage_forecast::StageForecast;
 pub use stage_progress::{LostTooOften, StageProgress, StageStart};
 pub use table_error::TableError;
 pub use wire_format::{
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -6,7 +6,7 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_call::{self, CallResult};
 use super::{
-    PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
+    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
     ResultHandle,
 };
 use crate::prelude::*;
@@ -142,6 +142,17 @@
         }
     }
 
+    /// What waits here.
+    pub(super) fn backlog(&self) -> PieceBacklog {
+        let view = self.node.view.load_full();
+        let Some(profile) = self.profile(&view) else {
+            return PieceBacklog::default();
+        };
+        let now = Instant::now();
+        let workers = self.workers(now, &view).len();
+        self.state().queue.backlog(now, &profile, workers)
+    }
+
     fn state(&self) -> MutexGuard<'_, BoardState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -225,12 +236,16 @@
         self.node.metrics.record_call(&self.pool, call.pieces.len());
         let wire = self.node.wire.as_ref();
         let result = piece_call::perform(wire, member, &call.pieces, &profile).await;
+        let waits = call.pieces.iter();
+        let longest_wait = waits.map(|piece| started - piece.queued).max();
         log_event!(
-            debug,
+            info,
             "piece_call_ended",
             pool = self.pool,
             endpoint = call.endpoint,
             pieces = call.pieces.len(),
+            waited_ms = longest_wait.unwrap_or_default().as_millis(),
+            still_waiting = self.state().queue.len(),
             result = result.name(),
             ms = started.elapsed().as_millis()
         );
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -31,6 +31,8 @@
     pub due: Instant,
     /// When its caller gives up.
     pub deadline: Instant,
+    /// Time that the request needs after this stage, about.
+    pub tail: Duration,
     /// What the pieces work on.
     pub source: PieceSource,
     /// Size of one result, in bytes, about.
@@ -54,6 +56,36 @@
     pub failures: u32,
 }
 
+/// What waits for a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PieceBacklog {
+    /// Pieces that can still be in time, by rank.
+    pub timely: Vec<u32>,
+    /// Pieces that can't be in time any more.
+    pub late: u32,
+    /// Pieces that the pool makes in a second, when calls are full.
+    pub pieces_per_second: u32,
+}
+
+impl PieceBacklog {
+    /// How long a piece of `rank` that can be in time waits, about.
+    pub fn wait(&self, rank: u8) -> Duration {
+        let before = self.timely.iter().take(usize::from(rank) + 1);
+        self.time_for(before.sum())
+    }
+
+    /// How long a piece that can't be in time waits, about.
+    pub fn late_wait(&self) -> Duration {
+        let timely: u32 = self.timely.iter().sum();
+        self.time_for(timely + self.late)
+    }
+
+    fn time_for(&self, pieces: u32) -> Duration {
+        let rate = f64::from(self.pieces_per_second.max(1));
+        Duration::from_secs_f64(f64::from(pieces) / rate)
+    }
+}
+
 /// A call that is to be made.
 #[derive(Clone, Debug)]
 pub struct PieceCall {
@@ -77,8 +109,12 @@
 /// Gathers the pieces of many requests into calls, for one pool.
 ///
 /// A call costs nearly as much for one piece as for ten. While every endpoint
-/// is busy pieces gather here, and the next call takes as many as fit, the
-/// most urgent first.
+/// is busy pieces gather here, and the next call takes as many as fit.
+///
+/// What can still be in time goes first, by rank and then by when it is due.
+/// What can't is worth little more later than now, so it takes what is left:
+/// otherwise one burst would make everything late until the backlog it left
+/// behind is worked off. Among the late, those that hold results go first.
 #[derive(Debug, Default)]
 pub struct PieceQueue {
     waiting: BTreeMap<PieceKey, QueuedPiece>,
@@ -108,6 +144,18 @@
         self.abandoned.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the request can be in time when a call of `call_time` begins now.
+    fn is_timely(&self, now: Instant, call_time: Duration) -> bool {
+        now + call_time + self.tail <= self.due
+    }
+
+    fn has_inputs(&self) -> bool {
+        match self.source {
+            PieceSource::Key(_) => false,
+            PieceSource::Inputs(_) => true,
+        }
+    }
+
     fn is_abandoned(&self) -> bool {
         self.abandoned.load(Ordering::Relaxed)
     }
@@ -135,14 +183,32 @@
         self.waiting.is_empty()
     }
 
-    /// Pieces that go before one of `rank` that is due at `due`.
-    pub fn ahead_of(&self, rank: u8, due: Instant) -> usize {
-        let key = PieceKey {
-            rank,
-            due,
-            place: u64::MAX,
+    /// What waits, for entries that decide whether to begin more.
+    pub fn backlog(
+        &self,
+        now: Instant,
+        profile: &PieceProfile,
+        workers: usize,
+    ) -> PieceBacklog {
+        let call_time = profile.call_duration(profile.batch);
+        let per_call = f64::from(profile.batch) / call_time.as_secs_f64().max(0.001);
+        let mut backlog = PieceBacklog {
+            timely: Vec::new(),
+            late: 0,
+            pieces_per_second: (per_call * workers as f64) as u32,
         };
-        self.waiting.range(..=key).count()
+        for piece in self.waiting.values() {
+            if !piece.task.is_timely(now, call_time) {
+                backlog.late += 1;
+                continue;
+            }
+            let rank = usize::from(piece.task.rank);
+            if backlog.timely.len() <= rank {
+                backlog.timely.resize(rank + 1, 0);
+            }
+            backlog.timely[rank] += 1;
+        }
+        backlog
     }
 
     /// Takes the pieces whose time is over, for their requests to be told.
@@ -293,20 +359,37 @@
             };
             is_near || now >= piece.queued + NEAR_WAIT
         };
+        let batch = profile.batch.max(1) as usize;
+        let call_time = profile.call_duration(profile.batch);
+        let mut late = Vec::new();
         let mut keys = Vec::new();
         for (key, piece) in &self.waiting {
-            if keys.len() >= profile.batch.max(1) as usize {
+            if keys.len() >= batch {
                 break;
             }
             if piece.task.is_abandoned() || !fits(piece) {
                 continue;
             }
+            if !piece.task.is_timely(now, call_time) {
+                late.push((!piece.task.has_inputs(), key.due, *key));
+                continue;
+            }
             // A smaller result behind one that does not fit may go first.
             if piece.task.result_bytes <= free {
                 free -= piece.task.result_bytes;
                 keys.push(*key);
             }
         }
+        if keys.len() < batch {
+            late.sort_unstable();
+        }
+        for (_, _, key) in late {
+            let bytes = self.waiting[&key].task.result_bytes;
+            if keys.len() < batch && bytes <= free {
+                free -= bytes;
+                keys.push(key);
+            }
+        }
         keys.iter()
             .filter_map(|key| self.waiting.remove(key))
             .collect()
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -6,7 +6,7 @@
 use super::request_context::RequestContext;
 use super::stage_progress::{LARGE_RESULT_BYTES, StageProgress, StageStart};
 use super::work_exchange::{MadeStage, StageOrder, StageStop};
-use super::{NotRunReason, PieceSource, ResultHandle};
+use super::{NotRunReason, PieceSource, ResultHandle, StageForecast};
 use crate::prelude::*;
 
 /// Results of a request's stages, given up when this is dropped.
@@ -101,6 +101,11 @@
     }
     let rule = &context.route.stages[stage];
     let is_large = rule.result_bytes >= LARGE_RESULT_BYTES;
+    let view = node.view.load_full();
+    let tail = view.table.as_ref().map(|table| {
+        let forecast = StageForecast::new(table, &context.route);
+        forecast.tail(stage)
+    });
     let source = match start.inputs {
         Some(inputs) => PieceSource::Inputs(inputs),
         None => PieceSource::Key(context.head.piece_key.as_str().into()),
@@ -116,6 +121,7 @@
         source,
         result_bytes: rule.result_bytes,
         near: is_large.then(|| near.into()),
+        tail: tail.unwrap_or_default(),
     };
     (stage, node.exchange.work_on(node, order).await)
 }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -1,13 +1,13 @@
-use std::hash::Hasher;
 use std::sync::{Mutex, PoisonError};
 
 use prost::Message;
 use tokio::sync::mpsc;
 
 use super::gateway_node::{GatewayNode, GatewayView};
+use super::stable_hash::stable_hash;
 use super::piece_board::{self, BoardKey, PieceVerdict};
-use super::{PieceSource, PieceTask, ResultHandle};
-use crate::generated::work::{ReleaseNotice, StageCall, StageEnd, StageReply};
+use super::{PieceBacklog, PieceSource, PieceTask, ResultHandle};
+use crate::generated::work::{PoolBacklog, ReleaseNotice, StageCall, StageEnd, StageReply};
 use crate::prelude::*;
 use crate::transport::{
     CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName,
@@ -22,6 +22,9 @@
 /// registry has told whether it is gone.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// Age from which on what a gatherer said of its backlog tells nothing.
+const BACKLOG_AGE: Duration = Duration::from_millis(1_500);
+
 /// Time beyond a stage's deadline in which its gatherer tells that it is over.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
@@ -41,6 +44,14 @@
     pub(super) source: PieceSource,
     pub(super) result_bytes: u64,
     pub(super) near: Option<Arc<str>>,
+    /// Time that the request needs after this stage, about.
+    pub(super) tail: Duration,
+}
+
+impl StageOrder {
+    fn key(&self, view: &GatewayView) -> BoardKey {
+        key_for(view, &self.pool, &self.request_id, self.near.as_deref())
+    }
 }
 
 /// Results of a stage, and where they were gathered.
@@ -66,6 +77,14 @@
 pub(super) struct WorkExchange {
     hub: LinkHub,
     avoided: Mutex<FastMap<PeerName, Instant>>,
+    backlogs: Mutex<FastMap<BoardKey, KnownBacklog>>,
+}
+
+/// What a gatherer last said of its backlog.
+#[derive(Clone, Debug)]
+struct KnownBacklog {
+    told: Instant,
+    backlog: PieceBacklog,
 }
 
 impl WorkExchange {
@@ -73,7 +92,34 @@
         Self {
             hub,
             avoided: Mutex::default(),
+            backlogs: Mutex::default(),
+        }
+    }
+
+    fn note_backlog(&self, key: &BoardKey, backlog: PieceBacklog) {
+        let told = Instant::now();
+        let mut backlogs = self.backlogs.lock().unwrap_or_else(PoisonError::into_inner);
+        backlogs.insert(key.clone(), KnownBacklog { told, backlog });
+    }
+
+    /// What waits for a pool, as far as known: at this entry as it
+    /// is, at others as they said a moment ago.
+    pub(super) fn backlog(
+        &self,
+        node: &Arc<GatewayNode>,
+        pool: &str,
+        request_id: &str,
+        near: Option<&str>,
+    ) -> PieceBacklog {
+        let view = node.view.load_full();
+        let key = key_for(&view, pool, request_id, near);
+        if self.gatherer(&view, &key).is_none() {
+            return node.board(&key).backlog();
         }
+        let backlogs = self.backlogs.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = backlogs.get(&key);
+        let fresh = known.filter(|known| known.told.elapsed() < BACKLOG_AGE);
+        fresh.map(|known| known.backlog.clone()).unwrap_or_default()
     }
 
     /// Has a stage worked on, by the entry that gathers for its pool.
@@ -84,7 +130,7 @@
     ) -> Result<MadeStage, StageStop> {
         for _ in 0..MAX_GATHERERS {
             let view = node.view.load_full();
-            let key = key_for(&view, &order);
+            let key = order.key(&view);
             let Some(gatherer) = self.gatherer(&view, &key) else {
                 break;
             };
@@ -103,7 +149,7 @@
                 }
             }
         }
-        let key = key_for(&node.view.load(), &order);
+        let key = order.key(&node.view.load());
         let handles = work_here(node, &key, order).await?;
         Ok(MadeStage { key, handles })
     }
@@ -165,6 +211,9 @@
             .call(gatherer.as_str(), channel, payload, left + ANSWER_MARGIN);
         let answer = answer.await.map_err(|error| error.to_string())?;
         let reply = StageReply::decode(answer).map_err(|error| error.to_string())?;
+        if let Some(backlog) = &reply.backlog {
+            self.note_backlog(key, backlog_of(backlog));
+        }
         match reply.end() {
             StageEnd::Made if reply.handles.len() == order.pieces as usize => {
                 let handles = reply.handles.into_iter();
@@ -209,9 +258,15 @@
         Err(StageStop::InputGone) => StageEnd::InputGone,
         Err(StageStop::Failed) => StageEnd::Failed,
     };
+    let backlog = node.board(&key).backlog();
     let answer = StageReply {
         end: end.into(),
         handles,
+        backlog: Some(PoolBacklog {
+            timely: backlog.timely,
+            late: backlog.late,
+            pieces_per_second: backlog.pieces_per_second,
+        }),
     };
     let is_told = reply.answer(answer.encode_to_vec().into());
     if let (false, Ok(handles)) = (is_told, outcome) {
@@ -234,6 +289,7 @@
         rank: order.rank,
         due: order.due,
         deadline: order.deadline,
+        tail: order.tail,
         source: order.source,
         result_bytes: order.result_bytes,
         near: order.near,
@@ -282,10 +338,10 @@
 
 /// Where the pieces of a stage gather: a small pool in one place, a large one
 /// in a place for each data centre.
-fn key_for(view: &GatewayView, order: &StageOrder) -> BoardKey {
-    let members = view.roster.pool(&order.pool);
+fn key_for(view: &GatewayView, pool: &str, request_id: &str, near: Option<&str>) -> BoardKey {
+    let members = view.roster.pool(pool);
     let whole = BoardKey {
-        pool: order.pool.clone(),
+        pool: pool.to_string(),
         shard: None,
     };
     if members.len() <= WHOLE_POOL {
@@ -293,10 +349,10 @@
     }
     let live = members.iter().filter(|member| !member.is_silent);
     let centers: Vec<&str> = live.map(|member| member.data_center()).collect();
-    let near = order.near.as_deref().filter(|near| centers.contains(near));
+    let near = near.filter(|near| centers.contains(near));
     // A draw among members, not among data centres, follows their sizes.
     let drawn = || {
-        let draw = hash_of(&[&order.request_id]) as usize;
+        let draw = stable_hash(&[request_id.as_bytes()]) as usize;
         let place = draw.checked_rem(centers.len())?;
         centers.get(place).copied()
     };
@@ -306,19 +362,17 @@
     }
 }
 
-fn ranking(key: &BoardKey, entry: &PeerName) -> u64 {
-    let shard = key.shard.as_deref().unwrap_or_default();
-    hash_of(&[&key.pool, shard, entry.as_str()])
+fn backlog_of(backlog: &PoolBacklog) -> PieceBacklog {
+    PieceBacklog {
+        timely: backlog.timely.clone(),
+        late: backlog.late,
+        pieces_per_second: backlog.pieces_per_second,
+    }
 }
 
-fn hash_of(words: &[&str]) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    for word in words {
-        hasher.write(word.as_bytes());
-        hasher.write_u8(0);
-    }
-    // The fast hasher leaves its high bits better mixed than its low ones.
-    hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16
+fn ranking(key: &BoardKey, entry: &PeerName) -> u64 {
+    let shard = key.shard.as_deref().unwrap_or_default();
+    stable_hash(&[key.pool.as_bytes(), shard.as_bytes(), entry.as_str().as_bytes()])
 }
 
 fn call_of(now: Instant, key: &BoardKey, order: &StageOrder) -> StageCall {
@@ -347,6 +401,7 @@
         inputs,
         near: order.near.as_deref().unwrap_or_default().to_string(),
         result_bytes: order.result_bytes,
+        tail_ms: order.tail.as_millis() as u32,
     }
 }
 
@@ -378,6 +433,7 @@
         source,
         result_bytes: call.result_bytes,
         near: (!call.near.is_empty()).then(|| call.near.into()),
+        tail: Duration::from_millis(call.tail_ms.into()),
     };
     (key, order)
 }
