Finish begun stages first, and go back to one gatherer as soon as it answers

Change: pieces of a begun stage go before all others; an entry that is passed over is asked every 200 ms and is back with its first answer; pieces that near endpoints can't take in their next call don't wait for them.

Ruled out: overload itself (demand was 107% of the two endpoints, not 200%).

--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -1,4 +1,3 @@
-use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{Notify, mpsc};
@@ -379,11 +378,6 @@
     }
 }
 
-/// A task that nobody has abandoned yet.
-pub(super) fn not_abandoned() -> AtomicBool {
-    AtomicBool::new(false)
-}
-
 impl CallResult {
     fn name(&self) -> &'static str {
         match self {
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -12,9 +12,10 @@
 /// of a call, so that its queue has moved on.
 const DENIED_PAUSE: Duration = Duration::from_millis(90);
 
-/// Pause before an endpoint without room for results is tried again: results
-/// are given up after about this time.
-const ROOM_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before an endpoint without room for results is tried again, when this
+/// entry did not know of the results there: they are given up or taken after
+/// about this time.
+const ROOM_PAUSE: Duration = Duration::from_millis(500);
 
 /// Age from which on what an endpoint reported of its load tells nothing.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
@@ -43,6 +44,8 @@
     pub near: Option<Arc<str>>,
     /// Set when nobody waits for the pieces any more.
     pub abandoned: AtomicBool,
+    /// Set once the first piece has been put into a call.
+    pub begun: AtomicBool,
 }
 
 /// One piece that waits for a call.
@@ -117,6 +120,8 @@
 /// What can't is worth little more later than now, so it takes what is left:
 /// otherwise one burst would make everything late until the backlog it left
 /// behind is worked off. Among the late, those that hold results go first.
+/// Before all others go the pieces of a stage that has been begun: until the
+/// last one is made, the results of the first take up room for nothing.
 #[derive(Debug, Default)]
 pub struct PieceQueue {
     waiting: BTreeMap<PieceKey, QueuedPiece>,
@@ -125,9 +130,45 @@
     room: ResultRoom,
 }
 
+/// Places in the next calls of each data centre's endpoints. Pieces beyond them
+/// need not wait for an endpoint that is near: another one that is free would
+/// stand idle while the near ones have more than they can take.
+#[derive(Debug)]
+struct NearPlaces<'a> {
+    left: Vec<(&'a str, u32)>,
+}
+
+impl<'a> NearPlaces<'a> {
+    fn new(profile: &PieceProfile, workers: &[PieceWorker<'a>]) -> Self {
+        let mut left: Vec<(&str, u32)> = Vec::new();
+        for worker in workers {
+            let place = worker.data_center;
+            match left.iter_mut().find(|(name, _)| *name == place) {
+                Some((_, places)) => *places += profile.batch,
+                None => left.push((place, profile.batch)),
+            }
+        }
+        Self { left }
+    }
+
+    /// Takes one place in `data_center`; false when there is none left.
+    fn take(&mut self, data_center: &str) -> bool {
+        let place = self.left.iter_mut().find(|(name, _)| *name == data_center);
+        match place {
+            Some((_, places)) if *places > 0 => {
+                *places -= 1;
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+}
+
 /// In which order the pieces go that one endpoint may get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum PieceOrderKey {
+    /// Other pieces of the stage are made already.
+    Begun { key: PieceKey },
     /// Can be in time: what is wanted here first, then by rank and due.
     Timely { is_far: bool, key: PieceKey },
     /// Can't: what is wanted here and holds results first, then by due.
@@ -171,6 +212,10 @@
         }
     }
 
+    fn is_begun(&self) -> bool {
+        self.begun.load(Ordering::Relaxed)
+    }
+
     fn is_abandoned(&self) -> bool {
         self.abandoned.load(Ordering::Relaxed)
     }
@@ -258,7 +303,7 @@
             if self.waiting.is_empty() {
                 break;
             }
-            let pieces = self.gather(now, profile, worker);
+            let pieces = self.gather(now, profile, worker, workers);
             if pieces.is_empty() {
                 continue;
             }
@@ -364,10 +409,12 @@
         now: Instant,
         profile: &PieceProfile,
         worker: &PieceWorker<'_>,
+        workers: &[PieceWorker<'_>],
     ) -> Vec<QueuedPiece> {
         self.room.expire(now);
         let mut free = self.room.free(worker.endpoint, profile.room_bytes);
         let call_time = profile.call_duration(profile.batch);
+        let mut near_places = NearPlaces::new(profile, workers);
         let mut candidates: Vec<(PieceOrderKey, PieceKey)> = Vec::new();
         for (key, piece) in &self.waiting {
             let task = &piece.task;
@@ -375,12 +422,18 @@
                 Some(near) => &**near != worker.data_center,
                 None => false,
             };
-            if task.is_abandoned() || (is_far && now < piece.queued + NEAR_WAIT) {
+            if task.is_abandoned() {
+                continue;
+            }
+            let has_place = task.near.as_deref().is_some_and(|near| near_places.take(near));
+            if is_far && has_place && now < piece.queued + NEAR_WAIT {
                 continue;
             }
-            let order = match task.is_timely(now, call_time) {
-                true => PieceOrderKey::Timely { is_far, key: *key },
-                false => PieceOrderKey::Late {
+            let is_timely = task.is_timely(now, call_time);
+            let order = match (task.is_begun(), is_timely) {
+                (true, _) => PieceOrderKey::Begun { key: *key },
+                (false, true) => PieceOrderKey::Timely { is_far, key: *key },
+                (false, false) => PieceOrderKey::Late {
                     is_far,
                     lacks_inputs: !task.has_inputs(),
                     due: key.due,
@@ -398,9 +451,14 @@
                 keys.push(key);
             }
         }
-        keys.iter()
+        let pieces: Vec<QueuedPiece> = keys
+            .iter()
             .filter_map(|key| self.waiting.remove(key))
-            .collect()
+            .collect();
+        for piece in &pieces {
+            piece.task.begun.store(true, Ordering::Relaxed);
+        }
+        pieces
     }
 }
 
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -32,6 +32,7 @@
         result_bytes: 1_000,
         near: None,
         abandoned: AtomicBool::new(false),
+        begun: AtomicBool::new(false),
     })
 }
 
@@ -106,7 +107,12 @@
     let mut far = task(now, "far", 1, 100);
     Arc::get_mut(&mut far).unwrap().near = Some("y".into());
     push(&mut queue, now, &far, 1);
-    let workers = [worker("a", "x")];
+    let workers = [worker("a", "x"), worker("b", "y")];
+    let mut busy = task(now, "busy", 0, 100);
+    Arc::get_mut(&mut busy).unwrap().near = Some("y".into());
+    push(&mut queue, now, &busy, 1);
+    assert_eq!(queue.next_calls(now, &profile(), &workers).len(), 1);
+    push(&mut queue, now, &far, 1);
     assert!(queue.next_calls(now, &profile(), &workers).is_empty());
     assert_eq!(queue.next_due(now), Some(now + NEAR_WAIT));
     let calls = queue.next_calls(now + NEAR_WAIT, &profile(), &workers);
@@ -237,3 +243,35 @@
     let call = queue.next_calls(later, &profile(), &[worker("a", "x")]);
     assert_eq!(names(&call[0]), ["near", "near", "far", "far"]);
 }
+
+/// On asist-kosice quiet-1 two of four endpoints stand in one data centre;
+/// waiting for the near ones left the others idle in a burst.
+#[test]
+fn what_the_near_endpoints_can_not_take_in_one_call_does_not_wait_for_them() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let mut far = task(now, "far", 0, 900);
+    Arc::get_mut(&mut far).unwrap().near = Some("y".into());
+    push(&mut queue, now, &far, 7);
+    let workers = [worker("a", "x"), worker("b", "y")];
+    let calls = queue.next_calls(now, &profile(), &workers);
+    let sizes: Vec<usize> = calls.iter().map(|call| call.pieces.len()).collect();
+    assert_eq!(sizes, [3, 4]);
+}
+
+/// On asist-kosice scale-2 half of the pieces of many requests were made in
+/// time, the others fell behind as late, and the room was full of results that
+/// nobody could use: two endpoints made 28 pieces a second instead of 57.
+#[test]
+fn a_stage_that_has_been_begun_is_finished_first() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    push(&mut queue, now, &task(now, "begun", 1, 250), 6);
+    let workers = [worker("a", "x")];
+    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    queue.finish(now, &profile(), &call, None);
+    let later = now + Duration::from_millis(200);
+    push(&mut queue, later, &task(later, "new", 0, 900), 4);
+    let call = queue.next_calls(later, &profile(), &workers).remove(0);
+    assert_eq!(names(&call), ["begun", "begun", "new", "new"]);
+}
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, PoisonError};
 
 use prost::Message;
@@ -5,7 +6,7 @@
 
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::stable_hash::stable_hash;
-use super::piece_board::{self, BoardKey, PieceVerdict};
+use super::piece_board::{BoardKey, PieceVerdict};
 use super::{PieceBacklog, PieceSource, PieceTask, ResultHandle};
 use crate::generated::work::{PoolBacklog, ReleaseNotice, StageCall, StageEnd, StageReply};
 use crate::prelude::*;
@@ -22,6 +23,12 @@
 /// registry has told whether it is gone.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// Pause between questions whether an entry that is passed over answers.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for the answer to such a question: many round trips in a region.
+const PROBE_TIME: Duration = Duration::from_millis(300);
+
 /// Age from which on what a gatherer said of its backlog tells nothing.
 const BACKLOG_AGE: Duration = Duration::from_millis(1_500);
 
@@ -145,7 +152,7 @@
                         gatherer = gatherer,
                         reason = reason
                     );
-                    self.avoid(gatherer);
+                    self.avoid(node, gatherer);
                 }
             }
         }
@@ -189,10 +196,41 @@
         (chosen != self.hub.name()).then(|| chosen.clone())
     }
 
-    fn avoid(&self, entry: PeerName) {
+    /// Passes an entry over until it answers again. Entries that gather in two
+    /// places for one pool get in each other's way, so this should not last.
+    fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
         let until = Instant::now() + AVOID_TIME;
         let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        avoided.insert(entry, until);
+        let is_news = avoided.insert(entry.clone(), until).is_none();
+        drop(avoided);
+        if is_news {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { node.exchange.probe(&entry).await });
+        }
+    }
+
+    /// Asks an entry that is passed over for nothing until it answers.
+    async fn probe(&self, entry: &PeerName) {
+        let nothing = Bytes::from(StageCall::default().encode_to_vec());
+        loop {
+            tokio::time::sleep(PROBE_PAUSE).await;
+            let is_avoided = {
+                let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+                avoided.contains_key(entry)
+            };
+            if !is_avoided {
+                return;
+            }
+            let channel = LinkChannel::Work;
+            let name = entry.as_str();
+            let answer = self.hub.call(name, channel, nothing.clone(), PROBE_TIME);
+            if answer.await.is_ok() {
+                log_event!(info, "gatherer_back", gatherer = entry);
+                let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+                avoided.remove(entry);
+                return;
+            }
+        }
     }
 
     async fn ask(
@@ -243,6 +281,10 @@
         reply.refuse(CallRefusal::Malformed);
         return;
     };
+    if call.pieces == 0 {
+        reply.answer(StageReply::default().encode_to_vec().into());
+        return;
+    }
     let (key, order) = order_of(Instant::now(), call);
     let outcome = tokio::select! {
         outcome = work_here(node, &key, order) => outcome,
@@ -293,7 +335,8 @@
         source: order.source,
         result_bytes: order.result_bytes,
         near: order.near,
-        abandoned: piece_board::not_abandoned(),
+        abandoned: AtomicBool::new(false),
+        begun: AtomicBool::new(false),
     };
     let mut batch = node.board(key).submit(task, pieces);
     let mut made = MadePieces {
