Let late work wait only for time that is left over, and admit with a margin

The wait of late work was computed as if it had the whole pool.

Change: gatherers tell how many late pieces a second they make; a late stage that is not begun after 2.5 s is told so, unrun; entries count what they have just admitted; a request must have a margin to count as one that can be in time.

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -290,7 +290,10 @@
             left: self.context.remaining(now),
         };
         match stage_admission::judge(query, &backlogs) {
-            StageVerdict::Timely => Ok(()),
+            StageVerdict::Timely => {
+                self.expect_pieces();
+                Ok(())
+            }
             StageVerdict::Late => {
                 log_event!(info, "request_begun_late", request = self.context.id);
                 Ok(())
@@ -309,6 +312,18 @@
         }
     }
 
+    /// Counts the pieces that this request will bring, so that those who come
+    /// next are judged with them.
+    fn expect_pieces(&self) {
+        let context = &self.context;
+        let counts = context.head.piece_counts.iter();
+        for (stage, pieces) in context.route.stages.iter().zip(counts) {
+            let more = (context.rank, *pieces);
+            let exchange = &self.node.exchange;
+            exchange.expect(&self.node, &stage.pool, &context.id, more);
+        }
+    }
+
     /// Has the stages worked on near the endpoint that will probably get the
     /// request.
     pub(super) async fn work_on_stages(&mut self) -> Result<(), GatewayRefusal> {
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -27,6 +27,8 @@
     Made(ResultHandle),
     /// Its time was over.
     Late,
+    /// It can't be in time, and there is no time left over for it.
+    Overload,
     /// An input is there no more.
     InputGone,
     /// It failed too often.
@@ -179,6 +181,10 @@
         let Some(profile) = self.profile(&view) else {
             return;
         };
+        let hopeless = self.state().queue.take_hopeless(now, &profile);
+        for piece in hopeless {
+            self.tell(&piece, PieceVerdict::Overload);
+        }
         let workers = self.workers(now, &view);
         let calls = {
             let mut state = self.state();
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -17,6 +17,18 @@
 /// about this time.
 const ROOM_PAUSE: Duration = Duration::from_millis(500);
 
+/// Backlog, in time, up to which the rate of late pieces says nothing: it is
+/// worked off before any of them would be refused.
+const SETTLED_WAIT: Duration = Duration::from_millis(500);
+
+/// How long a stage that can't be in time and was not begun waits for time that
+/// is left over. Longer, and the results that it works on expire; its caller
+/// had better come back.
+const LATE_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// Time over which the rate of late pieces is averaged: some ten calls.
+const LATE_RATE_TIME: Duration = Duration::from_secs(2);
+
 /// Age from which on what an endpoint reported of its load tells nothing.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -70,6 +82,8 @@
     pub late: u32,
     /// Pieces that the pool makes in a second, when calls are full.
     pub pieces_per_second: u32,
+    /// Late pieces that it has made in a second lately.
+    pub late_per_second: u32,
 }
 
 impl PieceBacklog {
@@ -79,14 +93,33 @@
         self.time_for(before.sum())
     }
 
-    /// How long a piece that can't be in time waits, about.
+    /// How long a piece that can't be in time waits, about. It gets what the
+    /// timely ones leave; that is known once there is a backlog of late ones,
+    /// and until then all that the pool makes beyond the timely backlog.
     pub fn late_wait(&self) -> Duration {
         let timely: u32 = self.timely.iter().sum();
-        self.time_for(timely + self.late)
+        let soon = self.time_for(timely + self.late);
+        if soon < SETTLED_WAIT {
+            return soon;
+        }
+        let rate = f64::from(self.late_per_second.max(1));
+        soon.max(Duration::from_secs_f64(f64::from(self.late) / rate))
+    }
+
+    /// Counts pieces that are about to be queued.
+    pub fn add(&mut self, rank: u8, pieces: u32) {
+        let rank = usize::from(rank);
+        if self.timely.len() <= rank {
+            self.timely.resize(rank + 1, 0);
+        }
+        self.timely[rank] += pieces;
     }
 
     fn time_for(&self, pieces: u32) -> Duration {
-        let rate = f64::from(self.pieces_per_second.max(1));
+        if self.pieces_per_second == 0 {
+            return Duration::ZERO;
+        }
+        let rate = f64::from(self.pieces_per_second);
         Duration::from_secs_f64(f64::from(pieces) / rate)
     }
 }
@@ -128,6 +161,33 @@
     next: u64,
     endpoints: FastMap<Arc<str>, EndpointLoadView>,
     room: ResultRoom,
+    late_rate: LateRate,
+}
+
+/// How many late pieces go into calls, averaged with a memory that fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct LateRate {
+    sum: f64,
+    at: Option<Instant>,
+}
+
+impl LateRate {
+    fn note(&mut self, now: Instant, pieces: usize) {
+        self.sum = self.faded(now) + pieces as f64;
+        self.at = Some(now);
+    }
+
+    fn per_second(&self, now: Instant) -> f64 {
+        self.faded(now) / LATE_RATE_TIME.as_secs_f64()
+    }
+
+    fn faded(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.sum * (-age / LATE_RATE_TIME.as_secs_f64()).exp()
+    }
 }
 
 /// Places in the next calls of each data centre's endpoints. Pieces beyond them
@@ -256,17 +316,14 @@
             timely: Vec::new(),
             late: 0,
             pieces_per_second: (per_call * workers as f64) as u32,
+            late_per_second: self.late_rate.per_second(now) as u32,
         };
         for piece in self.waiting.values() {
             if !piece.task.is_timely(now, call_time) {
                 backlog.late += 1;
                 continue;
             }
-            let rank = usize::from(piece.task.rank);
-            if backlog.timely.len() <= rank {
-                backlog.timely.resize(rank + 1, 0);
-            }
-            backlog.timely[rank] += 1;
+            backlog.add(piece.task.rank, 1);
         }
         backlog
     }
@@ -286,6 +343,27 @@
             .collect()
     }
 
+    /// Takes the pieces that would wait for time that is not left over, for
+    /// their requests to be told.
+    pub fn take_hopeless(&mut self, now: Instant, profile: &PieceProfile) -> Vec<QueuedPiece> {
+        let call_time = profile.call_duration(profile.batch);
+        let is_hopeless = |piece: &QueuedPiece| {
+            let task = &piece.task;
+            let is_open = task.is_begun() || task.is_timely(now, call_time);
+            !is_open && now >= piece.queued + LATE_PATIENCE
+        };
+        let hopeless: Vec<PieceKey> = self
+            .waiting
+            .iter()
+            .filter(|(_, piece)| is_hopeless(piece))
+            .map(|(key, _)| *key)
+            .collect();
+        hopeless
+            .iter()
+            .filter_map(|key| self.waiting.remove(key))
+            .collect()
+    }
+
     /// The calls to make now, at the endpoints that are probably free.
     pub fn next_calls(
         &mut self,
@@ -455,6 +533,10 @@
             .iter()
             .filter_map(|key| self.waiting.remove(key))
             .collect();
+        let late = pieces
+            .iter()
+            .filter(|piece| !piece.task.is_begun() && !piece.task.is_timely(now, call_time));
+        self.late_rate.note(now, late.count());
         for piece in &pieces {
             piece.task.begun.store(true, Ordering::Relaxed);
         }
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -275,3 +275,41 @@
     let call = queue.next_calls(later, &profile(), &workers).remove(0);
     assert_eq!(names(&call), ["begun", "begun", "new", "new"]);
 }
+
+/// On asist-kosice scale-2 some 200 late pieces waited for 30 s; their 71
+/// requests were held until their callers gave up.
+#[test]
+fn late_stages_that_get_no_turn_are_told_so() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    push(&mut queue, now, &task(now, "late", 0, 10), 3);
+    push(&mut queue, now, &task(now, "timely", 0, 9_000), 3);
+    assert!(queue.take_hopeless(now, &profile()).is_empty());
+    let hopeless = queue.take_hopeless(now + LATE_PATIENCE, &profile());
+    assert_eq!(hopeless.len(), 3);
+    assert!(hopeless.iter().all(|piece| &*piece.task.request_id == "late"));
+}
+
+#[test]
+fn late_work_waits_for_what_the_timely_leaves() {
+    let mut backlog = PieceBacklog {
+        timely: vec![40],
+        late: 60,
+        pieces_per_second: 50,
+        late_per_second: 50,
+    };
+    let all = backlog.late_wait();
+    backlog.late_per_second = 2;
+    assert!(backlog.late_wait() > all * 10);
+}
+
+#[test]
+fn the_rate_of_late_pieces_follows_what_goes_into_calls() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    push(&mut queue, now, &task(now, "late", 0, 10), 4);
+    queue.next_calls(now, &profile(), &[worker("a", "x")]);
+    assert_eq!(queue.backlog(now, &profile(), 1).late_per_second, 2);
+    let later = now + LATE_RATE_TIME * 3;
+    assert_eq!(queue.backlog(later, &profile(), 1).late_per_second, 0);
+}
--- a/crates/savorywalk/src/gateway/stage_admission.rs
+++ b/crates/savorywalk/src/gateway/stage_admission.rs
@@ -10,6 +10,14 @@
 /// time; the rest is for the work itself.
 const LATE_PART: u32 = 2;
 
+/// What a request must have in hand, beyond what it seems to need, to be begun
+/// as one that can be in time: backlogs are known with a delay, and one that
+/// just misses has used its pools for little.
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// The same, as a part of what it seems to need.
+const MARGIN_PART: u32 = 10;
+
 /// Bounds of the time after which a refused caller may come back.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 
@@ -57,7 +65,7 @@
         true => backlogs[stage].wait(query.rank),
         false => Duration::ZERO,
     });
-    if needed <= query.due {
+    if needed + needed / MARGIN_PART + MARGIN <= query.due {
         return StageVerdict::Timely;
     }
     let waits = stages.filter(|stage| is_there(*stage));
--- a/crates/savorywalk/src/gateway/stage_admission_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_admission_tests.rs
@@ -6,6 +6,7 @@
         timely: vec![timely],
         late,
         pieces_per_second: 50,
+        late_per_second: 50,
     }
 }
 
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -79,6 +79,7 @@
                 }
             }
             Err(StageStop::Late) => return Err(NotRunReason::TimeOver),
+            Err(StageStop::Overload) => return Err(NotRunReason::Overload),
             Err(StageStop::Failed) => return Err(NotRunReason::StageFailed),
         }
     }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -72,6 +72,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StageStop {
     Late,
+    Overload,
     InputGone,
     Failed,
 }
@@ -109,6 +110,16 @@
         backlogs.insert(key.clone(), KnownBacklog { told, backlog });
     }
 
+    /// Counts pieces that this entry is about to send to a pool, until its
+    /// gatherer has told how things stand again.
+    pub(super) fn expect(&self, node: &GatewayNode, pool: &str, request_id: &str, more: (u8, u32)) {
+        let key = key_for(&node.view.load(), pool, request_id, None);
+        let mut backlogs = self.backlogs.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = backlogs.get_mut(&key) {
+            known.backlog.add(more.0, more.1);
+        }
+    }
+
     /// What waits for a pool, as far as known: at this entry as it
     /// is, at others as they said a moment ago.
     pub(super) fn backlog(
@@ -259,6 +270,7 @@
             }
             StageEnd::Made | StageEnd::Unspecified => Err("an answer that can't be read".into()),
             StageEnd::Late => Ok(Err(StageStop::Late)),
+            StageEnd::Overload => Ok(Err(StageStop::Overload)),
             StageEnd::InputGone => Ok(Err(StageStop::InputGone)),
             StageEnd::Failed => Ok(Err(StageStop::Failed)),
         }
@@ -297,6 +309,7 @@
     let end = match &outcome {
         Ok(_) => StageEnd::Made,
         Err(StageStop::Late) => StageEnd::Late,
+        Err(StageStop::Overload) => StageEnd::Overload,
         Err(StageStop::InputGone) => StageEnd::InputGone,
         Err(StageStop::Failed) => StageEnd::Failed,
     };
@@ -308,6 +321,7 @@
             timely: backlog.timely,
             late: backlog.late,
             pieces_per_second: backlog.pieces_per_second,
+            late_per_second: backlog.late_per_second,
         }),
     };
     let is_told = reply.answer(answer.encode_to_vec().into());
@@ -351,6 +365,7 @@
         match news.verdict {
             PieceVerdict::Made(handle) => drop(made.handles.insert(news.piece, handle)),
             PieceVerdict::Late => return Err(StageStop::Late),
+            PieceVerdict::Overload => return Err(StageStop::Overload),
             PieceVerdict::InputGone => return Err(StageStop::InputGone),
             PieceVerdict::Failed => return Err(StageStop::Failed),
         }
@@ -410,6 +425,7 @@
         timely: backlog.timely.clone(),
         late: backlog.late,
         pieces_per_second: backlog.pieces_per_second,
+        late_per_second: backlog.late_per_second,
     }
 }
 
