Tell routes apart where workspaces have equal ranks

Change: request_rank puts the workspace's rank first and the route's second; engines are told the same in their ten ranks.

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -14,6 +14,7 @@
 use super::{
     EndpointOrder, EndpointTarget, GatewayRefusal, NotRun, NotRunReason, PieceBacklog,
     PlacementQuery, PoolMember, RouteKind, RouteRule, RunLedger, StageQuery, StageVerdict,
+    engine_rank, request_rank,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -145,7 +146,7 @@
         id: head.request_id.as_str().into(),
         pool: route.pool_for(rand::rng().random()).to_string(),
         workspace: workspace.map(|workspace| workspace.name.clone()),
-        rank: rank.unwrap_or(route.rank),
+        rank: request_rank(rank, route.rank),
         due: due_time(route, arrived, time),
         deadline: arrived + time,
         route: Arc::clone(route),
@@ -491,7 +492,7 @@
             remaining: self.context.remaining(Instant::now()),
             workspace: self.context.workspace.as_deref(),
             rank: matches!(self.context.route.kind, RouteKind::Stream { .. })
-                .then_some(self.context.rank),
+                .then_some(engine_rank(self.context.rank)),
             inputs: inputs.as_deref(),
             last_event,
             body_bytes: self.body.len() as u64,
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -151,7 +151,16 @@
         if news > number {
             match self.wire.read_document(&document) {
                 Ok(read) => {
-                    log_event!(info, "document_in_force", number = news, before = number);
+                    let workspaces = read.workspaces();
+                    let ranks: Vec<_> = workspaces.map(|workspace| workspace.rank).collect();
+                    log_event!(
+                        info,
+                        "document_in_force",
+                        number = news,
+                        before = number,
+                        routes = read.routes().count(),
+                        workspace_ranks = format!("{ranks:?}")
+                    );
                     table = Some(Arc::new(read));
                 }
                 Err(error) => {
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod registry_surface;
 mod release_queue;
 mod request_context;
+mod request_rank;
 mod result_room;
 mod retry_window;
 mod route_rule;
@@ -46,6 +47,7 @@
     PieceBacklog, PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
 };
 pub use registry_daemon::RegistryDaemon;
+pub use request_rank::{engine_rank, request_rank};
 pub use result_room::ResultRoom;
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use route_rule::{PoolShare, RouteKind, RouteRule, StageRule, WorkspaceRule};
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -14,7 +14,7 @@
     pub(super) pool: String,
     /// Name of its workspace, when a key was shown.
     pub(super) workspace: Option<String>,
-    /// Rank of its workspace, else of its route.
+    /// How urgent it is; see [`super::request_rank`].
     pub(super) rank: u8,
     /// When it should be answered.
     pub(super) due: Instant,
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -195,6 +195,11 @@
         self.keys.get(key)
     }
 
+    /// All workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<WorkspaceRule>> {
+        self.workspaces.iter()
+    }
+
     /// What is said of a pool.
     pub fn pool(&self, name: &str) -> Option<&Arc<PoolProfile>> {
         self.pools.get(name)
