Begin a late stage as a whole or not at all

Change: PieceQueue begins a late stage only in places that hold all of it, or in a call that is empty without it.

Ruled out: ranks (a brief goes before a note in every queue).

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -349,6 +349,7 @@
                     route = self.context.route.name,
                     pieces = format!("{:?}", self.context.head.piece_counts),
                     near = near,
+                    done_ms = format!("{:?}", results.done_ms()),
                     ms = began.elapsed().as_millis()
                 );
                 self.results = Some(results);
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -154,7 +154,10 @@
 /// otherwise one burst would make everything late until the backlog it left
 /// behind is worked off. Among the late, those that hold results go first.
 /// Before all others go the pieces of a stage that has been begun: until the
-/// last one is made, the results of the first take up room for nothing.
+/// last one is made, the results of the first take up room for nothing. For
+/// that reason a late stage is begun only as a whole, in places that a call has
+/// left, or in a call that is empty without it; begun by a few pieces, it would
+/// have its other ones go before what can be in time.
 #[derive(Debug, Default)]
 pub struct PieceQueue {
     waiting: BTreeMap<PieceKey, QueuedPiece>,
@@ -520,13 +523,24 @@
             candidates.push((order, *key));
         }
         candidates.sort_unstable();
-        let mut keys = Vec::new();
-        for (_, key) in candidates {
-            // A smaller result behind one that does not fit may go first.
-            let bytes = self.waiting[&key].task.result_bytes;
-            if keys.len() < profile.batch.max(1) as usize && bytes <= free {
-                free -= bytes;
-                keys.push(key);
+        let batch = profile.batch.max(1) as usize;
+        let mut keys: Vec<PieceKey> = Vec::new();
+        let is_same_stage = |left: &(PieceOrderKey, PieceKey), right: &(PieceOrderKey, PieceKey)| {
+            Arc::ptr_eq(&self.waiting[&left.1].task, &self.waiting[&right.1].task)
+        };
+        for stage in candidates.chunk_by(is_same_stage) {
+            let space = batch - keys.len();
+            let is_late = matches!(stage[0].0, PieceOrderKey::Late { .. });
+            if is_late && !keys.is_empty() && stage.len() > space {
+                continue;
+            }
+            for (_, key) in stage.iter().take(space) {
+                // A smaller result behind one that does not fit may go first.
+                let bytes = self.waiting[key].task.result_bytes;
+                if bytes <= free {
+                    free -= bytes;
+                    keys.push(*key);
+                }
             }
         }
         let pieces: Vec<QueuedPiece> = keys
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -16,6 +16,8 @@
     progress: StageProgress,
     /// Where each result was gathered.
     keys: FastMap<ResultHandle, BoardKey>,
+    /// When each stage was done, in milliseconds after the first began.
+    done_ms: Vec<u64>,
 }
 
 impl Drop for StageResults {
@@ -34,6 +36,11 @@
         }
     }
 
+    /// When each stage was done, in milliseconds after the first began.
+    pub(super) fn done_ms(&self) -> &[u64] {
+        &self.done_ms
+    }
+
     /// Results of the stages that no other one needs, for the endpoint that
     /// runs the request.
     pub(super) fn last(&self) -> Vec<ResultHandle> {
@@ -52,7 +59,9 @@
         node: Arc::clone(node),
         progress: StageProgress::new(Arc::clone(&context.route)),
         keys: FastMap::default(),
+        done_ms: vec![0; context.route.stages.len()],
     };
+    let began = Instant::now();
     let mut running = FuturesUnordered::new();
     loop {
         for start in results.progress.start_ready() {
@@ -66,6 +75,7 @@
         };
         match outcome {
             Ok(made) => {
+                results.done_ms[stage] = began.elapsed().as_millis() as u64;
                 let keyed = made.handles.iter().map(|handle| (handle.clone(), made.key.clone()));
                 results.keys.extend(keyed);
                 let unneeded = results.progress.finish(stage, made.handles);
