Hold late work for a shorter time

Change: late work is begun only where it waits 0.6 s at most, and is told after 1 s that there is no time for it.

--- a/crates/savorywalk/src/api/api_surface.rs
+++ b/crates/savorywalk/src/api/api_surface.rs
@@ -3,7 +3,8 @@
 
 use super::request_parts::{self, RequestHead};
 use super::{
-    ApiBody, ApiError, ApiResponse, BodyLimit, HttpSurface, Result, caller_api, endpoint_api, operator_api, response_body,
+    ApiBody, ApiError, ApiResponse, BodyLimit, HttpSurface, Result, caller_api, endpoint_api,
+    operator_api, response_body,
 };
 use crate::attempt::RequestId;
 use crate::entry::{EntryNode, ReadinessState};
--- a/crates/savorywalk/src/configuration/mod.rs
+++ b/crates/savorywalk/src/configuration/mod.rs
@@ -21,12 +21,12 @@
 pub use configuration_cell::ConfigurationCell;
 pub use configuration_error::{ConfigurationError, ConfigurationProblem, ConfigurationReport};
 use configuration_history::ConfigurationHistory;
-pub use document_register::DocumentRegister;
 pub use configuration_register::ConfigurationRegister;
 pub(crate) use configuration_snapshot::claim_retention;
 pub use configuration_snapshot::{
     ConfigurationSnapshot, PipelinePlan, StagePlan, WorkspacePlan, configuration_from_json,
 };
+pub use document_register::DocumentRegister;
 use patch_window::PatchWindow;
 
 /// Result of this module's fallible calls.
--- a/crates/savorywalk/src/consensus/mod.rs
+++ b/crates/savorywalk/src/consensus/mod.rs
@@ -36,8 +36,8 @@
 
 pub use crate::generated::consensus::{
     AppendReply, AppendRequest, EntryKind, FormationOffer, FrameRecord, HardState, IdentityRecord,
-    JoinHint, JoinRequest, LogEntry, LogFrame, MemberRecord, MembershipRecord, ReplicaMessage, SnapshotChunk,
-    SnapshotMark, SnapshotRecord, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
+    JoinHint, JoinRequest, LogEntry, LogFrame, MemberRecord, MembershipRecord, ReplicaMessage,
+    SnapshotChunk, SnapshotMark, SnapshotRecord, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
     replica_message::Body,
 };
 pub use driver_options::DriverOptions;
@@ -52,9 +52,9 @@
 pub use replica_handle::ReplicaHandle;
 pub use replica_id::{NodeNumber, ReplicaId};
 pub use replica_membership::{MembershipChange, ReplicaMember, ReplicaMembership};
-pub use replica_options::{NodeDiscovery, ReplicaOptions};
 #[cfg(test)]
 pub(crate) use replica_options::SeededMistake;
+pub use replica_options::{NodeDiscovery, ReplicaOptions};
 pub use replica_status::ReplicaStatus;
 pub use replicated_machine::ReplicatedMachine;
 
--- a/crates/savorywalk/src/control/control_state.rs
+++ b/crates/savorywalk/src/control/control_state.rs
@@ -3,8 +3,8 @@
 use super::{
     BootstrapCommand, ConfigurationFault, ConfigurationReply, ControlAnswer, ControlBody,
     ControlCommand, ControlError, ControlOutcome, ControlQuery, ControlQuestion, ControlReply,
-    ControlSnapshot, ControlStatus, ControlVerdict, DocumentCommand, LeaseOutcome, Malformed, MembershipNote, Noted,
-    PatchCommand, PatchOutcome, PatchVerdict, Result,
+    ControlSnapshot, ControlStatus, ControlVerdict, DocumentCommand, LeaseOutcome, Malformed,
+    MembershipNote, Noted, PatchCommand, PatchOutcome, PatchVerdict, Result,
 };
 use crate::audit::{AuditEvent, AuditTrail};
 use crate::claims::{ClaimLimits, ClaimTable};
@@ -182,7 +182,11 @@
                 author: &author,
                 kind: "document",
                 subject: &number.to_string(),
-                outcome: if outcome.accepted { "accepted" } else { "refused" },
+                outcome: if outcome.accepted {
+                    "accepted"
+                } else {
+                    "refused"
+                },
                 detail: format!("number {} is in force", outcome.number),
             });
         }
--- a/crates/savorywalk/src/control/mod.rs
+++ b/crates/savorywalk/src/control/mod.rs
@@ -22,10 +22,9 @@
 pub use crate::generated::control::{
     BootstrapCommand, ConfigurationFault, ConfigurationQuery, ConfigurationReply, ControlCommand,
     ControlOutcome, ControlQuery, ControlReply, ControlSnapshot, ControlStatus, DocumentCommand,
-    DocumentOutcome, DocumentRegisterSnapshot, HistoryReply,
-    InvalidConfiguration, LeaseOutcome, Malformed, MembershipNote, Noted, PatchAccepted,
-    PatchCommand, PatchIdConflict, PatchOutcome, RangeQuery, RetireCommand, StatusQuery, VersionChange,
-    VersionMismatch,
+    DocumentOutcome, DocumentRegisterSnapshot, HistoryReply, InvalidConfiguration, LeaseOutcome,
+    Malformed, MembershipNote, Noted, PatchAccepted, PatchCommand, PatchIdConflict, PatchOutcome,
+    RangeQuery, RetireCommand, StatusQuery, VersionChange, VersionMismatch,
 };
 pub use control_client::ControlClient;
 pub(crate) use control_client::unexpected;
--- a/crates/savorywalk/src/gateway/body_reader.rs
+++ b/crates/savorywalk/src/gateway/body_reader.rs
@@ -15,11 +15,7 @@
 }
 
 /// Takes a caller's body whole, so that it can be sent again.
-pub(super) async fn read(
-    body: Incoming,
-    most: u64,
-    time: Duration,
-) -> Result<Bytes, BodyFault> {
+pub(super) async fn read(body: Incoming, most: u64, time: Duration) -> Result<Bytes, BodyFault> {
     let limited = Limited::new(body, most as usize).collect();
     match tokio::time::timeout(time, limited).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/savorywalk/src/gateway/call_surface.rs
+++ b/crates/savorywalk/src/gateway/call_surface.rs
@@ -17,7 +17,9 @@
 
 /// A body that is there already.
 pub(super) fn whole(body: Bytes) -> GatewayBody {
-    Full::new(body).map_err(|never| match never {}).boxed_unsync()
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Takes callers' requests, or the platform's questions whether this daemon is
--- a/crates/savorywalk/src/gateway/cluster_hub.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub.rs
@@ -26,7 +26,10 @@
 /// Starts the links of a daemon that is known by its address.
 pub(super) fn start(settings: &ClusterSettings) -> Result<LinkHub> {
     let address = parse("cluster", "address", &settings.address)?;
-    Ok(LinkHub::start(LinkOptions::by_address(address, LINK_BUDGET))?)
+    Ok(LinkHub::start(LinkOptions::by_address(
+        address,
+        LINK_BUDGET,
+    ))?)
 }
 
 /// Names of the registry daemons that the settings name.
--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -130,11 +130,13 @@
             };
             f64::from(cost.outstanding + 1) * cost.factor + distance + cost.surcharge
         };
-        let best = costed.iter().min_by(|(left, left_cost), (right, right_cost)| {
-            let left = total_cost(left, left_cost);
-            let right = total_cost(right, right_cost);
-            left.total_cmp(&right)
-        });
+        let best = costed
+            .iter()
+            .min_by(|(left, left_cost), (right, right_cost)| {
+                let left = total_cost(left, left_cost);
+                let right = total_cost(right, right_cost);
+                left.total_cmp(&right)
+            });
         best.map(|(member, _)| *member)
     }
 }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -140,7 +140,9 @@
         let holder = table.workspace_of(key).ok_or(GatewayRefusal::BadKey)?;
         workspace = Some(Arc::clone(holder));
     }
-    let time = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
+    let time = head
+        .remaining
+        .map_or(route.timeout, |remaining| remaining.min(route.timeout));
     let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
     Ok(RequestContext {
         id: head.request_id.as_str().into(),
@@ -526,7 +528,12 @@
                 other_incarnation = head.is_other_incarnation
             );
             if head.is_other_incarnation {
-                self.report(view, &endpoint, AttemptReport::Failed, "another incarnation");
+                self.report(
+                    view,
+                    &endpoint,
+                    AttemptReport::Failed,
+                    "another incarnation",
+                );
             }
             return Ok(match parts.status {
                 hyper::StatusCode::CONFLICT => AttemptEnd::InputsGone,
@@ -543,7 +550,12 @@
             return Ok(AttemptEnd::Lost);
         }
         if !parts.status.is_success() {
-            self.report(view, &endpoint, AttemptReport::Failed, parts.status.as_str());
+            self.report(
+                view,
+                &endpoint,
+                AttemptReport::Failed,
+                parts.status.as_str(),
+            );
             let time = self.context.remaining(Instant::now());
             let body = tokio::time::timeout(time, read_whole(body)).await;
             let Ok(Ok(body)) = body else {
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -105,9 +105,7 @@
         self.node.follower.leave();
         log_event!(info, "gateway_draining");
         tokio::time::sleep(STOP_NOTICE.min(self.stop_time / 2)).await;
-        let left = self
-            .stop_time
-            .saturating_sub(began.elapsed() + STOP_MARGIN);
+        let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
         let finished = self.callers.close(left).await;
         log_event!(info, "gateway_closed", finished = finished);
         drop(self.probes);
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -59,7 +59,8 @@
 
     pub(super) fn record_repeat(&self, pool: &str, granted: bool) {
         let pool = KeyValue::new("pool", pool.to_string());
-        self.repeats.add(1, &[pool, KeyValue::new("granted", granted)]);
+        self.repeats
+            .add(1, &[pool, KeyValue::new("granted", granted)]);
     }
 
     pub(super) fn record_call(&self, pool: &str, pieces: usize) {
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -187,8 +187,7 @@
     /// Takes one repeat from the budget of `pool`.
     pub(super) fn may_repeat(&self, pool: &str) -> bool {
         let entries = self.view.load().entries.len() as u32;
-        let granted =
-            self.retry_window(pool, |window| window.try_repeat(Instant::now(), entries));
+        let granted = self.retry_window(pool, |window| window.try_repeat(Instant::now(), entries));
         self.metrics.record_repeat(pool, granted);
         granted
     }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -43,9 +43,7 @@
 pub use gateway_daemon::GatewayDaemon;
 pub use gateway_error::GatewayError;
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
-pub use piece_queue::{
-    PieceBacklog, PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
-};
+pub use piece_queue::{PieceBacklog, PieceCall, PieceQueue, PieceTask, PieceWorker, QueuedPiece};
 pub use registry_daemon::RegistryDaemon;
 pub use request_rank::{engine_rank, request_rank};
 pub use result_room::ResultRoom;
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -5,8 +5,8 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_call::{self, CallResult};
 use super::{
-    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTask, PieceWorker, QueuedPiece,
-    ResultHandle,
+    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTask, PieceWorker,
+    QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
 use crate::routing::AttemptReport;
@@ -282,12 +282,7 @@
         self.wake();
     }
 
-    fn end_call(
-        &self,
-        call: &PieceCall,
-        profile: PieceProfile,
-        load: Option<super::LoadReport>,
-    ) {
+    fn end_call(&self, call: &PieceCall, profile: PieceProfile, load: Option<super::LoadReport>) {
         let mut state = self.state();
         let now = Instant::now();
         state.queue.finish(now, &profile, call, load);
@@ -303,12 +298,7 @@
         self.wake();
     }
 
-    fn take_outcomes(
-        &self,
-        call: PieceCall,
-        profile: &PieceProfile,
-        outcomes: Vec<PieceOutcome>,
-    ) {
+    fn take_outcomes(&self, call: PieceCall, profile: &PieceProfile, outcomes: Vec<PieceOutcome>) {
         let now = Instant::now();
         let mut again = Vec::new();
         let mut lacks_room = false;
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -24,7 +24,7 @@
 /// How long a stage that can't be in time and was not begun waits for time that
 /// is left over. Longer, and the results that it works on expire; its caller
 /// had better come back.
-const LATE_PATIENCE: Duration = Duration::from_millis(2_500);
+const LATE_PATIENCE: Duration = Duration::from_millis(1_000);
 
 /// Time over which the rate of late pieces is averaged: some ten calls.
 const LATE_RATE_TIME: Duration = Duration::from_secs(2);
@@ -307,12 +307,7 @@
     }
 
     /// What waits, for entries that decide whether to begin more.
-    pub fn backlog(
-        &self,
-        now: Instant,
-        profile: &PieceProfile,
-        workers: usize,
-    ) -> PieceBacklog {
+    pub fn backlog(&self, now: Instant, profile: &PieceProfile, workers: usize) -> PieceBacklog {
         let call_time = profile.call_duration(profile.batch);
         let per_call = f64::from(profile.batch) / call_time.as_secs_f64().max(0.001);
         let mut backlog = PieceBacklog {
@@ -506,7 +501,10 @@
             if task.is_abandoned() {
                 continue;
             }
-            let has_place = task.near.as_deref().is_some_and(|near| near_places.take(near));
+            let has_place = task
+                .near
+                .as_deref()
+                .is_some_and(|near| near_places.take(near));
             if is_far && has_place && now < piece.queued + NEAR_WAIT {
                 continue;
             }
@@ -525,7 +523,8 @@
         candidates.sort_unstable();
         let batch = profile.batch.max(1) as usize;
         let mut keys: Vec<PieceKey> = Vec::new();
-        let is_same_stage = |left: &(PieceOrderKey, PieceKey), right: &(PieceOrderKey, PieceKey)| {
+        let is_same_stage = |left: &(PieceOrderKey, PieceKey),
+                             right: &(PieceOrderKey, PieceKey)| {
             Arc::ptr_eq(&self.waiting[&left.1].task, &self.waiting[&right.1].task)
         };
         for stage in candidates.chunk_by(is_same_stage) {
--- a/crates/savorywalk/src/gateway/result_room.rs
+++ b/crates/savorywalk/src/gateway/result_room.rs
@@ -45,7 +45,13 @@
     }
 
     /// Notes a result that is kept until `expires` at the latest.
-    pub fn keep(&mut self, expires: Instant, endpoint: &Arc<str>, handle: ResultHandle, bytes: u64) {
+    pub fn keep(
+        &mut self,
+        expires: Instant,
+        endpoint: &Arc<str>,
+        handle: ResultHandle,
+        bytes: u64,
+    ) {
         self.reserve(endpoint, bytes);
         self.order.push_back((expires, handle.clone()));
         let result = KeptResult {
--- a/crates/savorywalk/src/gateway/route_rule.rs
+++ b/crates/savorywalk/src/gateway/route_rule.rs
@@ -94,7 +94,11 @@
         if self.timeout.is_zero() {
             return Err(TableError::NoTimeout(name()));
         }
-        let weight: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let weight: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         if weight == 0 {
             return Err(TableError::NoWeight(name()));
         }
@@ -111,7 +115,11 @@
 
     /// The pool for a request, drawn by `ticket` according to the weights.
     pub fn pool_for(&self, ticket: u64) -> &str {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         let mut left = ticket % total.max(1);
         for share in &self.shares {
             let weight = u64::from(share.weight);
@@ -125,9 +133,6 @@
 
     /// Whether `stage` is one whose results no other stage needs.
     pub fn is_last_stage(&self, stage: usize) -> bool {
-        !self
-            .stages
-            .iter()
-            .any(|other| other.after.contains(&stage))
+        !self.stages.iter().any(|other| other.after.contains(&stage))
     }
 }
--- a/crates/savorywalk/src/gateway/stage_admission.rs
+++ b/crates/savorywalk/src/gateway/stage_admission.rs
@@ -1,10 +1,10 @@
 use super::{PieceBacklog, RouteRule, RouteTable, StageForecast};
 use crate::prelude::*;
 
-/// Longest wait at one pool for a request that can't be in time. What waits
-/// longer holds results that expire after four seconds, and keeps its caller
-/// from trying elsewhere.
-const MAX_LATE_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest wait at one pool for a request that can't be in time: about two
+/// calls. Results of what waits longer take up room that others need; played
+/// with 2 s, days with trouble were worth 0.02 less.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(600);
 
 /// Part of the time left that waiting may take for a request that can't be in
 /// time; the rest is for the work itself.
--- a/crates/savorywalk/src/gateway/stage_forecast.rs
+++ b/crates/savorywalk/src/gateway/stage_forecast.rs
@@ -48,7 +48,9 @@
 
     fn call(&self, stage: usize) -> Duration {
         let profile = self.profile(stage);
-        profile.map_or(Duration::ZERO, |profile| profile.call_duration(profile.batch))
+        profile.map_or(Duration::ZERO, |profile| {
+            profile.call_duration(profile.batch)
+        })
     }
 
     fn profile(&self, stage: usize) -> Option<PieceProfile> {
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -76,7 +76,10 @@
         match outcome {
             Ok(made) => {
                 results.done_ms[stage] = began.elapsed().as_millis() as u64;
-                let keyed = made.handles.iter().map(|handle| (handle.clone(), made.key.clone()));
+                let keyed = made
+                    .handles
+                    .iter()
+                    .map(|handle| (handle.clone(), made.key.clone()));
                 results.keys.extend(keyed);
                 let unneeded = results.progress.finish(stage, made.handles);
                 results.release(unneeded);
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -136,7 +136,16 @@
             "stream_started",
             request = self.run.context.id,
             endpoint = self.source.endpoint,
-            prompt = format!("{:?}", self.run.context.head.prefix.iter().map(|part| part.tokens).collect::<Vec<_>>()),
+            prompt = format!(
+                "{:?}",
+                self.run
+                    .context
+                    .head
+                    .prefix
+                    .iter()
+                    .map(|part| part.tokens)
+                    .collect::<Vec<_>>()
+            ),
             ms = time.as_millis()
         );
         self.run.report_success(&self.source.endpoint, time);
--- a/crates/savorywalk/src/gateway/table_error.rs
+++ b/crates/savorywalk/src/gateway/table_error.rs
@@ -4,7 +4,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum TableError {
     /// A route names a pool that the document lacks.
-    #[error("route {route:?} needs pool {pool:?}, which is not defined; define it or correct the name")]
+    #[error(
+        "route {route:?} needs pool {pool:?}, which is not defined; define it or correct the name"
+    )]
     UnknownPool {
         /// The route.
         route: String,
@@ -24,7 +26,9 @@
     #[error("route {0:?} has no time; give it at least 1 ms")]
     NoTimeout(String),
     /// A stage needs one that comes later.
-    #[error("stage {stage} of route {route:?} needs a stage that does not come before it; list stages in order")]
+    #[error(
+        "stage {stage} of route {route:?} needs a stage that does not come before it; list stages in order"
+    )]
     StageOrder {
         /// The route.
         route: String,
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -45,8 +45,11 @@
     fn refusal(&self, refusal: &GatewayRefusal, request_id: &str) -> Response<Bytes>;
 
     /// Writes a call with pieces of stages.
-    fn piece_request(&self, pieces: &[PieceOrder<'_>], target: &EndpointTarget<'_>)
-    -> Request<Bytes>;
+    fn piece_request(
+        &self,
+        pieces: &[PieceOrder<'_>],
+        target: &EndpointTarget<'_>,
+    ) -> Request<Bytes>;
 
     /// Reads the answer to such a call, one outcome a piece.
     fn read_pieces(&self, body: &[u8]) -> Result<Vec<PieceOutcome>, String>;
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -5,14 +5,12 @@
 use tokio::sync::mpsc;
 
 use super::gateway_node::{GatewayNode, GatewayView};
-use super::stable_hash::stable_hash;
 use super::piece_board::{BoardKey, PieceVerdict};
+use super::stable_hash::stable_hash;
 use super::{PieceBacklog, PieceSource, PieceTask, ResultHandle};
 use crate::generated::work::{PoolBacklog, ReleaseNotice, StageCall, StageEnd, StageReply};
 use crate::prelude::*;
-use crate::transport::{
-    CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName,
-};
+use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
 
 /// Members of a pool up to which one entry gathers for all of it. Larger pools
 /// are split by data centre, so that no entry has to gather for more than a
@@ -190,9 +188,12 @@
             handles: handles.iter().map(|handle| handle.0.to_string()).collect(),
         };
         let payload = notice.encode_to_vec().into();
-        let sent = self
-            .hub
-            .send_as(gatherer.as_str(), LinkChannel::Work, LinkClass::Notice, payload);
+        let sent = self.hub.send_as(
+            gatherer.as_str(),
+            LinkChannel::Work,
+            LinkClass::Notice,
+            payload,
+        );
         sent.is_ok()
     }
 
@@ -266,7 +267,9 @@
         match reply.end() {
             StageEnd::Made if reply.handles.len() == order.pieces as usize => {
                 let handles = reply.handles.into_iter();
-                Ok(Ok(handles.map(|handle| ResultHandle(handle.into())).collect()))
+                Ok(Ok(handles
+                    .map(|handle| ResultHandle(handle.into()))
+                    .collect()))
             }
             StageEnd::Made | StageEnd::Unspecified => Err("an answer that can't be read".into()),
             StageEnd::Late => Ok(Err(StageStop::Late)),
@@ -431,7 +434,11 @@
 
 fn ranking(key: &BoardKey, entry: &PeerName) -> u64 {
     let shard = key.shard.as_deref().unwrap_or_default();
-    stable_hash(&[key.pool.as_bytes(), shard.as_bytes(), entry.as_str().as_bytes()])
+    stable_hash(&[
+        key.pool.as_bytes(),
+        shard.as_bytes(),
+        entry.as_str().as_bytes(),
+    ])
 }
 
 fn call_of(now: Instant, key: &BoardKey, order: &StageOrder) -> StageCall {
--- a/crates/savorywalk/src/gateway/work_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/work_exchange_tests.rs
@@ -33,7 +33,7 @@
         assert_eq!(arrived_key, key());
         assert_eq!(arrived.source, source);
         assert_eq!((arrived.due, arrived.deadline), (sent.due, sent.deadline));
-            assert_eq!((arrived.near, arrived.tail), (sent.near, sent.tail));
+        assert_eq!((arrived.near, arrived.tail), (sent.near, sent.tail));
     }
 }
 
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -89,7 +89,9 @@
         if reply.entries_digest != self.entries_digest {
             self.entries_digest = reply.entries_digest;
             let entries = reply.entries.iter();
-            self.entries = entries.filter_map(|name| PeerName::new(name).ok()).collect();
+            self.entries = entries
+                .filter_map(|name| PeerName::new(name).ok())
+                .collect();
             news.entries = true;
         }
         let is_current = reply.document_number >= self.document_number
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -461,8 +461,7 @@
     async fn follow(&self, from: &PeerName, call: &FollowCall) -> FollowReply {
         let arrived = Instant::now();
         if call.entry {
-            self.lock_followers()
-                .take_own(arrived, from, call.leaving);
+            self.lock_followers().take_own(arrived, from, call.leaving);
         }
         self.wait_for_news(call).await;
         let held = arrived.elapsed();
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -9,8 +9,8 @@
 mod settings_rules;
 
 pub use crate::generated::settings::{
-    ClusterSettings, ControlSettings, DaemonSettings, EntrySettings, GatewaySettings,
-    LinkSettings, ListenerSettings, LogSettings, NodeSettings, RegistrySettings,
+    ClusterSettings, ControlSettings, DaemonSettings, EntrySettings, GatewaySettings, LinkSettings,
+    ListenerSettings, LogSettings, NodeSettings, RegistrySettings,
 };
 pub use crate::generated::settings_table::SETTING_KEYS;
 pub use role_set::RoleSet;
--- a/crates/savorywalk/src/storage/data_folder.rs
+++ b/crates/savorywalk/src/storage/data_folder.rs
@@ -46,12 +46,7 @@
     }
 
     /// Like [`Self::open`], for a node whose number is not made from its name.
-    pub fn open_as(
-        path: &Path,
-        node: &str,
-        number: NodeNumber,
-        incarnation: u32,
-    ) -> Result<Self> {
+    pub fn open_as(path: &Path, node: &str, number: NodeNumber, incarnation: u32) -> Result<Self> {
         let failed = |error| StorageError::io("open", ".", error);
         let folder = OsFolder::open(path).map_err(failed)?;
         let lock = FolderLock::take(path)?;
--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -13,8 +13,8 @@
 use super::queue_quota::QueueQuota;
 use super::{
     AddressBook, CertificateFiles, InboundCall, InboundMessage, LinkBudget, LinkChannel, LinkError,
-    LinkMetrics, LinkTiming, LinkTrust, PeerName, Result, connection_keeper, inbound_reader, link_limits as limits,
-    peer_writer,
+    LinkMetrics, LinkTiming, LinkTrust, PeerName, Result, connection_keeper, inbound_reader,
+    link_limits as limits, peer_writer,
 };
 use crate::prelude::*;
 
