--- a/crates/savorywalk/src/consensus/mod.rs
+++ b/crates/savorywalk/src/consensus/mod.rs
@@ -31,6 +31,8 @@
 mod replicated_machine;
 mod snapshot_receiver;
 
+#[cfg(test)]
+mod discovery_tests;
 #[cfg(test)]
 mod simulation;
 
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -567,3 +567,43 @@
     })
     .await;
 }
+
+fn by_address(last: u8, port: u16) -> LinkOptions {
+    let address = std::net::SocketAddrV4::new([127, 0, 7, last].into(), port);
+    LinkOptions::by_address(address, 1_000_000)
+}
+
+#[tokio::test]
+async fn daemons_without_keys_know_each_other_by_their_addresses() {
+    let first = UdpSocket::bind("127.0.7.1:0").await.expect("a free port");
+    let port = first.local_addr().expect("an address").port();
+    drop(first);
+    let one = LinkHub::start(by_address(1, port)).expect("a hub");
+    let two = LinkHub::start(by_address(2, port)).expect("a hub");
+    let mut calls = two.serve(LinkChannel::Work);
+    tokio::spawn(async move {
+        while let Some(call) = calls.recv().await {
+            let from = call.from.to_string();
+            call.reply.answer(from.into());
+        }
+    });
+    let time = Duration::from_secs(5);
+    let answer = one.call("127-0-7-2", LinkChannel::Work, Bytes::new(), time);
+    assert_eq!(&answer.await.expect("an answer")[..], b"127-0-7-1");
+}
+
+#[tokio::test]
+async fn a_daemon_that_calls_itself_by_another_address_is_not_let_in() {
+    let first = UdpSocket::bind("127.0.7.3:0").await.expect("a free port");
+    let port = first.local_addr().expect("an address").port();
+    drop(first);
+    let one = LinkHub::start(by_address(3, port)).expect("a hub");
+    let mut liar = by_address(4, port);
+    liar.name = PeerName::from_ip([127, 0, 7, 9].into());
+    let liar = LinkHub::start(liar).expect("a hub");
+    let mut calls = one.serve(LinkChannel::Work);
+    let time = Duration::from_millis(900);
+    let call = liar.call("127-0-7-3", LinkChannel::Work, Bytes::new(), time);
+    assert!(call.await.is_err());
+    assert!(calls.try_recv().is_err());
+}
