--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -133,6 +133,17 @@
                 required --token-file file: PathBuf
             }
         }
+        /// Prints what logs tell of one request, in order of time, and what each
+        /// line means. Logs of several processes may be given, in any order.
+        ///
+        /// EXAMPLES:
+        ///     savorywalk explain --id 9c41d07be2a35f68 --file entry-1.log --file entry-2.log
+        cmd explain {
+            /// Identity of the request.
+            required --id id: String
+            /// Log of one process.
+            repeated --file file: PathBuf
+        }
         /// Prints what an entry and control tell of themselves, as JSON.
         ///
         /// EXAMPLES:
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod demo_progress;
 mod demo_report;
 mod demo_request;
+mod explain_command;
 mod keys;
 mod operator_client;
 mod operator_error;
@@ -47,6 +48,7 @@
         SavorywalkCmd::Check(arguments) => settings_check::run(&arguments.settings),
         SavorywalkCmd::Keys(arguments) => keys::run(arguments),
         SavorywalkCmd::Config(arguments) => config_command::run(arguments).await,
+        SavorywalkCmd::Explain(arguments) => explain_command::run(arguments),
         SavorywalkCmd::Status(arguments) => status_command::run(arguments).await,
         SavorywalkCmd::Audit(arguments) => audit_command::run(arguments).await,
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -57,7 +57,7 @@
         .log
         .as_ref()
         .map_or("info", |log| log.level.as_str());
-    telemetry::init_logging(level);
+    telemetry::init_daemon_logging(level);
     let mut terminate = signal(SignalKind::terminate()).map_err(CommandError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(CommandError::Signals)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(CommandError::Signals)?;
@@ -69,7 +69,9 @@
             _ = hang_up.recv() => daemon.reload(file),
         }
     }
-    if daemon.stop().await {
+    let finished = daemon.stop().await;
+    telemetry::finish_logging();
+    if finished {
         return Ok(());
     }
     Err(CommandError::DrainTimedOut)
--- a/crates/savorywalk/src/telemetry/log_event.rs
+++ b/crates/savorywalk/src/telemetry/log_event.rs
@@ -1,3 +1,4 @@
+use super::log_pipe::LogPipe;
 use crate::prelude::*;
 
 const LEVEL_VARIABLE: &str = "SAVORYWALK_LOG";
@@ -33,11 +34,28 @@
 
 /// Starts logging to standard error; the environment goes before `level`.
 pub fn init_logging(level: &str) {
+    start_logging(level, env_logger::Target::Stderr);
+}
+
+/// Starts logging to standard output, as daemons do: bounded, and without ever
+/// waiting for whoever reads it.
+pub fn init_daemon_logging(level: &str) {
+    match LogPipe::start(std::io::stdout()) {
+        Ok(pipe) => start_logging(level, env_logger::Target::Pipe(Box::new(pipe))),
+        Err(error) => {
+            start_logging(level, env_logger::Target::Stdout);
+            log_event!(warn, "log_thread_not_started", reason = error);
+        }
+    }
+}
+
+fn start_logging(level: &str, target: env_logger::Target) {
     use std::io::Write;
     let environment = env_logger::Env::default().filter_or(LEVEL_VARIABLE, level);
     let started = env_logger::Builder::new()
         .filter_module("ractor", log::LevelFilter::Warn)
         .parse_env(environment)
+        .target(target)
         .format(|buffer, record| {
             let time = buffer.timestamp_millis();
             let level = record.level().as_str().to_lowercase();
