--- a/crates/savorywalk/src/gateway/call_surface.rs
+++ b/crates/savorywalk/src/gateway/call_surface.rs
@@ -4,8 +4,8 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
-use super::forward_run;
 use super::gateway_node::GatewayNode;
+use super::request_service;
 use crate::api::HttpSurface;
 use crate::prelude::*;
 
@@ -49,7 +49,7 @@
         match self.kind {
             CallSurfaceKind::Probes => self.probe(&request.into_parts().0),
             CallSurfaceKind::Callers => {
-                let mut response = forward_run::serve(&self.node, request).await;
+                let mut response = request_service::serve(&self.node, request).await;
                 if self.is_stopping() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -1,9 +1,8 @@
+use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::request;
-use hyper::{Request, Response};
 use rand::RngExt;
 
-use super::body_reader::{self, BodyFault};
 use super::call_surface::{GatewayBody, whole};
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::{GatewayNode, GatewayView};
@@ -12,9 +11,8 @@
 use super::stage_plan::{self, StageResults};
 use super::stream_relay::StreamRelay;
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRun, NotRunReason, PieceBacklog,
-    PlacementQuery, PoolMember, RouteKind, RouteRule, RunLedger, StageQuery, StageVerdict,
-    engine_rank, request_rank,
+    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PieceBacklog, PlacementQuery,
+    PoolMember, RouteKind, RunLedger, StageQuery, StageVerdict, engine_rank,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -35,172 +33,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 const RETRY_SPREAD_MS: u64 = 500;
 
-/// When to come back to an entry that does not know enough yet: other entries
-/// take its callers within about this time.
-const NOT_READY_RETRY: Duration = Duration::from_millis(700);
-
-/// Time that a request waits for the first document of a daemon that has just
-/// been started. After a loss of power everywhere control takes about a second
-/// to find a leader; a caller that is sent away would come back no sooner.
-const FIRST_DOCUMENT_TIME: Duration = Duration::from_millis(1_300);
-
-/// Time for a caller's body, when the route leaves more.
-const BODY_TIME: Duration = Duration::from_secs(5);
-
-/// Serves one request of a caller.
-pub(super) async fn serve(
-    node: &Arc<GatewayNode>,
-    request: Request<Incoming>,
-) -> Response<GatewayBody> {
-    let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
-    node.wait_for_table(FIRST_DOCUMENT_TIME).await;
-    let view = node.view.load_full();
-    let context = match admit(node, &view, &parts, arrived) {
-        Ok(context) => context,
-        Err(refusal) => {
-            let id = node.wire.read_caller(&parts).request_id;
-            return refuse(node, &refusal, &id, "");
-        }
-    };
-    let route = Arc::clone(&context.route);
-    let id = Arc::clone(&context.id);
-    match forward(node, &view, context, parts, body).await {
-        Ok(response) => {
-            let status = response.status();
-            let outcome = match status.is_success() {
-                true => "answered",
-                false => "endpoint_failed",
-            };
-            let time = arrived.elapsed();
-            node.metrics.record_request(&route.name, outcome, time);
-            log_event!(
-                debug,
-                "request_answered",
-                request = id,
-                route = route.name,
-                status = status.as_u16(),
-                ms = time.as_millis()
-            );
-            response
-        }
-        Err(refusal) => {
-            let time = arrived.elapsed();
-            node.metrics
-                .record_request(&route.name, refusal.name(), time);
-            refuse(node, &refusal, &id, &route.name)
-        }
-    }
-}
-
-fn refuse(
-    node: &GatewayNode,
-    refusal: &GatewayRefusal,
-    id: &str,
-    route: &str,
-) -> Response<GatewayBody> {
-    log_event!(
-        info,
-        "request_refused",
-        request = id,
-        route = route,
-        reason = refusal.name(),
-        detail = format!("{refusal:?}")
-    );
-    node.wire.refusal(refusal, id).map(whole)
-}
-
-/// Finds the route and the workspace of a request, and how long it may take.
-fn admit(
-    node: &GatewayNode,
-    view: &GatewayView,
-    parts: &request::Parts,
-    arrived: Instant,
-) -> Result<RequestContext, GatewayRefusal> {
-    let unready = |reason| GatewayRefusal::NotRun {
-        proof: NotRun::unread(),
-        reason,
-        retry_after: NOT_READY_RETRY,
-    };
-    let Some(table) = &view.table else {
-        return Err(unready(NotRunReason::NoDocument));
-    };
-    let head = node.wire.read_caller(parts);
-    if head.request_id.is_empty() {
-        return Err(GatewayRefusal::Malformed("the request has no identity"));
-    }
-    let route = table.find(&head.host, parts.uri.path());
-    let route = route.ok_or(GatewayRefusal::UnknownRoute)?;
-    let mut workspace = None;
-    if table.needs_keys() && !route.is_open {
-        if !node.knows_keys() {
-            return Err(unready(NotRunReason::StaleKeys));
-        }
-        let key = head.key.as_deref().ok_or(GatewayRefusal::BadKey)?;
-        let holder = table.workspace_of(key).ok_or(GatewayRefusal::BadKey)?;
-        workspace = Some(Arc::clone(holder));
-    }
-    let time = head
-        .remaining
-        .map_or(route.timeout, |remaining| remaining.min(route.timeout));
-    let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
-    Ok(RequestContext {
-        id: head.request_id.as_str().into(),
-        pool: route.pool_for(rand::rng().random()).to_string(),
-        workspace: workspace.map(|workspace| workspace.name.clone()),
-        rank: request_rank(rank, route.rank),
-        due: due_time(route, arrived, time),
-        deadline: arrived + time,
-        route: Arc::clone(route),
-        head,
-    })
-}
-
-/// When a request should be answered. A caller that waits for less than the
-/// route allows has most likely used up the rest in an earlier try, and its
-/// objective counts from there.
-fn due_time(route: &RouteRule, arrived: Instant, left: Duration) -> Instant {
-    let used = route.timeout.saturating_sub(left);
-    arrived + route.objective.saturating_sub(used)
-}
-
-async fn forward(
-    node: &Arc<GatewayNode>,
-    view: &GatewayView,
-    context: RequestContext,
-    parts: request::Parts,
-    body: Incoming,
-) -> Result<Response<GatewayBody>, GatewayRefusal> {
-    let not_run = |reason| GatewayRefusal::NotRun {
-        proof: NotRun::unread(),
-        reason,
-        retry_after: retry_after(),
-    };
-    let limits = view.table.as_ref().map(|table| table.limits());
-    let most = limits.unwrap_or_default().body_bytes;
-    let time = context.remaining(Instant::now()).min(BODY_TIME);
-    let body = match body_reader::read(body, most, time).await {
-        Ok(body) => body,
-        Err(BodyFault::TooLarge) => return Err(GatewayRefusal::BodyTooLarge),
-        Err(BodyFault::Late) => return Err(not_run(NotRunReason::BodyLate)),
-        Err(BodyFault::Broken) => return Err(GatewayRefusal::Malformed("the body broke off")),
-    };
-    node.note_first(&context.pool);
-    let mut run = ForwardRun {
-        node: Arc::clone(node),
-        context,
-        parts,
-        body,
-        ledger: RunLedger::default(),
-        results: None,
-        last_answer: None,
-    };
-    run.judge_backlog()?;
-    run.work_on_stages().await?;
-    run.send_until_answered().await
-}
-
-fn retry_after() -> Duration {
+pub(super) fn retry_after() -> Duration {
     RETRY_AFTER + Duration::from_millis(rand::rng().random_range(0..RETRY_SPREAD_MS))
 }
 
@@ -245,6 +78,31 @@
 }
 
 impl ForwardRun {
+    /// A request whose body is there; nothing is sent yet.
+    pub(super) fn new(
+        node: Arc<GatewayNode>,
+        context: RequestContext,
+        parts: request::Parts,
+        body: Bytes,
+    ) -> Self {
+        Self {
+            node,
+            context,
+            parts,
+            body,
+            ledger: RunLedger::default(),
+            results: None,
+            last_answer: None,
+        }
+    }
+
+    /// Has the stages worked on and the request answered by an endpoint.
+    pub(super) async fn serve(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
+        self.judge_backlog()?;
+        self.work_on_stages().await?;
+        self.send_until_answered().await
+    }
+
     fn refuse(&self, reason: NotRunReason) -> GatewayRefusal {
         match self.ledger.not_run() {
             Some(proof) => GatewayRefusal::NotRun {
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -1,6 +1,10 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 
-use super::{LoadReport, PieceProfile, PieceSource, ResultHandle, ResultRoom};
+use super::late_rate::LateRate;
+use super::{
+    LoadReport, PieceBacklog, PieceCall, PieceProfile, PieceWorker, QueuedPiece, ResultHandle,
+    ResultRoom,
+};
 use crate::prelude::*;
 
 /// How long a piece waits for an endpoint in the data centre where its inputs
@@ -17,133 +21,14 @@
 /// about this time.
 const ROOM_PAUSE: Duration = Duration::from_millis(500);
 
-/// Backlog, in time, up to which the rate of late pieces says nothing: it is
-/// worked off before any of them would be refused.
-const SETTLED_WAIT: Duration = Duration::from_millis(500);
-
 /// How long a stage that can't be in time and was not begun waits for time that
 /// is left over. Longer, and the results that it works on expire; its caller
 /// had better come back.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_000);
 
-/// Time over which the rate of late pieces is averaged: some ten calls.
-const LATE_RATE_TIME: Duration = Duration::from_secs(2);
-
 /// Age from which on what an endpoint reported of its load tells nothing.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
 
-/// What all pieces of one stage of one request share.
-#[derive(Debug)]
-pub struct PieceTask {
-    /// Identity of the request.
-    pub request_id: Arc<str>,
-    /// Number of the stage.
-    pub stage: u32,
-    /// Rank of the request; 0 goes first.
-    pub rank: u8,
-    /// When the request should be answered.
-    pub due: Instant,
-    /// When its caller gives up.
-    pub deadline: Instant,
-    /// Time that the request needs after this stage, about.
-    pub tail: Duration,
-    /// What the pieces work on.
-    pub source: PieceSource,
-    /// Size of one result, in bytes, about.
-    pub result_bytes: u64,
-    /// Data centre in which the work is wanted, when much would have to be
-    /// carried to another one.
-    pub near: Option<Arc<str>>,
-    /// Set when nobody waits for the pieces any more.
-    pub abandoned: AtomicBool,
-    /// Set once the first piece has been put into a call.
-    pub begun: AtomicBool,
-}
-
-/// One piece that waits for a call.
-#[derive(Clone, Debug)]
-pub struct QueuedPiece {
-    /// Its stage and request.
-    pub task: Arc<PieceTask>,
-    /// Number of the piece.
-    pub piece: u32,
-    /// When it was queued first.
-    pub queued: Instant,
-    /// How often it was sent in vain.
-    pub failures: u32,
-}
-
-/// What waits for a pool.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PieceBacklog {
-    /// Pieces that can still be in time, by rank.
-    pub timely: Vec<u32>,
-    /// Pieces that can't be in time any more.
-    pub late: u32,
-    /// Pieces that the pool makes in a second, when calls are full.
-    pub pieces_per_second: u32,
-    /// Late pieces that it has made in a second lately.
-    pub late_per_second: u32,
-}
-
-impl PieceBacklog {
-    /// How long a piece of `rank` that can be in time waits, about.
-    pub fn wait(&self, rank: u8) -> Duration {
-        let before = self.timely.iter().take(usize::from(rank) + 1);
-        self.time_for(before.sum())
-    }
-
-    /// How long a piece that can't be in time waits, about. It gets what the
-    /// timely ones leave; that is known once there is a backlog of late ones,
-    /// and until then all that the pool makes beyond the timely backlog.
-    pub fn late_wait(&self) -> Duration {
-        let timely: u32 = self.timely.iter().sum();
-        let soon = self.time_for(timely + self.late);
-        if soon < SETTLED_WAIT {
-            return soon;
-        }
-        let rate = f64::from(self.late_per_second.max(1));
-        soon.max(Duration::from_secs_f64(f64::from(self.late) / rate))
-    }
-
-    /// Counts pieces that are about to be queued.
-    pub fn add(&mut self, rank: u8, pieces: u32) {
-        let rank = usize::from(rank);
-        if self.timely.len() <= rank {
-            self.timely.resize(rank + 1, 0);
-        }
-        self.timely[rank] += pieces;
-    }
-
-    fn time_for(&self, pieces: u32) -> Duration {
-        if self.pieces_per_second == 0 {
-            return Duration::ZERO;
-        }
-        let rate = f64::from(self.pieces_per_second);
-        Duration::from_secs_f64(f64::from(pieces) / rate)
-    }
-}
-
-/// A call that is to be made.
-#[derive(Clone, Debug)]
-pub struct PieceCall {
-    /// The endpoint.
-    pub endpoint: Arc<str>,
-    /// The pieces, in order.
-    pub pieces: Vec<QueuedPiece>,
-}
-
-/// An endpoint that may get a call.
-#[derive(Clone, Debug)]
-pub struct PieceWorker<'a> {
-    /// Identity of its incarnation.
-    pub endpoint: &'a str,
-    /// Where it stands.
-    pub data_center: &'a str,
-    /// Its latency in units of its pool's; dearer ones come last.
-    pub cost: f64,
-}
-
 /// Gathers the pieces of many requests into calls, for one pool.
 ///
 /// A call costs nearly as much for one piece as for ten. While every endpoint
@@ -167,32 +52,6 @@
     late_rate: LateRate,
 }
 
-/// How many late pieces go into calls, averaged with a memory that fades.
-#[derive(Clone, Copy, Debug, Default)]
-struct LateRate {
-    sum: f64,
-    at: Option<Instant>,
-}
-
-impl LateRate {
-    fn note(&mut self, now: Instant, pieces: usize) {
-        self.sum = self.faded(now) + pieces as f64;
-        self.at = Some(now);
-    }
-
-    fn per_second(&self, now: Instant) -> f64 {
-        self.faded(now) / LATE_RATE_TIME.as_secs_f64()
-    }
-
-    fn faded(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        self.sum * (-age / LATE_RATE_TIME.as_secs_f64()).exp()
-    }
-}
-
 /// Places in the next calls of each data centre's endpoints. Pieces beyond them
 /// need not wait for an endpoint that is near: another one that is free would
 /// stand idle while the near ones have more than they can take.
@@ -257,33 +116,6 @@
     reported: Option<Instant>,
 }
 
-impl PieceTask {
-    /// Notes that nobody waits any more.
-    pub fn abandon(&self) {
-        self.abandoned.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the request can be in time when a call of `call_time` begins now.
-    fn is_timely(&self, now: Instant, call_time: Duration) -> bool {
-        now + call_time + self.tail <= self.due
-    }
-
-    fn has_inputs(&self) -> bool {
-        match self.source {
-            PieceSource::Key(_) => false,
-            PieceSource::Inputs(_) => true,
-        }
-    }
-
-    fn is_begun(&self) -> bool {
-        self.begun.load(Ordering::Relaxed)
-    }
-
-    fn is_abandoned(&self) -> bool {
-        self.abandoned.load(Ordering::Relaxed)
-    }
-}
-
 impl PieceQueue {
     /// Queues one piece.
     pub fn push(&mut self, piece: QueuedPiece) {
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -1,4 +1,8 @@
+use std::sync::atomic::AtomicBool;
+
 use super::*;
+use crate::gateway::late_rate::LATE_RATE_TIME;
+use crate::gateway::{PieceSource, PieceTask};
 
 fn profile() -> PieceProfile {
     PieceProfile {
--- /dev/null
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -0,0 +1,65 @@
+use hyper::http::request;
+use rand::RngExt;
+
+use super::gateway_node::{GatewayNode, GatewayView};
+use super::request_context::RequestContext;
+use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, request_rank};
+use crate::prelude::*;
+
+/// When to come back to an entry that does not know enough yet: other entries
+/// take its callers within about this time.
+const NOT_READY_RETRY: Duration = Duration::from_millis(700);
+
+/// Finds the route and the workspace of a request, and how long it may take.
+pub(super) fn admit(
+    node: &GatewayNode,
+    view: &GatewayView,
+    parts: &request::Parts,
+    arrived: Instant,
+) -> Result<RequestContext, GatewayRefusal> {
+    let unready = |reason| GatewayRefusal::NotRun {
+        proof: NotRun::unread(),
+        reason,
+        retry_after: NOT_READY_RETRY,
+    };
+    let Some(table) = &view.table else {
+        return Err(unready(NotRunReason::NoDocument));
+    };
+    let head = node.wire.read_caller(parts);
+    if head.request_id.is_empty() {
+        return Err(GatewayRefusal::Malformed("the request has no identity"));
+    }
+    let route = table.find(&head.host, parts.uri.path());
+    let route = route.ok_or(GatewayRefusal::UnknownRoute)?;
+    let mut workspace = None;
+    if table.needs_keys() && !route.is_open {
+        if !node.knows_keys() {
+            return Err(unready(NotRunReason::StaleKeys));
+        }
+        let key = head.key.as_deref().ok_or(GatewayRefusal::BadKey)?;
+        let holder = table.workspace_of(key).ok_or(GatewayRefusal::BadKey)?;
+        workspace = Some(Arc::clone(holder));
+    }
+    let time = head
+        .remaining
+        .map_or(route.timeout, |remaining| remaining.min(route.timeout));
+    let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
+    Ok(RequestContext {
+        id: head.request_id.as_str().into(),
+        pool: route.pool_for(rand::rng().random()).to_string(),
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+        rank: request_rank(rank, route.rank),
+        due: due_time(route, arrived, time),
+        deadline: arrived + time,
+        route: Arc::clone(route),
+        head,
+    })
+}
+
+/// When a request should be answered. A caller that waits for less than the
+/// route allows has most likely used up the rest in an earlier try, and its
+/// objective counts from there.
+fn due_time(route: &RouteRule, arrived: Instant, left: Duration) -> Instant {
+    let used = route.timeout.saturating_sub(left);
+    arrived + route.objective.saturating_sub(used)
+}
--- a/crates/savorywalk/src/gateway/stage_plan.rs
+++ b/crates/savorywalk/src/gateway/stage_plan.rs
@@ -4,8 +4,8 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_board::BoardKey;
 use super::request_context::RequestContext;
+use super::stage_order::{MadeStage, StageOrder, StageStop};
 use super::stage_progress::{LARGE_RESULT_BYTES, StageProgress, StageStart};
-use super::work_exchange::{MadeStage, StageOrder, StageStop};
 use super::{NotRunReason, PieceSource, ResultHandle, StageForecast};
 use crate::prelude::*;
 
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -7,7 +7,8 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_board::{BoardKey, PieceVerdict};
 use super::stable_hash::stable_hash;
-use super::{PieceBacklog, PieceSource, PieceTask, ResultHandle};
+use super::stage_order::{MadeStage, StageOrder, StageStop};
+use super::{PieceBacklog, PieceTask, ResultHandle};
 use crate::generated::work::{PoolBacklog, ReleaseNotice, StageCall, StageEnd, StageReply};
 use crate::prelude::*;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
@@ -36,45 +37,12 @@
 /// Entries tried for one stage before this one gathers for itself alone.
 const MAX_GATHERERS: usize = 2;
 
-/// All pieces of one stage of one request.
-#[derive(Clone, Debug)]
-pub(super) struct StageOrder {
-    pub(super) request_id: Arc<str>,
-    pub(super) stage: u32,
-    pub(super) pool: String,
-    pub(super) pieces: u32,
-    pub(super) rank: u8,
-    pub(super) due: Instant,
-    pub(super) deadline: Instant,
-    pub(super) source: PieceSource,
-    pub(super) result_bytes: u64,
-    pub(super) near: Option<Arc<str>>,
-    /// Time that the request needs after this stage, about.
-    pub(super) tail: Duration,
-}
-
 impl StageOrder {
     fn key(&self, view: &GatewayView) -> BoardKey {
         key_for(view, &self.pool, &self.request_id, self.near.as_deref())
     }
 }
 
-/// Results of a stage, and where they were gathered.
-#[derive(Clone, Debug)]
-pub(super) struct MadeStage {
-    pub(super) key: BoardKey,
-    pub(super) handles: Arc<[ResultHandle]>,
-}
-
-/// Why a stage came to nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StageStop {
-    Late,
-    Overload,
-    InputGone,
-    Failed,
-}
-
 /// Sends the pieces of all entries for one pool to one of them, which fills
 /// calls with them. A call takes nearly as long for one piece as for ten, so
 /// entries that call on their own use up the pool with calls that are nearly
@@ -253,7 +221,7 @@
     ) -> Result<Result<Arc<[ResultHandle]>, StageStop>, String> {
         let now = Instant::now();
         let left = order.deadline.saturating_duration_since(now);
-        let call = call_of(now, key, order);
+        let call = order.to_call(now, key);
         let payload = call.encode_to_vec().into();
         let channel = LinkChannel::Work;
         let answer = self
@@ -300,7 +268,7 @@
         reply.answer(StageReply::default().encode_to_vec().into());
         return;
     }
-    let (key, order) = order_of(Instant::now(), call);
+    let (key, order) = StageOrder::from_call(Instant::now(), call);
     let outcome = tokio::select! {
         outcome = work_here(node, &key, order) => outcome,
         () = reply.abandoned() => return,
@@ -441,69 +409,6 @@
     ])
 }
 
-fn call_of(now: Instant, key: &BoardKey, order: &StageOrder) -> StageCall {
-    let due_ms = match order.due.checked_duration_since(now) {
-        Some(left) => left.as_millis() as i32,
-        None => -((now - order.due).as_millis() as i32),
-    };
-    let deadline = order.deadline.saturating_duration_since(now);
-    let (work_key, inputs) = match &order.source {
-        PieceSource::Key(key) => (key.to_string(), Vec::new()),
-        PieceSource::Inputs(inputs) => {
-            let inputs = inputs.iter().map(|handle| handle.0.to_string());
-            (String::new(), inputs.collect())
-        }
-    };
-    StageCall {
-        request_id: order.request_id.to_string(),
-        stage: order.stage,
-        pool: key.pool.clone(),
-        shard: key.shard.clone().unwrap_or_default(),
-        pieces: order.pieces,
-        rank: order.rank.into(),
-        due_ms,
-        deadline_ms: deadline.as_millis() as u32,
-        key: work_key,
-        inputs,
-        near: order.near.as_deref().unwrap_or_default().to_string(),
-        result_bytes: order.result_bytes,
-        tail_ms: order.tail.as_millis() as u32,
-    }
-}
-
-fn order_of(now: Instant, call: StageCall) -> (BoardKey, StageOrder) {
-    let late = Duration::from_millis(u64::from(call.due_ms.min(0).unsigned_abs()));
-    let left = Duration::from_millis(u64::from(call.due_ms.max(0).unsigned_abs()));
-    let due = now.checked_sub(late).unwrap_or(now) + left;
-    let source = match call.key.is_empty() {
-        true => PieceSource::Inputs(
-            call.inputs
-                .into_iter()
-                .map(|handle| ResultHandle(handle.into()))
-                .collect(),
-        ),
-        false => PieceSource::Key(call.key.into()),
-    };
-    let key = BoardKey {
-        pool: call.pool.clone(),
-        shard: (!call.shard.is_empty()).then_some(call.shard),
-    };
-    let order = StageOrder {
-        request_id: call.request_id.into(),
-        stage: call.stage,
-        pool: call.pool,
-        pieces: call.pieces,
-        rank: call.rank.min(u8::MAX.into()) as u8,
-        due,
-        deadline: now + Duration::from_millis(call.deadline_ms.into()),
-        source,
-        result_bytes: call.result_bytes,
-        near: (!call.near.is_empty()).then(|| call.near.into()),
-        tail: Duration::from_millis(call.tail_ms.into()),
-    };
-    (key, order)
-}
-
 #[cfg(test)]
 #[path = "work_exchange_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -5,12 +5,14 @@
 mod boot_clock;
 mod confirm_gate;
 mod entry_follower;
+mod follow_service;
 mod follow_state;
 mod follower_list;
 mod member_ring;
 mod registry_error;
 mod registry_node;
 mod registry_table;
+mod report_exchange;
 mod report_outbox;
 mod voter_keeper;
 
--- a/crates/savorywalk/src/telemetry/request_story.rs
+++ b/crates/savorywalk/src/telemetry/request_story.rs
@@ -1,5 +1,3 @@
-use crate::prelude::*;
-
 /// Events that touch a request, with what each of them says. The catalogue of
 /// `savorywalk explain`; docs/OPERATIONS.md leads from an id to a cause.
 pub const REQUEST_EVENTS: [(&str, &str); 14] = [
--- a/crates/savorywalk/src/telemetry/request_story_tests.rs
+++ b/crates/savorywalk/src/telemetry/request_story_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::prelude::*;
 
 const FIRST: &str = "\
 time=2026-05-24T21:54:00.599Z level=info event=stages_done request=r1 ms=593
