--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
 pub use piece_backlog::PieceBacklog;
 pub use piece_queue::PieceQueue;
-pub use piece_task::{PieceCall, PieceTask, PieceWorker, QueuedPiece};
+pub use piece_task::{PieceCall, PieceTarget, PieceTask, QueuedPiece};
 pub use registry_daemon::RegistryDaemon;
 pub use request_rank::{engine_rank, request_rank};
 pub use result_room::ResultRoom;
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -5,7 +5,7 @@
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_call::{self, CallResult};
 use super::{
-    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTask, PieceWorker,
+    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask,
     QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
@@ -150,8 +150,8 @@
             return PieceBacklog::default();
         };
         let now = Instant::now();
-        let workers = self.workers(now, &view).len();
-        self.state().queue.backlog(now, &profile, workers)
+        let targets = self.targets(now, &view).len();
+        self.state().queue.backlog(now, &profile, targets)
     }
 
     fn state(&self) -> MutexGuard<'_, BoardState> {
@@ -185,13 +185,13 @@
         for piece in hopeless {
             self.tell(&piece, PieceVerdict::Overload);
         }
-        let workers = self.workers(now, &view);
+        let targets = self.targets(now, &view);
         let calls = {
             let mut state = self.state();
             state
                 .queue
                 .retain_endpoints(|endpoint| view.roster.has(&self.pool, endpoint));
-            state.queue.next_calls(now, &profile, &workers)
+            state.queue.next_calls(now, &profile, &targets)
         };
         for call in calls {
             let board = Arc::clone(self);
@@ -204,26 +204,26 @@
     }
 
     /// The endpoints in use; those that are ill only when there is no other.
-    fn workers<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceWorker<'a>> {
+    fn targets<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceTarget<'a>> {
         let members = view.roster.pool(&self.pool).iter();
         let members = members.filter(|member| {
             let shard = self.shard.as_deref();
             shard.is_none_or(|shard| shard == member.data_center())
         });
-        let mut workers: Vec<PieceWorker<'_>> = members
+        let mut targets: Vec<PieceTarget<'_>> = members
             .map(|member| {
                 let cost = self.node.scores.cost(now, &self.pool, member);
-                PieceWorker {
+                PieceTarget {
                     endpoint: member.endpoint(),
                     data_center: member.data_center(),
                     cost: cost.factor + cost.surcharge,
                 }
             })
             .collect();
-        if workers.iter().any(|worker| worker.cost < LAST_RESORT) {
-            workers.retain(|worker| worker.cost < LAST_RESORT);
+        if targets.iter().any(|target| target.cost < LAST_RESORT) {
+            targets.retain(|target| target.cost < LAST_RESORT);
         }
-        workers
+        targets
     }
 
     async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -2,7 +2,7 @@
 
 use super::late_rate::LateRate;
 use super::{
-    LoadReport, PieceBacklog, PieceCall, PieceProfile, PieceWorker, QueuedPiece, ResultHandle,
+    LoadReport, PieceBacklog, PieceCall, PieceProfile, PieceTarget, QueuedPiece, ResultHandle,
     ResultRoom,
 };
 use crate::prelude::*;
@@ -61,10 +61,10 @@
 }
 
 impl<'a> NearPlaces<'a> {
-    fn new(profile: &PieceProfile, workers: &[PieceWorker<'a>]) -> Self {
+    fn new(profile: &PieceProfile, targets: &[PieceTarget<'a>]) -> Self {
         let mut left: Vec<(&str, u32)> = Vec::new();
-        for worker in workers {
-            let place = worker.data_center;
+        for target in targets {
+            let place = target.data_center;
             match left.iter_mut().find(|(name, _)| *name == place) {
                 Some((_, places)) => *places += profile.batch,
                 None => left.push((place, profile.batch)),
@@ -139,13 +139,13 @@
     }
 
     /// What waits, for entries that decide whether to begin more.
-    pub fn backlog(&self, now: Instant, profile: &PieceProfile, workers: usize) -> PieceBacklog {
+    pub fn backlog(&self, now: Instant, profile: &PieceProfile, targets: usize) -> PieceBacklog {
         let call_time = profile.call_duration(profile.batch);
         let per_call = f64::from(profile.batch) / call_time.as_secs_f64().max(0.001);
         let mut backlog = PieceBacklog {
             timely: Vec::new(),
             late: 0,
-            pieces_per_second: (per_call * workers as f64) as u32,
+            pieces_per_second: (per_call * targets as f64) as u32,
             late_per_second: self.late_rate.per_second(now) as u32,
         };
         for piece in self.waiting.values() {
@@ -199,23 +199,23 @@
         &mut self,
         now: Instant,
         profile: &PieceProfile,
-        workers: &[PieceWorker<'_>],
+        targets: &[PieceTarget<'_>],
     ) -> Vec<PieceCall> {
-        let mut free: Vec<&PieceWorker<'_>> = workers
+        let mut free: Vec<&PieceTarget<'_>> = targets
             .iter()
-            .filter(|worker| self.is_free(now, worker.endpoint))
+            .filter(|target| self.is_free(now, target.endpoint))
             .collect();
         free.sort_by(|left, right| left.cost.total_cmp(&right.cost));
         let mut calls = Vec::new();
-        for worker in free {
+        for target in free {
             if self.waiting.is_empty() {
                 break;
             }
-            let pieces = self.gather(now, profile, worker, workers);
+            let pieces = self.gather(now, profile, target, targets);
             if pieces.is_empty() {
                 continue;
             }
-            let endpoint: Arc<str> = worker.endpoint.into();
+            let endpoint: Arc<str> = target.endpoint.into();
             self.room.reserve(&endpoint, result_bytes(&pieces));
             let view = self.endpoints.entry(Arc::clone(&endpoint)).or_default();
             view.own_calls += 1;
@@ -316,18 +316,18 @@
         &mut self,
         now: Instant,
         profile: &PieceProfile,
-        worker: &PieceWorker<'_>,
-        workers: &[PieceWorker<'_>],
+        target: &PieceTarget<'_>,
+        targets: &[PieceTarget<'_>],
     ) -> Vec<QueuedPiece> {
         self.room.expire(now);
-        let mut free = self.room.free(worker.endpoint, profile.room_bytes);
+        let mut free = self.room.free(target.endpoint, profile.room_bytes);
         let call_time = profile.call_duration(profile.batch);
-        let mut near_places = NearPlaces::new(profile, workers);
+        let mut near_places = NearPlaces::new(profile, targets);
         let mut candidates: Vec<(PieceOrderKey, PieceKey)> = Vec::new();
         for (key, piece) in &self.waiting {
             let task = &piece.task;
             let is_far = match &task.near {
-                Some(near) => &**near != worker.data_center,
+                Some(near) => &**near != target.data_center,
                 None => false,
             };
             if task.is_abandoned() {
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -16,8 +16,8 @@
     }
 }
 
-fn worker(endpoint: &'static str, data_center: &'static str) -> PieceWorker<'static> {
-    PieceWorker {
+fn target(endpoint: &'static str, data_center: &'static str) -> PieceTarget<'static> {
+    PieceTarget {
         endpoint,
         data_center,
         cost: 1.0,
@@ -63,7 +63,7 @@
     push(&mut queue, now, &task(now, "late", 1, 900), 2);
     push(&mut queue, now, &task(now, "soon", 1, 400), 1);
     push(&mut queue, now, &task(now, "first", 0, 999), 2);
-    let calls = queue.next_calls(now, &profile(), &[worker("a", "x")]);
+    let calls = queue.next_calls(now, &profile(), &[target("a", "x")]);
     assert_eq!(calls.len(), 1);
     assert_eq!(names(&calls[0]), ["first", "first", "soon", "late"]);
     assert_eq!(queue.len(), 1);
@@ -73,15 +73,15 @@
 fn pieces_gather_while_the_only_endpoint_works() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     for name in ["two", "three", "four"] {
         push(&mut queue, now, &task(now, name, 1, 100), 1);
-        assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+        assert!(queue.next_calls(now, &profile(), &targets).is_empty());
     }
     queue.finish(now, &profile(), &call, None);
-    let calls = queue.next_calls(now, &profile(), &workers);
+    let calls = queue.next_calls(now, &profile(), &targets);
     assert_eq!(calls[0].pieces.len(), 3);
 }
 
@@ -89,19 +89,19 @@
 fn an_endpoint_where_others_wait_gets_nothing_until_its_queue_has_moved() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     let load = LoadReport {
         running: 1,
         waiting: 1,
     };
     queue.finish(now, &profile(), &call, Some(load));
     push(&mut queue, now, &task(now, "two", 1, 100), 1);
-    assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+    assert!(queue.next_calls(now, &profile(), &targets).is_empty());
     let due = queue.next_due(now).unwrap();
     assert_eq!(due, now + profile().call_duration(2));
-    assert_eq!(queue.next_calls(due, &profile(), &workers).len(), 1);
+    assert_eq!(queue.next_calls(due, &profile(), &targets).len(), 1);
 }
 
 #[test]
@@ -111,15 +111,15 @@
     let mut far = task(now, "far", 1, 100);
     Arc::get_mut(&mut far).unwrap().near = Some("y".into());
     push(&mut queue, now, &far, 1);
-    let workers = [worker("a", "x"), worker("b", "y")];
+    let targets = [target("a", "x"), target("b", "y")];
     let mut busy = task(now, "busy", 0, 100);
     Arc::get_mut(&mut busy).unwrap().near = Some("y".into());
     push(&mut queue, now, &busy, 1);
-    assert_eq!(queue.next_calls(now, &profile(), &workers).len(), 1);
+    assert_eq!(queue.next_calls(now, &profile(), &targets).len(), 1);
     push(&mut queue, now, &far, 1);
-    assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+    assert!(queue.next_calls(now, &profile(), &targets).is_empty());
     assert_eq!(queue.next_due(now), Some(now + NEAR_WAIT));
-    let calls = queue.next_calls(now + NEAR_WAIT, &profile(), &workers);
+    let calls = queue.next_calls(now + NEAR_WAIT, &profile(), &targets);
     assert_eq!(calls.len(), 1);
 }
 
@@ -140,17 +140,17 @@
 fn an_endpoint_that_refused_is_left_alone_for_a_moment() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     push(&mut queue, now, &task(now, "one", 1, 100), 1);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     queue.finish(now, &profile(), &call, None);
     queue.deny(now, "a");
     for piece in call.pieces {
         queue.push(piece);
     }
-    assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+    assert!(queue.next_calls(now, &profile(), &targets).is_empty());
     let later = now + DENIED_PAUSE;
-    assert_eq!(queue.next_calls(later, &profile(), &workers).len(), 1);
+    assert_eq!(queue.next_calls(later, &profile(), &targets).len(), 1);
 }
 
 /// Seen on asist-kosice quiet-1: 1,528 of 11,257 pieces found no room, and
@@ -159,12 +159,12 @@
 fn pieces_wait_here_until_there_is_room_for_their_results() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     let mut large = task(now, "large", 1, 800);
     Arc::get_mut(&mut large).unwrap().result_bytes = 400_000;
     push(&mut queue, now, &large, 4);
     push(&mut queue, now, &task(now, "small", 1, 900), 1);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["large", "large", "small"]);
     queue.finish(now, &profile(), &call, None);
     let endpoint: Arc<str> = "a".into();
@@ -172,10 +172,10 @@
         let handle = ResultHandle(name.into());
         queue.keep(now, &profile(), &endpoint, handle, 400_000);
     }
-    assert!(queue.next_calls(now, &profile(), &workers).is_empty());
+    assert!(queue.next_calls(now, &profile(), &targets).is_empty());
     assert_eq!(queue.next_due(now), Some(now + profile().result_life));
     queue.release(&ResultHandle("r1".into()));
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["large"]);
 }
 
@@ -186,10 +186,10 @@
 fn what_can_be_in_time_goes_before_what_is_late_already() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     push(&mut queue, now, &task(now, "late", 0, 150), 1);
     push(&mut queue, now, &task(now, "timely", 1, 800), 3);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["timely", "timely", "timely", "late"]);
 }
 
@@ -201,7 +201,7 @@
     Arc::get_mut(&mut long).unwrap().tail = Duration::from_millis(600);
     push(&mut queue, now, &long, 3);
     push(&mut queue, now, &task(now, "short", 1, 800), 1);
-    let call = queue.next_calls(now, &profile(), &[worker("a", "x")]);
+    let call = queue.next_calls(now, &profile(), &[target("a", "x")]);
     assert_eq!(names(&call[0]), ["short", "long", "long", "long"]);
 }
 
@@ -213,7 +213,7 @@
     let mut held = task(now, "held", 1, 20);
     Arc::get_mut(&mut held).unwrap().source = PieceSource::Inputs(Arc::default());
     push(&mut queue, now, &held, 2);
-    let call = queue.next_calls(now, &profile(), &[worker("a", "x")]);
+    let call = queue.next_calls(now, &profile(), &[target("a", "x")]);
     assert_eq!(names(&call[0]), ["held", "held", "new", "new"]);
 }
 
@@ -244,7 +244,7 @@
     push(&mut queue, now, &far, 3);
     push(&mut queue, now, &near, 2);
     let later = now + NEAR_WAIT;
-    let call = queue.next_calls(later, &profile(), &[worker("a", "x")]);
+    let call = queue.next_calls(later, &profile(), &[target("a", "x")]);
     assert_eq!(names(&call[0]), ["near", "near", "far", "far"]);
 }
 
@@ -257,8 +257,8 @@
     let mut far = task(now, "far", 0, 900);
     Arc::get_mut(&mut far).unwrap().near = Some("y".into());
     push(&mut queue, now, &far, 7);
-    let workers = [worker("a", "x"), worker("b", "y")];
-    let calls = queue.next_calls(now, &profile(), &workers);
+    let targets = [target("a", "x"), target("b", "y")];
+    let calls = queue.next_calls(now, &profile(), &targets);
     let sizes: Vec<usize> = calls.iter().map(|call| call.pieces.len()).collect();
     assert_eq!(sizes, [3, 4]);
 }
@@ -271,12 +271,12 @@
     let now = Instant::now();
     let mut queue = PieceQueue::default();
     push(&mut queue, now, &task(now, "begun", 1, 250), 6);
-    let workers = [worker("a", "x")];
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let targets = [target("a", "x")];
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     queue.finish(now, &profile(), &call, None);
     let later = now + Duration::from_millis(200);
     push(&mut queue, later, &task(later, "new", 0, 900), 4);
-    let call = queue.next_calls(later, &profile(), &workers).remove(0);
+    let call = queue.next_calls(later, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["begun", "begun", "new", "new"]);
 }
 
@@ -316,7 +316,7 @@
     let now = Instant::now();
     let mut queue = PieceQueue::default();
     push(&mut queue, now, &task(now, "late", 0, 10), 4);
-    queue.next_calls(now, &profile(), &[worker("a", "x")]);
+    queue.next_calls(now, &profile(), &[target("a", "x")]);
     assert_eq!(queue.backlog(now, &profile(), 1).late_per_second, 2);
     let later = now + LATE_RATE_TIME * 3;
     assert_eq!(queue.backlog(later, &profile(), 1).late_per_second, 0);
@@ -330,13 +330,13 @@
 fn a_late_stage_is_begun_as_a_whole_or_not_at_all() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
-    let workers = [worker("a", "x")];
+    let targets = [target("a", "x")];
     push(&mut queue, now, &task(now, "late", 0, 10), 3);
     push(&mut queue, now, &task(now, "timely", 1, 800), 2);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["timely", "timely"]);
     queue.finish(now, &profile(), &call, None);
     push(&mut queue, now, &task(now, "large", 0, 5), 6);
-    let call = queue.next_calls(now, &profile(), &workers).remove(0);
+    let call = queue.next_calls(now, &profile(), &targets).remove(0);
     assert_eq!(names(&call), ["large", "large", "large", "large"]);
 }
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -55,7 +55,7 @@
 
 /// An endpoint that may get a call.
 #[derive(Clone, Debug)]
-pub struct PieceWorker<'a> {
+pub struct PieceTarget<'a> {
     /// Identity of its incarnation.
     pub endpoint: &'a str,
     /// Where it stands.
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -281,7 +281,13 @@
             query: Some(ControlQuestion::Status(StatusQuery {})),
         };
         let round = async {
-            let response = self.ask_leader(Call::Query(query)).await.ok()?;
+            let response = match self.ask_leader(Call::Query(query)).await {
+                Ok(response) => response,
+                Err(error) => {
+                    log_event!(debug, "round_not_held", reason = error);
+                    return None;
+                }
+            };
             let Response::Reply(reply) = response else {
                 return None;
             };
--- a/crates/savorywalk/src/telemetry/log_pipe.rs
+++ b/crates/savorywalk/src/telemetry/log_pipe.rs
@@ -60,18 +60,18 @@
 #[derive(Debug)]
 pub(super) struct LogPipe {
     lines: SyncSender<Vec<u8>>,
-    allowance: Mutex<LineAllowance>,
+    quota: Mutex<LineQuota>,
     dropped: AtomicU64,
 }
 
 /// Lines that may be written, which grow back with time.
 #[derive(Debug)]
-struct LineAllowance {
+struct LineQuota {
     left: u64,
     refilled: Instant,
 }
 
-impl LineAllowance {
+impl LineQuota {
     fn take(&mut self, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.refilled);
         let earned = (elapsed.as_secs_f64() * LINES_PER_SECOND as f64) as u64;
@@ -93,7 +93,7 @@
         thread::Builder::new().name("log".into()).spawn(write)?;
         Ok(Self {
             lines,
-            allowance: Mutex::new(LineAllowance {
+            quota: Mutex::new(LineQuota {
                 left: LINES_PER_SECOND * BURST_SECONDS,
                 refilled: Instant::now(),
             }),
@@ -103,12 +103,9 @@
 
     /// Queues one line, or counts it as dropped.
     fn push(&self, now: Instant, line: &[u8]) {
-        let mut allowance = self
-            .allowance
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let is_allowed = allowance.take(now);
-        drop(allowance);
+        let mut quota = self.quota.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_allowed = quota.take(now);
+        drop(quota);
         if !is_allowed {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
