--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -393,9 +393,9 @@
                     "another incarnation",
                 );
             }
-            return Ok(match parts.status {
-                hyper::StatusCode::CONFLICT => AttemptEnd::InputsGone,
-                _ => AttemptEnd::Denied,
+            return Ok(match head.inputs_gone {
+                true => AttemptEnd::InputsGone,
+                false => AttemptEnd::Denied,
             });
         }
         let is_ours = head.request_id.as_deref() == Some(&*self.context.id);
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -173,6 +173,8 @@
     pub is_signed: bool,
     /// Whether another incarnation took the request and did not run it.
     pub is_other_incarnation: bool,
+    /// Whether it has not run it because results of stages are gone.
+    pub inputs_gone: bool,
     /// Load that it reports.
     pub load: Option<LoadReport>,
 }
