--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -6,13 +6,13 @@
 use super::call_surface::{GatewayBody, whole};
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::{GatewayNode, GatewayView};
+use super::plan_order::PlanOrder;
+use super::plan_results::{PlanResults, StageStop};
 use super::request_context::RequestContext;
-use super::stage_admission;
-use super::stage_plan::{self, StageResults};
 use super::stream_relay::StreamRelay;
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PieceBacklog, PlacementQuery,
-    PoolMember, RouteKind, RunLedger, StageQuery, StageVerdict, engine_rank,
+    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PlacementQuery, PoolMember,
+    RouteKind, RunLedger, engine_rank,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -37,6 +37,13 @@
     RETRY_AFTER + Duration::from_millis(rand::rng().random_range(0..RETRY_SPREAD_MS))
 }
 
+/// A time somewhat before `retry_after`, so that callers that were refused
+/// together do not come back together.
+fn spread(retry_after: Duration) -> Duration {
+    let half = retry_after / 2;
+    half + Duration::from_millis(rand::rng().random_range(0..=half.as_millis() as u64))
+}
+
 /// One request on its way to an endpoint.
 #[derive(Debug)]
 pub(super) struct ForwardRun {
@@ -45,7 +52,7 @@
     parts: request::Parts,
     body: Bytes,
     pub(super) ledger: RunLedger,
-    results: Option<StageResults>,
+    results: Option<PlanResults>,
     /// Answer of an endpoint that failed, for when no other does better.
     last_answer: Option<Response<Bytes>>,
 }
@@ -98,7 +105,6 @@
 
     /// Has the stages worked on and the request answered by an endpoint.
     pub(super) async fn serve(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
-        self.judge_backlog()?;
         self.work_on_stages().await?;
         self.send_until_answered().await
     }
@@ -127,64 +133,6 @@
         scores.place(Instant::now(), pool, members, query).cloned()
     }
 
-    /// Refuses a request that would only wait for its stages.
-    fn judge_backlog(&self) -> Result<(), GatewayRefusal> {
-        let route = &self.context.route;
-        let view = self.node.view.load_full();
-        let (false, Some(table)) = (route.stages.is_empty(), &view.table) else {
-            return Ok(());
-        };
-        let now = Instant::now();
-        let stages = route.stages.iter();
-        let backlogs: Vec<PieceBacklog> = stages
-            .map(|stage| {
-                let exchange = &self.node.exchange;
-                exchange.backlog(&self.node, &stage.pool, &self.context.id, None)
-            })
-            .collect();
-        let query = StageQuery {
-            table,
-            route,
-            pieces: &self.context.head.piece_counts,
-            rank: self.context.rank,
-            due: self.context.due.saturating_duration_since(now),
-            left: self.context.remaining(now),
-        };
-        match stage_admission::judge(query, &backlogs) {
-            StageVerdict::Timely => {
-                self.expect_pieces();
-                Ok(())
-            }
-            StageVerdict::Late => {
-                log_event!(info, "request_begun_late", request = self.context.id);
-                Ok(())
-            }
-            StageVerdict::Refused { retry_after } => {
-                let Some(proof) = self.ledger.not_run() else {
-                    return Err(self.refuse(NotRunReason::Overload));
-                };
-                let spread = rand::rng().random_range(0..=retry_after.as_millis() as u64 / 2);
-                Err(GatewayRefusal::NotRun {
-                    proof,
-                    reason: NotRunReason::Overload,
-                    retry_after: retry_after / 2 + Duration::from_millis(spread),
-                })
-            }
-        }
-    }
-
-    /// Counts the pieces that this request will bring, so that those who come
-    /// next are judged with them.
-    fn expect_pieces(&self) {
-        let context = &self.context;
-        let counts = context.head.piece_counts.iter();
-        for (stage, pieces) in context.route.stages.iter().zip(counts) {
-            let more = (context.rank, *pieces);
-            let exchange = &self.node.exchange;
-            exchange.expect(&self.node, &stage.pool, &context.id, more);
-        }
-    }
-
     /// Has the stages worked on near the endpoint that will probably get the
     /// request.
     pub(super) async fn work_on_stages(&mut self) -> Result<(), GatewayRefusal> {
@@ -196,30 +144,49 @@
         let Some(planned) = self.pick(&view) else {
             return Err(self.refuse(NotRunReason::NoEndpoint));
         };
+        let order = self.plan_order(planned.data_center());
         let remaining = self.context.remaining(Instant::now());
-        let near = planned.data_center();
-        let began = Instant::now();
-        let working = stage_plan::run(&self.node, &self.context, near);
+        let working = self.node.exchange.work_on(&self.node, order);
         match tokio::time::timeout(remaining, working).await {
             Ok(Ok(results)) => {
-                log_event!(
-                    info,
-                    "stages_done",
-                    request = self.context.id,
-                    route = self.context.route.name,
-                    pieces = format!("{:?}", self.context.head.piece_counts),
-                    near = near,
-                    done_ms = format!("{:?}", results.done_ms()),
-                    ms = began.elapsed().as_millis()
-                );
                 self.results = Some(results);
                 Ok(())
             }
-            Ok(Err(reason)) => Err(self.refuse(reason)),
+            Ok(Err(stop)) => Err(self.refuse_stopped(stop)),
             Err(_) => Err(self.refuse(NotRunReason::TimeOver)),
         }
     }
 
+    fn plan_order(&self, near: &str) -> PlanOrder {
+        let context = &self.context;
+        PlanOrder {
+            request_id: Arc::clone(&context.id),
+            graph: Arc::clone(&context.route.stages),
+            pieces: context.head.piece_counts.as_slice().into(),
+            key: context.head.piece_key.as_str().into(),
+            rank: context.rank,
+            due: context.due,
+            deadline: context.deadline,
+            tail: context.engine_time(),
+            near: near.into(),
+            returning: context.is_returning,
+            timely_only: false,
+        }
+    }
+
+    fn refuse_stopped(&self, stop: StageStop) -> GatewayRefusal {
+        match (stop, self.ledger.not_run()) {
+            (StageStop::Overload { retry_after }, Some(proof)) => GatewayRefusal::NotRun {
+                proof,
+                reason: NotRunReason::Overload,
+                retry_after: spread(retry_after),
+            },
+            (StageStop::Overload { .. }, None) => self.refuse(NotRunReason::Overload),
+            (StageStop::Late, _) => self.refuse(NotRunReason::TimeOver),
+            (StageStop::InputGone | StageStop::Failed, _) => self.refuse(NotRunReason::StageFailed),
+        }
+    }
+
     async fn send_until_answered(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
         let mut remakes = 0;
         loop {
@@ -344,7 +311,7 @@
         last_event: Option<u64>,
     ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
         let mut call = EndpointCall::open(member.address()).await?;
-        let inputs = self.results.as_ref().map(|results| results.last());
+        let inputs = self.results.as_ref().map(PlanResults::handles);
         let order = EndpointOrder {
             target: EndpointTarget {
                 endpoint: member.endpoint(),
@@ -354,7 +321,7 @@
             workspace: self.context.workspace.as_deref(),
             rank: matches!(self.context.route.kind, RouteKind::Stream { .. })
                 .then_some(engine_rank(self.context.rank)),
-            inputs: inputs.as_deref(),
+            inputs,
             last_event,
             body_bytes: self.body.len() as u64,
         };
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -6,8 +6,10 @@
 use super::gateway_metrics::GatewayMetrics;
 use super::piece_board::{BoardKey, PieceBoard};
 use super::release_queue::{self, ReleaseQueue};
+use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
-use super::{EndpointRoster, RetryLimits, RetryWindow, RouteTable, WireFormat};
+use super::work_shard::WorkShard;
+use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, RouteTable, WireFormat};
 use crate::prelude::*;
 use crate::registry::EntryFollower;
 use crate::telemetry::MetricSet;
@@ -33,6 +35,7 @@
     retry_limits: RetryLimits,
     retries: Mutex<FastMap<String, RetryWindow>>,
     boards: Mutex<FastMap<BoardKey, Arc<PieceBoard>>>,
+    desks: Mutex<FastMap<WorkShard, Arc<WorkDesk>>>,
 }
 
 /// What is in force at this entry: an immutable view for the request path.
@@ -76,6 +79,7 @@
             retry_limits: parts.retry_limits,
             retries: Mutex::default(),
             boards: Mutex::default(),
+            desks: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(release_queue::run(Arc::clone(&node), given_up));
@@ -211,6 +215,26 @@
         board
     }
 
+    /// Where the stages of a shard are admitted at this entry.
+    pub(super) fn desk(self: &Arc<Self>, shard: &WorkShard) -> Arc<WorkDesk> {
+        let mut desks = self.desks.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(desk) = desks.get(shard) {
+            return Arc::clone(desk);
+        }
+        let desk = WorkDesk::start(Arc::clone(self), shard);
+        desks.insert(shard.clone(), Arc::clone(&desk));
+        desk
+    }
+
+    /// Notes at the boards of a shard that results are given up.
+    pub(super) fn note_released(&self, shard: &WorkShard, handles: &[ResultHandle]) {
+        let boards = self.boards();
+        let of_shard = boards.iter().filter(|(key, _)| key.shard == *shard);
+        for (_, board) in of_shard {
+            board.note_released(handles);
+        }
+    }
+
     fn boards(&self) -> std::sync::MutexGuard<'_, FastMap<BoardKey, Arc<PieceBoard>>> {
         self.boards.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -14,12 +14,15 @@
 mod gateway_metrics;
 mod gateway_node;
 mod gateway_refusal;
-mod late_rate;
-mod piece_backlog;
 mod piece_board;
 mod piece_call;
 mod piece_queue;
 mod piece_task;
+mod piece_times;
+mod plan_order;
+mod plan_results;
+mod plan_run;
+mod pool_load;
 mod registry_daemon;
 mod registry_surface;
 mod release_queue;
@@ -33,15 +36,16 @@
 mod route_table;
 mod run_ledger;
 mod stable_hash;
-mod stage_admission;
 mod stage_forecast;
-mod stage_order;
-mod stage_plan;
+mod stage_graph;
 mod stage_progress;
 mod stream_relay;
 mod table_error;
 mod wire_format;
+mod work_desk;
 mod work_exchange;
+mod work_gate;
+mod work_shard;
 
 pub use endpoint_roster::{EndpointRoster, PoolMember};
 pub use endpoint_score::PlacementQuery;
@@ -49,9 +53,10 @@
 pub use gateway_daemon::GatewayDaemon;
 pub use gateway_error::GatewayError;
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
-pub use piece_backlog::PieceBacklog;
 pub use piece_queue::PieceQueue;
 pub use piece_task::{PieceCall, PieceTarget, PieceTask, QueuedPiece};
+pub use piece_times::PieceTimes;
+pub use pool_load::PoolRate;
 pub use registry_daemon::RegistryDaemon;
 pub use request_rank::{engine_rank, request_rank};
 pub use result_room::ResultRoom;
@@ -61,14 +66,15 @@
     EngineProfile, PieceProfile, PoolProfile, RequestLimits, RouteTable, TableParts,
 };
 pub use run_ledger::{NotRun, RunLedger};
-pub use stage_admission::{StageQuery, StageVerdict};
 pub use stage_forecast::StageForecast;
+pub use stage_graph::StageGraph;
 pub use stage_progress::{LostTooOften, StageProgress, StageStart};
 pub use table_error::TableError;
 pub use wire_format::{
     CallerHead, EndpointHead, EndpointOrder, EndpointTarget, LoadReport, PieceOrder, PieceOutcome,
     PieceSource, PromptPart, RegistryAnswer, RegistryCall, ResultHandle, TokenCounts, WireFormat,
 };
+pub use work_gate::{PlanDemand, PlanFate, PlanNumber, PoolRates, StageDemand, WorkGate};
 
 /// Result of this module's fallible calls.
 pub type Result<T, E = GatewayError> = std::result::Result<T, E>;
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -4,9 +4,10 @@
 
 use super::gateway_node::{GatewayNode, GatewayView};
 use super::piece_call::{self, CallResult};
+use super::work_shard::WorkShard;
 use super::{
-    PieceBacklog, PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask,
-    QueuedPiece, ResultHandle,
+    PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
+    PoolRate, QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
 use crate::routing::AttemptReport;
@@ -42,12 +43,11 @@
     pub(super) verdict: PieceVerdict,
 }
 
-/// Where pieces gather: for a whole pool, or for its endpoints in one data
-/// centre.
+/// Where pieces gather: for the endpoints of a pool in one shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct BoardKey {
     pub(super) pool: String,
-    pub(super) shard: Option<String>,
+    pub(super) shard: WorkShard,
 }
 
 /// Gathers the pieces for one pool and makes the calls.
@@ -55,7 +55,7 @@
 pub(super) struct PieceBoard {
     node: Arc<GatewayNode>,
     pool: String,
-    shard: Option<String>,
+    shard: WorkShard,
     state: Mutex<BoardState>,
     wake: Notify,
 }
@@ -94,7 +94,8 @@
         self.news.close();
         while let Ok(news) = self.news.try_recv() {
             if let PieceVerdict::Made(handle) = news.verdict {
-                self.board.node.releases.release(self.board.key(), handle);
+                let shard = self.board.shard.clone();
+                self.board.node.releases.release(shard, handle);
             }
         }
     }
@@ -143,15 +144,32 @@
         }
     }
 
-    /// What waits here.
-    pub(super) fn backlog(&self) -> PieceBacklog {
+    /// What the endpoints can do together, those that are ill left out.
+    pub(super) fn rate(&self) -> PoolRate {
         let view = self.node.view.load_full();
-        let Some(profile) = self.profile(&view) else {
-            return PieceBacklog::default();
-        };
-        let now = Instant::now();
-        let targets = self.targets(now, &view).len();
-        self.state().queue.backlog(now, &profile, targets)
+        let targets = self.targets(Instant::now(), &view);
+        let parts = targets.iter().map(|target| 1.0 / target.cost.max(1.0));
+        PoolRate {
+            endpoints: parts.sum(),
+        }
+    }
+
+    /// Time of a full call of pieces with results of one size.
+    pub(super) fn full_call(&self, result_bytes: u64) -> Duration {
+        let profile = self.profile(&self.node.view.load());
+        let queue = &self.state().queue;
+        profile.map_or(Duration::ZERO, |profile| {
+            queue.times().full_call(&profile, result_bytes)
+        })
+    }
+
+    /// Time of an endpoint that one such piece takes up.
+    pub(super) fn piece_work(&self, result_bytes: u64) -> Duration {
+        let profile = self.profile(&self.node.view.load());
+        let queue = &self.state().queue;
+        profile.map_or(Duration::ZERO, |profile| {
+            queue.times().piece_work(&profile, result_bytes)
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, BoardState> {
@@ -205,11 +223,11 @@
 
     /// The endpoints in use; those that are ill only when there is no other.
     fn targets<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceTarget<'a>> {
-        let members = view.roster.pool(&self.pool).iter();
-        let members = members.filter(|member| {
-            let shard = self.shard.as_deref();
-            shard.is_none_or(|shard| shard == member.data_center())
-        });
+        let members = view.roster.pool(&self.pool);
+        let is_own = |member: &&PoolMember| self.shard.has(member.data_center());
+        let has_own = members.iter().any(|member| is_own(&member));
+        // Where a data centre has lost the pool, any of it will do.
+        let members = members.iter().filter(|member| !has_own || is_own(member));
         let mut targets: Vec<PieceTarget<'_>> = members
             .map(|member| {
                 let cost = self.node.scores.cost(now, &self.pool, member);
@@ -259,6 +277,10 @@
             let scores = &self.node.scores;
             scores.report(&self.pool, records, &call.endpoint, report);
         }
+        if let CallResult::Answered { .. } = result {
+            let mut state = self.state();
+            state.queue.observe(&profile, &call, started.elapsed());
+        }
         self.end_call(&call, profile, result.load());
         match result {
             CallResult::Answered { outcomes, .. } => self.take_outcomes(call, &profile, outcomes),
@@ -361,15 +383,7 @@
         let is_told = waiter.is_some_and(|waiter| waiter.send(news).is_ok());
         drop(state);
         if let (false, PieceVerdict::Made(handle)) = (is_told, verdict) {
-            self.node.releases.release(self.key(), handle);
-        }
-    }
-
-    /// Where this board's pieces gather.
-    pub(super) fn key(&self) -> BoardKey {
-        BoardKey {
-            pool: self.pool.clone(),
-            shard: self.shard.clone(),
+            self.node.releases.release(self.shard.clone(), handle);
         }
     }
 }
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -1,8 +1,7 @@
 use std::sync::atomic::Ordering;
 
-use super::late_rate::LateRate;
 use super::{
-    LoadReport, PieceBacklog, PieceCall, PieceProfile, PieceTarget, QueuedPiece, ResultHandle,
+    LoadReport, PieceCall, PieceProfile, PieceTarget, PieceTimes, QueuedPiece, ResultHandle,
     ResultRoom,
 };
 use crate::prelude::*;
@@ -49,7 +48,7 @@
     next: u64,
     endpoints: FastMap<Arc<str>, EndpointLoadView>,
     room: ResultRoom,
-    late_rate: LateRate,
+    times: PieceTimes,
 }
 
 /// Places in the next calls of each data centre's endpoints. Pieces beyond them
@@ -128,6 +127,16 @@
         self.waiting.insert(key, piece);
     }
 
+    /// How long calls really take.
+    pub fn times(&self) -> &PieceTimes {
+        &self.times
+    }
+
+    /// Learns from a call that was answered.
+    pub fn observe(&mut self, profile: &PieceProfile, call: &PieceCall, taken: Duration) {
+        self.times.observe(profile, &call.pieces, taken);
+    }
+
     /// Pieces that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -138,26 +147,6 @@
         self.waiting.is_empty()
     }
 
-    /// What waits, for entries that decide whether to begin more.
-    pub fn backlog(&self, now: Instant, profile: &PieceProfile, targets: usize) -> PieceBacklog {
-        let call_time = profile.call_duration(profile.batch);
-        let per_call = f64::from(profile.batch) / call_time.as_secs_f64().max(0.001);
-        let mut backlog = PieceBacklog {
-            timely: Vec::new(),
-            late: 0,
-            pieces_per_second: (per_call * targets as f64) as u32,
-            late_per_second: self.late_rate.per_second(now) as u32,
-        };
-        for piece in self.waiting.values() {
-            if !piece.task.is_timely(now, call_time) {
-                backlog.late += 1;
-                continue;
-            }
-            backlog.add(piece.task.rank, 1);
-        }
-        backlog
-    }
-
     /// Takes the pieces whose time is over, for their requests to be told.
     pub fn take_late(&mut self, now: Instant) -> Vec<QueuedPiece> {
         self.waiting.retain(|_, piece| !piece.task.is_abandoned());
@@ -378,10 +367,6 @@
             .iter()
             .filter_map(|key| self.waiting.remove(key))
             .collect();
-        let late = pieces
-            .iter()
-            .filter(|piece| !piece.task.is_begun() && !piece.task.is_timely(now, call_time));
-        self.late_rate.note(now, late.count());
         for piece in &pieces {
             piece.task.begun.store(true, Ordering::Relaxed);
         }
@@ -395,4 +380,4 @@
 
 #[cfg(test)]
 #[path = "piece_queue_tests.rs"]
-mod tests;
+pub(super) mod tests;
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -1,10 +1,9 @@
 use std::sync::atomic::AtomicBool;
 
 use super::*;
-use crate::gateway::late_rate::LATE_RATE_TIME;
 use crate::gateway::{PieceSource, PieceTask};
 
-fn profile() -> PieceProfile {
+pub(in crate::gateway) fn profile() -> PieceProfile {
     PieceProfile {
         slots: 1,
         queue: 2,
@@ -24,7 +23,7 @@
     }
 }
 
-fn task(now: Instant, name: &str, rank: u8, due_ms: u64) -> Arc<PieceTask> {
+pub(in crate::gateway) fn task(now: Instant, name: &str, rank: u8, due_ms: u64) -> Arc<PieceTask> {
     Arc::new(PieceTask {
         request_id: name.into(),
         stage: 0,
@@ -217,20 +216,6 @@
     assert_eq!(names(&call[0]), ["held", "held", "new", "new"]);
 }
 
-#[test]
-fn the_backlog_tells_how_long_each_rank_waits() {
-    let now = Instant::now();
-    let mut queue = PieceQueue::default();
-    push(&mut queue, now, &task(now, "first", 0, 900), 10);
-    push(&mut queue, now, &task(now, "second", 2, 900), 20);
-    push(&mut queue, now, &task(now, "late", 0, 10), 5);
-    let backlog = queue.backlog(now, &profile(), 2);
-    assert_eq!(backlog.timely, [10, 0, 20]);
-    assert_eq!(backlog.late, 5);
-    assert!(backlog.wait(0) < backlog.wait(2));
-    assert!(backlog.wait(2) < backlog.late_wait());
-}
-
 /// On tewodros-dispatch quiet-1 2.3 GB were carried between data centres, most
 /// of it for 16 pieces that each fetch the same eight results of 60 kB.
 #[test]
@@ -298,30 +283,6 @@
     );
 }
 
-#[test]
-fn late_work_waits_for_what_the_timely_leaves() {
-    let mut backlog = PieceBacklog {
-        timely: vec![40],
-        late: 60,
-        pieces_per_second: 50,
-        late_per_second: 50,
-    };
-    let all = backlog.late_wait();
-    backlog.late_per_second = 2;
-    assert!(backlog.late_wait() > all * 10);
-}
-
-#[test]
-fn the_rate_of_late_pieces_follows_what_goes_into_calls() {
-    let now = Instant::now();
-    let mut queue = PieceQueue::default();
-    push(&mut queue, now, &task(now, "late", 0, 10), 4);
-    queue.next_calls(now, &profile(), &[target("a", "x")]);
-    assert_eq!(queue.backlog(now, &profile(), 1).late_per_second, 2);
-    let later = now + LATE_RATE_TIME * 3;
-    assert_eq!(queue.backlog(later, &profile(), 1).late_per_second, 0);
-}
-
 /// On asist-kosice-grown quiet-1 handover briefs that were late were begun in
 /// places that calls had left; their other pieces then went before those of
 /// briefs that could have been in time, and half of all briefs were late for
--- /dev/null
+++ b/crates/savorywalk/src/gateway/plan_order.rs
@@ -0,0 +1,120 @@
+use super::StageGraph;
+use super::work_shard::WorkShard;
+use crate::generated::work::{PlanCall, PlannedStage};
+use crate::prelude::*;
+
+/// All stages of one request, for the entry that has them worked on.
+#[derive(Clone, Debug)]
+pub(super) struct PlanOrder {
+    pub(super) request_id: Arc<str>,
+    pub(super) graph: Arc<StageGraph>,
+    /// Pieces of each stage; none for one that is left out.
+    pub(super) pieces: Arc<[u32]>,
+    /// What the pieces of stages without inputs work on.
+    pub(super) key: Arc<str>,
+    pub(super) rank: u8,
+    /// When the request should be answered.
+    pub(super) due: Instant,
+    /// When its caller gives up.
+    pub(super) deadline: Instant,
+    /// Time that the request needs after its stages, about.
+    pub(super) tail: Duration,
+    /// Data centre in which the request will run.
+    pub(super) near: Arc<str>,
+    /// Whether it was refused before, and its caller has come back.
+    pub(super) returning: bool,
+    /// Whether it is refused where it can't be in time, since it may still be
+    /// in another shard.
+    pub(super) timely_only: bool,
+}
+
+impl PlanOrder {
+    /// The call that has another entry do it.
+    pub(super) fn to_call(&self, now: Instant, shard: &WorkShard) -> PlanCall {
+        let due_ms = match self.due.checked_duration_since(now) {
+            Some(left) => left.as_millis() as i32,
+            None => -((now - self.due).as_millis() as i32),
+        };
+        let deadline = self.deadline.saturating_duration_since(now);
+        let stages = self.graph.rules().iter().enumerate();
+        let stages = stages.map(|(stage, rule)| PlannedStage {
+            pool: rule.pool.clone(),
+            after: rule.after.iter().map(|input| *input as u32).collect(),
+            result_bytes: rule.result_bytes,
+            pieces: self.pieces_of(stage),
+        });
+        PlanCall {
+            request_id: self.request_id.to_string(),
+            shard: shard.name().to_string(),
+            stages: stages.collect(),
+            rank: self.rank.into(),
+            due_ms,
+            deadline_ms: deadline.as_millis() as u32,
+            key: self.key.to_string(),
+            near: self.near.to_string(),
+            tail_ms: self.tail.as_millis() as u32,
+            returning: self.returning,
+            timely_only: self.timely_only,
+        }
+    }
+
+    /// The order that a call of another entry asks for, and its shard; `None`
+    /// when a stage needs one that does not come before it.
+    pub(super) fn from_call(now: Instant, call: PlanCall) -> Option<(WorkShard, Self)> {
+        let late = Duration::from_millis(u64::from(call.due_ms.min(0).unsigned_abs()));
+        let left = Duration::from_millis(u64::from(call.due_ms.max(0).unsigned_abs()));
+        let due = now.checked_sub(late).unwrap_or(now) + left;
+        let pieces = call.stages.iter().map(|stage| stage.pieces).collect();
+        let rules = call.stages.into_iter().map(|stage| super::StageRule {
+            pool: stage.pool,
+            after: stage.after.iter().map(|input| *input as usize).collect(),
+            result_bytes: stage.result_bytes,
+        });
+        let graph: StageGraph = rules.collect();
+        if graph.misplaced().is_some() {
+            return None;
+        }
+        let shard = WorkShard::named(&call.shard);
+        let order = Self {
+            request_id: call.request_id.into(),
+            graph: Arc::new(graph),
+            pieces,
+            key: call.key.into(),
+            rank: call.rank.min(u8::MAX.into()) as u8,
+            due,
+            deadline: now + Duration::from_millis(call.deadline_ms.into()),
+            tail: Duration::from_millis(call.tail_ms.into()),
+            near: call.near.into(),
+            returning: call.returning,
+            timely_only: call.timely_only,
+        };
+        Some((shard, order))
+    }
+
+    /// Pieces of a stage.
+    pub(super) fn pieces_of(&self, stage: usize) -> u32 {
+        self.pieces.get(stage).copied().unwrap_or(0)
+    }
+
+    /// Size of one result of a stage, in bytes, about.
+    pub(super) fn bytes_of(&self, stage: usize) -> u64 {
+        self.graph.rules()[stage].result_bytes
+    }
+
+    /// Whether it has pieces with large results.
+    pub(super) fn has_large(&self) -> bool {
+        let mut stages = 0..self.graph.len();
+        stages.any(|stage| self.pieces_of(stage) > 0 && self.graph.is_large(stage))
+    }
+
+    /// Results that the request needs when all stages are done.
+    pub(super) fn last_count(&self) -> usize {
+        let stages = 0..self.graph.len();
+        let last = stages.filter(|stage| self.graph.is_last(*stage));
+        last.map(|stage| self.pieces_of(stage) as usize).sum()
+    }
+}
+
+#[cfg(test)]
+#[path = "plan_order_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/gateway/plan_order_tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crate::gateway::StageRule;
+
+fn order(now: Instant) -> PlanOrder {
+    let stage = |after: &[usize], bytes| StageRule {
+        pool: "pool".into(),
+        after: after.to_vec(),
+        result_bytes: bytes,
+    };
+    let rules = [stage(&[], 3_000_000), stage(&[], 8_000), stage(&[1], 6_000)];
+    PlanOrder {
+        request_id: "r".into(),
+        graph: Arc::new(rules.into_iter().collect()),
+        pieces: [2, 1, 16].into(),
+        key: "k".into(),
+        rank: 1,
+        due: now + Duration::from_millis(700),
+        deadline: now + Duration::from_millis(9_000),
+        tail: Duration::from_millis(400),
+        near: "east".into(),
+        returning: true,
+        timely_only: false,
+    }
+}
+
+#[test]
+fn an_order_arrives_as_it_was_sent() {
+    let now = Instant::now();
+    let sent = order(now);
+    let shard = WorkShard::named("west");
+    let (arrived_shard, arrived) = PlanOrder::from_call(now, sent.to_call(now, &shard)).unwrap();
+    assert_eq!(arrived_shard, shard);
+    assert_eq!(arrived.graph, sent.graph);
+    assert_eq!(arrived.pieces, sent.pieces);
+    assert_eq!(arrived.key, sent.key);
+    assert_eq!((arrived.due, arrived.deadline), (sent.due, sent.deadline));
+    assert_eq!((&arrived.near, arrived.tail), (&sent.near, sent.tail));
+    assert!(arrived.returning && !arrived.timely_only);
+}
+
+#[test]
+fn an_order_that_is_overdue_stays_overdue() {
+    let now = Instant::now();
+    let mut sent = order(now);
+    let later = sent.due + Duration::from_millis(300);
+    sent.deadline = later;
+    let call = sent.to_call(later, &WorkShard::default());
+    let (_, arrived) = PlanOrder::from_call(later, call).unwrap();
+    assert_eq!(arrived.due, sent.due);
+}
+
+#[test]
+fn an_order_whose_stages_go_in_a_circle_is_not_taken() {
+    let now = Instant::now();
+    let mut call = order(now).to_call(now, &WorkShard::default());
+    call.stages[0].after = vec![2];
+    assert!(PlanOrder::from_call(now, call).is_none());
+}
+
+#[test]
+fn the_request_needs_the_results_that_no_stage_takes() {
+    let order = order(Instant::now());
+    assert_eq!(order.last_count(), 18);
+    assert!(order.has_large());
+}
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -3,7 +3,7 @@
 
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::GatewayNode;
-use super::piece_board::BoardKey;
+use super::work_shard::WorkShard;
 use super::{ResultHandle, WireFormat};
 use crate::generated::work::ReleaseNotice;
 use crate::prelude::*;
@@ -20,8 +20,8 @@
 const CALL_TIME: Duration = Duration::from_millis(600);
 
 /// Gives up results that nobody needs any more, without keeping anyone. The
-/// entry that gathers for their pool makes the calls, so that it knows at once
-/// how much room there is.
+/// coordinator of their shard makes the calls, so that it knows at once how much
+/// room there is.
 #[derive(Clone, Debug)]
 pub(super) struct ReleaseQueue {
     waiting: mpsc::Sender<GivenUp>,
@@ -30,7 +30,7 @@
 /// A result that is not needed any more.
 #[derive(Debug)]
 pub(super) struct GivenUp {
-    key: BoardKey,
+    shard: WorkShard,
     handle: ResultHandle,
 }
 
@@ -41,27 +41,27 @@
         (Self { waiting }, given_up)
     }
 
-    /// Gives a result up that was made for `key`.
-    pub(super) fn release(&self, key: BoardKey, handle: ResultHandle) {
-        if self.waiting.try_send(GivenUp { key, handle }).is_err() {
+    /// Gives a result up that was made in `shard`.
+    pub(super) fn release(&self, shard: WorkShard, handle: ResultHandle) {
+        if self.waiting.try_send(GivenUp { shard, handle }).is_err() {
             log_event!(debug, "release_queue_full");
         }
     }
 }
 
-/// Tells the gatherers of what is given up here.
+/// Tells the coordinators of what is given up here.
 pub(super) async fn run(node: Arc<GatewayNode>, mut given_up: mpsc::Receiver<GivenUp>) {
     while let Some(first) = given_up.recv().await {
         tokio::time::sleep(GATHER_TIME).await;
-        let mut by_key: FastMap<BoardKey, Vec<ResultHandle>> = FastMap::default();
+        let mut by_shard: FastMap<WorkShard, Vec<ResultHandle>> = FastMap::default();
         let mut next = Some(first);
-        while let Some(GivenUp { key, handle }) = next {
-            by_key.entry(key).or_default().push(handle);
+        while let Some(GivenUp { shard, handle }) = next {
+            by_shard.entry(shard).or_default().push(handle);
             next = given_up.try_recv().ok();
         }
-        for (key, handles) in by_key {
-            if !node.exchange.tell_released(&node, &key, &handles) {
-                release_here(&node, &key, handles);
+        for (shard, handles) in by_shard {
+            if !node.exchange.tell_released(&node, &shard, &handles) {
+                release_here(&node, &shard, handles);
             }
         }
     }
@@ -78,18 +78,15 @@
                 continue;
             }
         };
-        let key = BoardKey {
-            pool: notice.pool,
-            shard: (!notice.shard.is_empty()).then_some(notice.shard),
-        };
+        let shard = WorkShard::named(&notice.shard);
         let handles = notice.handles.into_iter();
         let handles = handles.map(|handle| ResultHandle(handle.into())).collect();
-        release_here(&node, &key, handles);
+        release_here(&node, &shard, handles);
     }
 }
 
 /// Has endpoints drop results, then counts their room as free.
-fn release_here(node: &Arc<GatewayNode>, key: &BoardKey, handles: Vec<ResultHandle>) {
+fn release_here(node: &Arc<GatewayNode>, shard: &WorkShard, handles: Vec<ResultHandle>) {
     let mut by_keeper: BTreeMap<SocketAddr, Vec<ResultHandle>> = BTreeMap::new();
     for handle in handles {
         match handle.keeper() {
@@ -98,12 +95,12 @@
         }
     }
     for (keeper, handles) in by_keeper {
-        let board = node.board(key);
-        let wire = Arc::clone(&node.wire);
+        let node = Arc::clone(node);
+        let shard = shard.clone();
         tokio::spawn(async move {
-            let calling = call(wire.as_ref(), keeper, &handles);
+            let calling = call(node.wire.as_ref(), keeper, &handles);
             match tokio::time::timeout(CALL_TIME, calling).await {
-                Ok(Ok(())) => board.note_released(&handles),
+                Ok(Ok(())) => node.note_released(&shard, &handles),
                 Ok(Err(reason)) => {
                     log_event!(debug, "release_failed", keeper = keeper, reason = reason);
                 }
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -10,6 +10,10 @@
 /// take its callers within about this time.
 const NOT_READY_RETRY: Duration = Duration::from_millis(700);
 
+/// Part of a route's timeout that callers wait for at least at their first try,
+/// in thousandths: on the grown deployments they bring 850 to 1,000.
+const OWN_PATIENCE_PERMILLE: u32 = 800;
+
 /// Finds the route and the workspace of a request, and how long it may take.
 pub(super) fn admit(
     node: &GatewayNode,
@@ -51,15 +55,29 @@
         rank: request_rank(rank, route.rank),
         due: due_time(route, arrived, time),
         deadline: arrived + time,
+        is_returning: is_returning(route, time),
         route: Arc::clone(route),
         head,
     })
 }
 
-/// When a request should be answered. A caller that waits for less than the
-/// route allows has most likely used up the rest in an earlier try, and its
+/// When a request should be answered. A caller that waits for much less than
+/// the route allows has most likely used up the rest in an earlier try, and its
 /// objective counts from there.
 fn due_time(route: &RouteRule, arrived: Instant, left: Duration) -> Instant {
+    if !is_returning(route, left) {
+        return arrived + route.objective;
+    }
     let used = route.timeout.saturating_sub(left);
     arrived + route.objective.saturating_sub(used)
 }
+
+/// Whether a caller with so much time left has tried before. Callers differ by
+/// themselves in how long they wait.
+fn is_returning(route: &RouteRule, left: Duration) -> bool {
+    left < route.timeout * OWN_PATIENCE_PERMILLE / 1_000
+}
+
+#[cfg(test)]
+#[path = "request_admission_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -20,8 +20,19 @@
     pub(super) due: Instant,
     /// When its caller, or its route, gives up.
     pub(super) deadline: Instant,
+    /// Whether its caller was most likely refused before.
+    pub(super) is_returning: bool,
 }
 
+/// Time that an engine which is busy takes beside reading the prompt: its first
+/// token takes 120 ms, and the way there and back some more.
+const ENGINE_BASE: Duration = Duration::from_millis(150);
+
+/// Prompt tokens that an engine reads in a millisecond, with what others are
+/// served meanwhile: three quarters of prompts were read at least that fast on
+/// asist-kosice-grown quiet-1.
+const TOKENS_PER_MS: u64 = 50;
+
 impl RequestContext {
     /// Time left.
     pub(super) fn remaining(&self, now: Instant) -> Duration {
@@ -35,4 +46,11 @@
         let shared = self.head.prefix.len().checked_sub(2)?;
         self.head.prefix.get(shared).map(|part| part.id)
     }
+
+    /// Time from the send to a stream's first event, about.
+    pub(super) fn engine_time(&self) -> Duration {
+        let parts = self.head.prefix.iter().map(|part| part.tokens).sum();
+        let tokens = self.head.tokens.map_or(parts, |tokens| tokens.prompt);
+        ENGINE_BASE + Duration::from_millis(tokens / TOKENS_PER_MS)
+    }
 }
--- a/crates/savorywalk/src/gateway/route_rule.rs
+++ b/crates/savorywalk/src/gateway/route_rule.rs
@@ -1,4 +1,4 @@
-use super::TableError;
+use super::{StageGraph, TableError};
 use crate::prelude::*;
 
 /// One route: which requests it takes, who serves them, and how.
@@ -26,7 +26,7 @@
     /// Most endpoints that one request may be run on.
     pub max_endpoints: u32,
     /// Work that must be done before a request can run.
-    pub stages: Vec<StageRule>,
+    pub stages: Arc<StageGraph>,
     /// Whether a request needs no key.
     pub is_open: bool,
 }
@@ -102,15 +102,13 @@
         if weight == 0 {
             return Err(TableError::NoWeight(name()));
         }
-        for (number, stage) in self.stages.iter().enumerate() {
-            if stage.after.iter().any(|before| *before >= number) {
-                return Err(TableError::StageOrder {
-                    route: name(),
-                    stage: number,
-                });
-            }
+        match self.stages.misplaced() {
+            Some(stage) => Err(TableError::StageOrder {
+                route: name(),
+                stage,
+            }),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// The pool for a request, drawn by `ticket` according to the weights.
@@ -130,9 +128,4 @@
         }
         self.shares.first().map_or("", |share| share.pool.as_str())
     }
-
-    /// Whether `stage` is one whose results no other stage needs.
-    pub fn is_last_stage(&self, stage: usize) -> bool {
-        !self.stages.iter().any(|other| other.after.contains(&stage))
-    }
 }
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -134,7 +134,7 @@
     fn add_route(&mut self, route: RouteRule) -> Result<(), TableError> {
         route.check()?;
         let pools = route.shares.iter().map(|share| &share.pool);
-        let pools = pools.chain(route.stages.iter().map(|stage| &stage.pool));
+        let pools = pools.chain(route.stages.rules().iter().map(|stage| &stage.pool));
         for pool in pools {
             if !self.pools.contains_key(pool) {
                 return Err(TableError::UnknownPool {
--- a/crates/savorywalk/src/gateway/route_table_tests.rs
+++ b/crates/savorywalk/src/gateway/route_table_tests.rs
@@ -13,7 +13,7 @@
         rank: 1,
         shares: vec![share("apps", 1)],
         max_endpoints: 2,
-        stages: Vec::new(),
+        stages: Arc::default(),
         is_open: false,
     }
 }
@@ -78,11 +78,12 @@
 #[test]
 fn a_stage_may_only_need_earlier_ones() {
     let mut circular = route("r", "/a/");
-    circular.stages = vec![StageRule {
+    let stage = StageRule {
         pool: "encoders".into(),
         after: vec![0],
         result_bytes: 1,
-    }];
+    };
+    circular.stages = Arc::new([stage].into_iter().collect());
     assert!(matches!(
         fault(vec![circular]),
         TableError::StageOrder { .. }
--- a/crates/savorywalk/src/gateway/stage_forecast.rs
+++ b/crates/savorywalk/src/gateway/stage_forecast.rs
@@ -1,76 +1,62 @@
-use super::{PieceProfile, RouteRule, RouteTable};
+use super::StageGraph;
 use crate::prelude::*;
 
 /// Time that a piece waits for its call when a pool is busy and not
-/// overloaded: half of a call.
-const USUAL_WAIT_PERMILLE: u32 = 400;
-
-/// Time from the send to a stream's first event at an engine that is busy: a
-/// prompt of some ten thousand tokens is read in 200 ms, and the first token
-/// takes over 100 ms.
-const ENGINE_TIME: Duration = Duration::from_millis(400);
-
-/// How long the stages of a route take, about.
-#[derive(Clone, Copy, Debug)]
-pub struct StageForecast<'a> {
-    table: &'a RouteTable,
-    route: &'a RouteRule,
+/// overloaded, as a part of a call: with four endpoints that begin calls in
+/// turn the next one begins after an eighth of a call on average, and as much
+/// again is allowed for pieces that come in clumps.
+const USUAL_WAIT_PERMILLE: u32 = 250;
+
+/// How long the stages of one request take, about.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StageForecast {
+    graph: Arc<StageGraph>,
+    steps: Vec<Duration>,
 }
 
-impl<'a> StageForecast<'a> {
-    /// A forecast for requests on `route`.
-    pub fn new(table: &'a RouteTable, route: &'a RouteRule) -> Self {
-        Self { table, route }
+impl StageForecast {
+    /// A forecast by the time of a full call of each stage; nothing for a stage
+    /// that the request leaves out.
+    pub fn new(graph: Arc<StageGraph>, calls: &[Duration]) -> Self {
+        let steps = calls.iter();
+        let steps = steps.map(|call| *call + *call * USUAL_WAIT_PERMILLE / 1_000);
+        Self {
+            graph,
+            steps: steps.collect(),
+        }
     }
 
-    /// Time that a request needs after `stage`: the stages that follow it, and
-    /// the engine.
+    /// Time that the stages after `stage` take.
     pub fn tail(&self, stage: usize) -> Duration {
-        let users = self.users_of(stage);
+        let users = self.graph.users_of(stage);
         let longest = users.map(|user| self.step(user) + self.tail(user)).max();
-        longest.unwrap_or(ENGINE_TIME)
-    }
-
-    /// Time that a whole request needs, when it waits at each stage for as long
-    /// as `wait` tells.
-    pub fn whole(&self, wait: impl Fn(usize) -> Duration) -> Duration {
-        let stages = 0..self.route.stages.len();
-        let firsts = stages.filter(|stage| self.route.stages[*stage].after.is_empty());
-        let chains = firsts.map(|first| self.chain(first, &wait));
-        chains.max().unwrap_or(ENGINE_TIME)
+        longest.unwrap_or_default()
     }
 
-    fn chain(&self, stage: usize, wait: &impl Fn(usize) -> Duration) -> Duration {
-        let users = self.users_of(stage);
-        let after = users.map(|user| self.chain(user, wait)).max();
-        self.call(stage) + wait(stage) + after.unwrap_or(ENGINE_TIME)
+    /// Time that all stages take.
+    pub fn total(&self) -> Duration {
+        let stages = 0..self.graph.len();
+        let chains = stages.map(|stage| self.step(stage) + self.tail(stage));
+        chains.max().unwrap_or_default()
     }
 
-    fn call(&self, stage: usize) -> Duration {
-        let profile = self.profile(stage);
-        profile.map_or(Duration::ZERO, |profile| {
-            profile.call_duration(profile.batch)
-        })
-    }
-
-    fn profile(&self, stage: usize) -> Option<PieceProfile> {
-        self.table.pool(&self.route.stages[stage].pool)?.pieces
+    /// Time from the beginning until `stage` is done. A stage with large
+    /// results is begun late enough to end with the others.
+    pub fn done_after(&self, stage: usize) -> Duration {
+        if self.graph.is_large(stage) {
+            return self.total().saturating_sub(self.tail(stage));
+        }
+        let inputs = self.graph.rules()[stage].after.iter();
+        let begun = inputs.map(|input| self.done_after(*input)).max();
+        begun.unwrap_or_default() + self.step(stage)
     }
 
     /// Time of one stage: its call, and the usual wait for it.
     fn step(&self, stage: usize) -> Duration {
-        let call = self.call(stage);
-        call + call * USUAL_WAIT_PERMILLE / 1_000
-    }
-
-    fn users_of(&self, input: usize) -> impl Iterator<Item = usize> {
-        let stages = self.route.stages.iter().enumerate();
-        stages
-            .filter(move |(_, stage)| stage.after.contains(&input))
-            .map(|(user, _)| user)
+        self.steps.get(stage).copied().unwrap_or_default()
     }
 }
 
 #[cfg(test)]
 #[path = "stage_forecast_tests.rs"]
-pub(super) mod tests;
+mod tests;
--- a/crates/savorywalk/src/gateway/stage_forecast_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_forecast_tests.rs
@@ -1,61 +1,49 @@
 use super::*;
-use crate::gateway::{PoolProfile, PoolShare, RouteKind, StageRule, TableParts};
+use crate::gateway::StageRule;
+use crate::gateway::stage_graph::LARGE_RESULT_BYTES;
 
-fn pool(name: &str) -> PoolProfile {
-    PoolProfile {
-        name: name.into(),
-        pieces: Some(PieceProfile {
-            slots: 1,
-            queue: 2,
-            batch: 10,
-            call_time: Duration::from_millis(150),
-            piece_time: Duration::from_millis(10),
-            room_bytes: 1,
-            result_life: Duration::from_secs(4),
-        }),
-        ..Default::default()
-    }
-}
+const CALL: Duration = Duration::from_millis(200);
+
+/// A call, and a quarter of it for the wait.
+const STEP: Duration = Duration::from_millis(250);
 
-pub(in crate::gateway) fn table() -> RouteTable {
-    let stage = |after: &[usize]| StageRule {
+/// A stage that stands alone beside a chain of three.
+fn graph(first_bytes: u64) -> Arc<StageGraph> {
+    let stage = |after: &[usize], result_bytes| StageRule {
         pool: "p".into(),
         after: after.to_vec(),
-        result_bytes: 1,
-    };
-    let route = RouteRule {
-        name: "r".into(),
-        host: "h".into(),
-        path_prefix: "/".into(),
-        kind: RouteKind::Idempotent,
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_secs(1),
-        pause: None,
-        rank: 0,
-        shares: vec![PoolShare {
-            pool: "p".into(),
-            weight: 1,
-        }],
-        max_endpoints: 1,
-        stages: vec![stage(&[]), stage(&[]), stage(&[1]), stage(&[2])],
-        is_open: true,
+        result_bytes,
     };
-    let parts = TableParts {
-        routes: vec![route],
-        pools: vec![pool("p")],
-        ..Default::default()
-    };
-    RouteTable::build(parts).unwrap()
+    let rules = [
+        stage(&[], first_bytes),
+        stage(&[], 1),
+        stage(&[1], 1),
+        stage(&[2], 1),
+    ];
+    Arc::new(rules.into_iter().collect())
 }
 
 #[test]
 fn what_follows_a_stage_is_added_up_along_the_longest_chain() {
-    let table = table();
-    let route = table.routes().next().unwrap();
-    let forecast = StageForecast::new(&table, route);
-    let step = Duration::from_millis(350);
-    assert_eq!(forecast.tail(3), ENGINE_TIME);
-    assert_eq!(forecast.tail(2), ENGINE_TIME + step);
-    assert_eq!(forecast.tail(1), ENGINE_TIME + step * 2);
-    assert_eq!(forecast.tail(0), ENGINE_TIME);
+    let forecast = StageForecast::new(graph(1), &[CALL; 4]);
+    assert_eq!(forecast.tail(3), Duration::ZERO);
+    assert_eq!(forecast.tail(2), STEP);
+    assert_eq!(forecast.tail(1), STEP * 2);
+    assert_eq!(forecast.tail(0), Duration::ZERO);
+    assert_eq!(forecast.total(), STEP * 3);
+}
+
+#[test]
+fn stages_that_are_left_out_take_no_time() {
+    let calls = [CALL, CALL, Duration::ZERO, CALL];
+    let forecast = StageForecast::new(graph(1), &calls);
+    assert_eq!(forecast.tail(1), STEP);
+    assert_eq!(forecast.done_after(3), STEP * 2);
+}
+
+#[test]
+fn stages_with_large_results_are_done_with_the_others() {
+    let forecast = StageForecast::new(graph(LARGE_RESULT_BYTES), &[CALL; 4]);
+    assert_eq!(forecast.done_after(0), STEP * 3);
+    assert_eq!(forecast.done_after(1), STEP);
 }
--- a/crates/savorywalk/src/gateway/stage_progress.rs
+++ b/crates/savorywalk/src/gateway/stage_progress.rs
@@ -1,10 +1,6 @@
-use super::{ResultHandle, RouteRule};
+use super::{ResultHandle, StageGraph};
 use crate::prelude::*;
 
-/// Size from which on results are large, in bytes: a few of them fill an
-/// endpoint's room, and they take longer on the way than a request does.
-pub(super) const LARGE_RESULT_BYTES: u64 = 200_000;
-
 /// How often results that were lost are made again for one request.
 const MAX_REMAKES: u32 = 2;
 
@@ -17,7 +13,7 @@
 /// results do not lie about while the chain is worked on.
 #[derive(Clone, Debug)]
 pub struct StageProgress {
-    route: Arc<RouteRule>,
+    graph: Arc<StageGraph>,
     states: Vec<StageState>,
     remakes: u32,
 }
@@ -47,10 +43,10 @@
 
 impl StageProgress {
     /// Nothing is done yet.
-    pub fn new(route: Arc<RouteRule>) -> Self {
+    pub fn new(graph: Arc<StageGraph>) -> Self {
         Self {
-            states: vec![StageState::Waiting; route.stages.len()],
-            route,
+            states: vec![StageState::Waiting; graph.len()],
+            graph,
             remakes: 0,
         }
     }
@@ -71,11 +67,11 @@
     }
 
     fn start_of(&self, stage: usize) -> Option<StageStart> {
-        let is_large = self.route.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
-        if is_large && self.steps_left() > self.steps_from(stage) {
+        let graph = &self.graph;
+        if graph.is_large(stage) && self.steps_left() > graph.steps_from(stage) {
             return None;
         }
-        let after = &self.route.stages[stage].after;
+        let after = &graph.rules()[stage].after;
         let mut inputs = Vec::new();
         for input in after {
             match &self.states[*input] {
@@ -94,13 +90,8 @@
     fn steps_left(&self) -> usize {
         let stages = 0..self.states.len();
         let open = stages.filter(|stage| !self.is_done(*stage));
-        open.map(|stage| self.steps_from(stage)).max().unwrap_or(0)
-    }
-
-    /// Steps of the longest chain that begins with `stage`.
-    fn steps_from(&self, stage: usize) -> usize {
-        let users = self.users_of(stage);
-        1 + users.map(|user| self.steps_from(user)).max().unwrap_or(0)
+        let steps = open.map(|stage| self.graph.steps_from(stage));
+        steps.max().unwrap_or(0)
     }
 
     /// Notes the results of a stage; gives back those that nobody needs now.
@@ -117,15 +108,8 @@
 
     /// Whether some stage, or the request itself, has yet to take the results.
     fn is_needed(&self, stage: usize) -> bool {
-        let is_last = self.route.is_last_stage(stage);
-        is_last || self.users_of(stage).any(|user| !self.is_done(user))
-    }
-
-    fn users_of(&self, input: usize) -> impl Iterator<Item = usize> {
-        let stages = self.route.stages.iter().enumerate();
-        stages
-            .filter(move |(_, stage)| stage.after.contains(&input))
-            .map(|(user, _)| user)
+        let graph = &self.graph;
+        graph.is_last(stage) || graph.users_of(stage).any(|user| !self.is_done(user))
     }
 
     fn is_done(&self, stage: usize) -> bool {
@@ -149,7 +133,7 @@
         self.remakes += 1;
         self.states[stage] = StageState::Waiting;
         let mut unneeded = Vec::new();
-        for input in self.route.stages[stage].after.clone() {
+        for input in self.graph.rules()[stage].after.clone() {
             unneeded.extend(self.give_up(input, StageState::Waiting));
             self.remake_used(input);
         }
@@ -157,7 +141,7 @@
     }
 
     fn remake_used(&mut self, stage: usize) {
-        for input in self.route.stages[stage].after.clone() {
+        for input in self.graph.rules()[stage].after.clone() {
             if self.states[input] == StageState::Used {
                 self.states[input] = StageState::Waiting;
                 self.remake_used(input);
@@ -170,15 +154,12 @@
         (0..self.states.len()).all(|stage| self.is_done(stage))
     }
 
-    /// Results of the stages that no other one needs, in order.
-    pub fn last_results(&self) -> Vec<ResultHandle> {
-        let stages = self.states.iter().enumerate();
-        let last = stages.filter(|(stage, _)| self.route.is_last_stage(*stage));
-        let handles = last.flat_map(|(_, state)| match state {
-            StageState::Done(handles) => handles.to_vec(),
-            StageState::Waiting | StageState::Running | StageState::Used => Vec::new(),
-        });
-        handles.collect()
+    /// Takes the results of the stages that no other one needs, in order.
+    pub fn take_last(&mut self) -> Vec<ResultHandle> {
+        let graph = Arc::clone(&self.graph);
+        let last = (0..graph.len()).filter(|stage| graph.is_last(*stage));
+        last.flat_map(|stage| self.give_up(stage, StageState::Used))
+            .collect()
     }
 
     /// Gives everything up.
--- a/crates/savorywalk/src/gateway/stage_progress_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_progress_tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::gateway::{RouteKind, StageRule};
+use crate::gateway::StageRule;
+use crate::gateway::stage_graph::LARGE_RESULT_BYTES;
 
 /// A chain of three stages beside one that stands alone.
 fn progress() -> StageProgress {
@@ -8,29 +9,17 @@
         after: after.to_vec(),
         result_bytes: 1,
     };
-    StageProgress::new(Arc::new(RouteRule {
-        name: "r".into(),
-        host: "h".into(),
-        path_prefix: "/".into(),
-        kind: RouteKind::Stream { resumable: true },
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_secs(1),
-        pause: None,
-        rank: 0,
-        shares: Vec::new(),
-        max_endpoints: 2,
-        stages: vec![stage(&[]), stage(&[0]), stage(&[1]), stage(&[])],
-        is_open: false,
-    }))
+    let rules = [stage(&[]), stage(&[0]), stage(&[1]), stage(&[])];
+    StageProgress::new(Arc::new(rules.into_iter().collect()))
 }
 
 /// Seen on asist-kosice quiet-1: results of 3 MB lay about for the second that
 /// the chain beside them took, and filled the room of their pool.
 #[test]
 fn large_results_are_made_just_in_time() {
-    let mut route = (*progress().route).clone();
-    route.stages[3].result_bytes = LARGE_RESULT_BYTES;
-    let mut progress = StageProgress::new(Arc::new(route));
+    let mut rules = progress().graph.rules().to_vec();
+    rules[3].result_bytes = LARGE_RESULT_BYTES;
+    let mut progress = StageProgress::new(Arc::new(rules.into_iter().collect()));
     assert_eq!(started(&mut progress), [0]);
     progress.finish(0, handles(&["a"]));
     assert_eq!(started(&mut progress), [1]);
@@ -74,7 +63,7 @@
     progress.finish(2, handles(&["c"]));
     progress.finish(3, handles(&["d"]));
     assert!(progress.is_complete());
-    assert_eq!(progress.last_results(), handles(&["c", "d"]).to_vec());
+    assert_eq!(progress.take_last(), handles(&["c", "d"]).to_vec());
 }
 
 /// Seen on asist-kosice scale-2: the results of stage 1 were gone when stage 2
--- /dev/null
+++ b/crates/savorywalk/src/gateway/work_desk.rs
@@ -0,0 +1,258 @@
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{Notify, oneshot};
+
+use super::gateway_node::GatewayNode;
+use super::piece_board::{BoardKey, PieceBoard};
+use super::plan_order::PlanOrder;
+use super::plan_results::StageStop;
+use super::work_shard::WorkShard;
+use super::{
+    PlanDemand, PlanFate, PlanNumber, PoolRates, RouteTable, StageDemand, StageForecast, WorkGate,
+};
+use crate::prelude::*;
+
+/// Age up to which the rates of pools are taken as they were: a tenth of a
+/// call, in which hardly an endpoint comes or goes.
+const RATES_AGE: Duration = Duration::from_millis(30);
+
+/// Longest sleep without anything to do.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Admits the stages of all requests of one shard; see [`WorkGate`].
+#[derive(Debug)]
+pub(super) struct WorkDesk {
+    node: Arc<GatewayNode>,
+    shard: WorkShard,
+    state: Mutex<DeskState>,
+    wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct DeskState {
+    gate: WorkGate,
+    waiters: FastMap<PlanNumber, oneshot::Sender<PlanFate>>,
+    rates: Arc<PoolRates>,
+    rates_at: Option<Instant>,
+}
+
+/// Leave to work on the stages of one request; it ends when this is dropped.
+#[derive(Debug)]
+pub(super) struct PlanPermit {
+    desk: Arc<WorkDesk>,
+    number: PlanNumber,
+    forecast: StageForecast,
+}
+
+impl Drop for PlanPermit {
+    fn drop(&mut self) {
+        let mut state = self.desk.state();
+        state.waiters.remove(&self.number);
+        state.gate.end(self.number);
+        drop(state);
+        self.desk.wake.notify_one();
+    }
+}
+
+impl PlanPermit {
+    /// How long the stages take.
+    pub(super) fn forecast(&self) -> &StageForecast {
+        &self.forecast
+    }
+
+    /// Notes that the pieces of a stage are made.
+    pub(super) fn finish_stage(&self, stage: usize) {
+        self.desk.state().gate.finish_stage(self.number, stage);
+        self.desk.wake.notify_one();
+    }
+}
+
+impl WorkDesk {
+    /// Starts the desk of a shard.
+    pub(super) fn start(node: Arc<GatewayNode>, shard: &WorkShard) -> Arc<Self> {
+        let desk = Arc::new(Self {
+            node,
+            shard: shard.clone(),
+            state: Mutex::default(),
+            wake: Notify::new(),
+        });
+        tokio::spawn(Arc::clone(&desk).run());
+        desk
+    }
+
+    /// Waits until a plan may begin.
+    pub(super) async fn admit(
+        self: &Arc<Self>,
+        order: &PlanOrder,
+    ) -> Result<PlanPermit, StageStop> {
+        let arrived = Instant::now();
+        let forecast = self.forecast(order);
+        let demand = self.demand(arrived, order, &forecast);
+        let due_ms = demand.due.saturating_duration_since(arrived).as_millis();
+        let total_ms = demand.total.as_millis();
+        let left_ms = demand
+            .deadline
+            .saturating_duration_since(arrived)
+            .as_millis();
+        let tail_ms = order.tail.as_millis();
+        let (permit, news) = match self.arrive(arrived, demand, forecast) {
+            Ok(waiting) => waiting,
+            Err(retry_after) => {
+                log_event!(
+                    info,
+                    "plan_refused",
+                    request = order.request_id,
+                    due_ms = due_ms,
+                    left_ms = left_ms,
+                    needs_ms = total_ms,
+                    tail_ms = tail_ms,
+                    waiting = self.state().gate.waiting(),
+                    retry_after_ms = retry_after.as_millis()
+                );
+                return Err(StageStop::Overload { retry_after });
+            }
+        };
+        self.wake.notify_one();
+        let Ok(fate) = news.await else {
+            return Err(StageStop::Failed);
+        };
+        log_event!(
+            info,
+            "plan_decided",
+            request = order.request_id,
+            due_ms = due_ms,
+            left_ms = left_ms,
+            needs_ms = total_ms,
+            tail_ms = tail_ms,
+            returning = order.returning,
+            waited_ms = arrived.elapsed().as_millis(),
+            fate = format!("{fate:?}")
+        );
+        match fate {
+            PlanFate::Begun { .. } => Ok(permit),
+            PlanFate::Refused { retry_after } => Err(StageStop::Overload { retry_after }),
+        }
+    }
+
+    fn arrive(
+        self: &Arc<Self>,
+        now: Instant,
+        demand: PlanDemand,
+        forecast: StageForecast,
+    ) -> Result<(PlanPermit, oneshot::Receiver<PlanFate>), Duration> {
+        let rates = self.rates(now);
+        let mut state = self.state();
+        let number = state.gate.arrive(now, demand, &rates)?;
+        let (sender, news) = oneshot::channel();
+        state.waiters.insert(number, sender);
+        drop(state);
+        let permit = PlanPermit {
+            desk: Arc::clone(self),
+            number,
+            forecast,
+        };
+        Ok((permit, news))
+    }
+
+    /// How long the stages of a plan take here.
+    fn forecast(&self, order: &PlanOrder) -> StageForecast {
+        let stages = 0..order.graph.len();
+        let calls: Vec<Duration> = stages
+            .map(|stage| match order.pieces_of(stage) {
+                0 => Duration::ZERO,
+                _ => self.board(order, stage).full_call(order.bytes_of(stage)),
+            })
+            .collect();
+        StageForecast::new(Arc::clone(&order.graph), &calls)
+    }
+
+    fn board(&self, order: &PlanOrder, stage: usize) -> Arc<PieceBoard> {
+        self.node.board(&BoardKey {
+            pool: order.graph.rules()[stage].pool.clone(),
+            shard: self.shard.clone(),
+        })
+    }
+
+    fn demand(&self, now: Instant, order: &PlanOrder, forecast: &StageForecast) -> PlanDemand {
+        let rules = order.graph.rules().iter().enumerate();
+        let stages = rules.map(|(stage, rule)| StageDemand {
+            pool: rule.pool.as_str().into(),
+            work: match order.pieces_of(stage) {
+                0 => Duration::ZERO,
+                pieces => {
+                    let board = self.board(order, stage);
+                    board.piece_work(order.bytes_of(stage)) * pieces
+                }
+            },
+            done_after: forecast.done_after(stage),
+        });
+        PlanDemand {
+            stages: stages.collect(),
+            total: forecast.total(),
+            rank: order.rank,
+            due: order.due.checked_sub(order.tail).unwrap_or(now),
+            deadline: order.deadline.checked_sub(order.tail).unwrap_or(now),
+            returning: order.returning,
+            timely_only: order.timely_only,
+        }
+    }
+
+    async fn run(self: Arc<Self>) {
+        loop {
+            let now = Instant::now();
+            self.decide(now);
+            let due = self.state().gate.next_due();
+            let due = due.unwrap_or(now + IDLE_TIME);
+            tokio::select! {
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep_until(due.into()) => {}
+            }
+        }
+    }
+
+    fn decide(&self, now: Instant) {
+        let rates = self.rates(now);
+        let mut state = self.state();
+        for (number, fate) in state.gate.decide(now, &rates) {
+            let waiter = state.waiters.remove(&number);
+            let is_told = waiter.is_some_and(|waiter| waiter.send(fate).is_ok());
+            if !is_told {
+                // Whoever waited has left; its permit ends the plan.
+                log_event!(debug, "plan_abandoned", shard = self.shard.name());
+            }
+        }
+    }
+
+    /// What the pools of the shard can do, at most [`RATES_AGE`] old.
+    fn rates(&self, now: Instant) -> Arc<PoolRates> {
+        let is_fresh = |at: Instant| now < at + RATES_AGE;
+        let state = self.state();
+        if state.rates_at.is_some_and(is_fresh) {
+            return Arc::clone(&state.rates);
+        }
+        drop(state);
+        let view = self.node.view.load_full();
+        let rates = view.table.as_deref().map(|table| self.measure(table));
+        let rates = Arc::new(rates.unwrap_or_default());
+        let mut state = self.state();
+        state.rates = Arc::clone(&rates);
+        state.rates_at = Some(now);
+        rates
+    }
+
+    fn measure(&self, table: &RouteTable) -> PoolRates {
+        let pools = table.pools().filter(|pool| pool.pieces.is_some());
+        let rates = pools.map(|pool| {
+            let key = BoardKey {
+                pool: pool.name.clone(),
+                shard: self.shard.clone(),
+            };
+            (pool.name.as_str().into(), self.node.board(&key).rate())
+        });
+        rates.collect()
+    }
+
+    fn state(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/gateway/work_gate_tests.rs
@@ -0,0 +1,215 @@
+use super::*;
+
+/// Three pools of four endpoints each, as one data centre of
+/// asist-kosice-grown has them.
+fn rates() -> PoolRates {
+    let pools = ["first", "second", "third"];
+    let rates = pools.map(|pool| (pool.into(), PoolRate { endpoints: 4.0 }));
+    rates.into_iter().collect()
+}
+
+fn stage(pool: &str, work_ms: u64, done_ms: u64) -> StageDemand {
+    StageDemand {
+        pool: pool.into(),
+        work: Duration::from_millis(work_ms),
+        done_after: Duration::from_millis(done_ms),
+    }
+}
+
+/// A request through all three pools, as handover-brief makes them: one light
+/// piece, 6 of 30 and 16 of 68 that fit into a call of 0.28 s.
+fn chain(now: Instant, rank: u8, due_ms: u64) -> PlanDemand {
+    PlanDemand {
+        stages: vec![
+            stage("first", 24, 350),
+            stage("second", 56, 700),
+            stage("third", 66, 1_050),
+        ],
+        total: Duration::from_millis(1_050),
+        rank,
+        due: now + Duration::from_millis(due_ms),
+        deadline: now + Duration::from_secs(14),
+        returning: false,
+        timely_only: false,
+    }
+}
+
+/// A request that needs the first pool only, as shift-summary does.
+fn short(now: Instant, rank: u8) -> PlanDemand {
+    PlanDemand {
+        stages: vec![stage("first", 70, 350)],
+        total: Duration::from_millis(350),
+        ..chain(now, rank, 1_900)
+    }
+}
+
+fn begun(fates: &[(PlanNumber, PlanFate)]) -> Vec<PlanNumber> {
+    let begun = fates.iter().filter(|(_, fate)| match fate {
+        PlanFate::Begun { .. } => true,
+        PlanFate::Refused { .. } => false,
+    });
+    begun.map(|(number, _)| *number).collect()
+}
+
+/// Fills the gate with plans of a rank until no more are begun.
+fn fill(gate: &mut WorkGate, now: Instant, rank: u8) -> Vec<PlanNumber> {
+    let mut all = Vec::new();
+    loop {
+        if gate.arrive(now, chain(now, rank, 1_500), &rates()).is_err() {
+            return all;
+        }
+        let numbers = begun(&gate.decide(now, &rates()));
+        if numbers.is_empty() {
+            return all;
+        }
+        all.extend(numbers);
+    }
+}
+
+#[test]
+fn a_plan_begins_at_once_where_there_is_room() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let number = gate.arrive(now, chain(now, 0, 1_500), &rates()).unwrap();
+    let fates = gate.decide(now, &rates());
+    assert_eq!(fates, [(number, PlanFate::Begun { is_timely: true })]);
+}
+
+/// asist-kosice-grown quiet-1, a burst of briefs of 2.96: 1,100 of 1,350 results
+/// of the second pool lay and waited for the third, calls went out with 20 of 30
+/// pieces, and a third of what was served was late.
+#[test]
+fn no_more_is_begun_than_keeps_the_pools_busy() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let begun = fill(&mut gate, now, 0).len();
+    // The second pool does 4 s of work a second, 56 ms a plan, in 0.84 s; the
+    // last of 60 plans would make it just too much.
+    assert_eq!(begun, 59);
+}
+
+#[test]
+fn what_is_done_makes_room_for_the_next() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let numbers = fill(&mut gate, now, 0);
+    assert_eq!(gate.waiting(), 1);
+    gate.finish_stage(numbers[0], 2);
+    gate.end(numbers[1]);
+    assert_eq!(begun(&gate.decide(now, &rates())).len(), 1);
+}
+
+/// Briefs are worth three times what notes are, and need the same: in a burst
+/// of notes they should not wait behind them.
+#[test]
+fn what_waits_goes_by_rank_and_then_by_when_it_must_begin() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let numbers = fill(&mut gate, now, 1);
+    let later = gate.arrive(now, chain(now, 0, 1_600), &rates()).unwrap();
+    let sooner = gate.arrive(now, chain(now, 0, 1_400), &rates()).unwrap();
+    for expected in [sooner, later] {
+        gate.end(numbers[usize::from(expected == later)]);
+        assert_eq!(begun(&gate.decide(now, &rates())), [expected]);
+    }
+}
+
+#[test]
+fn a_plan_does_not_wait_for_pools_that_it_does_not_need() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    fill(&mut gate, now, 0);
+    let mut waiting = chain(now, 0, 1_500);
+    waiting.stages[0].work = Duration::ZERO;
+    gate.arrive(now, waiting, &rates()).unwrap();
+    let mut free = short(now, 2);
+    free.stages[0].pool = "other".into();
+    let number = gate.arrive(now, free, &rates()).unwrap();
+    assert_eq!(begun(&gate.decide(now, &rates())), [number]);
+}
+
+/// What can't be served is refused at once, and not when its time is over.
+#[test]
+fn a_plan_that_would_miss_its_time_behind_others_is_refused_at_once() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    fill(&mut gate, now, 0);
+    let mut taken = 0;
+    let retry_after = loop {
+        let mut plan = chain(now, 0, 1_500);
+        plan.timely_only = true;
+        match gate.arrive(now, plan, &rates()) {
+            Ok(_) => taken += 1,
+            Err(retry_after) => break retry_after,
+        }
+    };
+    // 0.45 s are left beside the 1.05 s that the stages take, in which the third
+    // pool does the work of 27 plans; one waited before.
+    assert_eq!(taken, 27);
+    assert!(retry_after >= RETRY_BOUNDS.0 && retry_after <= RETRY_BOUNDS.1);
+}
+
+#[test]
+fn late_plans_take_what_is_left_over() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let numbers = fill(&mut gate, now, 0);
+    let late = gate.arrive(now, chain(now, 0, 900), &rates()).unwrap();
+    gate.end(numbers[0]);
+    gate.end(numbers[1]);
+    assert!(!begun(&gate.decide(now, &rates())).contains(&late));
+    numbers[2..].iter().for_each(|number| gate.end(*number));
+    let fates = gate.decide(now, &rates());
+    assert!(fates.contains(&(late, PlanFate::Begun { is_timely: false })));
+}
+
+#[test]
+fn late_plans_that_get_no_turn_are_told_so() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    fill(&mut gate, now, 0);
+    let late = gate.arrive(now, chain(now, 1, 900), &rates()).unwrap();
+    let due = now + LATE_PATIENCE;
+    let fates = gate.decide(due, &rates());
+    let fate = fates.iter().find(|(number, _)| *number == late);
+    assert!(matches!(fate, Some((_, PlanFate::Refused { .. }))));
+}
+
+#[test]
+fn a_backlog_of_late_plans_has_an_end_except_for_those_who_came_back() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    fill(&mut gate, now, 0);
+    let taken = (0..1_000)
+        .take_while(|_| gate.arrive(now, chain(now, 0, 900), &rates()).is_ok())
+        .count();
+    assert!((60..=120).contains(&taken), "{taken}");
+    let mut back = chain(now, 0, 900);
+    back.returning = true;
+    let number = gate.arrive(now, back, &rates()).unwrap();
+    assert_eq!(gate.late.keys().next().unwrap().number, number);
+}
+
+#[test]
+fn a_plan_that_missed_its_time_while_it_waited_is_late() {
+    let now = Instant::now();
+    let mut gate = WorkGate::default();
+    let numbers = fill(&mut gate, now, 0);
+    let waiting = gate.next_due().unwrap();
+    let after = waiting + Duration::from_millis(1);
+    assert!(gate.decide(after, &rates()).is_empty());
+    assert_eq!((gate.timely.len(), gate.late.len()), (0, 1));
+    numbers.iter().for_each(|number| gate.end(*number));
+    assert_eq!(begun(&gate.decide(after, &rates())).len(), 1);
+}
+
+#[test]
+fn pools_without_endpoints_do_not_keep_a_plan_for_ever() {
+    let now = Instant::now();
+    let mut rates = rates();
+    rates.insert("third".into(), PoolRate::default());
+    let mut gate = WorkGate::default();
+    let first = gate.arrive(now, chain(now, 0, 1_500), &rates).unwrap();
+    assert_eq!(begun(&gate.decide(now, &rates)), [first]);
+    assert!(gate.arrive(now, chain(now, 0, 1_500), &rates).is_err());
+}
--- /dev/null
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -0,0 +1,123 @@
+use super::gateway_node::GatewayView;
+use super::stable_hash::stable_hash;
+use crate::prelude::*;
+use crate::transport::PeerName;
+
+/// Members of a stage pool up to which one entry has the work of all of it
+/// done. Larger pools are split by data centre: the pieces of 48 endpoints take
+/// more than the eighth of a core that an entry has.
+const WHOLE_POOL: usize = 6;
+
+/// The endpoints of all stage pools that one entry coordinates: those in one
+/// data centre, or all of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct WorkShard(Option<Arc<str>>);
+
+impl WorkShard {
+    /// The shard of a data centre; the whole for an empty name.
+    pub(super) fn named(data_center: &str) -> Self {
+        Self((!data_center.is_empty()).then(|| data_center.into()))
+    }
+
+    /// Name of its data centre; empty for the whole.
+    pub(super) fn name(&self) -> &str {
+        self.0.as_deref().unwrap_or_default()
+    }
+
+    /// Whether endpoints in `data_center` belong to it.
+    pub(super) fn has(&self, data_center: &str) -> bool {
+        self.0.as_deref().is_none_or(|own| own == data_center)
+    }
+
+    /// The entry that coordinates it, of those that are usable: the highest by
+    /// a hash, on which all entries agree.
+    pub(super) fn coordinator<'a>(
+        &self,
+        usable: impl Iterator<Item = &'a PeerName>,
+    ) -> Option<&'a PeerName> {
+        usable.max_by_key(|entry| {
+            let parts = [self.name().as_bytes(), entry.as_str().as_bytes()];
+            stable_hash(&parts)
+        })
+    }
+}
+
+/// The shards of a deployment, with what each can carry.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct ShardMap {
+    shards: Vec<(WorkShard, f64)>,
+}
+
+impl ShardMap {
+    /// The shards as the endpoints stand now.
+    pub(super) fn of(view: &GatewayView) -> Self {
+        let table = view.table.as_ref();
+        let pools = table.into_iter().flat_map(|table| table.pools());
+        let pools = pools.filter(|pool| pool.pieces.is_some());
+        let counts: Vec<BTreeMap<&str, usize>> = pools
+            .map(|pool| {
+                let mut count = BTreeMap::new();
+                let members = view.roster.pool(&pool.name).iter();
+                for member in members.filter(|member| !member.is_silent) {
+                    *count.entry(member.data_center()).or_default() += 1;
+                }
+                count
+            })
+            .collect();
+        Self::split(&counts)
+    }
+
+    /// Splits pools whose members by data centre are given.
+    fn split(counts: &[BTreeMap<&str, usize>]) -> Self {
+        let whole = Self {
+            shards: vec![(WorkShard::default(), 1.0)],
+        };
+        let sizes = counts.iter().map(|count| count.values().sum());
+        if sizes.max().unwrap_or(0) <= WHOLE_POOL {
+            return whole;
+        }
+        let used = counts.iter().filter(|count| !count.is_empty());
+        let places: BTreeSet<&str> = used
+            .clone()
+            .flat_map(|count| count.keys().copied())
+            .collect();
+        let shards = places.into_iter().filter_map(|place| {
+            let parts = used.clone().map(|count| {
+                let own = count.get(place).copied().unwrap_or(0);
+                own as f64 / count.values().sum::<usize>().max(1) as f64
+            });
+            let carried = parts.fold(1.0, f64::min);
+            (carried > 0.0).then(|| (WorkShard::named(place), carried))
+        });
+        let shards: Vec<(WorkShard, f64)> = shards.collect();
+        match shards.len() {
+            0 | 1 => whole,
+            _ => Self { shards },
+        }
+    }
+
+    /// The shard of a data centre, if there is one.
+    pub(super) fn at(&self, data_center: &str) -> Option<&WorkShard> {
+        let mut shards = self.shards.iter().map(|(shard, _)| shard);
+        shards.find(|shard| shard.name() == data_center || shard.0.is_none())
+    }
+
+    /// A shard drawn by what each can carry, other than `not`; `None` when
+    /// there is no other.
+    pub(super) fn draw(&self, ticket: u64, not: Option<&WorkShard>) -> Option<&WorkShard> {
+        let others = || self.shards.iter().filter(|(shard, _)| Some(shard) != not);
+        let total: f64 = others().map(|(_, carried)| carried).sum();
+        let mut left = ticket as f64 / u64::MAX as f64 * total;
+        for (shard, carried) in others() {
+            if left < *carried {
+                return Some(shard);
+            }
+            left -= carried;
+        }
+        others().next_back().map(|(shard, _)| shard)
+    }
+}
+
+#[cfg(test)]
+#[path = "work_shard_tests.rs"]
+mod tests;
