Order what waits by worth at stake, and refuse soon what would wait in vain

Ruled out: a shorter bound for all late work alone; it leaves the overtaken notes and the large briefs as they were.

Change: waiting plans go by what is at stake: rank, size against the route's mean, and whether they can be in time, in half octaves. A plan's wait counts the work of better levels that came in the last second. Late plans wait 0.24 s, callers that have come back 1.5 s.

--- a/crates/savorywalk/src/gateway/plan_order.rs
+++ b/crates/savorywalk/src/gateway/plan_order.rs
@@ -12,7 +12,11 @@
     pub(super) pieces: Arc<[u32]>,
     /// What the pieces of stages without inputs work on.
     pub(super) key: Arc<str>,
+    /// Name of the request's route.
+    pub(super) route: Arc<str>,
     pub(super) rank: u8,
+    /// What it asks for, in tokens to read; see `RequestContext::size`.
+    pub(super) size: u64,
     /// When the request should be answered.
     pub(super) due: Instant,
     /// When its caller gives up.
@@ -47,7 +51,9 @@
             request_id: self.request_id.to_string(),
             shard: shard.name().to_string(),
             stages: stages.collect(),
+            route: self.route.to_string(),
             rank: self.rank.into(),
+            size: self.size,
             due_ms,
             deadline_ms: deadline.as_millis() as u32,
             key: self.key.to_string(),
@@ -80,6 +86,8 @@
             graph: Arc::new(graph),
             pieces,
             key: call.key.into(),
+            route: call.route.into(),
+            size: call.size,
             rank: call.rank.min(u8::MAX.into()) as u8,
             due,
             deadline: now + Duration::from_millis(call.deadline_ms.into()),
--- a/crates/savorywalk/src/gateway/plan_order_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_order_tests.rs
@@ -13,7 +13,9 @@
         graph: Arc::new(rules.into_iter().collect()),
         pieces: [2, 1, 16].into(),
         key: "k".into(),
+        route: "briefs".into(),
         rank: 1,
+        size: 18_000,
         due: now + Duration::from_millis(700),
         deadline: now + Duration::from_millis(9_000),
         tail: Duration::from_millis(400),
@@ -33,6 +35,7 @@
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
     assert_eq!(arrived.key, sent.key);
+    assert_eq!((&arrived.route, arrived.size), (&sent.route, sent.size));
     assert_eq!((arrived.due, arrived.deadline), (sent.due, sent.deadline));
     assert_eq!((&arrived.near, arrived.tail), (&sent.near, sent.tail));
     assert!(arrived.returning && !arrived.timely_only);
--- /dev/null
+++ b/crates/savorywalk/src/gateway/plan_worth.rs
@@ -0,0 +1,80 @@
+use crate::prelude::*;
+
+/// What a request of one rank is worth in requests of the rank before: the
+/// sheets of both deployments say 4.1, 1.4 and 0.39.
+const RANK_FACTOR: f64 = 0.33;
+
+/// What an answer is still worth after its objective: 0.15 on the sheets.
+const LATE_FACTOR: f64 = 0.15;
+
+/// Part of a request's worth that does not depend on its size.
+const FIXED_PART: f64 = 0.3;
+
+/// Most that size multiplies a request's worth by.
+const MAX_SIZE_FACTOR: f64 = 4.0;
+
+/// Levels for each doubling of worth. Within a level the one goes first that
+/// must begin first.
+const LEVELS_PER_DOUBLING: f64 = 2.0;
+
+/// Level of a usual request of the first rank in time.
+const USUAL_LEVEL: f64 = 6.0;
+
+/// Last level.
+const LAST_LEVEL: f64 = 40.0;
+
+/// Part of a request's size that moves the mean of its route.
+const MEAN_STEP: f64 = 0.02;
+
+/// Ranks of routes that are told apart in worth; see `request_rank`.
+const ROUTE_RANKS: u8 = 16;
+
+/// How much is at stake with a request; 0 is most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorthLevel(u8);
+
+impl WorthLevel {
+    /// The level as a place in a list.
+    pub(super) fn index(self) -> usize {
+        self.0.into()
+    }
+}
+
+/// What requests of each route usually ask for, by which the worth of one is
+/// measured.
+#[derive(Clone, Debug, Default)]
+pub struct WorthScale {
+    means: FastMap<Arc<str>, f64>,
+}
+
+impl WorthScale {
+    /// What a request is worth in time, in usual requests of the first rank.
+    /// `rank` is that of `request_rank`: workspaces of a better one go before
+    /// all routes of the others.
+    pub fn worth(&mut self, route: &Arc<str>, rank: u8, size: u64) -> f64 {
+        let size = size as f64;
+        let mean = self.means.entry(Arc::clone(route)).or_insert(size);
+        *mean += MEAN_STEP * (size - *mean);
+        let relative = size / mean.max(1.0);
+        let size_factor = FIXED_PART + (1.0 - FIXED_PART) * relative;
+        let (workspace, of_route) = (rank / ROUTE_RANKS, rank % ROUTE_RANKS);
+        let steps = i32::from(of_route) + WORKSPACE_STEPS * i32::from(workspace);
+        RANK_FACTOR.powi(steps) * size_factor.min(MAX_SIZE_FACTOR)
+    }
+}
+
+/// Steps of rank between two ranks of workspaces: more than routes have among
+/// themselves, since a workspace's rank goes before a route's.
+const WORKSPACE_STEPS: i32 = 3;
+
+/// The level of a request that is worth so much in time.
+pub fn worth_level(worth: f64, is_timely: bool) -> WorthLevel {
+    let factor = if is_timely { 1.0 } else { LATE_FACTOR };
+    let doublings = (worth * factor).max(f64::MIN_POSITIVE).log2();
+    let level = USUAL_LEVEL - doublings * LEVELS_PER_DOUBLING;
+    WorthLevel(level.clamp(0.0, LAST_LEVEL) as u8)
+}
+
+#[cfg(test)]
+#[path = "plan_worth_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/pool_load.rs
+++ b/crates/savorywalk/src/gateway/pool_load.rs
@@ -1,9 +1,14 @@
+use super::plan_worth::WorthLevel;
 use super::work_gate::StageDemand;
 use crate::prelude::*;
 
 /// Longest time that is told for work that no endpoint does.
 const ENDLESS: Duration = Duration::from_secs(60);
 
+/// Time over which arriving work is averaged: long enough for some twenty
+/// requests of a shard, and a small part of a burst.
+const ARRIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// How many endpoints' worth of work a pool does.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolRate {
@@ -24,15 +29,54 @@
 
 /// Work of plans that are begun, for one pool: what waits there, what is being
 /// done, and what comes later.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct PoolLoad {
     work_seconds: f64,
     /// Sum of the work, each part multiplied by the time from its plan's
     /// beginning until it is done.
     weighted: f64,
+    /// Work that came lately, by level.
+    arrivals: Vec<FadingSum>,
+}
+
+/// A sum with a memory that fades.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct FadingSum {
+    sum: f64,
+    at: Option<Instant>,
+}
+
+impl FadingSum {
+    fn add(&mut self, now: Instant, value: f64) {
+        self.sum = self.value(now) + value;
+        self.at = Some(now);
+    }
+
+    fn value(&self, now: Instant) -> f64 {
+        let age = self
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.sum * (-age.as_secs_f64() / ARRIVAL_TIME.as_secs_f64()).exp()
+    }
 }
 
 impl PoolLoad {
+    /// Counts work that waits or begins from now on.
+    pub(super) fn note_arrival(&mut self, now: Instant, level: WorthLevel, work: Duration) {
+        let index = level.index();
+        if self.arrivals.len() <= index {
+            self.arrivals.resize_with(index + 1, FadingSum::default);
+        }
+        self.arrivals[index].add(now, work.as_secs_f64());
+    }
+
+    /// Endpoints' worth of work that came lately and goes before `level`.
+    pub(super) fn arriving_before(&self, now: Instant, level: WorthLevel) -> f64 {
+        let before = self.arrivals.iter().take(level.index());
+        let work: f64 = before.map(|sum| sum.value(now)).sum();
+        work / ARRIVAL_TIME.as_secs_f64()
+    }
+
     pub(super) fn add(&mut self, stage: &StageDemand) {
         self.work_seconds += stage.work.as_secs_f64();
         self.weighted += weighted(stage);
@@ -56,19 +100,23 @@
         if self.work_seconds <= 0.0 {
             return true;
         }
-        let mut load = *self;
-        load.add(stage);
-        load.beyond(rate, slack, permille) <= 0.0
+        let work_seconds = self.work_seconds + stage.work.as_secs_f64();
+        let weighted = self.weighted + weighted(stage);
+        beyond(work_seconds, weighted, rate, slack, permille) <= 0.0
     }
 
     /// Seconds of work in progress beyond those that keep the pool busy.
     pub(super) fn beyond(&self, rate: PoolRate, slack: Duration, permille: u32) -> f64 {
-        if self.work_seconds <= 0.0 {
-            return 0.0;
-        }
-        let time = self.weighted / self.work_seconds + slack.as_secs_f64();
-        self.work_seconds - rate.endpoints * time * f64::from(permille) / 1_000.0
+        beyond(self.work_seconds, self.weighted, rate, slack, permille)
+    }
+}
+
+fn beyond(work: f64, weighted: f64, rate: PoolRate, slack: Duration, permille: u32) -> f64 {
+    if work <= 0.0 {
+        return 0.0;
     }
+    let time = weighted / work + slack.as_secs_f64();
+    work - rate.endpoints * time * f64::from(permille) / 1_000.0
 }
 
 fn weighted(stage: &StageDemand) -> f64 {
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -33,6 +33,9 @@
 /// asist-kosice-grown quiet-1.
 const TOKENS_PER_MS: u64 = 50;
 
+/// Tokens to read that take an engine as long as one to write, about.
+const READ_PER_WRITTEN: u64 = 10;
+
 impl RequestContext {
     /// Time left.
     pub(super) fn remaining(&self, now: Instant) -> Duration {
@@ -53,4 +56,10 @@
         let tokens = self.head.tokens.map_or(parts, |tokens| tokens.prompt);
         ENGINE_BASE + Duration::from_millis(tokens / TOKENS_PER_MS)
     }
+
+    /// What the request asks for, in tokens to read.
+    pub(super) fn size(&self) -> u64 {
+        let tokens = self.head.tokens.unwrap_or_default();
+        tokens.prompt + tokens.answer * READ_PER_WRITTEN
+    }
 }
--- a/crates/savorywalk/src/gateway/work_desk.rs
+++ b/crates/savorywalk/src/gateway/work_desk.rs
@@ -9,6 +9,7 @@
 use super::work_shard::WorkShard;
 use super::{
     PlanDemand, PlanFate, PlanNumber, PoolRates, RouteTable, StageDemand, StageForecast, WorkGate,
+    WorthScale,
 };
 use crate::prelude::*;
 
@@ -32,6 +33,7 @@
 struct DeskState {
     gate: WorkGate,
     waiters: FastMap<PlanNumber, oneshot::Sender<PlanFate>>,
+    scale: WorthScale,
     rates: Arc<PoolRates>,
     rates_at: Option<Instant>,
 }
@@ -102,6 +104,8 @@
                     info,
                     "plan_refused",
                     request = order.request_id,
+                    route = order.route,
+                    size = order.size,
                     due_ms = due_ms,
                     left_ms = left_ms,
                     needs_ms = total_ms,
@@ -120,6 +124,8 @@
             info,
             "plan_decided",
             request = order.request_id,
+            route = order.route,
+            size = order.size,
             due_ms = due_ms,
             left_ms = left_ms,
             needs_ms = total_ms,
@@ -189,7 +195,10 @@
         PlanDemand {
             stages: stages.collect(),
             total: forecast.total(),
-            rank: order.rank,
+            worth: self
+                .state()
+                .scale
+                .worth(&order.route, order.rank, order.size),
             due: order.due.checked_sub(order.tail).unwrap_or(now),
             deadline: order.deadline.checked_sub(order.tail).unwrap_or(now),
             returning: order.returning,
--- a/crates/savorywalk/src/gateway/work_gate.rs
+++ b/crates/savorywalk/src/gateway/work_gate.rs
@@ -1,3 +1,4 @@
+use super::plan_worth::{WorthLevel, worth_level};
 use super::pool_load::{PoolLoad, PoolRate};
 use crate::prelude::*;
 
@@ -8,19 +9,24 @@
 
 /// Part of the permitted work in progress up to which late plans are begun, in
 /// thousandths: what can be in time and comes next should find endpoints free.
-const LATE_FILL_PERMILLE: u32 = 700;
+const LATE_FILL_PERMILLE: u32 = 850;
 
-/// Late work that may wait, in time of each pool. After a burst some 400 of
-/// 1,000 parts of a pool are left over, so this is gone in four seconds.
-const LATE_BACKLOG: Duration = Duration::from_millis(1_500);
+/// Longest wait of a late plan: an eighth of an objective of two seconds. Who
+/// has to wait longer had better come back when there is less to do.
+const LATE_PATIENCE: Duration = Duration::from_millis(240);
 
-/// Longest wait of a late plan; by then the burst that it waits for is over or
-/// will not end soon.
-const LATE_PATIENCE: Duration = Duration::from_secs(4);
+/// The same for a caller that has come back, who has no other chance.
+const RETURN_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Bounds of the time after which a refused caller may come back: a burst lasts
-/// some five seconds, and who comes back into it is refused again.
-const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
+/// When a refused caller may come back: a burst lasts some five seconds, and
+/// who comes back into it is refused again.
+const RETRY_TIME: Duration = Duration::from_secs(5);
+
+/// Part of a pool that must be left over by what goes first for a wait to end.
+const LEAST_LEFT: f64 = 0.05;
+
+/// Time after which a moment is surely past.
+const TICK: Duration = Duration::from_micros(100);
 
 /// Number of a plan at one gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -44,8 +50,8 @@
     pub stages: Vec<StageDemand>,
     /// Time that all its stages take, about.
     pub total: Duration,
-    /// Rank of the request; 0 goes first.
-    pub rank: u8,
+    /// What it is worth in time; see [`super::WorthScale`].
+    pub worth: f64,
     /// When its stages should be done.
     pub due: Instant,
     /// When they are of no use any more.
@@ -79,32 +85,24 @@
 ///
 /// Work in progress is kept as low as the pools can be kept busy with, so that
 /// results lie about for a short time and what is begun goes through without
-/// waiting. What waits does so here, where it holds nothing, and goes by rank
-/// and then by when it must begin to be in time. What can't be in time is begun
-/// only where pools have time left over.
+/// waiting. What waits does so here, where it holds nothing, and goes by what is
+/// at stake and then by when it must begin. What can't be in time is worth a
+/// part of what can; it is begun only where pools have time left over.
 #[derive(Debug, Default)]
 pub struct WorkGate {
     next: u64,
     loads: FastMap<Arc<str>, PoolLoad>,
     begun: FastMap<PlanNumber, Vec<StageDemand>>,
-    timely: BTreeMap<TimelyKey, PlanDemand>,
-    late: BTreeMap<LateKey, PlanDemand>,
-}
-
-/// Order of plans that can be in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct TimelyKey {
-    rank: u8,
-    latest_begin: Instant,
-    number: PlanNumber,
+    waiting: BTreeMap<WaitKey, PlanDemand>,
 }
 
-/// Order of plans that can't: callers that have come back have no other chance.
+/// Order of plans that wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct LateKey {
-    is_first_try: bool,
-    rank: u8,
-    give_up: Instant,
+struct WaitKey {
+    level: WorthLevel,
+    is_late: bool,
+    /// Latest beginning to be in time, or the end of a late plan's patience.
+    until: Instant,
     number: PlanNumber,
 }
 
@@ -117,6 +115,11 @@
     fn is_timely(&self, begin: Instant) -> bool {
         begin + self.total <= self.due
     }
+
+    /// Stages that are not left out.
+    fn demands(&self) -> impl Iterator<Item = &StageDemand> {
+        self.stages.iter().filter(|stage| !stage.work.is_zero())
+    }
 }
 
 impl WorkGate {
@@ -130,20 +133,28 @@
     ) -> Result<PlanNumber, Duration> {
         let number = PlanNumber(self.next);
         self.next += 1;
-        let latest = plan.latest_begin().unwrap_or(now);
-        let key = TimelyKey {
-            rank: plan.rank,
-            latest_begin: latest,
+        let key = WaitKey {
+            level: worth_level(plan.worth, true),
+            is_late: false,
+            until: plan.latest_begin().unwrap_or(now),
             number,
         };
-        if plan.is_timely(now + self.wait_before(&key, &plan, rates)) {
-            self.timely.insert(key, plan);
+        if plan.is_timely(now + self.wait_before(now, &key, &plan, rates)) {
+            self.wait(now, key, plan);
             return Ok(number);
         }
-        if plan.timely_only {
-            return Err(self.retry_after(now, &plan, rates));
+        match plan.timely_only {
+            true => Err(retry_after(now, &plan)),
+            false => self.wait_late(now, number, plan, rates),
+        }
+    }
+
+    fn wait(&mut self, now: Instant, key: WaitKey, plan: PlanDemand) {
+        for stage in plan.demands() {
+            let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
+            load.note_arrival(now, key.level, stage.work);
         }
-        self.wait_late(now, number, plan, rates)
+        self.waiting.insert(key, plan);
     }
 
     fn wait_late(
@@ -153,19 +164,21 @@
         plan: PlanDemand,
         rates: &PoolRates,
     ) -> Result<PlanNumber, Duration> {
-        let has_time = now + plan.total + LATE_BACKLOG <= plan.deadline;
-        let has_place = self.late_wait(&plan, rates) <= LATE_BACKLOG;
-        if !has_time || !(has_place || plan.returning) {
-            return Err(self.retry_after(now, &plan, rates));
-        }
-        let left = plan.deadline.saturating_duration_since(now + plan.total);
-        let key = LateKey {
-            is_first_try: !plan.returning,
-            rank: plan.rank,
-            give_up: now + LATE_PATIENCE.min(left / 2),
+        let patience = match plan.returning {
+            true => RETURN_PATIENCE,
+            false => LATE_PATIENCE,
+        };
+        let key = WaitKey {
+            level: worth_level(plan.worth, false),
+            is_late: true,
+            until: now + patience,
             number,
         };
-        self.late.insert(key, plan);
+        let wait = self.wait_before(now, &key, &plan, rates);
+        if wait > patience || now + wait + plan.total > plan.deadline {
+            return Err(retry_after(now, &plan));
+        }
+        self.wait(now, key, plan);
         Ok(number)
     }
 
@@ -173,24 +186,15 @@
     pub fn decide(&mut self, now: Instant, rates: &PoolRates) -> Vec<(PlanNumber, PlanFate)> {
         let mut fates = self.sort_out(now, rates);
         let mut blocked: FastSet<Arc<str>> = FastSet::default();
-        let waiting: Vec<TimelyKey> = self.timely.keys().copied().collect();
-        for key in waiting {
-            if !self.may_begin(&self.timely[&key], rates, &mut blocked, 1_000) {
-                continue;
-            }
-            if let Some(plan) = self.timely.remove(&key) {
-                self.begin(key.number, plan);
-                fates.push((key.number, PlanFate::Begun { is_timely: true }));
-            }
-        }
-        let waiting: Vec<LateKey> = self.late.keys().copied().collect();
+        let waiting: Vec<WaitKey> = self.waiting.keys().copied().collect();
         for key in waiting {
-            if !self.may_begin(&self.late[&key], rates, &mut blocked, LATE_FILL_PERMILLE) {
+            if !self.may_begin(&key, rates, &mut blocked) {
                 continue;
             }
-            if let Some(plan) = self.late.remove(&key) {
+            if let Some(plan) = self.waiting.remove(&key) {
                 self.begin(key.number, plan);
-                fates.push((key.number, PlanFate::Begun { is_timely: false }));
+                let is_timely = !key.is_late;
+                fates.push((key.number, PlanFate::Begun { is_timely }));
             }
         }
         fates
@@ -199,19 +203,17 @@
     /// Takes out what has waited too long.
     fn sort_out(&mut self, now: Instant, rates: &PoolRates) -> Vec<(PlanNumber, PlanFate)> {
         let mut fates = Vec::new();
-        let missed: Vec<TimelyKey> = self.timely.keys().copied().collect();
-        for key in missed.into_iter().filter(|key| key.latest_begin < now) {
-            let Some(plan) = self.timely.remove(&key) else {
+        let over = self.waiting.keys().filter(|key| key.until < now);
+        let over: Vec<WaitKey> = over.copied().collect();
+        for key in over {
+            let Some(plan) = self.waiting.remove(&key) else {
                 continue;
             };
-            if let Err(retry_after) = self.wait_late(now, key.number, plan, rates) {
-                fates.push((key.number, PlanFate::Refused { retry_after }));
-            }
-        }
-        let given_up: Vec<LateKey> = self.late.keys().copied().collect();
-        for key in given_up.into_iter().filter(|key| key.give_up <= now) {
-            if let Some(plan) = self.late.remove(&key) {
-                let retry_after = self.retry_after(now, &plan, rates);
+            let outcome = match key.is_late {
+                true => Err(retry_after(now, &plan)),
+                false => self.wait_late(now, key.number, plan, rates),
+            };
+            if let Err(retry_after) = outcome {
                 fates.push((key.number, PlanFate::Refused { retry_after }));
             }
         }
@@ -219,24 +221,27 @@
     }
 
     /// Whether every pool has a place for a plan. A pool that has none keeps
-    /// its places for that plan: others may not overtake it there.
-    fn may_begin(
-        &self,
-        plan: &PlanDemand,
-        rates: &PoolRates,
-        blocked: &mut FastSet<Arc<str>>,
-        permille: u32,
-    ) -> bool {
-        let stages = || plan.stages.iter().filter(|stage| !stage.work.is_zero());
-        if stages().any(|stage| blocked.contains(&stage.pool)) {
+    /// its places for a plan that can be in time: what goes behind it may not
+    /// overtake it there.
+    fn may_begin(&self, key: &WaitKey, rates: &PoolRates, blocked: &mut FastSet<Arc<str>>) -> bool {
+        let Some(plan) = self.waiting.get(key) else {
+            return false;
+        };
+        if plan.demands().any(|stage| blocked.contains(&stage.pool)) {
             return false;
         }
-        let full: Vec<Arc<str>> = stages()
-            .filter(|stage| !self.has_place(stage, rates, permille))
-            .map(|stage| Arc::clone(&stage.pool))
-            .collect();
+        let permille = if key.is_late {
+            LATE_FILL_PERMILLE
+        } else {
+            1_000
+        };
+        let full = plan.demands();
+        let full = full.filter(|stage| !self.has_place(stage, rates, permille));
+        let full: Vec<Arc<str>> = full.map(|stage| Arc::clone(&stage.pool)).collect();
         let may_begin = full.is_empty();
-        blocked.extend(full);
+        if !key.is_late {
+            blocked.extend(full);
+        }
         may_begin
     }
 
@@ -244,12 +249,12 @@
         let Some(rate) = rates.get(&stage.pool) else {
             return true;
         };
-        let load = self.loads.get(&stage.pool).copied().unwrap_or_default();
-        load.has_place(stage, *rate, WORK_SLACK, permille)
+        let load = self.loads.get(&stage.pool);
+        load.is_none_or(|load| load.has_place(stage, *rate, WORK_SLACK, permille))
     }
 
     fn begin(&mut self, number: PlanNumber, plan: PlanDemand) {
-        for stage in &plan.stages {
+        for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
             load.add(stage);
         }
@@ -275,59 +280,51 @@
             self.finish_stage(number, stage);
         }
         self.begun.remove(&number);
-        self.timely.retain(|key, _| key.number != number);
-        self.late.retain(|key, _| key.number != number);
+        self.waiting.retain(|key, _| key.number != number);
     }
 
     /// When [`Self::decide`] may have something to do without news.
     pub fn next_due(&self) -> Option<Instant> {
-        let timely = self.timely.keys().map(|key| key.latest_begin);
-        let late = self.late.keys().map(|key| key.give_up);
-        timely.chain(late).min()
+        let until = self.waiting.keys().map(|key| key.until);
+        until.min().map(|until| until + TICK)
     }
 
     /// Plans that wait.
     pub fn waiting(&self) -> usize {
-        self.timely.len() + self.late.len()
-    }
-
-    /// Time that a plan would wait behind those that go first.
-    fn wait_before(&self, key: &TimelyKey, plan: &PlanDemand, rates: &PoolRates) -> Duration {
-        let before: Vec<&PlanDemand> = self.timely.range(..key).map(|(_, plan)| plan).collect();
-        self.longest_wait(plan, &before, rates)
-    }
-
-    /// Time that a plan would wait behind late ones, if nothing else came.
-    fn late_wait(&self, plan: &PlanDemand, rates: &PoolRates) -> Duration {
-        let before: Vec<&PlanDemand> = self.late.values().chain(self.timely.values()).collect();
-        self.longest_wait(plan, &before, rates)
+        self.waiting.len()
     }
 
-    fn longest_wait(
+    /// Time that a plan would wait: for what waits and goes first, and for what
+    /// will come meanwhile and go first too, if as much comes as lately.
+    fn wait_before(
         &self,
+        now: Instant,
+        key: &WaitKey,
         plan: &PlanDemand,
-        before: &[&PlanDemand],
         rates: &PoolRates,
     ) -> Duration {
-        let stages = plan.stages.iter().filter(|stage| !stage.work.is_zero());
-        let waits = stages.filter_map(|stage| {
+        let before: Vec<&PlanDemand> = self.waiting.range(..key).map(|(_, plan)| plan).collect();
+        let waits = plan.demands().filter_map(|stage| {
             let rate = rates.get(&stage.pool)?;
-            let demands = before.iter().flat_map(|plan| plan.stages.iter());
+            let demands = before.iter().flat_map(|plan| plan.demands());
             let demands = demands.filter(|demand| demand.pool == stage.pool);
             let ahead: f64 = demands.map(|demand| demand.work.as_secs_f64()).sum();
-            let load = self.loads.get(&stage.pool).copied().unwrap_or_default();
-            let over = load.beyond(*rate, WORK_SLACK, 1_000).max(0.0);
-            Some(rate.time_for(ahead + over))
+            let load = self.loads.get(&stage.pool);
+            let over = load.map_or(0.0, |load| load.beyond(*rate, WORK_SLACK, 1_000).max(0.0));
+            let coming = load.map_or(0.0, |load| load.arriving_before(now, key.level));
+            let least = rate.endpoints * LEAST_LEFT;
+            let left = PoolRate {
+                endpoints: (rate.endpoints - coming).max(least),
+            };
+            Some(left.time_for(ahead + over))
         });
         waits.max().unwrap_or_default()
     }
+}
 
-    fn retry_after(&self, now: Instant, plan: &PlanDemand, rates: &PoolRates) -> Duration {
-        let (least, most) = RETRY_BOUNDS;
-        let wait = self.late_wait(plan, rates) * 2;
-        let left = plan.deadline.saturating_duration_since(now);
-        wait.clamp(least, most).min(left / 3)
-    }
+fn retry_after(now: Instant, plan: &PlanDemand) -> Duration {
+    let left = plan.deadline.saturating_duration_since(now);
+    RETRY_TIME.min(left / 3)
 }
 
 #[cfg(test)]
