Split the gateway's large files by job, and name the new events to explain

Moves only: choosing an endpoint and ordering stages out of the forward run, placing prompts out of the work exchange, what is believed of an endpoint and places near it out of the piece queue, a call's result to the call. explain knows plan_refused, plan_decided and coordinator_lost; request_begun_late and gatherer_lost are written no more, and their test names the new event.

--- /dev/null
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -0,0 +1,128 @@
+use rand::RngExt;
+
+use super::forward_run::ForwardRun;
+use super::gateway_node::GatewayView;
+use super::plan_order::PlanOrder;
+use super::plan_results::StageStop;
+use super::prompt_exchange;
+use super::{GatewayRefusal, NotRunReason, PlacementQuery, PoolMember};
+use crate::prelude::*;
+
+/// A time somewhat before `retry_after`, so that callers that were refused
+/// together do not come back together.
+fn spread(retry_after: Duration) -> Duration {
+    let half = retry_after / 2;
+    half + Duration::from_millis(rand::rng().random_range(0..=half.as_millis() as u64))
+}
+
+/// Where a request and its stages go.
+impl ForwardRun {
+    fn pick(&self, view: &GatewayView) -> Option<PoolMember> {
+        let query = PlacementQuery {
+            affinity: self.context.affinity(),
+            data_center: &self.node.data_center,
+            ledger: &self.ledger,
+        };
+        let pool = &self.context.pool;
+        let members = view.roster.pool(pool);
+        let scores = &self.node.scores;
+        scores.place(Instant::now(), pool, members, query).cloned()
+    }
+
+    /// The endpoint for the next attempt: for a prompt the one that whoever
+    /// places all of them chose, unless this entry has found it ill.
+    pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
+        self.placed = None;
+        let pool = &self.context.pool;
+        let profile = view.table.as_ref().and_then(|table| table.pool(pool));
+        if profile.is_none_or(|profile| profile.engine.is_none()) {
+            return self.pick(view);
+        }
+        let avoid = self.ledger.endpoints();
+        let placed = self.node.exchange.place(&self.node, &self.context, avoid);
+        let placed = placed.await;
+        let members = view.roster.pool(pool).iter();
+        let member = placed.as_ref().and_then(|placed| {
+            let mut members = members;
+            members.find(|member| member.endpoint() == placed.endpoint)
+        });
+        let is_well = |member: &&PoolMember| {
+            let cost = self.node.scores.cost(Instant::now(), pool, member);
+            cost.surcharge == 0.0
+        };
+        match member.filter(is_well) {
+            Some(member) => {
+                let member = member.clone();
+                self.placed = placed;
+                Some(member)
+            }
+            None => self.pick(view),
+        }
+    }
+
+    /// Data centre in which the request will probably run.
+    fn planned_place(&self, view: &GatewayView) -> Option<String> {
+        let shard = prompt_exchange::engine_shard(view, &self.context);
+        if !shard.name().is_empty() {
+            return Some(shard.name().to_string());
+        }
+        self.pick(view)
+            .map(|member| member.data_center().to_string())
+    }
+
+    /// Has the stages worked on near the endpoint that will probably get the
+    /// request.
+    pub(super) async fn work_on_stages(&mut self) -> Result<(), GatewayRefusal> {
+        if self.context.route.stages.is_empty() {
+            return Ok(());
+        }
+        self.results = None;
+        let view = self.node.view.load_full();
+        let Some(near) = self.planned_place(&view) else {
+            return Err(self.refuse(NotRunReason::NoEndpoint));
+        };
+        let order = self.plan_order(&near);
+        let remaining = self.context.remaining(Instant::now());
+        let working = self.node.exchange.work_on(&self.node, order);
+        match tokio::time::timeout(remaining, working).await {
+            Ok(Ok(results)) => {
+                self.results = Some(results);
+                Ok(())
+            }
+            Ok(Err(stop)) => Err(self.refuse_stopped(stop)),
+            Err(_) => Err(self.refuse(NotRunReason::TimeOver)),
+        }
+    }
+
+    fn plan_order(&self, near: &str) -> PlanOrder {
+        let context = &self.context;
+        PlanOrder {
+            request_id: Arc::clone(&context.id),
+            graph: Arc::clone(&context.route.stages),
+            pieces: context.head.piece_counts.as_slice().into(),
+            key: context.head.piece_key.as_str().into(),
+            route: context.route.name.as_str().into(),
+            rank: context.rank,
+            size: context.size(),
+            due: context.due,
+            deadline: context.deadline,
+            tail: context.engine_time(),
+            near: near.into(),
+            returning: context.is_returning,
+            timely_only: false,
+        }
+    }
+
+    fn refuse_stopped(&self, stop: StageStop) -> GatewayRefusal {
+        match (stop, self.ledger.not_run()) {
+            (StageStop::Overload { retry_after }, Some(proof)) => GatewayRefusal::NotRun {
+                proof,
+                reason: NotRunReason::Overload,
+                retry_after: spread(retry_after),
+            },
+            (StageStop::Overload { .. }, None) => self.refuse(NotRunReason::Overload),
+            (StageStop::Late, _) => self.refuse(NotRunReason::TimeOver),
+            (StageStop::InputGone | StageStop::Failed, _) => self.refuse(NotRunReason::StageFailed),
+        }
+    }
+}
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -6,14 +6,13 @@
 use super::call_surface::{GatewayBody, whole};
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::{GatewayNode, GatewayView};
-use super::plan_order::PlanOrder;
-use super::plan_results::{PlanResults, StageStop};
+use super::plan_results::PlanResults;
+use super::prompt_exchange::PlacedPrompt;
 use super::request_context::RequestContext;
 use super::stream_relay::StreamRelay;
-use super::work_exchange::{self, PlacedPrompt};
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PlacementQuery, PoolMember,
-    RouteKind, RunLedger, engine_rank,
+    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RouteKind, RunLedger,
+    engine_rank,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -38,13 +37,6 @@
     RETRY_AFTER + Duration::from_millis(rand::rng().random_range(0..RETRY_SPREAD_MS))
 }
 
-/// A time somewhat before `retry_after`, so that callers that were refused
-/// together do not come back together.
-fn spread(retry_after: Duration) -> Duration {
-    let half = retry_after / 2;
-    half + Duration::from_millis(rand::rng().random_range(0..=half.as_millis() as u64))
-}
-
 /// One request on its way to an endpoint.
 #[derive(Debug)]
 pub(super) struct ForwardRun {
@@ -53,9 +45,9 @@
     parts: request::Parts,
     body: Bytes,
     pub(super) ledger: RunLedger,
-    results: Option<PlanResults>,
+    pub(super) results: Option<PlanResults>,
     /// Where the last attempt went, when one entry placed it for all.
-    placed: Option<PlacedPrompt>,
+    pub(super) placed: Option<PlacedPrompt>,
     /// Answer of an endpoint that failed, for when no other does better.
     last_answer: Option<Response<Bytes>>,
 }
@@ -113,7 +105,7 @@
         self.send_until_answered().await
     }
 
-    fn refuse(&self, reason: NotRunReason) -> GatewayRefusal {
+    pub(super) fn refuse(&self, reason: NotRunReason) -> GatewayRefusal {
         match self.ledger.not_run() {
             Some(proof) => GatewayRefusal::NotRun {
                 proof,
@@ -125,115 +117,6 @@
         }
     }
 
-    fn pick(&self, view: &GatewayView) -> Option<PoolMember> {
-        let query = PlacementQuery {
-            affinity: self.context.affinity(),
-            data_center: &self.node.data_center,
-            ledger: &self.ledger,
-        };
-        let pool = &self.context.pool;
-        let members = view.roster.pool(pool);
-        let scores = &self.node.scores;
-        scores.place(Instant::now(), pool, members, query).cloned()
-    }
-
-    /// The endpoint for the next attempt: for a prompt the one that whoever
-    /// places all of them chose, unless this entry has found it ill.
-    async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
-        self.placed = None;
-        let pool = &self.context.pool;
-        let profile = view.table.as_ref().and_then(|table| table.pool(pool));
-        if profile.is_none_or(|profile| profile.engine.is_none()) {
-            return self.pick(view);
-        }
-        let avoid = self.ledger.endpoints();
-        let placed = self.node.exchange.place(&self.node, &self.context, avoid);
-        let placed = placed.await;
-        let members = view.roster.pool(pool).iter();
-        let member = placed.as_ref().and_then(|placed| {
-            let mut members = members;
-            members.find(|member| member.endpoint() == placed.endpoint)
-        });
-        let is_well = |member: &&PoolMember| {
-            let cost = self.node.scores.cost(Instant::now(), pool, member);
-            cost.surcharge == 0.0
-        };
-        match member.filter(is_well) {
-            Some(member) => {
-                let member = member.clone();
-                self.placed = placed;
-                Some(member)
-            }
-            None => self.pick(view),
-        }
-    }
-
-    /// Data centre in which the request will probably run.
-    fn planned_place(&self, view: &GatewayView) -> Option<String> {
-        let shard = work_exchange::engine_shard(view, &self.context);
-        if !shard.name().is_empty() {
-            return Some(shard.name().to_string());
-        }
-        self.pick(view)
-            .map(|member| member.data_center().to_string())
-    }
-
-    /// Has the stages worked on near the endpoint that will probably get the
-    /// request.
-    pub(super) async fn work_on_stages(&mut self) -> Result<(), GatewayRefusal> {
-        if self.context.route.stages.is_empty() {
-            return Ok(());
-        }
-        self.results = None;
-        let view = self.node.view.load_full();
-        let Some(near) = self.planned_place(&view) else {
-            return Err(self.refuse(NotRunReason::NoEndpoint));
-        };
-        let order = self.plan_order(&near);
-        let remaining = self.context.remaining(Instant::now());
-        let working = self.node.exchange.work_on(&self.node, order);
-        match tokio::time::timeout(remaining, working).await {
-            Ok(Ok(results)) => {
-                self.results = Some(results);
-                Ok(())
-            }
-            Ok(Err(stop)) => Err(self.refuse_stopped(stop)),
-            Err(_) => Err(self.refuse(NotRunReason::TimeOver)),
-        }
-    }
-
-    fn plan_order(&self, near: &str) -> PlanOrder {
-        let context = &self.context;
-        PlanOrder {
-            request_id: Arc::clone(&context.id),
-            graph: Arc::clone(&context.route.stages),
-            pieces: context.head.piece_counts.as_slice().into(),
-            key: context.head.piece_key.as_str().into(),
-            route: context.route.name.as_str().into(),
-            rank: context.rank,
-            size: context.size(),
-            due: context.due,
-            deadline: context.deadline,
-            tail: context.engine_time(),
-            near: near.into(),
-            returning: context.is_returning,
-            timely_only: false,
-        }
-    }
-
-    fn refuse_stopped(&self, stop: StageStop) -> GatewayRefusal {
-        match (stop, self.ledger.not_run()) {
-            (StageStop::Overload { retry_after }, Some(proof)) => GatewayRefusal::NotRun {
-                proof,
-                reason: NotRunReason::Overload,
-                retry_after: spread(retry_after),
-            },
-            (StageStop::Overload { .. }, None) => self.refuse(NotRunReason::Overload),
-            (StageStop::Late, _) => self.refuse(NotRunReason::TimeOver),
-            (StageStop::InputGone | StageStop::Failed, _) => self.refuse(NotRunReason::StageFailed),
-        }
-    }
-
     async fn send_until_answered(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
         let mut remakes = 0;
         loop {
@@ -320,6 +203,7 @@
             request = self.context.id,
             endpoint = endpoint,
             sends = self.ledger.sends(),
+            expected_ms = format!("{:?}", self.placed.as_ref().map(PlacedPrompt::expected_ms)),
             remaining_ms = self.context.remaining(started).as_millis()
         );
         let limit = self.head_time();
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -10,7 +10,6 @@
     PoolRate, QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
-use crate::routing::AttemptReport;
 
 /// How often a piece is sent in vain before its request is told.
 const MAX_FAILURES: u32 = 4;
@@ -388,29 +387,3 @@
         }
     }
 }
-
-impl CallResult {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Answered { .. } => "answered",
-            Self::Denied { .. } => "denied",
-            Self::Failed(_) => "failed",
-        }
-    }
-
-    fn load(&self) -> Option<super::LoadReport> {
-        match self {
-            Self::Answered { load, .. } | Self::Denied { load } => *load,
-            Self::Failed(_) => None,
-        }
-    }
-
-    /// What the call shows of the endpoint's health; being full is no fault.
-    fn report(&self, time: Duration) -> Option<AttemptReport> {
-        match self {
-            Self::Answered { .. } => Some(AttemptReport::Succeeded(time)),
-            Self::Denied { .. } => None,
-            Self::Failed(_) => Some(AttemptReport::Failed),
-        }
-    }
-}
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -4,6 +4,7 @@
     WireFormat,
 };
 use crate::prelude::*;
+use crate::routing::AttemptReport;
 
 /// Longest call, in calls of full size: two may wait ahead of it at the
 /// endpoint. What takes longer is at a slow or dead endpoint, and another one
@@ -24,6 +25,32 @@
     Failed(CallError),
 }
 
+impl CallResult {
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Denied { .. } => "denied",
+            Self::Failed(_) => "failed",
+        }
+    }
+
+    pub(super) fn load(&self) -> Option<LoadReport> {
+        match self {
+            Self::Answered { load, .. } | Self::Denied { load } => *load,
+            Self::Failed(_) => None,
+        }
+    }
+
+    /// What the call shows of the endpoint's health; being full is no fault.
+    pub(super) fn report(&self, time: Duration) -> Option<AttemptReport> {
+        match self {
+            Self::Answered { .. } => Some(AttemptReport::Succeeded(time)),
+            Self::Denied { .. } => None,
+            Self::Failed(_) => Some(AttemptReport::Failed),
+        }
+    }
+}
+
 /// Makes one call.
 pub(super) async fn perform(
     wire: &dyn WireFormat,
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -1,5 +1,7 @@
 use std::sync::atomic::Ordering;
 
+use super::endpoint_load::EndpointLoadView;
+use super::near_places::NearPlaces;
 use super::{
     LoadReport, PieceCall, PieceProfile, PieceTarget, PieceTimes, QueuedPiece, ResultHandle,
     ResultRoom,
@@ -25,11 +27,6 @@
 /// had better come back.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_000);
 
-/// How long before the end of a call the next one is sent, to wait at the
-/// endpoint: a call of 17 KB takes 14 ms on a link of 10 Mbit/s, and opening its
-/// connection and the last answer's way back some 6 ms.
-const LEAD_TIME: Duration = Duration::from_millis(25);
-
 /// Most by which an endpoint's cost lengthens the call that is expected of it;
 /// what costs more is ill, not slow.
 const MAX_SLOWNESS: f64 = 10.0;
@@ -60,40 +57,6 @@
     times: PieceTimes,
 }
 
-/// Places in the next calls of each data centre's endpoints. Pieces beyond them
-/// need not wait for an endpoint that is near: another one that is free would
-/// stand idle while the near ones have more than they can take.
-#[derive(Debug)]
-struct NearPlaces<'a> {
-    left: Vec<(&'a str, u32)>,
-}
-
-impl<'a> NearPlaces<'a> {
-    fn new(profile: &PieceProfile, targets: &[PieceTarget<'a>]) -> Self {
-        let mut left: Vec<(&str, u32)> = Vec::new();
-        for target in targets {
-            let place = target.data_center;
-            match left.iter_mut().find(|(name, _)| *name == place) {
-                Some((_, places)) => *places += profile.batch,
-                None => left.push((place, profile.batch)),
-            }
-        }
-        Self { left }
-    }
-
-    /// Takes one place in `data_center`; false when there is none left.
-    fn take(&mut self, data_center: &str) -> bool {
-        let place = self.left.iter_mut().find(|(name, _)| *name == data_center);
-        match place {
-            Some((_, places)) if *places > 0 => {
-                *places -= 1;
-                true
-            }
-            Some(_) | None => false,
-        }
-    }
-}
-
 /// In which order the pieces go that one endpoint may get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum PieceOrderKey {
@@ -116,44 +79,6 @@
     place: u64,
 }
 
-/// What this entry believes of an endpoint's load.
-#[derive(Clone, Debug, Default)]
-struct EndpointLoadView {
-    /// Time that each of this entry's calls there takes, about, in order.
-    calls: VecDeque<Duration>,
-    /// When the first of them began or will have begun.
-    began: Option<Instant>,
-    free_at: Option<Instant>,
-    reported: Option<Instant>,
-}
-
-impl EndpointLoadView {
-    fn begin(&mut self, now: Instant, length: Duration) {
-        if self.calls.is_empty() {
-            self.began = Some(now);
-        }
-        self.calls.push_back(length);
-    }
-
-    fn end(&mut self, now: Instant) {
-        self.calls.pop_front();
-        self.began = Some(now);
-    }
-
-    /// When the next call may be sent, as far as this entry's own calls tell;
-    /// `None` when one waits there already.
-    fn next_send(&self, now: Instant, profile: &PieceProfile) -> Option<Instant> {
-        let Some(first) = self.calls.front() else {
-            return Some(now);
-        };
-        if self.calls.len() > 1 || profile.queue == 0 {
-            return None;
-        }
-        let end = self.began.unwrap_or(now) + *first;
-        end.checked_sub(LEAD_TIME)
-    }
-}
-
 impl PieceQueue {
     /// Queues one piece.
     pub fn push(&mut self, piece: QueuedPiece) {
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -1,6 +1,7 @@
 use std::sync::atomic::AtomicBool;
 
 use super::*;
+use crate::gateway::endpoint_load::LEAD_TIME;
 use crate::gateway::{PieceSource, PieceTask};
 
 pub(in crate::gateway) fn profile() -> PieceProfile {
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -8,15 +8,11 @@
 use super::plan_order::PlanOrder;
 use super::plan_results::{PlanResults, StageStop};
 use super::plan_run;
-use super::request_context::RequestContext;
 use super::stable_hash::stable_hash;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
-use crate::generated::work::{
-    PlaceCall, PlaceReply, PlaceReport, PlacedPart, PlanEnd, PlanReply, ReleaseNotice, WorkCall,
-    WorkNotice,
-};
+use crate::generated::work::{PlanEnd, PlanReply, ReleaseNotice, WorkCall, WorkNotice};
 use crate::prelude::*;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
 
@@ -33,10 +29,6 @@
 /// Time beyond a plan's deadline in which its coordinator tells that it is over.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
-/// Time for the choice of an engine: many round trips in a region. A request
-/// that has waited so long goes where this entry would send it alone.
-const PLACE_TIME: Duration = Duration::from_millis(150);
-
 /// Entries tried for one plan before this one coordinates for itself alone.
 const MAX_COORDINATORS: usize = 2;
 
@@ -46,7 +38,7 @@
 /// only who knows all work in progress can tell what can be in time.
 #[derive(Debug)]
 pub(super) struct WorkExchange {
-    hub: LinkHub,
+    pub(super) hub: LinkHub,
     avoided: Mutex<FastMap<PeerName, Instant>>,
 }
 
@@ -136,99 +128,7 @@
         )
     }
 
-    /// Has the engine chosen that answers a prompt first, by the one entry that
-    /// places all prompts of its shard; `None` when it does not answer.
-    pub(super) async fn place(
-        &self,
-        node: &Arc<GatewayNode>,
-        context: &RequestContext,
-        avoid: Vec<String>,
-    ) -> Option<PlacedPrompt> {
-        let view = node.view.load_full();
-        let shard = engine_shard(&view, context);
-        let parts = context.head.prefix.iter().map(|part| PlacedPart {
-            id: part.id,
-            tokens: part.tokens as u32,
-        });
-        let answer = context.head.tokens.unwrap_or_default().answer;
-        let call = PlaceCall {
-            pool: context.pool.clone(),
-            shard: shard.name().to_string(),
-            parts: parts.collect(),
-            answer_tokens: answer as u32,
-            avoid,
-        };
-        let coordinator = self.coordinator(&view, WorkKind::Prompts, &shard);
-        let reply = match coordinator {
-            None => node.engines.place(Instant::now(), &view, &call),
-            Some(coordinator) => match self.ask_place(&coordinator, call).await {
-                Ok(reply) => reply,
-                Err(reason) => {
-                    log_event!(
-                        info,
-                        "coordinator_lost",
-                        request = context.id,
-                        shard = shard.name(),
-                        coordinator = coordinator,
-                        reason = reason
-                    );
-                    self.avoid(node, coordinator);
-                    return None;
-                }
-            },
-        };
-        let expected = Duration::from_millis(reply.expected_ms.into());
-        (!reply.endpoint.is_empty()).then_some(PlacedPrompt {
-            pool: context.pool.clone(),
-            shard,
-            endpoint: reply.endpoint,
-            expected,
-        })
-    }
-
-    async fn ask_place(
-        &self,
-        coordinator: &PeerName,
-        call: PlaceCall,
-    ) -> Result<PlaceReply, String> {
-        let call = WorkCall {
-            call: Some(Call::Place(call)),
-        };
-        let payload = call.encode_to_vec().into();
-        let name = coordinator.as_str();
-        let answer = self.hub.call(name, LinkChannel::Work, payload, PLACE_TIME);
-        let answer = answer.await.map_err(|error| error.to_string())?;
-        PlaceReply::decode(answer).map_err(|error| error.to_string())
-    }
-
-    /// Tells whoever placed a prompt how its engine did; `None` when it failed.
-    pub(super) fn tell_placed(
-        &self,
-        node: &GatewayNode,
-        placed: &PlacedPrompt,
-        taken: Option<Duration>,
-    ) {
-        let view = node.view.load_full();
-        let expected = placed.expected.as_millis().max(1);
-        let permille = taken.map_or(0, |taken| taken.as_millis() * 1_000 / expected);
-        let report = PlaceReport {
-            pool: placed.pool.clone(),
-            shard: placed.shard.name().to_string(),
-            endpoint: placed.endpoint.clone(),
-            taken_permille: permille.min(u128::from(u16::MAX)) as u32,
-            failed: taken.is_none(),
-        };
-        match self.coordinator(&view, WorkKind::Prompts, &placed.shard) {
-            None => node.engines.report(&view, &report),
-            Some(coordinator) => {
-                if !self.notify(&coordinator, Notice::Report(report)) {
-                    log_event!(debug, "place_report_lost", coordinator = coordinator);
-                }
-            }
-        }
-    }
-
-    fn notify(&self, coordinator: &PeerName, notice: Notice) -> bool {
+    pub(super) fn notify(&self, coordinator: &PeerName, notice: Notice) -> bool {
         let notice = WorkNotice {
             notice: Some(notice),
         };
@@ -241,7 +141,7 @@
     }
 
     /// The entry that coordinates a shard; `None` when it is this one.
-    fn coordinator(
+    pub(super) fn coordinator(
         &self,
         view: &GatewayView,
         kind: WorkKind,
@@ -258,7 +158,7 @@
 
     /// Passes an entry over until it answers again. Entries that coordinate one
     /// shard in two places get in each other's way, so this should not last.
-    fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
+    pub(super) fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
         let until = Instant::now() + AVOID_TIME;
         let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
         let is_news = avoided.insert(entry.clone(), until).is_none();
@@ -332,28 +232,6 @@
     }
 }
 
-/// Where a prompt goes.
-#[derive(Clone, Debug)]
-pub(super) struct PlacedPrompt {
-    pool: String,
-    shard: WorkShard,
-    /// Identity of the engine's incarnation.
-    pub(super) endpoint: String,
-    /// Time until its first event, about.
-    expected: Duration,
-}
-
-/// The shard whose engines a prompt goes to: requests that share a part go to
-/// the same one, so that the part is read in one place.
-pub(super) fn engine_shard(view: &GatewayView, context: &RequestContext) -> WorkShard {
-    let own = || stable_hash(&[context.id.as_bytes()]);
-    let ticket = context
-        .affinity()
-        .map_or_else(own, |part| stable_hash(&[&part.to_le_bytes()]));
-    let map = ShardMap::of_engines(view, &context.pool);
-    map.draw(ticket, None).cloned().unwrap_or_default()
-}
-
 /// Coordinates for other entries until the hub closes.
 pub(super) async fn serve(node: Arc<GatewayNode>, mut calls: mpsc::Receiver<InboundCall>) {
     while let Some(inbound) = calls.recv().await {
--- a/crates/savorywalk/src/telemetry/request_story.rs
+++ b/crates/savorywalk/src/telemetry/request_story.rs
@@ -1,9 +1,13 @@
 /// Events that touch a request, with what each of them says. The catalogue of
 /// `savorywalk explain`; docs/OPERATIONS.md leads from an id to a cause.
-pub const REQUEST_EVENTS: [(&str, &str); 14] = [
+pub const REQUEST_EVENTS: [(&str, &str); 15] = [
     (
-        "request_begun_late",
-        "it can't be in time; begun in time that is left over",
+        "plan_refused",
+        "its stages can't be in time in this shard, or would wait in vain",
+    ),
+    (
+        "plan_decided",
+        "its stages were begun or refused after waited_ms; fate says which",
     ),
     (
         "stages_done",
@@ -14,8 +18,8 @@
         "results of a stage were lost and are made again",
     ),
     (
-        "gatherer_lost",
-        "the entry that gathers for a pool did not answer; the next one does it",
+        "coordinator_lost",
+        "the entry that coordinates a shard did not answer; the next one does it",
     ),
     ("attempt_sent", "sent to an endpoint"),
     (
--- a/crates/savorywalk/src/telemetry/request_story_tests.rs
+++ b/crates/savorywalk/src/telemetry/request_story_tests.rs
@@ -6,7 +6,7 @@
 time=2026-05-24T21:54:00.600Z level=info event=stages_done request=r12 ms=1
 ";
 const SECOND: &str = "\
-  0.59 front-a-1 time=2026-05-24T21:54:00.200Z level=info event=gatherer_lost request=r1 pool=p
+  0.59 front-a-1 time=2026-05-24T21:54:00.200Z level=info event=coordinator_lost request=r1 shard=a
   0.80 front-a-1 time=2026-05-24T21:54:00.800Z level=info event=stream_broken request=r1 reason=\"no event in time\"
 ";
 
@@ -16,7 +16,7 @@
     story.read("r1", "one.log", FIRST);
     story.read("r1", "two.log", SECOND);
     let events: Vec<&str> = story.lines().iter().map(|line| &*line.event).collect();
-    assert_eq!(events, ["gatherer_lost", "stages_done", "stream_broken"]);
+    assert_eq!(events, ["coordinator_lost", "stages_done", "stream_broken"]);
     assert_eq!(story.lines()[0].source, "front-a-1");
     assert_eq!(story.lines()[1].source, "one.log");
     assert_eq!(story.gap(), None);
