--- a/crates/savorywalk/src/gateway/work_desk.rs
+++ b/crates/savorywalk/src/gateway/work_desk.rs
@@ -132,7 +132,8 @@
             tail_ms = tail_ms,
             returning = order.returning,
             waited_ms = arrived.elapsed().as_millis(),
-            fate = format!("{fate:?}")
+            outcome = fate.name(),
+            retry_after_ms = fate.retry_after().as_millis()
         );
         match fate {
             PlanFate::Begun { .. } => Ok(permit),
--- a/crates/savorywalk/src/gateway/work_gate.rs
+++ b/crates/savorywalk/src/gateway/work_gate.rs
@@ -77,6 +77,25 @@
     },
 }
 
+impl PlanFate {
+    /// The fate as logs name it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Begun { is_timely: true } => "begun_timely",
+            Self::Begun { is_timely: false } => "begun_late",
+            Self::Refused { .. } => "refused",
+        }
+    }
+
+    /// When to come back; nothing for what was begun.
+    pub const fn retry_after(self) -> Duration {
+        match self {
+            Self::Begun { .. } => Duration::ZERO,
+            Self::Refused { retry_after } => retry_after,
+        }
+    }
+}
+
 /// What each pool can do now.
 pub type PoolRates = FastMap<Arc<str>, PoolRate>;
 
