Tell peers at once when a daemon closes its links

A coordinator was stopped as planned, closed at 17.77 s and was back at 18.3 s; ten requests of four entries held calls over the old links until these timed out at 18.87 s. The gateway dropped its handle of the links at the end of a stop, while other parts held theirs, so no peer was told.

Ruled out: the registry's word (the entry had left the list at 11 s), and two coordinators at once.

Change: gateways and registries close their links as entries do, for 150 ms at most.

--- a/crates/savorywalk/src/gateway/cluster_hub.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub.rs
@@ -2,6 +2,7 @@
 
 use super::{GatewayError, Result};
 use crate::api::{HttpServer, HttpSurface};
+use crate::prelude::*;
 use crate::settings::{ClusterSettings, ListenerSettings};
 use crate::transport::{LinkHub, LinkOptions, PeerName};
 
@@ -23,6 +24,10 @@
 /// Largest request head; the document in force may ask for less.
 const HEAD_BYTES: u32 = 64 << 10;
 
+/// Time for peers to hear that links are closed: many round trips in a region,
+/// and a part of what is left of a stop.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+
 /// Starts the links of a daemon that is known by its address.
 pub(super) fn start(settings: &ClusterSettings) -> Result<LinkHub> {
     let address = parse("cluster", "address", &settings.address)?;
@@ -32,6 +37,15 @@
     ))?)
 }
 
+/// Closes the links of a daemon that stops. Peers that are not told take them
+/// for silent ones for a second, and hold calls for the daemon that comes back
+/// at the same address.
+pub(super) async fn close(hub: LinkHub) {
+    if tokio::time::timeout(CLOSE_TIME, hub.close()).await.is_err() {
+        log_event!(debug, "links_closed_unheard");
+    }
+}
+
 /// Names of the registry daemons that the settings name.
 pub(super) fn seeds(settings: &ClusterSettings) -> Result<Vec<PeerName>> {
     let seeds = settings.seeds.iter();
@@ -71,3 +85,7 @@
     })?;
     Ok(bound.serve(surface))
 }
+
+#[cfg(test)]
+#[path = "cluster_hub_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -109,7 +109,7 @@
         let finished = self.callers.close(left).await;
         log_event!(info, "gateway_closed", finished = finished);
         drop(self.probes);
-        drop(self.hub);
+        cluster_hub::close(self.hub).await;
         finished
     }
 }
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -63,7 +63,7 @@
         self.node.stop().await;
         let finished = self.server.close(CLOSE_TIME).await;
         log_event!(info, "registry_closed", finished = finished);
-        drop(self.hub);
+        cluster_hub::close(self.hub).await;
         finished
     }
 }
