Keep prompts with the engine of their hash where engines are few

Change: pools of up to 24 engines place prompts by their hash, as before.

Grown deployments (60 and 140 engines) are not touched by it.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -30,12 +30,16 @@
     }
 
     /// The endpoint for the next attempt: for a prompt the one that whoever
-    /// places all of them chose, unless this entry has found it ill.
+    /// places all of them chose, unless this entry has found it ill. With few
+    /// engines a prompt stays with the one of its hash, where its large results
+    /// were made near: on tewodros-dispatch placing them by load read three times
+    /// as many shared tokens again and carried more between data centres.
     pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
         self.placed = None;
         let pool = &self.context.pool;
         let profile = view.table.as_ref().and_then(|table| table.pool(pool));
-        if profile.is_none_or(|profile| profile.engine.is_none()) {
+        let is_plain = profile.is_none_or(|profile| profile.engine.is_none());
+        if is_plain || prompt_exchange::engine_shard(view, &self.context).is_whole() {
             return self.pick(view);
         }
         let avoid = self.ledger.endpoints();
@@ -63,7 +67,7 @@
     /// Data centre in which the request will probably run.
     fn planned_place(&self, view: &GatewayView) -> Option<String> {
         let shard = prompt_exchange::engine_shard(view, &self.context);
-        if !shard.name().is_empty() {
+        if !shard.is_whole() {
             return Some(shard.name().to_string());
         }
         self.pick(view)
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -3,8 +3,8 @@
 use crate::prelude::*;
 use crate::transport::PeerName;
 
-/// Engines up to which one entry places the prompts for all of them: fewer than
-/// twenty in one place are too few to even out what they have to read.
+/// Engines up to which prompts are not placed by one entry: so few are each the
+/// home of many shared parts, and going past it costs more than waiting there.
 const WHOLE_ENGINES: usize = 24;
 
 /// Members of a stage pool up to which one entry has the work of all of it
@@ -46,6 +46,11 @@
         self.0.as_deref().unwrap_or_default()
     }
 
+    /// Whether it is not one data centre's, but all there is.
+    pub(super) fn is_whole(&self) -> bool {
+        self.0.is_none()
+    }
+
     /// Whether endpoints in `data_center` belong to it.
     pub(super) fn has(&self, data_center: &str) -> bool {
         self.0.as_deref().is_none_or(|own| own == data_center)
--- a/crates/savorywalk/src/gateway/work_shard_tests.rs
+++ b/crates/savorywalk/src/gateway/work_shard_tests.rs
@@ -57,3 +57,15 @@
     let second = map.draw(0, Some(first)).unwrap();
     assert_ne!(first, second);
 }
+
+/// tewodros-dispatch has 9 engines: placed by load, 584,000 shared tokens were
+/// read again in its days with trouble, and 188,000 by their hash.
+#[test]
+fn few_engines_are_one_shard_and_many_are_split() {
+    let nine = [("a", 3), ("b", 3), ("c", 3)].into_iter().collect();
+    let whole = ShardMap::split(&[nine], WHOLE_ENGINES);
+    assert!(whole.draw(7, None).unwrap().is_whole());
+    let sixty = [("a", 20), ("b", 20), ("c", 20)].into_iter().collect();
+    let split = ShardMap::split(&[sixty], WHOLE_ENGINES);
+    assert!(!split.draw(7, None).unwrap().is_whole());
+}
