Log a lost coordinator in one place, and a plan that gets no decision

coordinator_lost was written alike for plans and prompts, and a desk that ended before it decided was passed on without a line. Behaviour is as before.

--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -73,15 +73,7 @@
             Some(coordinator) => match self.ask_place(&coordinator, call).await {
                 Ok(reply) => reply,
                 Err(reason) => {
-                    log_event!(
-                        info,
-                        "coordinator_lost",
-                        request = context.id,
-                        shard = shard.name(),
-                        coordinator = coordinator,
-                        reason = reason
-                    );
-                    self.avoid(node, coordinator);
+                    self.note_lost(node, coordinator, &shard, &context.id, &reason);
                     return None;
                 }
             },
--- a/crates/savorywalk/src/gateway/work_desk.rs
+++ b/crates/savorywalk/src/gateway/work_desk.rs
@@ -118,6 +118,7 @@
         };
         self.wake.notify_one();
         let Ok(fate) = news.await else {
+            log_event!(warn, "plan_undecided", request = order.request_id);
             return Err(StageStop::Failed);
         };
         log_event!(
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -92,15 +92,7 @@
             match self.ask(node, &coordinator, shard, order).await {
                 Ok(outcome) => return outcome,
                 Err(reason) => {
-                    log_event!(
-                        info,
-                        "coordinator_lost",
-                        request = order.request_id,
-                        shard = shard.name(),
-                        coordinator = coordinator,
-                        reason = reason
-                    );
-                    self.avoid(node, coordinator);
+                    self.note_lost(node, coordinator, shard, &order.request_id, &reason);
                 }
             }
         }
@@ -156,9 +148,29 @@
         (chosen != self.hub.name()).then(|| chosen.clone())
     }
 
+    /// Notes that a coordinator did not answer for a request.
+    pub(super) fn note_lost(
+        &self,
+        node: &Arc<GatewayNode>,
+        coordinator: PeerName,
+        shard: &WorkShard,
+        request: &str,
+        reason: &str,
+    ) {
+        log_event!(
+            info,
+            "coordinator_lost",
+            request = request,
+            shard = shard.name(),
+            coordinator = coordinator,
+            reason = reason
+        );
+        self.avoid(node, coordinator);
+    }
+
     /// Passes an entry over until it answers again. Entries that coordinate one
     /// shard in two places get in each other's way, so this should not last.
-    pub(super) fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
+    fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
         let until = Instant::now() + AVOID_TIME;
         let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
         let is_news = avoided.insert(entry.clone(), until).is_none();
