Keep everything of an endpoint by its incarnation, and take no announcement on trust

Cause: the registry ordered reports by sequence alone, so an endpoint that starts again under its name and counts from 1 stayed unheard until it was called silent, while results, cached parts, health and connections of the dead one went on counting; and every state but one was taken as ready, a missing field as 0, an address as whatever text came.

Ruled out: an incarnation by first hearing (two registries would disagree), and breaking a connection by ending its task (hyper then shows the cut body as ended; seen by the test with a body without length).

Change: an incarnation is name and born_ms, in reports, signs of life, retirements (log and followers) and as the identity by which the gateway keeps things; orders by born_ms, then sequence, at registries and entries. A connection to an incarnation that was replaced breaks as if reset. A full table drops the name unheard of for longest, where it refused newcomers before.

--- a/crates/savorywalk/src/configuration/document_register.rs
+++ b/crates/savorywalk/src/configuration/document_register.rs
@@ -1,4 +1,6 @@
-use crate::control::{DocumentCommand, DocumentOutcome, DocumentRegisterSnapshot};
+use crate::control::{
+    DocumentCommand, DocumentOutcome, DocumentRegisterSnapshot, EndpointIncarnation,
+};
 use crate::prelude::*;
 
 /// Retired endpoints remembered. A daemon that has missed more than this takes
@@ -14,7 +16,7 @@
 pub struct DocumentRegister {
     number: u64,
     content: Bytes,
-    retired: VecDeque<String>,
+    retired: VecDeque<EndpointIncarnation>,
     retired_total: u64,
 }
 
@@ -45,20 +47,23 @@
     }
 
     /// Notes that an endpoint takes no new work any more.
-    pub fn retire(&mut self, endpoint: &str) {
-        if self.is_retired(endpoint) {
+    pub fn retire(&mut self, incarnation: EndpointIncarnation) {
+        if self.is_retired(&incarnation) {
             return;
         }
-        self.retired.push_back(endpoint.to_string());
+        self.retired.push_back(incarnation);
         self.retired_total += 1;
         if self.retired.len() > MAX_RETIRED {
             self.retired.pop_front();
         }
     }
 
-    /// Whether an endpoint has been retired lately.
-    pub fn is_retired(&self, endpoint: &str) -> bool {
-        self.retired.iter().any(|retired| retired == endpoint)
+    /// Whether an incarnation has been retired lately, or a later one of the
+    /// same endpoint: the earlier ones have ended by then.
+    pub fn is_retired(&self, incarnation: &EndpointIncarnation) -> bool {
+        self.retired.iter().any(|retired| {
+            retired.endpoint == incarnation.endpoint && retired.born_ms >= incarnation.born_ms
+        })
     }
 
     /// How many endpoints were retired in all.
@@ -67,10 +72,10 @@
     }
 
     /// The endpoints retired after the first `known`, oldest first.
-    pub fn retired_after(&self, known: u64) -> impl Iterator<Item = &str> {
+    pub fn retired_after(&self, known: u64) -> impl Iterator<Item = &EndpointIncarnation> {
         let forgotten = self.retired_total - self.retired.len() as u64;
         let skipped = known.saturating_sub(forgotten) as usize;
-        self.retired.iter().skip(skipped).map(String::as_str)
+        self.retired.iter().skip(skipped)
     }
 
     /// The form that a snapshot of the log carries.
--- a/crates/savorywalk/src/control/control_state.rs
+++ b/crates/savorywalk/src/control/control_state.rs
@@ -104,8 +104,8 @@
             Some(ControlBody::Order(command)) => self.order(&command),
             Some(ControlBody::Membership(note)) => self.membership(&note),
             Some(ControlBody::Document(command)) => self.document(command),
-            Some(ControlBody::Retire(command)) => {
-                self.documents.retire(&command.endpoint);
+            Some(ControlBody::Retire(incarnation)) => {
+                self.documents.retire(incarnation);
                 ControlVerdict::Noted(Noted {})
             }
             None => malformed("the command has no body that this program knows"),
--- a/crates/savorywalk/src/control/mod.rs
+++ b/crates/savorywalk/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod control_error;
 mod control_machine;
 mod control_state;
+mod endpoint_incarnation;
 mod hub_link;
 mod remote_control;
 mod sole_control;
@@ -22,9 +23,10 @@
 pub use crate::generated::control::{
     BootstrapCommand, ConfigurationFault, ConfigurationQuery, ConfigurationReply, ControlCommand,
     ControlOutcome, ControlQuery, ControlReply, ControlSnapshot, ControlStatus, DocumentCommand,
-    DocumentOutcome, DocumentRegisterSnapshot, HistoryReply, InvalidConfiguration, LeaseOutcome,
-    Malformed, MembershipNote, Noted, PatchAccepted, PatchCommand, PatchIdConflict, PatchOutcome,
-    RangeQuery, RetireCommand, StatusQuery, VersionChange, VersionMismatch,
+    DocumentOutcome, DocumentRegisterSnapshot, EndpointIncarnation, HistoryReply,
+    InvalidConfiguration, LeaseOutcome, Malformed, MembershipNote, Noted, PatchAccepted,
+    PatchCommand, PatchIdConflict, PatchOutcome, RangeQuery, StatusQuery, VersionChange,
+    VersionMismatch,
 };
 pub use control_client::ControlClient;
 pub(crate) use control_client::unexpected;
--- a/crates/savorywalk/src/gateway/call_surface.rs
+++ b/crates/savorywalk/src/gateway/call_surface.rs
@@ -5,6 +5,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::gateway_node::GatewayNode;
+use super::metrics_page::{self, METRICS_PATH};
 use super::request_service;
 use crate::api::HttpSurface;
 use crate::prelude::*;
@@ -39,9 +40,6 @@
     Probes,
 }
 
-/// Path of the metrics on the listener for probes.
-const METRICS_PATH: &str = "/metrics";
-
 impl HttpSurface for CallSurface {
     type Body = GatewayBody;
 
@@ -74,18 +72,11 @@
     }
 
     fn probe(&self, head: &hyper::http::request::Parts) -> Response<GatewayBody> {
-        let mut response = Response::new(whole(Bytes::new()));
         let node = &self.node;
         if head.uri.path() == METRICS_PATH {
-            match node.metric_set.text() {
-                Ok(text) => *response.body_mut() = whole(text.into()),
-                Err(error) => {
-                    log_event!(error, "metrics_not_written", reason = error);
-                    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-                }
-            }
-            return response;
+            return metrics_page::answer(&node.metric_set);
         }
+        let mut response = Response::new(whole(Bytes::new()));
         let is_ready = node.wire.asks_readiness(head) && node.is_ready();
         if !is_ready {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -6,7 +6,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::living_stream::LivingStream;
 use crate::prelude::*;
+use crate::registry::EndpointLife;
 
 /// Time for a connection to an endpoint. Within a region a round trip takes
 /// 3 ms and accepting 1 ms; a lost first packet is only sent again after a
@@ -42,8 +44,9 @@
 }
 
 impl EndpointCall {
-    /// Opens a connection; a failure means that nothing was sent.
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, CallError> {
+    /// Opens a connection to an incarnation, which breaks when that has ended;
+    /// a failure means that nothing was sent.
+    pub(super) async fn open(address: SocketAddr, life: &EndpointLife) -> Result<Self, CallError> {
         let unsent = |reason: String| CallError::Unsent(reason);
         let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address));
         let stream = match connecting.await {
@@ -56,7 +59,7 @@
         }
         let handshake = http1::Builder::new()
             .preserve_header_case(true)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(LivingStream::new(stream, life)))
             .await;
         let (sender, connection) = handshake.map_err(|error| unsent(error.to_string()))?;
         let driver = tokio::spawn(async move {
--- a/crates/savorywalk/src/gateway/endpoint_roster.rs
+++ b/crates/savorywalk/src/gateway/endpoint_roster.rs
@@ -1,6 +1,6 @@
 use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointRecord, EndpointState};
 use crate::prelude::*;
-use crate::registry::{EndpointReport, FollowState, KnownEndpoint};
+use crate::registry::{EndpointLife, EndpointReport, FollowState, KnownEndpoint};
 
 /// Lease of a record: endpoints leave the roster by control's word, not by time.
 const RECORD_TIME: Duration = Duration::from_secs(3_600);
@@ -8,6 +8,8 @@
 /// An endpoint of a pool.
 #[derive(Clone, Debug)]
 pub struct PoolMember {
+    /// Name that it goes by, also when it starts again.
+    pub name: String,
     /// What is known of it.
     pub record: Arc<EndpointRecord>,
     /// Whether control has not heard from it lately; then it may be dead, or
@@ -15,6 +17,8 @@
     pub is_silent: bool,
     /// Whether it is still slow after its start.
     pub is_cold: bool,
+    /// Ends when the endpoint has started again.
+    pub life: EndpointLife,
 }
 
 impl PoolMember {
@@ -92,6 +96,7 @@
         return None;
     };
     Some(PoolMember {
+        name: report.id.clone(),
         record: Arc::new(EndpointRecord {
             announcement: announcement_of(report, address),
             expires: known.joined + RECORD_TIME,
@@ -100,12 +105,13 @@
         }),
         is_silent: report.silent,
         is_cold: report.cold_ms > 0,
+        life: known.life.clone(),
     })
 }
 
 fn announcement_of(report: &EndpointReport, address: SocketAddr) -> EndpointAnnouncement {
     EndpointAnnouncement {
-        endpoint: report.id.clone(),
+        endpoint: report.incarnation().to_string(),
         address,
         pool: report.pool.clone(),
         data_center: report.data_center.clone(),
@@ -119,3 +125,7 @@
         cache_events: Vec::new(),
     }
 }
+
+#[cfg(test)]
+#[path = "endpoint_roster_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -241,11 +241,11 @@
         member: &PoolMember,
         last_event: Option<u64>,
     ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
-        let mut call = EndpointCall::open(member.address()).await?;
+        let mut call = EndpointCall::open(member.address(), &member.life).await?;
         let inputs = self.results.as_ref().map(PlanResults::handles);
         let order = EndpointOrder {
             target: EndpointTarget {
-                endpoint: member.endpoint(),
+                name: &member.name,
                 address: member.address(),
             },
             remaining: self.context.remaining(Instant::now()),
--- /dev/null
+++ b/crates/savorywalk/src/gateway/living_stream.rs
@@ -0,0 +1,83 @@
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio_util::sync::WaitForCancellationFutureOwned;
+
+use crate::registry::EndpointLife;
+
+/// A connection that breaks once the incarnation at its other end is known to
+/// have ended.
+///
+/// A process that fell silent and was started again leaves its old connections
+/// open, and whoever reads from one would wait for the rest of an answer until
+/// its time is over. The break is an error of the connection and not its end,
+/// so that an answer that was cut never looks whole.
+#[derive(Debug)]
+pub(super) struct LivingStream<S> {
+    inner: S,
+    ended: Pin<Box<WaitForCancellationFutureOwned>>,
+}
+
+impl<S> LivingStream<S> {
+    pub(super) fn new(inner: S, life: &EndpointLife) -> Self {
+        Self {
+            inner,
+            ended: Box::pin(life.wait_for_end()),
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LivingStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // What has arrived counts, also when its sender has ended since.
+        match Pin::new(&mut self.inner).poll_read(context, buffer) {
+            Poll::Ready(result) => Poll::Ready(result),
+            Poll::Pending => self.ended.as_mut().poll(context).map(|()| Err(restarted())),
+        }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for LivingStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
+fn restarted() -> io::Error {
+    let reason = "the endpoint has started again";
+    io::Error::new(io::ErrorKind::ConnectionReset, reason)
+}
+
+#[cfg(test)]
+#[path = "living_stream_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/gateway/living_stream_tests.rs
@@ -0,0 +1,74 @@
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+
+use super::*;
+use crate::prelude::*;
+
+/// Sends a request over a connection whose other end is given back.
+async fn ask(
+    life: &EndpointLife,
+) -> (DuplexStream, tokio::task::JoinHandle<Result<Bytes, String>>) {
+    let (ours, theirs) = tokio::io::duplex(4_096);
+    let stream = TokioIo::new(LivingStream::new(ours, life));
+    let (mut sender, connection) = http1::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let request = Request::new(Empty::<Bytes>::new());
+    let answer = tokio::spawn(async move {
+        let sent = sender.send_request(request).await;
+        let body = sent.map_err(|error| error.to_string())?.into_body();
+        read(body).await
+    });
+    (theirs, answer)
+}
+
+async fn read(body: Incoming) -> Result<Bytes, String> {
+    let whole = body.collect().await.map_err(|error| error.to_string())?;
+    Ok(whole.to_bytes())
+}
+
+async fn take_request(endpoint: &mut DuplexStream) {
+    let mut head = [0; 1_024];
+    let taken = endpoint.read(&mut head).await.unwrap();
+    assert!(taken > 0);
+}
+
+#[tokio::test]
+async fn an_answer_that_is_waited_for_ends_when_its_endpoint_has_started_again() {
+    let life = EndpointLife::default();
+    let (mut endpoint, answer) = ask(&life).await;
+    take_request(&mut endpoint).await;
+    life.end();
+    assert!(answer.await.unwrap().is_err());
+}
+
+#[tokio::test]
+async fn an_answer_that_is_cut_by_a_restart_never_looks_whole() {
+    for head in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhalf",
+    ] {
+        let life = EndpointLife::default();
+        let (mut endpoint, answer) = ask(&life).await;
+        take_request(&mut endpoint).await;
+        endpoint.write_all(head.as_bytes()).await.unwrap();
+        endpoint.flush().await.unwrap();
+        life.end();
+        assert!(answer.await.unwrap().is_err(), "{head}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_arrived_whole_counts() {
+    let life = EndpointLife::default();
+    let (mut endpoint, answer) = ask(&life).await;
+    take_request(&mut endpoint).await;
+    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+    endpoint.write_all(whole.as_bytes()).await.unwrap();
+    life.end();
+    assert_eq!(answer.await.unwrap().unwrap(), Bytes::from_static(b"whole"));
+}
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! pieces, and forwards them to one endpoint each. See docs/design/gateway.md.
 
 mod body_reader;
+mod call_fault;
 mod call_surface;
 mod cluster_hub;
 mod endpoint_call;
@@ -11,6 +12,7 @@
 mod engine_desk;
 mod engine_model;
 mod event_splitter;
+mod fault_tally;
 mod forward_plan;
 mod forward_run;
 mod gateway_daemon;
@@ -18,6 +20,8 @@
 mod gateway_metrics;
 mod gateway_node;
 mod gateway_refusal;
+mod living_stream;
+mod metrics_page;
 mod near_places;
 mod piece_board;
 mod piece_call;
@@ -31,6 +35,7 @@
 mod pool_load;
 mod prompt_exchange;
 mod registry_daemon;
+mod registry_metrics;
 mod registry_surface;
 mod release_queue;
 mod request_admission;
@@ -54,6 +59,7 @@
 mod work_gate;
 mod work_shard;
 
+pub use call_fault::{CallFault, ReportFault};
 pub use endpoint_roster::{EndpointRoster, PoolMember};
 pub use endpoint_score::PlacementQuery;
 pub use engine_model::{EngineModel, EngineTarget, PromptPlace, PromptQuery};
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -72,7 +72,7 @@
     member: &PoolMember,
     pieces: &[QueuedPiece],
 ) -> Result<CallResult, CallError> {
-    let mut call = EndpointCall::open(member.address()).await?;
+    let mut call = EndpointCall::open(member.address(), &member.life).await?;
     let now = Instant::now();
     let orders: Vec<PieceOrder<'_>> = pieces
         .iter()
@@ -85,7 +85,7 @@
         })
         .collect();
     let target = EndpointTarget {
-        endpoint: member.endpoint(),
+        name: &member.name,
         address: member.address(),
     };
     let response = call.send(wire.piece_request(&orders, &target)).await?;
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -1,3 +1,4 @@
+use super::registry_metrics::RegistryMetrics;
 use super::registry_surface::RegistrySurface;
 use super::{GatewayError, Result, WireFormat, cluster_hub};
 use crate::api::HttpServer;
@@ -17,6 +18,7 @@
     hub: LinkHub,
     node: Arc<RegistryNode>,
     server: HttpServer,
+    _metrics: Option<HttpServer>,
 }
 
 impl RegistryDaemon {
@@ -41,11 +43,18 @@
             announce_interval: Duration::from_millis(registry.announce_interval_ms.into()),
         };
         let node = RegistryNode::start(hub.clone(), options);
+        let metrics = RegistryMetrics::new()?;
         let surface = RegistrySurface {
             wire,
             node: Arc::clone(&node),
+            faults: Arc::default(),
+            metrics: metrics.clone(),
         };
         let server = cluster_hub::listen(&registry.address, surface).await?;
+        let metrics = match registry.metrics.as_str() {
+            "" => None,
+            address => Some(cluster_hub::listen(address, metrics).await?),
+        };
         log_event!(
             info,
             "registry_started",
@@ -54,7 +63,12 @@
             address = registry.address,
             first_start = cluster.first_start
         );
-        Ok(Self { hub, node, server })
+        Ok(Self {
+            hub,
+            node,
+            server,
+            _metrics: metrics,
+        })
     }
 
     /// Hands leadership over and stops; tells whether every call was answered.
--- /dev/null
+++ b/crates/savorywalk/src/gateway/registry_metrics.rs
@@ -0,0 +1,55 @@
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+
+use super::call_surface::{GatewayBody, whole};
+use super::{Result, metrics_page};
+use crate::api::HttpSurface;
+use crate::prelude::*;
+use crate::telemetry::MetricSet;
+
+/// Instruments of a registry daemon; docs/OPERATIONS.md says what to watch.
+#[derive(Clone, Debug)]
+pub(super) struct RegistryMetrics {
+    set: Arc<MetricSet>,
+    faults: Counter<u64>,
+}
+
+impl RegistryMetrics {
+    pub(super) fn new() -> Result<Self> {
+        let set = MetricSet::new()?;
+        let faults = set
+            .meter()
+            .u64_counter("savorywalk_registry_faults")
+            .with_description("Calls that could not be taken, by what was wrong with them")
+            .build();
+        Ok(Self {
+            set: Arc::new(set),
+            faults,
+        })
+    }
+
+    pub(super) fn record_fault(&self, kind: &'static str) {
+        self.faults.add(1, &[KeyValue::new("kind", kind)]);
+    }
+}
+
+impl HttpSurface for RegistryMetrics {
+    type Body = GatewayBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
+        if request.uri().path() == metrics_page::METRICS_PATH {
+            return metrics_page::answer(&self.set);
+        }
+        let mut response = Response::new(whole(Bytes::new()));
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        response
+    }
+
+    fn refuse_connection(&self, _limit: u32) -> Response<Self::Body> {
+        let mut response = Response::new(whole(Bytes::new()));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    }
+}
--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -1,12 +1,16 @@
+use std::sync::{Mutex, PoisonError};
+
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use super::body_reader::{self, BodyFault};
 use super::call_surface::{GatewayBody, whole};
-use super::{RegistryAnswer, RegistryCall, WireFormat};
+use super::fault_tally::FaultTally;
+use super::registry_metrics::RegistryMetrics;
+use super::{CallFault, RegistryAnswer, RegistryCall, WireFormat};
 use crate::api::HttpSurface;
 use crate::prelude::*;
-use crate::registry::{RegistryNode, Result};
+use crate::registry::{EndpointIncarnation, RegistryError, RegistryNode, Result};
 
 /// Largest body of a call: a document of some thousand routes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
@@ -19,6 +23,8 @@
 pub(super) struct RegistrySurface {
     pub(super) wire: Arc<dyn WireFormat>,
     pub(super) node: Arc<RegistryNode>,
+    pub(super) faults: Arc<Mutex<FaultTally>>,
+    pub(super) metrics: RegistryMetrics,
 }
 
 impl HttpSurface for RegistrySurface {
@@ -32,15 +38,7 @@
         };
         let answer = match self.wire.read_registry_call(&parts, &body) {
             None => RegistryAnswer::Unknown,
-            Some(Err(error)) => {
-                log_event!(
-                    info,
-                    "registry_call_invalid",
-                    path = parts.uri.path(),
-                    reason = error
-                );
-                RegistryAnswer::Invalid(error.to_string())
-            }
+            Some(Err(fault)) => self.refuse_call(parts.uri.path(), &fault),
             Some(Ok(call)) => self.answer(call).await,
         };
         self.wire.registry_answer(&answer).map(whole)
@@ -53,6 +51,26 @@
 }
 
 impl RegistrySurface {
+    fn refuse_call(&self, path: &str, fault: &CallFault) -> RegistryAnswer {
+        let kind = match fault {
+            CallFault::Document(_) => "document",
+            CallFault::Report(fault) => fault.kind(),
+        };
+        self.metrics.record_fault(kind);
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(total) = faults.count(Instant::now(), kind) {
+            log_event!(
+                info,
+                "registry_call_invalid",
+                path = path,
+                kind = kind,
+                total = total,
+                reason = fault
+            );
+        }
+        RegistryAnswer::Invalid(fault.to_string())
+    }
+
     fn refuse_body(&self, fault: BodyFault) -> Response<GatewayBody> {
         let status = match fault {
             BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -67,7 +85,8 @@
     async fn answer(&self, call: RegistryCall) -> RegistryAnswer {
         let done = match call {
             RegistryCall::Announce(report) => self.node.announce(report),
-            RegistryCall::Retire(endpoint) => self.node.retire(&endpoint).await,
+            RegistryCall::Drain(report) => self.node.drain(&report).await,
+            RegistryCall::Leave { endpoint, born_ms } => self.retire(endpoint, born_ms).await,
             RegistryCall::Publish { number, content } => {
                 self.node.publish(number, content).await.map(drop)
             }
@@ -76,6 +95,16 @@
         answer_of(done.map(|()| RegistryAnswer::Done))
     }
 
+    async fn retire(&self, endpoint: String, born_ms: Option<u64>) -> Result<()> {
+        match born_ms {
+            Some(born_ms) => {
+                let incarnation = EndpointIncarnation { endpoint, born_ms };
+                self.node.retire(incarnation).await
+            }
+            None => self.node.retire_listed(&endpoint).await,
+        }
+    }
+
     async fn read_document(&self) -> RegistryAnswer {
         let document = self.node.read_document().await;
         answer_of(document.map(|document| match document {
@@ -88,6 +117,11 @@
 fn answer_of(outcome: Result<RegistryAnswer>) -> RegistryAnswer {
     outcome.unwrap_or_else(|error| {
         log_event!(info, "registry_call_unanswered", reason = error);
-        RegistryAnswer::Unavailable(error.to_string())
+        match error {
+            RegistryError::Foreign(reason) => RegistryAnswer::Invalid(reason),
+            RegistryError::Unavailable(_) | RegistryError::Link(_) | RegistryError::Control(_) => {
+                RegistryAnswer::Unavailable(error.to_string())
+            }
+        }
     })
 }
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -8,6 +8,7 @@
 use crate::generated::work::WorkNotice;
 use crate::generated::work::work_notice::Notice;
 use crate::prelude::*;
+use crate::registry::EndpointLife;
 use crate::transport::InboundMessage;
 
 /// Most results that wait to be given up; more expire at their endpoints.
@@ -124,7 +125,7 @@
     keeper: SocketAddr,
     handles: &[ResultHandle],
 ) -> Result<(), CallError> {
-    let mut call = EndpointCall::open(keeper).await?;
+    let mut call = EndpointCall::open(keeper, &EndpointLife::default()).await?;
     let response = call.send(wire.release_request(handles, keeper)).await?;
     read_whole(response.into_body()).await?;
     Ok(())
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -1,6 +1,6 @@
 use hyper::{Request, Response, header::HeaderMap, http};
 
-use super::{GatewayRefusal, RouteTable, TableError};
+use super::{CallFault, GatewayRefusal, RouteTable, TableError};
 use crate::prelude::*;
 use crate::registry::EndpointReport;
 
@@ -17,7 +17,7 @@
         &self,
         head: &http::request::Parts,
         body: &Bytes,
-    ) -> Option<Result<RegistryCall, TableError>>;
+    ) -> Option<Result<RegistryCall, CallFault>>;
 
     /// Writes the answer to a call to the registry.
     fn registry_answer(&self, answer: &RegistryAnswer) -> Response<Bytes>;
@@ -64,7 +64,14 @@
     /// An endpoint says that it lives.
     Announce(EndpointReport),
     /// An endpoint takes no new work any more.
-    Retire(String),
+    Drain(EndpointReport),
+    /// An endpoint is about to exit.
+    Leave {
+        /// Name that it goes by.
+        endpoint: String,
+        /// When the incarnation started, if it says so.
+        born_ms: Option<u64>,
+    },
     /// An operator sends a document.
     Publish {
         /// Number of the document.
@@ -137,8 +144,8 @@
 /// Which incarnation of an endpoint a call is for.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointTarget<'a> {
-    /// Identity of its incarnation.
-    pub endpoint: &'a str,
+    /// Name that it goes by.
+    pub name: &'a str,
     /// Where it takes work.
     pub address: SocketAddr,
 }
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -69,7 +69,7 @@
                 }
                 reply.retired_total = documents.retired_total();
                 let retired = documents.retired_after(call.retired_total);
-                reply.retired = retired.map(String::from).collect();
+                reply.retired = retired.cloned().collect();
             });
         }
         {
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -1,4 +1,4 @@
-use super::{BootTime, EndpointReport, FollowCall, FollowReply};
+use super::{BootTime, EndpointIncarnation, EndpointLife, EndpointReport, FollowCall, FollowReply};
 use crate::prelude::*;
 use crate::transport::PeerName;
 
@@ -7,7 +7,7 @@
 const UNLISTED_TIME: Duration = Duration::from_secs(6);
 
 /// An endpoint as an entry knows it from control.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct KnownEndpoint {
     /// What it last said of itself.
     pub report: EndpointReport,
@@ -15,6 +15,30 @@
     pub unlisted: Option<BootTime>,
     /// When this entry first heard of it.
     pub joined: Instant,
+    /// Ends when the endpoint has started again.
+    pub life: EndpointLife,
+}
+
+impl KnownEndpoint {
+    /// Takes a report that is not of a later incarnation; true when it is news.
+    /// A daemon that lags may pass on an older one: that says nothing new of
+    /// the endpoint, but does say whether that daemon still hears of it.
+    fn take(&mut self, report: EndpointReport) -> bool {
+        if report.born_ms < self.report.born_ms {
+            return false;
+        }
+        self.unlisted = None;
+        let taken = match report.sequence < self.report.sequence {
+            true => EndpointReport {
+                silent: report.silent,
+                ..self.report.clone()
+            },
+            false => report,
+        };
+        let is_news = self.report != taken;
+        self.report = taken;
+        is_news
+    }
 }
 
 /// What a reply brought that the request path must learn of.
@@ -40,7 +64,8 @@
     entries: Vec<PeerName>,
     entries_digest: u64,
     endpoints: BTreeMap<String, KnownEndpoint>,
-    retired: FastSet<String>,
+    /// Birth of the latest incarnation that was retired, by endpoint.
+    retired: FastMap<String, u64>,
 }
 
 impl FollowState {
@@ -72,9 +97,8 @@
         }
         if reply.retired_total > self.retired_total {
             self.retired_total = reply.retired_total;
-            for endpoint in reply.retired {
-                news.endpoints |= self.endpoints.remove(&endpoint).is_some();
-                self.retired.insert(endpoint);
+            for incarnation in reply.retired {
+                news.endpoints |= self.retire(incarnation);
             }
         }
         if reply.whole {
@@ -103,22 +127,44 @@
         news
     }
 
+    fn retire(&mut self, incarnation: EndpointIncarnation) -> bool {
+        let EndpointIncarnation { endpoint, born_ms } = incarnation;
+        let known = self.endpoints.get(&endpoint);
+        let is_known = known.is_some_and(|known| known.report.born_ms <= born_ms);
+        if is_known {
+            self.endpoints.remove(&endpoint);
+        }
+        let retired = self.retired.entry(endpoint).or_default();
+        *retired = born_ms.max(*retired);
+        is_known
+    }
+
     fn take_report(&mut self, report: EndpointReport) -> bool {
-        if self.retired.contains(&report.id) {
+        let retired = self.retired.get(&report.id);
+        if retired.is_some_and(|born_ms| report.born_ms <= *born_ms) {
             return false;
         }
-        if let Some(known) = self.endpoints.get_mut(&report.id) {
-            known.unlisted = None;
-            let is_news = known.report != report;
-            known.report = report;
-            return is_news;
+        if let Some(known) = self.endpoints.get_mut(&report.id)
+            && report.born_ms <= known.report.born_ms
+        {
+            return known.take(report);
         }
         let known = KnownEndpoint {
             joined: Instant::now(),
             unlisted: None,
             report,
+            life: EndpointLife::default(),
         };
-        self.endpoints.insert(known.report.id.clone(), known);
+        let before = self.endpoints.insert(known.report.id.clone(), known);
+        if let Some(before) = before {
+            log_event!(
+                info,
+                "endpoint_replaced",
+                endpoint = before.report.incarnation(),
+                pool = before.report.pool
+            );
+            before.life.end();
+        }
         true
     }
 
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -4,6 +4,8 @@
 
 mod boot_clock;
 mod confirm_gate;
+mod endpoint_life;
+mod endpoint_report;
 mod entry_follower;
 mod follow_service;
 mod follow_state;
@@ -16,10 +18,12 @@
 mod report_outbox;
 mod voter_keeper;
 
+pub use crate::control::EndpointIncarnation;
 pub use crate::generated::control_link::{
     EndpointRefresh, EndpointReport, FollowCall, FollowReply, ReportBatch,
 };
 pub use boot_clock::{BootClock, BootTime};
+pub use endpoint_life::EndpointLife;
 pub use entry_follower::{EntryFollower, FollowOptions};
 pub use follow_state::{FollowNews, FollowState, KnownEndpoint};
 pub use member_ring::MemberRing;
--- a/crates/savorywalk/src/registry/registry_error.rs
+++ b/crates/savorywalk/src/registry/registry_error.rs
@@ -8,6 +8,9 @@
     /// No majority of voters can be reached for now.
     #[error("control can't decide now: {0}; ask again in a second, at any control daemon")]
     Unavailable(String),
+    /// It is not said by the endpoint that it speaks of.
+    #[error("not from the endpoint itself: {0}")]
+    Foreign(String),
     /// The links can't be used.
     #[error(transparent)]
     Link(#[from] LinkError),
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -12,7 +12,7 @@
 use super::{EndpointReport, HearOutcome, RegistryError, RegistryTable, Result};
 use crate::control::{
     ControlAnswer, ControlBody, ControlCommand, ControlQuery, ControlQuestion, ControlVerdict,
-    DocumentCommand, DocumentOutcome, RetireCommand, StatusQuery, VoterRoster, VoterService,
+    DocumentCommand, DocumentOutcome, EndpointIncarnation, StatusQuery, VoterRoster, VoterService,
 };
 use crate::generated::control_link::control_call::Call;
 use crate::generated::control_link::control_response::Response;
@@ -29,6 +29,10 @@
 /// Pause before a leader is looked for again.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
 
+/// Announcements after a start by which every endpoint that lives is listed:
+/// two may come late or be lost on a bad link.
+const LISTING_ANNOUNCEMENTS: u32 = 3;
+
 /// Longest round that confirms what is committed.
 const CONFIRM_TIME: Duration = Duration::from_millis(600);
 
@@ -55,6 +59,8 @@
     pub(super) gate: ConfirmGate,
     pub(super) followers: Mutex<FollowerList>,
     pub(super) wants_table: Notify,
+    /// By when every endpoint that lives has announced itself here.
+    listed_by: Instant,
 }
 
 impl RegistryNode {
@@ -78,6 +84,7 @@
             gate,
             followers: Mutex::default(),
             wants_table: Notify::new(),
+            listed_by: Instant::now() + options.announce_interval * LISTING_ANNOUNCEMENTS,
             hub: hub.clone(),
         });
         tokio::spawn(keeper.run());
@@ -103,7 +110,7 @@
         if !self.has_leader() {
             return Err(RegistryError::Unavailable("no leader is known".into()));
         }
-        if self.is_retired(&report.id) {
+        if self.is_retired(&report.incarnation()) {
             return Ok(());
         }
         let outcome = self.table().hear(Instant::now(), report.clone());
@@ -114,10 +121,14 @@
                 endpoint = report.id,
                 pool = report.pool,
                 address = report.address,
+                born_ms = report.born_ms,
                 sequence = report.sequence
             );
             self.publish_revision();
         }
+        if outcome == HearOutcome::Foreign {
+            return Err(elsewhere(&report.id));
+        }
         let is_urgent = self.lock_outbox().note(report, outcome);
         if is_urgent {
             self.urgent.notify_one();
@@ -127,23 +138,48 @@
 
     /// Has it decided that an endpoint takes no new work any more. Once this
     /// returns, every entry that confirms its knowledge learns of it.
-    pub async fn retire(&self, endpoint: &str) -> Result<()> {
-        if self.is_retired(endpoint) {
+    pub async fn retire(&self, incarnation: EndpointIncarnation) -> Result<()> {
+        if self.is_retired(&incarnation) {
             return Ok(());
         }
-        let command = RetireCommand {
-            endpoint: endpoint.to_string(),
-        };
-        match self.decide(ControlBody::Retire(command)).await? {
+        let command = ControlBody::Retire(incarnation.clone());
+        match self.decide(command).await? {
             ControlVerdict::Noted(_) => {
-                log_event!(info, "endpoint_retired", endpoint = endpoint);
-                self.table().remove(endpoint);
+                log_event!(info, "endpoint_retired", endpoint = incarnation);
+                self.table().remove(&incarnation);
                 Ok(())
             }
             other => Err(unexpected(&other)),
         }
     }
 
+    /// Takes the announcement of an endpoint that takes no new work any more.
+    pub async fn drain(&self, report: &EndpointReport) -> Result<()> {
+        if self.table().is_elsewhere(report) {
+            return Err(elsewhere(&report.id));
+        }
+        self.retire(report.incarnation()).await
+    }
+
+    /// Has it decided that the incarnation which is listed under a name takes
+    /// no new work any more. A daemon that has just started may not list it yet
+    /// and does not guess which one is meant: another daemon knows.
+    pub async fn retire_listed(&self, endpoint: &str) -> Result<()> {
+        let listed = self.table().incarnation_of(endpoint);
+        let incarnation = match listed {
+            Some(incarnation) => incarnation,
+            None if Instant::now() < self.listed_by => {
+                let reason = format!("endpoint {endpoint} is not listed yet");
+                return Err(RegistryError::Unavailable(reason));
+            }
+            None => EndpointIncarnation {
+                endpoint: endpoint.to_string(),
+                born_ms: 0,
+            },
+        };
+        self.retire(incarnation).await
+    }
+
     /// Has a checked document decided under its number.
     pub async fn publish(&self, number: u64, content: Bytes) -> Result<DocumentOutcome> {
         let command = DocumentCommand {
@@ -213,10 +249,10 @@
         self.revision.send_replace(revision);
     }
 
-    pub(super) fn is_retired(&self, endpoint: &str) -> bool {
+    pub(super) fn is_retired(&self, incarnation: &EndpointIncarnation) -> bool {
         let read = |voter: Arc<VoterService>| {
             let cell = voter.cell();
-            cell.read_documents(|documents| documents.is_retired(endpoint))
+            cell.read_documents(|documents| documents.is_retired(incarnation))
         };
         self.voter().is_some_and(read)
     }
@@ -330,6 +366,13 @@
     }
 }
 
+fn elsewhere(endpoint: &str) -> RegistryError {
+    let remedy = "start under a name of your own";
+    RegistryError::Foreign(format!(
+        "endpoint {endpoint} is listed at another place; {remedy}"
+    ))
+}
+
 fn unexpected(verdict: &ControlVerdict) -> RegistryError {
     RegistryError::Unavailable(format!("control answered something else: {verdict:?}"))
 }
--- a/crates/savorywalk/src/registry/registry_table.rs
+++ b/crates/savorywalk/src/registry/registry_table.rs
@@ -1,4 +1,4 @@
-use super::{EndpointRefresh, EndpointReport};
+use super::{EndpointIncarnation, EndpointRefresh, EndpointReport};
 use crate::prelude::*;
 
 /// Announcements missed after which an endpoint counts as silent: two may come
@@ -21,6 +21,8 @@
     Refreshed,
     /// A newer announcement is known already.
     Stale,
+    /// It puts a known incarnation at another place; the known one holds.
+    Foreign,
     /// A sign of life of an endpoint that is not listed.
     Unknown,
 }
@@ -68,24 +70,27 @@
     /// Takes an announcement.
     pub fn hear(&mut self, now: Instant, mut report: EndpointReport) -> HearOutcome {
         report.silent = false;
+        let is_elsewhere = self.is_elsewhere(&report);
         let known = self.records.get_mut(&report.id);
         let Some(record) = known else {
-            if self.records.len() >= MAX_ENDPOINTS {
-                log_event!(warn, "registry_full", endpoint = report.id);
-                return HearOutcome::Stale;
-            }
-            self.revision += 1;
-            let record = RegistryRecord {
-                heard: now,
-                revision: self.revision,
-                report,
-            };
-            self.records.insert(record.report.id.clone(), record);
+            self.insert(now, report);
             return HearOutcome::Changed;
         };
-        if report.sequence <= record.report.sequence {
+        if report.order() <= record.report.order() {
             return HearOutcome::Stale;
         }
+        if is_elsewhere {
+            return HearOutcome::Foreign;
+        }
+        if report.born_ms > record.report.born_ms {
+            log_event!(
+                info,
+                "endpoint_restarted",
+                endpoint = report.id,
+                was_born_ms = record.report.born_ms,
+                born_ms = report.born_ms
+            );
+        }
         record.heard = now;
         let is_same = is_same(&record.report, &report);
         record.report = report;
@@ -97,14 +102,37 @@
         HearOutcome::Changed
     }
 
+    /// Lists an endpoint. When the table is full, the one that was heard of the
+    /// longest ago gives way: endpoints that live are heard every interval, so
+    /// that names which nobody uses can't crowd them out.
+    fn insert(&mut self, now: Instant, report: EndpointReport) {
+        if self.records.len() >= MAX_ENDPOINTS {
+            let oldest = self.records.iter().min_by_key(|(_, record)| record.heard);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                log_event!(warn, "registry_full", dropped = id, endpoint = report.id);
+                self.records.remove(&id);
+            }
+        }
+        self.revision += 1;
+        let record = RegistryRecord {
+            heard: now,
+            revision: self.revision,
+            report,
+        };
+        self.records.insert(record.report.id.clone(), record);
+    }
+
     /// Takes a sign of life that another control daemon passes on.
     pub fn refresh(&mut self, now: Instant, refresh: &EndpointRefresh) -> HearOutcome {
         let Some(record) = self.records.get_mut(&refresh.id) else {
             return HearOutcome::Unknown;
         };
-        if refresh.sequence <= record.report.sequence {
+        if refresh.order() <= record.report.order() {
             return HearOutcome::Stale;
         }
+        if refresh.born_ms != record.report.born_ms {
+            return HearOutcome::Unknown;
+        }
         record.heard = now;
         record.report.sequence = refresh.sequence;
         if !record.report.silent {
@@ -116,9 +144,26 @@
         HearOutcome::Changed
     }
 
-    /// Forgets an endpoint that has said that it is gone or leaves.
-    pub fn remove(&mut self, endpoint: &str) {
-        self.records.remove(endpoint);
+    /// Forgets an incarnation that has said that it is gone or leaves, and
+    /// those before it.
+    pub fn remove(&mut self, incarnation: &EndpointIncarnation) {
+        let known = self.records.get(&incarnation.endpoint);
+        if known.is_some_and(|record| record.report.born_ms <= incarnation.born_ms) {
+            self.records.remove(&incarnation.endpoint);
+        }
+    }
+
+    /// Whether a report puts the incarnation that is listed at another place.
+    pub fn is_elsewhere(&self, report: &EndpointReport) -> bool {
+        let record = self.records.get(&report.id);
+        let known = record.map(|record| &record.report);
+        known.is_some_and(|known| known.born_ms == report.born_ms && !known.is_same_place(report))
+    }
+
+    /// The incarnation that is listed under a name.
+    pub fn incarnation_of(&self, endpoint: &str) -> Option<EndpointIncarnation> {
+        let record = self.records.get(endpoint);
+        record.map(|record| record.report.incarnation())
     }
 
     /// Marks the endpoints that have fallen silent; tells whether any has.
@@ -163,14 +208,13 @@
     }
 }
 
-/// Whether two reports of one incarnation tell entries the same.
+/// Whether two reports tell entries the same.
 fn is_same(known: &EndpointReport, news: &EndpointReport) -> bool {
     let warmed = (known.cold_ms > 0) == (news.cold_ms > 0);
     warmed
         && !known.silent
-        && known.pool == news.pool
-        && known.address == news.address
-        && known.data_center == news.data_center
+        && known.born_ms == news.born_ms
+        && known.is_same_place(news)
         && known.slots == news.slots
 }
 
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -78,7 +78,7 @@
             }
         }
         for report in batch.reports {
-            if !self.is_retired(&report.id) {
+            if !self.is_retired(&report.incarnation()) {
                 self.table().hear(now, report);
             }
         }
@@ -128,7 +128,7 @@
         };
         let now = Instant::now();
         for report in reply.reports {
-            if !report.silent && !self.is_retired(&report.id) {
+            if !report.silent && !self.is_retired(&report.incarnation()) {
                 self.table().hear(now, report);
             }
         }
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ReportOutbox {
     reports: FastMap<String, EndpointReport>,
-    refreshes: FastMap<String, u64>,
+    refreshes: FastMap<String, EndpointRefresh>,
     told: Option<Instant>,
 }
 
@@ -24,10 +24,15 @@
                 true
             }
             HearOutcome::Refreshed => {
-                self.refreshes.insert(report.id, report.sequence);
+                let refresh = EndpointRefresh {
+                    id: report.id,
+                    sequence: report.sequence,
+                    born_ms: report.born_ms,
+                };
+                self.refreshes.insert(refresh.id.clone(), refresh);
                 false
             }
-            HearOutcome::Stale | HearOutcome::Unknown => false,
+            HearOutcome::Stale | HearOutcome::Foreign | HearOutcome::Unknown => false,
         }
     }
 
@@ -44,10 +49,7 @@
         let refreshes = std::mem::take(&mut self.refreshes);
         Some(ReportBatch {
             reports: reports.into_values().collect(),
-            refreshes: refreshes
-                .into_iter()
-                .map(|(id, sequence)| EndpointRefresh { id, sequence })
-                .collect(),
+            refreshes: refreshes.into_values().collect(),
             followers,
         })
     }
