Learn by route how long streams take to their first event

Cause: the time that stages may take was reckoned with 50 prompt tokens a millisecond and 150 ms, read off two deployments whose engines read 62; a third one's read 31.

Change: FirstEventTimes keeps a QuantileScale by route (three quarters within the forecast), moved by the sign of each error only.

Ruled out: a line through time and tokens, which one slow engine bends.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -110,7 +110,7 @@
             size: context.size(),
             due: context.due,
             deadline: context.deadline,
-            tail: context.engine_time(),
+            tail: self.node.first_events.expect(context),
             near: near.into(),
             returning: context.is_returning,
             timely_only: false,
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -4,6 +4,7 @@
 
 use super::endpoint_score::EndpointScores;
 use super::engine_desk::EngineDesk;
+use super::first_event_times::FirstEventTimes;
 use super::gateway_metrics::GatewayMetrics;
 use super::piece_board::{BoardKey, PieceBoard};
 use super::release_queue::{self, ReleaseQueue};
@@ -25,6 +26,7 @@
     pub(super) view: ArcSwap<GatewayView>,
     pub(super) scores: EndpointScores,
     pub(super) exchange: WorkExchange,
+    pub(super) first_events: FirstEventTimes,
     pub(super) engines: EngineDesk,
     pub(super) releases: ReleaseQueue,
     pub(super) metrics: GatewayMetrics,
@@ -74,6 +76,7 @@
             scores: EndpointScores::default(),
             exchange: WorkExchange::new(parts.hub.clone()),
             engines: EngineDesk::default(),
+            first_events: FirstEventTimes::default(),
             metrics: GatewayMetrics::new(parts.metric_set.meter()),
             metric_set: parts.metric_set,
             max_key_age: parts.max_key_age,
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -24,15 +24,6 @@
     pub(super) is_returning: bool,
 }
 
-/// Time that an engine which is busy takes beside reading the prompt: its first
-/// token takes 120 ms, and the way there and back some more.
-const ENGINE_BASE: Duration = Duration::from_millis(150);
-
-/// Prompt tokens that an engine reads in a millisecond, with what others are
-/// served meanwhile: three quarters of prompts were read at least that fast on
-/// asist-kosice-grown quiet-1.
-const TOKENS_PER_MS: u64 = 50;
-
 /// Tokens to read that take an engine as long as one to write, about.
 const READ_PER_WRITTEN: u64 = 10;
 
@@ -50,11 +41,10 @@
         self.head.prefix.get(shared).map(|part| part.id)
     }
 
-    /// Time from the send to a stream's first event, about.
-    pub(super) fn engine_time(&self) -> Duration {
+    /// Tokens of its prompt.
+    pub(super) fn prompt_tokens(&self) -> u64 {
         let parts = self.head.prefix.iter().map(|part| part.tokens).sum();
-        let tokens = self.head.tokens.map_or(parts, |tokens| tokens.prompt);
-        ENGINE_BASE + Duration::from_millis(tokens / TOKENS_PER_MS)
+        self.head.tokens.map_or(parts, |tokens| tokens.prompt)
     }
 
     /// What the request asks for, in tokens to read.
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -148,6 +148,7 @@
             ),
             ms = time.as_millis()
         );
+        self.run.node.first_events.observe(&self.run.context, time);
         self.run.report_success(&self.source.endpoint, time);
         self.run.release_results();
     }
