--- a/crates/savorywalk/src/gateway/cluster_hub_tests.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub_tests.rs
@@ -11,7 +11,7 @@
     start(&settings).unwrap()
 }
 
-/// asist-kosice inc-79a2: the coordinator was stopped as planned and came back
+/// A coordinator that was stopped as planned and came back
 /// after 0.3 s; ten requests held calls over the old links for 1.1 s.
 #[tokio::test]
 async fn peers_of_a_daemon_that_stops_learn_of_it_at_once() {
--- a/crates/savorywalk/src/gateway/engine_model_tests.rs
+++ b/crates/savorywalk/src/gateway/engine_model_tests.rs
@@ -11,7 +11,7 @@
     ENGINES.map(target).to_vec()
 }
 
-/// A prompt like handover-brief's: a shared part and the request's own.
+/// A long prompt: a part that others share and the request's own.
 fn prompt(shared: u64, own: u64) -> [PromptPart; 2] {
     let part = |id, tokens| PromptPart { id, tokens };
     [part(shared, 13_300), part(1_000_000 + own, 3_720)]
@@ -41,9 +41,9 @@
     assert!(read + Duration::from_millis(200) < unread);
 }
 
-/// asist-kosice-grown quiet-1: engines had a sixth of their time to do, and a
-/// tenth of the short prompts still waited for 0.4 s behind long ones, since
-/// each of 72 entries saw only its own requests.
+/// A calm day of 72 entries: engines had a sixth of their time to do, and a tenth
+/// of the short prompts still waited for 0.4 s behind long ones, since each entry
+/// saw only its own requests.
 #[test]
 fn prompts_that_come_together_go_to_engines_that_are_not_reading() {
     let now = Instant::now();
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -32,8 +32,8 @@
     /// The endpoint for the next attempt: for a prompt the one that whoever
     /// places all of them chose, unless this entry has found it ill. With few
     /// engines a prompt stays with the one of its hash, where its large results
-    /// were made near: on tewodros-dispatch placing them by load read three times
-    /// as many shared tokens again and carried more between data centres.
+    /// were made near: placing them by load read three times as many shared tokens
+    /// again with 9 engines, and with 12 cost 0.015 of the worth of a day.
     pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
         self.placed = None;
         let pool = &self.context.pool;
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -159,7 +159,7 @@
     assert_eq!(queue.next_calls(later, &profile(), &targets).len(), 1);
 }
 
-/// Seen on asist-kosice quiet-1: 1,528 of 11,257 pieces found no room, and
+/// On a calm day 1,528 of 11,257 pieces found no room, and
 /// their calls took as long as if they had been made.
 #[test]
 fn pieces_wait_here_until_there_is_room_for_their_results() {
@@ -188,7 +188,7 @@
     assert_eq!(names(&call), ["large"]);
 }
 
-/// The burst of handover-brief on asist-kosice scale-2 left half of a pool with
+/// A burst of long requests on half of a pool left it with
 /// a backlog of 500 to 1,000 pieces for 30 s: everybody was served, and nearly
 /// everybody late.
 #[test]
@@ -226,7 +226,7 @@
     assert_eq!(names(&call[0]), ["held", "held", "new", "new"]);
 }
 
-/// On tewodros-dispatch quiet-1 2.3 GB were carried between data centres, most
+/// On a calm day 2.3 GB were carried between data centres, most
 /// of it for 16 pieces that each fetch the same eight results of 60 kB.
 #[test]
 fn an_endpoint_takes_what_is_wanted_in_its_data_center_first() {
@@ -243,7 +243,7 @@
     assert_eq!(names(&call[0]), ["near", "near", "far", "far"]);
 }
 
-/// On asist-kosice quiet-1 two of four endpoints stand in one data centre;
+/// Two of four endpoints stand in one data centre;
 /// waiting for the near ones left the others idle in a burst.
 #[test]
 fn what_the_near_endpoints_can_not_take_in_one_call_does_not_wait_for_them() {
@@ -258,7 +258,7 @@
     assert_eq!(sizes, [3, 4]);
 }
 
-/// On asist-kosice scale-2 half of the pieces of many requests were made in
+/// With half of a pool gone, half of the pieces of many requests were made in
 /// time, the others fell behind as late, and the room was full of results that
 /// nobody could use: two endpoints made 28 pieces a second instead of 57.
 #[test]
@@ -275,7 +275,7 @@
     assert_eq!(names(&call), ["begun", "begun", "new", "new"]);
 }
 
-/// On asist-kosice scale-2 some 200 late pieces waited for 30 s; their 71
+/// With half of a pool gone some 200 late pieces waited for 30 s; their 71
 /// requests were held until their callers gave up.
 #[test]
 fn late_stages_that_get_no_turn_are_told_so() {
@@ -293,9 +293,9 @@
     );
 }
 
-/// On asist-kosice-grown quiet-1 handover briefs that were late were begun in
+/// Long requests that were late were begun in
 /// places that calls had left; their other pieces then went before those of
-/// briefs that could have been in time, and half of all briefs were late for
+/// others that could have been in time, and half of all were late for
 /// seconds after each burst.
 #[test]
 fn a_late_stage_is_begun_as_a_whole_or_not_at_all() {
@@ -312,7 +312,7 @@
     assert_eq!(names(&call), ["large", "large", "large", "large"]);
 }
 
-/// On asist-kosice-grown quiet-1 calls of 150 ms and 1.9 ms a piece took 35 ms
+/// Calls of 150 ms and 1.9 ms a piece took 35 ms
 /// longer than that from one end to the other, and an endpoint in demand stood
 /// idle for most of these.
 #[test]
--- a/crates/savorywalk/src/gateway/piece_times.rs
+++ b/crates/savorywalk/src/gateway/piece_times.rs
@@ -15,8 +15,8 @@
 
 /// Times that calls at one pool really take, learned from those that were made.
 ///
-/// A document gives one time a piece for each pool, while stages differ: on
-/// asist-kosice-grown light pieces of a pool take 4.8 ms and heavy ones 16 ms.
+/// A document gives one time a piece for each pool, while stages differ:
+/// light pieces of one pool take 4.8 ms and heavy ones 16 ms.
 /// Pieces with results of one size are of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct PieceTimes {
--- a/crates/savorywalk/src/gateway/piece_times_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_times_tests.rs
@@ -45,7 +45,7 @@
     assert_eq!(told, profile().call_duration(3));
 }
 
-/// asist-kosice-grown: by the profile alone a pool that makes both kinds seemed
+/// By the profile alone a pool that makes both kinds seemed
 /// to be full at three quarters of what it can do.
 #[test]
 fn the_time_of_each_kind_is_learned() {
--- a/crates/savorywalk/src/gateway/plan_worth_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_worth_tests.rs
@@ -16,7 +16,7 @@
     assert!(level(0, 18_000, false) < level(1, 18_000, false));
 }
 
-/// asist-kosice-grown scale-2: of the largest tenth of briefs 35 in 100 were
+/// Under twice the load that a pool carries 35 in 100 of the largest tenth were
 /// served, of all 78, though a large one is worth up to four usual ones.
 #[test]
 fn a_large_request_goes_first_and_is_worth_serving_late() {
--- a/crates/savorywalk/src/gateway/request_admission_tests.rs
+++ b/crates/savorywalk/src/gateway/request_admission_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::gateway::{RouteKind, StageGraph};
 
-/// shift-summary of asist-kosice-grown.
+/// A route with much more time than its objective.
 fn route() -> RouteRule {
     RouteRule {
         name: "r".into(),
@@ -19,9 +19,9 @@
     }
 }
 
-/// On the grown deployments callers wait for 85 to 100 hundredths of the route's
-/// time. Taken for callers that had come back, half of all requests were begun
-/// as late ones: 1,965 of 4,800 on asist-kosice-grown quiet-1.
+/// Callers that wait for 85 to 100 hundredths of the route's time. Taken for
+/// callers that had come back, 1,965 of 4,800 requests of a calm day were begun as
+/// late ones.
 #[test]
 fn a_caller_with_little_patience_has_its_whole_objective() {
     let now = Instant::now();
--- a/crates/savorywalk/src/gateway/stage_progress_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_progress_tests.rs
@@ -13,7 +13,7 @@
     StageProgress::new(Arc::new(rules.into_iter().collect()))
 }
 
-/// Seen on asist-kosice quiet-1: results of 3 MB lay about for the second that
+/// Results of 3 MB lay about for the second that
 /// the chain beside them took, and filled the room of their pool.
 #[test]
 fn large_results_are_made_just_in_time() {
@@ -66,7 +66,7 @@
     assert_eq!(progress.take_last(), handles(&["c", "d"]).to_vec());
 }
 
-/// Seen on asist-kosice scale-2: the results of stage 1 were gone when stage 2
+/// An endpoint died: the results of stage 1 were gone when stage 2
 /// asked for them, those of stage 0 were given up long before, and stage 1 was
 /// asked for again without inputs.
 #[test]
--- a/crates/savorywalk/src/gateway/work_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/work_gate_tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 
-/// Three pools of four endpoints each, as one data centre of
-/// asist-kosice-grown has them.
+/// Three pools of four endpoints each, one data centre's part of larger ones.
 fn rates() -> PoolRates {
     let pools = ["first", "second", "third"];
     let rates = pools.map(|pool| (pool.into(), PoolRate { endpoints: 4.0 }));
@@ -16,7 +15,7 @@
     }
 }
 
-/// A request through all three pools, as handover-brief makes them: one light
+/// A request through all three pools: one light
 /// piece, 6 of 30 and 16 of 68 that fit into a call of 0.28 s.
 fn chain(now: Instant, rank: u8, due_ms: u64) -> PlanDemand {
     PlanDemand {
@@ -86,7 +85,7 @@
     assert_eq!(fates, [(number, PlanFate::Begun { is_timely: true })]);
 }
 
-/// asist-kosice-grown quiet-1, a burst of briefs of 2.96: 1,100 of 1,350 results
+/// A burst of 2.96 of one route: 1,100 of 1,350 results
 /// of the second pool lay and waited for the third, calls went out with 20 of 30
 /// pieces, and a third of what was served was late.
 #[test]
@@ -172,8 +171,8 @@
     assert!(fates.contains(&(late, PlanFate::Begun { is_timely: false })));
 }
 
-/// asist-kosice-grown scale-2: 2,700 plans were held for one to four seconds and
-/// then refused, most of them notes that briefs had overtaken.
+/// Under twice the load that a pool carries 2,700 plans were held for one to four seconds and
+/// then refused, most of them overtaken by requests of a better rank.
 #[test]
 fn late_plans_that_get_no_turn_are_told_so_soon() {
     let (mut gate, _, now) = full_gate(Instant::now());
--- a/crates/savorywalk/src/gateway/work_shard_tests.rs
+++ b/crates/savorywalk/src/gateway/work_shard_tests.rs
@@ -30,8 +30,7 @@
     assert_eq!(map.draw(7, Some(&WorkShard::default())), None);
 }
 
-/// The sizes of asist-kosice-grown: 17, 15 and 16 endpoints in four data
-/// centres.
+/// Pools of 17, 15 and 16 endpoints in four data centres.
 #[test]
 fn requests_follow_what_each_data_center_can_carry() {
     let map = map(&[
@@ -58,8 +57,8 @@
     assert_ne!(first, second);
 }
 
-/// tewodros-dispatch has 9 engines: placed by load, 584,000 shared tokens were
-/// read again in its days with trouble, and 188,000 by their hash.
+/// With 9 engines 584,000 shared tokens were read again in five days with trouble
+/// when placed by load, and 188,000 by their hash.
 #[test]
 fn few_engines_are_one_shard_and_many_are_split() {
     let nine = [("a", 3), ("b", 3), ("c", 3)].into_iter().collect();
