Forecast first events at the median

Three quarters of a busy engine's times leave stages too little time, and plans are refused that would have been in time half of the time or more.

Kept at the median.

--- a/crates/savorywalk/src/gateway/first_event_times.rs
+++ b/crates/savorywalk/src/gateway/first_event_times.rs
@@ -13,10 +13,12 @@
 /// factor of two here is learned away within some 70 requests of a route.
 const PRIOR_TOKENS_PER_MS: u64 = 50;
 
-/// Part of requests that should get their first event within the forecast. The
-/// stages are to be done by when this is left: who forecasts the median has half
-/// of the requests late that were just in time before.
-const QUANTILE: f64 = 0.75;
+/// Part of requests that should get their first event within the forecast: the
+/// median. Stages are to be done by when this is left, so a longer forecast has
+/// more requests refused: with three quarters the worth of days on 48 engines that
+/// are often busy fell by 0.038 (5 paired plays, error 0.005), with the median by
+/// 0.001 (error 0.006).
+const QUANTILE: f64 = 0.5;
 
 /// How long streams take from their send to the first event, learned by route
 /// from those of this entry. What requests of a route have in common is in it:
