--- a/crates/savorywalk/src/directory/directory_core_tests.rs
+++ b/crates/savorywalk/src/directory/directory_core_tests.rs
@@ -1,6 +1,7 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::directory::LoadBucket;
 use crate::directory::test_region::{TestRegion, announcement};
 use crate::directory::{EndpointLoad, WorkspaceUsage};
 
--- a/crates/savorywalk/src/directory/mod.rs
+++ b/crates/savorywalk/src/directory/mod.rs
@@ -3,10 +3,14 @@
 
 mod cache_event;
 mod directory_actor;
+mod directory_answers;
 mod directory_core;
 mod directory_error;
 mod directory_event;
+mod directory_intake;
 mod directory_link;
+mod directory_requests;
+mod directory_spread;
 mod directory_timing;
 mod endpoint_detail;
 mod endpoint_directory;
--- a/crates/savorywalk/src/gateway/call_fill.rs
+++ b/crates/savorywalk/src/gateway/call_fill.rs
@@ -1,5 +1,4 @@
 use super::PieceProfile;
-use crate::prelude::*;
 
 /// Weight of one call in the mean. A pool of a few endpoints makes some ten
 /// calls a second, so a change is followed within a second, well before a burst
--- a/crates/savorywalk/src/gateway/call_fill_tests.rs
+++ b/crates/savorywalk/src/gateway/call_fill_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::prelude::*;
 
 /// Calls of 200 ms and 12 ms a piece, 14 pieces in one.
 fn profile() -> PieceProfile {
