--- a/crates/savorywalk/src/membership/membership_core_tests.rs
+++ b/crates/savorywalk/src/membership/membership_core_tests.rs
@@ -2,6 +2,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::membership::MembershipError;
 use crate::membership::test_network::{TestNetwork, card};
 
 const SECOND: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/savorywalk/src/membership/membership_probes.rs
@@ -0,0 +1,171 @@
+use rand::seq::IndexedRandom;
+
+use super::membership_core::{INDIRECT_PROBES, send};
+use super::probe_monitor::{MonitorStep, ProbeMonitor};
+use super::region_bridge::RegionBridge;
+use super::{MemberCard, MemberView, MembershipAction, MembershipCore, PeerGraph};
+use crate::prelude::*;
+
+/// Members of a region that link it to each other region.
+const BRIDGES: usize = 2;
+
+/// How a member probes its neighbours and other regions.
+impl MembershipCore {
+    /// Takes the neighbours of the current view, and keeps what is known of
+    /// those that stay.
+    pub(super) fn rewire(&mut self, now: Instant) {
+        self.rewire = false;
+        let view = self.view();
+        let region = view.region(&self.own.region);
+        let neighbours = PeerGraph::neighbours(&self.own.name, region, self.timing.fan_out);
+        let mut before = std::mem::take(&mut self.monitors);
+        for card in neighbours {
+            let known = before.iter().position(|monitor| *monitor.card() == card);
+            let monitor = match known {
+                Some(index) => before.swap_remove(index),
+                None => ProbeMonitor::new(card, self.soon(now)),
+            };
+            self.monitors.push(monitor);
+        }
+        self.rewire_bridges(now, &view);
+    }
+
+    pub(super) fn rewire_bridges(&mut self, now: Instant, view: &MemberView) {
+        let regions: BTreeSet<&Arc<str>> = view.live.iter().map(|card| &card.region).collect();
+        let mut before = std::mem::take(&mut self.bridges);
+        for region in regions {
+            if *region == self.own.region {
+                continue;
+            }
+            let ours = PeerGraph::ranked(region, view.region(&self.own.region));
+            let rank = ours.iter().position(|card| *card == self.own);
+            let Some(rank) = rank.filter(|rank| *rank < BRIDGES) else {
+                continue;
+            };
+            let known = before.iter().position(|bridge| bridge.region == *region);
+            let failed = known.map_or(0, |index| before[index].failed());
+            let Some(target) = bridge_target(view, &self.own.region, region, rank + failed) else {
+                continue;
+            };
+            let bridge = match known.map(|index| before.swap_remove(index)) {
+                Some(bridge) if *bridge.monitor.card() == target => bridge,
+                Some(mut bridge) => {
+                    bridge.monitor = ProbeMonitor::new(target, now);
+                    bridge
+                }
+                None => {
+                    let monitor = ProbeMonitor::new(target, self.soon(now));
+                    RegionBridge::new(Arc::clone(region), monitor)
+                }
+            };
+            self.bridges.push(bridge);
+        }
+    }
+
+    pub(super) fn probe_neighbours(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let mut monitors = std::mem::take(&mut self.monitors);
+        for monitor in &mut monitors {
+            let number = self.number();
+            let step = monitor.step(now, self.timing.probe_interval, &self.timing, number);
+            let card = monitor.card();
+            match step {
+                MonitorStep::Wait => {}
+                MonitorStep::Probe(number) => self.probe(card, number, actions),
+                MonitorStep::ProbeIndirectly(number) => {
+                    self.probe(card, number, actions);
+                    self.probe_through_others(card, number, actions);
+                }
+            }
+            if monitor.is_missing(&self.timing) {
+                self.suspect(now, card, actions);
+            }
+        }
+        self.monitors = monitors;
+    }
+
+    pub(super) fn probe(
+        &mut self,
+        card: &MemberCard,
+        number: u32,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut message = self.message_with_news(&card.region);
+        message.probe = number;
+        self.remind(&card.name, &mut message);
+        actions.push(send(&card.name, &message));
+    }
+
+    pub(super) fn probe_through_others(
+        &mut self,
+        target: &MemberCard,
+        number: u32,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let view = self.view();
+        let candidates: Vec<_> = view
+            .region(&self.own.region)
+            .filter(|card| card.name != self.own.name && card.name != target.name)
+            .collect();
+        let helpers: Vec<_> = candidates
+            .sample(&mut self.random, INDIRECT_PROBES)
+            .map(|card| Arc::clone(&card.name))
+            .collect();
+        for helper in helpers {
+            let mut message = self.message();
+            message.probe = number;
+            message.probe_target = target.name.to_string();
+            actions.push(send(&helper, &message));
+        }
+    }
+
+    pub(super) fn probe_regions(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let mut bridges = std::mem::take(&mut self.bridges);
+        for bridge in &mut bridges {
+            let number = self.number();
+            let interval = self.timing.bridge_interval;
+            match bridge.monitor.step(now, interval, &self.timing, number) {
+                MonitorStep::Wait => {}
+                MonitorStep::Probe(number) | MonitorStep::ProbeIndirectly(number) => {
+                    let card = Arc::clone(bridge.monitor.card());
+                    self.probe(&card, number, actions);
+                }
+            }
+            if bridge.monitor.is_missing(&self.timing) {
+                self.try_next_target(now, bridge, actions);
+            }
+        }
+        self.bridges = bridges;
+    }
+
+    pub(super) fn try_next_target(
+        &mut self,
+        now: Instant,
+        bridge: &mut RegionBridge,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let view = self.view();
+        let ours = PeerGraph::ranked(&bridge.region, view.region(&self.own.region));
+        let rank = ours.iter().position(|card| *card == self.own).unwrap_or(0);
+        let step = rank + bridge.failed() + 1;
+        let target = bridge_target(&view, &self.own.region, &bridge.region, step);
+        let target = target.unwrap_or_else(|| Arc::clone(bridge.monitor.card()));
+        if bridge.fail(ProbeMonitor::new(target, now)) {
+            actions.push(MembershipAction::RegionReachable {
+                region: Arc::clone(&bridge.region),
+                reachable: false,
+            });
+        }
+    }
+}
+
+/// Target of the bridge of a rank: the regions' members meet in one order.
+fn bridge_target(
+    view: &MemberView,
+    own_region: &str,
+    region: &str,
+    step: usize,
+) -> Option<Arc<MemberCard>> {
+    let theirs = PeerGraph::ranked(own_region, view.region(region));
+    let index = step.checked_rem(theirs.len())?;
+    Some(Arc::clone(&theirs[index]))
+}
--- /dev/null
+++ b/crates/savorywalk/src/membership/membership_suspicion.rs
@@ -0,0 +1,63 @@
+use rand::seq::IndexedRandom;
+
+use super::membership_core::news;
+use super::{MemberCard, MemberState, MembershipAction, MembershipCore};
+use crate::prelude::*;
+
+/// How long a silent member is suspected, and when it counts as dead.
+impl MembershipCore {
+    pub(super) fn suspect(
+        &mut self,
+        now: Instant,
+        card: &MemberCard,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(member) = self.table.get(&card.name) else {
+            return;
+        };
+        if member.state == MemberState::Alive {
+            let record = news(&member.card, member.incarnation, MemberState::Suspect);
+            self.apply(now, &record, actions);
+        }
+    }
+
+    /// Suspects of this region that did not refute in time are dead.
+    pub(super) fn end_suspicions(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let expired: Vec<Arc<str>> = self
+            .suspects
+            .iter()
+            .filter(|(_, since)| now >= **since + self.timing.suspicion)
+            .map(|(name, _)| Arc::clone(name))
+            .collect();
+        for name in expired {
+            self.suspects.remove(&name);
+            let Some(member) = self.table.get(&name) else {
+                continue;
+            };
+            if member.state == MemberState::Suspect {
+                let record = news(&member.card, member.incarnation, MemberState::Dead);
+                self.apply(now, &record, actions);
+            }
+        }
+    }
+
+    /// Tries one dead member of the region, so that both sides of a cut find
+    /// each other again after any time.
+    pub(super) fn probe_dead(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        if now < self.next_dead_probe {
+            return;
+        }
+        self.next_dead_probe = now + self.timing.dead_interval;
+        let dead: Vec<Arc<MemberCard>> = self
+            .table
+            .iter()
+            .filter(|member| member.state == MemberState::Dead)
+            .filter(|member| member.card.region == self.own.region)
+            .map(|member| Arc::clone(&member.card))
+            .collect();
+        if let Some(card) = dead.choose(&mut self.random) {
+            let number = self.number();
+            self.probe(card, number, actions);
+        }
+    }
+}
