--- a/crates/savorywalk/src/membership/membership_core.rs
+++ b/crates/savorywalk/src/membership/membership_core.rs
@@ -20,7 +20,7 @@
 /// After SWIM (Das, Gupta, Motivala 2002): probes, indirect probes, suspicion
 /// that its subject can refute by a higher incarnation, and news that ride on
 /// probes. What differs, and why, is in docs/design/membership.md: a member
-/// probes the same few neighbours of a [`PeerGraph`] instead of random ones,
+/// probes the same few neighbours of a [`PeerGraph`](super::PeerGraph) instead of random ones,
 /// and only bridges talk across regions.
 #[derive(Debug)]
 pub struct MembershipCore {
