Count and bound the log of reports from other places too

Cause, seen in the last read: announcements that put a known endpoint at another place were refused with a line each (registry_call_unanswered), while those that can't be read were counted and told once in 10 s. Both go the same way now; the path of the call is gone from the line, as the kind says more.

--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -38,7 +38,7 @@
         };
         let answer = match self.wire.read_registry_call(&parts, &body) {
             None => RegistryAnswer::Unknown,
-            Some(Err(fault)) => self.refuse_call(parts.uri.path(), &fault),
+            Some(Err(fault)) => self.refuse_call(&fault),
             Some(Ok(call)) => self.answer(call).await,
         };
         self.wire.registry_answer(&answer).map(whole)
@@ -51,24 +51,29 @@
 }
 
 impl RegistrySurface {
-    fn refuse_call(&self, path: &str, fault: &CallFault) -> RegistryAnswer {
+    fn refuse_call(&self, fault: &CallFault) -> RegistryAnswer {
         let kind = match fault {
             CallFault::Document(_) => "document",
             CallFault::Report(fault) => fault.kind(),
         };
+        self.refuse(kind, fault.to_string())
+    }
+
+    /// Refuses a call for good. Anybody may send such calls, and as often as
+    /// they like, so all are counted and few are logged.
+    fn refuse(&self, kind: &'static str, reason: String) -> RegistryAnswer {
         self.metrics.record_fault(kind);
         let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(total) = faults.count(Instant::now(), kind) {
             log_event!(
                 info,
                 "registry_call_invalid",
-                path = path,
                 kind = kind,
                 total = total,
-                reason = fault
+                reason = reason
             );
         }
-        RegistryAnswer::Invalid(fault.to_string())
+        RegistryAnswer::Invalid(reason)
     }
 
     fn refuse_body(&self, fault: BodyFault) -> Response<GatewayBody> {
@@ -92,7 +97,7 @@
             }
             RegistryCall::ReadDocument => return self.read_document().await,
         };
-        answer_of(done.map(|()| RegistryAnswer::Done))
+        self.answer_of(done.map(|()| RegistryAnswer::Done))
     }
 
     async fn retire(&self, endpoint: String, born_ms: Option<u64>) -> Result<()> {
@@ -107,21 +112,23 @@
 
     async fn read_document(&self) -> RegistryAnswer {
         let document = self.node.read_document().await;
-        answer_of(document.map(|document| match document {
+        self.answer_of(document.map(|document| match document {
             Some(content) => RegistryAnswer::Document(content),
             None => RegistryAnswer::NoDocument,
         }))
     }
-}
 
-fn answer_of(outcome: Result<RegistryAnswer>) -> RegistryAnswer {
-    outcome.unwrap_or_else(|error| {
-        log_event!(info, "registry_call_unanswered", reason = error);
+    fn answer_of(&self, outcome: Result<RegistryAnswer>) -> RegistryAnswer {
+        let error = match outcome {
+            Ok(answer) => return answer,
+            Err(error) => error,
+        };
         match error {
-            RegistryError::Foreign(reason) => RegistryAnswer::Invalid(reason),
+            RegistryError::Foreign(_) => self.refuse("foreign", error.to_string()),
             RegistryError::Unavailable(_) | RegistryError::Link(_) | RegistryError::Control(_) => {
+                log_event!(info, "registry_call_unanswered", reason = error);
                 RegistryAnswer::Unavailable(error.to_string())
             }
         }
-    })
+    }
 }
