Log each refused document

Cause, seen in the last read: refused documents went by the bound meant for announcements, so a second one within 10 s left no line to explain it by. Change: a line each (document_refused), counted as before; announcements keep their bound.

--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -52,15 +52,19 @@
 
 impl RegistrySurface {
     fn refuse_call(&self, fault: &CallFault) -> RegistryAnswer {
-        let kind = match fault {
-            CallFault::Document(_) => "document",
-            CallFault::Report(fault) => fault.kind(),
-        };
-        self.refuse(kind, fault.to_string())
+        match fault {
+            CallFault::Report(fault) => self.refuse(fault.kind(), fault.to_string()),
+            // An operator's documents are few, and each refusal is looked for.
+            CallFault::Document(fault) => {
+                self.metrics.record_fault("document");
+                log_event!(info, "document_refused", reason = fault);
+                RegistryAnswer::Invalid(fault.to_string())
+            }
+        }
     }
 
-    /// Refuses a call for good. Anybody may send such calls, and as often as
-    /// they like, so all are counted and few are logged.
+    /// Refuses an announcement for good. Anybody may send such calls, and as
+    /// often as they like, so all are counted and few are logged.
     fn refuse(&self, kind: &'static str, reason: String) -> RegistryAnswer {
         self.metrics.record_fault(kind);
         let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
