Reproduce, failing, that the largest requests of a route are hardly served

Ruled out: pieces and room (needs_ms is the same for all sizes), engines (those that are begun are answered), one shard alone.

--- a/crates/savorywalk/src/gateway/work_gate.rs
+++ b/crates/savorywalk/src/gateway/work_gate.rs
@@ -352,3 +352,7 @@
 #[cfg(test)]
 #[path = "work_gate_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "work_gate_load_tests.rs"]
+mod load_tests;
