--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -12,7 +12,7 @@
 use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::WorkShard;
-use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, RouteTable, WireFormat};
+use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, WireFormat};
 use crate::prelude::*;
 use crate::registry::EntryFollower;
 use crate::telemetry::MetricSet;
