--- a/crates/savorywalk/src/gateway/gateway_node_tests.rs
+++ b/crates/savorywalk/src/gateway/gateway_node_tests.rs
@@ -25,7 +25,8 @@
 use crate::gateway::{
     CallFault, CallerHead, EndpointHead, EndpointOrder, EndpointTarget, GatewayRefusal,
     NotRunReason, PieceOrder, PieceOutcome, PoolProfile, PoolShare, RegistryAnswer, RegistryCall,
-    RouteKind, RouteRule, TableError, TableParts, WorkspaceRule, cluster_hub, request_admission,
+    RouteKind, RouteRule, RouteTable, TableError, TableParts, WorkspaceRule, cluster_hub,
+    request_admission,
 };
 use crate::registry::{BootClock, BootTime, FollowOptions, FollowReply};
 use crate::settings::ClusterSettings;
