--- a/crates/savorywalk/src/gateway/work_gate_load_tests.rs
+++ b/crates/savorywalk/src/gateway/work_gate_load_tests.rs
@@ -21,7 +21,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::tests::{rates, stage};
+use super::tests::{chain, rates};
 use super::*;
 use crate::gateway::WorthScale;
 
@@ -92,23 +92,16 @@
     }
 
     fn demand(&mut self, now: Instant, caller: &Caller) -> PlanDemand {
-        let due = caller.asked + OBJECTIVE;
-        let end = caller.asked + TIMEOUT;
         let tail = tail(caller.size);
+        let due = caller.asked + OBJECTIVE;
         PlanDemand {
-            stages: vec![
-                stage("first", 24, 350),
-                stage("second", 56, 700),
-                stage("third", 66, 1_050),
-            ],
-            total: Duration::from_millis(1_050),
             route: "briefs".into(),
             size: caller.size,
             worth: self.scale.worth(&"briefs".into(), 0, caller.size),
             due: due.checked_sub(tail).unwrap_or(now),
-            deadline: end - tail,
+            deadline: caller.asked + TIMEOUT - tail,
             returning: caller.is_back,
-            timely_only: false,
+            ..chain(now, 0, 0)
         }
     }
 
--- a/crates/savorywalk/src/gateway/work_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/work_gate_tests.rs
@@ -7,7 +7,7 @@
     rates.into_iter().collect()
 }
 
-pub(super) fn stage(pool: &str, work_ms: u64, done_ms: u64) -> StageDemand {
+fn stage(pool: &str, work_ms: u64, done_ms: u64) -> StageDemand {
     StageDemand {
         pool: pool.into(),
         work: Duration::from_millis(work_ms),
@@ -17,7 +17,7 @@
 
 /// A request through all three pools: one light
 /// piece, 6 of 30 and 16 of 68 that fit into a call of 0.28 s.
-fn chain(now: Instant, rank: u8, due_ms: u64) -> PlanDemand {
+pub(super) fn chain(now: Instant, rank: u8, due_ms: u64) -> PlanDemand {
     PlanDemand {
         stages: vec![
             stage("first", 24, 350),
