Keep figures that no setting can hold to the safe side

Cause: the platform hands on any number, settings took whole ones, and seconds became milliseconds by joining digits. One fraction in a bound stopped every gateway of a deployment.

Ruled out: a wrong figure (the platform's page names fractions).

Change: times with units, fractions, a safe side for each key that a template fills; an empty figure leaves the default; each adjusted value is told by check and by a log line. Counts in documents may have fractions. retry_share and retry_extra are numbers now and kept exactly. The test builder of the gateway writes 0.2 for "0.2"; nothing in it was loosened.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -5,7 +5,7 @@
 use savorywalk::entry::{EntryDaemon, JoinedDaemon};
 use savorywalk::gateway::{GatewayDaemon, RegistryDaemon};
 use savorywalk::log_event;
-use savorywalk::settings::{DaemonSettings, RoleSet};
+use savorywalk::settings::{DaemonSettings, RoleSet, SettingNote, SettingsReading};
 use savorywalk::telemetry;
 use savorywalk_platform::PlatformWire;
 use tokio::signal::unix::{SignalKind, signal};
@@ -23,15 +23,16 @@
 impl RunningDaemon {
     /// Takes newer settings; what can't change while it runs stays.
     fn reload(&self, file: &Path) {
-        let settings = match settings_check::read_checked(file) {
-            Ok(settings) => settings,
+        let reading = match settings_check::read_checked(file) {
+            Ok(reading) => reading,
             Err(error) => {
                 log_event!(error, "settings_not_reloaded", reason = error);
                 return;
             }
         };
+        log_notes(&reading.notes);
         match self {
-            Self::Gateway(daemon) => daemon.reload(&settings),
+            Self::Gateway(daemon) => daemon.reload(&reading.settings),
             Self::Sole(_) | Self::Joined(_) | Self::Registry(_) => {
                 log_event!(info, "settings_kept", reason = "restart to apply them");
             }
@@ -52,12 +53,13 @@
 /// Runs a daemon until SIGTERM or SIGINT, then stops it gracefully. SIGHUP has
 /// it read its settings again.
 pub(crate) async fn run(file: &Path) -> Result<()> {
-    let settings = settings_check::read_checked(file)?;
+    let SettingsReading { settings, notes } = settings_check::read_checked(file)?;
     let level = settings
         .log
         .as_ref()
         .map_or("info", |log| log.level.as_str());
     telemetry::init_daemon_logging(level);
+    log_notes(&notes);
     let mut terminate = signal(SignalKind::terminate()).map_err(CommandError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(CommandError::Signals)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(CommandError::Signals)?;
@@ -77,6 +79,21 @@
     Err(CommandError::DrainTimedOut)
 }
 
+/// Tells which values are used otherwise than the file has them.
+fn log_notes(notes: &[SettingNote]) {
+    for note in notes {
+        log_event!(
+            warn,
+            "setting_adjusted",
+            section = note.section,
+            key = note.key,
+            given = note.given,
+            taken = note.taken,
+            reason = note.reason
+        );
+    }
+}
+
 async fn start(settings: DaemonSettings) -> Result<RunningDaemon> {
     let roles = settings.node.as_ref().map(RoleSet::from_settings);
     let roles = roles.and_then(|roles| roles.ok()).unwrap_or_default();
--- a/crates/daemon/src/settings_check.rs
+++ b/crates/daemon/src/settings_check.rs
@@ -3,7 +3,7 @@
 use savorywalk::configuration::{
     ConfigurationReport, ConfigurationSnapshot, configuration_from_json,
 };
-use savorywalk::settings::{self, DaemonSettings};
+use savorywalk::settings::{self, DaemonSettings, SettingsReading};
 
 use crate::check_report::{CheckProblem, CheckReport};
 use crate::report_writer::ReportWriter;
@@ -19,23 +19,26 @@
         report.line(format_args!("{}", settings::key_reference().trim_start()));
         return report.finish();
     }
-    read_checked(file)?;
+    let reading = read_checked(file)?;
+    for note in reading.notes {
+        report.line(format_args!("note: {note}"));
+    }
     report.line(format_args!("{}: no errors", file.display()));
     report.finish()
 }
 
 /// Reads a settings file and checks it with what it points at.
-pub(crate) fn read_checked(file: &Path) -> Result<DaemonSettings> {
-    let settings = read_settings(file)?;
-    let problems = pointed_problems(&settings);
+pub(crate) fn read_checked(file: &Path) -> Result<SettingsReading> {
+    let reading = read_settings(file)?;
+    let problems = pointed_problems(&reading.settings);
     if problems.is_empty() {
-        return Ok(settings);
+        return Ok(reading);
     }
     Err(report(file, problems))
 }
 
 /// Reads a settings file; a relative path in it starts at the file's folder.
-pub(crate) fn read_settings(file: &Path) -> Result<DaemonSettings> {
+pub(crate) fn read_settings(file: &Path) -> Result<SettingsReading> {
     let text = read(file)?;
     let folder = file.parent().unwrap_or(Path::new(""));
     settings::parse_in(&text, folder).map_err(|wrong| report(file, wrong.errors))
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -58,7 +58,7 @@
             follower,
             data_center: own.data_center.clone(),
             max_key_age: bound * KEY_AGE_PERMILLE / 1_000,
-            retry_limits: retry_limits(gateway)?,
+            retry_limits: retry_limits(gateway),
             metric_set: Arc::new(MetricSet::new()?),
         });
         let callers = serve(&gateway.callers, &node, CallSurfaceKind::Callers).await?;
@@ -155,19 +155,12 @@
     u64::from(ip.wrapping_mul(0x9e37_79b9) >> 8)
 }
 
-fn retry_limits(settings: &GatewaySettings) -> Result<RetryLimits> {
-    let share = settings.retry_share.parse();
-    let share = share.map_err(|_| GatewayError::BadSetting {
-        section: "gateway",
-        key: "retry_share",
-        value: settings.retry_share.clone(),
-        remedy: "write a decimal fraction, such as 0.2",
-    })?;
-    Ok(RetryLimits {
-        window: Duration::from_millis(settings.retry_window_ms.into()),
-        share,
-        extra: settings.retry_extra.into(),
-    })
+fn retry_limits(settings: &GatewaySettings) -> RetryLimits {
+    RetryLimits {
+        window: Duration::from_millis(settings.retry_window_ms),
+        share: settings.retry_share,
+        extra: settings.retry_extra,
+    }
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/gateway/gateway_daemon_tests.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon_tests.rs
@@ -54,7 +54,7 @@
             callers: "127.0.8.4:0".into(),
             probes: "127.0.8.4:0".into(),
             key_bound_ms: 5_000,
-            retry_share: "0.2".into(),
+            retry_share: 0.2,
             retry_window_ms: 10_000,
             stop_time_ms: 1_000,
             ..Default::default()
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -1,8 +1,10 @@
 //! Settings of a daemon, read from INI against the table that is generated
 //! from schema/settings.proto. See docs/operators/settings.md.
 
+mod figure_reader;
 mod role_set;
 mod setting_key;
+mod setting_note;
 mod settings_error;
 mod settings_file;
 mod settings_paths;
@@ -14,9 +16,10 @@
 };
 pub use crate::generated::settings_table::SETTING_KEYS;
 pub use role_set::RoleSet;
-pub use setting_key::{SettingKey, SettingKind};
+pub use setting_key::{SafeSide, SettingKey, SettingKind};
+pub use setting_note::{NoteReason, SettingNote};
 pub use settings_error::{SettingsError, SettingsProblem, SettingsReport};
-pub use settings_file::{key_reference, parse, parse_in};
+pub use settings_file::{SettingsReading, key_reference, parse, parse_in};
 pub use settings_paths::path_errors;
 
 /// Result of this module's fallible calls.
--- a/crates/savorywalk/src/settings/setting_key.rs
+++ b/crates/savorywalk/src/settings/setting_key.rs
@@ -16,7 +16,7 @@
 }
 
 /// What a value must look like.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SettingKind {
     /// Any text.
     Text,
@@ -33,6 +33,40 @@
         /// Greatest value.
         max: u64,
     },
+    /// A time, kept in whole milliseconds; the value may have a fraction and
+    /// one of the units `ms`, `s`, `min` and `h`.
+    Time {
+        /// Least value, in milliseconds.
+        min_ms: u64,
+        /// Greatest value, in milliseconds.
+        max_ms: u64,
+        /// Where a figure between or beyond goes.
+        safe: SafeSide,
+    },
+    /// A number that may have a fraction, between two bounds, both included.
+    Fraction {
+        /// Least value.
+        min: f64,
+        /// Greatest value.
+        max: f64,
+        /// Where a figure beyond the bounds goes.
+        safe: SafeSide,
+    },
     /// `true` or `false`.
     Flag,
 }
+
+/// To which side a figure may be moved without breaking what it promises.
+///
+/// A platform's figures come from elsewhere, and refusing one stops every
+/// daemon that gets it. One that can't be kept exactly is kept more strictly
+/// instead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SafeSide {
+    /// A smaller figure keeps the promise too.
+    Lower,
+    /// A greater figure keeps the promise too.
+    Higher,
+    /// Neither does; a figure beyond the bounds is an error.
+    Neither,
+}
--- a/crates/savorywalk/src/settings/settings_file.rs
+++ b/crates/savorywalk/src/settings/settings_file.rs
@@ -3,34 +3,53 @@
 use ini::Ini;
 use serde_json::{Map, Value};
 
+use super::figure_reader::{self, ReadFigure};
 use super::{
-    DaemonSettings, Result, SETTING_KEYS, SettingKey, SettingKind, SettingsError, SettingsProblem,
-    SettingsReport, settings_rules,
+    DaemonSettings, NoteReason, Result, SETTING_KEYS, SettingKey, SettingKind, SettingNote,
+    SettingsError, SettingsProblem, SettingsReport, settings_rules,
 };
 use crate::prelude::*;
 
+/// Settings that were read, and what was taken otherwise than written.
+#[derive(Clone, Debug)]
+pub struct SettingsReading {
+    /// The settings.
+    pub settings: DaemonSettings,
+    /// One note for each value that was not taken as it was written.
+    pub notes: Vec<SettingNote>,
+}
+
 /// Reads and checks the settings in `text`; the report names every error.
 ///
 /// Relative paths stay as they are, so that they start at the folder in which
-/// the process runs; [`parse_in`] takes them from another one.
+/// the process runs; [`parse_in`] takes them from another one, and tells what
+/// was not taken as it was written.
 pub fn parse(text: &str) -> Result<DaemonSettings> {
-    parse_in(text, Path::new(""))
+    parse_in(text, Path::new("")).map(|reading| reading.settings)
 }
 
 /// Reads and checks the settings in `text`; a relative path in them starts at
 /// `folder`, which for a settings file is the folder that it lies in.
-pub fn parse_in(text: &str, folder: &Path) -> Result<DaemonSettings> {
+pub fn parse_in(text: &str, folder: &Path) -> Result<SettingsReading> {
     let ini = Ini::load_from_str(text).map_err(|error| syntax_report(&error))?;
     let mut errors = unknown_names(&ini);
+    let mut notes = Vec::new();
     let mut sections = Map::new();
     for key in SETTING_KEYS {
         if let Some(properties) = ini.section(Some(key.section)) {
-            let value = key_value(key, properties.get(key.name), folder, &mut errors);
             let section = sections
                 .entry(key.section)
                 .or_insert_with(|| Value::Object(Map::new()));
-            if let (Some(value), Value::Object(section)) = (value, section) {
-                section.insert(key.name.to_string(), value);
+            let Value::Object(section) = section else {
+                continue;
+            };
+            match key_value(key, properties.get(key.name), folder) {
+                Ok(Some(KeyValue { value, note })) => {
+                    section.insert(key.name.to_string(), value);
+                    notes.extend(note);
+                }
+                Ok(None) => {}
+                Err(error) => errors.push(error),
             }
         }
     }
@@ -40,7 +59,7 @@
     };
     errors.extend(settings_rules::violations(&settings));
     if errors.is_empty() {
-        return Ok(settings);
+        return Ok(SettingsReading { settings, notes });
     }
     Err(SettingsReport { errors })
 }
@@ -130,39 +149,91 @@
     }
 }
 
+/// The value of one key, and how it differs from what was written.
+struct KeyValue {
+    value: Value,
+    note: Option<SettingNote>,
+}
+
+/// The value of `key`, from the file or from its default; `None` when the file
+/// may leave it out and there is no default.
 fn key_value(
     key: &SettingKey,
-    text: Option<&str>,
+    given: Option<&str>,
     folder: &Path,
-    errors: &mut Vec<SettingsError>,
-) -> Option<Value> {
-    let Some(text) = text.map(str::trim).or(key.default) else {
-        if key.required {
-            errors.push(SettingsError {
-                section: key.section.into(),
-                key: key.name.into(),
-                problem: SettingsProblem::Missing,
-                remedy: format!("add `{} = …`: {}", key.name, key.doc),
-            });
-        }
-        return None;
-    };
-    let value = match key.kind {
-        SettingKind::Text => Some(Value::from(text)),
-        SettingKind::File | SettingKind::Folder => Some(path_value(text, folder)),
-        SettingKind::List => Some(list_value(text)),
-        SettingKind::Number { min, max } => number_value(text, min, max),
-        SettingKind::Flag => text.parse::<bool>().ok().map(Value::from),
+) -> std::result::Result<Option<KeyValue>, SettingsError> {
+    let given = given.map(str::trim);
+    let left_empty = given.filter(|text| is_left_empty(key.kind, text));
+    let Some(text) = given.filter(|_| left_empty.is_none()).or(key.default) else {
+        return match key.required {
+            true => Err(missing_key(key)),
+            false => Ok(None),
+        };
     };
-    if value.is_none() {
-        errors.push(SettingsError {
+    let Some((value, reason)) = read_value(key.kind, text, folder) else {
+        return Err(SettingsError {
             section: key.section.into(),
             key: key.name.into(),
             problem: SettingsProblem::BadValue(text.into()),
             remedy: kind_remedy(key.kind),
         });
+    };
+    let reason = left_empty.map(|_| NoteReason::LeftEmpty).or(reason);
+    let note = reason.map(|reason| SettingNote {
+        section: key.section,
+        key: key.name,
+        given: given.unwrap_or_default().into(),
+        taken: value.to_string(),
+        reason,
+    });
+    Ok(Some(KeyValue { value, note }))
+}
+
+fn is_left_empty(kind: SettingKind, text: &str) -> bool {
+    match kind {
+        SettingKind::Number { .. } | SettingKind::Time { .. } | SettingKind::Fraction { .. } => {
+            figure_reader::is_empty(text)
+        }
+        SettingKind::Flag => text.is_empty(),
+        SettingKind::Text | SettingKind::File | SettingKind::Folder | SettingKind::List => false,
     }
-    value
+}
+
+fn missing_key(key: &SettingKey) -> SettingsError {
+    SettingsError {
+        section: key.section.into(),
+        key: key.name.into(),
+        problem: SettingsProblem::Missing,
+        remedy: format!("add `{} = …`: {}", key.name, key.doc),
+    }
+}
+
+fn read_value(kind: SettingKind, text: &str, folder: &Path) -> Option<(Value, Option<NoteReason>)> {
+    match kind {
+        SettingKind::Text => Some((Value::from(text), None)),
+        SettingKind::File | SettingKind::Folder => Some((path_value(text, folder), None)),
+        SettingKind::List => Some((list_value(text), None)),
+        SettingKind::Number { min, max } => {
+            let number = figure_reader::whole(text, min, max)?;
+            Some((Value::from(number), None))
+        }
+        SettingKind::Time {
+            min_ms,
+            max_ms,
+            safe,
+        } => figure_reader::time_ms(text, min_ms, max_ms, safe).map(figure_value),
+        SettingKind::Fraction { min, max, safe } => {
+            figure_reader::fraction(text, min, max, safe).map(figure_value)
+        }
+        SettingKind::Flag => {
+            let flag = text.parse::<bool>().ok()?;
+            Some((Value::from(flag), None))
+        }
+    }
+}
+
+fn figure_value<T: Into<Value>>(figure: ReadFigure<T>) -> (Value, Option<NoteReason>) {
+    (figure.value.into(), figure.reason)
 }
 
 fn path_value(text: &str, folder: &Path) -> Value {
@@ -180,11 +251,6 @@
     Value::Array(words.map(Value::from).collect())
 }
 
-fn number_value(text: &str, min: u64, max: u64) -> Option<Value> {
-    let number = text.replace('_', "").parse::<u64>().ok()?;
-    (min..=max).contains(&number).then(|| Value::from(number))
-}
-
 fn kind_remedy(kind: SettingKind) -> String {
     match kind {
         SettingKind::Text => "write any text".into(),
@@ -192,10 +258,19 @@
         SettingKind::Folder => "write the path of a folder".into(),
         SettingKind::List => "write words separated by commas".into(),
         SettingKind::Number { min, max } => format!("write a whole number from {min} to {max}"),
+        SettingKind::Time { min_ms, max_ms, .. } => format!(
+            "write a time from {min_ms} to {max_ms} ms, such as `{max_ms}` or `{}`; units are ms, s, min and h",
+            seconds(max_ms)
+        ),
+        SettingKind::Fraction { min, max, .. } => format!("write a number from {min} to {max}"),
         SettingKind::Flag => "write true or false".into(),
     }
 }
 
+fn seconds(time_ms: u64) -> String {
+    format!("{} s", time_ms as f64 / 1_000.0)
+}
+
 #[cfg(test)]
 #[path = "settings_file_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/settings/settings_paths.rs
+++ b/crates/savorywalk/src/settings/settings_paths.rs
@@ -39,6 +39,8 @@
             SettingKind::Text
             | SettingKind::List
             | SettingKind::Number { .. }
+            | SettingKind::Time { .. }
+            | SettingKind::Fraction { .. }
             | SettingKind::Flag => continue,
         };
         if let Err(error) = usable {
--- a/crates/savorywalk/src/settings/settings_rules.rs
+++ b/crates/savorywalk/src/settings/settings_rules.rs
@@ -97,18 +97,6 @@
         let remedy = "write IP:PORT of registry daemons, separated by commas";
         errors.push(bad_value("cluster", "seeds", seed, remedy));
     }
-    for gateway in gateway {
-        let share = gateway.retry_share.parse::<f64>();
-        if !share.is_ok_and(|share| (0.0..=10.0).contains(&share)) {
-            let remedy = "write a decimal fraction, such as 0.2";
-            errors.push(bad_value(
-                "gateway",
-                "retry_share",
-                &gateway.retry_share,
-                remedy,
-            ));
-        }
-    }
 }
 
 fn need_section(section: &str, there: bool, errors: &mut Vec<SettingsError>) {
--- a/xtask/src/settings_table.rs
+++ b/xtask/src/settings_table.rs
@@ -8,6 +8,8 @@
 
 const SETTINGS_PACKAGE: &str = "savorywalk.settings";
 const ROOT_MESSAGE: &str = "DaemonSettings";
+/// End of the name of every key that holds a time in milliseconds.
+const TIME_SUFFIX: &str = "_ms";
 const MESSAGE_TAG: i32 = 4;
 const FIELD_TAG: i32 = 2;
 
@@ -29,10 +31,42 @@
     File,
     Folder,
     List,
-    Number { min: u64, max: u64 },
+    Number {
+        min: u64,
+        max: u64,
+    },
+    Time {
+        min_ms: u64,
+        max_ms: u64,
+        safe: SafeSide,
+    },
+    Fraction {
+        min: f64,
+        max: f64,
+        safe: SafeSide,
+    },
     Flag,
 }
 
+/// To which side a figure may be moved; written as in `settings::SafeSide`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum SafeSide {
+    Lower,
+    Higher,
+    Neither,
+}
+
+impl SafeSide {
+    /// For the operators' page.
+    fn shown(self) -> &'static str {
+        match self {
+            Self::Lower => "; more is taken as the most",
+            Self::Higher => "; less is taken as the least",
+            Self::Neither => "",
+        }
+    }
+}
+
 impl FieldKind {
     /// For the operators' page.
     pub(crate) fn shown(self) -> String {
@@ -42,6 +76,14 @@
             Self::Folder => "folder".into(),
             Self::List => "words, separated by commas".into(),
             Self::Number { min, max } => format!("{min} to {max}"),
+            Self::Time {
+                min_ms,
+                max_ms,
+                safe,
+            } => format!("time, {min_ms} to {max_ms}{}", safe.shown()),
+            Self::Fraction { min, max, safe } => {
+                format!("number, {min} to {max}{}", safe.shown())
+            }
             Self::Flag => "`true` or `false`".into(),
         }
     }
@@ -49,7 +91,8 @@
 
 /// The text of `settings_table.rs`.
 pub(crate) fn text(descriptors: &FileDescriptorSet) -> String {
-    let mut text = String::from("use crate::settings::{SettingKey, SettingKind};\n\n");
+    let mut text = String::from("use crate::settings::SafeSide::{Higher, Lower, Neither};\n");
+    text.push_str("use crate::settings::{SettingKey, SettingKind};\n\n");
     text.push_str("/// Every key of every section, in the schema's order.\n");
     text.push_str("pub const SETTING_KEYS: &[SettingKey] = &[\n");
     for field in fields(descriptors) {
@@ -119,12 +162,15 @@
     let mut doc = Vec::new();
     let mut required = false;
     let mut text_kind = FieldKind::Text;
+    let mut safe = SafeSide::Neither;
     let (mut default, mut min, mut max) = (None, 0_u64, u64::from(u32::MAX));
     for line in comment.lines().map(str::trim) {
         match line.split_once(' ') {
             Some(("@default", value)) => default = Some(value.to_string()),
             Some(("@min", value)) => min = value.parse().expect("@min is a number"),
             Some(("@max", value)) => max = value.parse().expect("@max is a number"),
+            _ if line == "@safe lower" => safe = SafeSide::Lower,
+            _ if line == "@safe higher" => safe = SafeSide::Higher,
             _ if line == "@required" => required = true,
             _ if line == "@file" => text_kind = FieldKind::File,
             _ if line == "@folder" => text_kind = FieldKind::Folder,
@@ -133,7 +179,19 @@
     }
     let kind = match (field.label(), field.r#type()) {
         (Label::Repeated, _) => FieldKind::List,
+        (_, Type::Uint32 | Type::Uint64) if field.name().ends_with(TIME_SUFFIX) => {
+            FieldKind::Time {
+                min_ms: min,
+                max_ms: max,
+                safe,
+            }
+        }
         (_, Type::Uint32 | Type::Uint64) => FieldKind::Number { min, max },
+        (_, Type::Double) => FieldKind::Fraction {
+            min: min as f64,
+            max: max as f64,
+            safe,
+        },
         (_, Type::Bool) => FieldKind::Flag,
         _ => text_kind,
     };
