Confirm an entry's knowledge several times within any key bound

Cause: calls to control were held for 0.5 s whatever bound the deployment names, so a bound of 0.5 s left requests with keys refused between two confirmations (test with 250 ms of age: interval 0.56 s). Ruled out: nothing else reads the hold; with the bounds of the deployments at hand (5 s) it stays 0.5 s. Change: a quarter of the usable age, from 50 to 500 ms. Before: the test fails at 250 ms. After: passes for 250 ms to 540 s.

--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -49,15 +49,16 @@
         let cluster = settings.cluster.as_ref().ok_or(missing("cluster"))?;
         let gateway = settings.gateway.as_ref().ok_or(missing("gateway"))?;
         let links = LinkThread::start().map_err(GatewayError::Thread)?;
-        let (control_hub, follower) = follow_on(&links, cluster)?;
+        let key_bound = Duration::from_millis(gateway.key_bound_ms.into());
+        let max_key_age = key_bound * KEY_AGE_PERMILLE / 1_000;
+        let (control_hub, follower) = follow_on(&links, cluster, max_key_age)?;
         let hub = cluster_hub::start(cluster)?;
-        let bound = Duration::from_millis(gateway.key_bound_ms.into());
         let node = GatewayNode::start(NodeParts {
             hub: hub.clone(),
             wire,
             follower,
             data_center: own.data_center.clone(),
-            max_key_age: bound * KEY_AGE_PERMILLE / 1_000,
+            max_key_age,
             retry_limits: retry_limits(gateway),
             metric_set: Arc::new(MetricSet::new()?),
         });
@@ -125,12 +126,14 @@
 fn follow_on(
     links: &LinkThread,
     cluster: &ClusterSettings,
+    max_age: Duration,
 ) -> Result<(LinkHub, Arc<EntryFollower>)> {
     let _entered = links.enter();
     let hub = cluster_hub::start_dialler(cluster)?;
     let options = FollowOptions {
         seeds: cluster_hub::seeds(cluster)?,
         place: place_of(&cluster.address),
+        max_age,
     };
     let follower = EntryFollower::start(hub.clone(), options);
     Ok((hub, follower))
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -117,6 +117,9 @@
     }
 }
 
+/// Age up to which the entry's knowledge may be used.
+const MAX_KEY_AGE: Duration = Duration::from_millis(4_500);
+
 /// An entry that hears of control only what a test tells it.
 pub(super) fn node() -> Arc<GatewayNode> {
     let hub = cluster_hub::start(&ClusterSettings {
@@ -127,13 +130,14 @@
     let options = FollowOptions {
         seeds: Vec::new(),
         place: 0,
+        max_age: MAX_KEY_AGE,
     };
     GatewayNode::start(NodeParts {
         follower: EntryFollower::start(hub.clone(), options),
         hub,
         wire: Arc::new(PlainWire),
         data_center: "a".into(),
-        max_key_age: Duration::from_millis(4_500),
+        max_key_age: MAX_KEY_AGE,
         retry_limits: RetryLimits {
             window: Duration::from_secs(10),
             share: 0.2,
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -30,6 +30,8 @@
     pub seeds: Vec<PeerName>,
     /// Spreads the entries over the control daemons.
     pub place: u64,
+    /// Age up to which what was confirmed may be used.
+    pub max_age: Duration,
 }
 
 /// Follows control for the request path of an entry.
@@ -67,11 +69,12 @@
             news: watch::Sender::default(),
             task: Mutex::default(),
         });
+        let pace = FollowPace::within(options.max_age);
         let ring = MemberRing::new(options.seeds, options.place);
         let weak = Arc::downgrade(&follower);
         let task = tokio::spawn(async move {
             let mut ring = ring;
-            let mut pace = FollowPace::default();
+            let mut pace = pace;
             while let Some(follower) = weak.upgrade() {
                 follower.follow_once(&mut ring, &mut pace).await;
             }
--- a/crates/savorywalk/src/registry/follow_pace.rs
+++ b/crates/savorywalk/src/registry/follow_pace.rs
@@ -1,10 +1,17 @@
 use crate::prelude::*;
 
-/// Time for which a control daemon may hold a call without news. It is how
-/// often an entry's knowledge is confirmed: ten times within the shortest
-/// bound after which a revoked key must not work.
+/// Longest time for which a control daemon may hold a call without news. It is
+/// how often an entry's knowledge is confirmed.
 const HOLD: Duration = Duration::from_millis(500);
 
+/// Shortest such time, so that no bound makes an entry ask more than some 20
+/// times a second.
+const MIN_HOLD: Duration = Duration::from_millis(50);
+
+/// Confirmations within the age beyond which knowledge may not be used: one may be
+/// lost, and the next one be late, before requests are refused for it.
+const CONFIRMS_WITHIN_AGE: u32 = 4;
+
 /// Time beyond the hold after which the daemon counts as lost. A confirmed
 /// answer takes a few milliseconds more than the hold.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
@@ -42,19 +49,33 @@
 /// the first one, two lost daemons in a row cost 2.4 s and four in the smaller half
 /// 5.7 s, where a change has to be in force 2.5 s after it was acknowledged; now 1.6
 /// and 2.8 s, by the model of the tests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FollowPace {
+    calm_hold: Duration,
     unconfirmed: u32,
     /// Time for an answer beyond the hold, while nobody confirms.
     seek_time: Option<Duration>,
 }
 
 impl FollowPace {
+    /// The pace of an entry that may use what it knows for `max_age`.
+    pub fn within(max_age: Duration) -> Self {
+        Self::with_hold((max_age / CONFIRMS_WITHIN_AGE).clamp(MIN_HOLD, HOLD))
+    }
+
+    fn with_hold(calm_hold: Duration) -> Self {
+        Self {
+            calm_hold,
+            unconfirmed: 0,
+            seek_time: None,
+        }
+    }
+
     /// Time for which the next call may be held without news.
     pub fn hold(&self) -> Duration {
         match self.seek_time {
-            Some(_) => SEEK_HOLD,
-            None => HOLD,
+            Some(_) => SEEK_HOLD.min(self.calm_hold),
+            None => self.calm_hold,
         }
     }
 
@@ -67,7 +88,7 @@
     pub fn note(&mut self, outcome: FollowOutcome) -> bool {
         match outcome {
             FollowOutcome::Confirmed => {
-                *self = Self::default();
+                *self = Self::with_hold(self.calm_hold);
                 return false;
             }
             FollowOutcome::Unconfirmed => {
--- a/crates/savorywalk/src/registry/follow_pace_tests.rs
+++ b/crates/savorywalk/src/registry/follow_pace_tests.rs
@@ -34,7 +34,7 @@
 /// Time from the fault until an entry hears a majority's word, asking `daemons`
 /// in order.
 fn time_to_confirm(daemons: &[Daemon]) -> Duration {
-    let mut pace = FollowPace::default();
+    let mut pace = calm_pace();
     pace.note(FollowOutcome::Confirmed);
     let mut time = Duration::ZERO;
     let mut place = 0;
@@ -63,6 +63,11 @@
 /// Changes have to be in force 2.5 s after they were acknowledged.
 const BOUND: Duration = Duration::from_millis(2_500);
 
+/// The pace of an entry whose keys may be used for 4.5 s without a word.
+fn calm_pace() -> FollowPace {
+    FollowPace::within(Duration::from_millis(4_500))
+}
+
 #[test]
 fn two_lost_daemons_in_a_row_cost_less_than_the_bound() {
     let daemons = [Daemon::Silent, Daemon::Silent, Daemon::Well];
@@ -79,7 +84,7 @@
 
 #[test]
 fn a_daemon_that_is_unsure_once_is_asked_again() {
-    let mut pace = FollowPace::default();
+    let mut pace = calm_pace();
     assert!(!pace.note(FollowOutcome::Unconfirmed));
     assert!(!pace.note(FollowOutcome::Confirmed));
     assert!(!pace.note(FollowOutcome::Unconfirmed));
@@ -91,7 +96,7 @@
 /// hear none.
 #[test]
 fn slow_answers_are_waited_for_in_the_end() {
-    let mut pace = FollowPace::default();
+    let mut pace = calm_pace();
     for _ in 0..4 {
         pace.note(FollowOutcome::Lost);
     }
@@ -99,3 +104,16 @@
     pace.note(FollowOutcome::Confirmed);
     assert_eq!(pace.answer_time(), HOLD + ANSWER_TIME);
 }
+
+/// Deployments name their own bound on revoked keys. With one hold for all of them,
+/// an entry bound to 0.5 s heard a confirmation after each 0.56 s and refused every
+/// request with a key in between.
+#[test]
+fn one_late_confirmation_leaves_requests_with_keys_served_under_any_bound() {
+    for max_age in [250, 450, 900, 2_250, 4_500, 9_000, 540_000].map(Duration::from_millis) {
+        let pace = FollowPace::within(max_age);
+        let interval = pace.hold() + ROUND;
+        assert!(interval * 2 < max_age, "{max_age:?}: {:?}", pace.hold());
+        assert!(pace.hold() <= HOLD);
+    }
+}
