Give a route that falls behind in time its turn at the gate

Cause: ranks decided who goes at all. In bursts of better ranks the last route's requests waited until they were late; what the gate then took for timely was late after all (35 in 100 past their due), since its pieces waited behind those of better ranks in every pool.

Change: RouteShares counts by route how much is begun in time; a route under half of the share of all goes as one of the first rank of its workspace, at the gate and in the pools. Shares of sizes and routes are one type now (ShareCount). The burst model of the load tests takes several routes; the assertions of the old one are as they were.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -107,6 +107,7 @@
             key: context.head.piece_key.as_str().into(),
             route: context.route.name.as_str().into(),
             rank: context.rank,
+            turn_rank: context.turn_rank,
             size: context.size(),
             due: context.due,
             deadline: context.deadline,
--- a/crates/savorywalk/src/gateway/plan_order.rs
+++ b/crates/savorywalk/src/gateway/plan_order.rs
@@ -15,6 +15,8 @@
     /// Name of the request's route.
     pub(super) route: Arc<str>,
     pub(super) rank: u8,
+    /// Its rank while its route has fallen behind others.
+    pub(super) turn_rank: u8,
     /// What it asks for, in tokens to read; see `RequestContext::size`.
     pub(super) size: u64,
     /// When the request should be answered.
@@ -53,6 +55,7 @@
             stages: stages.collect(),
             route: self.route.to_string(),
             rank: self.rank.into(),
+            turn_rank: Some(self.turn_rank.into()),
             size: self.size,
             due_ms,
             deadline_ms: deadline.as_millis() as u32,
@@ -76,6 +79,7 @@
             after: stage.after.iter().map(|input| *input as usize).collect(),
             result_bytes: stage.result_bytes,
         });
+        let turn_rank = call.turn_rank.unwrap_or(call.rank);
         let graph: StageGraph = rules.collect();
         if graph.misplaced().is_some() {
             return None;
@@ -89,6 +93,7 @@
             route: call.route.into(),
             size: call.size,
             rank: call.rank.min(u8::MAX.into()) as u8,
+            turn_rank: turn_rank.min(u8::MAX.into()) as u8,
             due,
             deadline: now + Duration::from_millis(call.deadline_ms.into()),
             tail: Duration::from_millis(call.tail_ms.into()),
--- a/crates/savorywalk/src/gateway/plan_order_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_order_tests.rs
@@ -14,7 +14,8 @@
         pieces: [2, 1, 16].into(),
         key: "k".into(),
         route: "briefs".into(),
-        rank: 1,
+        rank: 18,
+        turn_rank: 16,
         size: 18_000,
         due: now + Duration::from_millis(700),
         deadline: now + Duration::from_millis(9_000),
@@ -34,6 +35,8 @@
     assert_eq!(arrived_shard, shard);
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
+    assert_eq!(arrived.rank, sent.rank);
+    assert_eq!(arrived.turn_rank, sent.turn_rank);
     assert_eq!(arrived.key, sent.key);
     assert_eq!((&arrived.route, arrived.size), (&sent.route, sent.size));
     assert_eq!((arrived.due, arrived.deadline), (sent.due, sent.deadline));
@@ -66,3 +69,14 @@
     assert_eq!(order.last_count(), 18);
     assert!(order.has_large());
 }
+
+/// An entry of the version before does not say what its requests go by in turn.
+#[test]
+fn without_a_rank_in_turn_a_request_keeps_its_own() {
+    let now = Instant::now();
+    let sent = order(now);
+    let mut call = sent.to_call(now, &WorkShard::named("west"));
+    call.turn_rank = None;
+    let (_, arrived) = PlanOrder::from_call(now, call).unwrap();
+    assert_eq!(arrived.turn_rank, sent.rank);
+}
--- a/crates/savorywalk/src/gateway/plan_run.rs
+++ b/crates/savorywalk/src/gateway/plan_run.rs
@@ -153,7 +153,7 @@
     PieceTask {
         request_id: Arc::clone(&order.request_id),
         stage: stage as u32,
-        rank: order.rank,
+        rank: permit.rank(),
         due: permit.due(),
         deadline: order.deadline,
         tail: order.tail + permit.forecast().tail(stage),
--- a/crates/savorywalk/src/gateway/plan_worth.rs
+++ b/crates/savorywalk/src/gateway/plan_worth.rs
@@ -52,21 +52,26 @@
 }
 
 impl WorthScale {
-    /// What a request is worth in time, in usual requests of the first rank.
-    /// `rank` is that of `request_rank`: workspaces of a better one go before
-    /// all routes of the others.
-    pub fn worth(&mut self, route: &Arc<str>, rank: u8, size: u64) -> f64 {
+    /// What size makes of a request's worth, in usual requests of its route.
+    pub fn size_factor(&mut self, route: &Arc<str>, size: u64) -> f64 {
         let size = size as f64;
         let mean = self.means.entry(Arc::clone(route)).or_insert(size);
         *mean += MEAN_STEP * (size - *mean);
         let relative = size / mean.max(1.0);
         let size_factor = FIXED_PART + (1.0 - FIXED_PART) * relative;
-        let (workspace, of_route) = (rank / ROUTE_RANKS, rank % ROUTE_RANKS);
-        let steps = i32::from(of_route) + WORKSPACE_STEPS * i32::from(workspace);
-        RANK_FACTOR.powi(steps) * size_factor.min(MAX_SIZE_FACTOR)
+        size_factor.min(MAX_SIZE_FACTOR)
     }
 }
 
+/// What a usual request is worth in time, in those of the first rank. `rank` is
+/// that of `request_rank`: workspaces of a better one go before all routes of the
+/// others.
+pub fn rank_worth(rank: u8) -> f64 {
+    let (workspace, of_route) = (rank / ROUTE_RANKS, rank % ROUTE_RANKS);
+    let steps = i32::from(of_route) + WORKSPACE_STEPS * i32::from(workspace);
+    RANK_FACTOR.powi(steps)
+}
+
 /// Steps of rank between two ranks of workspaces: more than routes have among
 /// themselves, since a workspace's rank goes before a route's.
 const WORKSPACE_STEPS: i32 = 3;
--- a/crates/savorywalk/src/gateway/plan_worth_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_worth_tests.rs
@@ -4,9 +4,10 @@
     let mut scale = WorthScale::default();
     let route: Arc<str> = "r".into();
     for _ in 0..10 {
-        scale.worth(&route, 0, 18_000);
+        scale.size_factor(&route, 18_000);
     }
-    worth_level(scale.worth(&route, rank, size), is_timely)
+    let worth = rank_worth(rank) * scale.size_factor(&route, size);
+    worth_level(worth, is_timely)
 }
 
 #[test]
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -4,7 +4,7 @@
 use super::gateway_node::GatewayNode;
 use super::gateway_view::ViewKnowledge;
 use super::request_context::RequestContext;
-use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, request_rank};
+use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, request_rank, turn_rank};
 use crate::prelude::*;
 
 /// When to come back to an entry that does not know enough yet: other entries
@@ -60,6 +60,7 @@
         pool: route.pool_for(rand::rng().random()).to_string(),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         rank: request_rank(rank, route.rank),
+        turn_rank: turn_rank(rank),
         due: due_time(route, arrived, time),
         deadline: arrived + time,
         is_returning: is_returning(route, time),
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -16,6 +16,8 @@
     pub(super) workspace: Option<String>,
     /// How urgent it is; see [`super::request_rank`].
     pub(super) rank: u8,
+    /// The same while its route has fallen behind others.
+    pub(super) turn_rank: u8,
     /// When it should be answered.
     pub(super) due: Instant,
     /// When its caller, or its route, gives up.
--- a/crates/savorywalk/src/gateway/request_rank.rs
+++ b/crates/savorywalk/src/gateway/request_rank.rs
@@ -18,6 +18,12 @@
     first * LEVELS + route.min(LEVELS - 1)
 }
 
+/// The rank of a request whose route has fallen behind: as if it were of the first
+/// one. Workspaces keep their order.
+pub fn turn_rank(workspace: Option<u8>) -> u8 {
+    request_rank(workspace, 0)
+}
+
 /// The rank that engines are told.
 pub fn engine_rank(rank: u8) -> u8 {
     let first = (rank / LEVELS).min(ENGINE_LEVELS);
--- a/crates/savorywalk/src/gateway/request_rank_tests.rs
+++ b/crates/savorywalk/src/gateway/request_rank_tests.rs
@@ -24,3 +24,10 @@
 fn engines_take_ten_ranks() {
     assert!((0..=u8::MAX).all(|rank| engine_rank(rank) <= LAST_ENGINE_RANK));
 }
+
+#[test]
+fn a_turn_goes_before_better_routes_and_behind_better_workspaces() {
+    assert_eq!(turn_rank(Some(1)), request_rank(Some(1), 0));
+    assert!(turn_rank(Some(1)) > request_rank(Some(0), 5));
+    assert_eq!(turn_rank(None), request_rank(None, 0));
+}
--- a/crates/savorywalk/src/gateway/size_shares.rs
+++ b/crates/savorywalk/src/gateway/size_shares.rs
@@ -1,4 +1,4 @@
-use super::fading_sum::FadingSum;
+use super::share_count::{ShareCount, share};
 use crate::prelude::*;
 
 /// Requests of a route whose sizes are remembered: enough for some twenty of the
@@ -13,10 +13,6 @@
 /// often as the route.
 const BANDS: [f64; 2] = [0.7, 0.9];
 
-/// Time over which shares are counted: a burst and the calm before it, so that a
-/// band that fell behind catches up before the next one.
-const MEMORY: Duration = Duration::from_secs(20);
-
 /// Least share of a band, as a part of its route's. A caller tries twice, and only
 /// what is begun counts here, so some is left to what breaks off later: with it the
 /// largest tenth was served 0.79 to 0.84 times as often as its route on three days of
@@ -32,13 +28,7 @@
 #[derive(Debug, Default)]
 struct RouteSizes {
     sizes: VecDeque<u64>,
-    bands: [BandCount; BANDS.len() + 1],
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct BandCount {
-    offered: FadingSum,
-    begun: FadingSum,
+    bands: [ShareCount; BANDS.len() + 1],
 }
 
 impl SizeShares {
@@ -57,11 +47,7 @@
             return;
         };
         let band = sizes.band(size);
-        let count = &mut sizes.bands[band];
-        count.offered.add(now, 1.0, MEMORY);
-        if is_begun {
-            count.begun.add(now, 1.0, MEMORY);
-        }
+        sizes.bands[band].add(now, is_begun);
     }
 
     /// Whether requests of this size are begun much less often than others of
@@ -71,8 +57,8 @@
             return false;
         };
         let is_known = sizes.sizes.len() >= LEAST_SIZES;
-        let own = std::slice::from_ref(&sizes.bands[sizes.band(size)]);
-        is_known && share(now, own) < FAIR_PART * share(now, &sizes.bands)
+        let own = &sizes.bands[sizes.band(size)];
+        is_known && share(now, [own]) < FAIR_PART * share(now, &sizes.bands)
     }
 }
 
@@ -85,20 +71,6 @@
     }
 }
 
-/// Share of the requests of some bands that were begun; all of them while none was
-/// offered.
-fn share(now: Instant, bands: &[BandCount]) -> f64 {
-    let begun: f64 = bands.iter().map(|band| band.begun.value(now, MEMORY)).sum();
-    let offered: f64 = bands
-        .iter()
-        .map(|band| band.offered.value(now, MEMORY))
-        .sum();
-    match offered > 0.0 {
-        true => begun / offered,
-        false => 1.0,
-    }
-}
-
 #[cfg(test)]
 #[path = "size_shares_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/gateway/work_desk.rs
+++ b/crates/savorywalk/src/gateway/work_desk.rs
@@ -9,7 +9,7 @@
 use super::work_shard::WorkShard;
 use super::{
     PlanChance, PlanDemand, PlanFate, PlanNumber, PoolRates, RouteTable, StageDemand,
-    StageForecast, WorkGate, WorthScale,
+    StageForecast, WorkGate, WorthScale, rank_worth,
 };
 use crate::prelude::*;
 
@@ -45,6 +45,7 @@
     number: PlanNumber,
     forecast: StageForecast,
     due: Instant,
+    rank: u8,
 }
 
 impl Drop for PlanPermit {
@@ -69,6 +70,12 @@
         self.due
     }
 
+    /// By which its pieces go: while its route has fallen behind they would all wait
+    /// behind those of better ranks, and the answer be late after all.
+    pub(super) fn rank(&self) -> u8 {
+        self.rank
+    }
+
     /// Notes that the pieces of a stage are made.
     pub(super) fn finish_stage(&self, stage: usize) {
         self.desk.state().gate.finish_stage(self.number, stage);
@@ -104,7 +111,7 @@
             .saturating_duration_since(arrived)
             .as_millis();
         let tail_ms = order.tail.as_millis();
-        let (mut permit, news) = match self.arrive(arrived, order.due, demand, forecast) {
+        let (mut permit, news) = match self.arrive(arrived, order, demand, forecast) {
             Ok(waiting) => waiting,
             Err(retry_after) => {
                 log_event!(
@@ -148,6 +155,10 @@
                 permit.due = Instant::now() + permit.forecast.total() + order.tail;
                 Ok(permit)
             }
+            PlanFate::Begun(PlanChance::Turn) => {
+                permit.rank = order.turn_rank;
+                Ok(permit)
+            }
             PlanFate::Begun(PlanChance::Timely | PlanChance::Late) => Ok(permit),
             PlanFate::Refused { retry_after } => Err(StageStop::Overload { retry_after }),
         }
@@ -156,7 +167,7 @@
     fn arrive(
         self: &Arc<Self>,
         now: Instant,
-        due: Instant,
+        order: &PlanOrder,
         demand: PlanDemand,
         forecast: StageForecast,
     ) -> Result<(PlanPermit, oneshot::Receiver<PlanFate>), Duration> {
@@ -170,7 +181,8 @@
             desk: Arc::clone(self),
             number,
             forecast,
-            due,
+            due: order.due,
+            rank: order.rank,
         };
         Ok((permit, news))
     }
@@ -207,15 +219,16 @@
             },
             done_after: forecast.done_after(stage),
         });
+        let mut state = self.state();
+        let size_factor = state.scale.size_factor(&order.route, order.size);
+        drop(state);
         PlanDemand {
             stages: stages.collect(),
             total: forecast.total(),
             route: Arc::clone(&order.route),
             size: order.size,
-            worth: self
-                .state()
-                .scale
-                .worth(&order.route, order.rank, order.size),
+            worth: rank_worth(order.rank) * size_factor,
+            turn_worth: rank_worth(order.turn_rank) * size_factor,
             due: order.due.checked_sub(order.tail).unwrap_or(now),
             deadline: order.deadline.checked_sub(order.tail).unwrap_or(now),
             returning: order.returning,
--- a/crates/savorywalk/src/gateway/work_gate.rs
+++ b/crates/savorywalk/src/gateway/work_gate.rs
@@ -1,5 +1,6 @@
 use super::plan_worth::{WorthLevel, worth_level};
 use super::pool_load::{PoolLoad, PoolRate};
+use super::route_shares::RouteShares;
 use super::size_shares::SizeShares;
 use crate::prelude::*;
 
@@ -61,6 +62,9 @@
     pub size: u64,
     /// What it is worth in time; see [`super::WorthScale`].
     pub worth: f64,
+    /// The same if its route were of the first rank: what it goes by while much
+    /// less of its route is begun in time than of all.
+    pub turn_worth: f64,
     /// When its stages should be done.
     pub due: Instant,
     /// When they are of no use any more.
@@ -76,6 +80,9 @@
 pub enum PlanChance {
     /// It can be in time.
     Timely,
+    /// It can, and much less of its route is begun in time than of all: it goes as
+    /// one of the first rank.
+    Turn,
     /// It can't, and requests of its size are begun much less often than others
     /// of its route: it goes as if it could.
     Owed,
@@ -83,6 +90,16 @@
     Late,
 }
 
+impl PlanChance {
+    /// Whether it can be in time.
+    pub const fn is_timely(self) -> bool {
+        match self {
+            Self::Timely | Self::Turn => true,
+            Self::Owed | Self::Late => false,
+        }
+    }
+}
+
 /// What became of a plan that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlanFate {
@@ -100,6 +117,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Begun(PlanChance::Timely) => "begun_timely",
+            Self::Begun(PlanChance::Turn) => "begun_in_turn",
             Self::Begun(PlanChance::Owed) => "begun_owed",
             Self::Begun(PlanChance::Late) => "begun_late",
             Self::Refused { .. } => "refused",
@@ -133,6 +151,7 @@
     begun: FastMap<PlanNumber, Vec<StageDemand>>,
     waiting: BTreeMap<WaitKey, PlanDemand>,
     sizes: SizeShares,
+    routes: RouteShares,
 }
 
 /// Order of plans that wait.
@@ -173,9 +192,10 @@
         let number = PlanNumber(self.next);
         self.next += 1;
         self.sizes.note_size(&plan.route, plan.size);
+        let (chance, worth) = self.timely_chance(now, &plan);
         let key = WaitKey {
-            level: worth_level(plan.worth, true),
-            chance: PlanChance::Timely,
+            level: worth_level(worth, true),
+            chance,
             until: plan.latest_begin().unwrap_or(now),
             number,
         };
@@ -189,6 +209,20 @@
         }
     }
 
+    /// How a plan goes that can be in time, and by which worth.
+    ///
+    /// A better rank goes first, but while bursts of better ranks leave nothing, the
+    /// last route's requests all become late, and a late answer is worth little to
+    /// its callers. So a route of which much less is begun in time than of all goes
+    /// as if it were of the first rank until it has caught up.
+    fn timely_chance(&self, now: Instant, plan: &PlanDemand) -> (PlanChance, f64) {
+        let is_turn = plan.turn_worth > plan.worth && self.routes.is_behind(now, &plan.route);
+        match is_turn {
+            true => (PlanChance::Turn, plan.turn_worth),
+            false => (PlanChance::Timely, plan.worth),
+        }
+    }
+
     fn wait(&mut self, now: Instant, key: WaitKey, plan: PlanDemand) {
         for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
@@ -234,6 +268,7 @@
     /// Notes that a plan is not begun; tells when its caller may come back.
     fn give_up(&mut self, now: Instant, plan: &PlanDemand) -> Duration {
         self.sizes.note_fate(now, &plan.route, plan.size, false);
+        self.routes.note_fate(now, &plan.route, false);
         retry_after(now, plan)
     }
 
@@ -247,6 +282,8 @@
                 continue;
             }
             if let Some(plan) = self.waiting.remove(&key) {
+                self.routes
+                    .note_fate(now, &plan.route, key.chance.is_timely());
                 self.begin(now, key.number, plan);
                 fates.push((key.number, PlanFate::Begun(key.chance)));
             }
@@ -264,7 +301,9 @@
                 continue;
             };
             let outcome = match key.chance {
-                PlanChance::Timely => self.wait_beyond_time(now, key.number, plan, rates),
+                PlanChance::Timely | PlanChance::Turn => {
+                    self.wait_beyond_time(now, key.number, plan, rates)
+                }
                 PlanChance::Owed | PlanChance::Late => Err(self.give_up(now, &plan)),
             };
             if let Err(retry_after) = outcome {
@@ -383,6 +422,14 @@
 #[path = "work_gate_tests.rs"]
 mod tests;
 
+#[cfg(test)]
+#[path = "work_gate_burst.rs"]
+mod burst;
+
+#[cfg(test)]
+#[path = "route_turn_load_tests.rs"]
+mod route_turn_load_tests;
+
 #[cfg(test)]
 #[path = "work_gate_load_tests.rs"]
 mod load_tests;
--- a/crates/savorywalk/src/gateway/work_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/work_gate_tests.rs
@@ -28,6 +28,7 @@
         route: "chains".into(),
         size: 1_000,
         worth: 0.33_f64.powi(rank.into()),
+        turn_worth: 1.0,
         due: now + Duration::from_millis(due_ms),
         deadline: now + Duration::from_secs(14),
         returning: false,
