Spread those who follow control over all its daemons

Cause: all who start know the same three seeds, and an entry stayed where it was answered first: three of nine registries had all 191 followers. A lost registry's followers all went to the next one, so that a restart of one after the other gathers them at one. Found by a simulation of the registry's and the entries' machines at 200 and 350 daemons (fleet_simulation), written for this size.

Ruled out: the number of calls (two a second each) and the entry's own traffic (0.3 to 0.4 KB/s, budget 12 KB/s).

Change: each follower has an order of its own (a hash), moves once to its first daemon, and goes on by that order. Lists of followers go between registries when they are due, not with each batch of signs of life. What a reply tells is built apart from the network (follow_reply).

--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -1,8 +1,8 @@
 use std::sync::{Mutex, PoisonError};
 
-use super::stable_hash::stable_hash;
 use super::{PoolMember, RunLedger};
 use crate::directory::EndpointRecord;
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingTable, PoolHealth};
 
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -57,7 +57,6 @@
 mod run_ledger;
 mod share_count;
 mod size_shares;
-mod stable_hash;
 mod stage_forecast;
 mod stage_graph;
 mod stage_progress;
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -3,12 +3,12 @@
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::request_context::RequestContext;
-use super::stable_hash::stable_hash;
 use super::work_exchange::WorkExchange;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
 use crate::generated::work::{PlaceCall, PlaceReply, PlaceReport, PlacedPart, WorkCall};
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::{LinkChannel, PeerName};
 
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -9,11 +9,11 @@
 use super::plan_order::PlanOrder;
 use super::plan_results::{PlanResults, StageStop};
 use super::plan_run;
-use super::stable_hash::stable_hash;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
 use crate::generated::work::{PlanEnd, PlanReply, ReleaseNotice, WorkCall, WorkNotice};
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
 
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -1,5 +1,5 @@
 use super::gateway_view::GatewayView;
-use super::stable_hash::stable_hash;
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::PeerName;
 
--- a/crates/savorywalk/src/gateway/stable_hash.rs
+++ b/crates/savorywalk/src/hashing/stable_hash.rs
@@ -2,7 +2,7 @@
 
 /// A hash that is the same at every entry, so that all of them make the same
 /// choice without talking.
-pub(super) fn stable_hash(words: &[&[u8]]) -> u64 {
+pub(crate) fn stable_hash(words: &[&[u8]]) -> u64 {
     let mut hasher = rustc_hash::FxHasher::default();
     for word in words {
         hasher.write(word);
--- a/crates/savorywalk/src/lib.rs
+++ b/crates/savorywalk/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 #[rustfmt::skip]
 pub mod generated;
+mod hashing;
 pub mod membership;
 pub mod orders;
 pub mod pipeline;
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -172,6 +172,7 @@
         if !is_confirmed {
             return FollowOutcome::Unconfirmed;
         }
+        ring.settle();
         self.tell_heard(target, silence);
         FollowOutcome::Confirmed
     }
--- /dev/null
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -0,0 +1,637 @@
+use prost::Message;
+
+use super::{FleetCheck, FleetPlan, HeldCall, PlannedFault, SimulatedRegistry};
+use crate::configuration::DocumentRegister;
+use crate::control::{DocumentCommand, EndpointIncarnation};
+use crate::prelude::*;
+use crate::registry::{
+    BootTime, EndpointReport, FollowCall, FollowOutcome, FollowPace, FollowReply, FollowState,
+    MemberRing, ReportBatch,
+};
+use crate::transport::PeerName;
+
+/// One way between two daemons.
+const LINK_TIME: Duration = Duration::from_millis(2);
+/// A round that confirms what is committed, with its waits for processor time.
+const ROUND_TIME: Duration = Duration::from_millis(8);
+/// Time without a leader after one is lost.
+const ELECTION_TIME: Duration = Duration::from_millis(900);
+/// Pause of an entry after a call that brought no confirmation.
+const FAILURE_PAUSE: Duration = Duration::from_millis(60);
+/// Time between two announcements of an endpoint.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Age up to which an entry may use what it knows.
+const MAX_AGE: Duration = Duration::from_millis(4_500);
+/// Time after the start from which on traffic is counted: until then everyone learns
+/// of everything once.
+const WARM_UP: Duration = Duration::from_secs(5);
+/// Size of an operator's document.
+const DOCUMENT_BYTES: usize = 8_000;
+
+#[derive(Debug)]
+enum FleetEvent {
+    Ask {
+        entry: usize,
+        life: u64,
+    },
+    Call {
+        registry: usize,
+        entry: usize,
+        number: u64,
+        call: FollowCall,
+    },
+    HoldOver {
+        registry: usize,
+        entry: usize,
+        number: u64,
+    },
+    Confirm {
+        registry: usize,
+        entry: usize,
+        number: u64,
+        call: FollowCall,
+        held: Duration,
+    },
+    Reply {
+        registry: usize,
+        entry: usize,
+        number: u64,
+        reply: Box<FollowReply>,
+    },
+    Timeout {
+        entry: usize,
+        number: u64,
+    },
+    Announce {
+        endpoint: usize,
+    },
+    Flush {
+        registry: usize,
+    },
+    Batch {
+        registry: usize,
+        batch: Arc<ReportBatch>,
+    },
+    Change,
+    Leave {
+        endpoint: usize,
+    },
+    Fault(PlannedFault),
+    RegistryBack {
+        registry: usize,
+    },
+    Look,
+}
+
+#[derive(Debug)]
+struct SimulatedEntry {
+    name: PeerName,
+    life: u64,
+    state: FollowState,
+    pace: FollowPace,
+    ring: MemberRing,
+    /// Number of the call that is out, and when it was sent.
+    asking: Option<(u64, Duration)>,
+    /// Bytes of calls and answers.
+    bytes: usize,
+}
+
+/// Entries, registries and endpoints under one plan.
+pub(super) struct SimulatedFleet {
+    plan: FleetPlan,
+    epoch: Instant,
+    now: Duration,
+    queue: BTreeMap<(Duration, u64), FleetEvent>,
+    count: u64,
+    entries: Vec<SimulatedEntry>,
+    registries: Vec<SimulatedRegistry>,
+    members: Vec<PeerName>,
+    /// What a majority has on its disks.
+    log: DocumentRegister,
+    leader: usize,
+    leaderless_until: Duration,
+    cuts: FastMap<(usize, usize), Duration>,
+    endpoints: Vec<Option<EndpointReport>>,
+    next_document: u64,
+    epochs: u64,
+    pub(super) check: FleetCheck,
+}
+
+/// Bytes that count for the budget.
+fn counted(now: Duration, bytes: usize) -> usize {
+    if now < WARM_UP { 0 } else { bytes }
+}
+
+fn peer(name: String) -> PeerName {
+    PeerName::new(&name).expect("the name is a label")
+}
+
+fn report(endpoint: usize) -> EndpointReport {
+    EndpointReport {
+        id: format!("i-{endpoint:010x}"),
+        pool: format!("pool-{}", endpoint % 5),
+        address: format!("10.1.{}.{}:8080", endpoint / 250, endpoint % 250),
+        data_center: format!("center-{}", endpoint % 5),
+        slots: 64,
+        born_ms: 1_700_000_000_000,
+        ..Default::default()
+    }
+}
+
+impl SimulatedFleet {
+    pub(super) fn new(plan: FleetPlan) -> Self {
+        let members: Vec<PeerName> = (0..plan.registries)
+            .map(|registry| peer(format!("10-2-0-{registry}")))
+            .collect();
+        let registries = members.iter().enumerate();
+        let registries = registries.map(|(place, name)| {
+            SimulatedRegistry::new(name.clone(), place as u64 + 1, ANNOUNCE_INTERVAL)
+        });
+        let entries = (0..plan.entries).map(|entry| SimulatedEntry {
+            name: peer(format!("10-1-{}-{}", entry / 250, entry % 250)),
+            life: 0,
+            state: FollowState::default(),
+            pace: FollowPace::within(MAX_AGE),
+            ring: MemberRing::new(members[..3].to_vec(), entry as u64),
+            asking: None,
+            bytes: 0,
+        });
+        let mut fleet = Self {
+            epoch: Instant::now(),
+            now: Duration::ZERO,
+            queue: BTreeMap::new(),
+            count: 0,
+            entries: entries.collect(),
+            registries: registries.collect(),
+            log: DocumentRegister::default(),
+            leader: 0,
+            leaderless_until: Duration::ZERO,
+            cuts: FastMap::default(),
+            endpoints: (0..plan.endpoints)
+                .map(|endpoint| Some(report(endpoint)))
+                .collect(),
+            next_document: 1,
+            epochs: plan.registries as u64 + 1,
+            check: FleetCheck::new(&plan),
+            members,
+            plan,
+        };
+        fleet.schedule_all();
+        fleet
+    }
+
+    fn schedule_all(&mut self) {
+        let spread =
+            |place: usize, count: usize, time: Duration| time * place as u32 / count as u32;
+        for endpoint in 0..self.plan.endpoints {
+            let at = spread(endpoint, self.plan.endpoints, ANNOUNCE_INTERVAL);
+            self.at(at, FleetEvent::Announce { endpoint });
+        }
+        for entry in 0..self.plan.entries {
+            let at = spread(entry, self.plan.entries, Duration::from_millis(300));
+            self.at(at, FleetEvent::Ask { entry, life: 0 });
+        }
+        for registry in 0..self.plan.registries {
+            let at = spread(registry, self.plan.registries, FLUSH_INTERVAL);
+            self.at(at, FleetEvent::Flush { registry });
+        }
+        self.at(Duration::ZERO, FleetEvent::Change);
+        for at in self.plan.changes.clone() {
+            self.at(at, FleetEvent::Change);
+        }
+        for (at, endpoint) in self.plan.leavers.clone() {
+            self.at(at, FleetEvent::Leave { endpoint });
+        }
+        for (at, fault) in self.plan.faults.clone() {
+            self.at(at, FleetEvent::Fault(fault));
+        }
+        self.at(LOOK_INTERVAL, FleetEvent::Look);
+    }
+
+    fn at(&mut self, at: Duration, event: FleetEvent) {
+        self.count += 1;
+        self.queue.insert((at, self.count), event);
+    }
+
+    fn after(&mut self, time: Duration, event: FleetEvent) {
+        self.at(self.now + time, event);
+    }
+
+    fn instant(&self) -> Instant {
+        self.epoch + self.now
+    }
+
+    /// Plays the plan to its end.
+    pub(super) fn play(mut self) -> Self {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > self.plan.length {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self
+    }
+
+    /// Bytes a second of the entry that has most, calls and answers.
+    pub(super) fn entry_bytes(&self) -> usize {
+        let most = self.entries.iter().map(|entry| entry.bytes).max();
+        most.unwrap_or(0) / (self.plan.length - WARM_UP).as_secs() as usize
+    }
+
+    /// Bytes a second that the busiest registry tells the others.
+    pub(super) fn registry_bytes(&self) -> usize {
+        let most = self
+            .registries
+            .iter()
+            .map(|registry| registry.sent_bytes)
+            .max();
+        most.unwrap_or(0) / (self.plan.length - WARM_UP).as_secs() as usize
+    }
+
+    /// Followers of the registry that has most.
+    pub(super) fn most_followers(&mut self) -> usize {
+        let now = self.instant();
+        let counts = self.registries.iter_mut();
+        let counts = counts.map(|registry| registry.followers.own(now).len());
+        counts.max().unwrap_or(0)
+    }
+
+    fn handle(&mut self, event: FleetEvent) {
+        match event {
+            FleetEvent::Ask { entry, life } if self.entries[entry].life == life => self.ask(entry),
+            FleetEvent::Ask { .. } => {}
+            FleetEvent::Call {
+                registry,
+                entry,
+                number,
+                call,
+            } => {
+                self.take_call(registry, entry, number, call);
+            }
+            FleetEvent::HoldOver {
+                registry,
+                entry,
+                number,
+            } => {
+                self.release(registry, |held| {
+                    (held.entry, held.number) == (entry, number)
+                });
+            }
+            FleetEvent::Confirm {
+                registry,
+                entry,
+                number,
+                call,
+                held,
+            } => {
+                self.answer(registry, entry, number, &call, held);
+            }
+            FleetEvent::Reply {
+                registry,
+                entry,
+                number,
+                reply,
+            } => {
+                self.take_reply(registry, entry, number, *reply);
+            }
+            FleetEvent::Timeout { entry, number } => self.time_out(entry, number),
+            FleetEvent::Announce { endpoint } => self.announce(endpoint),
+            FleetEvent::Flush { registry } => self.flush(registry),
+            FleetEvent::Batch { registry, batch } => self.take_batch(registry, &batch),
+            FleetEvent::Change => self.change(),
+            FleetEvent::Leave { endpoint } => self.leave(endpoint),
+            FleetEvent::Fault(fault) => self.strike(fault),
+            FleetEvent::RegistryBack { registry } => self.bring_back(registry),
+            FleetEvent::Look => self.look(),
+        }
+    }
+
+    fn ask(&mut self, entry: usize) {
+        let asker = &mut self.entries[entry];
+        let target = asker.ring.current().cloned();
+        let registry = self
+            .members
+            .iter()
+            .position(|member| Some(member) == target.as_ref());
+        let Some(registry) = registry else { return };
+        let call = asker.state.next_call(asker.pace.hold());
+        asker.bytes += counted(self.now, call.encoded_len());
+        self.count += 1;
+        let number = self.count;
+        asker.asking = Some((number, self.now));
+        let limit = asker.pace.answer_time();
+        self.after(limit, FleetEvent::Timeout { entry, number });
+        self.after(
+            LINK_TIME,
+            FleetEvent::Call {
+                registry,
+                entry,
+                number,
+                call,
+            },
+        );
+    }
+
+    fn take_call(&mut self, registry: usize, entry: usize, number: u64, call: FollowCall) {
+        let now = self.instant();
+        let name = self.entries[entry].name.clone();
+        let daemon = &mut self.registries[registry];
+        if !daemon.is_up {
+            return;
+        }
+        daemon.followers.take_own(now, &name, false);
+        let until = self.now + Duration::from_millis(call.wait_ms.into());
+        let is_behind = daemon.is_behind(&call);
+        daemon.held.push(HeldCall {
+            entry,
+            number,
+            call,
+            arrived: self.now,
+            until,
+        });
+        match is_behind {
+            true => self.release(registry, |held| held.number == number),
+            false => self.at(
+                until,
+                FleetEvent::HoldOver {
+                    registry,
+                    entry,
+                    number,
+                },
+            ),
+        }
+    }
+
+    /// Ends the hold of some calls, and has their answers confirmed.
+    fn release(&mut self, registry: usize, is_over: impl Fn(&HeldCall) -> bool) {
+        let daemon = &mut self.registries[registry];
+        let held = std::mem::take(&mut daemon.held);
+        let (over, left): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| is_over(held));
+        daemon.held = left;
+        for held in over {
+            let event = FleetEvent::Confirm {
+                registry,
+                entry: held.entry,
+                number: held.number,
+                held: self.now.min(held.until) - held.arrived,
+                call: held.call,
+            };
+            self.after(ROUND_TIME, event);
+        }
+    }
+
+    fn release_behind(&mut self, registry: usize) {
+        let daemon = &self.registries[registry];
+        let behind = daemon
+            .held
+            .iter()
+            .filter(|held| daemon.is_behind(&held.call));
+        let behind: FastSet<u64> = behind.map(|held| held.number).collect();
+        if !behind.is_empty() {
+            self.release(registry, |held| behind.contains(&held.number));
+        }
+    }
+
+    fn has_majority(&self) -> bool {
+        let up = self
+            .registries
+            .iter()
+            .filter(|registry| registry.is_up)
+            .count();
+        up * 2 > self.registries.len() && self.now >= self.leaderless_until
+    }
+
+    fn answer(
+        &mut self,
+        registry: usize,
+        entry: usize,
+        number: u64,
+        call: &FollowCall,
+        held: Duration,
+    ) {
+        let now = self.instant();
+        let has_majority = self.has_majority();
+        let daemon = &mut self.registries[registry];
+        if !daemon.is_up {
+            return;
+        }
+        if has_majority && daemon.documents != self.log {
+            daemon.documents = self.log.clone();
+        }
+        let mut reply = daemon.reply(now, call, &self.members);
+        reply.confirmed = has_majority;
+        reply.held_ms = held.as_millis() as u32;
+        let reply = Box::new(reply);
+        self.after(
+            LINK_TIME,
+            FleetEvent::Reply {
+                registry,
+                entry,
+                number,
+                reply,
+            },
+        );
+    }
+
+    fn take_reply(&mut self, registry: usize, entry: usize, number: u64, reply: FollowReply) {
+        if self
+            .cuts
+            .get(&(registry, entry))
+            .is_some_and(|until| self.now < *until)
+        {
+            return;
+        }
+        let now = BootTime::after(self.now);
+        let asker = &mut self.entries[entry];
+        let Some((_, sent)) = asker.asking.take_if(|(asked, _)| *asked == number) else {
+            return;
+        };
+        asker.bytes += counted(self.now, reply.encoded_len());
+        let outcome = match reply.confirmed {
+            true => FollowOutcome::Confirmed,
+            false => FollowOutcome::Unconfirmed,
+        };
+        let members = reply.members.iter().map(|name| peer(name.clone()));
+        asker.ring.learn(members.collect());
+        asker.state.take(BootTime::after(sent), now, reply);
+        if outcome == FollowOutcome::Confirmed {
+            asker.ring.settle();
+        }
+        self.check.see(self.now, entry, &asker.state);
+        self.go_on(entry, outcome);
+    }
+
+    fn time_out(&mut self, entry: usize, number: u64) {
+        let asker = &mut self.entries[entry];
+        if asker
+            .asking
+            .take_if(|(asked, _)| *asked == number)
+            .is_some()
+        {
+            self.go_on(entry, FollowOutcome::Lost);
+        }
+    }
+
+    fn go_on(&mut self, entry: usize, outcome: FollowOutcome) {
+        let asker = &mut self.entries[entry];
+        if asker.pace.note(outcome) {
+            asker.ring.advance();
+        }
+        let life = asker.life;
+        let pause = match outcome {
+            FollowOutcome::Confirmed => Duration::ZERO,
+            FollowOutcome::Unconfirmed | FollowOutcome::Lost => FAILURE_PAUSE,
+        };
+        self.after(pause, FleetEvent::Ask { entry, life });
+    }
+
+    fn announce(&mut self, endpoint: usize) {
+        let Some(report) = &mut self.endpoints[endpoint] else {
+            return;
+        };
+        report.sequence += 1;
+        let report = report.clone();
+        let count = self.registries.len();
+        let homes = (0..count).map(|place| (endpoint + place) % count);
+        let home = homes.into_iter().find(|home| self.registries[*home].is_up);
+        let now = self.instant();
+        if let Some(home) = home {
+            self.registries[home].hear(now, report);
+            self.release_behind(home);
+        }
+        self.after(ANNOUNCE_INTERVAL, FleetEvent::Announce { endpoint });
+    }
+
+    fn flush(&mut self, registry: usize) {
+        self.after(FLUSH_INTERVAL, FleetEvent::Flush { registry });
+        let now = self.instant();
+        let others = self.members.len() - 1;
+        let daemon = &mut self.registries[registry];
+        let batch = match daemon.is_up {
+            true => daemon.flush(now),
+            false => None,
+        };
+        let Some(batch) = batch.map(Arc::new) else {
+            return;
+        };
+        daemon.sent_bytes += counted(self.now, batch.encoded_len() * others);
+        for other in (0..self.members.len()).filter(|other| *other != registry) {
+            let batch = Arc::clone(&batch);
+            self.after(
+                LINK_TIME,
+                FleetEvent::Batch {
+                    registry: other,
+                    batch,
+                },
+            );
+        }
+    }
+
+    fn take_batch(&mut self, registry: usize, batch: &ReportBatch) {
+        let now = self.instant();
+        if self.registries[registry].is_up {
+            self.registries[registry].take_batch(now, batch);
+            self.release_behind(registry);
+        }
+    }
+
+    /// Commits one step of the log, and has every registry learn of it.
+    fn commit(&mut self, step: impl FnOnce(&mut DocumentRegister)) {
+        step(&mut self.log);
+        for registry in 0..self.registries.len() {
+            if self.registries[registry].is_up {
+                self.registries[registry].documents = self.log.clone();
+                self.release_behind(registry);
+            }
+        }
+    }
+
+    fn change(&mut self) {
+        if !self.has_majority() {
+            self.after(FAILURE_PAUSE, FleetEvent::Change);
+            return;
+        }
+        let number = self.next_document;
+        self.next_document += 1;
+        self.commit(|log| {
+            log.publish(DocumentCommand {
+                number,
+                content: vec![b'd'; DOCUMENT_BYTES].into(),
+                author: "operator".into(),
+            });
+        });
+        self.check.note_committed(self.now, number);
+    }
+
+    fn leave(&mut self, endpoint: usize) {
+        if !self.has_majority() {
+            self.after(FAILURE_PAUSE, FleetEvent::Leave { endpoint });
+            return;
+        }
+        let Some(report) = self.endpoints[endpoint].take() else {
+            return;
+        };
+        let incarnation: EndpointIncarnation = report.incarnation();
+        self.commit(|log| log.retire(incarnation));
+        self.check.note_retired(self.now, report.id);
+    }
+
+    fn strike(&mut self, fault: PlannedFault) {
+        match fault {
+            PlannedFault::RegistryLost { registry, time } => {
+                self.registries[registry].is_up = false;
+                self.registries[registry].held.clear();
+                if registry == self.leader {
+                    self.leader = (self.leader + self.plan.tolerance) % self.members.len();
+                    self.leaderless_until = self.now + ELECTION_TIME;
+                }
+                self.check.note_control_disturbed(self.now + time);
+                self.after(time, FleetEvent::RegistryBack { registry });
+            }
+            PlannedFault::EntryRestarted { entry } => self.restart_entry(entry),
+            PlannedFault::AnswersCut {
+                registry,
+                entry,
+                time,
+            } => {
+                self.cuts.insert((registry, entry), self.now + time);
+                self.check.note_entry_disturbed(self.now + time, entry);
+            }
+        }
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        let place = entry as u64;
+        let seeds = self.members[..3].to_vec();
+        let asker = &mut self.entries[entry];
+        asker.life += 1;
+        asker.state = FollowState::default();
+        asker.pace = FollowPace::within(MAX_AGE);
+        asker.ring = MemberRing::new(seeds, place);
+        asker.asking = None;
+        let life = asker.life;
+        self.check.note_restart(entry);
+        self.check.note_entry_disturbed(self.now, entry);
+        self.after(Duration::from_millis(300), FleetEvent::Ask { entry, life });
+    }
+
+    fn bring_back(&mut self, registry: usize) {
+        let name = self.registries[registry].name.clone();
+        let sent_bytes = self.registries[registry].sent_bytes;
+        self.epochs += 1;
+        let mut daemon = SimulatedRegistry::new(name, self.epochs, ANNOUNCE_INTERVAL);
+        daemon.sent_bytes = sent_bytes;
+        daemon.documents = self.log.clone();
+        self.registries[registry] = daemon;
+    }
+
+    fn look(&mut self) {
+        for entry in 0..self.entries.len() {
+            self.check.look(self.now, entry, &self.entries[entry].state);
+        }
+        self.after(LOOK_INTERVAL, FleetEvent::Look);
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -0,0 +1,95 @@
+use crate::configuration::DocumentRegister;
+use crate::control::DocumentNews;
+use crate::prelude::*;
+use crate::registry::follower_list::FollowerList;
+use crate::registry::report_outbox::ReportOutbox;
+use crate::registry::{EndpointReport, FollowCall, FollowReply, RegistryTable, ReportBatch};
+use crate::transport::PeerName;
+
+/// A call that a registry holds until there is news.
+#[derive(Clone, Debug)]
+pub(super) struct HeldCall {
+    pub(super) entry: usize,
+    pub(super) number: u64,
+    pub(super) call: FollowCall,
+    pub(super) arrived: Duration,
+    pub(super) until: Duration,
+}
+
+/// One control daemon: what it has applied of the log, and what it keeps in memory.
+#[derive(Debug)]
+pub(super) struct SimulatedRegistry {
+    pub(super) name: PeerName,
+    pub(super) is_up: bool,
+    pub(super) documents: DocumentRegister,
+    pub(super) table: RegistryTable,
+    pub(super) outbox: ReportOutbox,
+    pub(super) followers: FollowerList,
+    pub(super) held: Vec<HeldCall>,
+    /// Bytes sent to other registries.
+    pub(super) sent_bytes: usize,
+}
+
+impl SimulatedRegistry {
+    pub(super) fn new(name: PeerName, epoch: u64, interval: Duration) -> Self {
+        Self {
+            name,
+            is_up: true,
+            documents: DocumentRegister::default(),
+            table: RegistryTable::new(epoch, interval),
+            outbox: ReportOutbox::default(),
+            followers: FollowerList::default(),
+            held: Vec::new(),
+            sent_bytes: 0,
+        }
+    }
+
+    pub(super) fn hear(&mut self, now: Instant, report: EndpointReport) {
+        if self.documents.is_retired(&report.incarnation()) {
+            return;
+        }
+        let outcome = self.table.hear(now, report.clone());
+        self.outbox.note(report, outcome);
+    }
+
+    pub(super) fn take_batch(&mut self, now: Instant, batch: &ReportBatch) {
+        self.followers.take_others(now, batch.followers.clone());
+        for refresh in &batch.refreshes {
+            self.table.refresh(now, refresh);
+        }
+        for report in &batch.reports {
+            if !self.documents.is_retired(&report.incarnation()) {
+                self.table.hear(now, report.clone());
+            }
+        }
+    }
+
+    /// What the other registries are told now.
+    pub(super) fn flush(&mut self, now: Instant) -> Option<ReportBatch> {
+        self.table.tick(now);
+        let followers = self.followers.own(now);
+        self.outbox.take(now, followers)
+    }
+
+    pub(super) fn is_behind(&self, call: &FollowCall) -> bool {
+        let news = DocumentNews {
+            number: self.documents.number(),
+            retired_total: self.documents.retired_total(),
+        };
+        call.is_behind(news, &self.table)
+    }
+
+    pub(super) fn reply(
+        &mut self,
+        now: Instant,
+        call: &FollowCall,
+        members: &[PeerName],
+    ) -> FollowReply {
+        let mut reply = FollowReply::default();
+        reply.tell_documents(call, &self.documents);
+        reply.tell_endpoints(call, &self.table);
+        reply.members = members.iter().map(ToString::to_string).collect();
+        reply.tell_entries(call, self.followers.all(now));
+        reply
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
@@ -0,0 +1,83 @@
+//! Promises at the size of a deployment with hundreds of VMs and at the design's, and
+//! what keeping them costs on the wire.
+
+use rstest::rstest;
+
+use super::{FleetPlan, SimulatedFleet};
+use crate::prelude::*;
+
+/// What a daemon may send and receive for control, in bytes a second.
+const BUDGET: usize = 12_000;
+
+/// A deployment of 200 VMs.
+fn todays() -> FleetPlan {
+    FleetPlan::calm(191, 9, 169)
+}
+
+/// The size that the product is designed for.
+fn designs() -> FleetPlan {
+    FleetPlan {
+        length: Duration::from_secs(12),
+        ..FleetPlan::calm(335, 15, 1_100)
+    }
+}
+
+#[rstest]
+#[case(todays())]
+#[case(designs())]
+fn a_calm_entry_keeps_its_budget(#[case] plan: FleetPlan) {
+    let fleet = SimulatedFleet::new(plan).play();
+    assert_eq!(fleet.check.broken, Vec::<String>::new());
+    let bytes = fleet.entry_bytes();
+    println!("entry {bytes} B/s, registry {} B/s", fleet.registry_bytes());
+    assert!(bytes < BUDGET, "{bytes} B/s");
+}
+
+/// Registries tell each other of endpoints and followers. Beyond this size signs of
+/// life alone need more; see docs/CAPACITY.md.
+#[test]
+fn a_registry_of_todays_size_keeps_its_budget() {
+    let bytes = SimulatedFleet::new(todays()).play().registry_bytes();
+    assert!(bytes < BUDGET, "{bytes} B/s");
+}
+
+/// All who start know the same three registries.
+#[rstest]
+#[case(todays())]
+#[case(designs())]
+fn no_registry_is_a_hot_spot(#[case] plan: FleetPlan) {
+    let (entries, registries) = (plan.entries, plan.registries);
+    let most = SimulatedFleet::new(plan).play().most_followers();
+    println!("{most} of {entries} at one of {registries}");
+    assert!(
+        most * registries < 2 * entries,
+        "{most} of {entries} at one"
+    );
+}
+
+/// Seeds that failed stay as they are.
+#[rstest]
+fn promises_hold_under_faults(#[values(1, 2, 3, 4)] seed: u64) {
+    let fleet = SimulatedFleet::new(todays().drawn(seed)).play();
+    assert_eq!(fleet.check.broken, Vec::<String>::new(), "seed {seed}");
+    println!(
+        "seed {seed}: in force after {:?}",
+        fleet.check.worst_in_force
+    );
+}
+
+#[test]
+fn promises_hold_under_faults_at_the_designs_size() {
+    let fleet = SimulatedFleet::new(designs().drawn(5)).play();
+    assert_eq!(fleet.check.broken, Vec::<String>::new());
+}
+
+/// The long run: `cargo test --release -p savorywalk --lib -- --ignored fleet`.
+#[test]
+#[ignore = "minutes; run by hand"]
+fn promises_hold_under_a_hundred_seeds_of_faults() {
+    for seed in 100..200 {
+        let fleet = SimulatedFleet::new(todays().drawn(seed)).play();
+        assert_eq!(fleet.check.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -0,0 +1,45 @@
+use super::follower_list::NamedEntries;
+use super::{FollowCall, FollowReply, RegistryTable};
+use crate::configuration::DocumentRegister;
+use crate::control::DocumentNews;
+
+impl FollowCall {
+    /// Whether there is news for the follower, so that its call is not held.
+    pub(super) fn is_behind(&self, news: DocumentNews, table: &RegistryTable) -> bool {
+        news.number > self.document_number
+            || news.retired_total > self.retired_total
+            || table.epoch() != self.table_epoch
+            || table.revision() > self.table_revision
+    }
+}
+
+impl FollowReply {
+    /// Tells the document in force and the retired endpoints that the follower lacks.
+    pub(super) fn tell_documents(&mut self, call: &FollowCall, documents: &DocumentRegister) {
+        self.document_number = documents.number();
+        if documents.number() > call.document_number {
+            self.document = documents.content().clone();
+        }
+        self.retired_total = documents.retired_total();
+        let retired = documents.retired_after(call.retired_total);
+        self.retired = retired.cloned().collect();
+    }
+
+    /// Tells the endpoints that have changed, or all of them to a follower of another
+    /// table.
+    pub(super) fn tell_endpoints(&mut self, call: &FollowCall, table: &RegistryTable) {
+        self.table_epoch = table.epoch();
+        self.table_revision = table.revision();
+        self.whole = table.epoch() != call.table_epoch;
+        let known = if self.whole { 0 } else { call.table_revision };
+        self.reports = table.changed_after(known);
+    }
+
+    /// Tells who follows control, to a follower that knows other ones.
+    pub(super) fn tell_entries(&mut self, call: &FollowCall, entries: NamedEntries) {
+        self.entries_digest = entries.digest;
+        if entries.digest != call.entries_digest {
+            self.entries = entries.names;
+        }
+    }
+}
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -1,5 +1,4 @@
 use super::{FollowCall, FollowReply, RegistryNode};
-use crate::control::DocumentNews;
 use crate::prelude::*;
 use crate::transport::PeerName;
 
@@ -34,8 +33,8 @@
         let waiting = async {
             loop {
                 let news = *documents.borrow_and_update();
-                let revision_now = *revision.borrow_and_update();
-                if self.is_behind(call, news, revision_now) {
+                revision.mark_unchanged();
+                if call.is_behind(news, &self.table()) {
                     return;
                 }
                 let changed = tokio::select! {
@@ -51,43 +50,17 @@
         let _ = tokio::time::timeout(hold, waiting).await;
     }
 
-    fn is_behind(&self, call: &FollowCall, news: DocumentNews, revision: u64) -> bool {
-        let epoch = self.table().epoch();
-        news.number > call.document_number
-            || news.retired_total > call.retired_total
-            || epoch != call.table_epoch
-            || revision > call.table_revision
-    }
-
     fn news_after(&self, call: &FollowCall) -> FollowReply {
         let mut reply = FollowReply::default();
         if let Some(voter) = self.voter() {
-            voter.cell().read_documents(|documents| {
-                reply.document_number = documents.number();
-                if documents.number() > call.document_number {
-                    reply.document = documents.content().clone();
-                }
-                reply.retired_total = documents.retired_total();
-                let retired = documents.retired_after(call.retired_total);
-                reply.retired = retired.cloned().collect();
-            });
-        }
-        {
-            let table = self.table();
-            reply.table_epoch = table.epoch();
-            reply.table_revision = table.revision();
-            reply.whole = table.epoch() != call.table_epoch;
-            let known = if reply.whole { 0 } else { call.table_revision };
-            reply.reports = table.changed_after(known);
+            let cell = voter.cell();
+            cell.read_documents(|documents| reply.tell_documents(call, documents));
         }
+        reply.tell_endpoints(call, &self.table());
         let members = self.voter().map(|voter| voter.member_names());
         let members = members.unwrap_or_default().into_iter();
         reply.members = members.map(|member| member.to_string()).collect();
-        let entries = self.lock_followers().all(Instant::now());
-        reply.entries_digest = entries.digest;
-        if entries.digest != call.entries_digest {
-            reply.entries = entries.names;
-        }
+        reply.tell_entries(call, self.lock_followers().all(Instant::now()));
         reply
     }
 }
--- a/crates/savorywalk/src/registry/member_ring.rs
+++ b/crates/savorywalk/src/registry/member_ring.rs
@@ -1,37 +1,57 @@
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::PeerName;
 
 /// The control daemons that a follower may ask, and which one it asks now.
 ///
-/// Each follower begins at another place, so that all of them together load
-/// the control daemons evenly, and stays while it is answered.
+/// Each follower has an order of its own, so that all of them together load the
+/// control daemons evenly: at first, and when one of them is lost, whose followers
+/// go to all the others alike. A follower stays while it is answered.
+///
+/// All who start know the same few seeds only, so each moves once to the first of
+/// its order when it knows the others ([`Self::settle`]). With 191 followers and nine
+/// daemons the busiest then has 26 of them instead of 69, and with 335 and fifteen 32
+/// instead of 124, by the simulation of the registry's tests.
 #[derive(Clone, Debug)]
 pub struct MemberRing {
     seeds: Vec<PeerName>,
+    /// In this follower's order.
     members: Vec<PeerName>,
     place: u64,
+    turn: usize,
+    is_settled: bool,
 }
 
 impl MemberRing {
     /// A ring that knows the seeds; `place` differs between followers.
     pub fn new(seeds: Vec<PeerName>, place: u64) -> Self {
         Self {
-            members: seeds.clone(),
+            members: in_order(place, seeds.clone()),
             seeds,
             place,
+            turn: 0,
+            is_settled: false,
         }
     }
 
     /// The daemon to ask; `None` without any.
     pub fn current(&self) -> Option<&PeerName> {
-        let count = self.members.len() as u64;
-        let index = self.place.checked_rem(count)?;
-        self.members.get(index as usize)
+        let turn = self.turn.checked_rem(self.members.len())?;
+        self.members.get(turn)
     }
 
     /// Turns to the next daemon, after the current one gave no good answer.
     pub fn advance(&mut self) {
-        self.place = self.place.wrapping_add(1);
+        self.turn = self.turn.wrapping_add(1);
+    }
+
+    /// Turns to the first daemon of the order, once: after the first good answer,
+    /// which names all of them.
+    pub fn settle(&mut self) {
+        if !self.is_settled {
+            self.is_settled = true;
+            self.turn = 0;
+        }
     }
 
     /// Takes the members that the current daemon names, and goes on asking it.
@@ -44,14 +64,12 @@
         let current = self.current().cloned();
         let mut members: BTreeSet<PeerName> = named.into_iter().collect();
         members.extend(self.seeds.iter().cloned());
-        let members: Vec<PeerName> = members.into_iter().collect();
+        let members = in_order(self.place, members.into_iter().collect());
         if members == self.members {
             return;
         }
         let kept = current.and_then(|current| members.iter().position(|name| *name == current));
-        if let Some(kept) = kept {
-            self.place = kept as u64;
-        }
+        self.turn = kept.unwrap_or(self.turn);
         self.members = members;
     }
 
@@ -63,6 +81,14 @@
     }
 }
 
+/// The daemons in the order of one follower.
+fn in_order(place: u64, mut members: Vec<PeerName>) -> Vec<PeerName> {
+    members.sort_by_cached_key(|name| {
+        stable_hash(&[place.to_le_bytes().as_slice(), name.as_str().as_bytes()])
+    });
+    members
+}
+
 #[cfg(test)]
 #[path = "member_ring_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_report;
 mod entry_follower;
 mod follow_pace;
+mod follow_reply;
 mod follow_service;
 mod follow_state;
 mod follower_list;
@@ -19,6 +20,9 @@
 mod report_outbox;
 mod voter_keeper;
 
+#[cfg(test)]
+mod fleet_simulation;
+
 pub use crate::control::EndpointIncarnation;
 pub use crate::generated::control_link::{
     EndpointRefresh, EndpointReport, FollowCall, FollowReply, ReportBatch,
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -1,7 +1,9 @@
 use super::{EndpointRefresh, EndpointReport, HearOutcome, ReportBatch};
 use crate::prelude::*;
 
-/// Longest time between two lists of the sender's followers.
+/// Time between two lists of the sender's followers: two may be lost before one of
+/// them counts as gone. Signs of life go three times as often, and with a list in
+/// each batch 22 followers' names for 14 daemons are 13 KB a second.
 const FOLLOWER_INTERVAL: Duration = Duration::from_millis(800);
 
 /// What waits to be told to the other control daemons: changes go out at once,
@@ -36,21 +38,26 @@
         }
     }
 
-    /// Takes what waits. Without news the followers alone are told, now and
-    /// then; `None` when that is not due either.
+    /// Takes what waits, and now and then the followers; `None` without either.
     pub(super) fn take(&mut self, now: Instant, followers: Vec<String>) -> Option<ReportBatch> {
         let is_empty = self.reports.is_empty() && self.refreshes.is_empty();
         let is_due = self.told.is_none_or(|told| now >= told + FOLLOWER_INTERVAL);
         if is_empty && !is_due {
             return None;
         }
-        self.told = Some(now);
+        if is_due {
+            self.told = Some(now);
+        }
         let reports = std::mem::take(&mut self.reports);
         let refreshes = std::mem::take(&mut self.refreshes);
         Some(ReportBatch {
             reports: reports.into_values().collect(),
             refreshes: refreshes.into_values().collect(),
-            followers,
+            followers: if is_due { followers } else { Vec::new() },
         })
     }
 }
+
+#[cfg(test)]
+#[path = "report_outbox_tests.rs"]
+mod tests;
