--- a/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
@@ -66,6 +66,21 @@
     );
 }
 
+/// Nothing of this reads the bounds that a deployment names, so shorter ones must
+/// hold, too; longer ones show that nothing is put off until they are over.
+#[rstest]
+fn changes_and_leavers_keep_half_and_twice_the_usual_bounds(#[values(500, 2_000)] permille: u32) {
+    let plan = todays().drawn(6);
+    let plan = FleetPlan {
+        in_force: plan.in_force * permille / 1_000,
+        drain: plan.drain * permille / 1_000,
+        ..plan
+    };
+    let fleet = SimulatedFleet::new(plan).play();
+    assert_eq!(fleet.check.broken, Vec::<String>::new());
+    assert!(fleet.check.worst_in_force < Duration::from_millis(500));
+}
+
 #[test]
 fn promises_hold_under_faults_at_the_designs_size() {
     let fleet = SimulatedFleet::new(designs().drawn(5)).play();
