--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -10,7 +10,7 @@
 use super::{CallFault, RegistryAnswer, RegistryCall, WireFormat};
 use crate::api::HttpSurface;
 use crate::prelude::*;
-use crate::registry::{EndpointIncarnation, RegistryError, RegistryNode, Result};
+use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
 
 /// Largest body of a call: a document of some thousand routes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
@@ -93,7 +93,7 @@
 
     async fn answer(&self, call: RegistryCall) -> RegistryAnswer {
         let done = match call {
-            RegistryCall::Announce(report) => self.node.announce(report),
+            RegistryCall::Announce(report) => return self.announce(report),
             RegistryCall::Drain(report) => self.node.drain(&report).await,
             RegistryCall::Leave { endpoint, born_ms } => self.retire(endpoint, born_ms).await,
             RegistryCall::Publish { number, content } => {
@@ -104,6 +104,29 @@
         self.answer_of(done.map(|()| RegistryAnswer::Done))
     }
 
+    /// Takes an announcement. Thousands of endpoints may be refused twice a second
+    /// each, so all refusals are counted and few are logged.
+    fn announce(&self, report: EndpointReport) -> RegistryAnswer {
+        let Err(error) = self.node.announce(report) else {
+            return RegistryAnswer::Done;
+        };
+        let RegistryError::Unavailable(reason) = error else {
+            return self.answer_of(Err(error));
+        };
+        let kind = "announcement_unanswered";
+        self.metrics.record_fault(kind);
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(total) = faults.count(Instant::now(), kind) {
+            log_event!(
+                info,
+                "announcements_unanswered",
+                total = total,
+                reason = reason
+            );
+        }
+        RegistryAnswer::Unavailable(reason)
+    }
+
     async fn retire(&self, endpoint: String, born_ms: Option<u64>) -> Result<()> {
         match born_ms {
             Some(born_ms) => {
