--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -69,12 +69,11 @@
             news: watch::Sender::default(),
             task: Mutex::default(),
         });
-        let pace = FollowPace::within(options.max_age);
+        let mut pace = FollowPace::within(options.max_age);
         let ring = MemberRing::new(options.seeds, options.place);
         let weak = Arc::downgrade(&follower);
         let task = tokio::spawn(async move {
             let mut ring = ring;
-            let mut pace = pace;
             while let Some(follower) = weak.upgrade() {
                 follower.follow_once(&mut ring, &mut pace).await;
             }
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
@@ -6,7 +6,6 @@
 /// What a run plays.
 #[derive(Clone, Debug)]
 pub(super) struct FleetPlan {
-    pub(super) seed: u64,
     pub(super) entries: usize,
     pub(super) registries: usize,
     pub(super) endpoints: usize,
@@ -41,7 +40,6 @@
     /// A calm run: endpoints announce themselves, nothing else happens.
     pub(super) fn calm(entries: usize, registries: usize, endpoints: usize) -> Self {
         Self {
-            seed: 1,
             entries,
             registries,
             endpoints,
@@ -72,7 +70,6 @@
         let loss = moment(5_000, 10_000);
         let loss_time = moment(1_000, 5_000);
         let roll = moment(4_000, 8_000);
-        self.seed = seed;
         self.length = Duration::from_secs(26);
         let first = random.random_range(0..self.registries);
         for place in 0..self.tolerance {
