Tell requests apart by what makes them the same, and log that where attempts fail

Cause: a resend has an identity of its own, so no line showed which request was at each crash; the hypotheses can't be told apart. Change: RequestDigest (method, host, path, caller, body; the query only without a body) in attempt_failed, stream_broken and stream_resumed. Conclusion: the same digest before each crash speaks for one request.

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -12,8 +12,8 @@
 use super::request_context::RequestContext;
 use super::stream_relay::StreamRelay;
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RouteKind, RunLedger,
-    engine_rank,
+    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RequestDigest,
+    RouteKind, RunLedger, engine_rank,
 };
 use crate::prelude::*;
 use crate::routing::{AttemptReport, OutstandingGuard};
@@ -45,6 +45,7 @@
     pub(super) context: RequestContext,
     parts: request::Parts,
     body: Bytes,
+    pub(super) digest: RequestDigest,
     pub(super) ledger: RunLedger,
     pub(super) results: Option<PlanResults>,
     /// Where the last attempt went, when one entry placed it for all.
@@ -88,7 +89,10 @@
         parts: request::Parts,
         body: Bytes,
     ) -> Self {
+        let host = &context.route.host;
+        let digest = RequestDigest::of(&parts, host, &context.caller, &body);
         Self {
+            digest,
             node,
             context,
             parts,
@@ -348,6 +352,7 @@
                 info,
                 "attempt_failed",
                 request = self.context.id,
+                digest = self.digest,
                 endpoint = endpoint,
                 reason = reason
             );
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -4,7 +4,7 @@
 use super::gateway_node::GatewayNode;
 use super::gateway_view::ViewKnowledge;
 use super::request_context::RequestContext;
-use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, request_rank, turn_rank};
+use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, RouteTable, request_rank, turn_rank};
 use crate::prelude::*;
 
 /// When to come back to an entry that does not know enough yet: other entries
@@ -58,6 +58,7 @@
     Ok(RequestContext {
         id: head.request_id.as_str().into(),
         pool: route.pool_for(rand::rng().random()).to_string(),
+        caller: caller_of(table, head.key.as_deref()),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         rank: request_rank(rank, route.rank),
         turn_rank: turn_rank(rank),
@@ -69,6 +70,16 @@
     })
 }
 
+/// Who sends a request, also where no key is asked for: one caller's requests must not
+/// pass for another's.
+fn caller_of(table: &RouteTable, key: Option<&str>) -> String {
+    let Some(key) = key else {
+        return String::new();
+    };
+    let holder = table.workspace_of(key);
+    holder.map_or_else(|| key.to_string(), |holder| holder.name.clone())
+}
+
 /// When a request should be answered. A caller that waits for much less than
 /// the route allows has most likely used up the rest in an earlier try, and its
 /// objective counts from there.
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -14,6 +14,8 @@
     pub(super) pool: String,
     /// Name of its workspace, when a key was shown.
     pub(super) workspace: Option<String>,
+    /// Who sends it, as far as a key tells; empty when none was shown.
+    pub(super) caller: String,
     /// How urgent it is; see [`super::request_rank`].
     pub(super) rank: u8,
     /// The same while its route has fallen behind others.
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -113,6 +113,7 @@
                             info,
                             "stream_broken",
                             request = self.run.context.id,
+                            digest = self.run.digest,
                             endpoint = self.source.endpoint,
                             last_event = format!("{:?}", self.splitter.last_id()),
                             reason = reason
@@ -206,6 +207,7 @@
             info,
             "stream_resumed",
             request = self.run.context.id,
+            digest = self.run.digest,
             from = self.source.endpoint,
             to = open.endpoint,
             last_event = format!("{last_event:?}"),
