--- a/crates/savorywalk/src/gateway/crash_watch.rs
+++ b/crates/savorywalk/src/gateway/crash_watch.rs
@@ -19,11 +19,13 @@
 /// one that does not answer by now serves nobody either.
 const LOOK_TIME: Duration = Duration::from_millis(200);
 
-/// Pause before control is told again.
-const TELL_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before control is told again: at first a part of an election, then longer, as
+/// control may be gone for long or run an older version.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
-/// For how long control is told again: several elections.
-const TELL_TIME: Duration = Duration::from_secs(10);
+/// Most reports that wait for control, the newest ones.
+const MAX_UNTOLD: usize = 64;
 
 /// Time between two words that a request in quarantine still comes: a few of them may be
 /// lost before it counts as gone.
@@ -71,6 +73,8 @@
                 .with_description("Endpoints that crashed while they worked for this entry")
                 .build(),
             told: FastMap::default(),
+            untold: VecDeque::new(),
+            pause: FIRST_PAUSE,
         };
         tokio::spawn(task.run(waiting));
         Self {
@@ -116,19 +120,57 @@
     crashes: Counter<u64>,
     /// When control was last told that a request still comes.
     told: FastMap<RequestDigest, Instant>,
+    /// Reports that control has not taken yet, oldest first.
+    untold: VecDeque<QuarantineCommand>,
+    /// Pause before control is told again.
+    pause: Duration,
 }
 
 impl WatchTask {
     async fn run(mut self, mut notes: mpsc::Receiver<WatchNote>) {
-        while let Some(first) = notes.recv().await {
-            tokio::time::sleep(GATHER_TIME).await;
-            let mut gathered = vec![first];
-            while let Ok(next) = notes.try_recv() {
-                gathered.push(next);
+        loop {
+            let untold = !self.untold.is_empty();
+            tokio::select! {
+                note = notes.recv() => {
+                    let Some(first) = note else {
+                        return;
+                    };
+                    let gathered = gather(first, &mut notes).await;
+                    let reports = self.sort(gathered).await;
+                    self.keep(reports);
+                }
+                () = tokio::time::sleep(self.pause), if untold => {}
             }
-            for report in self.sort(gathered).await {
-                self.tell(report).await;
+            self.tell_all().await;
+        }
+    }
+
+    /// Keeps reports until control has taken them. While it has no leader a deadly request
+    /// goes on, and what was seen of it must count as soon as there is one.
+    fn keep(&mut self, reports: Vec<QuarantineCommand>) {
+        self.untold.extend(reports);
+        while self.untold.len() > MAX_UNTOLD {
+            let lost = self.untold.pop_front();
+            let crashes = lost.map_or(0, |report| report.crashes.len());
+            log_event!(warn, "crash_report_lost", crashes = crashes);
+        }
+    }
+
+    /// Tells control what it has not taken yet, until it can't take more.
+    async fn tell_all(&mut self) {
+        while let Some(report) = self.untold.front() {
+            if let Err(reason) = self.follower.report(report.clone()).await {
+                log_event!(
+                    debug,
+                    "crash_report_untaken",
+                    untold = self.untold.len(),
+                    reason = reason
+                );
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                return;
             }
+            self.untold.pop_front();
+            self.pause = FIRST_PAUSE;
         }
     }
 
@@ -180,28 +222,16 @@
         }
         is_due
     }
+}
 
-    /// Tells control until a majority has taken it.
-    async fn tell(&self, report: QuarantineCommand) {
-        let deadline = Instant::now() + TELL_TIME;
-        loop {
-            let reason = match self.follower.report(report.clone()).await {
-                Ok(()) => return,
-                Err(reason) => reason,
-            };
-            if Instant::now() >= deadline {
-                log_event!(
-                    warn,
-                    "crash_report_lost",
-                    crashes = report.crashes.len(),
-                    reason = reason
-                );
-                return;
-            }
-            log_event!(debug, "crash_report_untaken", reason = reason);
-            tokio::time::sleep(TELL_PAUSE).await;
-        }
+/// What comes together with a first note.
+async fn gather(first: WatchNote, notes: &mut mpsc::Receiver<WatchNote>) -> Vec<WatchNote> {
+    tokio::time::sleep(GATHER_TIME).await;
+    let mut gathered = vec![first];
+    while let Ok(next) = notes.try_recv() {
+        gathered.push(next);
     }
+    gathered
 }
 
 /// Whether an endpoint still takes connections: a call can break for other reasons than
--- a/crates/savorywalk/src/gateway/crash_watch_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_watch_tests.rs
@@ -63,15 +63,38 @@
     assert!(!node.is_quarantined(&digest(2)));
 }
 
-#[tokio::test]
-async fn control_is_told_at_times_that_a_request_still_comes() {
+fn task() -> WatchTask {
     let node = node();
     let meter = node.metric_set.meter();
-    let mut task = WatchTask {
+    WatchTask {
         follower: Arc::clone(&node.follower),
         crashes: meter.u64_counter("crashes").build(),
         told: FastMap::default(),
-    };
+        untold: VecDeque::new(),
+        pause: FIRST_PAUSE,
+    }
+}
+
+/// Without control a deadly request goes on, so what was seen of it counts later.
+#[tokio::test]
+async fn reports_that_control_does_not_take_are_kept_up_to_a_bound() {
+    let mut task = task();
+    for number in 0..MAX_UNTOLD as u64 + 10 {
+        let report = QuarantineCommand {
+            forget_through: number,
+            ..Default::default()
+        };
+        task.keep(vec![report]);
+    }
+    task.tell_all().await;
+    assert_eq!(task.untold.len(), MAX_UNTOLD);
+    assert_eq!(task.untold[0].forget_through, 10);
+    assert_eq!(task.pause, FIRST_PAUSE * 2);
+}
+
+#[tokio::test]
+async fn control_is_told_at_times_that_a_request_still_comes() {
+    let mut task = task();
     let start = Instant::now();
     assert!(task.is_due(start, digest(1)));
     assert!(!task.is_due(start, digest(1)));
