--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -1,36 +1,21 @@
 use hyper::Response;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::http::{request, response};
+use hyper::http::request;
 use rand::RngExt;
 
 use super::call_surface::{GatewayBody, whole};
-use super::endpoint_call::{CallError, EndpointCall, read_whole};
+use super::forward_attempt::{AttemptEnd, OpenAnswer, TakenAnswer, is_delimited};
 use super::gateway_node::GatewayNode;
-use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PlacedPrompt;
 use super::request_context::RequestContext;
 use super::stream_relay::StreamRelay;
-use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RouteKind, RunLedger,
-    engine_rank,
-};
+use super::{GatewayRefusal, NotRunReason, RunLedger};
 use crate::prelude::*;
 use crate::quarantine::{QUARANTINE_TIME, RequestDigest};
-use crate::routing::{AttemptReport, OutstandingGuard};
 
 /// Most sends of one request, those that were refused unrun included.
 const MAX_SENDS: usize = 3;
 
-/// Time for an answer's head, in objectives of its route, after which an
-/// idempotent request goes to another endpoint. Work over twice the objective
-/// is a small part at a sound endpoint, and all of it at a hanging one.
-const HEAD_OBJECTIVES: u32 = 2;
-
-/// Shortest time for an answer's head: a few scheduling delays of a loaded VM.
-const MIN_HEAD_TIME: Duration = Duration::from_millis(300);
-
 /// When to come back after a refusal that will be over soon, and the spread
 /// that keeps those who were refused together from coming back together.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -45,8 +30,8 @@
 pub(super) struct ForwardRun {
     pub(super) node: Arc<GatewayNode>,
     pub(super) context: RequestContext,
-    parts: request::Parts,
-    body: Bytes,
+    pub(super) parts: request::Parts,
+    pub(super) body: Bytes,
     pub(super) digest: RequestDigest,
     pub(super) ledger: RunLedger,
     pub(super) results: Option<PlanResults>,
@@ -56,33 +41,6 @@
     last_answer: Option<Response<Bytes>>,
 }
 
-/// An answer whose head has come, with what keeps it alive.
-#[derive(Debug)]
-pub(super) struct OpenAnswer {
-    pub(super) response: Response<Incoming>,
-    pub(super) endpoint: String,
-    pub(super) started: Instant,
-    pub(super) call: EndpointCall,
-    pub(super) guard: OutstandingGuard,
-}
-
-/// How an attempt ended before its answer was taken.
-enum AttemptEnd {
-    /// Its head has come and is the endpoint's own.
-    Open(Box<OpenAnswer>),
-    /// The endpoint failed and said so.
-    Failed(Response<Bytes>),
-    /// The endpoint has not run it, for want of room or because it is not the
-    /// one that was meant.
-    Denied,
-    /// The endpoint has not run it, because results of stages are gone.
-    InputsGone,
-    /// Nothing was sent.
-    Unsent,
-    /// It may have run, and its answer is lost.
-    Lost,
-}
-
 impl ForwardRun {
     /// A request whose body is there; nothing is sent yet.
     pub(super) fn new(
@@ -118,9 +76,10 @@
             Some(proof) => GatewayRefusal::NotRun {
                 proof,
                 reason,
-                retry_after: match reason {
-                    NotRunReason::Quarantined => QUARANTINE_TIME,
-                    _ => retry_after(),
+                retry_after: if reason == NotRunReason::Quarantined {
+                    QUARANTINE_TIME
+                } else {
+                    retry_after()
                 },
             },
             None if self.context.remaining(Instant::now()).is_zero() => GatewayRefusal::TimedOut,
@@ -129,7 +88,7 @@
     }
 
     /// Refuses a request under which endpoints crash, however far it has come.
-    fn check_quarantine(&self) -> Result<(), GatewayRefusal> {
+    pub(super) fn check_quarantine(&self) -> Result<(), GatewayRefusal> {
         match self.node.is_quarantined(&self.digest) {
             true => Err(self.refuse_quarantined()),
             false => Ok(()),
@@ -198,263 +157,6 @@
         is_allowed && is_within && has_time && self.node.may_repeat(&self.context.pool)
     }
 
-    /// Whether another endpoint could still get the request, if this one did
-    /// not answer; then waiting for it has an end.
-    fn has_spare(&self) -> bool {
-        let route = &self.context.route;
-        route.kind.is_repeatable() && self.ledger.runs() < route.max_endpoints as usize
-    }
-
-    /// Longest wait for the head of an answer.
-    fn head_time(&self) -> Duration {
-        let remaining = self.context.remaining(Instant::now());
-        if !self.has_spare() {
-            return remaining;
-        }
-        let limit = (self.context.route.objective * HEAD_OBJECTIVES).max(MIN_HEAD_TIME);
-        remaining.min(limit)
-    }
-
-    /// Sends the request to the best endpoint that has not had it yet.
-    async fn attempt(&mut self, last_event: Option<u64>) -> Result<AttemptEnd, GatewayRefusal> {
-        let view = self.node.view.load_full();
-        if self.context.remaining(Instant::now()).is_zero() {
-            return Err(self.refuse(NotRunReason::TimeOver));
-        }
-        let Some(member) = self.choose(&view).await else {
-            return Err(self.refuse(NotRunReason::NoEndpoint));
-        };
-        self.check_quarantine()?;
-        let endpoint = member.endpoint().to_string();
-        let guard = self.node.scores.outstanding.enter(&endpoint);
-        let started = Instant::now();
-        self.ledger.send(&endpoint);
-        log_event!(
-            debug,
-            "attempt_sent",
-            request = self.context.id,
-            endpoint = endpoint,
-            sends = self.ledger.sends(),
-            expected_ms = format!("{:?}", self.placed.as_ref().map(PlacedPrompt::expected_ms)),
-            remaining_ms = self.context.remaining(started).as_millis()
-        );
-        let limit = self.head_time();
-        let sending = self.send_to(&member, last_event);
-        let sent = tokio::select! {
-            sent = tokio::time::timeout(limit, sending) => sent,
-            // Taking it back may keep an endpoint that has not begun it from crashing.
-            () = self.node.until_quarantined(&self.digest) => {
-                return Err(self.refuse_quarantined());
-            }
-        };
-        let (call, response) = match sent {
-            Ok(Ok(sent)) => sent,
-            Ok(Err(CallError::Unsent(reason))) => {
-                self.ledger.deny();
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
-                return Ok(AttemptEnd::Unsent);
-            }
-            Ok(Err(CallError::Broken(reason))) => {
-                self.suspect_crash(&endpoint);
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
-                return Ok(AttemptEnd::Lost);
-            }
-            Ok(Err(CallError::Lost(reason))) => {
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
-                return Ok(AttemptEnd::Lost);
-            }
-            Err(_) => {
-                let reason = "no head in time";
-                self.report(&view, &endpoint, AttemptReport::Failed, reason);
-                return Ok(AttemptEnd::Lost);
-            }
-        };
-        let open = OpenAnswer {
-            response,
-            endpoint,
-            started,
-            call,
-            guard,
-        };
-        self.judge(&view, open).await
-    }
-
-    async fn send_to(
-        &self,
-        member: &PoolMember,
-        last_event: Option<u64>,
-    ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
-        let mut call = EndpointCall::open(member.address(), &member.life).await?;
-        let inputs = self.results.as_ref().map(PlanResults::handles);
-        let order = EndpointOrder {
-            target: EndpointTarget {
-                name: &member.name,
-                address: member.address(),
-            },
-            remaining: self.context.remaining(Instant::now()),
-            workspace: self.context.workspace.as_deref(),
-            rank: matches!(self.context.route.kind, RouteKind::Stream { .. })
-                .then_some(engine_rank(self.context.rank)),
-            inputs,
-            last_event,
-            body_bytes: self.body.len() as u64,
-        };
-        let request = self.node.wire.endpoint_request(&self.parts, &order);
-        let request = request.map(|()| self.body.clone());
-        let response = call.send(request).await?;
-        Ok((call, response))
-    }
-
-    /// Tells an endpoint's own answer from a denial and from bytes that belong
-    /// to something else.
-    async fn judge(
-        &mut self,
-        view: &GatewayView,
-        open: OpenAnswer,
-    ) -> Result<AttemptEnd, GatewayRefusal> {
-        let (parts, body) = open.response.into_parts();
-        let head = self.node.wire.read_endpoint(&parts);
-        let endpoint = open.endpoint;
-        if head.is_other_incarnation || head.not_run {
-            self.ledger.deny();
-            let status = parts.status.as_u16();
-            log_event!(
-                info,
-                "attempt_denied",
-                request = self.context.id,
-                endpoint = endpoint,
-                status = status,
-                other_incarnation = head.is_other_incarnation
-            );
-            if head.is_other_incarnation {
-                self.report(
-                    view,
-                    &endpoint,
-                    AttemptReport::Failed,
-                    "another incarnation",
-                );
-            }
-            return Ok(match head.inputs_gone {
-                true => AttemptEnd::InputsGone,
-                false => AttemptEnd::Denied,
-            });
-        }
-        let is_ours = head.request_id.as_deref() == Some(&*self.context.id);
-        if !is_ours || !head.is_signed {
-            let reason = match is_ours {
-                true => "the answer is not signed",
-                false => "the answer belongs to another request",
-            };
-            self.report(view, &endpoint, AttemptReport::Failed, reason);
-            return Ok(AttemptEnd::Lost);
-        }
-        if !parts.status.is_success() {
-            self.report(
-                view,
-                &endpoint,
-                AttemptReport::Failed,
-                parts.status.as_str(),
-            );
-            let time = self.context.remaining(Instant::now());
-            let body = tokio::time::timeout(time, read_whole(body)).await;
-            let Ok(Ok(body)) = body else {
-                if let Ok(Err(CallError::Broken(_))) = body {
-                    self.suspect_crash(&endpoint);
-                }
-                return Ok(AttemptEnd::Lost);
-            };
-            self.note_answered(is_delimited(&parts));
-            let mut response = Response::new(body);
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = self.node.wire.caller_headers(&parts);
-            return Ok(AttemptEnd::Failed(response));
-        }
-        Ok(AttemptEnd::Open(Box::new(OpenAnswer {
-            response: Response::from_parts(parts, body),
-            endpoint,
-            started: open.started,
-            call: open.call,
-            guard: open.guard,
-        })))
-    }
-
-    fn report(&self, view: &GatewayView, endpoint: &str, report: AttemptReport, reason: &str) {
-        let pool = &self.context.pool;
-        let records = view.roster.records(pool);
-        self.node.scores.report(pool, records, endpoint, report);
-        if let Some(placed) = &self.placed {
-            let taken = match report {
-                AttemptReport::Succeeded(time) => Some(time),
-                AttemptReport::Failed => None,
-            };
-            self.node.exchange.tell_placed(&self.node, placed, taken);
-        }
-        if report == AttemptReport::Failed {
-            log_event!(
-                info,
-                "attempt_failed",
-                request = self.context.id,
-                digest = self.digest,
-                endpoint = endpoint,
-                reason = reason
-            );
-        }
-    }
-
-    /// Notes that an endpoint may have crashed under the request.
-    pub(super) fn suspect_crash(&self, endpoint: &str) {
-        let view = self.node.view.load();
-        self.node
-            .suspect_crash(&view, &self.context.pool, endpoint, self.digest);
-    }
-
-    /// Notes that an endpoint lived through the request, if its answer shows where it ends.
-    pub(super) fn note_answered(&self, is_delimited: bool) {
-        if is_delimited {
-            self.node.crash_watch.note_answered(self.digest);
-        }
-    }
-
-    /// Notes that an endpoint did well.
-    pub(super) fn report_success(&self, endpoint: &str, time: Duration) {
-        let view = self.node.view.load_full();
-        self.report(&view, endpoint, AttemptReport::Succeeded(time), "");
-    }
-
-    /// Notes that an endpoint failed.
-    pub(super) fn report_failure(&self, endpoint: &str, reason: &str) {
-        let view = self.node.view.load_full();
-        self.report(&view, endpoint, AttemptReport::Failed, reason);
-    }
-
-    async fn take_answer(&mut self, open: OpenAnswer) -> TakenAnswer {
-        match self.context.route.kind {
-            RouteKind::Stream { .. } => return TakenAnswer::Stream(Box::new(open)),
-            RouteKind::Idempotent | RouteKind::NonIdempotent => {}
-        }
-        let (parts, body) = open.response.into_parts();
-        let time = self.head_time();
-        match tokio::time::timeout(time, read_whole(body)).await {
-            Ok(Ok(body)) => {
-                self.report_success(&open.endpoint, open.started.elapsed());
-                self.note_answered(is_delimited(&parts));
-                let mut response = Response::new(whole(body));
-                *response.status_mut() = parts.status;
-                *response.headers_mut() = self.node.wire.caller_headers(&parts);
-                TakenAnswer::Whole(response)
-            }
-            Ok(Err(error)) => {
-                self.suspect_crash(&open.endpoint);
-                self.report_failure(&open.endpoint, &error.to_string());
-                TakenAnswer::Lost
-            }
-            Err(_) => {
-                self.report_failure(&open.endpoint, "no whole answer in time");
-                TakenAnswer::Lost
-            }
-        }
-    }
-
     /// Passes a stream on as it comes.
     fn stream(self, open: OpenAnswer) -> Response<GatewayBody> {
         let (parts, body) = open.response.into_parts();
@@ -501,16 +203,3 @@
         }
     }
 }
-
-/// Whether an answer shows where it ends; one that ends with its connection may be cut.
-pub(super) fn is_delimited(head: &response::Parts) -> bool {
-    let headers = &head.headers;
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
-/// What came of an answer whose head is good.
-enum TakenAnswer {
-    Whole(Response<GatewayBody>),
-    Stream(Box<OpenAnswer>),
-    Lost,
-}
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::watch;
 
-use super::crash_watch::{BrokenCall, CrashWatch};
+use super::crash_watch::CrashWatch;
 use super::endpoint_score::EndpointScores;
 use super::engine_desk::EngineDesk;
 use super::first_event_times::FirstEventTimes;
@@ -13,7 +13,7 @@
 use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::WorkShard;
-use super::{EndpointRoster, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat};
+use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, WireFormat};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 use crate::registry::EntryFollower;
@@ -36,7 +36,7 @@
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
     /// Requests that no endpoint gets.
-    quarantine: watch::Sender<Arc<BTreeSet<RequestDigest>>>,
+    pub(super) quarantine: watch::Sender<Arc<BTreeSet<RequestDigest>>>,
     /// Held while a newer view is made.
     refreshing: Mutex<()>,
     /// Age of knowledge up to which keyed requests are taken.
@@ -115,54 +115,6 @@
             .build();
     }
 
-    /// Adds the size of the quarantine to the metrics.
-    fn register_quarantine(self: &Arc<Self>) {
-        let node = Arc::downgrade(self);
-        let meter = self.metric_set.meter();
-        meter
-            .u64_observable_gauge("savorywalk_gateway_quarantined_requests")
-            .with_description("Requests that no endpoint gets, since endpoints crash under them")
-            .with_callback(move |gauge| {
-                let count = node.upgrade().map(|node| node.quarantine.borrow().len());
-                gauge.observe(count.unwrap_or(0) as u64, &[]);
-            })
-            .build();
-    }
-
-    /// Whether endpoints crash under a request, as far as is known now.
-    pub(super) fn is_quarantined(&self, digest: &RequestDigest) -> bool {
-        self.take_news();
-        self.quarantine.borrow().contains(digest)
-    }
-
-    /// Waits until a request comes into quarantine.
-    pub(super) async fn until_quarantined(&self, digest: &RequestDigest) {
-        self.take_news();
-        let mut quarantine = self.quarantine.subscribe();
-        let waiting = quarantine.wait_for(|digests| digests.contains(digest));
-        if waiting.await.is_err() {
-            // Whoever would tell of it is gone, so it never comes.
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Notes that an endpoint of `pool` may have crashed under a request.
-    pub(super) fn suspect_crash(
-        &self,
-        view: &GatewayView,
-        pool: &str,
-        endpoint: &str,
-        digest: RequestDigest,
-    ) {
-        let mut members = view.roster.pool(pool).iter();
-        let member = members.find(|member| member.endpoint() == endpoint);
-        self.crash_watch.note_broken(BrokenCall {
-            endpoint: endpoint.to_string(),
-            address: member.map(PoolMember::address),
-            digest,
-        });
-    }
-
     /// Whether callers may be sent here: a document is in force, it is known
     /// to be the newest, and no stop has begun.
     pub(super) fn is_ready(&self) -> bool {
@@ -210,7 +162,7 @@
         ViewKnowledge::new(self.view.load_full(), confirmed)
     }
 
-    fn take_news(&self) {
+    pub(super) fn take_news(&self) {
         if self.view.load().news != self.follower.news() {
             self.refresh();
         }
@@ -286,28 +238,6 @@
         }
     }
 
-    /// Takes the requests in quarantine into force, and speaks for those among them that
-    /// were answered here lately.
-    fn take_quarantine(&self, digests: Arc<BTreeSet<RequestDigest>>) {
-        let before = Arc::clone(&self.quarantine.borrow());
-        if before == digests {
-            return;
-        }
-        let added: Vec<&RequestDigest> = digests.difference(&before).collect();
-        let removed: Vec<&RequestDigest> = before.difference(&digests).collect();
-        log_event!(
-            info,
-            "quarantine_in_force",
-            requests = digests.len(),
-            added = format!("{added:?}"),
-            removed = format!("{removed:?}")
-        );
-        for digest in added {
-            self.crash_watch.dispute(digest);
-        }
-        self.quarantine.send_replace(Arc::clone(&digests));
-    }
-
     /// Counts the first send of a request to `pool`.
     pub(super) fn note_first(&self, pool: &str) {
         self.retry_window(pool, |window| window.note_first(Instant::now()));
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -3,7 +3,8 @@
 
 use super::call_surface::{BodyError, GatewayBody};
 use super::endpoint_call::EndpointCall;
-use super::forward_run::{ForwardRun, is_delimited};
+use super::forward_attempt::is_delimited;
+use super::forward_run::ForwardRun;
 use super::{EventSplitter, RouteKind};
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
