Have a resend wait for control's word on the crash before it

Callers saw a stream that broke off twice: the resend of the try that took down the third endpoint took down a fourth 10 ms later, before control had decided; and where the first crashes were not seen (an entry killed, a cut), that one send is one more than the three which may follow. Change: a resend after a cut waits until its crash is decided and the list is here, 200 ms at most; pieces likewise. A timeout counts as a crash, too, when nobody listens at the endpoint's address any more; silence alone is none, since overload looks like it.

--- a/crates/savorywalk/src/gateway/crash_report.rs
+++ b/crates/savorywalk/src/gateway/crash_report.rs
@@ -1,4 +1,4 @@
-use super::crash_watch::BrokenCall;
+use super::crash_watch::{BrokenCall, CallBreak, VerdictSender};
 use crate::prelude::*;
 use crate::quarantine::{EndpointCrash, MAX_SUSPECTS, QuarantineCommand, RequestDigest};
 
@@ -11,13 +11,25 @@
 #[derive(Debug, Default)]
 struct BrokenEndpoint {
     address: Option<SocketAddr>,
+    was_cut: bool,
     digests: BTreeSet<RequestDigest>,
+    waiting: Vec<VerdictSender>,
+}
+
+/// A report, and who waits until control has decided on it.
+#[derive(Debug, Default)]
+pub(super) struct CrashReport {
+    pub(super) command: QuarantineCommand,
+    /// Told by being dropped.
+    pub(super) waiting: Vec<VerdictSender>,
 }
 
 impl BrokenCalls {
-    pub(super) fn add(&mut self, call: BrokenCall) {
+    pub(super) fn add(&mut self, call: BrokenCall, waiting: VerdictSender) {
         let endpoint = self.by_endpoint.entry(call.endpoint).or_default();
         endpoint.address = call.address;
+        endpoint.was_cut |= call.how == CallBreak::Cut;
+        endpoint.waiting.push(waiting);
         if endpoint.digests.len() < MAX_SUSPECTS {
             endpoint.digests.insert(call.digest);
         }
@@ -28,6 +40,12 @@
         endpoints.map(|(name, endpoint)| (name.as_str(), endpoint.address))
     }
 
+    /// Whether a call at an endpoint was cut, and did not only take too long.
+    pub(super) fn was_cut(&self, endpoint: &str) -> bool {
+        let endpoint = self.by_endpoint.get(endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.was_cut)
+    }
+
     /// Digests of the requests at an endpoint, for a log line.
     pub(super) fn text_of(&self, endpoint: &str) -> String {
         let endpoint = self.by_endpoint.get(endpoint);
@@ -43,17 +61,21 @@
 
 /// The reports that tell of crashes beside what `first` holds, each of a size that
 /// control takes.
-pub(super) fn reports_of(first: QuarantineCommand, crashes: BrokenCalls) -> Vec<QuarantineCommand> {
+pub(super) fn reports_of(first: QuarantineCommand, crashes: BrokenCalls) -> Vec<CrashReport> {
     let mut reports = Vec::new();
-    let mut report = first;
-    let mut digests = report.answered.len() + report.refused.len();
+    let mut digests = first.answered.len() + first.refused.len();
+    let mut report = CrashReport {
+        command: first,
+        waiting: Vec::new(),
+    };
     for (endpoint, broken) in crashes.by_endpoint {
         if digests + broken.digests.len() > MAX_SUSPECTS {
             reports.push(std::mem::take(&mut report));
             digests = 0;
         }
         digests += broken.digests.len();
-        report.crashes.push(EndpointCrash {
+        report.waiting.extend(broken.waiting);
+        report.command.crashes.push(EndpointCrash {
             endpoint,
             digests: broken
                 .digests
@@ -63,7 +85,7 @@
         });
     }
     reports.push(report);
-    reports.retain(|report| *report != QuarantineCommand::default());
+    reports.retain(|report| report.command != QuarantineCommand::default());
     reports
 }
 
--- a/crates/savorywalk/src/gateway/crash_report_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_report_tests.rs
@@ -1,3 +1,5 @@
+use tokio::sync::oneshot;
+
 use super::*;
 
 fn digest(number: u64) -> RequestDigest {
@@ -10,6 +12,7 @@
     BrokenCall {
         endpoint: format!("e-{endpoint}"),
         address: None,
+        how: CallBreak::Cut,
         digest: digest(number),
     }
 }
@@ -25,11 +28,12 @@
 fn many_crashes_are_told_in_reports_of_a_bounded_size() {
     let mut calls = BrokenCalls::default();
     for number in 0..2_000 {
-        calls.add(broken(number % 20, number));
+        let (waiting, _) = oneshot::channel();
+        calls.add(broken(number % 20, number), waiting);
     }
     let reports = reports_of(QuarantineCommand::default(), calls);
     let sizes = reports.iter().map(|report| {
-        let crashes = report.crashes.iter();
+        let crashes = report.command.crashes.iter();
         crashes.map(|crash| crash.digests.len()).sum::<usize>()
     });
     let sizes: Vec<usize> = sizes.collect();
--- a/crates/savorywalk/src/gateway/crash_watch.rs
+++ b/crates/savorywalk/src/gateway/crash_watch.rs
@@ -1,9 +1,9 @@
 use opentelemetry::metrics::{Counter, Meter};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::answered_requests::AnsweredRequests;
-use super::crash_report::{BrokenCalls, reports_of};
+use super::crash_report::{BrokenCalls, CrashReport, reports_of};
 use crate::prelude::*;
 use crate::quarantine::{QUARANTINE_TIME, QuarantineCommand, RequestDigest};
 use crate::registry::EntryFollower;
@@ -19,6 +19,10 @@
 /// one that does not answer by now serves nobody either.
 const LOOK_TIME: Duration = Duration::from_millis(200);
 
+/// Longest wait of a resend for control's word: several times what it takes with a leader,
+/// and less than callers notice beside the stages that a resend needs.
+const VERDICT_TIME: Duration = Duration::from_millis(200);
+
 /// Pause before control is told again: at first a part of an election, then longer, as
 /// control may be gone for long or run an older version.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -44,7 +48,7 @@
 #[derive(Debug)]
 pub(super) enum WatchNote {
     /// A call broke off while it was worked on.
-    Broken(BrokenCall),
+    Broken(BrokenCall, VerdictSender),
     /// A request in quarantine has come again.
     Refused(RequestDigest),
     /// A request in quarantine was answered lately.
@@ -58,10 +62,50 @@
     pub(super) endpoint: String,
     /// Where it took work; `None` when control has told already that it is gone.
     pub(super) address: Option<SocketAddr>,
+    /// How it broke off.
+    pub(super) how: CallBreak,
     /// What it was about.
     pub(super) digest: RequestDigest,
 }
 
+/// How a call broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallBreak {
+    /// The connection ended before the answer.
+    Cut,
+    /// No answer came in time.
+    Late,
+}
+
+/// Ends a wait for control's word when it is dropped.
+pub(super) type VerdictSender = oneshot::Sender<()>;
+
+/// A wait for control's word on a call that broke off: whether its endpoint crashed, and
+/// whether the request is taken for the cause.
+#[derive(Debug)]
+pub(super) struct VerdictWait(oneshot::Receiver<()>);
+
+impl VerdictWait {
+    /// Waits for a short while, since a resend that is right had better go.
+    pub(super) async fn hear(self) {
+        // Nothing is ever sent: the end of the sender is the word.
+        if tokio::time::timeout(VERDICT_TIME, self.0).await.is_err() {
+            log_event!(debug, "verdict_late");
+        }
+    }
+}
+
+/// What is seen of an endpoint whose calls broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndpointLook {
+    /// It takes connections.
+    Takes,
+    /// Nobody listens at its address.
+    Refuses,
+    /// Nothing answers.
+    Silent,
+}
+
 impl CrashWatch {
     /// Starts the watch on the runtime that is entered.
     pub(super) fn start(follower: &Arc<EntryFollower>, meter: &Meter) -> Self {
@@ -84,10 +128,12 @@
     }
 
     /// Notes that a call broke off, unless its request was answered lately elsewhere.
-    pub(super) fn note_broken(&self, call: BrokenCall) {
+    pub(super) fn note_broken(&self, call: BrokenCall) -> VerdictWait {
+        let (sender, word) = oneshot::channel();
         if !self.answered.has(Instant::now(), &call.digest) {
-            self.note(WatchNote::Broken(call));
+            self.note(WatchNote::Broken(call, sender));
         }
+        VerdictWait(word)
     }
 
     /// Notes that a request in quarantine has come again.
@@ -121,7 +167,7 @@
     /// When control was last told that a request still comes.
     told: FastMap<RequestDigest, Instant>,
     /// Reports that control has not taken yet, oldest first.
-    untold: VecDeque<QuarantineCommand>,
+    untold: VecDeque<CrashReport>,
     /// Pause before control is told again.
     pause: Duration,
 }
@@ -147,11 +193,11 @@
 
     /// Keeps reports until control has taken them. While it has no leader a deadly request
     /// goes on, and what was seen of it must count as soon as there is one.
-    fn keep(&mut self, reports: Vec<QuarantineCommand>) {
+    fn keep(&mut self, reports: Vec<CrashReport>) {
         self.untold.extend(reports);
         while self.untold.len() > MAX_UNTOLD {
             let lost = self.untold.pop_front();
-            let crashes = lost.map_or(0, |report| report.crashes.len());
+            let crashes = lost.map_or(0, |report| report.command.crashes.len());
             log_event!(warn, "crash_report_lost", crashes = crashes);
         }
     }
@@ -159,29 +205,39 @@
     /// Tells control what it has not taken yet, until it can't take more.
     async fn tell_all(&mut self) {
         while let Some(report) = self.untold.front() {
-            if let Err(reason) = self.follower.report(report.clone()).await {
-                log_event!(
-                    debug,
-                    "crash_report_untaken",
-                    untold = self.untold.len(),
-                    reason = reason
-                );
-                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-                return;
+            let outcome = match self.follower.report(report.command.clone()).await {
+                Ok(outcome) => outcome,
+                Err(reason) => {
+                    log_event!(
+                        debug,
+                        "crash_report_untaken",
+                        untold = self.untold.len(),
+                        reason = reason
+                    );
+                    self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                    return;
+                }
+            };
+            self.pause = FIRST_PAUSE;
+            if !report.waiting.is_empty() {
+                // Whoever waits looks at the list next.
+                let reaching = self.follower.reach_quarantine(outcome.revision);
+                if tokio::time::timeout(VERDICT_TIME, reaching).await.is_err() {
+                    log_event!(debug, "quarantine_not_reached", revision = outcome.revision);
+                }
             }
             self.untold.pop_front();
-            self.pause = FIRST_PAUSE;
         }
     }
 
     /// What control is to be told of some notes.
-    async fn sort(&mut self, notes: Vec<WatchNote>) -> Vec<QuarantineCommand> {
+    async fn sort(&mut self, notes: Vec<WatchNote>) -> Vec<CrashReport> {
         let now = Instant::now();
         let mut broken = BrokenCalls::default();
         let mut command = QuarantineCommand::default();
         for note in notes {
             match note {
-                WatchNote::Broken(call) => broken.add(call),
+                WatchNote::Broken(call, waiting) => broken.add(call, waiting),
                 WatchNote::Refused(digest) if self.is_due(now, digest) => {
                     command.refused.push(digest.to_bytes());
                 }
@@ -190,14 +246,20 @@
             }
         }
         let looks = broken.endpoints().map(|(endpoint, address)| async move {
-            let is_gone = match address {
-                Some(address) => !takes_connections(address).await,
-                None => true,
+            let look = match address {
+                Some(address) => look_at(address).await,
+                None => EndpointLook::Refuses,
             };
-            (endpoint.to_string(), is_gone)
+            (endpoint.to_string(), look)
         });
         let looks = futures::future::join_all(looks).await;
-        for (endpoint, is_gone) in looks {
+        for (endpoint, look) in looks {
+            // One that is overloaded is silent, too, but it cuts nothing off.
+            let is_gone = match look {
+                EndpointLook::Takes => false,
+                EndpointLook::Refuses => true,
+                EndpointLook::Silent => broken.was_cut(&endpoint),
+            };
             log_event!(
                 info,
                 "endpoint_calls_broken",
@@ -236,9 +298,13 @@
 
 /// Whether an endpoint still takes connections: a call can break for other reasons than
 /// the end of the process, and those speak against no request.
-async fn takes_connections(address: SocketAddr) -> bool {
+async fn look_at(address: SocketAddr) -> EndpointLook {
     let connecting = tokio::time::timeout(LOOK_TIME, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+    match connecting.await {
+        Ok(Ok(_)) => EndpointLook::Takes,
+        Ok(Err(_)) => EndpointLook::Refuses,
+        Err(_) => EndpointLook::Silent,
+    }
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/gateway/crash_watch_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_watch_tests.rs
@@ -1,4 +1,5 @@
 use tokio::net::TcpListener;
+use tokio::sync::oneshot::error::TryRecvError;
 
 use super::*;
 use crate::gateway::plain_wire_tests::node;
@@ -25,9 +26,9 @@
 async fn an_endpoint_that_takes_connections_has_not_crashed() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    assert!(takes_connections(address).await);
+    assert_eq!(look_at(address).await, EndpointLook::Takes);
     drop(listener);
-    assert!(!takes_connections(address).await);
+    assert_eq!(look_at(address).await, EndpointLook::Refuses);
 }
 
 /// No other task runs between the news and the requests that wait.
@@ -75,20 +76,69 @@
     }
 }
 
+fn broken(address: SocketAddr, how: CallBreak) -> BrokenCall {
+    BrokenCall {
+        endpoint: "e".into(),
+        address: Some(address),
+        how,
+        digest: digest(1),
+    }
+}
+
+/// A resend had better not wait where nothing has crashed.
+#[tokio::test]
+async fn whoever_was_cut_off_by_an_endpoint_that_lives_waits_for_nobody() {
+    let mut task = task();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, word) = oneshot::channel();
+    let note = WatchNote::Broken(broken(address, CallBreak::Cut), sender);
+    let reports = task.sort(vec![note]).await;
+    assert!(reports.is_empty());
+    assert!(word.await.is_err());
+}
+
+/// The end of a process may show as an answer that does not come, too.
+#[tokio::test]
+async fn an_endpoint_that_is_gone_has_crashed_however_it_showed() {
+    let mut task = task();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    for how in [CallBreak::Cut, CallBreak::Late] {
+        let (sender, mut word) = oneshot::channel();
+        let note = WatchNote::Broken(broken(address, how), sender);
+        let reports = task.sort(vec![note]).await;
+        assert_eq!(
+            reports[0].command.crashes[0].digests,
+            [digest(1).to_bytes()]
+        );
+        assert!(
+            word.try_recv()
+                .is_err_and(|error| error == TryRecvError::Empty)
+        );
+        drop(reports);
+        assert!(word.await.is_err());
+    }
+}
+
 /// Without control a deadly request goes on, so what was seen of it counts later.
 #[tokio::test]
 async fn reports_that_control_does_not_take_are_kept_up_to_a_bound() {
     let mut task = task();
     for number in 0..MAX_UNTOLD as u64 + 10 {
-        let report = QuarantineCommand {
+        let command = QuarantineCommand {
             forget_through: number,
             ..Default::default()
         };
-        task.keep(vec![report]);
+        task.keep(vec![CrashReport {
+            command,
+            waiting: Vec::new(),
+        }]);
     }
     task.tell_all().await;
     assert_eq!(task.untold.len(), MAX_UNTOLD);
-    assert_eq!(task.untold[0].forget_through, 10);
+    assert_eq!(task.untold[0].command.forget_through, 10);
     assert_eq!(task.pause, FIRST_PAUSE * 2);
 }
 
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -4,6 +4,7 @@
 use hyper::http::response;
 
 use super::call_surface::{GatewayBody, whole};
+use super::crash_watch::CallBreak;
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::forward_run::ForwardRun;
 use super::gateway_view::GatewayView;
@@ -74,6 +75,7 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<AttemptEnd, GatewayRefusal> {
+        self.hear_verdict().await?;
         let view = self.node.view.load_full();
         if self.context.remaining(Instant::now()).is_zero() {
             return Err(self.refuse(NotRunReason::TimeOver));
@@ -112,7 +114,7 @@
                 return Ok(AttemptEnd::Unsent);
             }
             Ok(Err(CallError::Broken(reason))) => {
-                self.suspect_crash(&endpoint);
+                self.suspect_crash(&endpoint, CallBreak::Cut);
                 self.report(&view, &endpoint, AttemptReport::Failed, &reason);
                 return Ok(AttemptEnd::Lost);
             }
@@ -121,6 +123,7 @@
                 return Ok(AttemptEnd::Lost);
             }
             Err(_) => {
+                self.suspect_crash(&endpoint, CallBreak::Late);
                 let reason = "no head in time";
                 self.report(&view, &endpoint, AttemptReport::Failed, reason);
                 return Ok(AttemptEnd::Lost);
@@ -215,9 +218,11 @@
             let time = self.context.remaining(Instant::now());
             let body = tokio::time::timeout(time, read_whole(body)).await;
             let Ok(Ok(body)) = body else {
-                if let Ok(Err(CallError::Broken(_))) = body {
-                    self.suspect_crash(&endpoint);
-                }
+                let how = match body {
+                    Err(_) => CallBreak::Late,
+                    Ok(_) => CallBreak::Cut,
+                };
+                self.suspect_crash(&endpoint, how);
                 return Ok(AttemptEnd::Lost);
             };
             self.note_answered(is_delimited(&parts));
@@ -259,10 +264,14 @@
     }
 
     /// Notes that an endpoint may have crashed under the request.
-    pub(super) fn suspect_crash(&self, endpoint: &str) {
+    pub(super) fn suspect_crash(&mut self, endpoint: &str, how: CallBreak) {
         let view = self.node.view.load();
-        self.node
-            .suspect_crash(&view, &self.context.pool, endpoint, self.digest);
+        let pool = &self.context.pool;
+        let verdict = self
+            .node
+            .suspect_crash(&view, pool, endpoint, how, self.digest);
+        // What only took too long has waited long enough.
+        self.verdict = (how == CallBreak::Cut).then_some(verdict);
     }
 
     /// Notes that an endpoint lived through the request, if its answer shows where it ends.
@@ -301,11 +310,12 @@
                 TakenAnswer::Whole(response)
             }
             Ok(Err(error)) => {
-                self.suspect_crash(&open.endpoint);
+                self.suspect_crash(&open.endpoint, CallBreak::Cut);
                 self.report_failure(&open.endpoint, &error.to_string());
                 TakenAnswer::Lost
             }
             Err(_) => {
+                self.suspect_crash(&open.endpoint, CallBreak::Late);
                 self.report_failure(&open.endpoint, "no whole answer in time");
                 TakenAnswer::Lost
             }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 
 use super::call_surface::{GatewayBody, whole};
+use super::crash_watch::VerdictWait;
 use super::forward_attempt::{AttemptEnd, OpenAnswer, TakenAnswer, is_delimited};
 use super::gateway_node::GatewayNode;
 use super::plan_results::PlanResults;
@@ -37,6 +38,8 @@
     pub(super) results: Option<PlanResults>,
     /// Where the last attempt went, when one entry placed it for all.
     pub(super) placed: Option<PlacedPrompt>,
+    /// Control's word on the call that broke off last, which a resend waits for.
+    pub(super) verdict: Option<VerdictWait>,
     /// Answer of an endpoint that failed, for when no other does better.
     last_answer: Option<Response<Bytes>>,
 }
@@ -60,6 +63,7 @@
             ledger: RunLedger::default(),
             results: None,
             placed: None,
+            verdict: None,
             last_answer: None,
         }
     }
@@ -95,6 +99,15 @@
         }
     }
 
+    /// Waits for what control makes of the crash before: the third one under a request
+    /// must not be followed by a fourth.
+    pub(super) async fn hear_verdict(&mut self) -> Result<(), GatewayRefusal> {
+        if let Some(verdict) = self.verdict.take() {
+            verdict.hear().await;
+        }
+        self.check_quarantine()
+    }
+
     pub(super) fn refuse_quarantined(&self) -> GatewayRefusal {
         self.node.crash_watch.note_refused(self.digest);
         log_event!(
@@ -183,7 +196,7 @@
 
     /// Sends the request to another endpoint, which goes on after `last_event`.
     pub(super) async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenAnswer> {
-        if !self.may_send_again() {
+        if !self.may_send_again() || self.hear_verdict().await.is_err() {
             return None;
         }
         if self.results.is_none() && self.work_on_stages().await.is_err() {
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -2,6 +2,7 @@
 
 use tokio::sync::{Notify, mpsc};
 
+use super::crash_watch::CallBreak;
 use super::endpoint_call::CallError;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -300,25 +301,31 @@
                     pieces = call.pieces.len(),
                     reason = error
                 );
+                self.state().queue.deny(Instant::now(), &call.endpoint);
                 if let CallError::Broken(_) = error {
-                    self.suspect(&view, &call);
+                    self.suspect(&view, &call).await;
                 }
-                self.state().queue.deny(Instant::now(), &call.endpoint);
                 self.send_back(call.pieces, true);
             }
         }
         self.wake();
     }
 
-    /// Notes a call whose endpoint may have crashed under it.
-    fn suspect(&self, view: &GatewayView, call: &PieceCall) {
+    /// Notes a call whose endpoint may have crashed under it, and waits for control's word
+    /// on that before its pieces go to others.
+    async fn suspect(&self, view: &GatewayView, call: &PieceCall) {
+        let mut verdict = None;
         for piece in &call.pieces {
             piece.task.isolate();
             if let Some(digest) = piece.task.digest {
-                self.node
-                    .suspect_crash(view, &self.pool, &call.endpoint, digest);
+                let (pool, endpoint) = (&self.pool, &call.endpoint);
+                let how = CallBreak::Cut;
+                verdict = Some(self.node.suspect_crash(view, pool, endpoint, how, digest));
             }
         }
+        if let Some(verdict) = verdict {
+            verdict.hear().await;
+        }
     }
 
     fn end_call(&self, call: &PieceCall, profile: PieceProfile, load: Option<super::LoadReport>) {
--- a/crates/savorywalk/src/gateway/quarantine_gate.rs
+++ b/crates/savorywalk/src/gateway/quarantine_gate.rs
@@ -1,5 +1,5 @@
 use super::PoolMember;
-use super::crash_watch::BrokenCall;
+use super::crash_watch::{BrokenCall, CallBreak, VerdictWait};
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use crate::prelude::*;
@@ -44,15 +44,17 @@
         view: &GatewayView,
         pool: &str,
         endpoint: &str,
+        how: CallBreak,
         digest: RequestDigest,
-    ) {
+    ) -> VerdictWait {
         let mut members = view.roster.pool(pool).iter();
         let member = members.find(|member| member.endpoint() == endpoint);
         self.crash_watch.note_broken(BrokenCall {
             endpoint: endpoint.to_string(),
             address: member.map(PoolMember::address),
+            how,
             digest,
-        });
+        })
     }
 
     /// Takes the requests in quarantine into force, and speaks for those among them that
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -2,6 +2,7 @@
 use hyper::body::{Frame, Incoming};
 
 use super::call_surface::{BodyError, GatewayBody};
+use super::crash_watch::CallBreak;
 use super::endpoint_call::EndpointCall;
 use super::forward_attempt::is_delimited;
 use super::forward_run::ForwardRun;
@@ -209,10 +210,16 @@
         }
     }
 
+    fn suspect_crash(&mut self, how: CallBreak) {
+        self.run.suspect_crash(&self.source.endpoint, how);
+    }
+
     /// Goes on at another endpoint; false when that is not allowed or fails.
     async fn go_on(&mut self, reason: &StreamBreak) -> bool {
-        if let StreamBreak::Cut(_) = reason {
-            self.run.suspect_crash(&self.source.endpoint);
+        match reason {
+            StreamBreak::Cut(_) => self.suspect_crash(CallBreak::Cut),
+            StreamBreak::Late => self.suspect_crash(CallBreak::Late),
+            StreamBreak::NoData => {}
         }
         self.run
             .report_failure(&self.source.endpoint, &reason.to_string());
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -9,11 +9,12 @@
     BootClock, BootTime, Confirmation, FollowNews, FollowOutcome, FollowPace, FollowReply,
     FollowState, MemberRing,
 };
+use crate::control::{ControlOutcome, ControlVerdict};
 use crate::generated::control_link::control_call::Call;
 use crate::generated::control_link::control_response::Response;
 use crate::generated::control_link::{ControlCall, ControlResponse};
 use crate::prelude::*;
-use crate::quarantine::QuarantineCommand;
+use crate::quarantine::{QuarantineCommand, QuarantineOutcome};
 use crate::transport::{LinkChannel, LinkHub, PeerName};
 
 /// Pause after a failed call, so that a deployment without control is no busy
@@ -126,7 +127,10 @@
 
     /// Has control decide what this entry has seen of requests under which endpoints
     /// crash, by the daemon that it follows; the reason when it was not decided.
-    pub async fn report(&self, report: QuarantineCommand) -> std::result::Result<(), String> {
+    pub async fn report(
+        &self,
+        report: QuarantineCommand,
+    ) -> std::result::Result<QuarantineOutcome, String> {
         let Some(target) = self.asked.borrow().clone() else {
             return Err("no control daemon is known".into());
         };
@@ -134,11 +138,22 @@
             .call(&target, Call::Quarantine(report), REPORT_TIME)
             .await?
         {
-            Response::Outcome(_) => Ok(()),
+            Response::Outcome(ControlOutcome {
+                outcome: Some(ControlVerdict::Quarantine(outcome)),
+            }) => Ok(outcome),
             other => Err(format!("another answer: {other:?}")),
         }
     }
 
+    /// Waits until the requests in quarantine are known here up to a revision.
+    pub async fn reach_quarantine(&self, revision: u64) {
+        let mut news = self.news.subscribe();
+        let reached = |_: &u64| self.read(FollowState::quarantine_revision) >= revision;
+        if news.wait_for(reached).await.is_err() {
+            log_event!(debug, "follower_ended");
+        }
+    }
+
     async fn follow_once(&self, ring: &mut MemberRing, pace: &mut FollowPace) {
         ring.set_seeds(self.seeds.borrow().clone());
         let Some(target) = ring.current().cloned() else {
