--- a/crates/savorywalk/src/gateway/crash_report.rs
+++ b/crates/savorywalk/src/gateway/crash_report.rs
@@ -2,6 +2,9 @@
 use crate::prelude::*;
 use crate::quarantine::{EndpointCrash, MAX_SUSPECTS, QuarantineCommand, RequestDigest};
 
+/// Most digests of a log line, about a kilobyte.
+const MAX_LOGGED: usize = 32;
+
 /// Calls that broke off together, by endpoint.
 #[derive(Debug, Default)]
 pub(super) struct BrokenCalls {
@@ -46,12 +49,18 @@
         endpoint.is_some_and(|endpoint| endpoint.was_cut)
     }
 
-    /// Digests of the requests at an endpoint, for a log line.
+    /// Digests of the requests at an endpoint, for a log line; of very many the rest is
+    /// counted, and each has its own `attempt_failed`.
     pub(super) fn text_of(&self, endpoint: &str) -> String {
-        let endpoint = self.by_endpoint.get(endpoint);
-        let digests = endpoint.into_iter().flat_map(|endpoint| &endpoint.digests);
+        let Some(endpoint) = self.by_endpoint.get(endpoint) else {
+            return String::new();
+        };
+        let digests = endpoint.digests.iter().take(MAX_LOGGED);
         let texts: Vec<String> = digests.map(ToString::to_string).collect();
-        texts.join(",")
+        match endpoint.digests.len().saturating_sub(MAX_LOGGED) {
+            0 => texts.join(","),
+            more => format!("{},+{more}", texts.join(",")),
+        }
     }
 
     pub(super) fn remove(&mut self, endpoint: &str) {
--- a/crates/savorywalk/src/gateway/crash_report_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_report_tests.rs
@@ -17,6 +17,18 @@
     }
 }
 
+#[test]
+fn a_log_line_is_bounded() {
+    let mut calls = BrokenCalls::default();
+    for number in 0..40 {
+        let (waiting, _) = oneshot::channel();
+        calls.add(broken(1, number), waiting);
+    }
+    let text = calls.text_of("e-1");
+    assert_eq!(text.split(',').count(), MAX_LOGGED + 1);
+    assert!(text.ends_with(",+8"), "{text}");
+}
+
 #[test]
 fn nothing_is_told_where_nothing_was_seen() {
     let reports = reports_of(QuarantineCommand::default(), BrokenCalls::default());
