Split crash reports that control can't read, drop unreadable ones

Callers saw: nothing yet. An entry with more than 512 digests of answered or refused requests in 20 ms sent one report that control refuses as unreadable; it stayed at the head and all later reports of crashes waited behind it.

Cause: reports_of split crashes alone, and the refusal read like 'not decided', so it was sent again for ever. Ruled out: raising control's bound, since a command of the log must stay small.

Change: answered and refused requests are split as crashes are; control answers an unreadable report with Malformed, upon which the entry drops it with a log line.

Tests: many_answered_and_refused_requests_are_reported_in_parts (1,401 digests, was one report of 1,401), a_report_that_control_cannot_read_holds_nobody_up.

--- a/crates/savorywalk/src/gateway/crash_report.rs
+++ b/crates/savorywalk/src/gateway/crash_report.rs
@@ -68,15 +68,12 @@
     }
 }
 
-/// The reports that tell of crashes beside what `first` holds, each of a size that
-/// control takes.
-pub(super) fn reports_of(first: QuarantineCommand, crashes: BrokenCalls) -> Vec<CrashReport> {
-    let mut reports = Vec::new();
-    let mut digests = first.answered.len() + first.refused.len();
-    let mut report = CrashReport {
-        command: first,
-        waiting: Vec::new(),
-    };
+/// The reports of some crashes and of what else `seen` holds, each of a size that control
+/// takes: a larger one is refused whole.
+pub(super) fn reports_of(seen: QuarantineCommand, crashes: BrokenCalls) -> Vec<CrashReport> {
+    let mut reports = digest_reports(seen);
+    let mut report = reports.pop().unwrap_or_default();
+    let mut digests = report.command.answered.len() + report.command.refused.len();
     for (endpoint, broken) in crashes.by_endpoint {
         if digests + broken.digests.len() > MAX_SUSPECTS {
             reports.push(std::mem::take(&mut report));
@@ -98,6 +95,30 @@
     reports
 }
 
+/// Reports of the answered and of the refused requests.
+fn digest_reports(seen: QuarantineCommand) -> Vec<CrashReport> {
+    let answered = seen.answered.chunks(MAX_SUSPECTS).map(|answered| {
+        let answered = answered.to_vec();
+        QuarantineCommand {
+            answered,
+            ..Default::default()
+        }
+    });
+    let refused = seen.refused.chunks(MAX_SUSPECTS).map(|refused| {
+        let refused = refused.to_vec();
+        QuarantineCommand {
+            refused,
+            ..Default::default()
+        }
+    });
+    let commands = answered.chain(refused);
+    let reports = commands.map(|command| CrashReport {
+        command,
+        waiting: Vec::new(),
+    });
+    reports.collect()
+}
+
 #[cfg(test)]
 #[path = "crash_report_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/gateway/crash_report_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_report_tests.rs
@@ -52,3 +52,27 @@
     assert_eq!(sizes.iter().sum::<usize>(), 2_000);
     assert!(sizes.iter().all(|size| *size <= MAX_SUSPECTS), "{sizes:?}");
 }
+
+/// Callers of one workspace may all resend requests that were answered lately.
+#[test]
+fn many_answered_and_refused_requests_are_reported_in_parts() {
+    let digests = |from: u64| (from..from + 700).map(|number| digest(number).to_bytes());
+    let seen = QuarantineCommand {
+        answered: digests(0).collect(),
+        refused: digests(700).collect(),
+        ..Default::default()
+    };
+    let mut calls = BrokenCalls::default();
+    let (waiting, _) = oneshot::channel();
+    calls.add(broken(1, 1_400), waiting);
+    let reports = reports_of(seen, calls);
+    let sizes = reports.iter().map(|report| {
+        let command = &report.command;
+        let crashes = command.crashes.iter();
+        let of_crashes: usize = crashes.map(|crash| crash.digests.len()).sum();
+        of_crashes + command.answered.len() + command.refused.len()
+    });
+    let sizes: Vec<usize> = sizes.collect();
+    assert_eq!(sizes.iter().sum::<usize>(), 1_401);
+    assert!(sizes.iter().all(|size| *size <= MAX_SUSPECTS), "{sizes:?}");
+}
--- a/crates/savorywalk/src/gateway/crash_watch.rs
+++ b/crates/savorywalk/src/gateway/crash_watch.rs
@@ -6,7 +6,7 @@
 use super::crash_report::{BrokenCalls, CrashReport, reports_of};
 use crate::prelude::*;
 use crate::quarantine::{QUARANTINE_TIME, QuarantineCommand, RequestDigest};
-use crate::registry::EntryFollower;
+use crate::registry::{EntryFollower, UntakenReport};
 
 /// Most notes that wait; beyond them, what is seen again is told again.
 const MAX_WAITING: usize = 4_096;
@@ -207,16 +207,8 @@
         while let Some(report) = self.untold.front() {
             let outcome = match self.follower.report(report.command.clone()).await {
                 Ok(outcome) => outcome,
-                Err(reason) => {
-                    log_event!(
-                        debug,
-                        "crash_report_untaken",
-                        untold = self.untold.len(),
-                        reason = reason
-                    );
-                    self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-                    return;
-                }
+                Err(untaken) if self.drop_unreadable(&untaken) => continue,
+                Err(_) => return,
             };
             self.pause = FIRST_PAUSE;
             if !report.waiting.is_empty() {
@@ -230,6 +222,34 @@
         }
     }
 
+    /// Drops the oldest report if control can't read it, since those behind it must not
+    /// wait; any other one is sent again after a pause.
+    fn drop_unreadable(&mut self, untaken: &UntakenReport) -> bool {
+        match untaken {
+            UntakenReport::Unreadable(reason) => {
+                let dropped = self.untold.pop_front();
+                let crashes = dropped.map_or(0, |report| report.command.crashes.len());
+                log_event!(
+                    warn,
+                    "crash_report_unreadable",
+                    crashes = crashes,
+                    reason = reason
+                );
+                true
+            }
+            UntakenReport::Undecided(reason) => {
+                log_event!(
+                    debug,
+                    "crash_report_untaken",
+                    untold = self.untold.len(),
+                    reason = reason
+                );
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                false
+            }
+        }
+    }
+
     /// What control is to be told of some notes.
     async fn sort(&mut self, notes: Vec<WatchNote>) -> Vec<CrashReport> {
         let now = Instant::now();
--- a/crates/savorywalk/src/gateway/crash_watch_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_watch_tests.rs
@@ -151,3 +151,25 @@
     assert!(task.is_due(start, digest(2)));
     assert!(task.is_due(start + REFUSED_INTERVAL, digest(1)));
 }
+
+/// Control of an older version may not know the form of a report.
+#[tokio::test]
+async fn a_report_that_control_cannot_read_holds_nobody_up() {
+    let mut task = task();
+    for number in 1..=2 {
+        let command = QuarantineCommand {
+            forget_through: number,
+            ..Default::default()
+        };
+        task.keep(vec![CrashReport {
+            command,
+            waiting: Vec::new(),
+        }]);
+    }
+    let undecided = UntakenReport::Undecided("no leader".into());
+    assert!(!task.drop_unreadable(&undecided));
+    assert_eq!(task.untold.len(), 2);
+    let unreadable = UntakenReport::Unreadable("too long".into());
+    assert!(task.drop_unreadable(&unreadable));
+    assert_eq!(task.untold[0].command.forget_through, 2);
+}
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -39,6 +39,15 @@
     pub max_age: Duration,
 }
 
+/// Why control has not decided on a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UntakenReport {
+    /// Control can't read it and never will.
+    Unreadable(String),
+    /// It was not decided; it may be sent again.
+    Undecided(String),
+}
+
 /// Follows control for the request path of an entry.
 #[derive(Debug)]
 pub struct EntryFollower {
@@ -126,22 +135,35 @@
     }
 
     /// Has control decide what this entry has seen of requests under which endpoints
-    /// crash, by the daemon that it follows; the reason when it was not decided.
+    /// crash, by the daemon that it follows.
+    ///
+    /// # Errors
+    ///
+    /// [`UntakenReport`] tells whether sending the report again can help.
     pub async fn report(
         &self,
         report: QuarantineCommand,
-    ) -> std::result::Result<QuarantineOutcome, String> {
+    ) -> std::result::Result<QuarantineOutcome, UntakenReport> {
         let Some(target) = self.asked.borrow().clone() else {
-            return Err("no control daemon is known".into());
+            return Err(UntakenReport::Undecided(
+                "no control daemon is known".into(),
+            ));
         };
-        match self
-            .call(&target, Call::Quarantine(report), REPORT_TIME)
-            .await?
-        {
-            Response::Outcome(ControlOutcome {
-                outcome: Some(ControlVerdict::Quarantine(outcome)),
-            }) => Ok(outcome),
-            other => Err(format!("another answer: {other:?}")),
+        let answer = self.call(&target, Call::Quarantine(report), REPORT_TIME);
+        let answer = answer.await.map_err(UntakenReport::Undecided)?;
+        let Response::Outcome(ControlOutcome { outcome }) = answer else {
+            let reason = format!("another answer: {answer:?}");
+            return Err(UntakenReport::Undecided(reason));
+        };
+        match outcome {
+            Some(ControlVerdict::Quarantine(outcome)) => Ok(outcome),
+            Some(ControlVerdict::Malformed(malformed)) => {
+                Err(UntakenReport::Unreadable(malformed.message))
+            }
+            other => {
+                let reason = format!("another outcome: {other:?}");
+                Err(UntakenReport::Undecided(reason))
+            }
         }
     }
 
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -31,7 +31,7 @@
 };
 pub use boot_clock::{BootClock, BootTime};
 pub use endpoint_life::EndpointLife;
-pub use entry_follower::{EntryFollower, FollowOptions};
+pub use entry_follower::{EntryFollower, FollowOptions, UntakenReport};
 pub use follow_pace::{FollowOutcome, FollowPace};
 pub use follow_state::{Confirmation, FollowNews, FollowState, KnownEndpoint};
 pub use member_ring::MemberRing;
--- a/crates/savorywalk/src/registry/quarantine_service.rs
+++ b/crates/savorywalk/src/registry/quarantine_service.rs
@@ -1,5 +1,5 @@
 use super::{RegistryNode, quarantine_intake};
-use crate::control::{ControlBody, ControlOutcome, ControlVerdict};
+use crate::control::{ControlBody, ControlOutcome, ControlVerdict, Malformed};
 use crate::generated::control_link::control_response::Response;
 use crate::prelude::*;
 use crate::quarantine::{
@@ -16,7 +16,11 @@
         if !quarantine_intake::is_sound(&report) {
             let reason = "the report can't be read; run entries and control of one version";
             log_event!(warn, "quarantine_report_unreadable", reason = reason);
-            return Response::Unavailable(reason.into());
+            return Response::Outcome(ControlOutcome {
+                outcome: Some(ControlVerdict::Malformed(Malformed {
+                    message: reason.into(),
+                })),
+            });
         }
         match self.intake.take(report).await {
             Some(outcome) => Response::Outcome(ControlOutcome {
