--- a/crates/daemon/tests/deploy_templates.rs
+++ b/crates/daemon/tests/deploy_templates.rs
@@ -41,6 +41,10 @@
         ("bounds.retryExtra", "52"),
         ("bounds.retryWindowS", "10"),
         ("bounds.graceS", "8"),
+        ("bounds.coldOverage", "1.5"),
+        ("bounds.coldSlack", "5"),
+        ("@", "bole"),
+        (".", "addis"),
     ];
     let fields = fields.into_iter();
     fields
@@ -113,6 +117,9 @@
 #[case(GATEWAY, "bounds.retryExtra", "retry_extra")]
 #[case(GATEWAY, "bounds.retryWindowS", "retry_window_ms")]
 #[case(GATEWAY, "bounds.graceS", "stop_time_ms")]
+#[case(GATEWAY, "bounds.coldOverage", "cold_overage")]
+#[case(GATEWAY, "bounds.coldSlack", "cold_slack")]
+#[case(GATEWAY, "heartbeatMs", "announce_interval_ms")]
 #[case(REGISTRY, "heartbeatMs", "announce_interval_ms")]
 fn a_figure_that_the_platform_does_not_have_leaves_the_default(
     #[case] template: &str,
--- a/crates/savorywalk/src/control/control_machine.rs
+++ b/crates/savorywalk/src/control/control_machine.rs
@@ -5,6 +5,7 @@
 use super::{ControlQuery, ControlReply, ControlState};
 use crate::configuration::DocumentRegister;
 use crate::consensus::ReplicatedMachine;
+use crate::evacuation::EvacuationRegister;
 use crate::prelude::*;
 use crate::quarantine::QuarantineRegister;
 
@@ -16,7 +17,7 @@
     news: watch::Sender<DocumentNews>,
 }
 
-/// How far whole documents, retirements and the quarantine have come here.
+/// How far whole documents, retirements, the quarantine and evacuations have come here.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DocumentNews {
     /// Number of the document in force; 0 for none.
@@ -25,6 +26,8 @@
     pub retired_total: u64,
     /// Revision of the quarantine.
     pub quarantine_revision: u64,
+    /// Revision of the evacuations.
+    pub evacuation_revision: u64,
 }
 
 impl ControlCell {
@@ -39,7 +42,8 @@
         self.version.subscribe()
     }
 
-    /// Changes of the document in force, the retired endpoints and the quarantine.
+    /// Changes of the document in force, the retired endpoints, the quarantine and the
+    /// evacuations.
     pub fn watch_documents(&self) -> watch::Receiver<DocumentNews> {
         self.news.subscribe()
     }
@@ -56,6 +60,12 @@
         read(state.quarantined())
     }
 
+    /// Reads which data centres are evacuated.
+    pub fn read_evacuations<T>(&self, read: impl FnOnce(&EvacuationRegister) -> T) -> T {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        read(state.evacuations())
+    }
+
     /// Index of the last command applied here.
     pub fn index(&self) -> u64 {
         let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
@@ -70,6 +80,7 @@
             number: state.documents().number(),
             retired_total: state.documents().retired_total(),
             quarantine_revision: state.quarantined().revision(),
+            evacuation_revision: state.evacuations().revision(),
         };
         self.news.send_if_modified(|published| {
             let is_news = *published != news;
--- a/crates/savorywalk/src/control/control_state.rs
+++ b/crates/savorywalk/src/control/control_state.rs
@@ -11,6 +11,7 @@
 use crate::configuration::{
     Configuration, ConfigurationRegister, DocumentRegister, claim_retention,
 };
+use crate::evacuation::{EvacuationCommand, EvacuationRegister};
 use crate::orders::{OrderBook, OrderCommand, OrderOutcome, OrderStep, OrderVerdict};
 use crate::prelude::*;
 use crate::quarantine::{QuarantineCommand, QuarantineRegister, RequestDigest};
@@ -39,6 +40,7 @@
     orders: OrderBook,
     documents: DocumentRegister,
     quarantine: QuarantineRegister,
+    evacuations: EvacuationRegister,
 }
 
 /// What the audit trail says of a command; the rest is of the command itself.
@@ -71,6 +73,7 @@
             orders: OrderBook::default(),
             documents: DocumentRegister::default(),
             quarantine: QuarantineRegister::default(),
+            evacuations: EvacuationRegister::default(),
         }
     }
 
@@ -112,6 +115,7 @@
                 ControlVerdict::Noted(Noted {})
             }
             Some(ControlBody::Quarantine(command)) => self.quarantine(&command),
+            Some(ControlBody::Evacuation(command)) => self.evacuate(&command),
             None => malformed("the command has no body that this program knows"),
         };
         ControlOutcome {
@@ -216,6 +220,26 @@
         ControlVerdict::Quarantine(outcome)
     }
 
+    /// A copy of an order that was decided before is no change for the trail.
+    fn evacuate(&mut self, command: &EvacuationCommand) -> ControlVerdict {
+        let before = self.evacuations.revision();
+        let outcome = self.evacuations.apply(command);
+        if outcome.revision > before || !outcome.in_force {
+            self.note(AuditNote {
+                author: "operator",
+                kind: "evacuation",
+                subject: &command.data_center,
+                outcome: match (outcome.in_force, command.evacuated) {
+                    (true, true) => "begun",
+                    (true, false) => "ended",
+                    (false, _) => "refused",
+                },
+                detail: format!("revision {}", outcome.revision),
+            });
+        }
+        ControlVerdict::Evacuation(outcome)
+    }
+
     fn note(&mut self, note: AuditNote<'_>) {
         self.audit.append(AuditEvent {
             stamp_ms: self.stamp_ms,
@@ -269,6 +293,7 @@
             entries: self.claims.live_entries(now_ms) as u64,
             orders: self.orders.outstanding().count() as u64,
             audit_sequence: self.audit.last_sequence(),
+            evacuated: self.evacuations.evacuated().map(Into::into).collect(),
         }
     }
 
@@ -287,6 +312,11 @@
         &self.quarantine
     }
 
+    /// Data centres whose endpoints get no new work.
+    pub fn evacuations(&self) -> &EvacuationRegister {
+        &self.evacuations
+    }
+
     /// The claims.
     pub fn claims(&self) -> &ClaimTable {
         &self.claims
@@ -315,6 +345,7 @@
             orders: Some(self.orders.snapshot()),
             documents: Some(self.documents.snapshot()),
             quarantine: Some(self.quarantine.snapshot()),
+            evacuations: Some(self.evacuations.snapshot()),
         };
         snapshot.encode_to_vec().into()
     }
@@ -340,6 +371,7 @@
         self.orders = OrderBook::restore(snapshot.orders.unwrap_or_default());
         self.documents = DocumentRegister::restore(snapshot.documents.unwrap_or_default());
         self.quarantine = QuarantineRegister::restore(snapshot.quarantine.unwrap_or_default());
+        self.evacuations = EvacuationRegister::restore(snapshot.evacuations.unwrap_or_default());
         Ok(())
     }
 }
--- a/crates/savorywalk/src/control/control_state_tests.rs
+++ b/crates/savorywalk/src/control/control_state_tests.rs
@@ -517,3 +517,36 @@
     assert_eq!(notes, ["quarantined"]);
     assert_eq!(records[0].subject, digest.to_string());
 }
+
+/// An acknowledged order outlasts the loss of every process, and the trail tells of it.
+#[test]
+fn an_evacuation_outlasts_a_snapshot() {
+    let mut state = ControlState::default();
+    let orders = [(true, 0), (true, 0), (false, 1), (true, 2)];
+    for (index, (evacuated, orders_before)) in (1..).zip(orders) {
+        let command = ControlCommand {
+            stamp_ms: index,
+            body: Some(ControlBody::Evacuation(EvacuationCommand {
+                data_center: "a".into(),
+                evacuated,
+                orders_before,
+            })),
+        };
+        state.apply_bytes(index, &command.encode_to_vec());
+    }
+    let mut restored = ControlState::default();
+    restored.restore(&state.snapshot()).unwrap();
+    assert_eq!(restored.evacuations(), state.evacuations());
+    assert!(restored.evacuations().is_evacuated("a"));
+    let records = state.audit().read(0, 10).records;
+    let notes: Vec<&str> = records.iter().map(|record| &*record.outcome).collect();
+    assert_eq!(notes, ["begun", "ended", "begun"]);
+    let status = ControlQuestion::Status(StatusQuery {});
+    let query = ControlQuery {
+        query: Some(status),
+    };
+    let Some(ControlAnswer::Status(status)) = state.query(0, &query).reply else {
+        panic!("a status query gets the status");
+    };
+    assert_eq!(status.evacuated, ["a"]);
+}
--- a/crates/savorywalk/src/gateway/endpoint_roster.rs
+++ b/crates/savorywalk/src/gateway/endpoint_roster.rs
@@ -15,8 +15,10 @@
     /// Whether control has not heard from it lately; then it may be dead, or
     /// only cut off from control.
     pub is_silent: bool,
-    /// Whether it is still slow after its start.
-    pub is_cold: bool,
+    /// Whether it says that it is still slow after its start.
+    pub says_cold: bool,
+    /// Until when it may be cold though its last report says otherwise.
+    pub unproven_until: Option<Instant>,
     /// Ends when the endpoint has started again.
     pub life: EndpointLife,
 }
@@ -27,6 +29,11 @@
         &self.record.announcement.endpoint
     }
 
+    /// Whether it is still slow after its start, or may be.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.says_cold || self.unproven_until.is_some_and(|until| now < until)
+    }
+
     /// Where it takes work.
     pub fn address(&self) -> SocketAddr {
         self.record.announcement.address
@@ -43,6 +50,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRoster {
     pools: BTreeMap<String, PoolRoster>,
+    /// Addresses of the endpoints in evacuated data centres, by identity: they get no new
+    /// work, and finish what they have.
+    evacuated: FastMap<String, SocketAddr>,
 }
 
 /// One pool of a roster; both lists are sorted by name.
@@ -53,13 +63,22 @@
 }
 
 impl EndpointRoster {
-    /// The roster of what is known from control.
-    pub fn of(state: &FollowState) -> Self {
+    /// The roster of what is known from control. The endpoints of a data centre whose
+    /// evacuation has ended may have become cold since their last reports, until they have
+    /// had `report_time` to say so.
+    pub fn of(state: &FollowState, report_time: Duration) -> Self {
         let mut roster = Self::default();
         for known in state.endpoints() {
-            let Some(member) = member_of(known) else {
+            let Some(mut member) = member_of(known) else {
                 continue;
             };
+            let ended = state.evacuations().ended_at(member.data_center());
+            member.unproven_until = ended.map(|ended| ended + report_time);
+            if state.evacuations().is_evacuated(member.data_center()) {
+                let endpoint = member.endpoint().to_string();
+                roster.evacuated.insert(endpoint, member.address());
+                continue;
+            }
             let pool = roster.pools.entry(known.report.pool.clone()).or_default();
             pool.records.push(Arc::clone(&member.record));
             pool.members.push(member);
@@ -77,6 +96,14 @@
         self.pools.get(name).map_or(&[], |pool| &pool.records)
     }
 
+    /// Where an endpoint of a pool takes work, or finishes it.
+    pub(super) fn address_of(&self, pool: &str, endpoint: &str) -> Option<SocketAddr> {
+        let mut members = self.pool(pool).iter();
+        let member = members.find(|member| member.endpoint() == endpoint);
+        let evacuated = || self.evacuated.get(endpoint).copied();
+        member.map(PoolMember::address).or_else(evacuated)
+    }
+
     /// Whether an endpoint may get new work.
     pub fn has(&self, pool: &str, endpoint: &str) -> bool {
         let members = self.pool(pool);
@@ -104,7 +131,8 @@
             joined: known.joined,
         }),
         is_silent: report.silent,
-        is_cold: report.cold_ms > 0,
+        says_cold: report.cold_ms > 0,
+        unproven_until: None,
         life: known.life.clone(),
     })
 }
--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -78,7 +78,7 @@
                 surcharge += EJECTED_COST;
             }
         }
-        if member.is_cold {
+        if member.is_cold(now) {
             factor *= COLD_FACTOR;
         }
         if member.is_silent {
@@ -101,12 +101,10 @@
         &self,
         now: Instant,
         pool: &str,
-        members: &'a [PoolMember],
+        members: impl Iterator<Item = &'a PoolMember>,
         query: PlacementQuery<'_>,
     ) -> Option<&'a PoolMember> {
-        let untried = members
-            .iter()
-            .filter(|member| !query.ledger.was_sent_to(member.endpoint()));
+        let untried = members.filter(|member| !query.ledger.was_sent_to(member.endpoint()));
         let costed: Vec<(&PoolMember, EndpointCost)> = untried
             .map(|member| (member, self.cost(now, pool, member)))
             .collect();
--- a/crates/savorywalk/src/gateway/endpoint_score_tests.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score_tests.rs
@@ -20,7 +20,7 @@
     };
     let mut state = FollowState::default();
     state.take(BootTime::default(), BootTime::default(), reply);
-    EndpointRoster::of(&state)
+    EndpointRoster::of(&state, Duration::from_secs(4))
 }
 
 fn place(scores: &EndpointScores, roster: &EndpointRoster, affinity: u64) -> String {
@@ -31,7 +31,7 @@
         ledger: &ledger,
     };
     let members = roster.pool("engines");
-    let member = scores.place(Instant::now(), "engines", members, query);
+    let member = scores.place(Instant::now(), "engines", members.iter(), query);
     member.unwrap().endpoint().to_string()
 }
 
@@ -89,6 +89,6 @@
         ledger: &ledger,
     };
     let members = roster.pool("engines");
-    let next = scores.place(Instant::now(), "engines", members, query);
+    let next = scores.place(Instant::now(), "engines", members.iter(), query);
     assert_ne!(next.unwrap().endpoint(), "a");
 }
--- a/crates/savorywalk/src/gateway/engine_desk.rs
+++ b/crates/savorywalk/src/gateway/engine_desk.rs
@@ -1,5 +1,6 @@
 use std::sync::{Mutex, PoisonError};
 
+use super::cold_gate::ColdWindow;
 use super::endpoint_score::EndpointScores;
 use super::gateway_view::GatewayView;
 use super::work_shard::WorkShard;
@@ -28,13 +29,23 @@
 
 impl EngineDesk {
     /// Chooses the engine for a prompt.
-    pub(super) fn place(&self, now: Instant, view: &GatewayView, call: &PlaceCall) -> PlaceReply {
+    pub(super) fn place(
+        &self,
+        now: Instant,
+        view: &GatewayView,
+        call: &PlaceCall,
+        cold: &ColdWindow<'_>,
+    ) -> PlaceReply {
+        if !call.permit_for.is_empty() {
+            return permit(now, view, call, cold);
+        }
         let shard = WorkShard::named(&call.shard);
         let members = view.roster.pool(&call.pool).iter();
         let members = members.filter(|member| shard.has(member.data_center()));
         let usable = members.filter(|member| {
             let endpoint = member.endpoint();
-            !call.avoid.iter().any(|avoided| avoided == endpoint)
+            let is_avoided = call.avoid.iter().any(|avoided| avoided == endpoint);
+            !is_avoided && cold.admits(now, member)
         });
         let targets = self.targets(now, view, &call.pool, usable);
         let parts = call.parts.iter().map(|part| PromptPart {
@@ -55,11 +66,16 @@
         if model.len() > view.roster.pool(&call.pool).len() {
             model.retain_engines(|endpoint| view.roster.has(&call.pool, endpoint));
         }
-        let place = model.place(now, query, &targets);
-        place.map_or_else(PlaceReply::default, |place| PlaceReply {
+        let Some(place) = model.place(now, query, &targets) else {
+            return PlaceReply::default();
+        };
+        let mut members = view.roster.pool(&call.pool).iter();
+        let member = members.find(|member| member.endpoint() == place.endpoint);
+        PlaceReply {
             endpoint: place.endpoint.to_string(),
             expected_ms: place.expected.as_millis() as u32,
-        })
+            permitted: member.is_some_and(|member| cold.take(now, member)),
+        }
     }
 
     /// The engines that are well.
@@ -105,3 +121,17 @@
         self.scores.report(pool, records, &report.endpoint, taken);
     }
 }
+
+/// Gives a permit for the endpoint that the caller has chosen.
+fn permit(now: Instant, view: &GatewayView, call: &PlaceCall, cold: &ColdWindow<'_>) -> PlaceReply {
+    let mut members = view.roster.pool(&call.pool).iter();
+    let member = members.find(|member| member.endpoint() == call.permit_for);
+    if !member.is_some_and(|member| cold.take(now, member)) {
+        return PlaceReply::default();
+    }
+    PlaceReply {
+        endpoint: call.permit_for.clone(),
+        expected_ms: 0,
+        permitted: true,
+    }
+}
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -14,6 +14,7 @@
     EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RouteKind, engine_rank,
 };
 use crate::prelude::*;
+use crate::registry::{BootClock, BootTime};
 use crate::routing::{AttemptReport, OutstandingGuard};
 
 /// Time for an answer's head, in objectives of its route, after which an
@@ -145,6 +146,12 @@
         last_event: Option<u64>,
     ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
         let mut call = EndpointCall::open(member.address(), &member.life).await?;
+        // The VM may have been suspended meanwhile, which the steady clock does not count.
+        let is_over = |until: BootTime| BootClock.now() > until;
+        if self.permitted_until.is_some_and(is_over) {
+            let reason = "the permit for a cold endpoint is over".to_string();
+            return Err(CallError::Unsent(reason));
+        }
         let inputs = self.results.as_ref().map(PlanResults::handles);
         let order = EndpointOrder {
             target: EndpointTarget {
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -17,18 +17,56 @@
 
 /// Where a request and its stages go.
 impl ForwardRun {
-    fn pick(&self, view: &GatewayView) -> Option<PoolMember> {
+    /// The endpoint that this entry would choose by itself of those that `may_get` the
+    /// request.
+    fn pick(
+        &self,
+        view: &GatewayView,
+        may_get: impl Fn(&PoolMember) -> bool,
+    ) -> Option<PoolMember> {
         let query = PlacementQuery {
             affinity: self.context.affinity(),
             data_center: &self.node.data_center,
             ledger: &self.ledger,
         };
         let pool = &self.context.pool;
-        let members = view.roster.pool(pool);
+        let members = view.roster.pool(pool).iter();
+        let members = members.filter(|member| may_get(member));
         let scores = &self.node.scores;
         scores.place(Instant::now(), pool, members, query).cloned()
     }
 
+    /// Whether a request to an endpoint needs a permit, as it is cold.
+    fn needs_permit(&self, view: &GatewayView, member: &PoolMember) -> bool {
+        let profile = view.table.as_ref();
+        let profile = profile.and_then(|table| table.pool(&self.context.pool));
+        let profile = profile.map(Arc::as_ref);
+        self.node.cold.needs_permit(Instant::now(), profile, member)
+    }
+
+    /// The endpoint that this entry chooses by itself: a cold one only with a permit, and
+    /// another one when there is none.
+    async fn pick_permitted(&mut self, view: &GatewayView) -> Option<PoolMember> {
+        let member = self.pick(view, |_| true)?;
+        if !self.needs_permit(view, &member) {
+            return Some(member);
+        }
+        let shard = prompt_exchange::engine_shard(view, &self.context);
+        let (node, pool) = (&self.node, &self.context.pool);
+        let permit = node
+            .exchange
+            .ask_permit(node, pool, &shard, member.endpoint());
+        self.permitted_until = permit.await;
+        match self.permitted_until {
+            Some(_) => Some(member),
+            None => self.pick_warm(view),
+        }
+    }
+
+    fn pick_warm(&self, view: &GatewayView) -> Option<PoolMember> {
+        self.pick(view, |member| !self.needs_permit(view, member))
+    }
+
     /// The endpoint for the next attempt: for a prompt the one that whoever
     /// places all of them chose, unless this entry has found it ill. With few
     /// engines a prompt stays with the one of its hash, where its large results
@@ -36,11 +74,12 @@
     /// again with 9 engines, and with 12 cost 0.015 of the worth of a day.
     pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
         self.placed = None;
+        self.permitted_until = None;
         let pool = &self.context.pool;
         let profile = view.table.as_ref().and_then(|table| table.pool(pool));
         let is_plain = profile.is_none_or(|profile| profile.engine.is_none());
         if is_plain || prompt_exchange::engine_shard(view, &self.context).is_whole() {
-            return self.pick(view);
+            return self.pick_permitted(view).await;
         }
         let avoid = self.ledger.endpoints();
         let placed = self.node.exchange.place(&self.node, &self.context, avoid);
@@ -54,13 +93,17 @@
             let cost = self.node.scores.cost(Instant::now(), pool, member);
             cost.surcharge == 0.0
         };
-        match member.filter(is_well) {
+        let permitted_until = placed.as_ref().and_then(|placed| placed.permitted_until);
+        let may_get =
+            |member: &&PoolMember| permitted_until.is_some() || !self.needs_permit(view, member);
+        match member.filter(is_well).filter(may_get) {
             Some(member) => {
                 let member = member.clone();
                 self.placed = placed;
+                self.permitted_until = permitted_until;
                 Some(member)
             }
-            None => self.pick(view),
+            None => self.pick_warm(view),
         }
     }
 
@@ -70,7 +113,7 @@
         if !shard.is_whole() {
             return Some(shard.name().to_string());
         }
-        self.pick(view)
+        self.pick(view, |_| true)
             .map(|member| member.data_center().to_string())
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -13,6 +13,7 @@
 use super::{GatewayRefusal, NotRunReason, RunLedger};
 use crate::prelude::*;
 use crate::quarantine::{QUARANTINE_TIME, RequestDigest};
+use crate::registry::BootTime;
 
 /// Most sends of one request, those that were refused unrun included.
 const MAX_SENDS: usize = 3;
@@ -38,6 +39,8 @@
     pub(super) results: Option<PlanResults>,
     /// Where the last attempt went, when one entry placed it for all.
     pub(super) placed: Option<PlacedPrompt>,
+    /// Until when the chosen endpoint, which is cold, may get the request.
+    pub(super) permitted_until: Option<BootTime>,
     /// Control's word on the call that broke off last, which a resend waits for.
     pub(super) verdict: Option<VerdictWait>,
     /// Answer of an endpoint that failed, for when no other does better.
@@ -63,6 +66,7 @@
             ledger: RunLedger::default(),
             results: None,
             placed: None,
+            permitted_until: None,
             verdict: None,
             last_answer: None,
         }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use super::call_surface::{CallSurface, CallSurfaceKind};
+use super::cold_gate::ColdBounds;
 use super::crash_watch::CrashWatch;
 use super::gateway_node::{GatewayNode, NodeParts};
 use super::{GatewayError, Result, RetryLimits, WireFormat, cluster_hub};
@@ -65,6 +66,11 @@
             retry_limits: retry_limits(gateway),
             metric_set,
             crash_watch,
+            cold_bounds: ColdBounds {
+                overage: gateway.cold_overage,
+                slack: gateway.cold_slack,
+            },
+            announce_interval: Duration::from_millis(gateway.announce_interval_ms.into()),
         });
         let callers = serve(&gateway.callers, &node, CallSurfaceKind::Callers).await?;
         let probes = serve(&gateway.probes, &node, CallSurfaceKind::Probes).await?;
--- a/crates/savorywalk/src/gateway/gateway_daemon_tests.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon_tests.rs
@@ -43,6 +43,7 @@
         address,
         seeds,
         first_start: false,
+        data_centers: Vec::new(),
     }
 }
 
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -2,6 +2,7 @@
 
 use tokio::sync::watch;
 
+use super::cold_gate::{ColdBounds, ColdGate, ColdWindow};
 use super::crash_watch::CrashWatch;
 use super::endpoint_score::EndpointScores;
 use super::engine_desk::EngineDesk;
@@ -12,7 +13,7 @@
 use super::release_queue::{self, ReleaseQueue};
 use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
-use super::work_shard::WorkShard;
+use super::work_shard::{WorkKind, WorkShard};
 use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, WireFormat};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
@@ -20,6 +21,9 @@
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkChannel, LinkHub};
 
+/// Announcements of an endpoint by which its state is known: two may be lost or late.
+const REPORT_ANNOUNCEMENTS: u32 = 3;
+
 /// What the requests of one entry share.
 #[derive(Debug)]
 pub(super) struct GatewayNode {
@@ -35,6 +39,9 @@
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
+    pub(super) cold: ColdGate,
+    /// Time in which every endpoint that lives has announced itself.
+    report_time: Duration,
     /// Requests that no endpoint gets.
     pub(super) quarantine: watch::Sender<Arc<BTreeSet<RequestDigest>>>,
     /// Held while a newer view is made.
@@ -60,6 +67,9 @@
     pub(super) retry_limits: RetryLimits,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
+    pub(super) cold_bounds: ColdBounds,
+    /// Pause between two announcements of an endpoint.
+    pub(super) announce_interval: Duration,
 }
 
 impl GatewayNode {
@@ -79,6 +89,8 @@
             metrics: GatewayMetrics::new(parts.metric_set.meter()),
             metric_set: parts.metric_set,
             crash_watch: parts.crash_watch,
+            cold: ColdGate::new(parts.cold_bounds),
+            report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
             max_key_age: parts.max_key_age,
             stopping: Default::default(),
@@ -90,6 +102,7 @@
         });
         node.register_knowledge_age();
         node.register_quarantine();
+        node.register_evacuations();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(release_queue::run(Arc::clone(&node), given_up));
         let notices = parts.hub.subscribe(LinkChannel::Work);
@@ -115,6 +128,26 @@
             .build();
     }
 
+    /// Adds the number of evacuated data centres to the metrics.
+    fn register_evacuations(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_evacuated_data_centers")
+            .with_description("Data centres whose endpoints get no new work")
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.count_evacuated());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
+    fn count_evacuated(&self) -> usize {
+        self.take_news();
+        self.follower
+            .read(|state| state.evacuations().evacuated().len())
+    }
+
     /// Whether callers may be sent here: a document is in force, it is known
     /// to be the newest, and no stop has begun.
     pub(super) fn is_ready(&self) -> bool {
@@ -174,6 +207,19 @@
         knowledge.is_fresh(self.max_key_age)
     }
 
+    /// The cold endpoints of a pool that this entry may use, as coordinator of a shard.
+    pub(super) fn cold_window(
+        &self,
+        now: Instant,
+        pool: &str,
+        kind: WorkKind,
+        shard: &WorkShard,
+    ) -> ColdWindow<'_> {
+        let own = self.exchange.hub.name();
+        let place = (kind, shard);
+        self.cold.window(now, &self.knowledge(), own, pool, place)
+    }
+
     /// Takes each new document and roster into force.
     async fn follow(self: Arc<Self>) {
         let mut news = self.follower.watch_news();
@@ -199,7 +245,7 @@
             (
                 state.document_number(),
                 state.document().clone(),
-                EndpointRoster::of(state),
+                EndpointRoster::of(state, self.report_time),
                 state.entries().to_vec(),
                 Arc::clone(state.quarantine()),
             )
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -2,12 +2,13 @@
 
 use tokio::sync::{Notify, mpsc};
 
+use super::cold_gate::ColdWindow;
 use super::crash_watch::CallBreak;
 use super::endpoint_call::CallError;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::piece_call::{self, CallResult};
-use super::work_shard::WorkShard;
+use super::work_shard::{WorkKind, WorkShard};
 use super::{
     PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
     PoolRate, QueuedPiece, ResultHandle,
@@ -20,6 +21,10 @@
 /// Longest sleep without anything to do.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
+/// Longest sleep while pieces wait beside cold endpoints: a part of the pause between two
+/// calls there.
+const COLD_LOOK_TIME: Duration = Duration::from_millis(50);
+
 /// Cost above which an endpoint is only used when there is no other.
 const LAST_RESORT: f64 = 50.0;
 
@@ -185,7 +190,12 @@
             let now = Instant::now();
             let profile = self.profile(&self.node.view.load());
             let due = profile.and_then(|profile| self.state().queue.next_due(now, &profile));
-            let due = due.unwrap_or(now + IDLE_TIME);
+            let longest = if self.waits_for_cold(now) {
+                COLD_LOOK_TIME
+            } else {
+                IDLE_TIME
+            };
+            let due = due.unwrap_or(now + longest).min(now + longest);
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep_until(due.into()) => {}
@@ -227,12 +237,14 @@
 
     /// The endpoints in use; those that are ill only when there is no other.
     fn targets<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceTarget<'a>> {
+        let cold = self.cold_window(now);
         let members = view.roster.pool(&self.pool);
         let is_own = |member: &&PoolMember| self.shard.has(member.data_center());
         let has_own = members.iter().any(|member| is_own(&member));
         // Where a data centre has lost the pool, any of it will do.
         let members = members.iter().filter(|member| !has_own || is_own(member));
         let mut targets: Vec<PieceTarget<'_>> = members
+            .filter(|member| cold.admits(now, member))
             .map(|member| {
                 let cost = self.node.scores.cost(now, &self.pool, member);
                 PieceTarget {
@@ -248,6 +260,19 @@
         targets
     }
 
+    /// Whether pieces wait that a cold endpoint may get when its next call is due.
+    fn waits_for_cold(&self, now: Instant) -> bool {
+        let view = self.node.view.load();
+        let mut members = view.roster.pool(&self.pool).iter();
+        !self.state().queue.is_empty() && members.any(|member| member.is_cold(now))
+    }
+
+    /// The cold endpoints that this entry may call.
+    fn cold_window(&self, now: Instant) -> ColdWindow<'_> {
+        let (pool, shard) = (&self.pool, &self.shard);
+        self.node.cold_window(now, pool, WorkKind::Stages, shard)
+    }
+
     async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
         let view = self.node.view.load_full();
         let members = view.roster.pool(&self.pool);
@@ -258,6 +283,12 @@
             self.end_call(&call, profile, None);
             return self.send_back(call.pieces, false);
         };
+        let now = Instant::now();
+        if !self.cold_window(now).take(now, member) {
+            self.end_call(&call, profile, None);
+            self.state().queue.deny(now, &call.endpoint);
+            return self.send_back(call.pieces, false);
+        }
         let _guard = self.node.scores.outstanding.enter(member.endpoint());
         let started = Instant::now();
         self.node.metrics.record_call(&self.pool, call.pieces.len());
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -148,5 +148,7 @@
             extra: 10.0,
         },
         metric_set,
+        cold_bounds: Default::default(),
+        announce_interval: Duration::from_millis(1_200),
     })
 }
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -1,5 +1,6 @@
 use prost::Message;
 
+use super::cold_permits::PERMIT_LIFE;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::request_context::RequestContext;
@@ -10,6 +11,7 @@
 use crate::generated::work::{PlaceCall, PlaceReply, PlaceReport, PlacedPart, WorkCall};
 use crate::hashing::stable_hash;
 use crate::prelude::*;
+use crate::registry::{BootClock, BootTime};
 use crate::transport::{LinkChannel, PeerName};
 
 /// Time for the choice of an engine: many round trips in a region. A request
@@ -25,6 +27,8 @@
     pub(super) endpoint: String,
     /// Time until its first event, about.
     expected: Duration,
+    /// Until when it may be sent to a cold endpoint; `None` without a permit.
+    pub(super) permitted_until: Option<BootTime>,
 }
 
 impl PlacedPrompt {
@@ -67,10 +71,12 @@
             parts: parts.collect(),
             answer_tokens: answer as u32,
             avoid,
+            permit_for: String::new(),
         };
+        let asked = BootClock.now();
         let coordinator = self.coordinator(&view, WorkKind::Prompts, &shard);
         let reply = match coordinator {
-            None => node.engines.place(Instant::now(), &view, &call),
+            None => node.place_prompt(&view, &call),
             Some(coordinator) => match self.ask_place(&coordinator, call).await {
                 Ok(reply) => reply,
                 Err(reason) => {
@@ -85,9 +91,46 @@
             shard,
             endpoint: reply.endpoint,
             expected,
+            permitted_until: reply.permitted.then(|| asked.plus(PERMIT_LIFE)),
         })
     }
 
+    /// Asks the coordinator of a shard for a permit to send one request to a cold
+    /// endpoint; until when it is good, or `None` when there is none.
+    pub(super) async fn ask_permit(
+        &self,
+        node: &Arc<GatewayNode>,
+        pool: &str,
+        shard: &WorkShard,
+        endpoint: &str,
+    ) -> Option<BootTime> {
+        let view = node.view.load_full();
+        let call = PlaceCall {
+            pool: pool.to_string(),
+            shard: shard.name().to_string(),
+            permit_for: endpoint.to_string(),
+            ..Default::default()
+        };
+        let asked = BootClock.now();
+        let coordinator = shard.coordinator(WorkKind::Prompts, view.entries.iter())?;
+        let reply = match coordinator == self.hub.name() {
+            true => node.place_prompt(&view, &call),
+            false => match self.ask_place(coordinator, call).await {
+                Ok(reply) => reply,
+                Err(reason) => {
+                    log_event!(
+                        debug,
+                        "permit_unanswered",
+                        endpoint = endpoint,
+                        reason = reason
+                    );
+                    return None;
+                }
+            },
+        };
+        reply.permitted.then(|| asked.plus(PERMIT_LIFE))
+    }
+
     async fn ask_place(
         &self,
         coordinator: &PeerName,
--- a/crates/savorywalk/src/gateway/quarantine_gate.rs
+++ b/crates/savorywalk/src/gateway/quarantine_gate.rs
@@ -1,4 +1,3 @@
-use super::PoolMember;
 use super::crash_watch::{BrokenCall, CallBreak, VerdictWait};
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -47,11 +46,9 @@
         how: CallBreak,
         digest: RequestDigest,
     ) -> VerdictWait {
-        let mut members = view.roster.pool(pool).iter();
-        let member = members.find(|member| member.endpoint() == endpoint);
         self.crash_watch.note_broken(BrokenCall {
             endpoint: endpoint.to_string(),
-            address: member.map(PoolMember::address),
+            address: view.roster.address_of(pool, endpoint),
             how,
             digest,
         })
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -1,3 +1,4 @@
+use super::region_map::RegionMap;
 use super::registry_metrics::RegistryMetrics;
 use super::registry_surface::RegistrySurface;
 use super::{GatewayError, Result, WireFormat, cluster_hub};
@@ -33,6 +34,7 @@
         let own = settings.node.as_ref().ok_or(missing("node"))?;
         let cluster = settings.cluster.as_ref().ok_or(missing("cluster"))?;
         let registry = settings.registry.as_ref().ok_or(missing("registry"))?;
+        let region_map = RegionMap::parse(&cluster.data_centers)?;
         let hub = cluster_hub::start(cluster)?;
         let options = RegistryOptions {
             folder: registry.data_folder.clone().into(),
@@ -41,6 +43,7 @@
                 may_found: cluster.first_start,
             },
             announce_interval: Duration::from_millis(registry.announce_interval_ms.into()),
+            data_centers: region_map.data_centers().cloned().collect(),
         };
         let node = RegistryNode::start(hub.clone(), options);
         let metrics = RegistryMetrics::new()?;
--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Refuses an announcement for good. Anybody may send such calls, and as
+    /// Refuses a call for good. Anybody may send such calls, and as
     /// often as they like, so all are counted and few are logged.
     fn refuse(&self, kind: &'static str, reason: String) -> RegistryAnswer {
         self.metrics.record_fault(kind);
@@ -99,6 +99,10 @@
             RegistryCall::Publish { number, content } => {
                 self.node.publish(number, content).await.map(drop)
             }
+            RegistryCall::Evacuate {
+                data_center,
+                evacuated,
+            } => self.node.evacuate(&data_center, evacuated).await,
             RegistryCall::ReadDocument => return self.read_document().await,
         };
         self.answer_of(done.map(|()| RegistryAnswer::Done))
@@ -152,6 +156,9 @@
         };
         match error {
             RegistryError::Foreign(_) => self.refuse("foreign", error.to_string()),
+            RegistryError::UnknownDataCenter { .. } => {
+                self.refuse("unknown_data_center", error.to_string())
+            }
             RegistryError::Unavailable(_) | RegistryError::Link(_) | RegistryError::Control(_) => {
                 log_event!(info, "registry_call_unanswered", reason = error);
                 RegistryAnswer::Unavailable(error.to_string())
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -21,6 +21,9 @@
     pub name: String,
     /// Most connections that one endpoint takes from all callers together.
     pub max_connections: u32,
+    /// Requests a second that one endpoint bears while it is cold, from all callers
+    /// together; 0 when that makes no difference.
+    pub cold_rate: f64,
     /// Set for model engines.
     pub engine: Option<EngineProfile>,
     /// Set for pools that work on pieces of stages.
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -79,6 +79,13 @@
         /// The document as it was sent.
         content: Bytes,
     },
+    /// An operator begins or ends the evacuation of a data centre.
+    Evacuate {
+        /// Name of the data centre.
+        data_center: String,
+        /// Whether its endpoints are to get no new work.
+        evacuated: bool,
+    },
     /// An operator asks for the document in force.
     ReadDocument,
 }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -12,7 +12,9 @@
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
-use crate::generated::work::{PlanEnd, PlanReply, ReleaseNotice, WorkCall, WorkNotice};
+use crate::generated::work::{
+    PlaceCall, PlaceReply, PlanEnd, PlanReply, ReleaseNotice, WorkCall, WorkNotice,
+};
 use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
@@ -272,7 +274,7 @@
         }
         Some(Call::Place(call)) => {
             let view = node.view.load_full();
-            let placed = node.engines.place(Instant::now(), &view, &call);
+            let placed = node.place_prompt(&view, &call);
             reply.answer(placed.encode_to_vec().into());
             return;
         }
@@ -293,6 +295,16 @@
     }
 }
 
+impl GatewayNode {
+    /// Places a prompt at an engine of a shard that this entry coordinates.
+    pub(super) fn place_prompt(&self, view: &GatewayView, call: &PlaceCall) -> PlaceReply {
+        let now = Instant::now();
+        let shard = WorkShard::named(&call.shard);
+        let cold = self.cold_window(now, &call.pool, WorkKind::Prompts, &shard);
+        self.engines.place(now, view, call, &cold)
+    }
+}
+
 fn reply_of(outcome: &Result<PlanResults, StageStop>) -> PlanReply {
     let mut reply = PlanReply::default();
     let end = match outcome {
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -15,7 +15,7 @@
 const WHOLE_POOL: usize = 6;
 
 /// What one entry does for all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum WorkKind {
     /// Has the stages of requests worked on.
     Stages,
--- a/crates/savorywalk/src/lib.rs
+++ b/crates/savorywalk/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cost;
 pub mod directory;
 pub mod entry;
+pub mod evacuation;
 pub mod gateway;
 #[rustfmt::skip]
 pub mod generated;
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_check.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_check.rs
@@ -20,6 +20,8 @@
     /// Committed documents, by time.
     committed: Vec<(Duration, u64)>,
     retired: Vec<(Duration, String)>,
+    /// Orders on data centres, by time.
+    evacuations: Vec<(Duration, String, bool)>,
     /// When a deadly request took down its last needed endpoint, and how often an entry in
     /// touch sent it later than the bound after that.
     deadly_sends: usize,
@@ -30,6 +32,8 @@
     control_disturbed: Duration,
     in_force: Duration,
     drain: Duration,
+    evacuate: Duration,
+    pub(super) worst_evacuation: Duration,
     pub(super) worst_in_force: Duration,
     pub(super) broken: Vec<String>,
 }
@@ -39,6 +43,7 @@
         Self {
             committed: Vec::new(),
             retired: Vec::new(),
+            evacuations: Vec::new(),
             deadly_sends: 0,
             learned: None,
             late_sends: 0,
@@ -47,6 +52,8 @@
             control_disturbed: Duration::ZERO,
             in_force: plan.in_force,
             drain: plan.drain,
+            evacuate: plan.evacuate,
+            worst_evacuation: Duration::ZERO,
             worst_in_force: Duration::ZERO,
             broken: Vec::new(),
         }
@@ -60,6 +67,32 @@
         self.retired.push((now, endpoint));
     }
 
+    pub(super) fn note_evacuated(&mut self, now: Duration, data_center: String, evacuated: bool) {
+        self.evacuations.push((now, data_center, evacuated));
+    }
+
+    /// Work for endpoints of an evacuated data centre, and orders that are not known.
+    fn look_at_evacuations(&mut self, now: Duration, entry: usize, state: &FollowState) {
+        let mut newest: BTreeMap<&str, (Duration, bool)> = BTreeMap::new();
+        for (at, data_center, evacuated) in &self.evacuations {
+            newest.insert(data_center, (*at, *evacuated));
+        }
+        let mut broken = Vec::new();
+        for (data_center, (at, evacuated)) in newest {
+            let age = now - at;
+            let is_known = state.evacuations().is_evacuated(data_center) == evacuated;
+            if !is_known {
+                self.worst_evacuation = self.worst_evacuation.max(age);
+            }
+            if !is_known && age >= self.evacuate {
+                broken.push(format!("{data_center} is not as ordered after {age:?}"));
+            }
+        }
+        for what in broken {
+            self.break_promise(now, entry, what);
+        }
+    }
+
     /// A request under which endpoints crash is sent to one more.
     pub(super) fn note_deadly_send(&mut self, now: Duration, entry: usize) {
         self.deadly_sends += 1;
@@ -132,6 +165,7 @@
             );
             self.break_promise(now, entry, text);
         }
+        self.look_at_evacuations(now, entry, state);
         let gone: FastSet<&str> = self
             .retired
             .iter()
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
@@ -18,6 +18,10 @@
     pub(super) drain: Duration,
     pub(super) changes: Vec<Duration>,
     pub(super) leavers: Vec<(Duration, usize)>,
+    /// Time after which the endpoints of an evacuated data centre must get no work.
+    pub(super) evacuate: Duration,
+    /// Data centres whose evacuation begins (true) or ends.
+    pub(super) evacuations: Vec<(Duration, usize, bool)>,
     /// Entries to which a request comes that takes down each endpoint that begins it.
     pub(super) resends: Vec<(Duration, usize)>,
     pub(super) faults: Vec<(Duration, PlannedFault)>,
@@ -51,6 +55,8 @@
             drain: Duration::from_secs(3),
             changes: Vec::new(),
             leavers: Vec::new(),
+            evacuate: Duration::from_secs(5),
+            evacuations: Vec::new(),
             resends: Vec::new(),
             faults: Vec::new(),
         }
@@ -67,6 +73,24 @@
         self
     }
 
+    /// The same with two data centres that are evacuated one after the other, for times
+    /// that overlap, and one whose evacuation begins, ends and begins again.
+    pub(super) fn with_evacuations(mut self, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut moment =
+            |from_ms: u64, to_ms: u64| Duration::from_millis(random.random_range(from_ms..to_ms));
+        self.evacuations = vec![
+            (moment(2_000, 6_000), 0, true),
+            (moment(5_000, 8_000), 1, true),
+            (moment(9_000, 12_000), 0, false),
+            (moment(15_000, 16_000), 1, false),
+            (moment(4_000, 5_000), 2, true),
+            (moment(5_000, 6_000), 2, false),
+            (moment(6_000, 7_000), 2, true),
+        ];
+        self
+    }
+
     /// The same with changes in bursts, leaving endpoints, rolling restarts, losses up
     /// to the tolerance and one-way cuts, drawn from `seed`.
     pub(super) fn drawn(mut self, seed: u64) -> Self {
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -3,6 +3,7 @@
 use super::{FleetCheck, FleetPlan, HeldCall, PlannedFault, SimulatedRegistry};
 use crate::configuration::DocumentRegister;
 use crate::control::{DocumentCommand, EndpointIncarnation};
+use crate::evacuation::{EvacuationCommand, EvacuationRegister};
 use crate::prelude::*;
 use crate::quarantine::{QuarantineCommand, QuarantineRegister};
 use crate::registry::{
@@ -28,6 +29,8 @@
 /// Time after the start from which on traffic is counted: until then everyone learns
 /// of everything once.
 const WARM_UP: Duration = Duration::from_secs(5);
+/// Data centres in which endpoints stand.
+pub(super) const DATA_CENTERS: usize = 5;
 /// Size of an operator's document.
 const DOCUMENT_BYTES: usize = 8_000;
 
@@ -79,6 +82,11 @@
     Leave {
         endpoint: usize,
     },
+    /// An operator begins or ends the evacuation of a data centre.
+    Evacuate {
+        data_center: usize,
+        evacuated: bool,
+    },
     /// A request that takes down each endpoint that begins it comes.
     Resend {
         entry: usize,
@@ -127,7 +135,9 @@
     log: DocumentRegister,
     /// The same of requests under which endpoints crash.
     pub(super) quarantine: QuarantineRegister,
-    /// Commands decided on that.
+    /// The same of evacuations.
+    evacuations: EvacuationRegister,
+    /// Commands decided on the quarantine.
     pub(super) commands: u64,
     /// Endpoints that have crashed.
     pub(super) crashes: u64,
@@ -151,12 +161,16 @@
     PeerName::new(&name).expect("the name is a label")
 }
 
+fn data_center_name(number: usize) -> String {
+    format!("center-{number}")
+}
+
 fn report(endpoint: usize) -> EndpointReport {
     EndpointReport {
         id: format!("i-{endpoint:010x}"),
         pool: format!("pool-{}", endpoint % 5),
         address: format!("10.1.{}.{}:8080", endpoint / 250, endpoint % 250),
-        data_center: format!("center-{}", endpoint % 5),
+        data_center: data_center_name(endpoint % DATA_CENTERS),
         slots: 64,
         born_ms: 1_700_000_000_000,
         ..Default::default()
@@ -190,6 +204,7 @@
             registries: registries.collect(),
             log: DocumentRegister::default(),
             quarantine: QuarantineRegister::default(),
+            evacuations: EvacuationRegister::default(),
             commands: 0,
             crashes: 0,
             leader: 0,
@@ -231,6 +246,13 @@
         for (at, endpoint) in self.plan.leavers.clone() {
             self.at(at, FleetEvent::Leave { endpoint });
         }
+        for (at, data_center, evacuated) in self.plan.evacuations.clone() {
+            let event = FleetEvent::Evacuate {
+                data_center,
+                evacuated,
+            };
+            self.at(at, event);
+        }
         for (at, entry) in self.plan.resends.clone() {
             self.at(at, FleetEvent::Resend { entry });
         }
@@ -333,6 +355,10 @@
             FleetEvent::Batch { registry, batch } => self.take_batch(registry, &batch),
             FleetEvent::Change => self.change(),
             FleetEvent::Leave { endpoint } => self.leave(endpoint),
+            FleetEvent::Evacuate {
+                data_center,
+                evacuated,
+            } => self.evacuate(data_center, evacuated),
             FleetEvent::Resend { entry } => self.resend(entry),
             FleetEvent::Report {
                 entry,
@@ -461,6 +487,9 @@
         if has_majority && daemon.quarantine != self.quarantine {
             daemon.quarantine = self.quarantine.clone();
         }
+        if has_majority && daemon.evacuations != self.evacuations {
+            daemon.evacuations = self.evacuations.clone();
+        }
         self.answers += 1;
         let mut reply = daemon.reply(now, call, &self.members);
         reply.confirmed = has_majority;
@@ -620,6 +649,31 @@
         self.check.note_retired(self.now, report.id);
     }
 
+    fn evacuate(&mut self, data_center: usize, evacuated: bool) {
+        if !self.has_majority() {
+            let event = FleetEvent::Evacuate {
+                data_center,
+                evacuated,
+            };
+            self.after(FAILURE_PAUSE, event);
+            return;
+        }
+        let name = data_center_name(data_center);
+        let outcome = self.evacuations.apply(&EvacuationCommand {
+            orders_before: self.evacuations.orders_on(&name),
+            data_center: name.clone(),
+            evacuated,
+        });
+        assert!(outcome.in_force, "nobody else gives orders");
+        for registry in 0..self.registries.len() {
+            if self.registries[registry].is_up {
+                self.registries[registry].evacuations = self.evacuations.clone();
+                self.release_behind(registry);
+            }
+        }
+        self.check.note_evacuated(self.now, name, evacuated);
+    }
+
     fn strike(&mut self, fault: PlannedFault) {
         match fault {
             PlannedFault::RegistryLost { registry, time } => {
@@ -667,6 +721,7 @@
         daemon.sent_bytes = sent_bytes;
         daemon.documents = self.log.clone();
         daemon.quarantine = self.quarantine.clone();
+        daemon.evacuations = self.evacuations.clone();
         self.registries[registry] = daemon;
     }
 
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -1,5 +1,6 @@
 use crate::configuration::DocumentRegister;
 use crate::control::DocumentNews;
+use crate::evacuation::EvacuationRegister;
 use crate::prelude::*;
 use crate::quarantine::QuarantineRegister;
 use crate::registry::follower_list::FollowerList;
@@ -24,6 +25,7 @@
     pub(super) is_up: bool,
     pub(super) documents: DocumentRegister,
     pub(super) quarantine: QuarantineRegister,
+    pub(super) evacuations: EvacuationRegister,
     pub(super) table: RegistryTable,
     pub(super) outbox: ReportOutbox,
     pub(super) followers: FollowerList,
@@ -39,6 +41,7 @@
             is_up: true,
             documents: DocumentRegister::default(),
             quarantine: QuarantineRegister::default(),
+            evacuations: EvacuationRegister::default(),
             table: RegistryTable::new(epoch, interval),
             outbox: ReportOutbox::default(),
             followers: FollowerList::default(),
@@ -79,6 +82,7 @@
             number: self.documents.number(),
             retired_total: self.documents.retired_total(),
             quarantine_revision: self.quarantine.revision(),
+            evacuation_revision: self.evacuations.revision(),
         };
         call.is_behind(news, &self.table)
     }
@@ -92,6 +96,7 @@
         let mut reply = FollowReply::default();
         reply.tell_documents(call, &self.documents);
         reply.tell_quarantine(call, &self.quarantine);
+        reply.add_evacuations(call, &self.evacuations);
         reply.tell_endpoints(call, &self.table);
         reply.members = members.iter().map(ToString::to_string).collect();
         reply.tell_entries(call, self.followers.all(now));
--- a/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
@@ -145,6 +145,35 @@
     }
 }
 
+/// Two data centres go one after the other, and one comes and goes.
+#[rstest]
+#[case(smallest())]
+#[case(todays())]
+#[case(designs())]
+fn evacuations_are_in_force_at_every_entry(#[case] plan: FleetPlan) {
+    let plan = FleetPlan {
+        length: Duration::from_secs(20),
+        ..plan.with_evacuations(1)
+    };
+    let fleet = SimulatedFleet::new(plan).play();
+    assert_eq!(fleet.check.broken, Vec::<String>::new());
+    println!("known after {:?}", fleet.check.worst_evacuation);
+}
+
+/// Documents change in bursts, registries are lost, entries restart and answers are cut
+/// meanwhile.
+#[rstest]
+fn evacuations_stay_in_force_under_faults(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    for plan in [smallest(), todays()] {
+        let fleet = SimulatedFleet::new(plan.drawn(seed).with_evacuations(seed)).play();
+        assert_eq!(fleet.check.broken, Vec::<String>::new(), "seed {seed}");
+        println!(
+            "seed {seed}: known after {:?}",
+            fleet.check.worst_evacuation
+        );
+    }
+}
+
 /// The long run: `cargo test --release -p savorywalk --lib -- --ignored fleet`.
 #[test]
 #[ignore = "minutes; run by hand"]
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -2,6 +2,7 @@
 use super::{FollowCall, FollowReply, RegistryTable};
 use crate::configuration::DocumentRegister;
 use crate::control::DocumentNews;
+use crate::evacuation::EvacuationRegister;
 use crate::quarantine::QuarantineRegister;
 
 impl FollowCall {
@@ -10,6 +11,7 @@
         news.number > self.document_number
             || news.retired_total > self.retired_total
             || news.quarantine_revision > self.quarantine_revision
+            || news.evacuation_revision > self.evacuation_revision
             || table.epoch() != self.table_epoch
             || table.revision() > self.table_revision
     }
@@ -35,6 +37,14 @@
         }
     }
 
+    /// Adds the evacuations, for a follower that knows older ones.
+    pub(super) fn add_evacuations(&mut self, call: &FollowCall, register: &EvacuationRegister) {
+        self.evacuation_revision = register.revision();
+        if register.revision() > call.evacuation_revision {
+            self.evacuations = register.records().cloned().collect();
+        }
+    }
+
     /// Tells the endpoints that have changed, or all of them to a follower of another
     /// table.
     pub(super) fn tell_endpoints(&mut self, call: &FollowCall, table: &RegistryTable) {
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -56,6 +56,7 @@
             let cell = voter.cell();
             cell.read_documents(|documents| reply.tell_documents(call, documents));
             cell.read_quarantine(|register| reply.tell_quarantine(call, register));
+            cell.read_evacuations(|register| reply.add_evacuations(call, register));
         }
         reply.tell_endpoints(call, &self.table());
         let members = self.voter().map(|voter| voter.member_names());
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -1,4 +1,5 @@
 use super::{BootTime, EndpointIncarnation, EndpointLife, EndpointReport, FollowCall, FollowReply};
+use crate::evacuation::EvacuationView;
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 use crate::transport::PeerName;
@@ -63,6 +64,8 @@
     pub entries: bool,
     /// Requests came into quarantine or left it.
     pub quarantine: bool,
+    /// Evacuations began or ended.
+    pub evacuations: bool,
 }
 
 /// What an entry knows from control, as a state machine without I/O.
@@ -81,6 +84,7 @@
     retired: FastMap<String, u64>,
     quarantine_revision: u64,
     quarantine: Arc<BTreeSet<RequestDigest>>,
+    evacuations: EvacuationView,
 }
 
 impl FollowState {
@@ -96,6 +100,7 @@
             leaving: false,
             entries_digest: self.entries_digest,
             quarantine_revision: self.quarantine_revision,
+            evacuation_revision: self.evacuations.revision(),
         }
     }
 
@@ -140,8 +145,14 @@
             self.quarantine = Arc::new(digests.collect());
             news.quarantine = true;
         }
+        news.evacuations = self.evacuations.take(
+            Instant::now(),
+            reply.evacuation_revision,
+            &reply.evacuations,
+        );
         let is_current = reply.document_number >= self.document_number
-            && reply.retired_total >= self.retired_total;
+            && reply.retired_total >= self.retired_total
+            && reply.evacuation_revision >= self.evacuations.revision();
         if reply.confirmed && is_current {
             let since = sent.plus(Duration::from_millis(reply.held_ms.into()));
             self.confirm(since);
@@ -250,6 +261,11 @@
         &self.quarantine
     }
 
+    /// Data centres whose endpoints get no new work.
+    pub fn evacuations(&self) -> &EvacuationView {
+        &self.evacuations
+    }
+
     /// Entries that follow control, as far as known, sorted by name.
     pub fn entries(&self) -> &[PeerName] {
         &self.entries
--- a/crates/savorywalk/src/registry/follow_state_tests.rs
+++ b/crates/savorywalk/src/registry/follow_state_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::evacuation::EvacuationRecord;
 
 fn at(ms: u64) -> BootTime {
     BootTime::after(Duration::from_millis(ms))
@@ -163,3 +164,27 @@
     state.take(at(5), at(6), answer);
     assert_eq!(known(&state), [(2_000, 1, false)]);
 }
+
+/// Without the newest order an answer proves nothing of how new the knowledge is.
+#[test]
+fn a_daemon_that_lags_neither_undoes_an_evacuation_nor_confirms() {
+    let evacuated = |evacuated| EvacuationRecord {
+        data_center: "a".into(),
+        evacuated,
+        orders: 1,
+    };
+    let mut state = FollowState::default();
+    let mut newer = reply(1);
+    newer.evacuation_revision = 2;
+    newer.evacuations = vec![evacuated(true)];
+    let news = state.take(at(0), at(1), newer);
+    assert!(news.evacuations);
+    assert_eq!(state.next_call(Duration::ZERO).evacuation_revision, 2);
+    let mut older = reply(1);
+    older.evacuation_revision = 1;
+    older.evacuations = vec![evacuated(false)];
+    let news = state.take(at(1_000), at(1_001), older);
+    assert!(!news.evacuations);
+    assert!(state.evacuations().is_evacuated("a"));
+    assert_eq!(state.confirmed_at(), Some(at(0)));
+}
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_life;
 mod endpoint_report;
 mod entry_follower;
+mod evacuation_service;
 mod follow_pace;
 mod follow_reply;
 mod follow_service;
--- a/crates/savorywalk/src/registry/registry_error.rs
+++ b/crates/savorywalk/src/registry/registry_error.rs
@@ -11,6 +11,14 @@
     /// It is not said by the endpoint that it speaks of.
     #[error("not from the endpoint itself: {0}")]
     Foreign(String),
+    /// Neither the settings nor endpoints name the data centre.
+    #[error("data centre {name} is not known; name one of: {known}")]
+    UnknownDataCenter {
+        /// As it was named.
+        name: String,
+        /// Those that are known, separated by commas.
+        known: String,
+    },
     /// The links can't be used.
     #[error(transparent)]
     Link(#[from] LinkError),
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -46,6 +46,8 @@
     pub roster: VoterRoster,
     /// Pause between two announcements of an endpoint.
     pub announce_interval: Duration,
+    /// Data centres of the deployment, as far as the settings name them.
+    pub data_centers: Vec<String>,
 }
 
 /// A control daemon: a voter, and what it knows of endpoints.
@@ -62,7 +64,8 @@
     pub(super) wants_table: Notify,
     pub(super) intake: QuarantineIntake,
     /// By when every endpoint that lives has announced itself here.
-    listed_by: Instant,
+    pub(super) listed_by: Instant,
+    pub(super) data_centers: Vec<String>,
 }
 
 impl RegistryNode {
@@ -89,6 +92,7 @@
             wants_table: Notify::new(),
             intake,
             listed_by: Instant::now() + options.announce_interval * LISTING_ANNOUNCEMENTS,
+            data_centers: options.data_centers,
             hub: hub.clone(),
         });
         tokio::spawn(keeper.run());
--- a/crates/savorywalk/src/registry/registry_table.rs
+++ b/crates/savorywalk/src/registry/registry_table.rs
@@ -166,6 +166,13 @@
         record.map(|record| record.report.incarnation())
     }
 
+    /// Data centres in which endpoints stand.
+    pub fn data_centers(&self) -> BTreeSet<String> {
+        let records = self.records.values();
+        let names = records.map(|record| record.report.data_center.clone());
+        names.collect()
+    }
+
     /// Marks the endpoints that have fallen silent; tells whether any has.
     pub fn tick(&mut self, now: Instant) -> bool {
         let silent_after = self.interval * MISSED_ANNOUNCEMENTS;
--- a/crates/savorywalk/src/registry/voter_keeper.rs
+++ b/crates/savorywalk/src/registry/voter_keeper.rs
@@ -76,7 +76,8 @@
         self.news.send_if_modified(|published| {
             let is_news = news.number > published.number
                 || news.retired_total > published.retired_total
-                || news.quarantine_revision > published.quarantine_revision;
+                || news.quarantine_revision > published.quarantine_revision
+                || news.evacuation_revision > published.evacuation_revision;
             if is_news {
                 *published = news;
             }
