Keep requests, resends, prompts and pieces in the homes of their route and workspace

Callers saw: allowedRegions of routes and workspaces were not read, so a request could run in any region.

Change: an entry learns the regions of data centres from its settings; the homes of route and workspace become the data centres in which a request may be worked on. Choice of endpoint, shards of prompts and stages, and pieces look at it; a plan carries it to its coordinator, which gets no bodies. A data centre without a known region is no home. With no endpoint left the request is refused at once, not run; the same where a stage's pool has none, as after an evacuation of all.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -31,7 +31,8 @@
         };
         let pool = &self.context.pool;
         let members = view.roster.pool(pool).iter();
-        let members = members.filter(|member| may_get(member));
+        let places = &self.context.places;
+        let members = members.filter(|member| places.has(member.data_center()) && may_get(member));
         let scores = &self.node.scores;
         scores.place(Instant::now(), pool, members, query).cloned()
     }
@@ -125,7 +126,8 @@
         }
         self.results = None;
         let view = self.node.view.load_full();
-        let Some(near) = self.planned_place(&view) else {
+        let near = self.planned_place(&view);
+        let Some(near) = near.filter(|_| self.has_stage_endpoints(&view)) else {
             return Err(self.refuse(NotRunReason::NoEndpoint));
         };
         let order = self.plan_order(&near);
@@ -141,6 +143,19 @@
         }
     }
 
+    /// Whether each stage with pieces has an endpoint where the request may be worked on.
+    fn has_stage_endpoints(&self, view: &GatewayView) -> bool {
+        let context = &self.context;
+        let stages = context.route.stages.rules().iter();
+        let mut needed = stages
+            .zip(&context.head.piece_counts)
+            .filter(|(_, pieces)| **pieces > 0);
+        needed.all(|(stage, _)| {
+            let mut members = view.roster.pool(&stage.pool).iter();
+            members.any(|member| context.places.has(member.data_center()))
+        })
+    }
+
     fn plan_order(&self, near: &str) -> PlanOrder {
         let context = &self.context;
         PlanOrder {
@@ -157,6 +172,7 @@
             deadline: context.deadline,
             tail: self.node.first_events.expect(context),
             near: near.into(),
+            places: context.places.clone(),
             returning: context.is_returning,
             timely_only: false,
         }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -5,6 +5,7 @@
 use super::cold_gate::ColdBounds;
 use super::crash_watch::CrashWatch;
 use super::gateway_node::{GatewayNode, NodeParts};
+use super::region_map::RegionMap;
 use super::{GatewayError, Result, RetryLimits, WireFormat, cluster_hub};
 use crate::api::HttpServer;
 use crate::prelude::*;
@@ -70,6 +71,7 @@
                 overage: gateway.cold_overage,
                 slack: gateway.cold_slack,
             },
+            region_map: RegionMap::parse(&cluster.data_centers)?,
             announce_interval: Duration::from_millis(gateway.announce_interval_ms.into()),
         });
         let callers = serve(&gateway.callers, &node, CallSurfaceKind::Callers).await?;
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -10,6 +10,7 @@
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_view::{GatewayView, ViewKnowledge};
 use super::piece_board::{BoardKey, PieceBoard};
+use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
 use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
@@ -40,6 +41,7 @@
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
     pub(super) cold: ColdGate,
+    pub(super) region_map: RegionMap,
     /// Time in which every endpoint that lives has announced itself.
     report_time: Duration,
     /// Requests that no endpoint gets.
@@ -68,6 +70,7 @@
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
     pub(super) cold_bounds: ColdBounds,
+    pub(super) region_map: RegionMap,
     /// Pause between two announcements of an endpoint.
     pub(super) announce_interval: Duration,
 }
@@ -90,6 +93,7 @@
             metric_set: parts.metric_set,
             crash_watch: parts.crash_watch,
             cold: ColdGate::new(parts.cold_bounds),
+            region_map: parts.region_map,
             report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
             max_key_age: parts.max_key_age,
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -74,6 +74,7 @@
 mod work_desk;
 mod work_exchange;
 mod work_gate;
+mod work_places;
 mod work_shard;
 
 pub use call_fault::{CallFault, ReportFault};
@@ -111,6 +112,7 @@
 pub use work_gate::{
     PlanChance, PlanDemand, PlanFate, PlanNumber, PoolRates, StageDemand, WorkGate,
 };
+pub use work_places::WorkPlaces;
 
 /// Result of this module's fallible calls.
 pub type Result<T, E = GatewayError> = std::result::Result<T, E>;
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -312,7 +312,7 @@
                 Some(near) => &**near != target.data_center,
                 None => false,
             };
-            if task.is_abandoned() {
+            if task.is_abandoned() || !task.places.has(target.data_center) {
                 continue;
             }
             let has_place = task
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::gateway::endpoint_load::LEAD_TIME;
-use crate::gateway::{PieceSource, PieceTask};
+use crate::gateway::{PieceSource, PieceTask, WorkPlaces};
 
 pub(in crate::gateway) fn profile() -> PieceProfile {
     PieceProfile {
@@ -37,6 +37,7 @@
         source: PieceSource::Key("k".into()),
         result_bytes: 1_000,
         near: None,
+        places: WorkPlaces::default(),
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
     })
@@ -381,3 +382,18 @@
     let later = now + profile.call_duration(4);
     assert!(queue.next_calls(later, &profile, &targets).is_empty());
 }
+
+/// A pool in two regions serves work that is bound to one of them, and other work.
+#[test]
+fn pieces_go_only_where_their_request_may_be_worked_on() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let mut bound = Arc::into_inner(task(now, "bound", 0, 400)).unwrap();
+    bound.places = WorkPlaces::only(BTreeSet::from(["y".to_string()]));
+    push(&mut queue, now, &Arc::new(bound), 1);
+    push(&mut queue, now, &task(now, "free", 1, 900), 1);
+    let calls = queue.next_calls(now, &profile(), &[target("a", "x")]);
+    assert_eq!(calls.iter().map(names).collect::<Vec<_>>(), [["free"]]);
+    let calls = queue.next_calls(now, &profile(), &[target("b", "y")]);
+    assert_eq!(calls.iter().map(names).collect::<Vec<_>>(), [["bound"]]);
+}
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use super::PieceSource;
+use super::{PieceSource, WorkPlaces};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 
@@ -28,6 +28,8 @@
     /// Data centre in which the work is wanted, when much would have to be
     /// carried to another one.
     pub near: Option<Arc<str>>,
+    /// Where the pieces may be worked on.
+    pub places: WorkPlaces,
     /// Set when nobody waits for the pieces any more.
     pub abandoned: AtomicBool,
     /// Set once the first piece has been put into a call.
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -44,6 +44,7 @@
             max_endpoints: 1,
             stages: Arc::default(),
             is_open: false,
+            homes: Vec::new(),
         }],
         pools: vec![PoolProfile {
             name: "p".into(),
@@ -53,6 +54,7 @@
             name: "w".into(),
             keys: vec![word()],
             rank: None,
+            homes: Vec::new(),
         }],
         limits: Default::default(),
     }
@@ -149,6 +151,7 @@
         },
         metric_set,
         cold_bounds: Default::default(),
+        region_map: Default::default(),
         announce_interval: Duration::from_millis(1_200),
     })
 }
--- a/crates/savorywalk/src/gateway/plan_order.rs
+++ b/crates/savorywalk/src/gateway/plan_order.rs
@@ -1,5 +1,5 @@
-use super::StageGraph;
 use super::work_shard::WorkShard;
+use super::{StageGraph, WorkPlaces};
 use crate::generated::work::{PlanCall, PlannedStage};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
@@ -30,6 +30,8 @@
     pub(super) tail: Duration,
     /// Data centre in which the request will run.
     pub(super) near: Arc<str>,
+    /// Where its stages may be worked on.
+    pub(super) places: WorkPlaces,
     /// Whether it was refused before, and its caller has come back.
     pub(super) returning: bool,
     /// Whether it is refused where it can't be in time, since it may still be
@@ -68,6 +70,8 @@
             deadline_ms: deadline.as_millis() as u32,
             key: self.key.to_string(),
             near: self.near.to_string(),
+            is_bound: self.places.names().is_some(),
+            data_centers: self.places.names().into_iter().flatten().cloned().collect(),
             tail_ms: self.tail.as_millis() as u32,
             returning: self.returning,
             timely_only: self.timely_only,
@@ -92,6 +96,8 @@
             return None;
         }
         let shard = WorkShard::named(&call.shard);
+        let data_centers = call.data_centers.into_iter().collect();
+        let places = call.is_bound.then(|| WorkPlaces::only(data_centers));
         let order = Self {
             request_id: call.request_id.into(),
             digest: RequestDigest::from_bytes(&call.digest),
@@ -106,6 +112,7 @@
             deadline: now + Duration::from_millis(call.deadline_ms.into()),
             tail: Duration::from_millis(call.tail_ms.into()),
             near: call.near.into(),
+            places: places.unwrap_or_default(),
             returning: call.returning,
             timely_only: call.timely_only,
         };
--- a/crates/savorywalk/src/gateway/plan_order_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_order_tests.rs
@@ -22,6 +22,7 @@
         deadline: now + Duration::from_millis(9_000),
         tail: Duration::from_millis(400),
         near: "east".into(),
+        places: WorkPlaces::only(BTreeSet::from(["east".to_string()])),
         returning: true,
         timely_only: false,
     }
--- a/crates/savorywalk/src/gateway/plan_run.rs
+++ b/crates/savorywalk/src/gateway/plan_run.rs
@@ -161,6 +161,7 @@
         source,
         result_bytes: rule.result_bytes,
         near,
+        places: order.places.clone(),
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
         isolated: AtomicBool::new(false),
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -45,7 +45,7 @@
     let ticket = context
         .affinity()
         .map_or_else(own, |part| stable_hash(&[&part.to_le_bytes()]));
-    let map = ShardMap::of_engines(view, &context.pool);
+    let map = ShardMap::of_engines(view, &context.pool).within(&context.places);
     map.draw(ticket, None).cloned().unwrap_or_default()
 }
 
--- a/crates/savorywalk/src/gateway/region_map.rs
+++ b/crates/savorywalk/src/gateway/region_map.rs
@@ -1,4 +1,4 @@
-use super::{GatewayError, Result};
+use super::{GatewayError, Result, WorkPlaces};
 use crate::prelude::*;
 
 /// Regions of the deployment's data centres, as the settings name them.
@@ -34,11 +34,18 @@
         self.regions.keys()
     }
 
-    /// The data centres of some regions.
-    pub(super) fn data_centers_of(&self, regions: &BTreeSet<String>) -> BTreeSet<String> {
+    /// The data centres that lie in a region of each list; an empty list bounds nothing.
+    pub(super) fn places(&self, homes: [&[String]; 2]) -> WorkPlaces {
+        if homes.iter().all(|homes| homes.is_empty()) {
+            return WorkPlaces::default();
+        }
+        let is_home = |region: &String| {
+            let mut homes = homes.iter();
+            homes.all(|homes| homes.is_empty() || homes.contains(region))
+        };
         let data_centers = self.regions.iter();
-        let of_regions = data_centers.filter(|(_, region)| regions.contains(*region));
-        of_regions.map(|(name, _)| name.clone()).collect()
+        let at_home = data_centers.filter(|(_, region)| is_home(region));
+        WorkPlaces::only(at_home.map(|(name, _)| name.clone()).collect())
     }
 }
 
--- a/crates/savorywalk/src/gateway/region_map_tests.rs
+++ b/crates/savorywalk/src/gateway/region_map_tests.rs
@@ -5,14 +5,35 @@
     RegionMap::parse(&entries)
 }
 
+fn homes(regions: &[&str]) -> Vec<String> {
+    regions.iter().map(|region| region.to_string()).collect()
+}
+
+/// Which of the data centres a, b and c work may go to.
+fn allowed(route: &[&str], workspace: &[&str]) -> Vec<&'static str> {
+    let map = parse(&["a:north", "b:south", "c:east"]).unwrap();
+    let places = map.places([&homes(route), &homes(workspace)]);
+    let all = ["a", "b", "c"].into_iter();
+    all.filter(|name| places.has(name)).collect()
+}
+
+#[test]
+fn homes_of_a_route_and_a_workspace_both_bind() {
+    assert_eq!(allowed(&[], &[]), ["a", "b", "c"]);
+    assert_eq!(allowed(&["north"], &[]), ["a"]);
+    assert_eq!(allowed(&[], &["north", "east"]), ["a", "c"]);
+    assert_eq!(allowed(&["north", "south"], &["south", "east"]), ["b"]);
+    assert!(allowed(&["north"], &["south"]).is_empty());
+    assert!(allowed(&["elsewhere"], &[]).is_empty());
+}
+
+/// An endpoint in a data centre that the settings do not name has no known region.
 #[test]
-fn regions_name_their_data_centres() {
-    let map = parse(&["a:north", "b:south", "c:north"]).unwrap();
-    let north = BTreeSet::from(["north".to_string()]);
-    let names = map.data_centers_of(&north);
-    assert_eq!(names, BTreeSet::from(["a".to_string(), "c".to_string()]));
-    assert_eq!(map.data_centers().count(), 3);
-    assert!(map.data_centers_of(&BTreeSet::new()).is_empty());
+fn bound_work_goes_to_no_unknown_data_centre() {
+    let map = parse(&["a:north"]).unwrap();
+    assert!(!map.places([&homes(&["north"]), &[]]).has("z"));
+    assert!(map.places([&[], &[]]).has("z"));
+    assert_eq!(map.data_centers().count(), 1);
 }
 
 #[test]
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -55,6 +55,9 @@
         .remaining
         .map_or(route.timeout, |remaining| remaining.min(route.timeout));
     let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
+    let of_workspace = workspace.as_ref().map(|workspace| &*workspace.homes);
+    let homes = [&*route.homes, of_workspace.unwrap_or_default()];
+    let places = node.region_map.places(homes);
     Ok(RequestContext {
         id: head.request_id.as_str().into(),
         pool: route.pool_for(rand::rng().random()).to_string(),
@@ -65,6 +68,7 @@
         due: due_time(route, arrived, time),
         deadline: arrived + time,
         is_returning: is_returning(route, time),
+        places,
         route: Arc::clone(route),
         head,
     })
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -1,4 +1,4 @@
-use super::{CallerHead, RouteRule};
+use super::{CallerHead, RouteRule, WorkPlaces};
 use crate::prelude::*;
 
 /// What is known of a request once it is admitted.
@@ -24,6 +24,8 @@
     pub(super) due: Instant,
     /// When its caller, or its route, gives up.
     pub(super) deadline: Instant,
+    /// Where it and its stages may be worked on.
+    pub(super) places: WorkPlaces,
     /// Whether its caller was most likely refused before.
     pub(super) is_returning: bool,
 }
--- a/crates/savorywalk/src/gateway/route_rule.rs
+++ b/crates/savorywalk/src/gateway/route_rule.rs
@@ -29,6 +29,8 @@
     pub stages: Arc<StageGraph>,
     /// Whether a request needs no key.
     pub is_open: bool,
+    /// Regions in which its requests may be worked on; any when empty.
+    pub homes: Vec<String>,
 }
 
 /// What may be repeated.
@@ -85,6 +87,8 @@
     pub keys: Vec<String>,
     /// Rank that goes before the route's, if it has one.
     pub rank: Option<u8>,
+    /// Regions in which its requests may be worked on; any when empty.
+    pub homes: Vec<String>,
 }
 
 impl RouteRule {
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -61,7 +61,7 @@
         node: &Arc<GatewayNode>,
         mut order: PlanOrder,
     ) -> Result<PlanResults, StageStop> {
-        let map = ShardMap::of_stages(&node.view.load());
+        let map = ShardMap::of_stages(&node.view.load()).within(&order.places);
         let ticket = stable_hash(&[order.request_id.as_bytes()]);
         let near = match order.has_large() {
             true => map.at(&order.near),
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -1,3 +1,4 @@
+use super::WorkPlaces;
 use super::gateway_view::GatewayView;
 use crate::hashing::stable_hash;
 use crate::prelude::*;
@@ -124,6 +125,13 @@
         }
     }
 
+    /// The shards that work may go to; the whole lies everywhere.
+    pub(super) fn within(mut self, places: &WorkPlaces) -> Self {
+        self.shards
+            .retain(|(shard, _)| shard.is_whole() || places.has(shard.name()));
+        self
+    }
+
     /// The shard of a data centre, if there is one.
     pub(super) fn at(&self, data_center: &str) -> Option<&WorkShard> {
         let mut shards = self.shards.iter().map(|(shard, _)| shard);
