Vouch for endpoints by a digest a daemon, answer followers at a bounded rate

Callers saw: at 300 VMs with 3,000 endpoints nothing was served. Registries were at 99.6% of their processor; an endpoint that got no answer within a second came to the next registry with a new connection, and it never ended.

Cause: work grew with endpoints times followers, and endpoints times registries. Each report that changed was a message to each other registry at once and an answer to each follower; each sign of life was a line to each other registry.

Change: an endpoint is heard by one registry, which names its address for later reports as long as it has no more than its share. It vouches for all that it hears by a digest; only changes are passed on, at most one message in 5 ms times the number of registries. A digest that differs twice has the list asked for. Whoever hears an endpoint says whether it is silent; a daemon that was late itself calls nobody silent, and one that is lost leaves its endpoints the time to go elsewhere. Held calls of followers are answered for endpoints once in 120 ms; documents, retirements, quarantine and evacuations as before at once. Announcements are taken in the first 5 s without a leader, so that endpoints don't ask one after the other.

--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -52,6 +52,7 @@
             node: Arc::clone(&node),
             faults: Arc::default(),
             metrics: metrics.clone(),
+            address: registry.address.parse().ok(),
         };
         let server = cluster_hub::listen(&registry.address, surface).await?;
         let metrics = match registry.metrics.as_str() {
--- a/crates/savorywalk/src/gateway/registry_surface.rs
+++ b/crates/savorywalk/src/gateway/registry_surface.rs
@@ -25,6 +25,8 @@
     pub(super) node: Arc<RegistryNode>,
     pub(super) faults: Arc<Mutex<FaultTally>>,
     pub(super) metrics: RegistryMetrics,
+    /// Where endpoints reach this daemon.
+    pub(super) address: Option<SocketAddr>,
 }
 
 impl HttpSurface for RegistrySurface {
@@ -112,7 +114,8 @@
     /// each, so all refusals are counted and few are logged.
     fn announce(&self, report: EndpointReport) -> RegistryAnswer {
         let Err(error) = self.node.announce(report) else {
-            return RegistryAnswer::Done;
+            let address = self.address.filter(|_| self.node.keeps_endpoints());
+            return address.map_or(RegistryAnswer::Done, RegistryAnswer::Announced);
         };
         let RegistryError::Unavailable(reason) = error else {
             return self.answer_of(Err(error));
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -95,6 +95,8 @@
 pub enum RegistryAnswer {
     /// It is done.
     Done,
+    /// An announcement was taken; later ones had better go to this address.
+    Announced(SocketAddr),
     /// The document in force.
     Document(Bytes),
     /// No document is in force yet.
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -74,10 +74,21 @@
     Flush {
         registry: usize,
     },
+    /// Changes of the table that came too soon after others are due.
+    Publish {
+        registry: usize,
+    },
     Batch {
         registry: usize,
+        from: usize,
         batch: Arc<ReportBatch>,
     },
+    /// The endpoints that announce themselves at another registry.
+    List {
+        registry: usize,
+        from: usize,
+        reports: Vec<EndpointReport>,
+    },
     Change,
     Leave {
         endpoint: usize,
@@ -352,7 +363,17 @@
             FleetEvent::Timeout { entry, number } => self.time_out(entry, number),
             FleetEvent::Announce { endpoint } => self.announce(endpoint),
             FleetEvent::Flush { registry } => self.flush(registry),
-            FleetEvent::Batch { registry, batch } => self.take_batch(registry, &batch),
+            FleetEvent::Publish { registry } => self.publish(registry),
+            FleetEvent::Batch {
+                registry,
+                from,
+                batch,
+            } => self.take_batch(registry, from, &batch),
+            FleetEvent::List {
+                registry,
+                from,
+                reports,
+            } => self.take_list(registry, from, &reports),
             FleetEvent::Change => self.change(),
             FleetEvent::Leave { endpoint } => self.leave(endpoint),
             FleetEvent::Evacuate {
@@ -570,7 +591,7 @@
         let now = self.instant();
         if let Some(home) = home {
             self.registries[home].hear(now, report);
-            self.release_behind(home);
+            self.publish(home);
         }
         self.after(ANNOUNCE_INTERVAL, FleetEvent::Announce { endpoint });
     }
@@ -594,17 +615,56 @@
                 LINK_TIME,
                 FleetEvent::Batch {
                     registry: other,
+                    from: registry,
                     batch,
                 },
             );
         }
     }
 
-    fn take_batch(&mut self, registry: usize, batch: &ReportBatch) {
+    fn take_batch(&mut self, registry: usize, from: usize, batch: &ReportBatch) {
+        let now = self.instant();
+        if !self.registries[registry].is_up {
+            return;
+        }
+        let name = self.members[from].clone();
+        if self.registries[registry].take_batch(now, name.as_str(), batch) {
+            self.fetch_list(registry, from);
+        }
+        self.publish(registry);
+    }
+
+    fn fetch_list(&mut self, registry: usize, from: usize) {
+        let source = &mut self.registries[from];
+        if !source.is_up {
+            return;
+        }
+        let reports = source.table.own_reports();
+        let bytes: usize = reports.iter().map(Message::encoded_len).sum();
+        source.sent_bytes += counted(self.now, bytes);
+        let list = FleetEvent::List {
+            registry,
+            from,
+            reports,
+        };
+        self.after(LINK_TIME * 2, list);
+    }
+
+    fn take_list(&mut self, registry: usize, from: usize, reports: &[EndpointReport]) {
         let now = self.instant();
         if self.registries[registry].is_up {
-            self.registries[registry].take_batch(now, batch);
-            self.release_behind(registry);
+            let name = self.members[from].clone();
+            self.registries[registry].take_list(now, name.as_str(), reports);
+            self.publish(registry);
+        }
+    }
+
+    /// Has held calls answered for changes of the table, now or when they are due.
+    fn publish(&mut self, registry: usize) {
+        let now = self.instant();
+        match self.registries[registry].table.publish(now) {
+            Some(due) => self.after(due - now, FleetEvent::Publish { registry }),
+            None => self.release_behind(registry),
         }
     }
 
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -5,7 +5,9 @@
 use crate::quarantine::QuarantineRegister;
 use crate::registry::follower_list::FollowerList;
 use crate::registry::report_outbox::ReportOutbox;
-use crate::registry::{EndpointReport, FollowCall, FollowReply, RegistryTable, ReportBatch};
+use crate::registry::{
+    EndpointReport, FollowCall, FollowReply, RegistryTable, ReportBatch, VouchOutcome,
+};
 use crate::transport::PeerName;
 
 /// A call that a registry holds until there is news.
@@ -50,31 +52,41 @@
         }
     }
 
-    pub(super) fn hear(&mut self, now: Instant, report: EndpointReport) {
+    /// Takes an announcement; true when the others must learn of it soon.
+    pub(super) fn hear(&mut self, now: Instant, report: EndpointReport) -> bool {
         if self.documents.is_retired(&report.incarnation()) {
-            return;
+            return false;
         }
         let outcome = self.table.hear(now, report.clone());
-        self.outbox.note(report, outcome);
+        self.outbox.note(report, outcome)
     }
 
-    pub(super) fn take_batch(&mut self, now: Instant, batch: &ReportBatch) {
+    /// Takes what another one tells; true when its endpoints must be asked for.
+    pub(super) fn take_batch(&mut self, now: Instant, from: &str, batch: &ReportBatch) -> bool {
         self.followers.take_others(now, batch.followers.clone());
-        for refresh in &batch.refreshes {
-            self.table.refresh(now, refresh);
-        }
         for report in &batch.reports {
             if !self.documents.is_retired(&report.incarnation()) {
-                self.table.hear(now, report.clone());
+                self.table.hear_from(now, from, report.clone());
             }
         }
+        let own = batch.own.unwrap_or_default();
+        self.table.vouch(now, from, own) == VouchOutcome::Unlisted
+    }
+
+    pub(super) fn take_list(&mut self, now: Instant, from: &str, reports: &[EndpointReport]) {
+        let documents = &self.documents;
+        let reports = reports
+            .iter()
+            .filter(|report| !documents.is_retired(&report.incarnation()));
+        self.table.take_list(now, from, reports.cloned().collect());
     }
 
     /// What the other registries are told now.
     pub(super) fn flush(&mut self, now: Instant) -> Option<ReportBatch> {
-        self.table.tick(now);
+        let ticked = self.table.tick(now);
+        self.outbox.note_fallen(ticked.fallen);
         let followers = self.followers.own(now);
-        self.outbox.take(now, followers)
+        self.outbox.take(now, self.table.own_digest(), followers)
     }
 
     pub(super) fn is_behind(&self, call: &FollowCall) -> bool {
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -13,7 +13,7 @@
             || news.quarantine_revision > self.quarantine_revision
             || news.evacuation_revision > self.evacuation_revision
             || table.epoch() != self.table_epoch
-            || table.revision() > self.table_revision
+            || table.published() > self.table_revision
     }
 }
 
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -11,12 +11,16 @@
     /// committed, and tells what the follower lacks.
     pub(super) async fn follow(&self, from: &PeerName, call: &FollowCall) -> FollowReply {
         let arrived = Instant::now();
-        if call.entry {
-            self.lock_followers().take_own(arrived, from, call.leaving);
+        if !call.entry {
+            return FollowReply {
+                reports: self.table().own_reports(),
+                ..Default::default()
+            };
         }
+        self.lock_followers().take_own(arrived, from, call.leaving);
         self.wait_for_news(call).await;
         let held = arrived.elapsed();
-        let confirmed = call.entry && self.confirm().await;
+        let confirmed = self.confirm().await;
         let mut reply = self.news_after(call);
         reply.confirmed = confirmed;
         reply.held_ms = held.as_millis() as u32;
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -21,6 +21,7 @@
 mod registry_table;
 mod report_exchange;
 mod report_outbox;
+mod report_source;
 mod voter_keeper;
 
 #[cfg(test)]
@@ -28,7 +29,7 @@
 
 pub use crate::control::EndpointIncarnation;
 pub use crate::generated::control_link::{
-    EndpointRefresh, EndpointReport, FollowCall, FollowReply, ReportBatch,
+    EndpointDigest, EndpointRefresh, EndpointReport, FollowCall, FollowReply, ReportBatch,
 };
 pub use boot_clock::{BootClock, BootTime};
 pub use endpoint_life::EndpointLife;
@@ -38,7 +39,8 @@
 pub use member_ring::MemberRing;
 pub use registry_error::RegistryError;
 pub use registry_node::{RegistryNode, RegistryOptions};
-pub use registry_table::{HearOutcome, RegistryTable};
+pub use registry_table::{HearOutcome, RegistryTable, TickOutcome};
+pub use report_source::VouchOutcome;
 
 /// Result of this module's fallible calls.
 pub type Result<T> = std::result::Result<T, RegistryError>;
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -1,4 +1,5 @@
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -19,7 +20,7 @@
 use crate::generated::control_link::control_response::Response;
 use crate::generated::control_link::{ControlCall, ControlResponse};
 use crate::prelude::*;
-use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkHub};
+use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkHub, PeerName};
 
 /// Longest wait for a decision of the log. Callers wait a second for an answer.
 const DECIDE_TIME: Duration = Duration::from_millis(900);
@@ -34,6 +35,12 @@
 /// two may come late or be lost on a bad link.
 const LISTING_ANNOUNCEMENTS: u32 = 3;
 
+/// A daemon keeps endpoints up to its equal share and one of this many parts of it.
+const FAIR_SHARE_PARTS: usize = 4;
+
+/// Time after a start in which announcements are taken though no leader is known yet.
+const START_TIME: Duration = Duration::from_secs(5);
+
 /// Longest round that confirms what is committed.
 const CONFIRM_TIME: Duration = Duration::from_millis(600);
 
@@ -59,13 +66,18 @@
     pub(super) revision: watch::Sender<u64>,
     pub(super) outbox: Mutex<ReportOutbox>,
     pub(super) urgent: Notify,
+    unpublished: Notify,
     pub(super) gate: ConfirmGate,
     pub(super) followers: Mutex<FollowerList>,
-    pub(super) wants_table: Notify,
+    /// Daemons whose endpoints are not listed as they vouch for them.
+    unlisted: Mutex<BTreeSet<PeerName>>,
+    pub(super) wants_lists: Notify,
     pub(super) intake: QuarantineIntake,
     /// By when every endpoint that lives has announced itself here.
     pub(super) listed_by: Instant,
     pub(super) data_centers: Vec<String>,
+    started: Instant,
+    had_leader: AtomicBool,
 }
 
 impl RegistryNode {
@@ -87,12 +99,16 @@
             revision: watch::Sender::default(),
             outbox: Mutex::default(),
             urgent: Notify::new(),
+            unpublished: Notify::new(),
+            started: Instant::now(),
             gate,
             followers: Mutex::default(),
-            wants_table: Notify::new(),
+            unlisted: Mutex::default(),
+            wants_lists: Notify::new(),
             intake,
             listed_by: Instant::now() + options.announce_interval * LISTING_ANNOUNCEMENTS,
             data_centers: options.data_centers,
+            had_leader: AtomicBool::new(false),
             hub: hub.clone(),
         });
         tokio::spawn(keeper.run());
@@ -107,7 +123,8 @@
         ));
         tokio::spawn(Arc::clone(&node).forget_old());
         tokio::spawn(Arc::clone(&node).flush_often());
-        tokio::spawn(Arc::clone(&node).fetch_tables());
+        tokio::spawn(Arc::clone(&node).publish_late());
+        tokio::spawn(Arc::clone(&node).fetch_lists());
         tokio::spawn(Arc::clone(&node).take_batches(hub.subscribe(LinkChannel::Directory)));
         tokio::spawn(Arc::clone(&node).serve_calls(hub.serve(LinkChannel::Control)));
         node
@@ -118,16 +135,28 @@
         self.voter().is_some_and(|voter| voter.leader().is_some())
     }
 
-    /// Takes an endpoint's announcement. While this daemon has lost the
-    /// others it takes none, so that the endpoint tries another daemon.
+    /// Whether endpoints may announce themselves here: not while this daemon has lost the
+    /// others, so that they try another one. After a start of all nobody has a leader, and
+    /// endpoints that ask one daemon after the other keep them from finding one.
+    fn takes_announcements(&self) -> bool {
+        if self.has_leader() {
+            self.had_leader.store(true, Ordering::Relaxed);
+            return true;
+        }
+        let is_starting = self.started.elapsed() < START_TIME;
+        is_starting && !self.had_leader.load(Ordering::Relaxed)
+    }
+
+    /// Takes an endpoint's announcement.
     pub fn announce(&self, report: EndpointReport) -> Result<()> {
-        if !self.has_leader() {
+        if !self.takes_announcements() {
             return Err(RegistryError::Unavailable("no leader is known".into()));
         }
         if self.is_retired(&report.incarnation()) {
             return Ok(());
         }
-        let outcome = self.table().hear(Instant::now(), report.clone());
+        let now = Instant::now();
+        let outcome = self.table().hear(now, report.clone());
         if outcome == HearOutcome::Changed {
             log_event!(
                 info,
@@ -143,13 +172,25 @@
         if outcome == HearOutcome::Foreign {
             return Err(elsewhere(&report.id));
         }
-        let is_urgent = self.lock_outbox().note(report, outcome);
+        let mut outbox = self.lock_outbox();
+        outbox.note_own(now, &report.id);
+        let is_urgent = outbox.note(report, outcome);
+        drop(outbox);
         if is_urgent {
             self.urgent.notify_one();
         }
         Ok(())
     }
 
+    /// Whether an endpoint had better go on announcing itself here: its connection is open
+    /// then. A daemon with more than its share leaves the choice to chance.
+    pub fn keeps_endpoints(&self) -> bool {
+        let members = self.voter().map_or(1, |voter| voter.member_names().len());
+        let known = self.table().len();
+        let own = self.lock_outbox().count_own(Instant::now());
+        own * members * FAIR_SHARE_PARTS <= known * (FAIR_SHARE_PARTS + 1)
+    }
+
     /// Has it decided that an endpoint takes no new work any more. Once this
     /// returns, every entry that confirms its knowledge learns of it.
     pub async fn retire(&self, incarnation: EndpointIncarnation) -> Result<()> {
@@ -258,9 +299,34 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn lock_unlisted(&self) -> MutexGuard<'_, BTreeSet<PeerName>> {
+        self.unlisted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has held calls answered for changes of the table, now or when they are due.
     pub(super) fn publish_revision(&self) {
-        let revision = self.table().revision();
-        self.revision.send_replace(revision);
+        if self.table().publish(Instant::now()).is_some() {
+            self.unpublished.notify_one();
+            return;
+        }
+        let published = self.table().published();
+        self.revision.send_if_modified(|known| {
+            let is_news = *known != published;
+            *known = published;
+            is_news
+        });
+    }
+
+    /// Publishes changes that came too soon after others.
+    async fn publish_late(self: Arc<Self>) {
+        loop {
+            self.unpublished.notified().await;
+            let due = self.table().publish(Instant::now());
+            if let Some(due) = due {
+                tokio::time::sleep_until(due.into()).await;
+            }
+            self.publish_revision();
+        }
     }
 
     pub(super) fn is_retired(&self, incarnation: &EndpointIncarnation) -> bool {
--- a/crates/savorywalk/src/registry/registry_table_tests.rs
+++ b/crates/savorywalk/src/registry/registry_table_tests.rs
@@ -40,8 +40,8 @@
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
     table.hear(now, report("a", 1));
-    assert!(!table.tick(now + INTERVAL * 2));
-    assert!(table.tick(now + INTERVAL * 3));
+    assert!(!table.tick(now + INTERVAL * 2).changed);
+    assert!(table.tick(now + INTERVAL * 3).changed);
     let seen = table.revision();
     assert!(table.changed_after(0)[0].silent);
     let refresh = EndpointRefresh {
@@ -187,3 +187,185 @@
     assert_eq!(table.len(), MAX_ENDPOINTS);
     assert!(table.incarnation_of("own").is_some());
 }
+
+/// Two control daemons, the first of which hears endpoints itself.
+struct Pair {
+    first: RegistryTable,
+    second: RegistryTable,
+}
+
+const FIRST: &str = "10-0-0-1";
+
+impl Pair {
+    fn new() -> Self {
+        Self {
+            first: RegistryTable::new(7, INTERVAL),
+            second: RegistryTable::new(8, INTERVAL),
+        }
+    }
+
+    /// An endpoint announces itself at the first, which tells the second.
+    fn hear(&mut self, now: Instant, report: &EndpointReport) {
+        self.first.hear(now, report.clone());
+        self.second.hear_from(now, FIRST, report.clone());
+    }
+
+    fn vouch(&mut self, now: Instant) -> VouchOutcome {
+        self.second.vouch(now, FIRST, self.first.own_digest())
+    }
+
+    /// Both look for silent endpoints as often as daemons do, up to `until`.
+    fn tick_until(&mut self, from: Instant, until: Instant) {
+        let mut now = from;
+        while now <= until {
+            self.first.tick(now);
+            self.second.tick(now);
+            now += INTERVAL / 4;
+        }
+    }
+}
+
+#[test]
+fn a_digest_vouches_for_all_endpoints_of_a_daemon() {
+    let mut pair = Pair::new();
+    let start = Instant::now();
+    for number in 0..100 {
+        pair.hear(start, &report(&format!("e-{number}"), 1));
+    }
+    assert_eq!(pair.first.own_digest().count, 100);
+    for step in 1..20 {
+        let now = start + INTERVAL * step;
+        assert_eq!(pair.vouch(now), VouchOutcome::Listed);
+        pair.second.tick(now);
+    }
+    assert!(
+        pair.second
+            .changed_after(0)
+            .iter()
+            .all(|report| !report.silent)
+    );
+}
+
+/// The endpoint itself was not heard, so its daemon tells.
+#[test]
+fn the_word_of_the_daemon_that_hears_an_endpoint_counts() {
+    let mut pair = Pair::new();
+    let start = Instant::now();
+    pair.hear(start, &report("a", 1));
+    pair.hear(start, &report("b", 1));
+    let later = start + INTERVAL * MISSED_ANNOUNCEMENTS;
+    pair.first.hear(later, report("b", 4));
+    let fallen = pair.first.tick(later).fallen;
+    assert_eq!(fallen.len(), 1);
+    assert_eq!(
+        pair.vouch(later),
+        VouchOutcome::Unsettled,
+        "it is not told yet"
+    );
+    for report in fallen {
+        pair.second.hear_from(later, FIRST, report);
+    }
+    assert_eq!(pair.vouch(later), VouchOutcome::Listed);
+    let silent = |table: &RegistryTable| -> Vec<bool> {
+        let reports = table.changed_after(0);
+        reports.iter().map(|report| report.silent).collect()
+    };
+    assert_eq!(silent(&pair.second), [true, false]);
+    let back = report("a", 5);
+    pair.hear(later, &back);
+    assert_eq!(pair.vouch(later), VouchOutcome::Listed);
+    assert_eq!(silent(&pair.second), [false, false]);
+}
+
+/// A daemon that is lost takes nobody with it: endpoints announce themselves elsewhere
+/// before they count as silent, and those of one that was only cut off count again.
+#[test]
+fn endpoints_of_a_lost_daemon_are_silent_until_it_vouches_again() {
+    let mut pair = Pair::new();
+    let start = Instant::now();
+    pair.hear(start, &report("a", 1));
+    pair.hear(start, &report("b", 1));
+    assert_eq!(pair.vouch(start), VouchOutcome::Listed);
+    let moved = start + INTERVAL;
+    assert_eq!(pair.second.hear(moved, report("a", 2)), HearOutcome::Moved);
+    let lost = start + INTERVAL * MISSED_ANNOUNCEMENTS;
+    pair.tick_until(start, lost);
+    let silent = |table: &RegistryTable| -> Vec<bool> {
+        let reports = table.changed_after(0);
+        reports.iter().map(|report| report.silent).collect()
+    };
+    assert_eq!(silent(&pair.second), [false, true]);
+    // The first learns that one of them announces itself elsewhere now.
+    pair.first.hear_from(lost, "10-0-0-2", report("a", 2));
+    pair.first.hear(lost, report("b", 4));
+    pair.second.hear_from(lost, FIRST, report("b", 4));
+    assert_eq!(pair.vouch(lost), VouchOutcome::Listed);
+    assert_eq!(silent(&pair.second), [false, false]);
+}
+
+/// What was lost on the way shows by the digest.
+#[test]
+fn a_report_that_was_lost_is_asked_for() {
+    let mut pair = Pair::new();
+    let start = Instant::now();
+    pair.hear(start, &report("a", 1));
+    pair.first.hear(start, report("b", 1));
+    assert_eq!(pair.vouch(start), VouchOutcome::Unsettled);
+    assert_eq!(pair.vouch(start), VouchOutcome::Unlisted);
+    let list = pair.first.own_reports();
+    pair.second.take_list(start, FIRST, list);
+    assert_eq!(pair.vouch(start), VouchOutcome::Listed);
+    assert_eq!(pair.second.len(), 2);
+}
+
+/// A daemon that was started again hears nobody yet. Its endpoints are listed until they
+/// have had the time to announce themselves.
+#[test]
+fn endpoints_of_a_daemon_that_has_forgotten_them_stay_listed_for_a_while() {
+    let mut pair = Pair::new();
+    let start = Instant::now();
+    pair.hear(start, &report("a", 1));
+    pair.vouch(start);
+    pair.first = RegistryTable::new(9, INTERVAL);
+    pair.vouch(start);
+    assert_eq!(pair.vouch(start), VouchOutcome::Unlisted);
+    pair.second.take_list(start, FIRST, Vec::new());
+    assert_eq!(pair.vouch(start), VouchOutcome::Listed);
+    pair.second.tick(start + INTERVAL);
+    assert!(!pair.second.changed_after(0)[0].silent);
+    pair.tick_until(start + INTERVAL, start + INTERVAL * MISSED_ANNOUNCEMENTS);
+    assert!(pair.second.changed_after(0)[0].silent);
+}
+
+/// A daemon that was suspended did not hear what endpoints said meanwhile.
+#[test]
+fn a_daemon_that_was_late_itself_calls_nobody_silent() {
+    let mut table = RegistryTable::new(7, INTERVAL);
+    let start = Instant::now();
+    table.hear(start, report("a", 1));
+    table.tick(start);
+    let woken = start + INTERVAL * 5;
+    assert!(!table.tick(woken).changed);
+    assert!(!table.tick(woken + INTERVAL).changed);
+    table.tick(woken + INTERVAL * 2);
+    assert!(table.tick(woken + INTERVAL * 3).changed);
+}
+
+/// Thousands of endpoints start within a second.
+#[test]
+fn changes_that_come_together_are_published_together() {
+    let mut table = RegistryTable::new(7, INTERVAL);
+    let start = Instant::now();
+    let mut published = BTreeSet::new();
+    for number in 0..1_000_u64 {
+        let now = start + Duration::from_millis(number);
+        table.hear(now, report(&format!("e-{number}"), 1));
+        table.publish(now);
+        published.insert(table.published());
+    }
+    let most = 1 + 1_000 / PUBLISH_PAUSE.as_millis() as usize;
+    assert!(published.len() <= most + 1, "{} answers", published.len());
+    let last = start + Duration::from_secs(2);
+    assert_eq!(table.publish(last), None);
+    assert_eq!(table.published(), table.revision());
+}
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -1,34 +1,49 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use super::{FollowCall, HearOutcome, RegistryError, RegistryNode, ReportBatch, Result};
+use super::{
+    EndpointReport, FollowCall, RegistryError, RegistryNode, ReportBatch, Result, VouchOutcome,
+};
 use crate::generated::control_link::control_call::Call;
 use crate::generated::control_link::control_response::Response;
 use crate::generated::control_link::{ControlCall, ControlResponse};
 use crate::prelude::*;
 use crate::transport::{InboundMessage, LinkChannel, PeerName};
 
-/// Pause between signs of life told to the other control daemons: a quarter
-/// of the time between two announcements of an endpoint.
+/// Pause between two looks for what the other control daemons lack.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for another control daemon's whole table.
-const TABLE_CALL_TIME: Duration = Duration::from_millis(800);
+/// Pause between changes that go to the others at once, for each of them: with dozens of
+/// daemons a message to each for each change costs more than a daemon has.
+const MESSAGE_PAUSE: Duration = Duration::from_millis(5);
+
+/// Time for the endpoints of another control daemon.
+const LIST_CALL_TIME: Duration = Duration::from_millis(800);
 
 /// What registry daemons tell each other of endpoints and entries.
 impl RegistryNode {
     pub(super) async fn flush_often(self: Arc<Self>) {
+        let mut flushed = Instant::now();
         loop {
             tokio::select! {
                 () = tokio::time::sleep(FLUSH_INTERVAL) => {}
-                () = self.urgent.notified() => {}
+                () = self.urgent.notified() => {
+                    let pause = MESSAGE_PAUSE * self.other_members().len() as u32;
+                    tokio::time::sleep_until((flushed + pause).into()).await;
+                }
             }
             let now = Instant::now();
-            if self.table().tick(now) {
+            flushed = now;
+            let ticked = self.table().tick(now);
+            if ticked.changed {
                 self.publish_revision();
             }
+            let own = self.table().own_digest();
             let followers = self.lock_followers().own(now);
-            let batch = self.lock_outbox().take(now, followers);
+            let mut outbox = self.lock_outbox();
+            outbox.note_fallen(ticked.fallen);
+            let batch = outbox.take(now, own, followers);
+            drop(outbox);
             if let Some(batch) = batch {
                 self.tell_members(&batch);
             }
@@ -56,7 +71,7 @@
     pub(super) async fn take_batches(self: Arc<Self>, mut batches: mpsc::Receiver<InboundMessage>) {
         while let Some(message) = batches.recv().await {
             match ReportBatch::decode(message.payload) {
-                Ok(batch) => self.take_batch(batch),
+                Ok(batch) => self.take_batch(&message.from, batch),
                 Err(error) => log_event!(
                     warn,
                     "report_batch_unreadable",
@@ -67,52 +82,53 @@
         }
     }
 
-    fn take_batch(&self, batch: ReportBatch) {
+    fn take_batch(&self, from: &PeerName, batch: ReportBatch) {
         let now = Instant::now();
         self.lock_followers().take_others(now, batch.followers);
-        let mut is_incomplete = false;
-        {
+        let reports = self.live_reports(batch.reports);
+        let vouched = {
             let mut table = self.table();
             for refresh in &batch.refreshes {
-                is_incomplete |= table.refresh(now, refresh) == HearOutcome::Unknown;
+                table.refresh(now, refresh);
             }
-        }
-        for report in batch.reports {
-            if !self.is_retired(&report.incarnation()) {
-                self.table().hear(now, report);
+            for report in reports {
+                table.hear_from(now, from.as_str(), report);
             }
-        }
+            batch.own.map(|own| table.vouch(now, from.as_str(), own))
+        };
         self.publish_revision();
-        if is_incomplete {
-            self.wants_table.notify_one();
+        if vouched == Some(VouchOutcome::Unlisted) {
+            self.lock_unlisted().insert(from.clone());
+            self.wants_lists.notify_one();
         }
     }
 
-    /// Fetches another daemon's whole table when this one lacks endpoints, as
+    /// Reports of endpoints that have not left.
+    fn live_reports(&self, reports: Vec<EndpointReport>) -> Vec<EndpointReport> {
+        let reports = reports.into_iter();
+        let live = reports.filter(|report| !self.is_retired(&report.incarnation()));
+        live.collect()
+    }
+
+    /// Fetches the endpoints of daemons that vouch for others than are listed here, as
     /// after a start.
-    pub(super) async fn fetch_tables(self: Arc<Self>) {
-        let mut turn = 0_usize;
+    pub(super) async fn fetch_lists(self: Arc<Self>) {
         loop {
-            let members = self.other_members();
-            if self.table().is_empty() && !members.is_empty() {
-                self.wants_table.notify_one();
-            }
-            tokio::select! {
-                () = self.wants_table.notified() => {}
-                () = tokio::time::sleep(FLUSH_INTERVAL) => continue,
-            }
-            let Some(member) = members.get(turn % members.len().max(1)) else {
-                continue;
-            };
-            turn += 1;
-            if let Err(error) = self.fetch_table(member).await {
-                log_event!(debug, "table_not_fetched", from = member, reason = error);
-            }
+            self.wants_lists.notified().await;
+            let members = std::mem::take(&mut *self.lock_unlisted());
+            let fetches = members.iter().map(|member| self.fetch_list(member));
+            futures::future::join_all(fetches).await;
             tokio::time::sleep(FLUSH_INTERVAL).await;
         }
     }
 
-    async fn fetch_table(&self, member: &PeerName) -> Result<()> {
+    async fn fetch_list(&self, member: &PeerName) {
+        if let Err(error) = self.try_fetch_list(member).await {
+            log_event!(debug, "list_not_fetched", from = member, reason = error);
+        }
+    }
+
+    async fn try_fetch_list(&self, member: &PeerName) -> Result<()> {
         let call = ControlCall {
             call: Some(Call::Follow(FollowCall::default())),
         };
@@ -120,18 +136,16 @@
         let channel = LinkChannel::Control;
         let answer = self
             .hub
-            .call(member.as_str(), channel, payload, TABLE_CALL_TIME);
+            .call(member.as_str(), channel, payload, LIST_CALL_TIME);
         let answer = ControlResponse::decode(answer.await?);
         let Ok(Some(Response::Follow(reply))) = answer.map(|answer| answer.response) else {
             let reason = "the member's answer can't be read".to_string();
             return Err(RegistryError::Unavailable(reason));
         };
-        let now = Instant::now();
-        for report in reply.reports {
-            if !report.silent && !self.is_retired(&report.incarnation()) {
-                self.table().hear(now, report);
-            }
-        }
+        let reports = self.live_reports(reply.reports);
+        let mut table = self.table();
+        table.take_list(Instant::now(), member.as_str(), reports);
+        drop(table);
         self.publish_revision();
         Ok(())
     }
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -1,4 +1,4 @@
-use super::{EndpointRefresh, EndpointReport, HearOutcome, ReportBatch};
+use super::{EndpointDigest, EndpointReport, HearOutcome, ReportBatch};
 use crate::prelude::*;
 
 /// Time between two lists of the sender's followers: two may be lost before one of
@@ -6,13 +6,17 @@
 /// each batch 22 followers' names for 14 daemons are 13 KB a second.
 const FOLLOWER_INTERVAL: Duration = Duration::from_millis(800);
 
-/// What waits to be told to the other control daemons: changes go out at once,
-/// signs of life together with others, at every flush.
+/// Time without an announcement after which an endpoint announces itself elsewhere.
+const OWN_TIME: Duration = Duration::from_secs(4);
+
+/// What waits for the other control daemons: changes go out soon, a digest of all that
+/// live with each of them and at least as often as the followers.
 #[derive(Debug, Default)]
 pub(super) struct ReportOutbox {
     reports: FastMap<String, EndpointReport>,
-    refreshes: FastMap<String, EndpointRefresh>,
     told: Option<Instant>,
+    /// When each endpoint announced itself here last.
+    own: FastMap<String, Instant>,
 }
 
 impl ReportOutbox {
@@ -20,27 +24,47 @@
     /// others should learn of it at once.
     pub(super) fn note(&mut self, report: EndpointReport, outcome: HearOutcome) -> bool {
         match outcome {
-            HearOutcome::Changed => {
-                self.refreshes.remove(&report.id);
+            HearOutcome::Changed | HearOutcome::Moved => {
                 self.reports.insert(report.id.clone(), report);
                 true
             }
-            HearOutcome::Refreshed => {
-                let refresh = EndpointRefresh {
-                    id: report.id,
-                    sequence: report.sequence,
-                    born_ms: report.born_ms,
-                };
-                self.refreshes.insert(refresh.id.clone(), refresh);
-                false
-            }
-            HearOutcome::Stale | HearOutcome::Foreign | HearOutcome::Unknown => false,
+            HearOutcome::Refreshed
+            | HearOutcome::Stale
+            | HearOutcome::Foreign
+            | HearOutcome::Unknown => false,
+        }
+    }
+
+    /// Notes that an endpoint has announced itself here.
+    pub(super) fn note_own(&mut self, now: Instant, endpoint: &str) {
+        match self.own.get_mut(endpoint) {
+            Some(heard) => *heard = now,
+            None => drop(self.own.insert(endpoint.to_string(), now)),
         }
     }
 
-    /// Takes what waits, and now and then the followers; `None` without either.
-    pub(super) fn take(&mut self, now: Instant, followers: Vec<String>) -> Option<ReportBatch> {
-        let is_empty = self.reports.is_empty() && self.refreshes.is_empty();
+    /// Endpoints that announce themselves here.
+    pub(super) fn count_own(&mut self, now: Instant) -> usize {
+        self.own.retain(|_, heard| now < *heard + OWN_TIME);
+        self.own.len()
+    }
+
+    /// Notes endpoints that have fallen silent here.
+    pub(super) fn note_fallen(&mut self, fallen: Vec<EndpointReport>) {
+        let fallen = fallen.into_iter();
+        self.reports
+            .extend(fallen.map(|report| (report.id.clone(), report)));
+    }
+
+    /// Takes what waits with the digest of the endpoints that live, and now and then the
+    /// followers; `None` when nothing is due.
+    pub(super) fn take(
+        &mut self,
+        now: Instant,
+        own: EndpointDigest,
+        followers: Vec<String>,
+    ) -> Option<ReportBatch> {
+        let is_empty = self.reports.is_empty();
         let is_due = self.told.is_none_or(|told| now >= told + FOLLOWER_INTERVAL);
         if is_empty && !is_due {
             return None;
@@ -49,10 +73,10 @@
             self.told = Some(now);
         }
         let reports = std::mem::take(&mut self.reports);
-        let refreshes = std::mem::take(&mut self.refreshes);
         Some(ReportBatch {
             reports: reports.into_values().collect(),
-            refreshes: refreshes.into_values().collect(),
+            refreshes: Vec::new(),
+            own: Some(own),
             followers: if is_due { followers } else { Vec::new() },
         })
     }
