Bear short losses of a leader, keep the list of entries for 100 ms

It is taken for 1.5 s without a leader now, and 12 s after a start (was 0 and 5 s). The list of all entries is sorted and hashed once in 100 ms, not for each answer; the digest's share is looked at without a walk.

--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -111,7 +111,7 @@
         reply.add_evacuations(call, &self.evacuations);
         reply.tell_endpoints(call, &self.table);
         reply.members = members.iter().map(ToString::to_string).collect();
-        reply.tell_entries(call, self.followers.all(now));
+        reply.tell_entries(call, &self.followers.all(now));
         reply
     }
 }
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -56,10 +56,10 @@
     }
 
     /// Tells who follows control, to a follower that knows other ones.
-    pub(super) fn tell_entries(&mut self, call: &FollowCall, entries: NamedEntries) {
+    pub(super) fn tell_entries(&mut self, call: &FollowCall, entries: &NamedEntries) {
         self.entries_digest = entries.digest;
         if entries.digest != call.entries_digest {
-            self.entries = entries.names;
+            self.entries = entries.names.clone();
         }
     }
 }
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -66,7 +66,8 @@
         let members = self.voter().map(|voter| voter.member_names());
         let members = members.unwrap_or_default().into_iter();
         reply.members = members.map(|member| member.to_string()).collect();
-        reply.tell_entries(call, self.lock_followers().all(Instant::now()));
+        let entries = self.lock_followers().all(Instant::now());
+        reply.tell_entries(call, &entries);
         reply
     }
 }
--- a/crates/savorywalk/src/registry/follower_list.rs
+++ b/crates/savorywalk/src/registry/follower_list.rs
@@ -7,11 +7,16 @@
 /// least twice a second, and may take a second to find another control daemon.
 const FOLLOWER_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which a list of all entries is good: hundreds of names are sorted and hashed for
+/// it, and dozens of followers ask for it at once.
+const LIST_TIME: Duration = Duration::from_millis(100);
+
 /// Which entries follow control: here, and at the other control daemons.
 #[derive(Debug, Default)]
 pub(super) struct FollowerList {
     own: BTreeMap<String, Instant>,
     others: BTreeMap<String, Instant>,
+    listed: Option<(Instant, Arc<NamedEntries>)>,
 }
 
 /// Entries by name, with a digest that tells one list from another.
@@ -28,9 +33,12 @@
         if leaving {
             self.own.remove(&name);
             self.others.remove(&name);
+            self.listed = None;
             return;
         }
-        self.own.insert(name, now);
+        if self.own.insert(name, now).is_none() {
+            self.listed = None;
+        }
     }
 
     /// Notes who follows another control daemon.
@@ -46,8 +54,19 @@
         self.own.keys().cloned().collect()
     }
 
-    /// All entries that are known.
-    pub(super) fn all(&mut self, now: Instant) -> NamedEntries {
+    /// All entries that are known, as of a moment ago.
+    pub(super) fn all(&mut self, now: Instant) -> Arc<NamedEntries> {
+        if let Some((at, listed)) = &self.listed
+            && now < *at + LIST_TIME
+        {
+            return Arc::clone(listed);
+        }
+        let listed = Arc::new(self.list(now));
+        self.listed = Some((now, Arc::clone(&listed)));
+        listed
+    }
+
+    fn list(&mut self, now: Instant) -> NamedEntries {
         self.others.retain(|_, heard| now < *heard + FOLLOWER_TIME);
         let mut names: BTreeSet<String> = self.own(now).into_iter().collect();
         names.extend(self.others.keys().cloned());
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -1,5 +1,5 @@
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -35,11 +35,15 @@
 /// two may come late or be lost on a bad link.
 const LISTING_ANNOUNCEMENTS: u32 = 3;
 
+/// Time without a leader in which announcements are still taken: an election, and less than
+/// an endpoint may be unheard of before it counts as silent.
+const LEADERLESS_TIME: Duration = Duration::from_millis(1_500);
+
 /// A daemon keeps endpoints up to its equal share and one of this many parts of it.
 const FAIR_SHARE_PARTS: usize = 4;
 
 /// Time after a start in which announcements are taken though no leader is known yet.
-const START_TIME: Duration = Duration::from_secs(5);
+const START_TIME: Duration = Duration::from_secs(12);
 
 /// Longest round that confirms what is committed.
 const CONFIRM_TIME: Duration = Duration::from_millis(600);
@@ -76,8 +80,10 @@
     /// By when every endpoint that lives has announced itself here.
     pub(super) listed_by: Instant,
     pub(super) data_centers: Vec<String>,
-    started: Instant,
-    had_leader: AtomicBool,
+    /// Number of control daemons.
+    pub(super) members: AtomicUsize,
+    /// Until when announcements are taken without a leader.
+    led_until: Mutex<Instant>,
 }
 
 impl RegistryNode {
@@ -100,7 +106,6 @@
             outbox: Mutex::default(),
             urgent: Notify::new(),
             unpublished: Notify::new(),
-            started: Instant::now(),
             gate,
             followers: Mutex::default(),
             unlisted: Mutex::default(),
@@ -108,7 +113,8 @@
             intake,
             listed_by: Instant::now() + options.announce_interval * LISTING_ANNOUNCEMENTS,
             data_centers: options.data_centers,
-            had_leader: AtomicBool::new(false),
+            led_until: Mutex::new(Instant::now() + START_TIME),
+            members: AtomicUsize::new(1),
             hub: hub.clone(),
         });
         tokio::spawn(keeper.run());
@@ -136,15 +142,16 @@
     }
 
     /// Whether endpoints may announce themselves here: not while this daemon has lost the
-    /// others, so that they try another one. After a start of all nobody has a leader, and
-    /// endpoints that ask one daemon after the other keep them from finding one.
+    /// others, so that they try another one. Without a leader for a moment, or after a start
+    /// of all, endpoints that ask one daemon after the other would keep them from finding one.
     fn takes_announcements(&self) -> bool {
+        let now = Instant::now();
+        let led = self.led_until.lock();
+        let mut led = led.unwrap_or_else(PoisonError::into_inner);
         if self.has_leader() {
-            self.had_leader.store(true, Ordering::Relaxed);
-            return true;
+            *led = now + LEADERLESS_TIME;
         }
-        let is_starting = self.started.elapsed() < START_TIME;
-        is_starting && !self.had_leader.load(Ordering::Relaxed)
+        now < *led
     }
 
     /// Takes an endpoint's announcement.
@@ -185,9 +192,9 @@
     /// Whether an endpoint had better go on announcing itself here: its connection is open
     /// then. A daemon with more than its share leaves the choice to chance.
     pub fn keeps_endpoints(&self) -> bool {
-        let members = self.voter().map_or(1, |voter| voter.member_names().len());
+        let members = self.members.load(Ordering::Relaxed);
         let known = self.table().len();
-        let own = self.lock_outbox().count_own(Instant::now());
+        let own = self.lock_outbox().count_own();
         own * members * FAIR_SHARE_PARTS <= known * (FAIR_SHARE_PARTS + 1)
     }
 
--- a/crates/savorywalk/src/registry/registry_table.rs
+++ b/crates/savorywalk/src/registry/registry_table.rs
@@ -367,6 +367,9 @@
 
     /// The reports that changed after `revision`; all of them after 0.
     pub fn changed_after(&self, revision: u64) -> Vec<EndpointReport> {
+        if revision >= self.revision {
+            return Vec::new();
+        }
         let records = self.records.values();
         let changed = records.filter(|record| record.revision > revision);
         changed.map(|record| record.report.clone()).collect()
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::Ordering;
+
 use prost::Message;
 use tokio::sync::mpsc;
 
@@ -28,10 +30,12 @@
             tokio::select! {
                 () = tokio::time::sleep(FLUSH_INTERVAL) => {}
                 () = self.urgent.notified() => {
-                    let pause = MESSAGE_PAUSE * self.other_members().len() as u32;
+                    let pause = MESSAGE_PAUSE * self.members.load(Ordering::Relaxed) as u32;
                     tokio::time::sleep_until((flushed + pause).into()).await;
                 }
             }
+            self.members
+                .store(self.other_members().len() + 1, Ordering::Relaxed);
             let now = Instant::now();
             flushed = now;
             let ticked = self.table().tick(now);
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -44,8 +44,7 @@
     }
 
     /// Endpoints that announce themselves here.
-    pub(super) fn count_own(&mut self, now: Instant) -> usize {
-        self.own.retain(|_, heard| now < *heard + OWN_TIME);
+    pub(super) fn count_own(&self) -> usize {
         self.own.len()
     }
 
@@ -64,6 +63,7 @@
         own: EndpointDigest,
         followers: Vec<String>,
     ) -> Option<ReportBatch> {
+        self.own.retain(|_, heard| now < *heard + OWN_TIME);
         let is_empty = self.reports.is_empty();
         let is_due = self.told.is_none_or(|told| now >= told + FOLLOWER_INTERVAL);
         if is_empty && !is_due {
