--- a/crates/savorywalk/src/gateway/first_event_times.rs
+++ b/crates/savorywalk/src/gateway/first_event_times.rs
@@ -15,9 +15,7 @@
 
 /// Part of requests that should get their first event within the forecast: the
 /// median. Stages are to be done by when this is left, so a longer forecast has
-/// more requests refused: with three quarters the worth of days on 48 engines that
-/// are often busy fell by 0.038 (5 paired plays, error 0.005), with the median by
-/// 0.001 (error 0.006).
+/// more requests refused.
 const QUANTILE: f64 = 0.5;
 
 /// How long streams take from their send to the first event, learned by route
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -71,8 +71,7 @@
     /// The endpoint for the next attempt: for a prompt the one that whoever
     /// places all of them chose, unless this entry has found it ill. With few
     /// engines a prompt stays with the one of its hash, where its large results
-    /// were made near: placing them by load read three times as many shared tokens
-    /// again with 9 engines, and with 12 cost 0.015 of the worth of a day.
+    /// were made near: placing them by load reads shared parts again and again.
     pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
         self.placed = None;
         self.permitted_until = None;
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -10,10 +10,8 @@
 
 /// How long a piece waits for an endpoint in the data centre where its inputs
 /// or its result are wanted, before any endpoint will do: about one call, so
-/// that an endpoint there has had the time to become free. With 100 ms the worth
-/// of days changed by -0.007, with 370 and 590 ms by -0.005 and -0.004 (20 paired
-/// plays, errors 0.005 to 0.007); the shorter one serves 0.011 more and carries
-/// twice as much between data centres.
+/// that an endpoint there has had the time to become free. A shorter wait carries
+/// more between data centres.
 const NEAR_WAIT: Duration = Duration::from_millis(280);
 
 /// Pause before an endpoint that refused a call is tried again: about a third
--- a/crates/savorywalk/src/gateway/plan_worth.rs
+++ b/crates/savorywalk/src/gateway/plan_worth.rs
@@ -3,8 +3,7 @@
 /// What a request of one rank is worth in requests of the rank before. Documents
 /// rank routes without saying by how much; sheets say 4.1, 1.4 and 0.39 for three
 /// ranks, and elsewhere 1.8, 3.3 and 0.5, where the first is worth less than the
-/// second. There a factor of 0.6 changed the worth of days by -0.007 and one of
-/// 0.85 by -0.010 (20 paired plays, errors 0.004 and 0.006).
+/// second.
 const RANK_FACTOR: f64 = 0.33;
 
 /// What an answer is still worth after its objective, by the sheets of three
--- a/crates/savorywalk/src/gateway/route_shares.rs
+++ b/crates/savorywalk/src/gateway/route_shares.rs
@@ -7,10 +7,7 @@
 /// Least share of a route's requests that are begun in time, as a part of the
 /// share of all. Ranks say which route goes first, not that another gets nothing:
 /// operators want each served at least a quarter as often as all, and callers of a
-/// route whose every answer is late leave. Half, as for sizes: in a day of bursts the
-/// last of three routes earned 0.26 of its worth instead of 0.13, all routes together
-/// as much as before (mean difference -0.001, four paired plays). Other figures were
-/// not played.
+/// route whose every answer is late leave. Half, as for sizes.
 const FAIR_PART: f64 = 0.5;
 
 /// How often requests of each route are begun in time.
--- a/crates/savorywalk/src/gateway/work_gate.rs
+++ b/crates/savorywalk/src/gateway/work_gate.rs
@@ -6,8 +6,7 @@
 
 /// Work in progress beyond what the way through the stages needs, in time of
 /// each pool: about half of a full call of 280 to 370 ms, so that an endpoint that
-/// becomes free finds a full one. With 60 ms the worth of days changed by -0.007
-/// (20 paired plays, error 0.006).
+/// becomes free finds a full one.
 const WORK_SLACK: Duration = Duration::from_millis(140);
 
 /// Part of the permitted work in progress up to which late plans are begun, in
@@ -23,9 +22,7 @@
 const RETURN_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// When a refused caller may come back: a burst lasts some five seconds, and
-/// who comes back into it is refused again. With 2 s the worth of days changed by
-/// +0.009, and by -0.004 with half as much again as the wait that there is (20
-/// paired plays, errors 0.007 and 0.005), so the figure decides little.
+/// who comes back into it is refused again.
 const RETRY_TIME: Duration = Duration::from_secs(5);
 
 /// Part of a pool that must be left over by what goes first for a wait to end.
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -5,9 +5,8 @@
 use crate::transport::PeerName;
 
 /// Engines up to which prompts are not placed by one entry: so few are each the
-/// home of many shared parts, and going past it costs more than waiting there: with
-/// 12 engines placing by one entry cost 0.015 of the worth of days (20 paired plays,
-/// error 0.006); with 140 it pays, as its coordinator sees what no entry alone does.
+/// home of many shared parts, and going past it costs more than waiting there. With
+/// many it pays, as its coordinator sees what no entry alone does.
 const WHOLE_ENGINES: usize = 24;
 
 /// Members of a stage pool up to which one entry has the work of all of it
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -189,8 +189,8 @@
         Ok(())
     }
 
-    /// Whether an endpoint had better go on announcing itself here: its connection is open
-    /// then. A daemon with more than its share leaves the choice to chance.
+    /// Whether an endpoint had better go on announcing itself here, so that one daemon
+    /// vouches for it. A daemon with more than its share leaves the choice to chance.
     pub fn keeps_endpoints(&self) -> bool {
         let members = self.members.load(Ordering::Relaxed);
         let known = self.table().len();
