Known red: an entry that changes registries is sent the whole table

The bound is the budget of a daemon's control traffic; the test fails with 49,567 B for 1,000 endpoints.

--- a/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
@@ -1,10 +1,12 @@
 //! Promises at the size of a deployment with hundreds of VMs and at the design's, and
 //! what keeping them costs on the wire.
 
+use prost::Message;
 use rstest::rstest;
 
 use super::{FleetPlan, SimulatedFleet};
 use crate::prelude::*;
+use crate::registry::{BootTime, EndpointReport, FollowReply, FollowState, RegistryTable};
 
 /// What a daemon may send and receive for control, in bytes a second.
 const BUDGET: usize = 12_000;
@@ -174,6 +176,38 @@
     }
 }
 
+/// Entries change registries when one is lost or finds no leader, all of them at once after
+/// a start. What both list alike must not be sent again: a table of 1,000 endpoints to each
+/// entry is more than registries have.
+#[test]
+fn an_entry_that_changes_registries_learns_only_what_differs() {
+    let now = Instant::now();
+    let mut tables = [1, 2].map(|epoch| RegistryTable::new(epoch, Duration::from_millis(1_200)));
+    for number in 0..1_000 {
+        let report = EndpointReport {
+            id: format!("i-{number:010x}"),
+            pool: "engines".into(),
+            address: format!("10.1.{}.{}:8080", number / 250, number % 250),
+            data_center: "center".into(),
+            ..Default::default()
+        };
+        for table in &mut tables {
+            table.hear(now, report.clone());
+        }
+    }
+    let mut state = FollowState::default();
+    let at = BootTime::after(Duration::from_secs(1));
+    let sizes = tables.map(|table| {
+        let mut reply = FollowReply::default();
+        reply.tell_endpoints(&state.next_call(Duration::ZERO), &table);
+        let size = reply.encoded_len();
+        state.take(at, at, reply);
+        size
+    });
+    assert_eq!(state.endpoints().count(), 1_000);
+    assert!(sizes[1] < BUDGET, "{sizes:?} B");
+}
+
 /// The long run: `cargo test --release -p savorywalk --lib -- --ignored fleet`.
 #[test]
 #[ignore = "minutes; run by hand"]
