--- a/crates/savorywalk/src/gateway/engine_desk.rs
+++ b/crates/savorywalk/src/gateway/engine_desk.rs
@@ -1,8 +1,9 @@
 use std::sync::{Mutex, PoisonError};
 
-use super::cold_gate::ColdWindow;
 use super::endpoint_score::EndpointScores;
 use super::gateway_view::GatewayView;
+use super::permit_gate::PermitWindow;
+use super::send_permits::PermitDecision;
 use super::work_shard::WorkShard;
 use super::{EngineModel, EngineTarget, PoolMember, PromptPart, PromptQuery};
 use crate::generated::work::{PlaceCall, PlaceReply, PlaceReport};
@@ -34,10 +35,10 @@
         now: Instant,
         view: &GatewayView,
         call: &PlaceCall,
-        cold: &ColdWindow<'_>,
+        permits: &PermitWindow<'_>,
     ) -> PlaceReply {
         if !call.permit_for.is_empty() {
-            return permit(now, view, call, cold);
+            return permit(now, view, call, permits);
         }
         let shard = WorkShard::named(&call.shard);
         let members = view.roster.pool(&call.pool).iter();
@@ -45,7 +46,7 @@
         let usable = members.filter(|member| {
             let endpoint = member.endpoint();
             let is_avoided = call.avoid.iter().any(|avoided| avoided == endpoint);
-            !is_avoided && cold.admits(now, member)
+            !is_avoided && permits.admits(now, member)
         });
         let targets = self.targets(now, view, &call.pool, usable);
         let parts = call.parts.iter().map(|part| PromptPart {
@@ -74,7 +75,8 @@
         PlaceReply {
             endpoint: place.endpoint.to_string(),
             expected_ms: place.expected.as_millis() as u32,
-            permitted: member.is_some_and(|member| cold.take(now, member)),
+            permitted: member.is_some_and(|member| permits.take(now, member)),
+            ..Default::default()
         }
     }
 
@@ -123,15 +125,28 @@
 }
 
 /// Gives a permit for the endpoint that the caller has chosen.
-fn permit(now: Instant, view: &GatewayView, call: &PlaceCall, cold: &ColdWindow<'_>) -> PlaceReply {
+fn permit(
+    now: Instant,
+    view: &GatewayView,
+    call: &PlaceCall,
+    permits: &PermitWindow<'_>,
+) -> PlaceReply {
     let mut members = view.roster.pool(&call.pool).iter();
     let member = members.find(|member| member.endpoint() == call.permit_for);
-    if !member.is_some_and(|member| cold.take(now, member)) {
+    let Some(member) = member else {
         return PlaceReply::default();
-    }
-    PlaceReply {
-        endpoint: call.permit_for.clone(),
-        expected_ms: 0,
-        permitted: true,
+    };
+    let max_wait = Duration::from_millis(call.max_wait_ms.into());
+    match permits.reserve(now, member, max_wait) {
+        PermitDecision::Granted { wait } => PlaceReply {
+            endpoint: call.permit_for.clone(),
+            permitted: true,
+            wait_ms: Some(wait.as_millis() as u32),
+            ..Default::default()
+        },
+        PermitDecision::Refused { retry_after } => PlaceReply {
+            wait_ms: retry_after.map(|wait| wait.as_millis() as u32),
+            ..Default::default()
+        },
     }
 }
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -11,7 +11,8 @@
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PlacedPrompt;
 use super::{
-    EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember, RouteKind, engine_rank,
+    EndpointHead, EndpointOrder, EndpointTarget, GatewayRefusal, NotRunReason, PoolMember,
+    RouteKind, engine_rank,
 };
 use crate::prelude::*;
 use crate::registry::{BootClock, BootTime};
@@ -82,7 +83,7 @@
             return Err(self.refuse(NotRunReason::TimeOver));
         }
         let Some(member) = self.choose(&view).await else {
-            return Err(self.refuse(NotRunReason::NoEndpoint));
+            return Err(self.refuse_unplaced());
         };
         self.check_quarantine()?;
         let endpoint = member.endpoint().to_string();
@@ -107,7 +108,7 @@
                 return Err(self.refuse_quarantined());
             }
         };
-        let (call, response) = match sent {
+        let (call, response, head) = match sent {
             Ok(Ok(sent)) => sent,
             Ok(Err(CallError::Unsent(reason))) => {
                 self.ledger.deny();
@@ -137,19 +138,19 @@
             call,
             guard,
         };
-        self.judge(&view, open).await
+        self.judge(&view, &head, open).await
     }
 
     async fn send_to(
         &self,
         member: &PoolMember,
         last_event: Option<u64>,
-    ) -> Result<(EndpointCall, Response<Incoming>), CallError> {
+    ) -> Result<(EndpointCall, Response<Incoming>, EndpointHead), CallError> {
         let mut call = EndpointCall::open(member.address(), &member.life).await?;
         // The VM may have been suspended meanwhile, which the steady clock does not count.
         let is_over = |until: BootTime| BootClock.now() > until;
         if self.permitted_until.is_some_and(is_over) {
-            let reason = "the permit for a cold endpoint is over".to_string();
+            let reason = "the permit for the endpoint has expired".to_string();
             return Err(CallError::Unsent(reason));
         }
         let inputs = self.results.as_ref().map(PlanResults::handles);
@@ -168,8 +169,14 @@
         };
         let request = self.node.wire.endpoint_request(&self.parts, &order);
         let request = request.map(|()| self.body.clone());
+        let sent = BootClock.now();
         let response = call.send(request).await?;
-        Ok((call, response))
+        let (parts, body) = response.into_parts();
+        let head = self.node.wire.read_endpoint(&parts);
+        let pool = &self.context.pool;
+        self.node
+            .record_advertised_rate(pool, member.endpoint(), sent, &head);
+        Ok((call, Response::from_parts(parts, body), head))
     }
 
     /// Tells an endpoint's own answer from a denial and from bytes that belong
@@ -177,10 +184,10 @@
     async fn judge(
         &mut self,
         view: &GatewayView,
+        head: &EndpointHead,
         open: OpenAnswer,
     ) -> Result<AttemptEnd, GatewayRefusal> {
         let (parts, body) = open.response.into_parts();
-        let head = self.node.wire.read_endpoint(&parts);
         let endpoint = open.endpoint;
         if head.is_other_incarnation || head.not_run {
             self.ledger.deny();
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -4,10 +4,17 @@
 use super::gateway_view::GatewayView;
 use super::plan_order::PlanOrder;
 use super::plan_results::StageStop;
-use super::prompt_exchange;
+use super::prompt_exchange::{self, PermitResponse};
 use super::{GatewayRefusal, NotRunReason, PlacementQuery, PoolMember};
 use crate::prelude::*;
 
+/// Most limited endpoints for which a request asks for a permit when no other endpoint is
+/// available.
+const MAX_PERMIT_REQUESTS: usize = 3;
+
+/// Longest wait for a permit; beyond it the request is refused with a retry time.
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
+
 /// A time somewhat before `retry_after`, so that callers that were refused
 /// together do not come back together.
 fn spread(retry_after: Duration) -> Duration {
@@ -37,35 +44,93 @@
         scores.place(Instant::now(), pool, members, query).cloned()
     }
 
-    /// Whether a request to an endpoint needs a permit, as it is cold.
-    fn needs_permit(&self, view: &GatewayView, member: &PoolMember) -> bool {
-        let profile = view.table.as_ref();
-        let profile = profile.and_then(|table| table.pool(&self.context.pool));
-        let profile = profile.map(Arc::as_ref);
-        self.node.cold.needs_permit(Instant::now(), profile, member)
+    fn needs_permit(&self, member: &PoolMember) -> bool {
+        self.node.needs_permit(&self.context.pool, member)
     }
 
-    /// The endpoint that this entry chooses by itself: a cold one only with a permit, and
-    /// another one when there is none.
+    /// The endpoint that this entry chooses by itself. A limited endpoint requires a permit;
+    /// without one an unlimited endpoint is used. If only limited endpoints are available,
+    /// waits up to `max_permit_wait` for a permit.
     async fn pick_permitted(&mut self, view: &GatewayView) -> Option<PoolMember> {
-        let member = self.pick(view, |_| true)?;
-        if !self.needs_permit(view, &member) {
+        let is_eligible = |member: &PoolMember| {
+            let now = Instant::now();
+            let is_backed_off = self.node.permits.is_backed_off(now, member.endpoint());
+            !is_backed_off || !self.needs_permit(member)
+        };
+        let member = self.pick(view, is_eligible);
+        if let Some(member) = member
+            && (!self.needs_permit(&member) || self.acquire_permit(&member, Duration::ZERO).await)
+        {
             return Some(member);
         }
-        let shard = prompt_exchange::engine_shard(view, &self.context);
-        let (node, pool) = (&self.node, &self.context.pool);
-        let permit = node
+        if let Some(unlimited) = self.pick_unlimited(view) {
+            return Some(unlimited);
+        }
+        let mut refused: Vec<String> = Vec::new();
+        while refused.len() < MAX_PERMIT_REQUESTS {
+            let is_untried =
+                |member: &PoolMember| refused.iter().all(|tried| tried != member.endpoint());
+            let member = self.pick(view, is_untried)?;
+            if self
+                .acquire_permit(&member, self.max_permit_wait(&member))
+                .await
+            {
+                return Some(member);
+            }
+            refused.push(member.endpoint().to_string());
+        }
+        None
+    }
+
+    /// Longest wait for a permit. Permits for cold endpoints can't be reserved ahead, as
+    /// their bound applies to any one second.
+    fn max_permit_wait(&self, member: &PoolMember) -> Duration {
+        let now = Instant::now();
+        match member.is_cold(now) {
+            true => Duration::ZERO,
+            false => (self.context.remaining(now) / 2).min(MAX_PERMIT_WAIT),
+        }
+    }
+
+    /// Requests a permit and waits until it is valid; false if it is refused.
+    async fn acquire_permit(&mut self, member: &PoolMember, max_wait: Duration) -> bool {
+        let node = &self.node;
+        let answer = node
             .exchange
-            .ask_permit(node, pool, &shard, member.endpoint());
-        self.permitted_until = permit.await;
-        match self.permitted_until {
-            Some(_) => Some(member),
-            None => self.pick_warm(view),
+            .ask_permit(node, &self.context, member, max_wait);
+        let answer = answer.await;
+        log_event!(
+            info,
+            "permit_answered",
+            request = self.context.id,
+            endpoint = member.endpoint(),
+            answer = format!("{answer:?}")
+        );
+        match answer {
+            PermitResponse::Granted { wait, until } => {
+                self.permitted_until = Some(until);
+                self.permit_retry_after = None;
+                tokio::time::sleep(wait).await;
+                true
+            }
+            PermitResponse::Refused { retry_after } => {
+                let now = Instant::now();
+                node.permits.back_off(now, member.endpoint(), retry_after);
+                self.record_permit_retry(retry_after.unwrap_or_default());
+                false
+            }
         }
     }
 
-    fn pick_warm(&self, view: &GatewayView) -> Option<PoolMember> {
-        self.pick(view, |member| !self.needs_permit(view, member))
+    fn record_permit_retry(&mut self, wait: Duration) {
+        let shortest = self
+            .permit_retry_after
+            .map_or(wait, |known| known.min(wait));
+        self.permit_retry_after = Some(shortest);
+    }
+
+    fn pick_unlimited(&self, view: &GatewayView) -> Option<PoolMember> {
+        self.pick(view, |member| !self.needs_permit(member))
     }
 
     /// The endpoint for the next attempt: for a prompt the one that whoever
@@ -75,6 +140,7 @@
     pub(super) async fn choose(&mut self, view: &GatewayView) -> Option<PoolMember> {
         self.placed = None;
         self.permitted_until = None;
+        self.permit_retry_after = None;
         let pool = &self.context.pool;
         let profile = view.table.as_ref().and_then(|table| table.pool(pool));
         let is_plain = profile.is_none_or(|profile| profile.engine.is_none());
@@ -95,7 +161,7 @@
         };
         let permitted_until = placed.as_ref().and_then(|placed| placed.permitted_until);
         let may_get =
-            |member: &&PoolMember| permitted_until.is_some() || !self.needs_permit(view, member);
+            |member: &&PoolMember| permitted_until.is_some() || !self.needs_permit(member);
         match member.filter(is_well).filter(may_get) {
             Some(member) => {
                 let member = member.clone();
@@ -103,7 +169,18 @@
                 self.permitted_until = permitted_until;
                 Some(member)
             }
-            None => self.pick_warm(view),
+            None => {
+                if let Some(member) = member
+                    && self.node.permits.limits.rate(member.endpoint()).is_some()
+                {
+                    // The entry that placed the prompt may not know of the limit.
+                    self.node.report_limit(pool, member.endpoint());
+                }
+                match self.pick_unlimited(view) {
+                    Some(member) => Some(member),
+                    None => self.pick_permitted(view).await,
+                }
+            }
         }
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -39,8 +39,10 @@
     pub(super) results: Option<PlanResults>,
     /// Where the last attempt went, when one entry placed it for all.
     pub(super) placed: Option<PlacedPrompt>,
-    /// Until when the chosen endpoint, which is cold, may get the request.
+    /// Expiry of the permit for the chosen endpoint, if it has a limit.
     pub(super) permitted_until: Option<BootTime>,
+    /// Shortest time until a permit is available, if all permits were refused.
+    pub(super) permit_retry_after: Option<Duration>,
     /// Control's word on the call that broke off last, which a resend waits for.
     pub(super) verdict: Option<VerdictWait>,
     /// Answer of an endpoint that failed, for when no other does better.
@@ -67,6 +69,7 @@
             results: None,
             placed: None,
             permitted_until: None,
+            permit_retry_after: None,
             verdict: None,
             last_answer: None,
         }
@@ -95,6 +98,19 @@
         }
     }
 
+    /// Refuses a request for which no endpoint is available, with the time until the next
+    /// permit if only limited endpoints exist.
+    pub(super) fn refuse_unplaced(&self) -> GatewayRefusal {
+        match (self.permit_retry_after, self.ledger.not_run()) {
+            (Some(wait), Some(proof)) => GatewayRefusal::NotRun {
+                proof,
+                reason: NotRunReason::RateLimited,
+                retry_after: wait + retry_after(),
+            },
+            (Some(_), None) | (None, _) => self.refuse(NotRunReason::NoEndpoint),
+        }
+    }
+
     /// Refuses a request under which endpoints crash, however far it has come.
     pub(super) fn check_quarantine(&self) -> Result<(), GatewayRefusal> {
         match self.node.is_quarantined(&self.digest) {
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -2,9 +2,9 @@
 use std::sync::atomic::Ordering;
 
 use super::call_surface::{CallSurface, CallSurfaceKind};
-use super::cold_gate::ColdBounds;
 use super::crash_watch::CrashWatch;
 use super::gateway_node::{GatewayNode, NodeParts};
+use super::permit_gate::ColdBounds;
 use super::region_map::RegionMap;
 use super::{GatewayError, Result, RetryLimits, WireFormat, cluster_hub};
 use crate::api::HttpServer;
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -2,20 +2,20 @@
 
 use tokio::sync::watch;
 
-use super::cold_gate::{ColdBounds, ColdGate, ColdWindow};
 use super::crash_watch::CrashWatch;
 use super::endpoint_score::EndpointScores;
 use super::engine_desk::EngineDesk;
 use super::first_event_times::FirstEventTimes;
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_view::{GatewayView, ViewKnowledge};
+use super::permit_gate::{ColdBounds, PermitGate, PermitWindow};
 use super::piece_board::{BoardKey, PieceBoard};
 use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
 use super::work_desk::WorkDesk;
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
-use super::{EndpointRoster, ResultHandle, RetryLimits, RetryWindow, WireFormat};
+use super::{EndpointRoster, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 use crate::registry::EntryFollower;
@@ -40,7 +40,7 @@
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
-    pub(super) cold: ColdGate,
+    pub(super) permits: PermitGate,
     pub(super) region_map: RegionMap,
     /// Time in which every endpoint that lives has announced itself.
     report_time: Duration,
@@ -92,7 +92,7 @@
             metrics: GatewayMetrics::new(parts.metric_set.meter()),
             metric_set: parts.metric_set,
             crash_watch: parts.crash_watch,
-            cold: ColdGate::new(parts.cold_bounds),
+            permits: PermitGate::new(parts.cold_bounds),
             region_map: parts.region_map,
             report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
@@ -107,6 +107,7 @@
         node.register_knowledge_age();
         node.register_quarantine();
         node.register_evacuations();
+        node.register_limits();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(release_queue::run(Arc::clone(&node), given_up));
         let notices = parts.hub.subscribe(LinkChannel::Work);
@@ -146,6 +147,20 @@
             .build();
     }
 
+    /// Registers the gauge of rate-limited endpoints.
+    fn register_limits(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_limited_endpoints")
+            .with_description("Endpoints that take a limited rate of requests")
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.permits.limits.count());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
     fn count_evacuated(&self) -> usize {
         self.take_news();
         self.follower
@@ -211,17 +226,37 @@
         knowledge.is_fresh(self.max_key_age)
     }
 
-    /// The cold endpoints of a pool that this entry may use, as coordinator of a shard.
-    pub(super) fn cold_window(
+    /// The permits that this entry may issue for the limited endpoints of a pool in a shard.
+    pub(super) fn permit_window(
         &self,
         now: Instant,
         pool: &str,
         kind: WorkKind,
         shard: &WorkShard,
-    ) -> ColdWindow<'_> {
+    ) -> PermitWindow<'_> {
         let own = self.exchange.hub.name();
         let place = (kind, shard);
-        self.cold.window(now, &self.knowledge(), own, pool, place)
+        self.permits
+            .window(now, &self.knowledge(), own, pool, place)
+    }
+
+    /// Takes a permit for one request to an endpoint of a stage pool in a shard that this
+    /// entry coordinates; true if one is available or none is required.
+    pub(super) fn take_permit(&self, pool: &str, shard: &WorkShard, member: &PoolMember) -> bool {
+        let now = Instant::now();
+        let is_own = shard.has(member.data_center()) || !self.needs_permit(pool, member);
+        is_own
+            && self
+                .permit_window(now, pool, WorkKind::Stages, shard)
+                .take(now, member)
+    }
+
+    /// Whether a request to an endpoint requires a permit.
+    pub(super) fn needs_permit(&self, pool: &str, member: &PoolMember) -> bool {
+        let view = self.view.load();
+        let profile = view.table.as_ref().and_then(|table| table.pool(pool));
+        let profile = profile.map(Arc::as_ref);
+        self.permits.needs_permit(Instant::now(), profile, member)
     }
 
     /// Takes each new document and roster into force.
--- a/crates/savorywalk/src/gateway/gateway_refusal.rs
+++ b/crates/savorywalk/src/gateway/gateway_refusal.rs
@@ -48,6 +48,8 @@
     TimeOver,
     /// Endpoints crash under it.
     Quarantined,
+    /// All suitable endpoints are limited and none has a permit available.
+    RateLimited,
 }
 
 impl NotRunReason {
@@ -63,6 +65,7 @@
             Self::BodyLate => "body_late",
             Self::TimeOver => "time_over",
             Self::Quarantined => "quarantined",
+            Self::RateLimited => "rate_limited",
         }
     }
 }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -7,11 +7,10 @@
 mod call_fill;
 mod call_surface;
 mod cluster_hub;
-mod cold_gate;
-mod cold_permits;
 mod crash_report;
 mod crash_watch;
 mod endpoint_call;
+mod endpoint_limits;
 mod endpoint_load;
 mod endpoint_roster;
 mod endpoint_score;
@@ -30,9 +29,13 @@
 mod gateway_node;
 mod gateway_refusal;
 mod gateway_view;
+mod limit_exchange;
+#[cfg(test)]
+mod limit_simulation_tests;
 mod living_stream;
 mod metrics_page;
 mod near_places;
+mod permit_gate;
 mod piece_board;
 mod piece_call;
 mod piece_queue;
@@ -63,6 +66,7 @@
 mod route_shares;
 mod route_table;
 mod run_ledger;
+mod send_permits;
 mod share_count;
 mod size_shares;
 mod stage_forecast;
@@ -106,8 +110,9 @@
 pub use stage_progress::{LostTooOften, StageProgress, StageStart};
 pub use table_error::TableError;
 pub use wire_format::{
-    CallerHead, EndpointHead, EndpointOrder, EndpointTarget, LoadReport, PieceOrder, PieceOutcome,
-    PieceSource, PromptPart, RegistryAnswer, RegistryCall, ResultHandle, TokenCounts, WireFormat,
+    AdvertisedRate, CallerHead, EndpointHead, EndpointOrder, EndpointTarget, LoadReport,
+    PieceOrder, PieceOutcome, PieceSource, PromptPart, RegistryAnswer, RegistryCall, ResultHandle,
+    TokenCounts, WireFormat,
 };
 pub use work_gate::{
     PlanChance, PlanDemand, PlanFate, PlanNumber, PoolRates, StageDemand, WorkGate,
--- /dev/null
+++ b/crates/savorywalk/src/gateway/permit_gate_tests.rs
@@ -0,0 +1,229 @@
+use super::*;
+use crate::gateway::gateway_view::GatewayView;
+use crate::gateway::{AdvertisedRate, EndpointRoster, RouteTable, TableParts};
+use crate::registry::{BootTime, Confirmation, EndpointReport, FollowReply, FollowState};
+
+const POOL: &str = "engines";
+
+fn own() -> PeerName {
+    PeerName::new("entry-1").unwrap()
+}
+
+/// A view with one cold endpoint in a pool with a cold rate.
+fn view(entries: &[&str], cold_rate: f64) -> Arc<GatewayView> {
+    let table = RouteTable::build(TableParts {
+        pools: vec![PoolProfile {
+            name: POOL.into(),
+            cold_rate,
+            ..Default::default()
+        }],
+        ..Default::default()
+    });
+    let mut state = FollowState::default();
+    let now = BootTime::after(Duration::from_secs(1));
+    let reply = FollowReply {
+        reports: vec![EndpointReport {
+            id: "e".into(),
+            pool: POOL.into(),
+            address: "10.0.0.1:80".into(),
+            cold_ms: 3_000,
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    state.take(now, now, reply);
+    Arc::new(GatewayView {
+        table: Some(Arc::new(table.unwrap())),
+        roster: Arc::new(EndpointRoster::of(&state, Duration::ZERO)),
+        entries: entries
+            .iter()
+            .map(|name| PeerName::new(name).unwrap())
+            .collect(),
+        news: 1,
+    })
+}
+
+fn knowledge(view: &Arc<GatewayView>, age: Duration) -> ViewKnowledge {
+    let confirmation = Confirmation {
+        document_number: 0,
+        at: BootTime::after(Duration::ZERO),
+    };
+    ViewKnowledge::new(Arc::clone(view), Some((confirmation, age)))
+}
+
+fn gate() -> PermitGate {
+    PermitGate::new(ColdBounds {
+        overage: 1.5,
+        slack: 5.0,
+    })
+}
+
+/// Number of permits that an entry issues at one instant.
+fn permits(gate: &PermitGate, now: Instant, knowledge: &ViewKnowledge) -> usize {
+    let whole = WorkShard::default();
+    let window = gate.window(now, knowledge, &own(), POOL, (WorkKind::Prompts, &whole));
+    let member = &knowledge.view.roster.pool(POOL)[0];
+    (0..3).filter(|_| window.take(now, member)).count()
+}
+
+#[test]
+fn the_coordinator_gives_one_permit_after_the_other_once_it_is_settled() {
+    let (gate, view) = (gate(), view(&["entry-1"], 5.9));
+    let fresh = knowledge(&view, Duration::ZERO);
+    let start = Instant::now();
+    assert_eq!(permits(&gate, start, &fresh), 0);
+    assert_eq!(permits(&gate, start + TENURE, &fresh), 1);
+    assert_eq!(permits(&gate, start + TENURE * 2, &fresh), 1);
+}
+
+/// Guards against permits from a coordinator that was replaced without its knowledge.
+#[test]
+fn a_coordinator_that_is_cut_off_gives_no_permits() {
+    let (gate, view) = (gate(), view(&["entry-1"], 5.9));
+    let start = Instant::now();
+    permits(&gate, start, &knowledge(&view, Duration::ZERO));
+    let later = start + TENURE;
+    assert_eq!(permits(&gate, later, &knowledge(&view, MAX_AGE)), 0);
+    assert_eq!(permits(&gate, later, &knowledge(&view, Duration::ZERO)), 1);
+}
+
+#[test]
+fn an_entry_that_is_not_the_coordinator_gives_no_permits() {
+    let gate = gate();
+    let view = view(&["entry-2"], 5.9);
+    let start = Instant::now();
+    let fresh = knowledge(&view, Duration::ZERO);
+    permits(&gate, start, &fresh);
+    assert_eq!(permits(&gate, start + TENURE, &fresh), 0);
+}
+
+/// Guards against permits issued before the previous coordinator learns of the change.
+#[test]
+fn an_entry_that_becomes_the_coordinator_waits() {
+    let gate = gate();
+    let start = Instant::now();
+    permits(
+        &gate,
+        start,
+        &knowledge(&view(&["entry-2"], 5.9), Duration::ZERO),
+    );
+    let view = view(&["entry-1"], 5.9);
+    let changed = start + TENURE * 2;
+    let fresh = knowledge(&view, Duration::ZERO);
+    assert_eq!(permits(&gate, changed, &fresh), 0);
+    assert_eq!(permits(&gate, changed + TENURE, &fresh), 1);
+}
+
+#[test]
+fn cold_endpoints_of_a_pool_without_a_limit_take_as_much_as_others() {
+    let (gate, view) = (gate(), view(&["entry-2"], 0.0));
+    let fresh = knowledge(&view, Duration::ZERO);
+    assert_eq!(permits(&gate, Instant::now(), &fresh), 3);
+    let member = &view.roster.pool(POOL)[0];
+    let profile = view.table.as_ref().and_then(|table| table.pool(POOL));
+    let profile = profile.map(Arc::as_ref);
+    assert!(!gate.needs_permit(Instant::now(), profile, member));
+}
+
+/// A gate that knows of a limit of two requests per second, and its view.
+fn limited_gate(entries: &[&str]) -> (PermitGate, Arc<GatewayView>) {
+    let (gate, view) = (gate(), view(entries, 0.0));
+    let now = BootTime::after(Duration::from_secs(1));
+    let endpoint = view.roster.pool(POOL)[0].endpoint();
+    gate.limits
+        .observe(now, now, endpoint, AdvertisedRate::PerSecond(2.0));
+    (gate, view)
+}
+
+/// The interval between permits of an entry in milliseconds; `None` if it is not paced.
+fn pause_ms(gate: &PermitGate, now: Instant, knowledge: &ViewKnowledge) -> Option<u128> {
+    let whole = WorkShard::default();
+    let place = (WorkKind::Prompts, &whole);
+    let window = gate.window(now, knowledge, &own(), POOL, place);
+    let member = &knowledge.view.roster.pool(POOL)[0];
+    match window.rule(now, member) {
+        SendRule::Paced(pause) => Some(pause.as_millis()),
+        SendRule::Unlimited | SendRule::Never => None,
+    }
+}
+
+/// Guards against two entries that each issue permits for the full rate.
+#[test]
+fn only_a_settled_coordinator_issues_permits_for_the_full_rate() {
+    let (gate, view) = limited_gate(&["entry-1"]);
+    let fresh = knowledge(&view, Duration::ZERO);
+    let start = Instant::now();
+    assert_eq!(pause_ms(&gate, start, &fresh), Some(2_500));
+    assert_eq!(pause_ms(&gate, start + TENURE, &fresh), Some(500));
+    let stale = knowledge(&view, MAX_AGE);
+    assert_eq!(pause_ms(&gate, start + TENURE, &stale), Some(2_500));
+}
+
+/// Guards against having no permits while the coordinator is unreachable, and against
+/// permits from arbitrary entries.
+#[test]
+fn only_the_fallback_issues_permits_besides_the_coordinator() {
+    let names = ["entry-1", "entry-2", "entry-3", "entry-4"];
+    let (gate, view) = limited_gate(&names);
+    let fresh = knowledge(&view, Duration::ZERO);
+    let [coordinator, fallback] =
+        WorkShard::default().coordinator_and_fallback(WorkKind::Prompts, &view.entries);
+    let start = Instant::now();
+    for name in &view.entries {
+        let whole = WorkShard::default();
+        let place = (WorkKind::Prompts, &whole);
+        gate.window(start, &fresh, name, POOL, place);
+        let later = start + TENURE;
+        let window = gate.window(later, &fresh, name, POOL, place);
+        let rate = window.rate(later, &view.roster.pool(POOL)[0]);
+        let expected = match (Some(name) == coordinator, Some(name) == fallback) {
+            (true, _) => 2.0,
+            (_, true) => 2.0 * PARTIAL_SHARE,
+            (false, false) => 0.0,
+        };
+        assert_eq!(rate, Some(expected), "{name}");
+    }
+}
+
+/// Guards against an endpoint with a rate of zero that is never used again, so that the end
+/// of its limit goes unnoticed.
+#[test]
+fn an_endpoint_with_a_rate_of_zero_is_still_probed() {
+    let (gate, view) = limited_gate(&["entry-1"]);
+    let now = BootTime::after(Duration::from_secs(2));
+    let endpoint = view.roster.pool(POOL)[0].endpoint();
+    gate.limits
+        .observe(now, now, endpoint, AdvertisedRate::PerSecond(0.0));
+    let fresh = knowledge(&view, Duration::ZERO);
+    let start = Instant::now();
+    pause_ms(&gate, start, &fresh);
+    let pause = pause_ms(&gate, start + TENURE, &fresh);
+    assert_eq!(pause, Some((1_000.0 / MIN_PROBE_RATE) as u128));
+}
+
+#[test]
+fn the_stricter_limit_applies_to_a_cold_endpoint() {
+    let gate = gate();
+    let view = view(&["entry-1"], 5.9);
+    let now = BootTime::after(Duration::from_secs(1));
+    let endpoint = view.roster.pool(POOL)[0].endpoint();
+    gate.limits
+        .observe(now, now, endpoint, AdvertisedRate::PerSecond(2.0));
+    let fresh = knowledge(&view, Duration::ZERO);
+    let start = Instant::now();
+    // An unsettled coordinator issues no permits for cold endpoints.
+    assert_eq!(pause_ms(&gate, start, &fresh), None);
+    assert_eq!(pause_ms(&gate, start + TENURE, &fresh), Some(500));
+}
+
+/// Guards against repeated permit requests before the next permit is available.
+#[test]
+fn permit_requests_back_off_after_a_refusal() {
+    let gate = gate();
+    let start = Instant::now();
+    gate.back_off(start, "e", Some(Duration::from_millis(300)));
+    assert!(gate.is_backed_off(start, "e"));
+    assert!(!gate.is_backed_off(start + Duration::from_millis(300), "e"));
+    gate.back_off(start, "e", Some(Duration::from_secs(60)));
+    assert!(!gate.is_backed_off(start + MAX_BACKOFF, "e"));
+}
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -2,11 +2,11 @@
 
 use tokio::sync::{Notify, mpsc};
 
-use super::cold_gate::ColdWindow;
 use super::crash_watch::CallBreak;
 use super::endpoint_call::CallError;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
+use super::permit_gate::PermitWindow;
 use super::piece_call::{self, CallResult};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
@@ -21,9 +21,9 @@
 /// Longest sleep without anything to do.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
-/// Longest sleep while pieces wait beside cold endpoints: a part of the pause between two
-/// calls there.
-const COLD_LOOK_TIME: Duration = Duration::from_millis(50);
+/// Longest sleep while pieces wait for limited endpoints; shorter than the interval between
+/// two calls to one.
+const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Cost above which an endpoint is only used when there is no other.
 const LAST_RESORT: f64 = 50.0;
@@ -154,8 +154,18 @@
     /// What the endpoints can do together, those that are ill left out.
     pub(super) fn rate(&self) -> PoolRate {
         let view = self.node.view.load_full();
-        let targets = self.targets(Instant::now(), &view);
-        let parts = targets.iter().map(|target| 1.0 / target.cost.max(1.0));
+        let now = Instant::now();
+        let permits = self.permit_window(now);
+        let profile = self.profile(&view);
+        let full_call = profile.map(|profile| profile.call_duration(profile.batch));
+        let full_call_secs = full_call.unwrap_or_default().as_secs_f64();
+        let members = self.usable_members(&view);
+        let rate = |member: &PoolMember| permits.rate(now, member);
+        let targets = self.targets_among(now, members.filter(|member| rate(member) != Some(0.0)));
+        let parts = targets.iter().map(|(member, target)| {
+            let part = 1.0 / target.cost.max(1.0);
+            rate(member).map_or(part, |rate| part.min(rate * full_call_secs))
+        });
         let endpoints: f64 = parts.sum();
         PoolRate {
             endpoints: endpoints * self.state().queue.fill().part(),
@@ -190,8 +200,8 @@
             let now = Instant::now();
             let profile = self.profile(&self.node.view.load());
             let due = profile.and_then(|profile| self.state().queue.next_due(now, &profile));
-            let longest = if self.waits_for_cold(now) {
-                COLD_LOOK_TIME
+            let longest = if self.waits_for_permit(now) {
+                PERMIT_POLL_INTERVAL
             } else {
                 IDLE_TIME
             };
@@ -237,40 +247,60 @@
 
     /// The endpoints in use; those that are ill only when there is no other.
     fn targets<'a>(&self, now: Instant, view: &'a GatewayView) -> Vec<PieceTarget<'a>> {
-        let cold = self.cold_window(now);
+        let permits = self.permit_window(now);
+        let members = self.usable_members(view);
+        let targets = self.targets_among(now, members.filter(|member| permits.admits(now, member)));
+        targets.into_iter().map(|(_, target)| target).collect()
+    }
+
+    /// The endpoints of the shard, or those of all shards if it has none. Endpoints that
+    /// require a permit are only called from their own shard.
+    fn usable_members<'a>(&self, view: &'a GatewayView) -> impl Iterator<Item = &'a PoolMember> {
         let members = view.roster.pool(&self.pool);
-        let is_own = |member: &&PoolMember| self.shard.has(member.data_center());
-        let has_own = members.iter().any(|member| is_own(&member));
-        // Where a data centre has lost the pool, any of it will do.
-        let members = members.iter().filter(|member| !has_own || is_own(member));
-        let mut targets: Vec<PieceTarget<'_>> = members
-            .filter(|member| cold.admits(now, member))
-            .map(|member| {
-                let cost = self.node.scores.cost(now, &self.pool, member);
-                PieceTarget {
-                    endpoint: member.endpoint(),
-                    data_center: member.data_center(),
-                    cost: cost.factor + cost.surcharge,
-                }
-            })
-            .collect();
-        if targets.iter().any(|target| target.cost < LAST_RESORT) {
-            targets.retain(|target| target.cost < LAST_RESORT);
+        let is_own = |member: &PoolMember| self.shard.has(member.data_center());
+        let has_own = members.iter().any(is_own);
+        members.iter().filter(move |member| {
+            is_own(member) || (!has_own && !self.node.needs_permit(&self.pool, member))
+        })
+    }
+
+    fn targets_among<'a>(
+        &self,
+        now: Instant,
+        members: impl Iterator<Item = &'a PoolMember>,
+    ) -> Vec<(&'a PoolMember, PieceTarget<'a>)> {
+        let targets = members.map(|member| {
+            let cost = self.node.scores.cost(now, &self.pool, member);
+            let target = PieceTarget {
+                endpoint: member.endpoint(),
+                data_center: member.data_center(),
+                cost: cost.factor + cost.surcharge,
+            };
+            (member, target)
+        });
+        let mut targets: Vec<(&PoolMember, PieceTarget<'_>)> = targets.collect();
+        let is_well = |(_, target): &(&PoolMember, PieceTarget<'_>)| target.cost < LAST_RESORT;
+        if targets.iter().any(is_well) {
+            targets.retain(is_well);
         }
         targets
     }
 
-    /// Whether pieces wait that a cold endpoint may get when its next call is due.
-    fn waits_for_cold(&self, now: Instant) -> bool {
+    /// Whether pieces are queued while the pool has limited endpoints.
+    fn waits_for_permit(&self, now: Instant) -> bool {
         let view = self.node.view.load();
         let mut members = view.roster.pool(&self.pool).iter();
-        !self.state().queue.is_empty() && members.any(|member| member.is_cold(now))
+        let is_limited = |member: &PoolMember| {
+            let rate = self.node.permits.limits.rate(member.endpoint());
+            member.is_cold(now) || rate.is_some()
+        };
+        !self.state().queue.is_empty() && members.any(is_limited)
     }
 
-    /// The cold endpoints that this entry may call.
-    fn cold_window(&self, now: Instant) -> ColdWindow<'_> {
+    /// The permits that this entry may issue for the limited endpoints of the pool.
+    fn permit_window(&self, now: Instant) -> PermitWindow<'_> {
         let (pool, shard) = (&self.pool, &self.shard);
-        self.node.cold_window(now, pool, WorkKind::Stages, shard)
+        self.node.permit_window(now, pool, WorkKind::Stages, shard)
     }
 
     async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
@@ -283,17 +313,16 @@
             self.end_call(&call, profile, None);
             return self.send_back(call.pieces, false);
         };
-        let now = Instant::now();
-        if !self.cold_window(now).take(now, member) {
+        if !self.node.take_permit(&self.pool, &self.shard, member) {
             self.end_call(&call, profile, None);
-            self.state().queue.deny(now, &call.endpoint);
+            self.state().queue.deny(Instant::now(), &call.endpoint);
             return self.send_back(call.pieces, false);
         }
         let _guard = self.node.scores.outstanding.enter(member.endpoint());
         let started = Instant::now();
         self.node.metrics.record_call(&self.pool, call.pieces.len());
-        let wire = self.node.wire.as_ref();
-        let result = piece_call::perform(wire, member, &call.pieces, &profile).await;
+        let (node, pool) = (&self.node, &self.pool);
+        let result = piece_call::perform(node, pool, member, &call.pieces, &profile).await;
         let waits = call.pieces.iter();
         let longest_wait = waits.map(|piece| started - piece.queued).max();
         log_event!(
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -1,9 +1,10 @@
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
+use super::gateway_node::GatewayNode;
 use super::{
     EndpointTarget, LoadReport, PieceOrder, PieceOutcome, PieceProfile, PoolMember, QueuedPiece,
-    WireFormat,
 };
 use crate::prelude::*;
+use crate::registry::BootClock;
 use crate::routing::AttemptReport;
 
 /// Longest call, in calls of full size: two may wait ahead of it at the
@@ -53,13 +54,14 @@
 
 /// Makes one call.
 pub(super) async fn perform(
-    wire: &dyn WireFormat,
+    node: &GatewayNode,
+    pool: &str,
     member: &PoolMember,
     pieces: &[QueuedPiece],
     profile: &PieceProfile,
 ) -> CallResult {
     let longest = profile.call_duration(profile.batch) * MAX_CALL_LENGTHS;
-    let exchange = exchange(wire, member, pieces);
+    let exchange = exchange(node, pool, member, pieces);
     match tokio::time::timeout(longest, exchange).await {
         Ok(Ok(result)) => result,
         Ok(Err(error)) => CallResult::Failed(error),
@@ -68,7 +70,8 @@
 }
 
 async fn exchange(
-    wire: &dyn WireFormat,
+    node: &GatewayNode,
+    pool: &str,
     member: &PoolMember,
     pieces: &[QueuedPiece],
 ) -> Result<CallResult, CallError> {
@@ -88,9 +91,12 @@
         name: &member.name,
         address: member.address(),
     };
+    let wire = node.wire.as_ref();
+    let sent = BootClock.now();
     let response = call.send(wire.piece_request(&orders, &target)).await?;
     let (parts, body) = response.into_parts();
     let head = wire.read_endpoint(&parts);
+    node.record_advertised_rate(pool, member.endpoint(), sent, &head);
     if head.not_run || head.is_other_incarnation {
         return Ok(CallResult::Denied { load: head.load });
     }
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -1,9 +1,10 @@
 use prost::Message;
 
-use super::cold_permits::PERMIT_LIFE;
+use super::PoolMember;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::request_context::RequestContext;
+use super::send_permits::PERMIT_LIFE;
 use super::work_exchange::WorkExchange;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use crate::generated::work::work_call::Call;
@@ -38,6 +39,30 @@
     }
 }
 
+/// The response to a permit request.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum PermitResponse {
+    /// One request may be sent after `wait` and before `until`.
+    Granted { wait: Duration, until: BootTime },
+    /// No request may be sent; see [`super::send_permits::PermitDecision`].
+    Refused { retry_after: Option<Duration> },
+}
+
+impl PermitResponse {
+    /// Converts the reply to a call that was sent at `asked`.
+    fn of(reply: &PlaceReply, asked: BootTime) -> Self {
+        let wait = reply.wait_ms.map(|wait| Duration::from_millis(wait.into()));
+        if !reply.permitted {
+            return Self::Refused { retry_after: wait };
+        }
+        let wait = wait.unwrap_or_default();
+        Self::Granted {
+            wait,
+            until: asked.plus(wait + PERMIT_LIFE),
+        }
+    }
+}
+
 /// The shard whose engines a prompt goes to: requests that share a part go to
 /// the same one, so that the part is read in one place.
 pub(super) fn engine_shard(view: &GatewayView, context: &RequestContext) -> WorkShard {
@@ -71,12 +96,12 @@
             parts: parts.collect(),
             answer_tokens: answer as u32,
             avoid,
-            permit_for: String::new(),
+            ..Default::default()
         };
         let asked = BootClock.now();
         let coordinator = self.coordinator(&view, WorkKind::Prompts, &shard);
         let reply = match coordinator {
-            None => node.place_prompt(&view, &call),
+            None => node.place_prompt(self.hub.name().as_str(), &view, &call),
             Some(coordinator) => match self.ask_place(&coordinator, call).await {
                 Ok(reply) => reply,
                 Err(reason) => {
@@ -95,40 +120,60 @@
         })
     }
 
-    /// Asks the coordinator of a shard for a permit to send one request to a cold
-    /// endpoint; until when it is good, or `None` when there is none.
+    /// Requests a permit to send one request to a limited endpoint.
+    ///
+    /// If the coordinator does not answer, the fallback is asked, which issues permits for a
+    /// small share of the rate. Cold endpoints have no fallback.
     pub(super) async fn ask_permit(
         &self,
         node: &Arc<GatewayNode>,
-        pool: &str,
-        shard: &WorkShard,
-        endpoint: &str,
-    ) -> Option<BootTime> {
+        context: &RequestContext,
+        member: &PoolMember,
+        max_wait: Duration,
+    ) -> PermitResponse {
         let view = node.view.load_full();
+        let (pool, endpoint) = (&context.pool, member.endpoint());
+        let (kind, shard) = WorkShard::of_permits(&view, pool, member.data_center());
         let call = PlaceCall {
-            pool: pool.to_string(),
+            pool: pool.clone(),
             shard: shard.name().to_string(),
             permit_for: endpoint.to_string(),
+            max_wait_ms: max_wait.as_millis() as u32,
+            limit: node.limit_notice(pool, endpoint),
             ..Default::default()
         };
-        let asked = BootClock.now();
-        let coordinator = shard.coordinator(WorkKind::Prompts, view.entries.iter())?;
-        let reply = match coordinator == self.hub.name() {
-            true => node.place_prompt(&view, &call),
-            false => match self.ask_place(coordinator, call).await {
-                Ok(reply) => reply,
-                Err(reason) => {
+        let [coordinator, fallback] = shard.coordinator_and_fallback(kind, &view.entries);
+        let is_cold = member.is_cold(Instant::now());
+        let fallback = fallback.filter(|_| !is_cold);
+        let is_passed_over = |entry: &PeerName| fallback.is_some() && self.is_avoided(entry);
+        let issuers = [coordinator, fallback].into_iter().flatten();
+        for issuer in issuers.filter(|entry| !is_passed_over(entry)) {
+            let asked = BootClock.now();
+            let reply = match issuer == self.hub.name() {
+                true => Ok(node.place_prompt(issuer.as_str(), &view, &call)),
+                false => self.ask_place(issuer, call.clone()).await,
+            };
+            match reply {
+                Ok(reply) => {
+                    if let Some(limit) = &reply.limit {
+                        node.adopt_limit(issuer.as_str(), limit);
+                    }
+                    return PermitResponse::of(&reply, asked);
+                }
+                Err(reason) if is_cold => {
                     log_event!(
                         debug,
                         "permit_unanswered",
                         endpoint = endpoint,
                         reason = reason
                     );
-                    return None;
                 }
-            },
-        };
-        reply.permitted.then(|| asked.plus(PERMIT_LIFE))
+                Err(reason) => {
+                    self.note_lost(node, issuer.clone(), &shard, &context.id, &reason);
+                }
+            }
+        }
+        PermitResponse::Refused { retry_after: None }
     }
 
     async fn ask_place(
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -3,12 +3,13 @@
 
 use super::endpoint_call::{CallError, EndpointCall, read_whole};
 use super::gateway_node::GatewayNode;
+use super::gateway_view::GatewayView;
 use super::work_shard::WorkShard;
-use super::{ResultHandle, WireFormat};
+use super::{PoolMember, ResultHandle};
 use crate::generated::work::WorkNotice;
 use crate::generated::work::work_notice::Notice;
 use crate::prelude::*;
-use crate::registry::EndpointLife;
+use crate::registry::{BootClock, EndpointLife};
 use crate::transport::InboundMessage;
 
 /// Most results that wait to be given up; more expire at their endpoints.
@@ -86,6 +87,10 @@
                 node.engines.report(&node.view.load(), &report);
                 continue;
             }
+            Some(Notice::Limit(limit)) => {
+                node.adopt_limit(message.from.as_str(), &limit);
+                continue;
+            }
             None => continue,
         };
         let shard = WorkShard::named(&notice.shard);
@@ -95,7 +100,8 @@
     }
 }
 
-/// Has endpoints drop results, then counts their room as free.
+/// Has endpoints drop results, then counts their room as free. An endpoint without an
+/// available permit keeps its results until they expire.
 fn release_here(node: &Arc<GatewayNode>, shard: &WorkShard, handles: Vec<ResultHandle>) {
     let mut by_keeper: BTreeMap<SocketAddr, Vec<ResultHandle>> = BTreeMap::new();
     for handle in handles {
@@ -104,11 +110,20 @@
             None => log_event!(warn, "handle_without_keeper", handle = handle.0),
         }
     }
+    let view = node.view.load_full();
     for (keeper, handles) in by_keeper {
+        let member = stage_member(&view, keeper);
+        if let Some((pool, member)) = member
+            && !node.take_permit(pool, shard, member)
+        {
+            log_event!(debug, "release_withheld", keeper = keeper);
+            continue;
+        }
+        let member = member.map(|(pool, member)| (pool.to_string(), member.clone()));
         let node = Arc::clone(node);
         let shard = shard.clone();
         tokio::spawn(async move {
-            let calling = call(node.wire.as_ref(), keeper, &handles);
+            let calling = call(&node, member, keeper, &handles);
             match tokio::time::timeout(CALL_TIME, calling).await {
                 Ok(Ok(())) => node.note_released(&shard, &handles),
                 Ok(Err(reason)) => {
@@ -120,13 +135,31 @@
     }
 }
 
+/// The endpoint of a stage pool at an address, with the name of its pool.
+fn stage_member(view: &GatewayView, address: SocketAddr) -> Option<(&str, &PoolMember)> {
+    let pools = view.table.as_ref()?.pools();
+    let pools = pools.filter(|pool| pool.pieces.is_some());
+    let mut members = pools.flat_map(|pool| {
+        let members = view.roster.pool(&pool.name).iter();
+        members.map(|member| (pool.name.as_str(), member))
+    });
+    members.find(|(_, member)| member.address() == address)
+}
+
 async fn call(
-    wire: &dyn WireFormat,
+    node: &GatewayNode,
+    member: Option<(String, PoolMember)>,
     keeper: SocketAddr,
     handles: &[ResultHandle],
 ) -> Result<(), CallError> {
     let mut call = EndpointCall::open(keeper, &EndpointLife::default()).await?;
-    let response = call.send(wire.release_request(handles, keeper)).await?;
-    read_whole(response.into_body()).await?;
+    let sent = BootClock.now();
+    let request = node.wire.release_request(handles, keeper);
+    let (head, body) = call.send(request).await?.into_parts();
+    if let Some((pool, member)) = member {
+        let head = node.wire.read_endpoint(&head);
+        node.record_advertised_rate(&pool, member.endpoint(), sent, &head);
+    }
+    read_whole(body).await?;
     Ok(())
 }
--- a/crates/savorywalk/src/gateway/cold_permits_tests.rs
+++ b/crates/savorywalk/src/gateway/send_permits_tests.rs
@@ -20,7 +20,7 @@
 /// A coordinator, from when to when entries ask it. The last one before a change is still
 /// asked by those who have not learned of it.
 struct Coordinator {
-    permits: ColdPermits,
+    permits: SendPermits,
     from: Duration,
     until: Duration,
 }
@@ -33,7 +33,7 @@
     let pause = LIMIT.pause().unwrap();
     let mut coordinators: Vec<Coordinator> = (0..6)
         .map(|turn| Coordinator {
-            permits: ColdPermits::default(),
+            permits: SendPermits::default(),
             from: Duration::from_secs(4) * turn,
             until: Duration::from_secs(4) * (turn + 1) + Duration::from_millis(1_500),
         })
@@ -83,14 +83,14 @@
 
 #[test]
 fn permits_for_one_endpoint_are_spaced() {
-    let mut permits = ColdPermits::default();
+    let mut permits = SendPermits::default();
     let start = Instant::now();
     let pause = Duration::from_millis(200);
     assert!(permits.take(start, "a", pause));
     assert!(!permits.take(start + pause / 2, "a", pause));
     assert!(permits.take(start + pause / 2, "b", pause));
     assert!(permits.take(start + pause, "a", pause));
-    assert_eq!(permits.next.len(), 2);
+    assert_eq!(permits.last_permits.len(), 2);
 }
 
 /// Where even spaced permits could come together to more than is allowed, there are none.
@@ -112,3 +112,21 @@
     let together = COORDINATORS * (span / pause.as_secs_f64() + 1.0);
     assert!(together <= most + 1e-6, "{together}");
 }
+
+/// Guards against reserving one permit twice, and against refusals that delay the next one.
+#[test]
+fn reserving_a_permit_postpones_the_next_one() {
+    let mut permits = SendPermits::default();
+    let start = Instant::now();
+    let pause = Duration::from_millis(400);
+    let max_wait = Duration::from_millis(500);
+    let mut reserve = || permits.reserve(start, "a", pause, max_wait);
+    let granted = |wait| PermitDecision::Granted { wait };
+    assert_eq!(reserve(), granted(Duration::ZERO));
+    assert_eq!(reserve(), granted(pause));
+    let refused = PermitDecision::Refused {
+        retry_after: Some(pause * 2),
+    };
+    assert_eq!(reserve(), refused);
+    assert_eq!(reserve(), refused);
+}
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -179,7 +179,7 @@
 }
 
 /// What an endpoint says in an answer's head.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointHead {
     /// Identity of the request that it answers.
     pub request_id: Option<String>,
@@ -193,6 +193,20 @@
     pub inputs_gone: bool,
     /// Load that it reports.
     pub load: Option<LoadReport>,
+    /// Request rate that it accepts from all entries combined.
+    pub rate: AdvertisedRate,
+}
+
+/// The request rate that an endpoint advertises in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum AdvertisedRate {
+    /// No rate, so that requests are not limited.
+    #[default]
+    Absent,
+    /// Requests per second from all entries combined, not negative.
+    PerSecond(f64),
+    /// A value that can't be parsed; the known limit is kept.
+    Invalid,
 }
 
 /// Load of an endpoint.
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -151,6 +151,13 @@
         (chosen != self.hub.name()).then(|| chosen.clone())
     }
 
+    /// Whether an entry is skipped because it recently failed to answer.
+    pub(super) fn is_avoided(&self, entry: &PeerName) -> bool {
+        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = avoided.get(entry);
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
     /// Notes that a coordinator did not answer for a request.
     pub(super) fn note_lost(
         &self,
@@ -258,6 +265,7 @@
 
 async fn serve_call(node: &Arc<GatewayNode>, inbound: InboundCall) {
     let InboundCall {
+        from,
         payload,
         arrived,
         mut reply,
@@ -274,7 +282,7 @@
         }
         Some(Call::Place(call)) => {
             let view = node.view.load_full();
-            let placed = node.place_prompt(&view, &call);
+            let placed = node.place_prompt(from.as_str(), &view, &call);
             reply.answer(placed.encode_to_vec().into());
             return;
         }
@@ -296,12 +304,26 @@
 }
 
 impl GatewayNode {
-    /// Places a prompt at an engine of a shard that this entry coordinates.
-    pub(super) fn place_prompt(&self, view: &GatewayView, call: &PlaceCall) -> PlaceReply {
+    /// Places a prompt at an engine of a shard that this entry coordinates, or issues a
+    /// permit for the endpoint named in the call.
+    pub(super) fn place_prompt(
+        &self,
+        from: &str,
+        view: &GatewayView,
+        call: &PlaceCall,
+    ) -> PlaceReply {
+        if let Some(limit) = &call.limit {
+            self.adopt_limit(from, limit);
+        }
         let now = Instant::now();
         let shard = WorkShard::named(&call.shard);
-        let cold = self.cold_window(now, &call.pool, WorkKind::Prompts, &shard);
-        self.engines.place(now, view, call, &cold)
+        let kind = WorkKind::of_permits(view, &call.pool);
+        let permits = self.permit_window(now, &call.pool, kind, &shard);
+        let mut reply = self.engines.place(now, view, call, &permits);
+        if !call.permit_for.is_empty() {
+            reply.limit = self.limit_notice(&call.pool, &call.permit_for);
+        }
+        reply
     }
 }
 
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -24,6 +24,15 @@
 }
 
 impl WorkKind {
+    /// The kind of work whose coordinators issue the permits for the endpoints of a pool.
+    pub(super) fn of_permits(view: &GatewayView, pool: &str) -> Self {
+        let profile = view.table.as_ref().and_then(|table| table.pool(pool));
+        match profile.is_some_and(|profile| profile.pieces.is_some()) {
+            true => Self::Stages,
+            false => Self::Prompts,
+        }
+    }
+
     const fn name(self) -> &'static [u8] {
         match self {
             Self::Stages => b"stages",
@@ -70,6 +79,32 @@
             stable_hash(&[kind.name(), name, entry.as_str().as_bytes()])
         })
     }
+
+    /// The coordinator, and the entry to ask when it can't be reached.
+    pub(super) fn coordinator_and_fallback<'a>(
+        &self,
+        kind: WorkKind,
+        entries: &'a [PeerName],
+    ) -> [Option<&'a PeerName>; 2] {
+        let first = self.coordinator(kind, entries.iter());
+        let others = entries.iter().filter(|entry| Some(*entry) != first);
+        [first, self.coordinator(kind, others)]
+    }
+
+    /// The kind of work and the shard whose coordinator issues all permits for the endpoints
+    /// of a pool in a data centre.
+    pub(super) fn of_permits(
+        view: &GatewayView,
+        pool: &str,
+        data_center: &str,
+    ) -> (WorkKind, Self) {
+        let kind = WorkKind::of_permits(view, pool);
+        let map = match kind {
+            WorkKind::Stages => ShardMap::of_stages(view),
+            WorkKind::Prompts => ShardMap::of_engines(view, pool),
+        };
+        (kind, map.at(data_center).cloned().unwrap_or_default())
+    }
 }
 
 /// The shards of a deployment, with what each can carry.
@@ -124,6 +159,11 @@
         }
     }
 
+    /// All shards of the map.
+    pub(super) fn shards(&self) -> impl Iterator<Item = &WorkShard> {
+        self.shards.iter().map(|(shard, _)| shard)
+    }
+
     /// The shards that work may go to; the whole lies everywhere.
     pub(super) fn within(mut self, places: &WorkPlaces) -> Self {
         self.shards
--- a/crates/savorywalk/src/registry/boot_clock.rs
+++ b/crates/savorywalk/src/registry/boot_clock.rs
@@ -18,6 +18,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// The moment `earlier` before this one, saturating at boot.
+    pub fn minus(self, earlier: Duration) -> Self {
+        Self(self.0.saturating_sub(earlier))
+    }
+
     /// The moment `later` after this one.
     pub fn plus(self, later: Duration) -> Self {
         Self(self.0 + later)
--- a/crates/savorywalk/src/telemetry/request_story.rs
+++ b/crates/savorywalk/src/telemetry/request_story.rs
@@ -1,6 +1,6 @@
 /// Events that touch a request, with what each of them says. The catalogue of
 /// `savorywalk explain`; docs/OPERATIONS.md leads from an id to a cause.
-pub const REQUEST_EVENTS: [(&str, &str); 16] = [
+pub const REQUEST_EVENTS: [(&str, &str); 17] = [
     (
         "plan_refused",
         "its stages can't be in time in this shard, or would wait in vain",
@@ -21,6 +21,10 @@
         "coordinator_lost",
         "the entry that coordinates a shard did not answer; the next one does it",
     ),
+    (
+        "permit_answered",
+        "requested a permit to send it to a limited endpoint; answer holds the outcome",
+    ),
     ("attempt_sent", "sent to an endpoint"),
     (
         "attempt_denied",
