Send nothing to endpoints that requested a back-off from this entry

Cause: nothing read the time in an endpoint's refusal. A refusal for lack of capacity does not count as a failure, so the endpoint stayed eligible; because it responds at once, it has the fewest requests in progress and was even preferred. As with the rate limits, a response head says more about its endpoint than the status does.

Ruled out: calls that were queued or connecting when the refusal arrived (the requests arrived up to 2.1 s later, a connection has 0.3 s); a shorter back-off that replaces a longer one (all were 3 s).

Change: every response head is processed in one place, which keeps the latest end of the back-offs that each incarnation has requested from this entry, by the clock that counts suspended time, for at most one hour. Until then this entry makes no call of any kind to that endpoint: first sends, resends, resumed streams, prompts that another entry places there, calls with pieces, releases of results. This includes calls that were connecting when the back-off began. If the remaining endpoints have requested a back-off, a request is refused at once (`backed_off`) with the first end as its retry time.

--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -24,6 +24,9 @@
     /// Nothing was sent.
     #[error("no connection: {0}")]
     Unsent(String),
+    /// Nothing was sent, because the endpoint is unavailable to this entry.
+    #[error("not sent: {0}")]
+    Withheld(&'static str),
     /// The connection broke before the whole answer was there.
     #[error("the connection broke: {0}")]
     Broken(String),
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -83,7 +83,7 @@
             return Err(self.refuse(NotRunReason::TimeOver));
         }
         let Some(member) = self.choose(&view).await else {
-            return Err(self.refuse_unplaced());
+            return Err(self.refuse_unplaced(&view));
         };
         self.check_quarantine()?;
         let endpoint = member.endpoint().to_string();
@@ -115,6 +115,17 @@
                 self.report(&view, &endpoint, AttemptReport::Failed, &reason);
                 return Ok(AttemptEnd::Unsent);
             }
+            Ok(Err(CallError::Withheld(reason))) => {
+                self.ledger.deny();
+                log_event!(
+                    info,
+                    "attempt_withheld",
+                    request = self.context.id,
+                    endpoint = endpoint,
+                    reason = reason
+                );
+                return Ok(AttemptEnd::Unsent);
+            }
             Ok(Err(CallError::Broken(reason))) => {
                 self.suspect_crash(&endpoint, CallBreak::Cut);
                 self.report(&view, &endpoint, AttemptReport::Failed, &reason);
@@ -153,6 +164,9 @@
             let reason = "the permit for the endpoint has expired".to_string();
             return Err(CallError::Unsent(reason));
         }
+        if !self.node.is_available(member.endpoint()) {
+            return Err(CallError::Withheld("the endpoint has asked for a pause"));
+        }
         let inputs = self.results.as_ref().map(PlanResults::handles);
         let order = EndpointOrder {
             target: EndpointTarget {
@@ -175,7 +189,7 @@
         let head = self.node.wire.read_endpoint(&parts);
         let pool = &self.context.pool;
         self.node
-            .record_advertised_rate(pool, member.endpoint(), sent, &head);
+            .record_response_head(pool, member.endpoint(), sent, &head);
         Ok((call, Response::from_parts(parts, body), head))
     }
 
@@ -198,7 +212,8 @@
                 request = self.context.id,
                 endpoint = endpoint,
                 status = status,
-                other_incarnation = head.is_other_incarnation
+                other_incarnation = head.is_other_incarnation,
+                backoff = format!("{:?}", head.backoff)
             );
             if head.is_other_incarnation {
                 self.report(
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -7,6 +7,7 @@
 use super::prompt_exchange::{self, PermitResponse};
 use super::{GatewayRefusal, NotRunReason, PlacementQuery, PoolMember};
 use crate::prelude::*;
+use crate::registry::BootClock;
 
 /// Most limited endpoints for which a request asks for a permit when no other endpoint is
 /// available.
@@ -39,7 +40,10 @@
         let pool = &self.context.pool;
         let members = view.roster.pool(pool).iter();
         let places = &self.context.places;
-        let members = members.filter(|member| places.has(member.data_center()) && may_get(member));
+        let members = members.filter(|member| {
+            let is_in_work_places = places.has(member.data_center());
+            is_in_work_places && self.node.is_available(member.endpoint()) && may_get(member)
+        });
         let scores = &self.node.scores;
         scores.place(Instant::now(), pool, members, query).cloned()
     }
@@ -147,7 +151,8 @@
         if is_plain || prompt_exchange::engine_shard(view, &self.context).is_whole() {
             return self.pick_permitted(view).await;
         }
-        let avoid = self.ledger.endpoints();
+        let mut avoid = self.ledger.endpoints();
+        avoid.extend(self.node.unavailable_endpoints(view, pool));
         let placed = self.node.exchange.place(&self.node, &self.context, avoid);
         let placed = placed.await;
         let members = view.roster.pool(pool).iter();
@@ -157,7 +162,7 @@
         });
         let is_well = |member: &&PoolMember| {
             let cost = self.node.scores.cost(Instant::now(), pool, member);
-            cost.surcharge == 0.0
+            cost.surcharge == 0.0 && self.node.is_available(member.endpoint())
         };
         let permitted_until = placed.as_ref().and_then(|placed| placed.permitted_until);
         let may_get =
@@ -202,9 +207,11 @@
         }
         self.results = None;
         let view = self.node.view.load_full();
-        let near = self.planned_place(&view);
-        let Some(near) = near.filter(|_| self.has_stage_endpoints(&view)) else {
+        if !self.has_stage_endpoints(&view) {
             return Err(self.refuse(NotRunReason::NoEndpoint));
+        }
+        let Some(near) = self.planned_place(&view) else {
+            return Err(self.refuse_unplaced(&view));
         };
         let order = self.plan_order(&near);
         let remaining = self.context.remaining(Instant::now());
@@ -232,6 +239,19 @@
         })
     }
 
+    /// Time until the first back-off in the request's pool ends; `None` if there is none.
+    pub(super) fn shortest_backoff(&self, view: &GatewayView) -> Option<Duration> {
+        let now = BootClock.now();
+        let members = view.roster.pool(&self.context.pool).iter();
+        let members = members.filter(|member| self.context.places.has(member.data_center()));
+        let waits = members.map(|member| {
+            self.node
+                .availability
+                .time_until_available(now, member.endpoint())
+        });
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+
     fn plan_order(&self, near: &str) -> PlanOrder {
         let context = &self.context;
         PlanOrder {
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -6,6 +6,7 @@
 use super::crash_watch::VerdictWait;
 use super::forward_attempt::{AttemptEnd, OpenAnswer, TakenAnswer, is_delimited};
 use super::gateway_node::GatewayNode;
+use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PlacedPrompt;
 use super::request_context::RequestContext;
@@ -99,12 +100,16 @@
     }
 
     /// Refuses a request for which no endpoint is available, with the time until the next
-    /// permit if only limited endpoints exist.
-    pub(super) fn refuse_unplaced(&self) -> GatewayRefusal {
-        match (self.permit_retry_after, self.ledger.not_run()) {
-            (Some(wait), Some(proof)) => GatewayRefusal::NotRun {
+    /// permit, or until the first back-off ends.
+    pub(super) fn refuse_unplaced(&self, view: &GatewayView) -> GatewayRefusal {
+        let limited = self.permit_retry_after;
+        let limited = limited.map(|wait| (NotRunReason::RateLimited, wait));
+        let backed_off = self.shortest_backoff(view);
+        let backed_off = backed_off.map(|wait| (NotRunReason::BackedOff, wait));
+        match (limited.or(backed_off), self.ledger.not_run()) {
+            (Some((reason, wait)), Some(proof)) => GatewayRefusal::NotRun {
                 proof,
-                reason: NotRunReason::RateLimited,
+                reason,
                 retry_after: wait + retry_after(),
             },
             (Some(_), None) | (None, _) => self.refuse(NotRunReason::NoEndpoint),
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -20,6 +20,7 @@
     repeats: Counter<u64>,
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
+    backoffs: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -47,6 +48,10 @@
                 .u64_counter("savorywalk_gateway_stream_resumes")
                 .with_description("Streams that went on at another endpoint")
                 .build(),
+            backoffs: meter
+                .u64_counter("savorywalk_gateway_endpoint_backoffs")
+                .with_description("Times that endpoints asked for a pause, by pool")
+                .build(),
         }
     }
 
@@ -68,6 +73,11 @@
         self.pieces_per_call.record(pieces as f64, &[pool]);
     }
 
+    pub(super) fn record_backoff(&self, pool: &str) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        self.backoffs.add(1, &[pool]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -3,6 +3,7 @@
 use tokio::sync::watch;
 
 use super::crash_watch::CrashWatch;
+use super::endpoint_availability::EndpointAvailability;
 use super::endpoint_score::EndpointScores;
 use super::engine_desk::EngineDesk;
 use super::first_event_times::FirstEventTimes;
@@ -18,7 +19,7 @@
 use super::{EndpointRoster, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
-use crate::registry::EntryFollower;
+use crate::registry::{BootClock, EntryFollower};
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkChannel, LinkHub};
 
@@ -41,6 +42,7 @@
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_watch: CrashWatch,
     pub(super) permits: PermitGate,
+    pub(super) availability: EndpointAvailability,
     pub(super) region_map: RegionMap,
     /// Time in which every endpoint that lives has announced itself.
     report_time: Duration,
@@ -93,6 +95,7 @@
             metric_set: parts.metric_set,
             crash_watch: parts.crash_watch,
             permits: PermitGate::new(parts.cold_bounds),
+            availability: EndpointAvailability::default(),
             region_map: parts.region_map,
             report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
@@ -108,6 +111,7 @@
         node.register_quarantine();
         node.register_evacuations();
         node.register_limits();
+        node.register_backoffs();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(release_queue::run(Arc::clone(&node), given_up));
         let notices = parts.hub.subscribe(LinkChannel::Work);
@@ -161,6 +165,22 @@
             .build();
     }
 
+    /// Adds the number of endpoints with a back-off to the metrics.
+    fn register_backoffs(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_backed_off_endpoints")
+            .with_description("Endpoints that want no requests from this entry for a time")
+            .with_callback(move |gauge| {
+                let now = BootClock.now();
+                let count = node.upgrade();
+                let count = count.map(|node| node.availability.count_backoffs(now));
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
     fn count_evacuated(&self) -> usize {
         self.take_news();
         self.follower
@@ -246,6 +266,7 @@
         let now = Instant::now();
         let is_own = shard.has(member.data_center()) || !self.needs_permit(pool, member);
         is_own
+            && self.is_available(member.endpoint())
             && self
                 .permit_window(now, pool, WorkKind::Stages, shard)
                 .take(now, member)
--- a/crates/savorywalk/src/gateway/gateway_refusal.rs
+++ b/crates/savorywalk/src/gateway/gateway_refusal.rs
@@ -50,6 +50,8 @@
     Quarantined,
     /// All suitable endpoints are limited and none has a permit available.
     RateLimited,
+    /// All suitable endpoints have requested a back-off from this entry.
+    BackedOff,
 }
 
 impl NotRunReason {
@@ -66,6 +68,7 @@
             Self::TimeOver => "time_over",
             Self::Quarantined => "quarantined",
             Self::RateLimited => "rate_limited",
+            Self::BackedOff => "backed_off",
         }
     }
 }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod cluster_hub;
 mod crash_report;
 mod crash_watch;
+mod endpoint_availability;
 mod endpoint_call;
 mod endpoint_limits;
 mod endpoint_load;
@@ -60,6 +61,7 @@
 mod request_context;
 mod request_rank;
 mod request_service;
+mod response_head;
 mod result_room;
 mod retry_window;
 mod route_rule;
@@ -110,9 +112,9 @@
 pub use stage_progress::{LostTooOften, StageProgress, StageStart};
 pub use table_error::TableError;
 pub use wire_format::{
-    AdvertisedRate, CallerHead, EndpointHead, EndpointOrder, EndpointTarget, LoadReport,
-    PieceOrder, PieceOutcome, PieceSource, PromptPart, RegistryAnswer, RegistryCall, ResultHandle,
-    TokenCounts, WireFormat,
+    AdvertisedRate, BackoffRequest, CallerHead, EndpointHead, EndpointOrder, EndpointTarget,
+    LoadReport, PieceOrder, PieceOutcome, PieceSource, PromptPart, RegistryAnswer, RegistryCall,
+    ResultHandle, TokenCounts, WireFormat,
 };
 pub use work_gate::{
     PlanChance, PlanDemand, PlanFate, PlanNumber, PoolRates, StageDemand, WorkGate,
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -260,7 +260,9 @@
         let is_own = |member: &PoolMember| self.shard.has(member.data_center());
         let has_own = members.iter().any(is_own);
         members.iter().filter(move |member| {
-            is_own(member) || (!has_own && !self.node.needs_permit(&self.pool, member))
+            let is_usable =
+                is_own(member) || (!has_own && !self.node.needs_permit(&self.pool, member));
+            is_usable && self.node.is_available(member.endpoint())
         })
     }
 
@@ -292,7 +294,7 @@
         let mut members = view.roster.pool(&self.pool).iter();
         let is_limited = |member: &PoolMember| {
             let rate = self.node.permits.limits.rate(member.endpoint());
-            member.is_cold(now) || rate.is_some()
+            member.is_cold(now) || rate.is_some() || !self.node.is_available(member.endpoint())
         };
         !self.state().queue.is_empty() && members.any(is_limited)
     }
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -76,6 +76,9 @@
     pieces: &[QueuedPiece],
 ) -> Result<CallResult, CallError> {
     let mut call = EndpointCall::open(member.address(), &member.life).await?;
+    if !node.is_available(member.endpoint()) {
+        return Ok(CallResult::Denied { load: None });
+    }
     let now = Instant::now();
     let orders: Vec<PieceOrder<'_>> = pieces
         .iter()
@@ -96,7 +99,7 @@
     let response = call.send(wire.piece_request(&orders, &target)).await?;
     let (parts, body) = response.into_parts();
     let head = wire.read_endpoint(&parts);
-    node.record_advertised_rate(pool, member.endpoint(), sent, &head);
+    node.record_response_head(pool, member.endpoint(), sent, &head);
     if head.not_run || head.is_other_incarnation {
         return Ok(CallResult::Denied { load: head.load });
     }
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -158,7 +158,7 @@
     let (head, body) = call.send(request).await?.into_parts();
     if let Some((pool, member)) = member {
         let head = node.wire.read_endpoint(&head);
-        node.record_advertised_rate(&pool, member.endpoint(), sent, &head);
+        node.record_response_head(&pool, member.endpoint(), sent, &head);
     }
     read_whole(body).await?;
     Ok(())
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -195,6 +195,20 @@
     pub load: Option<LoadReport>,
     /// Request rate that it accepts from all entries combined.
     pub rate: AdvertisedRate,
+    /// Back-off that it requests from this entry.
+    pub backoff: BackoffRequest,
+}
+
+/// The back-off that an endpoint requests in a refusal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BackoffRequest {
+    /// No back-off.
+    #[default]
+    Absent,
+    /// A back-off of this duration.
+    For(Duration),
+    /// A back-off whose duration can't be parsed.
+    Unreadable,
 }
 
 /// The request rate that an endpoint advertises in a response.
--- a/crates/savorywalk/src/telemetry/request_story.rs
+++ b/crates/savorywalk/src/telemetry/request_story.rs
@@ -1,6 +1,6 @@
 /// Events that touch a request, with what each of them says. The catalogue of
 /// `savorywalk explain`; docs/OPERATIONS.md leads from an id to a cause.
-pub const REQUEST_EVENTS: [(&str, &str); 17] = [
+pub const REQUEST_EVENTS: [(&str, &str); 18] = [
     (
         "plan_refused",
         "its stages can't be in time in this shard, or would wait in vain",
@@ -26,6 +26,10 @@
         "requested a permit to send it to a limited endpoint; answer holds the outcome",
     ),
     ("attempt_sent", "sent to an endpoint"),
+    (
+        "attempt_withheld",
+        "chosen for an endpoint, but not sent; reason says why",
+    ),
     (
         "attempt_denied",
         "an endpoint vouches that it has not run it",
