Stop sending requests to endpoints that announce that they are leaving

Symptom: an endpoint that announced in its responses that it was leaving kept getting requests from the entries that had forwarded those responses, until control told them. An entry that is cut off from control would have kept sending until the endpoint was gone.

Cause: nothing read the announcement in a response. As with rate limits and back-offs, a response head says more about its endpoint than the status does.

Change: the code that processes all response heads marks the incarnation as leaving. From then on the entry makes no call of any kind to it, whether or not control knows. Other entries learn of it from their own responses or from control, as before.

--- a/crates/savorywalk/src/gateway/endpoint_availability.rs
+++ b/crates/savorywalk/src/gateway/endpoint_availability.rs
@@ -11,7 +11,11 @@
 /// Back-off after a refusal whose duration can't be parsed.
 const DEFAULT_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Back-offs that endpoints have requested from this entry, by incarnation.
+/// Minimum time that a leaving endpoint is kept. Its process has exited by then.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
+/// Endpoints that this entry must not send requests to, by incarnation: those that have
+/// requested a back-off and those that have announced that they are leaving.
 ///
 /// Unlike a rate limit, a back-off applies only to the entry that was refused, so it is not
 /// shared with other entries. See docs/design/endpoint-backoff.md.
@@ -19,6 +23,8 @@
 pub(super) struct EndpointAvailability {
     /// End of the back-off of each endpoint.
     backoffs: Mutex<FastMap<String, BootTime>>,
+    /// Time of the last announcement of each leaving endpoint.
+    leaving: Mutex<FastMap<String, BootTime>>,
 }
 
 impl EndpointAvailability {
@@ -48,6 +54,19 @@
         Some(until)
     }
 
+    /// Marks an endpoint as leaving, so that it gets no more requests. Returns whether it was
+    /// not marked before.
+    pub(super) fn mark_leaving(&self, now: BootTime, endpoint: &str) -> bool {
+        let mut leaving = self.leaving();
+        leaving.retain(|_, announced| now.since(*announced) < LEAVING_RETENTION);
+        leaving.insert(endpoint.to_string(), now).is_none()
+    }
+
+    /// Whether an endpoint has announced in a response that it is leaving.
+    pub(super) fn is_leaving(&self, endpoint: &str) -> bool {
+        self.leaving().contains_key(endpoint)
+    }
+
     /// Time until a request may be sent to an endpoint.
     pub(super) fn time_until_available(&self, now: BootTime, endpoint: &str) -> Duration {
         let backoffs = self.backoffs();
@@ -57,7 +76,7 @@
 
     /// Whether a request may be sent to an endpoint.
     pub(super) fn is_available(&self, now: BootTime, endpoint: &str) -> bool {
-        self.time_until_available(now, endpoint).is_zero()
+        !self.is_leaving(endpoint) && self.time_until_available(now, endpoint).is_zero()
     }
 
     /// Number of endpoints whose back-off has not ended.
@@ -66,6 +85,10 @@
         backoffs.values().filter(|until| now < **until).count()
     }
 
+    fn leaving(&self) -> MutexGuard<'_, FastMap<String, BootTime>> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn backoffs(&self) -> MutexGuard<'_, FastMap<String, BootTime>> {
         self.backoffs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/savorywalk/src/gateway/endpoint_availability_tests.rs
+++ b/crates/savorywalk/src/gateway/endpoint_availability_tests.rs
@@ -54,3 +54,14 @@
     let absent = BackoffRequest::Absent;
     assert_eq!(availability.back_off(at_second(1), "absent", absent), None);
 }
+
+/// Guards against requests to a leaving endpoint once its back-off has ended.
+#[test]
+fn a_leaving_endpoint_stays_unavailable_after_its_backoff() {
+    let availability = EndpointAvailability::default();
+    assert!(availability.mark_leaving(at_second(1), ENDPOINT));
+    assert!(!availability.mark_leaving(at_second(2), ENDPOINT));
+    availability.back_off(at_second(2), ENDPOINT, backoff_seconds(1));
+    assert!(!availability.is_available(at_second(60), ENDPOINT));
+    assert!(availability.is_available(at_second(60), "another incarnation"));
+}
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -165,7 +165,9 @@
             return Err(CallError::Unsent(reason));
         }
         if !self.node.is_available(member.endpoint()) {
-            return Err(CallError::Withheld("the endpoint has asked for a pause"));
+            return Err(CallError::Withheld(
+                "the endpoint takes no requests from this entry",
+            ));
         }
         let inputs = self.results.as_ref().map(PlanResults::handles);
         let order = EndpointOrder {
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -244,11 +244,10 @@
         let now = BootClock.now();
         let members = view.roster.pool(&self.context.pool).iter();
         let members = members.filter(|member| self.context.places.has(member.data_center()));
-        let waits = members.map(|member| {
-            self.node
-                .availability
-                .time_until_available(now, member.endpoint())
-        });
+        let availability = &self.node.availability;
+        // A leaving endpoint stays unavailable after its back-off.
+        let members = members.filter(|member| !availability.is_leaving(member.endpoint()));
+        let waits = members.map(|member| availability.time_until_available(now, member.endpoint()));
         waits.filter(|wait| !wait.is_zero()).min()
     }
 
--- a/crates/savorywalk/src/gateway/response_head.rs
+++ b/crates/savorywalk/src/gateway/response_head.rs
@@ -6,7 +6,8 @@
 
 /// Endpoint state that is reported in response heads, for calls of every kind.
 impl GatewayNode {
-    /// Records the rate limit and the back-off in the response to a request sent at `sent`.
+    /// Records the rate limit, the back-off and the leaving state in the response to a request
+    /// sent at `sent`.
     pub(super) fn record_response_head(
         &self,
         pool: &str,
@@ -19,6 +20,9 @@
         }
         self.record_advertised_rate(pool, endpoint, sent, head);
         let now = BootClock.now();
+        if head.is_leaving && self.availability.mark_leaving(now, endpoint) {
+            log_event!(info, "endpoint_leaving", pool = pool, endpoint = endpoint);
+        }
         if let Some(until) = self.availability.back_off(now, endpoint, head.backoff) {
             self.metrics.record_backoff(pool);
             log_event!(
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -197,6 +197,8 @@
     pub rate: AdvertisedRate,
     /// Back-off that it requests from this entry.
     pub backoff: BackoffRequest,
+    /// Whether it announces that it is leaving and takes no new requests.
+    pub is_leaving: bool,
 }
 
 /// The back-off that an endpoint requests in a refusal.
