Do not use permits for releases of results

Release requests took a permit like other calls. At an endpoint with a rate limit, a release could take the permit that a call with pieces needs. At a cold stage endpoint, releases used up the few permits that it has; before permits for rate limits were introduced, releases were sent there without restriction.

Results at an endpoint that has a rate limit, is in a back-off or is leaving are now kept until they expire. Cold endpoints receive release requests as they did before permits for rate limits.

--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -100,8 +100,8 @@
     }
 }
 
-/// Has endpoints drop results, then counts their room as free. An endpoint without an
-/// available permit keeps its results until they expire.
+/// Has endpoints drop results, then counts their room as free. Results at endpoints that are
+/// unavailable or have a rate limit are kept until they expire.
 fn release_here(node: &Arc<GatewayNode>, shard: &WorkShard, handles: Vec<ResultHandle>) {
     let mut by_keeper: BTreeMap<SocketAddr, Vec<ResultHandle>> = BTreeMap::new();
     for handle in handles {
@@ -113,9 +113,8 @@
     let view = node.view.load_full();
     for (keeper, handles) in by_keeper {
         let member = stage_member(&view, keeper);
-        if let Some((pool, member)) = member
-            && !node.take_permit(pool, shard, member)
-        {
+        let may_release = |(_, member): (&str, &PoolMember)| node.may_release(member.endpoint());
+        if !member.is_none_or(may_release) {
             log_event!(debug, "release_withheld", keeper = keeper);
             continue;
         }
@@ -135,6 +134,14 @@
     }
 }
 
+impl GatewayNode {
+    /// Whether release requests may be sent to an endpoint. They are not sent under a rate
+    /// limit, where they would use up permits that calls with pieces need.
+    fn may_release(&self, endpoint: &str) -> bool {
+        self.is_available(endpoint) && self.permits.limits.rate(endpoint).is_none()
+    }
+}
+
 /// The endpoint of a stage pool at an address, with the name of its pool.
 fn stage_member(view: &GatewayView, address: SocketAddr) -> Option<(&str, &PoolMember)> {
     let pools = view.table.as_ref()?.pools();
@@ -163,3 +170,7 @@
     read_whole(body).await?;
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "release_queue_tests.rs"]
+mod tests;
