Divide data centres into shards by their endpoints; keep shard maps and their coordinators

Cause: one coordinator a data centre for all prompts and one for all stages. Ten entries carried 9,816 endpoints, and each of their choices went through the 1,199 engines of a data centre; neither depends on how many entries there are.

Change: a data centre is divided into parts of some 64 endpoints of its largest pool, a power of two, by a hash of the endpoints' names; each has a coordinator of its own. Deployments with up to 127 endpoints of a pool in a data centre keep their shards. Maps of shards are made once a view. A coordinator gives permits in full only some time after the endpoints were divided anew, and none for a shard that its view does not have.

Tests: shards by endpoints at 190, 1,100, 10,001 and 20,000; each endpoint in one part; names of parts that can't be read.

--- a/crates/savorywalk/src/gateway/endpoint_roster.rs
+++ b/crates/savorywalk/src/gateway/endpoint_roster.rs
@@ -1,4 +1,5 @@
 use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointRecord, EndpointState};
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::registry::{EndpointLife, EndpointReport, FollowState, KnownEndpoint};
 
@@ -21,6 +22,8 @@
     pub unproven_until: Option<Instant>,
     /// Ends when the endpoint has started again.
     pub life: EndpointLife,
+    /// Spreads the endpoints of a data centre over the entries that coordinate them.
+    pub(super) spread: u64,
 }
 
 impl PoolMember {
@@ -225,6 +228,7 @@
         says_cold: report.cold_ms > 0,
         unproven_until: None,
         life: known.life.clone(),
+        spread: stable_hash(&[report.id.as_bytes()]),
     })
 }
 
--- a/crates/savorywalk/src/gateway/engine_desk.rs
+++ b/crates/savorywalk/src/gateway/engine_desk.rs
@@ -42,7 +42,7 @@
         }
         let shard = WorkShard::named(&call.shard);
         let members = view.roster.pool(&call.pool).iter().map(Arc::as_ref);
-        let members = members.filter(|member| shard.has(member.data_center()));
+        let members = members.filter(|member| shard.has(member));
         let usable = members.filter(|member| {
             let endpoint = member.endpoint();
             let is_avoided = call.avoid.iter().any(|avoided| avoided == endpoint);
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -191,7 +191,7 @@
     fn planned_place(&self, view: &GatewayView) -> Option<String> {
         let shard = prompt_exchange::engine_shard(view, &self.context);
         if !shard.is_whole() {
-            return Some(shard.name().to_string());
+            return Some(shard.data_center().to_string());
         }
         self.pick(view, |_| true)
             .map(|member| member.data_center().to_string())
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -267,7 +267,7 @@
     /// entry coordinates; true if one is available or none is required.
     pub(super) fn take_permit(&self, pool: &str, shard: &WorkShard, member: &PoolMember) -> bool {
         let now = Instant::now();
-        let is_own = shard.has(member.data_center()) || !self.needs_permit(pool, member);
+        let is_own = shard.has(member) || !self.needs_permit(pool, member);
         is_own
             && self.is_available(member.endpoint())
             && self
@@ -340,7 +340,7 @@
                 }
             }
         }
-        self.view.store(Arc::new(GatewayView {
+        let view = GatewayView {
             table,
             roster,
             evacuations,
@@ -350,7 +350,10 @@
             },
             entries,
             news: count,
-        }));
+            ..GatewayView::default()
+        };
+        self.view
+            .store(Arc::new(view.with_split(Instant::now(), &before)));
         self.in_force.send_modify(|count| *count += 1);
         self.kept_calls.expire();
         for board in self.boards().values() {
--- a/crates/savorywalk/src/gateway/gateway_view.rs
+++ b/crates/savorywalk/src/gateway/gateway_view.rs
@@ -1,7 +1,8 @@
 use std::sync::{Mutex, PoisonError};
 
-use super::work_shard::{WorkKind, WorkShard};
+use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use super::{EndpointRoster, RouteTable};
+use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::registry::Confirmation;
 use crate::transport::PeerName;
@@ -19,6 +20,12 @@
     pub(super) entries: Arc<[PeerName]>,
     /// Which of them coordinate; shared with later views of the same entries.
     pub(super) ranks: Arc<CoordinatorRanks>,
+    /// The shards of the pools, as far as they were asked for.
+    pub(super) maps: Arc<ShardMaps>,
+    /// Digest of the names of all shards.
+    pub(super) split: u64,
+    /// When the endpoints were divided into other shards last.
+    pub(super) split_since: Option<Instant>,
     /// How much news from control it holds.
     pub(super) news: u64,
 }
@@ -43,9 +50,57 @@
     ranked: Mutex<RankedEntries>,
 }
 
+/// Shards by pool; those of all stage pools together have no name.
+#[derive(Debug, Default)]
+pub(super) struct ShardMaps {
+    maps: Mutex<FastMap<String, Arc<ShardMap>>>,
+}
+
 type RankedEntries = FastMap<(WorkKind, WorkShard), Arc<[PeerName]>>;
 
 impl GatewayView {
+    /// The shards of a kind of work for a pool.
+    pub(super) fn shard_map(&self, kind: WorkKind, pool: &str) -> Arc<ShardMap> {
+        let key = match kind {
+            WorkKind::Stages => "",
+            WorkKind::Prompts => pool,
+        };
+        let mut maps = self
+            .maps
+            .maps
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(map) = maps.get(key) {
+            return Arc::clone(map);
+        }
+        let map = Arc::new(match kind {
+            WorkKind::Stages => ShardMap::of_stages(self),
+            WorkKind::Prompts => ShardMap::of_engines(self, pool),
+        });
+        maps.insert(key.to_string(), Arc::clone(&map));
+        map
+    }
+
+    /// This view with a note of how its endpoints are divided into shards.
+    pub(super) fn with_split(mut self, now: Instant, before: &Self) -> Self {
+        let pools = self.table.iter().flat_map(|table| table.pools());
+        let engines = pools.filter(|pool| pool.engine.is_some());
+        let engines = engines.map(|pool| self.shard_map(WorkKind::Prompts, &pool.name));
+        let stages = self.shard_map(WorkKind::Stages, "");
+        let maps: Vec<Arc<ShardMap>> = engines.chain([stages]).collect();
+        let names = maps
+            .iter()
+            .flat_map(|map| map.shards())
+            .map(WorkShard::name);
+        let names: Vec<&[u8]> = names.map(str::as_bytes).collect();
+        self.split = stable_hash(&names);
+        self.split_since = match self.split == before.split {
+            true => before.split_since,
+            false => Some(now),
+        };
+        self
+    }
+
     /// The first entries by rank for a shard, the coordinator first.
     pub(super) fn ranked(&self, kind: WorkKind, shard: &WorkShard) -> Arc<[PeerName]> {
         let mut ranked = self
--- a/crates/savorywalk/src/gateway/limit_exchange.rs
+++ b/crates/savorywalk/src/gateway/limit_exchange.rs
@@ -115,7 +115,7 @@
     fn remote_permit_issuer(&self, pool: &str, endpoint: &str) -> Option<PeerName> {
         let view = self.view.load_full();
         let member = view.roster.member(pool, endpoint)?;
-        let (kind, shard) = WorkShard::of_permits(&view, pool, member.data_center());
+        let (kind, shard) = WorkShard::of_permits(&view, pool, member);
         let issuer = view.ranked(kind, &shard).first().cloned();
         issuer.filter(|issuer| issuer != self.exchange.hub.name())
     }
@@ -137,8 +137,8 @@
 /// The entries that coordinate stages or prompts of a pool. Between them they are connected
 /// to nearly all other entries.
 fn coordinators(view: &GatewayView, pool: &str) -> BTreeSet<PeerName> {
-    let stages = ShardMap::of_stages(view);
-    let prompts = ShardMap::of_engines(view, pool);
+    let stages = view.shard_map(WorkKind::Stages, pool);
+    let prompts = view.shard_map(WorkKind::Prompts, pool);
     let of_map = |kind, map: &ShardMap| -> Vec<PeerName> {
         let shards = map.shards();
         let names = shards.filter_map(|shard| view.ranked(kind, shard).first().cloned());
--- a/crates/savorywalk/src/gateway/limit_simulation_tests.rs
+++ b/crates/savorywalk/src/gateway/limit_simulation_tests.rs
@@ -124,6 +124,7 @@
         ranks: Arc::default(),
         entries: entries.into(),
         news: 1,
+        ..GatewayView::default()
     })
 }
 
--- a/crates/savorywalk/src/gateway/permit_gate.rs
+++ b/crates/savorywalk/src/gateway/permit_gate.rs
@@ -161,7 +161,7 @@
         pool: &str,
         (kind, shard): (WorkKind, &WorkShard),
     ) -> PermitWindow<'_> {
-        let role = self.role(now, knowledge, own, kind, shard);
+        let role = self.role(now, knowledge, own, pool, (kind, shard));
         let view = &knowledge.view;
         let profile = view.table.as_ref().and_then(|table| table.pool(pool));
         let cold = match self.cold_limit(profile.map(Arc::as_ref)) {
@@ -183,14 +183,19 @@
         now: Instant,
         knowledge: &ViewKnowledge,
         own: &PeerName,
-        kind: WorkKind,
-        shard: &WorkShard,
+        pool: &str,
+        (kind, shard): (WorkKind, &WorkShard),
     ) -> CoordinatorRole {
         let [coordinator, fallback] = shard.coordinator_and_fallback(kind, &knowledge.view);
         let Some(coordinator) = coordinator else {
             return CoordinatorRole::Other;
         };
+        if !knowledge.view.shard_map(kind, pool).has(shard) {
+            return CoordinatorRole::Other;
+        }
         let since = self.coordinates_since(now, kind, shard, &coordinator);
+        // Who coordinated the shards before may not have learned of these yet.
+        let since = since.max(knowledge.view.split_since.unwrap_or(since));
         if coordinator == *own {
             let is_settled = now >= since + TENURE && knowledge.is_fresh(MAX_AGE);
             return match is_settled {
--- a/crates/savorywalk/src/gateway/permit_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/permit_gate_tests.rs
@@ -42,6 +42,7 @@
             .map(|name| PeerName::new(name).unwrap())
             .collect(),
         news: 1,
+        ..GatewayView::default()
     })
 }
 
--- a/crates/savorywalk/src/gateway/piece_board.rs
+++ b/crates/savorywalk/src/gateway/piece_board.rs
@@ -257,7 +257,7 @@
     /// require a permit are only called from their own shard.
     fn usable_members<'a>(&self, view: &'a GatewayView) -> impl Iterator<Item = &'a PoolMember> {
         let members = || view.roster.pool(&self.pool).iter().map(Arc::as_ref);
-        let is_own = |member: &PoolMember| self.shard.has(member.data_center());
+        let is_own = |member: &PoolMember| self.shard.has(member);
         let has_own = members().any(is_own);
         members().filter(move |member| {
             let is_usable =
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -70,7 +70,8 @@
     let ticket = context
         .affinity()
         .map_or_else(own, |part| stable_hash(&[&part.to_le_bytes()]));
-    let map = ShardMap::of_engines(view, &context.pool).within(&context.places);
+    let map = view.shard_map(WorkKind::Prompts, &context.pool);
+    let map = ShardMap::clone(&map).within(&context.places);
     map.draw(ticket, None).cloned().unwrap_or_default()
 }
 
@@ -133,7 +134,7 @@
     ) -> PermitResponse {
         let view = node.view.load_full();
         let (pool, endpoint) = (&context.pool, member.endpoint());
-        let (kind, shard) = WorkShard::of_permits(&view, pool, member.data_center());
+        let (kind, shard) = WorkShard::of_permits(&view, pool, member);
         let call = PlaceCall {
             pool: pool.clone(),
             shard: shard.name().to_string(),
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -61,10 +61,11 @@
         node: &Arc<GatewayNode>,
         mut order: PlanOrder,
     ) -> Result<PlanResults, StageStop> {
-        let map = ShardMap::of_stages(&node.view.load()).within(&order.places);
+        let map = node.view.load().shard_map(WorkKind::Stages, "");
+        let map = ShardMap::clone(&map).within(&order.places);
         let ticket = stable_hash(&[order.request_id.as_bytes()]);
         let near = match order.has_large() {
-            true => map.at(&order.near),
+            true => map.near(&order.near, ticket),
             false => None,
         };
         let first = near.or_else(|| map.draw(ticket, None));
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -1,5 +1,5 @@
-use super::WorkPlaces;
 use super::gateway_view::GatewayView;
+use super::{PoolMember, WorkPlaces};
 use crate::hashing::stable_hash;
 use crate::prelude::*;
 use crate::transport::PeerName;
@@ -41,30 +41,83 @@
     }
 }
 
-/// The endpoints of all stage pools that one entry coordinates: those in one
-/// data centre, or all of them.
+/// Endpoints of the largest pool that one entry coordinates, about: choosing among them takes
+/// as long in any fleet.
+const SHARD_MEMBERS: usize = 64;
+
+/// Fewest endpoints of each pool in a part of a data centre.
+const MIN_PART_MEMBERS: usize = 12;
+
+/// Separates the words of a shard's name; data centres are named without it.
+const SEPARATOR: char = ':';
+
+/// The endpoints that one entry coordinates: all of them, those in one data centre, or a
+/// part of those.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) struct WorkShard(Option<Arc<str>>);
+pub(super) struct WorkShard {
+    /// How it is named to other entries; empty for the whole.
+    name: Arc<str>,
+    data_center: Arc<str>,
+    /// Which part of the data centre it is.
+    part: Option<ShardPart>,
+}
+
+/// One of several parts of a data centre's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct ShardPart {
+    index: u64,
+    count: u64,
+}
 
 impl WorkShard {
-    /// The shard of a data centre; the whole for an empty name.
-    pub(super) fn named(data_center: &str) -> Self {
-        Self((!data_center.is_empty()).then(|| data_center.into()))
+    /// The shard that goes by a name; the whole for an empty one.
+    pub(super) fn named(name: &str) -> Self {
+        let mut words = name.split(SEPARATOR);
+        let data_center = words.next().unwrap_or_default();
+        let numbers: Vec<u64> = words.map_while(|word| word.parse().ok()).collect();
+        let part = match numbers.as_slice() {
+            [index, count] if index < count => Some(ShardPart {
+                index: *index,
+                count: *count,
+            }),
+            _ => None,
+        };
+        Self {
+            name: name.into(),
+            data_center: data_center.into(),
+            part,
+        }
+    }
+
+    /// The parts of a data centre, `count` of them.
+    fn parts(data_center: &str, count: usize) -> Vec<Self> {
+        if count <= 1 {
+            return vec![Self::named(data_center)];
+        }
+        let name = |index| format!("{data_center}{SEPARATOR}{index}{SEPARATOR}{count}");
+        (0..count).map(|index| Self::named(&name(index))).collect()
     }
 
-    /// Name of its data centre; empty for the whole.
+    /// Its name; empty for the whole.
     pub(super) fn name(&self) -> &str {
-        self.0.as_deref().unwrap_or_default()
+        &self.name
+    }
+
+    /// The data centre of its endpoints; empty for the whole.
+    pub(super) fn data_center(&self) -> &str {
+        &self.data_center
     }
 
     /// Whether it is not one data centre's, but all there is.
     pub(super) fn is_whole(&self) -> bool {
-        self.0.is_none()
+        self.name.is_empty()
     }
 
-    /// Whether endpoints in `data_center` belong to it.
-    pub(super) fn has(&self, data_center: &str) -> bool {
-        self.0.as_deref().is_none_or(|own| own == data_center)
+    /// Whether an endpoint belongs to it.
+    pub(super) fn has(&self, member: &PoolMember) -> bool {
+        let is_own_part = |part: ShardPart| member.spread % part.count == part.index;
+        self.is_whole()
+            || (*self.data_center == *member.data_center() && self.part.is_none_or(is_own_part))
     }
 
     /// The entry that coordinates a kind of work for it, of those that are
@@ -112,19 +165,18 @@
         [0, 1].map(|place| ranked.get(place).cloned())
     }
 
-    /// The kind of work and the shard whose coordinator issues all permits for the endpoints
-    /// of a pool in a data centre.
+    /// The kind of work and the shard whose coordinator issues all permits for an endpoint of
+    /// a pool.
     pub(super) fn of_permits(
         view: &GatewayView,
         pool: &str,
-        data_center: &str,
+        member: &PoolMember,
     ) -> (WorkKind, Self) {
         let kind = WorkKind::of_permits(view, pool);
-        let map = match kind {
-            WorkKind::Stages => ShardMap::of_stages(view),
-            WorkKind::Prompts => ShardMap::of_engines(view, pool),
-        };
-        (kind, map.at(data_center).cloned().unwrap_or_default())
+        let map = view.shard_map(kind, pool);
+        let mut shards = map.shards();
+        let own = shards.find(|shard| shard.has(member));
+        (kind, own.cloned().unwrap_or_default())
     }
 }
 
@@ -165,13 +217,19 @@
             .clone()
             .flat_map(|count| count.keys().copied())
             .collect();
-        let shards = places.into_iter().filter_map(|place| {
-            let parts = used.clone().map(|count| {
-                let own = count.get(place).copied().unwrap_or(0);
-                own as f64 / count.values().sum::<usize>().max(1) as f64
-            });
-            let carried = parts.fold(1.0, f64::min);
-            (carried > 0.0).then(|| (WorkShard::named(place), carried))
+        let shards = places.into_iter().flat_map(|place| {
+            let own = |count: &BTreeMap<&str, usize>| count.get(place).copied().unwrap_or(0);
+            let shares = used
+                .clone()
+                .map(|count| own(count) as f64 / count.values().sum::<usize>().max(1) as f64);
+            let carried = shares.fold(1.0, f64::min);
+            let sizes = used.clone().map(own);
+            let parts = match carried > 0.0 {
+                true => WorkShard::parts(place, count_parts(sizes)),
+                false => Vec::new(),
+            };
+            let carried = carried / parts.len().max(1) as f64;
+            parts.into_iter().map(move |part| (part, carried))
         });
         let shards: Vec<(WorkShard, f64)> = shards.collect();
         match shards.len() {
@@ -180,6 +238,11 @@
         }
     }
 
+    /// Whether a shard is one of the map.
+    pub(super) fn has(&self, shard: &WorkShard) -> bool {
+        self.shards().any(|own| own == shard)
+    }
+
     /// All shards of the map.
     pub(super) fn shards(&self) -> impl Iterator<Item = &WorkShard> {
         self.shards.iter().map(|(shard, _)| shard)
@@ -188,14 +251,16 @@
     /// The shards that work may go to; the whole lies everywhere.
     pub(super) fn within(mut self, places: &WorkPlaces) -> Self {
         self.shards
-            .retain(|(shard, _)| shard.is_whole() || places.has(shard.name()));
+            .retain(|(shard, _)| shard.is_whole() || places.has(shard.data_center()));
         self
     }
 
-    /// The shard of a data centre, if there is one.
-    pub(super) fn at(&self, data_center: &str) -> Option<&WorkShard> {
-        let mut shards = self.shards.iter().map(|(shard, _)| shard);
-        shards.find(|shard| shard.name() == data_center || shard.0.is_none())
+    /// A shard of a data centre, if there is one; `ticket` draws among its parts.
+    pub(super) fn near(&self, data_center: &str, ticket: u64) -> Option<&WorkShard> {
+        let is_near = |shard: &&WorkShard| shard.is_whole() || shard.data_center() == data_center;
+        let count = self.shards().filter(is_near).count() as u64;
+        let place = ticket.checked_rem(count)?;
+        self.shards().filter(is_near).nth(place as usize)
     }
 
     /// A shard drawn by what each can carry, other than `not`; `None` when
@@ -214,6 +279,15 @@
     }
 }
 
+/// Parts of a data centre in which the pools have so many endpoints: a power of two, so that
+/// it seldom changes.
+fn count_parts(sizes: impl Iterator<Item = usize> + Clone) -> usize {
+    let largest = sizes.clone().max().unwrap_or(0) / SHARD_MEMBERS;
+    let smallest = sizes.min().unwrap_or(0) / MIN_PART_MEMBERS;
+    let most = largest.min(smallest).max(1);
+    1 << most.ilog2()
+}
+
 /// Members of a pool from which control has heard lately, by data centre.
 fn count_by_place<'a>(view: &'a GatewayView, pool: &str) -> BTreeMap<&'a str, usize> {
     let counts = view.roster.counts(pool);
--- a/crates/savorywalk/src/gateway/work_shard_tests.rs
+++ b/crates/savorywalk/src/gateway/work_shard_tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::gateway::EndpointRoster;
+use crate::registry::{BootTime, EndpointReport, FollowReply, FollowState};
 
 fn map(pools: &[&[(&'static str, usize)]]) -> ShardMap {
     let counts: Vec<BTreeMap<&str, usize>> = pools
@@ -26,7 +28,7 @@
 fn small_pools_stay_whole() {
     let map = map(&[&[("a", 2), ("b", 1)], &[("a", 2), ("b", 2), ("c", 1)]]);
     assert_eq!(map.draw(7, None), Some(&WorkShard::default()));
-    assert_eq!(map.at("a"), Some(&WorkShard::default()));
+    assert_eq!(map.near("a", 7), Some(&WorkShard::default()));
     assert_eq!(map.draw(7, Some(&WorkShard::default())), None);
 }
 
@@ -51,7 +53,7 @@
 #[test]
 fn a_data_center_that_lacks_a_pool_is_no_shard() {
     let map = map(&[&[("a", 4), ("b", 4), ("c", 4)], &[("a", 2), ("b", 1)]]);
-    assert_eq!(map.at("c"), None);
+    assert_eq!(map.near("c", 7), None);
     let first = map.draw(0, None).unwrap();
     let second = map.draw(0, Some(first)).unwrap();
     assert_ne!(first, second);
@@ -68,3 +70,74 @@
     let split = ShardMap::split(&[sixty], WHOLE_ENGINES);
     assert!(!split.draw(7, None).unwrap().is_whole());
 }
+
+/// With one coordinator a data centre five entries worked for 984, and more endpoints only
+/// made each of their choices longer.
+#[test]
+fn shards_grow_in_number_with_the_endpoints() {
+    let places = ["a", "b", "c", "d", "e"];
+    for (endpoints, least) in [(190, 5), (1_100, 10), (10_001, 80), (20_000, 160)] {
+        let count = places.map(|place| (place, endpoints / places.len()));
+        let map = ShardMap::split(&[count.into_iter().collect()], WHOLE_ENGINES);
+        let shards = map.shards().count();
+        assert!(shards >= least, "{shards} shards of {endpoints}");
+        let most = endpoints / shards;
+        assert!(
+            most <= 2 * SHARD_MEMBERS,
+            "{most} of {endpoints} in a shard"
+        );
+    }
+}
+
+#[test]
+fn each_endpoint_is_in_one_part_of_its_data_center() {
+    let parts = WorkShard::parts("a", 8);
+    assert_eq!(parts.len(), 8);
+    for spread in 0..100 {
+        let member = PoolMember {
+            spread,
+            ..member_in("a")
+        };
+        let own = parts.iter().filter(|part| part.has(&member));
+        assert_eq!(own.count(), 1);
+        let other = PoolMember {
+            spread,
+            ..member_in("b")
+        };
+        assert!(!parts.iter().any(|part| part.has(&other)));
+        assert!(WorkShard::default().has(&member));
+        assert!(WorkShard::named("a").has(&member));
+    }
+    for part in &parts {
+        assert_eq!(WorkShard::named(part.name()), *part);
+        assert_eq!(part.data_center(), "a");
+    }
+}
+
+/// A name that another version writes is no reason to give up the request.
+#[test]
+fn a_part_that_cannot_be_read_is_the_whole_data_center() {
+    for name in ["a:x:8", "a:9:8", "a:1", "a:1:0"] {
+        let shard = WorkShard::named(name);
+        assert!(shard.has(&member_in("a")), "{name}");
+        assert!(!shard.has(&member_in("b")), "{name}");
+    }
+}
+
+fn member_in(data_center: &str) -> PoolMember {
+    let report = EndpointReport {
+        id: "e".into(),
+        pool: "engines".into(),
+        address: "10.0.0.1:80".into(),
+        data_center: data_center.into(),
+        ..Default::default()
+    };
+    let reply = FollowReply {
+        reports: vec![report],
+        ..Default::default()
+    };
+    let mut state = FollowState::default();
+    state.take(BootTime::default(), BootTime::default(), reply);
+    let roster = EndpointRoster::of(&state, Duration::ZERO);
+    PoolMember::clone(&roster.pool("engines")[0])
+}
