--- a/crates/savorywalk/src/gateway/gateway_view.rs
+++ b/crates/savorywalk/src/gateway/gateway_view.rs
@@ -94,10 +94,18 @@
             .map(WorkShard::name);
         let names: Vec<&[u8]> = names.map(str::as_bytes).collect();
         self.split = stable_hash(&names);
-        self.split_since = match self.split == before.split {
-            true => before.split_since,
-            false => Some(now),
-        };
+        if self.split == before.split {
+            self.split_since = before.split_since;
+            return self;
+        }
+        log_event!(
+            info,
+            "shards_changed",
+            shards = names.len(),
+            entries = self.entries.len(),
+            document = self.document()
+        );
+        self.split_since = Some(now);
         self
     }
 
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -216,6 +216,8 @@
         let places: BTreeSet<&str> = used
             .clone()
             .flat_map(|count| count.keys().copied())
+            // Announcements may name any place; no shard can be named after such a one.
+            .filter(|place| !place.contains(SEPARATOR))
             .collect();
         let shards = places.into_iter().flat_map(|place| {
             let own = |count: &BTreeMap<&str, usize>| count.get(place).copied().unwrap_or(0);
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -293,6 +293,15 @@
             }
             return;
         };
+        if reply.comparison.is_none() {
+            log_event!(
+                info,
+                "table_compared",
+                epoch = compared.epoch,
+                parts = compared.parts,
+                endpoints = self.endpoints.len()
+            );
+        }
         let end = reply
             .comparison
             .map_or(compared.parts, |next| next.next_part);
