--- a/crates/savorywalk/src/gateway/endpoint_load.rs
+++ b/crates/savorywalk/src/gateway/endpoint_load.rs
@@ -15,18 +15,18 @@
     pub(super) began: Option<Instant>,
     pub(super) free_at: Option<Instant>,
     pub(super) reported: Option<Instant>,
-    /// How long work took there, in parts of the usual time, and when that was told.
+    /// How long work took there, in parts of the usual time, and when that was reported.
     pace: Option<(f64, Instant)>,
 }
 
-/// Time in which what an endpoint told of its pace loses half of its weight: others on its
-/// host come and go many times a second.
+/// Time in which a reported pace loses half of its weight: the load of an endpoint's host
+/// changes many times a second.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(200);
 
-/// Age from which on it tells nothing.
+/// Age from which on a reported pace is ignored.
 const PACE_AGE: Duration = Duration::from_secs(1);
 
-/// Slowest and fastest pace that is believed.
+/// Bounds of a reported pace.
 const PACES: (f64, f64) = (0.25, 8.0);
 
 impl EndpointLoadView {
@@ -38,10 +38,10 @@
 
     /// How long a call that begins now probably takes, in parts of the usual time.
     pub(super) fn slowness(&self, now: Instant) -> f64 {
-        let Some((pace, told)) = self.pace else {
+        let Some((pace, reported)) = self.pace else {
             return 1.0;
         };
-        let age = now.saturating_duration_since(told);
+        let age = now.saturating_duration_since(reported);
         if age >= PACE_AGE {
             return 1.0;
         }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -54,10 +54,11 @@
         let key_bound = Duration::from_millis(gateway.key_bound_ms.into());
         let max_key_age = key_bound * KEY_AGE_PERMILLE / 1_000;
         let metric_set = Arc::new(MetricSet::new()?);
+        // Before the other links, which take any free port.
+        let hub = cluster_hub::start_occasional(cluster)?;
         let announce_interval = Duration::from_millis(gateway.announce_interval_ms.into());
         let (control_hub, follower) = follow_on(&links, cluster, max_key_age, announce_interval)?;
         let crash_watch = watch_on(&links, &follower, &metric_set);
-        let hub = cluster_hub::start_occasional(cluster)?;
         let node = GatewayNode::start(NodeParts {
             hub: hub.clone(),
             wire,
--- a/crates/savorywalk/src/registry/entry_list/follower_list.rs
+++ b/crates/savorywalk/src/registry/entry_list/follower_list.rs
@@ -4,7 +4,7 @@
 use crate::registry::{EndpointDigest, VouchOutcome};
 use crate::transport::PeerName;
 
-/// Time since its last call after which an entry counts as gone. It calls at
+/// Time since its last call after which an entry is removed. It calls at
 /// least twice a second, and may take a second to find another control daemon.
 const FOLLOWER_TIME: Duration = Duration::from_millis(2_500);
 
@@ -15,8 +15,8 @@
     /// Entries that follow this daemon, with their last calls.
     own: BTreeMap<Arc<str>, Instant>,
     own_digest: u64,
-    /// What the other control daemons have not been told yet.
-    untold: FollowerChanges,
+    /// Changes that the other control daemons have not been sent yet.
+    pending: FollowerChanges,
     members: FastMap<Arc<str>, MemberFollowers>,
     entries: NamedEntries,
 }
@@ -47,7 +47,7 @@
             epoch,
             own: BTreeMap::new(),
             own_digest: 0,
-            untold: FollowerChanges::default(),
+            pending: FollowerChanges::default(),
             members: FastMap::default(),
             entries: NamedEntries::default(),
         }
@@ -58,7 +58,7 @@
         self.epoch
     }
 
-    /// Grows with each entry that comes or goes.
+    /// Grows with each entry that is added or removed.
     pub(in crate::registry) fn revision(&self) -> u64 {
         self.entries.revision()
     }
@@ -73,7 +73,7 @@
         self.entries.names()
     }
 
-    /// Entries that came and went after a revision; `None` when that is not known any more.
+    /// Entries that were added and removed after a revision; `None` when that is not known any more.
     pub(in crate::registry) fn changes_after(&self, revision: u64) -> Option<EntryChanges> {
         self.entries.changes_after(revision)
     }
@@ -87,29 +87,29 @@
             }
             return;
         }
-        if let Some(heard) = self.own.get_mut(entry.as_str()) {
-            *heard = now;
+        if let Some(last_call) = self.own.get_mut(entry.as_str()) {
+            *last_call = now;
             return;
         }
         let name: Arc<str> = entry.as_str().into();
         self.own.insert(Arc::clone(&name), now);
         self.own_digest ^= name_digest(&name);
         self.entries.add(&name);
-        self.untold.note_joined(&name);
+        self.pending.note_joined(&name);
     }
 
     fn forget_own(&mut self, name: &str) {
         if let Some((name, _)) = self.own.remove_entry(name) {
             self.own_digest ^= name_digest(&name);
             self.entries.remove(&name);
-            self.untold.note_left(&name);
+            self.pending.note_left(&name);
         }
     }
 
     /// Forgets entries that call no more, and those of control daemons that are lost.
     pub(in crate::registry) fn expire(&mut self, now: Instant) {
         let silent = self.own.iter();
-        let silent = silent.filter(|(_, heard)| now >= **heard + FOLLOWER_TIME);
+        let silent = silent.filter(|(_, last_call)| now >= **last_call + FOLLOWER_TIME);
         let silent: Vec<Arc<str>> = silent.map(|(name, _)| Arc::clone(name)).collect();
         for name in silent {
             self.forget_own(&name);
@@ -142,12 +142,12 @@
         }
     }
 
-    /// What the other control daemons are to be told now.
-    pub(in crate::registry) fn take_untold(&mut self) -> FollowerChanges {
-        std::mem::take(&mut self.untold)
+    /// Takes the changes that the other control daemons have not been sent yet.
+    pub(in crate::registry) fn take_pending(&mut self) -> FollowerChanges {
+        std::mem::take(&mut self.pending)
     }
 
-    /// Takes what another control daemon tells of those that follow it.
+    /// Takes the changes that another control daemon reports of those that follow it.
     pub(in crate::registry) fn take_changes(
         &mut self,
         now: Instant,
--- a/crates/savorywalk/src/registry/entry_list/follower_list_tests.rs
+++ b/crates/savorywalk/src/registry/entry_list/follower_list_tests.rs
@@ -20,9 +20,9 @@
         }
     }
 
-    /// Passes on what is untold; returns what the digest shows.
+    /// Passes the pending changes on; returns what the digest shows.
     fn tell(&mut self, now: Instant) -> VouchOutcome {
-        let changes = self.first.take_untold();
+        let changes = self.first.take_pending();
         let texts = |names: BTreeSet<Arc<str>>| -> Vec<String> {
             names.iter().map(ToString::to_string).collect()
         };
@@ -58,7 +58,7 @@
     assert_eq!(list.digest(), 0);
 }
 
-/// One restart in a thousand entries must not have all names told again.
+/// One restart in a thousand entries must not have all names sent again.
 #[test]
 fn a_follower_of_the_list_learns_only_who_came_and_went() {
     let now = Instant::now();
@@ -84,7 +84,7 @@
     let now = Instant::now();
     let mut pair = Pair::new();
     pair.first.take_own(now, &name("a"), false);
-    pair.first.take_untold();
+    pair.first.take_pending();
     assert_eq!(pair.tell(now), VouchOutcome::Unsettled);
     assert_eq!(pair.tell(now), VouchOutcome::Unlisted);
     pair.second.take_list(now, MEMBER, &pair.first.own_names());
@@ -105,7 +105,7 @@
     assert_eq!(pair.second.names(), ["b"]);
 }
 
-/// Who asks from a revision that is long past is told of all entries.
+/// A follower of a very old revision is sent all entries.
 #[test]
 fn changes_are_kept_for_a_bounded_number_of_entries_that_went() {
     let now = Instant::now();
--- a/crates/savorywalk/src/registry/entry_list/member_followers.rs
+++ b/crates/savorywalk/src/registry/entry_list/member_followers.rs
@@ -3,28 +3,28 @@
 use crate::registry::{EndpointDigest, VouchOutcome};
 
 /// Digests in a row that differ from what is known before the list is asked for: an entry
-/// that has just come or gone is told beside them.
+/// that has just joined or left is reported beside them.
 const MISMATCHES: u32 = 2;
 
-/// The entries that follow another control daemon, as far as it has told.
+/// The entries that follow another control daemon, as last reported by it.
 #[derive(Debug, Default)]
 pub(super) struct MemberFollowers {
     names: BTreeSet<Arc<str>>,
     digest: u64,
-    /// When it told last that it lives.
-    heard: Option<Instant>,
+    /// Time of its last message.
+    last_seen: Option<Instant>,
     mismatches: u32,
 }
 
 impl MemberFollowers {
-    /// Notes that the daemon lives.
+    /// Notes a message of the daemon.
     pub(super) fn touch(&mut self, now: Instant) {
-        self.heard = Some(now);
+        self.last_seen = Some(now);
     }
 
-    /// Whether nothing was heard of the daemon for `time`.
+    /// Whether the daemon has sent nothing for `time`.
     pub(super) fn is_lost(&self, now: Instant, time: Duration) -> bool {
-        self.heard.is_none_or(|heard| now >= heard + time)
+        self.last_seen.is_none_or(|seen| now >= seen + time)
     }
 
     pub(super) fn add(&mut self, name: &str, entries: &mut NamedEntries) {
@@ -44,9 +44,9 @@
     /// Takes the whole list in place of what was known.
     pub(super) fn replace(&mut self, names: &[String], entries: &mut NamedEntries) {
         let listed: BTreeSet<&str> = names.iter().map(String::as_str).collect();
-        let gone = self.names.iter().filter(|name| !listed.contains(&***name));
-        let gone: Vec<Arc<str>> = gone.cloned().collect();
-        for name in gone {
+        let removed = self.names.iter().filter(|name| !listed.contains(&***name));
+        let removed: Vec<Arc<str>> = removed.cloned().collect();
+        for name in removed {
             self.remove(&name, entries);
         }
         for name in listed {
@@ -61,8 +61,8 @@
     }
 
     /// Compares what is known with the daemon's own digest.
-    pub(super) fn compare(&mut self, told: &EndpointDigest) -> VouchOutcome {
-        let is_same = told.count as usize == self.names.len() && told.digest == self.digest;
+    pub(super) fn compare(&mut self, reported: &EndpointDigest) -> VouchOutcome {
+        let is_same = reported.count as usize == self.names.len() && reported.digest == self.digest;
         if is_same {
             self.mismatches = 0;
             return VouchOutcome::Listed;
--- a/crates/savorywalk/src/registry/entry_list/mod.rs
+++ b/crates/savorywalk/src/registry/entry_list/mod.rs
@@ -1,5 +1,5 @@
-//! Keeps which entries follow control, here and at the other control daemons, and tells it
-//! by difference. See docs/design/whole-fleet.md.
+//! Keeps which entries follow control, here and at the other control daemons, and passes
+//! changes of it on. See docs/design/whole-fleet.md.
 
 mod follower_list;
 mod member_followers;
--- a/crates/savorywalk/src/registry/entry_list/named_entries.rs
+++ b/crates/savorywalk/src/registry/entry_list/named_entries.rs
@@ -1,8 +1,8 @@
 use crate::hashing::stable_hash;
 use crate::prelude::*;
 
-/// Entries that have gone whose names are kept, for followers of an older revision.
-const MAX_GONE: usize = 1_024;
+/// Removed entries whose names are kept, for followers of an older revision.
+const MAX_REMOVED: usize = 1_024;
 
 /// The entries that are known, with the revision of the last change of each.
 #[derive(Debug, Default)]
@@ -10,17 +10,17 @@
     /// By name, at how many control daemons an entry is known.
     holders: BTreeMap<Arc<str>, u32>,
     changes: BTreeMap<u64, Arc<str>>,
-    /// Revision of the last change, by name; of entries that have gone, too.
+    /// Revision of the last change, by name, also of removed entries.
     changed: FastMap<Arc<str>, u64>,
-    /// Revisions at which entries have gone, oldest first.
-    gone: VecDeque<u64>,
+    /// Revisions at which entries were removed, oldest first.
+    removed: VecDeque<u64>,
     revision: u64,
     /// Revision up to which changes are not known any more.
     floor: u64,
     digest: u64,
 }
 
-/// Entries that came and went after a revision.
+/// Entries that were added and removed after a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(in crate::registry) struct EntryChanges {
     pub(in crate::registry) joined: Vec<String>,
@@ -68,8 +68,8 @@
         }
         if let Some((name, _)) = self.holders.remove_entry(name) {
             self.note_change(name);
-            self.gone.push_back(self.revision);
-            self.forget_gone();
+            self.removed.push_back(self.revision);
+            self.forget_removed();
         }
     }
 
@@ -82,9 +82,9 @@
         self.changes.insert(self.revision, name);
     }
 
-    fn forget_gone(&mut self) {
-        while self.gone.len() > MAX_GONE
-            && let Some(oldest) = self.gone.pop_front()
+    fn forget_removed(&mut self) {
+        while self.removed.len() > MAX_REMOVED
+            && let Some(oldest) = self.removed.pop_front()
         {
             self.floor = oldest;
             // An entry that has come back since has a later change.
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -613,7 +613,7 @@
         let home = homes.into_iter().find(|home| self.registries[*home].is_up);
         let now = self.instant();
         if let Some(home) = home {
-            self.registries[home].hear(now, report);
+            self.registries[home].record(now, report);
             self.publish(home);
         }
         self.after(ANNOUNCE_INTERVAL, FleetEvent::Announce { endpoint });
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -56,11 +56,11 @@
     }
 
     /// Takes an announcement; true when the others must learn of it soon.
-    pub(super) fn hear(&mut self, now: Instant, report: EndpointReport) -> bool {
+    pub(super) fn record(&mut self, now: Instant, report: EndpointReport) -> bool {
         if self.documents.is_retired(&report.incarnation()) {
             return false;
         }
-        let outcome = self.table.hear(now, report.clone());
+        let outcome = self.table.record(now, report.clone());
         self.outbox.note(report, outcome)
     }
 
@@ -73,7 +73,7 @@
         let followed = self.followers.compare(from, &digest);
         for report in &batch.reports {
             if !self.documents.is_retired(&report.incarnation()) {
-                self.table.hear_from(now, from, report.clone());
+                self.table.record_from(now, from, report.clone());
             }
         }
         let own = batch.own.unwrap_or_default();
@@ -122,12 +122,12 @@
 
     pub(super) fn reply(&mut self, call: &FollowCall, members: &[PeerName]) -> FollowReply {
         let mut reply = FollowReply::default();
-        reply.tell_documents(call, &self.documents);
-        reply.tell_quarantine(call, &self.quarantine);
+        reply.add_documents(call, &self.documents);
+        reply.add_quarantine(call, &self.quarantine);
         reply.add_evacuations(call, &self.evacuations);
-        reply.tell_endpoints(call, &self.table);
+        reply.add_endpoints(call, &self.table);
         reply.members = members.iter().map(ToString::to_string).collect();
-        reply.tell_entries(call, &self.followers);
+        reply.add_entries(call, &self.followers);
         reply
     }
 }
--- a/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/size_tests.rs
@@ -192,14 +192,14 @@
             ..Default::default()
         };
         for table in &mut tables {
-            table.hear(now, report.clone());
+            table.record(now, report.clone());
         }
     }
     let mut state = FollowState::default();
     let at = BootTime::after(Duration::from_secs(1));
     let sizes = tables.map(|table| {
         let mut reply = FollowReply::default();
-        reply.tell_endpoints(&state.next_call(Duration::ZERO), &table);
+        reply.add_endpoints(&state.next_call(Duration::ZERO), &table);
         let size = reply.encoded_len();
         state.take(at, at, reply);
         size
--- a/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
@@ -35,7 +35,7 @@
     let now = Instant::now();
     let mut table = RegistryTable::new(epoch, INTERVAL);
     for number in 0..endpoints {
-        table.hear(now, report(number));
+        table.record(now, report(number));
     }
     table.publish(now);
     table
@@ -63,7 +63,7 @@
             return exchange;
         }
         let mut reply = FollowReply::default();
-        reply.tell_endpoints(&call, table);
+        reply.add_endpoints(&call, table);
         let size = call.encoded_len() + reply.encoded_len();
         exchange.calls += 1;
         exchange.bytes += size;
@@ -103,15 +103,15 @@
     follow(&mut state, &table(1, endpoints));
     let mut other = table(2, endpoints);
     let now = Instant::now();
-    let gone = report(3);
-    other.remove(&gone.incarnation());
-    other.hear(now, report(endpoints + 1));
+    let removed = report(3);
+    other.remove(&removed.incarnation());
+    other.record(now, report(endpoints + 1));
     let silent = EndpointReport {
         silent: true,
         sequence: 9,
         ..report(5)
     };
-    other.hear_from(now, "10-2-0-1", silent);
+    other.record_from(now, "10-2-0-1", silent);
     let exchange = follow(&mut state, &other);
     println!(
         "{endpoints}: {} calls, {} B",
@@ -122,7 +122,7 @@
     assert!(state.endpoint(&new).is_some());
     assert!(state.endpoint("i-0000000005").unwrap().report.silent);
     // One that only the former registry listed is kept a while.
-    assert!(state.endpoint(&gone.id).unwrap().unlisted.is_some());
+    assert!(state.endpoint(&removed.id).unwrap().unlisted.is_some());
     let others = state.endpoints().filter(|known| known.unlisted.is_some());
     assert_eq!(others.count(), 1);
 }
@@ -141,16 +141,16 @@
 
 /// A change while a comparison is on its way is not missed.
 #[test]
-fn a_change_during_a_comparison_is_told_after_it() {
+fn a_change_during_a_comparison_follows_it() {
     let mut state = FollowState::default();
     follow(&mut state, &table(1, 1_000));
     let mut other = table(2, 900);
     let at = BootTime::after(Duration::from_secs(1));
     for _ in 0..2 {
         let mut reply = FollowReply::default();
-        reply.tell_endpoints(&state.next_call(Duration::ZERO), &other);
+        reply.add_endpoints(&state.next_call(Duration::ZERO), &other);
         state.take(at, at, reply);
-        other.hear(Instant::now(), report(5_000));
+        other.record(Instant::now(), report(5_000));
     }
     follow(&mut state, &other);
     assert!(known(&state).contains(&report(5_000).id.as_str()));
@@ -163,21 +163,21 @@
     for round in 0..3_u32 {
         for number in 0..150 {
             let sequence = u64::from(round) + 1;
-            let told = EndpointReport {
+            let announced = EndpointReport {
                 sequence,
                 ..report(number)
             };
-            table.hear(now + INTERVAL * round, told);
+            table.record(now + INTERVAL * round, announced);
         }
     }
     assert_eq!(table.len(), 100);
     let settled = table.revision();
     for number in 0..150 {
-        let told = EndpointReport {
+        let announced = EndpointReport {
             sequence: 9,
             ..report(number)
         };
-        table.hear(now + INTERVAL * 3, told);
+        table.record(now + INTERVAL * 3, announced);
     }
     assert_eq!(table.revision(), settled, "nobody is pushed out any more");
     assert!(table.refused() > 0);
@@ -196,7 +196,7 @@
     let mut state = FollowState::default();
     let mut tell = |list: &FollowerList| {
         let mut reply = FollowReply::default();
-        reply.tell_entries(&state.next_call(Duration::ZERO), list);
+        reply.add_entries(&state.next_call(Duration::ZERO), list);
         let size = reply.encoded_len();
         state.take(at, at, reply);
         assert_eq!(state.entries().len(), list.names().len());
--- a/crates/savorywalk/src/registry/follow_pace.rs
+++ b/crates/savorywalk/src/registry/follow_pace.rs
@@ -28,7 +28,7 @@
 /// up to [`ANSWER_TIME`]: where all answers are slow, one must come in the end.
 const SEEK_GROWTH_PERMILLE: u32 = 1_400;
 
-/// Daemons lost in a row after which they count as overloaded and not as gone: more than a
+/// Daemons lost in a row after which they count as overloaded instead of down: more than a
 /// deployment loses at once.
 const MANY_LOST: u32 = 8;
 
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -34,8 +34,8 @@
 }
 
 impl FollowReply {
-    /// Tells the document in force and the retired endpoints that the follower lacks.
-    pub(super) fn tell_documents(&mut self, call: &FollowCall, documents: &DocumentRegister) {
+    /// Adds the document in force and the retired endpoints that the follower lacks.
+    pub(super) fn add_documents(&mut self, call: &FollowCall, documents: &DocumentRegister) {
         self.document_number = documents.number();
         if documents.number() > call.document_number {
             self.document = documents.content().clone();
@@ -45,8 +45,8 @@
         self.retired = retired.cloned().collect();
     }
 
-    /// Tells which requests are in quarantine, to a follower that knows an older list.
-    pub(super) fn tell_quarantine(&mut self, call: &FollowCall, register: &QuarantineRegister) {
+    /// Adds the requests in quarantine, for a follower that knows an older list.
+    pub(super) fn add_quarantine(&mut self, call: &FollowCall, register: &QuarantineRegister) {
         self.quarantine_revision = register.revision();
         if register.revision() > call.quarantine_revision {
             self.quarantined = register.digests().map(|digest| digest.to_bytes()).collect();
@@ -61,17 +61,17 @@
         }
     }
 
-    /// Tells the endpoints that the follower lacks, as many as fit into one answer.
+    /// Adds the endpoints that the follower lacks, as many as fit into one answer.
     ///
-    /// A follower of another table is told what differs, part by part. One that knows no
-    /// endpoint is told of all of them in the order of their changes.
-    pub(super) fn tell_endpoints(&mut self, call: &FollowCall, table: &RegistryTable) {
+    /// A follower of another table gets the parts that differ. One that knows no endpoint
+    /// gets all of them in the order of their changes.
+    pub(super) fn add_endpoints(&mut self, call: &FollowCall, table: &RegistryTable) {
         if call.table_epoch == table.epoch() {
-            return self.tell_changes(call.table_revision, table);
+            return self.add_changes(call.table_revision, table);
         }
         if call.endpoints_digest == 0 {
             self.whole = true;
-            return self.tell_changes(0, table);
+            return self.add_changes(0, table);
         }
         if call.endpoints_digest == table.digests().root() {
             self.table_epoch = table.epoch();
@@ -81,14 +81,14 @@
         self.compare(call, table);
     }
 
-    fn tell_changes(&mut self, known: u64, table: &RegistryTable) {
+    fn add_changes(&mut self, known: u64, table: &RegistryTable) {
         let (reports, revision) = table.changes_within(known, MAX_REPORT_BYTES);
         self.table_epoch = table.epoch();
         self.table_revision = revision;
         self.reports = reports;
     }
 
-    /// Tells the endpoints of parts that differ. The follower counts as one of this table
+    /// Adds the endpoints of parts that differ. The follower counts as one of this table
     /// only after the last part.
     fn compare(&mut self, call: &FollowCall, table: &RegistryTable) {
         let begun = call.comparison.filter(|comparison| {
@@ -115,7 +115,7 @@
             if *known == table.digests().part(part, comparison.parts) {
                 continue;
             }
-            self.told_parts.push(part);
+            self.replaced_parts.push(part);
             for report in table.part(part, comparison.parts) {
                 size += report.encoded_len();
                 self.reports.push(report.clone());
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Tells who follows control, to a follower that knows other ones.
-    pub(super) fn tell_entries(&mut self, call: &FollowCall, entries: &FollowerList) {
+    /// Adds the entries that follow control, for a follower that knows other ones.
+    pub(super) fn add_entries(&mut self, call: &FollowCall, entries: &FollowerList) {
         self.entries_epoch = entries.epoch();
         self.entries_revision = entries.revision();
         self.entries_digest = entries.digest();
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -65,13 +65,13 @@
         let mut reply = FollowReply::default();
         if let Some(voter) = self.voter() {
             let cell = voter.cell();
-            cell.read_documents(|documents| reply.tell_documents(call, documents));
-            cell.read_quarantine(|register| reply.tell_quarantine(call, register));
+            cell.read_documents(|documents| reply.add_documents(call, documents));
+            cell.read_quarantine(|register| reply.add_quarantine(call, register));
             cell.read_evacuations(|register| reply.add_evacuations(call, register));
         }
-        reply.tell_endpoints(call, &self.table());
+        reply.add_endpoints(call, &self.table());
         reply.members = self.member_names();
-        reply.tell_entries(call, &self.lock_followers());
+        reply.add_entries(call, &self.lock_followers());
         reply
     }
 
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -102,11 +102,11 @@
     entries_epoch: u64,
     entries_revision: u64,
     endpoints: BTreeMap<String, KnownEndpoint>,
-    /// Digests of the endpoints, as a control daemon would be told of them.
+    /// Digests of the endpoints, comparable with those of a control daemon.
     digests: PartDigests,
     /// How far the endpoints are compared with the table of another control daemon.
     comparison: Option<TableComparison>,
-    /// Endpoints that came, changed or went and that nobody has taken note of yet.
+    /// Endpoints that were added, changed or removed since they were asked for last.
     changed: BTreeSet<String>,
     /// Birth of the latest incarnation that was retired, by endpoint.
     retired: FastMap<String, u64>,
@@ -195,7 +195,7 @@
             &reply.entries_left,
             reply.entries_since,
         );
-        // Who knows other entries than told has all of them told next time.
+        // An entry whose list differs from the reported one gets all of it next time.
         let knows_list = self.entries_digest == reply.entries_digest;
         self.entries_epoch = if knows_list { reply.entries_epoch } else { 0 };
         self.entries_revision = reply.entries_revision;
@@ -305,20 +305,20 @@
         let end = reply
             .comparison
             .map_or(compared.parts, |next| next.next_part);
-        let is_told = |key: &ReportKey| {
+        let is_replaced = |key: &ReportKey| {
             reply
-                .told_parts
+                .replaced_parts
                 .binary_search(&key.part(compared.parts))
                 .is_ok()
         };
         let parts = compared.next_part..end;
         let is_compared = |key: &ReportKey| parts.contains(&key.part(compared.parts));
-        self.unlist(now, is_told);
-        self.list_again(|key| is_compared(key) && !is_told(key));
+        self.unlist(now, is_replaced);
+        self.list_again(|key| is_compared(key) && !is_replaced(key));
     }
 
-    /// Takes all entries, or those that came and went since the revision that is known;
-    /// whether any did. Changes of another list than is known here have it told whole.
+    /// Takes all entries, or the changes since the revision that is known; whether there are
+    /// any. When they don't lead to the reported digest, the whole list is asked for.
     fn take_entries(
         &mut self,
         digest: u64,
@@ -384,7 +384,7 @@
         self.endpoints.len() != before
     }
 
-    /// Names of the endpoints that came, changed or went since this was asked last.
+    /// Names of the endpoints that were added, changed or removed since the last call.
     pub fn take_changed(&mut self) -> BTreeSet<String> {
         std::mem::take(&mut self.changed)
     }
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -41,7 +41,7 @@
 pub use member_ring::MemberRing;
 pub use registry_error::RegistryError;
 pub use registry_node::{RegistryNode, RegistryOptions};
-pub use registry_table::{HearOutcome, RegistryTable, TickOutcome};
+pub use registry_table::{RegistryTable, ReportOutcome, TickOutcome};
 pub use report_source::VouchOutcome;
 
 /// Result of this module's fallible calls.
--- a/crates/savorywalk/src/registry/registry_node.rs
+++ b/crates/savorywalk/src/registry/registry_node.rs
@@ -11,7 +11,7 @@
 use super::quarantine_intake::{self, QuarantineIntake};
 use super::report_outbox::ReportOutbox;
 use super::voter_keeper::VoterKeeper;
-use super::{EndpointReport, HearOutcome, RegistryError, RegistryTable, Result};
+use super::{EndpointReport, RegistryError, RegistryTable, ReportOutcome, Result};
 use crate::control::{
     ControlAnswer, ControlBody, ControlCommand, ControlQuery, ControlQuestion, ControlVerdict,
     DocumentCommand, DocumentOutcome, EndpointIncarnation, StatusQuery, VoterRoster, VoterService,
@@ -176,8 +176,8 @@
             return Ok(());
         }
         let now = Instant::now();
-        let outcome = self.table().hear(now, report.clone());
-        if outcome == HearOutcome::Changed {
+        let outcome = self.table().record(now, report.clone());
+        if outcome == ReportOutcome::Changed {
             log_event!(
                 info,
                 "endpoint_heard",
@@ -190,13 +190,13 @@
             self.publish_revision();
         }
         match outcome {
-            HearOutcome::Foreign => return Err(elsewhere(&report.id)),
-            HearOutcome::Full => return Err(RegistryError::Full(self.max_endpoints)),
-            HearOutcome::Changed
-            | HearOutcome::Refreshed
-            | HearOutcome::Moved
-            | HearOutcome::Stale
-            | HearOutcome::Unknown => {}
+            ReportOutcome::Foreign => return Err(elsewhere(&report.id)),
+            ReportOutcome::Full => return Err(RegistryError::Full(self.max_endpoints)),
+            ReportOutcome::Changed
+            | ReportOutcome::Refreshed
+            | ReportOutcome::Moved
+            | ReportOutcome::Stale
+            | ReportOutcome::Unknown => {}
         }
         let mut outbox = self.lock_outbox();
         outbox.note_own(now, &report.id);
--- a/crates/savorywalk/src/registry/registry_table.rs
+++ b/crates/savorywalk/src/registry/registry_table.rs
@@ -25,12 +25,13 @@
 /// Most endpoints listed when the settings name no other bound.
 const MAX_ENDPOINTS: usize = 65_536;
 
-/// Parts of an interval after which an endpoint that is still heard counts as proven.
+/// Parts of an interval after which an endpoint that has announced itself again counts as
+/// proven.
 const PROVEN_INTERVAL_PARTS: u32 = 2;
 
 /// What became of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HearOutcome {
+pub enum ReportOutcome {
     /// Entries must learn of it.
     Changed,
     /// It only shows that the endpoint lives.
@@ -129,7 +130,7 @@
         self.index.revision()
     }
 
-    /// Digests of the endpoints listed, as entries are told of them.
+    /// Digests of the endpoints listed.
     pub(super) fn digests(&self) -> &PartDigests {
         self.index.digests()
     }
@@ -166,24 +167,34 @@
     }
 
     /// Takes an announcement of the endpoint itself.
-    pub fn hear(&mut self, now: Instant, mut report: EndpointReport) -> HearOutcome {
+    pub fn record(&mut self, now: Instant, mut report: EndpointReport) -> ReportOutcome {
         report.silent = false;
         let known = self.records.get(report.id.as_str());
         let is_moved = known.is_some_and(|record| record.source != ReportSource::Own);
         let outcome = self.take(now, report, ReportSource::Own);
         match outcome {
-            HearOutcome::Refreshed if is_moved => HearOutcome::Moved,
+            ReportOutcome::Refreshed if is_moved => ReportOutcome::Moved,
             outcome => outcome,
         }
     }
 
     /// Takes a report that another control daemon passes on of an endpoint that announces
     /// itself there.
-    pub fn hear_from(&mut self, now: Instant, member: &str, report: EndpointReport) -> HearOutcome {
+    pub fn record_from(
+        &mut self,
+        now: Instant,
+        member: &str,
+        report: EndpointReport,
+    ) -> ReportOutcome {
         self.take(now, report, ReportSource::Member(member.into()))
     }
 
-    fn take(&mut self, now: Instant, report: EndpointReport, source: ReportSource) -> HearOutcome {
+    fn take(
+        &mut self,
+        now: Instant,
+        report: EndpointReport,
+        source: ReportSource,
+    ) -> ReportOutcome {
         let is_elsewhere = self.is_elsewhere(&report);
         let Some(record) = self.records.get_mut(report.id.as_str()) else {
             return self.insert(now, report, source);
@@ -192,10 +203,10 @@
         let order = report.order().cmp(&record.report.order());
         // What a member passes on again tells who hears the endpoint now.
         if order.is_lt() || (is_own && order.is_eq()) {
-            return HearOutcome::Stale;
+            return ReportOutcome::Stale;
         }
         if is_elsewhere {
-            return HearOutcome::Foreign;
+            return ReportOutcome::Foreign;
         }
         if report.born_ms > record.report.born_ms {
             log_event!(
@@ -215,10 +226,10 @@
         record.report = report;
         record.account(&mut self.sources);
         if is_same {
-            return HearOutcome::Refreshed;
+            return ReportOutcome::Refreshed;
         }
         record.note_change(&mut self.index);
-        HearOutcome::Changed
+        ReportOutcome::Changed
     }
 
     /// Lists an endpoint, if there is room.
@@ -227,9 +238,9 @@
         now: Instant,
         report: EndpointReport,
         source: ReportSource,
-    ) -> HearOutcome {
+    ) -> ReportOutcome {
         if self.records.len() >= self.max_endpoints && !self.make_room(&report.id) {
-            return HearOutcome::Full;
+            return ReportOutcome::Full;
         }
         let id: Arc<str> = report.id.as_str().into();
         let mut record = RegistryRecord {
@@ -246,7 +257,7 @@
             .note_change(&id, &mut record.mark, &record.report);
         self.unproven.insert((self.turn_of(&id), Arc::clone(&id)));
         self.records.insert(id, record);
-        HearOutcome::Changed
+        ReportOutcome::Changed
     }
 
     /// Drops an endpoint for another one, if one gives way; those that live stay.
@@ -330,7 +341,7 @@
     pub fn take_list(&mut self, now: Instant, member: &str, reports: Vec<EndpointReport>) {
         let listed: FastSet<String> = reports.iter().map(|report| report.id.clone()).collect();
         for report in reports {
-            self.hear_from(now, member, report);
+            self.record_from(now, member, report);
         }
         for record in self.records.values_mut() {
             if record.source.is_member(member) && !listed.contains(&record.report.id) {
@@ -356,26 +367,26 @@
     }
 
     /// Takes a sign of life that another control daemon passes on.
-    pub fn refresh(&mut self, now: Instant, refresh: &EndpointRefresh) -> HearOutcome {
+    pub fn refresh(&mut self, now: Instant, refresh: &EndpointRefresh) -> ReportOutcome {
         let Some(record) = self.records.get_mut(refresh.id.as_str()) else {
-            return HearOutcome::Unknown;
+            return ReportOutcome::Unknown;
         };
         if refresh.order() <= record.report.order() {
-            return HearOutcome::Stale;
+            return ReportOutcome::Stale;
         }
         if refresh.born_ms != record.report.born_ms {
-            return HearOutcome::Unknown;
+            return ReportOutcome::Unknown;
         }
         record.heard = now;
         record.report.sequence = refresh.sequence;
         if !record.report.silent {
-            return HearOutcome::Refreshed;
+            return ReportOutcome::Refreshed;
         }
         record.report.silent = false;
         record.says_silent = false;
         record.account(&mut self.sources);
         record.note_change(&mut self.index);
-        HearOutcome::Changed
+        ReportOutcome::Changed
     }
 
     /// Forgets an incarnation that has said that it is gone or leaves, and
--- a/crates/savorywalk/src/registry/registry_table_tests.rs
+++ b/crates/savorywalk/src/registry/registry_table_tests.rs
@@ -16,11 +16,11 @@
 fn only_what_entries_must_learn_is_a_change() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    assert_eq!(table.hear(now, report("a", 1)), HearOutcome::Changed);
-    assert_eq!(table.hear(now, report("a", 2)), HearOutcome::Refreshed);
+    assert_eq!(table.record(now, report("a", 1)), ReportOutcome::Changed);
+    assert_eq!(table.record(now, report("a", 2)), ReportOutcome::Refreshed);
     let mut moved = report("a", 3);
     moved.slots = 9;
-    assert_eq!(table.hear(now, moved), HearOutcome::Changed);
+    assert_eq!(table.record(now, moved), ReportOutcome::Changed);
     assert_eq!(table.revision(), 2);
 }
 
@@ -28,10 +28,10 @@
 fn an_announcement_that_was_overtaken_changes_nothing() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, report("a", 5));
+    table.record(now, report("a", 5));
     let mut late = report("a", 4);
     late.slots = 9;
-    assert_eq!(table.hear(now, late), HearOutcome::Stale);
+    assert_eq!(table.record(now, late), ReportOutcome::Stale);
     assert_eq!(table.changed_after(0)[0].slots, 0);
 }
 
@@ -39,7 +39,7 @@
 fn an_endpoint_falls_silent_and_is_heard_again() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, report("a", 1));
+    table.record(now, report("a", 1));
     assert!(!table.tick(now + INTERVAL * 2).changed);
     assert!(table.tick(now + INTERVAL * 3).changed);
     let seen = table.revision();
@@ -50,7 +50,7 @@
         born_ms: 0,
     };
     let later = now + INTERVAL * 4;
-    assert_eq!(table.refresh(later, &refresh), HearOutcome::Changed);
+    assert_eq!(table.refresh(later, &refresh), ReportOutcome::Changed);
     assert!(!table.changed_after(seen)[0].silent);
 }
 
@@ -63,16 +63,16 @@
         born_ms: 0,
     };
     let outcome = table.refresh(Instant::now(), &refresh);
-    assert_eq!(outcome, HearOutcome::Unknown);
+    assert_eq!(outcome, ReportOutcome::Unknown);
 }
 
 #[test]
 fn a_follower_gets_just_what_changed_after_its_revision() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, report("a", 1));
+    table.record(now, report("a", 1));
     let seen = table.revision();
-    table.hear(now, report("b", 1));
+    table.record(now, report("b", 1));
     let changed = table.changed_after(seen);
     assert_eq!(changed.len(), 1);
     assert_eq!(changed[0].id, "b");
@@ -82,7 +82,7 @@
 fn an_endpoint_that_stays_silent_is_forgotten() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, report("a", 1));
+    table.record(now, report("a", 1));
     table.tick(now + INTERVAL * FORGOTTEN_ANNOUNCEMENTS);
     assert!(table.is_empty());
 }
@@ -107,9 +107,12 @@
 fn an_endpoint_that_starts_again_counts_from_its_first_announcement() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, born("a", 1_000, 57));
+    table.record(now, born("a", 1_000, 57));
     let seen = table.revision();
-    assert_eq!(table.hear(now, born("a", 2_000, 1)), HearOutcome::Changed);
+    assert_eq!(
+        table.record(now, born("a", 2_000, 1)),
+        ReportOutcome::Changed
+    );
     assert_eq!(listed(&table), [(2_000, 1)]);
     assert_eq!(table.changed_after(seen).len(), 1, "entries learn of it");
 }
@@ -118,14 +121,17 @@
 fn a_delayed_report_of_a_dead_incarnation_changes_nothing() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, born("a", 2_000, 1));
-    assert_eq!(table.hear(now, born("a", 1_000, 58)), HearOutcome::Stale);
+    table.record(now, born("a", 2_000, 1));
+    assert_eq!(
+        table.record(now, born("a", 1_000, 58)),
+        ReportOutcome::Stale
+    );
     let refresh = EndpointRefresh {
         id: "a".into(),
         sequence: 59,
         born_ms: 1_000,
     };
-    assert_eq!(table.refresh(now, &refresh), HearOutcome::Stale);
+    assert_eq!(table.refresh(now, &refresh), ReportOutcome::Stale);
     assert_eq!(listed(&table), [(2_000, 1)]);
 }
 
@@ -133,20 +139,20 @@
 fn a_sign_of_life_of_a_later_incarnation_asks_for_its_report() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, born("a", 1_000, 58));
+    table.record(now, born("a", 1_000, 58));
     let refresh = EndpointRefresh {
         id: "a".into(),
         sequence: 1,
         born_ms: 2_000,
     };
-    assert_eq!(table.refresh(now, &refresh), HearOutcome::Unknown);
+    assert_eq!(table.refresh(now, &refresh), ReportOutcome::Unknown);
 }
 
 #[test]
 fn the_last_word_of_a_dead_incarnation_does_not_remove_the_next_one() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, born("a", 2_000, 1));
+    table.record(now, born("a", 2_000, 1));
     table.remove(&born("a", 1_000, 0).incarnation());
     assert_eq!(table.len(), 1);
     table.remove(&born("a", 2_000, 0).incarnation());
@@ -157,7 +163,7 @@
 fn a_report_under_a_known_name_from_another_place_is_foreign() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let now = Instant::now();
-    table.hear(now, born("a", 1_000, 1));
+    table.record(now, born("a", 1_000, 1));
     for change in [
         |report: &mut EndpointReport| report.address = "10.0.0.9:80".into(),
         |report: &mut EndpointReport| report.pool = "others".into(),
@@ -166,10 +172,10 @@
         let mut foreign = born("a", 1_000, 900);
         change(&mut foreign);
         assert!(table.is_elsewhere(&foreign));
-        assert_eq!(table.hear(now, foreign), HearOutcome::Foreign);
+        assert_eq!(table.record(now, foreign), ReportOutcome::Foreign);
     }
-    let next = table.hear(now, born("a", 1_000, 2));
-    assert_eq!(next, HearOutcome::Refreshed, "the endpoint's own counts");
+    let next = table.record(now, born("a", 1_000, 2));
+    assert_eq!(next, ReportOutcome::Refreshed, "the endpoint's own counts");
 }
 
 #[test]
@@ -177,12 +183,12 @@
     let mut table = RegistryTable::new(7, INTERVAL);
     let start = Instant::now();
     for number in 0..MAX_ENDPOINTS {
-        table.hear(start, report(&format!("foreign-{number}"), 1));
+        table.record(start, report(&format!("foreign-{number}"), 1));
     }
     let later = start + Duration::from_millis(1);
-    table.hear(later, report("own", 1));
+    table.record(later, report("own", 1));
     for number in 0..64 {
-        table.hear(later, report(&format!("more-{number}"), 1));
+        table.record(later, report(&format!("more-{number}"), 1));
     }
     assert_eq!(table.len(), MAX_ENDPOINTS);
     assert!(table.incarnation_of("own").is_some());
@@ -205,9 +211,9 @@
     }
 
     /// An endpoint announces itself at the first, which tells the second.
-    fn hear(&mut self, now: Instant, report: &EndpointReport) {
-        self.first.hear(now, report.clone());
-        self.second.hear_from(now, FIRST, report.clone());
+    fn record(&mut self, now: Instant, report: &EndpointReport) {
+        self.first.record(now, report.clone());
+        self.second.record_from(now, FIRST, report.clone());
     }
 
     fn vouch(&mut self, now: Instant) -> VouchOutcome {
@@ -230,7 +236,7 @@
     let mut pair = Pair::new();
     let start = Instant::now();
     for number in 0..100 {
-        pair.hear(start, &report(&format!("e-{number}"), 1));
+        pair.record(start, &report(&format!("e-{number}"), 1));
     }
     assert_eq!(pair.first.own_digest().count, 100);
     for step in 1..20 {
@@ -251,10 +257,10 @@
 fn the_word_of_the_daemon_that_hears_an_endpoint_counts() {
     let mut pair = Pair::new();
     let start = Instant::now();
-    pair.hear(start, &report("a", 1));
-    pair.hear(start, &report("b", 1));
+    pair.record(start, &report("a", 1));
+    pair.record(start, &report("b", 1));
     let later = start + INTERVAL * MISSED_ANNOUNCEMENTS;
-    pair.first.hear(later, report("b", 4));
+    pair.first.record(later, report("b", 4));
     let fallen = pair.first.tick(later).fallen;
     assert_eq!(fallen.len(), 1);
     assert_eq!(
@@ -263,7 +269,7 @@
         "it is not told yet"
     );
     for report in fallen {
-        pair.second.hear_from(later, FIRST, report);
+        pair.second.record_from(later, FIRST, report);
     }
     assert_eq!(pair.vouch(later), VouchOutcome::Listed);
     let silent = |table: &RegistryTable| -> Vec<bool> {
@@ -272,7 +278,7 @@
     };
     assert_eq!(silent(&pair.second), [true, false]);
     let back = report("a", 5);
-    pair.hear(later, &back);
+    pair.record(later, &back);
     assert_eq!(pair.vouch(later), VouchOutcome::Listed);
     assert_eq!(silent(&pair.second), [false, false]);
 }
@@ -283,11 +289,14 @@
 fn endpoints_of_a_lost_daemon_are_silent_until_it_vouches_again() {
     let mut pair = Pair::new();
     let start = Instant::now();
-    pair.hear(start, &report("a", 1));
-    pair.hear(start, &report("b", 1));
+    pair.record(start, &report("a", 1));
+    pair.record(start, &report("b", 1));
     assert_eq!(pair.vouch(start), VouchOutcome::Listed);
     let moved = start + INTERVAL;
-    assert_eq!(pair.second.hear(moved, report("a", 2)), HearOutcome::Moved);
+    assert_eq!(
+        pair.second.record(moved, report("a", 2)),
+        ReportOutcome::Moved
+    );
     let lost = start + INTERVAL * MISSED_ANNOUNCEMENTS;
     pair.tick_until(start, lost);
     let silent = |table: &RegistryTable| -> Vec<bool> {
@@ -296,9 +305,9 @@
     };
     assert_eq!(silent(&pair.second), [false, true]);
     // The first learns that one of them announces itself elsewhere now.
-    pair.first.hear_from(lost, "10-0-0-2", report("a", 2));
-    pair.first.hear(lost, report("b", 4));
-    pair.second.hear_from(lost, FIRST, report("b", 4));
+    pair.first.record_from(lost, "10-0-0-2", report("a", 2));
+    pair.first.record(lost, report("b", 4));
+    pair.second.record_from(lost, FIRST, report("b", 4));
     assert_eq!(pair.vouch(lost), VouchOutcome::Listed);
     assert_eq!(silent(&pair.second), [false, false]);
 }
@@ -308,8 +317,8 @@
 fn a_report_that_was_lost_is_asked_for() {
     let mut pair = Pair::new();
     let start = Instant::now();
-    pair.hear(start, &report("a", 1));
-    pair.first.hear(start, report("b", 1));
+    pair.record(start, &report("a", 1));
+    pair.first.record(start, report("b", 1));
     assert_eq!(pair.vouch(start), VouchOutcome::Unsettled);
     assert_eq!(pair.vouch(start), VouchOutcome::Unlisted);
     let list = pair.first.own_reports();
@@ -324,7 +333,7 @@
 fn endpoints_of_a_daemon_that_has_forgotten_them_stay_listed_for_a_while() {
     let mut pair = Pair::new();
     let start = Instant::now();
-    pair.hear(start, &report("a", 1));
+    pair.record(start, &report("a", 1));
     pair.vouch(start);
     pair.first = RegistryTable::new(9, INTERVAL);
     pair.vouch(start);
@@ -342,7 +351,7 @@
 fn a_daemon_that_was_late_itself_calls_nobody_silent() {
     let mut table = RegistryTable::new(7, INTERVAL);
     let start = Instant::now();
-    table.hear(start, report("a", 1));
+    table.record(start, report("a", 1));
     table.tick(start);
     let woken = start + INTERVAL * 5;
     assert!(!table.tick(woken).changed);
@@ -359,7 +368,7 @@
     let mut published = BTreeSet::new();
     for number in 0..1_000_u64 {
         let now = start + Duration::from_millis(number);
-        table.hear(now, report(&format!("e-{number}"), 1));
+        table.record(now, report(&format!("e-{number}"), 1));
         table.publish(now);
         published.insert(table.published());
     }
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -100,7 +100,7 @@
                 table.refresh(now, refresh);
             }
             for report in reports {
-                table.hear_from(now, from.as_str(), report);
+                table.record_from(now, from.as_str(), report);
             }
             batch.own.map(|own| table.vouch(now, from.as_str(), own))
         };
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -1,5 +1,5 @@
 use super::entry_list::{FollowerChanges, FollowerList};
-use super::{EndpointDigest, EndpointReport, HearOutcome, ReportBatch};
+use super::{EndpointDigest, EndpointReport, ReportBatch, ReportOutcome};
 use crate::prelude::*;
 
 /// Time between two signs of life of the sender: two may be lost before its followers count
@@ -33,17 +33,17 @@
 
     /// Notes what an endpoint has told this daemon itself; true when the
     /// others should learn of it at once.
-    pub(super) fn note(&mut self, report: EndpointReport, outcome: HearOutcome) -> bool {
+    pub(super) fn note(&mut self, report: EndpointReport, outcome: ReportOutcome) -> bool {
         match outcome {
-            HearOutcome::Changed | HearOutcome::Moved => {
+            ReportOutcome::Changed | ReportOutcome::Moved => {
                 self.reports.insert(report.id.clone(), report);
                 true
             }
-            HearOutcome::Refreshed
-            | HearOutcome::Stale
-            | HearOutcome::Foreign
-            | HearOutcome::Unknown
-            | HearOutcome::Full => false,
+            ReportOutcome::Refreshed
+            | ReportOutcome::Stale
+            | ReportOutcome::Foreign
+            | ReportOutcome::Unknown
+            | ReportOutcome::Full => false,
         }
     }
 
@@ -76,7 +76,7 @@
         followers: &mut FollowerList,
     ) -> Option<ReportBatch> {
         self.own.retain(|_, heard| now < *heard + self.own_time);
-        let FollowerChanges { joined, left } = followers.take_untold();
+        let FollowerChanges { joined, left } = followers.take_pending();
         let is_empty = self.reports.is_empty() && joined.is_empty() && left.is_empty();
         let is_due = self.told.is_none_or(|told| now >= told + FOLLOWER_INTERVAL);
         if is_empty && !is_due {
--- a/crates/savorywalk/src/registry/report_outbox_tests.rs
+++ b/crates/savorywalk/src/registry/report_outbox_tests.rs
@@ -36,7 +36,7 @@
     let mut list = followers(start);
     let mut names = 0;
     for flush in 0..40_u32 {
-        outbox.note(report(flush.into()), HearOutcome::Changed);
+        outbox.note(report(flush.into()), ReportOutcome::Changed);
         let now = start + FLUSH * flush;
         let batch = outbox.take(now, OWN, &mut list).unwrap();
         assert_eq!(batch.reports.len(), 1);
@@ -88,7 +88,7 @@
     let mut list = followers(start);
     outbox.take(start, OWN, &mut list);
     for sequence in 0..100 {
-        assert!(!outbox.note(report(sequence), HearOutcome::Refreshed));
+        assert!(!outbox.note(report(sequence), ReportOutcome::Refreshed));
     }
     assert!(outbox.take(start + FLUSH, OWN, &mut list).is_none());
     let batch = outbox.take(start + FOLLOWER_INTERVAL, OWN, &mut list);
@@ -98,7 +98,7 @@
 #[test]
 fn the_others_learn_who_hears_an_endpoint_and_who_fell_silent() {
     let mut outbox = ReportOutbox::new(INTERVAL);
-    assert!(outbox.note(report(1), HearOutcome::Moved));
+    assert!(outbox.note(report(1), ReportOutcome::Moved));
     let silent = EndpointReport {
         id: "i-2".into(),
         silent: true,
--- a/crates/savorywalk/src/registry/table_digest/report_key.rs
+++ b/crates/savorywalk/src/registry/table_digest/report_key.rs
@@ -6,12 +6,12 @@
 pub(in crate::registry) struct ReportKey {
     /// Hash of the endpoint's name; its highest bits name the part.
     pub(in crate::registry) place: u64,
-    /// Hash of all that entries are told.
+    /// Hash of all fields that entries use.
     pub(super) content: u64,
 }
 
 impl ReportKey {
-    /// The key of a report. Sequences are left out, since entries are not told each
+    /// The key of a report. Sequences are left out, since entries are not sent each
     /// announcement.
     pub(in crate::registry) fn of(report: &EndpointReport) -> Self {
         let flags = [u8::from(report.cold_ms > 0), u8::from(report.silent)];
