Send no tables to entries that look for a majority, and have new entries wait for answers

Entries had `control_unsure` all the while: no registry had a leader until the traffic's first second.

Cause: an entry that finds no majority asks the next registry after a quarter of a second, and each one compared tables with it and sent it parts of its own; 984 of them kept the registries from hearing each other. The start settled by chance, or not.

Change: without a majority's word only followers of a registry's own table get its changes. An entry that was never confirmed waits 1.5 s for its first answer, and longer each time.

Tests: no table to newcomers without a majority, changes to followers all the same; calls of an entry that starts among silent registries.

--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -531,7 +531,7 @@
             daemon.evacuations = self.evacuations.clone();
         }
         self.answers += 1;
-        let mut reply = daemon.reply(call, &self.members);
+        let mut reply = daemon.reply(call, has_majority, &self.members);
         reply.confirmed = has_majority;
         reply.held_ms = held.as_millis() as u32;
         let reply = Box::new(reply);
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -120,12 +120,17 @@
         call.is_behind(news, &self.table)
     }
 
-    pub(super) fn reply(&mut self, call: &FollowCall, members: &[PeerName]) -> FollowReply {
+    pub(super) fn reply(
+        &mut self,
+        call: &FollowCall,
+        confirmed: bool,
+        members: &[PeerName],
+    ) -> FollowReply {
         let mut reply = FollowReply::default();
         reply.add_documents(call, &self.documents);
         reply.add_quarantine(call, &self.quarantine);
         reply.add_evacuations(call, &self.evacuations);
-        reply.add_endpoints(call, &self.table);
+        reply.add_endpoints_if_due(call, confirmed, &self.table);
         reply.members = members.iter().map(ToString::to_string).collect();
         reply.add_entries(call, &self.followers);
         reply
--- a/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
@@ -209,3 +209,25 @@
     let joined = tell(&list);
     assert!(left + joined < 150, "{left} and {joined} B");
 }
+
+/// A thousand entries that start look for a majority at one registry after the other.
+#[test]
+fn no_table_is_sent_to_newcomers_while_no_majority_confirms() {
+    let table = table(1, 10_001);
+    let at = BootTime::after(Duration::from_secs(1));
+    let mut state = FollowState::default();
+    let mut reply = FollowReply::default();
+    reply.add_endpoints_if_due(&state.next_call(Duration::ZERO), false, &table);
+    assert!(reply.encoded_len() < 100, "{} B", reply.encoded_len());
+    state.take(at, at, reply);
+    assert_eq!(state.endpoints().count(), 0);
+
+    // Who follows the table gets its changes all the same.
+    follow(&mut state, &table);
+    let mut changed = table;
+    changed.record(Instant::now(), report(20_000));
+    let mut reply = FollowReply::default();
+    reply.add_endpoints_if_due(&state.next_call(Duration::ZERO), false, &changed);
+    state.take(at, at, reply);
+    assert!(state.endpoint(&report(20_000).id).is_some());
+}
--- a/crates/savorywalk/src/registry/follow_pace.rs
+++ b/crates/savorywalk/src/registry/follow_pace.rs
@@ -24,6 +24,10 @@
 /// confirmed answer takes on a link that has to be made first.
 const SEEK_TIME: Duration = Duration::from_millis(250);
 
+/// The same for an entry that knows nothing yet. It serves nobody whom haste would help, and
+/// where all start at once every daemon is slow.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// Factor by which that time grows with each daemon that is lost, in thousandths,
 /// up to [`ANSWER_TIME`]: where all answers are slow, one must come in the end.
 const SEEK_GROWTH_PERMILLE: u32 = 1_400;
@@ -61,6 +65,8 @@
 pub struct FollowPace {
     calm_hold: Duration,
     unconfirmed: u32,
+    /// Whether there was a confirmed answer ever.
+    was_confirmed: bool,
     /// Daemons lost in a row.
     lost: u32,
     /// Time for an answer beyond the hold, while nobody confirms.
@@ -77,6 +83,7 @@
         Self {
             calm_hold,
             unconfirmed: 0,
+            was_confirmed: false,
             lost: 0,
             seek_time: None,
         }
@@ -100,20 +107,23 @@
         match outcome {
             FollowOutcome::Confirmed => {
                 *self = Self::with_hold(self.calm_hold);
+                self.was_confirmed = true;
                 return false;
             }
             FollowOutcome::Unconfirmed => {
                 self.unconfirmed += 1;
-                self.seek_time.get_or_insert(SEEK_TIME);
+                let first = self.first_seek_time();
+                self.seek_time.get_or_insert(first);
             }
             FollowOutcome::Lost => {
                 self.lost += 1;
-                let most = match self.lost > MANY_LOST {
+                let most = match self.lost > MANY_LOST || !self.was_confirmed {
                     true => OVERLOAD_TIME,
                     false => ANSWER_TIME,
                 };
                 let grown = |time| grown(time).min(most);
-                self.seek_time = Some(self.seek_time.map_or(SEEK_TIME, grown));
+                let first = self.first_seek_time();
+                self.seek_time = Some(self.seek_time.map_or(first, grown));
             }
         }
         let is_next = outcome == FollowOutcome::Lost || self.unconfirmed > MAX_UNCONFIRMED;
@@ -124,6 +134,15 @@
     }
 }
 
+impl FollowPace {
+    fn first_seek_time(&self) -> Duration {
+        match self.was_confirmed {
+            true => SEEK_TIME,
+            false => START_TIME,
+        }
+    }
+}
+
 fn grown(time: Duration) -> Duration {
     time * SEEK_GROWTH_PERMILLE / 1_000
 }
--- a/crates/savorywalk/src/registry/follow_pace_tests.rs
+++ b/crates/savorywalk/src/registry/follow_pace_tests.rs
@@ -133,3 +133,17 @@
     pace.note(FollowOutcome::Confirmed);
     assert_eq!(pace.answer_time(), HOLD + ANSWER_TIME);
 }
+
+/// Its calls add to what keeps daemons that start with it from answering.
+#[test]
+fn an_entry_that_starts_asks_few_daemons() {
+    let mut pace = calm_pace();
+    let mut asked = 0;
+    let mut time = Duration::ZERO;
+    while time < Duration::from_secs(10) {
+        time += pace.answer_time() + PAUSE;
+        pace.note(FollowOutcome::Lost);
+        asked += 1;
+    }
+    assert!(asked <= 6, "{asked} calls in 10 s");
+}
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -33,6 +33,16 @@
     }
 }
 
+impl FollowCall {
+    /// Whether the follower gets endpoints from a table. Without a majority's word only changes
+    /// of the table that it follows are sent: entries that look for a majority come to one
+    /// daemon after the other, and whole tables for each of them would keep the daemons from
+    /// finding a leader.
+    pub(super) fn takes_endpoints(&self, confirmed: bool, table: &RegistryTable) -> bool {
+        confirmed || self.table_epoch == table.epoch()
+    }
+}
+
 impl FollowReply {
     /// Adds the document in force and the retired endpoints that the follower lacks.
     pub(super) fn add_documents(&mut self, call: &FollowCall, documents: &DocumentRegister) {
@@ -61,6 +71,21 @@
         }
     }
 
+    /// Adds the endpoints that the follower lacks, if it gets any from this table now.
+    pub(super) fn add_endpoints_if_due(
+        &mut self,
+        call: &FollowCall,
+        confirmed: bool,
+        table: &RegistryTable,
+    ) {
+        if call.takes_endpoints(confirmed, table) {
+            return self.add_endpoints(call, table);
+        }
+        self.table_epoch = call.table_epoch;
+        self.table_revision = call.table_revision;
+        self.comparison = call.comparison;
+    }
+
     /// Adds the endpoints that the follower lacks, as many as fit into one answer.
     ///
     /// A follower of another table gets the parts that differ. One that knows no endpoint
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -28,7 +28,7 @@
         self.wait_for_news(call).await;
         let held = arrived.elapsed();
         let confirmed = self.confirm().await;
-        let mut reply = self.news_after(call);
+        let mut reply = self.news_after(call, confirmed);
         reply.confirmed = confirmed;
         reply.held_ms = held.as_millis() as u32;
         reply
@@ -61,7 +61,7 @@
         let _ = tokio::time::timeout(hold, waiting).await;
     }
 
-    fn news_after(&self, call: &FollowCall) -> FollowReply {
+    fn news_after(&self, call: &FollowCall, confirmed: bool) -> FollowReply {
         let mut reply = FollowReply::default();
         if let Some(voter) = self.voter() {
             let cell = voter.cell();
@@ -69,7 +69,7 @@
             cell.read_quarantine(|register| reply.add_quarantine(call, register));
             cell.read_evacuations(|register| reply.add_evacuations(call, register));
         }
-        reply.add_endpoints(call, &self.table());
+        reply.add_endpoints_if_due(call, confirmed, &self.table());
         reply.members = self.member_names();
         reply.add_entries(call, &self.lock_followers());
         reply
