--- a/crates/savorywalk/src/gateway/endpoint_roster.rs
+++ b/crates/savorywalk/src/gateway/endpoint_roster.rs
@@ -66,7 +66,7 @@
 struct PoolRoster {
     members: Vec<Arc<PoolMember>>,
     records: Vec<Arc<EndpointRecord>>,
-    /// Members from which control has heard lately, by data centre.
+    /// Members that are not silent, by data centre.
     counts: BTreeMap<String, usize>,
 }
 
@@ -89,7 +89,7 @@
         self.members.insert(place, member);
     }
 
-    /// Where the endpoint that goes by `name` stands.
+    /// Index of the endpoint that goes by `name`.
     fn place_of_name(&self, name: &str) -> Option<usize> {
         let first = self
             .members
--- a/crates/savorywalk/src/gateway/kept_connections/connection_shelf.rs
+++ b/crates/savorywalk/src/gateway/kept_connections/connection_shelf.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// Longest time for which an idle connection is kept. Something between the two ends may lose
-/// track of a quiet one without a word.
+/// track of an idle one without closing it.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
 /// Time before the far side closes an idle connection from which on it is not used: a request
--- a/crates/savorywalk/src/gateway/kept_connections/kept_calls.rs
+++ b/crates/savorywalk/src/gateway/kept_connections/kept_calls.rs
@@ -7,7 +7,7 @@
 
 /// Connections to endpoints that calls of some kinds use again.
 ///
-/// A faulty endpoint may send a second answer after the first one, which then stands where the
+/// A faulty endpoint may send a second answer after the first one, which then arrives where the
 /// next answer is expected. So a connection is used again only where an answer names its
 /// request, or where nothing is taken from it; calls with pieces are neither.
 #[derive(Debug, Default)]
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -34,7 +34,7 @@
 }
 
 impl FollowCall {
-    /// Whether the follower gets endpoints from a table. Without a majority's word only changes
+    /// Whether the follower gets endpoints from a table. Without a majority's confirmation only changes
     /// of the table that it follows are sent: entries that look for a majority come to one
     /// daemon after the other, and whole tables for each of them would keep the daemons from
     /// finding a leader.
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -123,7 +123,7 @@
         outcome != Some(VouchOutcome::Unlisted)
     }
 
-    /// Drops endpoints that have left by the log's word, wherever they said so.
+    /// Drops endpoints that the log has retired, whichever daemon proposed it.
     fn remove_retired(&self) {
         let Some(voter) = self.voter() else { return };
         let mut table = self.table();
