--- a/crates/daemon/tests/deploy_templates.rs
+++ b/crates/daemon/tests/deploy_templates.rs
@@ -36,6 +36,8 @@
         ("listen.control", "10.1.0.41:8628"),
         ("dataDir", "/data"),
         ("heartbeatMs", "1200"),
+        ("contracts", "base,drain,stages"),
+        ("limits.cpuShare", "0.12"),
         ("bounds.revokeMs", "5000"),
         ("bounds.retryBudgetRatio", "0.2"),
         ("bounds.retryExtra", "52"),
@@ -120,6 +122,7 @@
 #[case(GATEWAY, "bounds.coldOverage", "cold_overage")]
 #[case(GATEWAY, "bounds.coldSlack", "cold_slack")]
 #[case(GATEWAY, "heartbeatMs", "announce_interval_ms")]
+#[case(GATEWAY, "limits.cpuShare", "processor_cores")]
 #[case(REGISTRY, "heartbeatMs", "announce_interval_ms")]
 fn a_figure_that_the_platform_does_not_have_leaves_the_default(
     #[case] template: &str,
@@ -140,6 +143,7 @@
 #[case(GATEWAY, "bounds.retryExtra", "retry_extra")]
 #[case(GATEWAY, "bounds.retryWindowS", "retry_window_ms")]
 #[case(GATEWAY, "bounds.graceS", "stop_time_ms")]
+#[case(GATEWAY, "limits.cpuShare", "processor_cores")]
 #[case(REGISTRY, "heartbeatMs", "announce_interval_ms")]
 fn what_is_no_figure_is_an_error_with_key_value_and_remedy(
     #[case] template: &str,
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -5,7 +5,7 @@
 use super::plan_request::PlanRequest;
 use super::plan_results::PlanFailure;
 use super::prompt_exchange::{self, PermitResponse};
-use super::{GatewayRefusal, NotRunReason, PlacementQuery, PoolMember};
+use super::{GatewayRefusal, NotRunReason, PlacementQuery, PoolMember, ReturnTime};
 use crate::prelude::*;
 use crate::registry::BootClock;
 
@@ -264,6 +264,14 @@
         waits.filter(|wait| !wait.is_zero()).min()
     }
 
+    /// The workspace that the request counts for; empty without one, or if workspaces have no
+    /// shares.
+    fn shared_workspace(&self) -> &str {
+        let workspace = self.context.workspace.as_deref();
+        let workspace = workspace.filter(|_| self.node.features.workspace_shares);
+        workspace.unwrap_or_default()
+    }
+
     fn plan_request(&self, near: &str) -> PlanRequest {
         let context = &self.context;
         PlanRequest {
@@ -273,6 +281,7 @@
             pieces: context.head.piece_counts.as_slice().into(),
             key: context.head.piece_key.as_str().into(),
             route: context.route.name.as_str().into(),
+            workspace: self.shared_workspace().into(),
             rank: context.rank,
             turn_rank: context.turn_rank,
             size: context.size(),
@@ -288,10 +297,14 @@
 
     fn refuse_failed_plan(&self, failure: PlanFailure) -> GatewayRefusal {
         match (failure, self.ledger.not_run()) {
-            (PlanFailure::Overload { retry_after }, Some(proof)) => GatewayRefusal::NotRun {
+            (PlanFailure::Overload { return_time, .. }, Some(proof)) => GatewayRefusal::NotRun {
                 proof,
                 reason: NotRunReason::Overload,
-                retry_after: with_jitter(retry_after),
+                retry_after: match return_time {
+                    ReturnTime::After(delay) => Some(with_jitter(delay)),
+                    ReturnTime::Appointed(delay) => Some(delay),
+                    ReturnTime::Hopeless => None,
+                },
             },
             (PlanFailure::Overload { .. }, None) => self.refuse(NotRunReason::Overload),
             (PlanFailure::Quarantined, _) => self.refuse_quarantined(),
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -90,11 +90,11 @@
             Some(proof) => GatewayRefusal::NotRun {
                 proof,
                 reason,
-                retry_after: if reason == NotRunReason::Quarantined {
+                retry_after: Some(if reason == NotRunReason::Quarantined {
                     QUARANTINE_TIME
                 } else {
                     retry_after()
-                },
+                }),
             },
             None if self.context.remaining(Instant::now()).is_zero() => GatewayRefusal::TimedOut,
             None => GatewayRefusal::OutcomeUnknown,
@@ -112,7 +112,7 @@
             (Some((reason, wait)), Some(proof)) => GatewayRefusal::NotRun {
                 proof,
                 reason,
-                retry_after: wait + retry_after(),
+                retry_after: Some(wait + retry_after()),
             },
             (Some(_), None) | (None, _) => self.refuse(NotRunReason::NoEndpoint),
         }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -66,7 +66,10 @@
         let (control_hub, follower) =
             start_follower(&links, cluster, max_key_age, announce_interval)?;
         let crash_detector = start_crash_detector(&links, &follower, &metric_set);
+        let features = wire.load_features(&gateway.platform_terms);
+        let features = features.with_settings(gateway);
         let node = GatewayNode::start(NodeParts {
+            features,
             hub: hub.clone(),
             wire,
             follower,
@@ -93,7 +96,8 @@
             "gateway_started",
             node = node_settings.name,
             data_center = node_settings.data_center,
-            callers = gateway.callers
+            callers = gateway.callers,
+            features = format!("{features:?}")
         );
         Ok(Self {
             hub,
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -18,7 +18,9 @@
 use super::release_queue::{self, ReleaseQueue};
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
-use super::{EndpointRoster, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat};
+use super::{
+    EndpointRoster, LoadFeatures, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat,
+};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 use crate::registry::{BootClock, EntryFollower, FollowState};
@@ -48,6 +50,8 @@
     pub(super) permits: PermitGate,
     pub(super) availability: EndpointAvailability,
     pub(super) region_map: RegionMap,
+    /// Optional features that are on.
+    pub(super) features: LoadFeatures,
     /// Time in which every live endpoint has announced itself.
     report_time: Duration,
     /// Digests of requests that are not sent to any endpoint.
@@ -72,6 +76,7 @@
     pub(super) follower: Arc<EntryFollower>,
     pub(super) data_center: String,
     pub(super) max_key_age: Duration,
+    pub(super) features: LoadFeatures,
     pub(super) retry_limits: RetryLimits,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_detector: CrashDetector,
@@ -102,6 +107,7 @@
             permits: PermitGate::new(parts.cold_bounds),
             availability: EndpointAvailability::default(),
             region_map: parts.region_map,
+            features: parts.features,
             report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
             max_key_age: parts.max_key_age,
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod limit_exchange;
 #[cfg(test)]
 mod limit_simulation_tests;
+mod load_features;
 mod metrics_page;
 mod nearby_slots;
 mod permit_gate;
@@ -70,6 +71,7 @@
 mod response_head;
 mod result_capacity;
 mod retry_window;
+mod returns;
 mod route_rule;
 mod route_shares;
 mod route_table;
@@ -95,6 +97,7 @@
 pub use gateway_error::GatewayError;
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
 pub use invalid_call::{InvalidCall, InvalidReport};
+pub use load_features::{FeatureSwitch, LoadFeatures};
 pub use piece_queue::PieceQueue;
 pub use piece_task::{PieceCall, PieceTarget, PieceTask, QueuedPiece};
 pub use piece_times::PieceTimes;
@@ -109,6 +112,7 @@
 pub use request_rank::{engine_rank, request_rank, turn_rank};
 pub use result_capacity::ResultCapacity;
 pub use retry_window::{RetryLimits, RetryWindow};
+pub use returns::ReturnTime;
 pub use route_rule::{PoolShare, RouteKind, RouteRule, StageRule, WorkspaceRule};
 pub use route_table::{
     EngineProfile, PieceProfile, PoolProfile, RequestLimits, RouteTable, TableParts,
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -6,9 +6,9 @@
 use super::gateway_node::{GatewayNode, NodeParts};
 use super::{
     CallerHead, EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, InvalidCall,
-    PieceOutcome, PieceRequest, PoolProfile, PoolShare, RegistryAnswer, RegistryCall, ResultHandle,
-    RetryLimits, RouteKind, RouteRule, RouteTable, TableError, TableParts, WireFormat,
-    WorkspaceRule, cluster_hub,
+    LoadFeatures, PieceOutcome, PieceRequest, PoolProfile, PoolShare, RegistryAnswer, RegistryCall,
+    ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, TableError, TableParts,
+    WireFormat, WorkspaceRule, cluster_hub,
 };
 use crate::prelude::*;
 use crate::registry::{EntryFollower, FollowOptions};
@@ -61,6 +61,10 @@
 }
 
 impl WireFormat for PlainWire {
+    fn load_features(&self, _: &[String]) -> LoadFeatures {
+        LoadFeatures::default()
+    }
+
     fn read_document(&self, content: &[u8]) -> Result<RouteTable, TableError> {
         RouteTable::build(parse(content))
     }
@@ -139,6 +143,7 @@
     let follower = EntryFollower::start(hub.clone(), options);
     let metric_set = Arc::new(MetricSet::new().unwrap());
     GatewayNode::start(NodeParts {
+        features: LoadFeatures::default(),
         crash_detector: CrashDetector::start(&follower, metric_set.meter()),
         follower,
         hub,
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -8,8 +8,8 @@
 use super::plan_results::PlanFailure;
 use super::work_shard::WorkShard;
 use super::{
-    PlanClass, PlanDemand, PlanNumber, PlanOutcome, PlanScheduler, PoolRates, RouteTable,
-    StageDemand, StageForecast, UtilityScale, rank_utility,
+    PlanClass, PlanDemand, PlanNumber, PlanOutcome, PlanScheduler, PoolRates, ReturnTime,
+    RouteTable, StageDemand, StageForecast, UtilityScale, rank_utility,
 };
 use crate::prelude::*;
 
@@ -117,7 +117,7 @@
         let tail_ms = request.tail.as_millis();
         let (mut permit, decision) = match self.enqueue(arrived, request, demand, forecast) {
             Ok(waiting) => waiting,
-            Err(retry_after) => {
+            Err(return_time) => {
                 log_event!(
                     info,
                     "plan_refused",
@@ -129,9 +129,10 @@
                     needs_ms = total_ms,
                     tail_ms = tail_ms,
                     waiting = self.state().scheduler.waiting(),
-                    retry_after_ms = retry_after.as_millis()
+                    retry_after_ms = delay_ms(Some(return_time)),
+                    returns = return_time.name()
                 );
-                return Err(PlanFailure::Overload { retry_after });
+                return Err(PlanFailure::overload(return_time));
             }
         };
         self.wake.notify_one();
@@ -152,7 +153,8 @@
             returning = request.returning,
             waited_ms = arrived.elapsed().as_millis(),
             outcome = outcome.name(),
-            retry_after_ms = outcome.retry_after().as_millis()
+            retry_after_ms = delay_ms(outcome.return_time()),
+            returns = outcome.return_time().map_or("", ReturnTime::name)
         );
         match outcome {
             PlanOutcome::Begun(PlanClass::SizeBoost) => {
@@ -164,7 +166,7 @@
                 Ok(permit)
             }
             PlanOutcome::Begun(PlanClass::Timely | PlanClass::Late) => Ok(permit),
-            PlanOutcome::Refused { retry_after } => Err(PlanFailure::Overload { retry_after }),
+            PlanOutcome::Refused(return_time) => Err(PlanFailure::overload(return_time)),
         }
     }
 
@@ -174,7 +176,7 @@
         request: &PlanRequest,
         demand: PlanDemand,
         forecast: StageForecast,
-    ) -> Result<(PlanPermit, oneshot::Receiver<PlanOutcome>), Duration> {
+    ) -> Result<(PlanPermit, oneshot::Receiver<PlanOutcome>), ReturnTime> {
         let rates = self.rates(now);
         let mut state = self.state();
         let number = state.scheduler.submit(now, demand, &rates)?;
@@ -232,6 +234,7 @@
             stages: stages.collect(),
             total: forecast.total(),
             route: Arc::clone(&request.route),
+            workspace: Arc::clone(&request.workspace),
             size: request.size,
             utility: rank_utility(request.rank) * size_factor,
             turn_utility: rank_utility(request.turn_rank) * size_factor,
@@ -301,3 +304,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Delay before a return in milliseconds, for logs; 0 if there is none.
+fn delay_ms(return_time: Option<ReturnTime>) -> u128 {
+    let delay = return_time.and_then(ReturnTime::delay);
+    delay.unwrap_or_default().as_millis()
+}
--- a/crates/savorywalk/src/gateway/plan_request.rs
+++ b/crates/savorywalk/src/gateway/plan_request.rs
@@ -17,6 +17,8 @@
     pub(super) key: Arc<str>,
     /// Name of the request's route.
     pub(super) route: Arc<str>,
+    /// Name of the request's workspace; empty without one.
+    pub(super) workspace: Arc<str>,
     pub(super) rank: u8,
     /// Rank that applies while the route is served much less often than others.
     pub(super) turn_rank: u8,
@@ -63,6 +65,7 @@
             shard: shard.name().to_string(),
             stages: stages.collect(),
             route: self.route.to_string(),
+            workspace: self.workspace.to_string(),
             rank: self.rank.into(),
             turn_rank: Some(self.turn_rank.into()),
             size: self.size,
@@ -111,6 +114,7 @@
             pieces,
             key: call.key.into(),
             route: call.route.into(),
+            workspace: call.workspace.into(),
             size: call.size,
             rank: call.rank.min(u8::MAX.into()) as u8,
             turn_rank: turn_rank.min(u8::MAX.into()) as u8,
--- a/crates/savorywalk/src/gateway/plan_request_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_request_tests.rs
@@ -15,6 +15,7 @@
         pieces: [2, 1, 16].into(),
         key: "k".into(),
         route: "briefs".into(),
+        workspace: "north".into(),
         rank: 18,
         turn_rank: 16,
         size: 18_000,
@@ -37,6 +38,7 @@
     assert_eq!(arrived_shard, shard);
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
+    assert_eq!(arrived.workspace, sent.workspace);
     assert_eq!(arrived.rank, sent.rank);
     assert_eq!(arrived.turn_rank, sent.turn_rank);
     assert_eq!(arrived.key, sent.key);
--- a/crates/savorywalk/src/gateway/plan_results.rs
+++ b/crates/savorywalk/src/gateway/plan_results.rs
@@ -1,17 +1,19 @@
-use super::ResultHandle;
 use super::gateway_node::GatewayNode;
 use super::work_shard::WorkShard;
+use super::{ResultHandle, ReturnTime};
 use crate::prelude::*;
 
 /// Why the stages of a request gave no results.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum PlanFailure {
     /// The deadline passed.
     Late,
     /// The stages cannot be finished in time, and there was no spare endpoint time for them.
     Overload {
-        /// Time after which the caller may retry.
-        retry_after: Duration,
+        /// When the caller may return.
+        return_time: ReturnTime,
+        /// Another shard that probably has room.
+        other_shard: Option<WorkShard>,
     },
     /// An input was no longer stored at its endpoint.
     InputGone,
@@ -21,6 +23,16 @@
     Quarantined,
 }
 
+impl PlanFailure {
+    /// An overload of the shard that was asked, and of all others as far as is known.
+    pub(super) const fn overload(return_time: ReturnTime) -> Self {
+        Self::Overload {
+            return_time,
+            other_shard: None,
+        }
+    }
+}
+
 /// Results that a request needs. They are released when this is dropped.
 #[derive(Debug)]
 pub(super) struct PlanResults {
--- a/crates/savorywalk/src/gateway/plan_run.rs
+++ b/crates/savorywalk/src/gateway/plan_run.rs
@@ -12,7 +12,7 @@
 use super::plan_results::{PlanFailure, PlanResults};
 use super::stage_graph::LARGE_RESULT_BYTES;
 use super::work_shard::WorkShard;
-use super::{PieceSource, PieceTask, ResultHandle};
+use super::{PieceSource, PieceTask, ResultHandle, ReturnTime};
 use crate::prelude::*;
 
 /// Suggested wait before a retry after a begun plan failed because endpoint time ran short.
@@ -191,9 +191,8 @@
             PieceEnd::Made(handle) => drop(completed.handles.insert(update.piece, handle)),
             PieceEnd::Late => return Err(PlanFailure::Late),
             PieceEnd::Overload => {
-                return Err(PlanFailure::Overload {
-                    retry_after: OVERLOAD_RETRY_AFTER,
-                });
+                let return_time = ReturnTime::After(OVERLOAD_RETRY_AFTER);
+                return Err(PlanFailure::overload(return_time));
             }
             PieceEnd::InputGone => return Err(PlanFailure::InputGone),
             PieceEnd::Failed => return Err(PlanFailure::Failed),
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -1,5 +1,6 @@
 use super::plan_utility::{UtilityLevel, utility_level};
 use super::pool_load::{PoolLoad, PoolRate};
+use super::returns::ReturnTime;
 use super::route_shares::RouteShares;
 use super::size_shares::SizeShares;
 use crate::prelude::*;
@@ -56,6 +57,8 @@
     pub total: Duration,
     /// Route of the request.
     pub route: Arc<str>,
+    /// Workspace of the request; empty without one.
+    pub workspace: Arc<str>,
     /// Size of the request, in equivalent prompt tokens.
     pub size: u64,
     /// Utility of an answer in time; see [`super::UtilityScale`].
@@ -102,11 +105,8 @@
 pub enum PlanOutcome {
     /// The plan begins.
     Begun(PlanClass),
-    /// The plan is refused; its caller may retry after a delay.
-    Refused {
-        /// Delay before a retry.
-        retry_after: Duration,
-    },
+    /// The plan is refused.
+    Refused(ReturnTime),
 }
 
 impl PlanOutcome {
@@ -117,15 +117,15 @@
             Self::Begun(PlanClass::RouteBoost) => "begun_in_turn",
             Self::Begun(PlanClass::SizeBoost) => "begun_owed",
             Self::Begun(PlanClass::Late) => "begun_late",
-            Self::Refused { .. } => "refused",
+            Self::Refused(_) => "refused",
         }
     }
 
-    /// Delay before a retry; zero if the plan was begun.
-    pub const fn retry_after(self) -> Duration {
+    /// When the caller of a refused plan may return.
+    pub const fn return_time(self) -> Option<ReturnTime> {
         match self {
-            Self::Begun(_) => Duration::ZERO,
-            Self::Refused { retry_after } => retry_after,
+            Self::Begun(_) => None,
+            Self::Refused(return_time) => Some(return_time),
         }
     }
 }
@@ -181,13 +181,13 @@
     ///
     /// # Errors
     ///
-    /// The delay before a retry, when the plan is refused immediately.
+    /// When the caller may return, if the plan is refused immediately.
     pub fn submit(
         &mut self,
         now: Instant,
         plan: PlanDemand,
         rates: &PoolRates,
-    ) -> Result<PlanNumber, Duration> {
+    ) -> Result<PlanNumber, ReturnTime> {
         let number = PlanNumber(self.next);
         self.next += 1;
         self.sizes.record_size(&plan.route, plan.size);
@@ -203,7 +203,7 @@
             return Ok(number);
         }
         match plan.timely_only {
-            true => Err(retry_after(now, &plan)),
+            true => Err(return_time(now, &plan)),
             false => self.enqueue_late(now, number, plan, rates),
         }
     }
@@ -243,7 +243,7 @@
         number: PlanNumber,
         plan: PlanDemand,
         rates: &PoolRates,
-    ) -> Result<PlanNumber, Duration> {
+    ) -> Result<PlanNumber, ReturnTime> {
         let is_boosted = self.sizes.is_underserved(now, &plan.route, plan.size);
         let (class, max_wait) = match (is_boosted, plan.returning) {
             (true, _) => (PlanClass::SizeBoost, MAX_RETURNING_WAIT),
@@ -264,12 +264,12 @@
         Ok(number)
     }
 
-    /// Records that a plan is refused, and returns the delay before a retry.
-    fn refuse(&mut self, now: Instant, plan: &PlanDemand) -> Duration {
+    /// Records that a plan is refused, and returns when its caller may return.
+    fn refuse(&mut self, now: Instant, plan: &PlanDemand) -> ReturnTime {
         self.sizes
             .record_outcome(now, &plan.route, plan.size, false);
         self.routes.record_outcome(now, &plan.route, false);
-        retry_after(now, plan)
+        return_time(now, plan)
     }
 
     /// Begins and refuses waiting plans according to the current rates of the pools.
@@ -311,8 +311,8 @@
                 }
                 PlanClass::SizeBoost | PlanClass::Late => Err(self.refuse(now, &plan)),
             };
-            if let Err(retry_after) = outcome {
-                outcomes.push((key.number, PlanOutcome::Refused { retry_after }));
+            if let Err(return_time) = outcome {
+                outcomes.push((key.number, PlanOutcome::Refused(return_time)));
             }
         }
         outcomes
@@ -420,9 +420,9 @@
     }
 }
 
-fn retry_after(now: Instant, plan: &PlanDemand) -> Duration {
+fn return_time(now: Instant, plan: &PlanDemand) -> ReturnTime {
     let left = plan.deadline.saturating_duration_since(now);
-    MAX_RETRY_AFTER.min(left / 3)
+    ReturnTime::After(MAX_RETRY_AFTER.min(left / 3))
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/gateway/plan_scheduler_burst.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_burst.rs
@@ -114,7 +114,7 @@
         let demand = self.demand(now, &caller);
         match self.scheduler.submit(now, demand.clone(), &self.rates) {
             Ok(number) => drop(self.waiting.insert(number, (caller, demand))),
-            Err(retry_after) => self.refuse(now, caller, retry_after),
+            Err(return_time) => self.refuse(now, caller, return_time),
         }
     }
 
@@ -126,12 +126,13 @@
         });
     }
 
-    fn refuse(&mut self, now: Instant, caller: Caller, retry_after: Duration) {
-        if caller.is_retry {
+    fn refuse(&mut self, now: Instant, caller: Caller, return_time: ReturnTime) {
+        let delay = return_time.delay().filter(|_| !caller.is_retry);
+        let Some(delay) = delay else {
             self.record_result(&caller, None);
             return;
-        }
-        let half = retry_after / 2;
+        };
+        let half = delay / 2;
         let spread = half.mul_f64(self.random.random::<f64>());
         let retry = Caller {
             is_retry: true,
@@ -153,7 +154,7 @@
                         );
                     }
                 }
-                PlanOutcome::Refused { retry_after } => self.refuse(now, caller, retry_after),
+                PlanOutcome::Refused(return_time) => self.refuse(now, caller, return_time),
             }
         }
     }
--- a/crates/savorywalk/src/gateway/plan_scheduler_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_tests.rs
@@ -26,6 +26,7 @@
         ],
         total: Duration::from_millis(1_050),
         route: "chains".into(),
+        workspace: Arc::default(),
         size: 1_000,
         utility: 0.33_f64.powi(rank.into()),
         turn_utility: 1.0,
@@ -159,18 +160,19 @@
     let mut scheduler = PlanScheduler::default();
     fill(&mut scheduler, now, 0);
     let mut taken = 0;
-    let retry_after = loop {
+    let return_time = loop {
         let mut plan = chain(now, 0, 1_500);
         plan.timely_only = true;
         match scheduler.submit(now, plan, &rates()) {
             Ok(_) => taken += 1,
-            Err(retry_after) => break retry_after,
+            Err(return_time) => break return_time,
         }
     };
     // 0.45 s are left besides the 1.05 s of the stages. In that time the third pool does the
     // work of 27 plans; one was waiting before.
     assert_eq!(taken, 27);
-    assert_eq!(retry_after, Duration::from_millis(14_000) / 3);
+    let expected = ReturnTime::After(Duration::from_millis(14_000) / 3);
+    assert_eq!(return_time, expected);
 }
 
 #[test]
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -96,6 +96,10 @@
                 node.adopt_limit(message.from.as_str(), &limit);
                 continue;
             }
+            Some(Notice::ShardLoad(_) | Notice::Usage(_)) => {
+                log_event!(debug, "load_notice_unused", from = message.from);
+                continue;
+            }
             None => continue,
         };
         let shard = WorkShard::from_name(&notice.shard);
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -25,7 +25,7 @@
     let not_ready = |reason| GatewayRefusal::NotRun {
         proof: NotRun::for_unsent(),
         reason,
-        retry_after: NOT_READY_RETRY,
+        retry_after: Some(NOT_READY_RETRY),
     };
     let Some(table) = &aged_view.view.table else {
         return Err(not_ready(NotRunReason::NoDocument));
--- a/crates/savorywalk/src/gateway/request_service.rs
+++ b/crates/savorywalk/src/gateway/request_service.rs
@@ -101,7 +101,7 @@
     let not_run = |reason| GatewayRefusal::NotRun {
         proof: NotRun::for_unsent(),
         reason,
-        retry_after: retry_after(),
+        retry_after: Some(retry_after()),
     };
     let limits = view.table.as_ref().map(|table| table.limits());
     let max_bytes = limits.unwrap_or_default().body_bytes;
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -1,6 +1,6 @@
 use hyper::{Request, Response, header::HeaderMap, http};
 
-use super::{GatewayRefusal, InvalidCall, RouteTable, TableError};
+use super::{GatewayRefusal, InvalidCall, LoadFeatures, RouteTable, TableError};
 use crate::prelude::*;
 use crate::registry::EndpointReport;
 
@@ -10,6 +10,9 @@
 /// An implementation only translates: it has no state and makes no decisions. See
 /// docs/design/platform.md.
 pub trait WireFormat: fmt::Debug + Send + Sync + 'static {
+    /// Returns the optional features that the platform's terms call for.
+    fn load_features(&self, terms: &[String]) -> LoadFeatures;
+
     /// Parses a configuration document.
     fn read_document(&self, content: &[u8]) -> Result<RouteTable, TableError>;
 
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -3,13 +3,13 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use super::ResultHandle;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::plan_request::PlanRequest;
 use super::plan_results::{PlanFailure, PlanResults};
 use super::plan_run;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
+use super::{ResultHandle, ReturnTime};
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
 use crate::generated::work::{
@@ -256,9 +256,7 @@
             }
             PlanEnd::Unspecified => Err("reply has no valid outcome".into()),
             PlanEnd::Late => Ok(Err(PlanFailure::Late)),
-            PlanEnd::Overload => Ok(Err(PlanFailure::Overload {
-                retry_after: Duration::from_millis(reply.retry_after_ms.into()),
-            })),
+            PlanEnd::Overload => Ok(Err(read_overload(&reply))),
             PlanEnd::Failed => Ok(Err(PlanFailure::Failed)),
             PlanEnd::Quarantined => Ok(Err(PlanFailure::Quarantined)),
         }
@@ -337,6 +335,19 @@
     }
 }
 
+fn read_overload(reply: &PlanReply) -> PlanFailure {
+    let delay = Duration::from_millis(reply.retry_after_ms.into());
+    let return_time = match (reply.hopeless, reply.appointed) {
+        (true, _) => ReturnTime::Hopeless,
+        (false, true) => ReturnTime::Appointed(delay),
+        (false, false) => ReturnTime::After(delay),
+    };
+    PlanFailure::Overload {
+        return_time,
+        other_shard: reply.other_shard.as_deref().map(WorkShard::from_name),
+    }
+}
+
 fn to_reply(outcome: &Result<PlanResults, PlanFailure>) -> PlanReply {
     let mut reply = PlanReply::default();
     let end = match outcome {
@@ -345,8 +356,15 @@
             PlanEnd::Made
         }
         Err(PlanFailure::Late) => PlanEnd::Late,
-        Err(PlanFailure::Overload { retry_after }) => {
-            reply.retry_after_ms = retry_after.as_millis() as u32;
+        Err(PlanFailure::Overload {
+            return_time,
+            other_shard,
+        }) => {
+            let delay = return_time.delay().unwrap_or_default();
+            reply.retry_after_ms = delay.as_millis() as u32;
+            reply.appointed = matches!(return_time, ReturnTime::Appointed(_));
+            reply.hopeless = *return_time == ReturnTime::Hopeless;
+            reply.other_shard = other_shard.as_ref().map(|shard| shard.name().to_string());
             PlanEnd::Overload
         }
         Err(PlanFailure::InputGone | PlanFailure::Failed) => PlanEnd::Failed,
--- a/crates/savorywalk/src/settings/settings_rules.rs
+++ b/crates/savorywalk/src/settings/settings_rules.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::{DaemonSettings, ListenerSettings, RoleSet, SettingsError, SettingsProblem};
+use crate::gateway::FeatureSwitch;
 use crate::prelude::*;
 use crate::routing::RoutingPolicy;
 use crate::transport::{PeerName, parse_peers};
@@ -16,6 +17,7 @@
     check_listener("operators", settings.operators.as_ref(), &mut errors);
     check_listener("endpoints", settings.endpoints.as_ref(), &mut errors);
     check_entry(settings, &mut errors);
+    check_switches(settings, &mut errors);
     check_control(settings, roles_of(settings), &mut errors);
     check_link(settings, &mut errors);
     check_log(settings, &mut errors);
@@ -136,6 +138,23 @@
     }
 }
 
+fn check_switches(settings: &DaemonSettings, errors: &mut Vec<SettingsError>) {
+    let Some(gateway) = &settings.gateway else {
+        return;
+    };
+    let switches = [
+        ("appointments", &gateway.appointments),
+        ("workspace_shares", &gateway.workspace_shares),
+        ("shard_balance", &gateway.shard_balance),
+    ];
+    for (key, value) in switches {
+        if FeatureSwitch::from_name(value).is_none() {
+            let remedy = format!("use {}", FeatureSwitch::NAMES);
+            errors.push(bad_value("gateway", key, value, &remedy));
+        }
+    }
+}
+
 fn roles_of(settings: &DaemonSettings) -> RoleSet {
     let roles = settings.node.as_ref().map(RoleSet::from_settings);
     roles.and_then(Result::ok).unwrap_or_default()
