--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -46,6 +46,13 @@
             /// Folder for the JSON report.
             optional --out folder: PathBuf
         }
+        /// What logs of gateways tell of their decisions, by windows of time.
+        cmd decisions {
+            /// Seconds of a window; 2 without it.
+            optional --window seconds: f64
+            /// A log; several may be given.
+            repeated --file file: PathBuf
+        }
         /// What links between daemons carry and cost, on loopback.
         cmd links {
             /// Seconds for each measurement; 4 without it.
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -36,6 +36,8 @@
     Link(#[from] savorywalk::transport::LinkError),
     #[error("a name or address of the bench is wrong: {0}")]
     Peer(#[from] savorywalk::transport::InvalidPeerName),
+    #[error("{path:?} can't be read: {error}; name a log file")]
+    Log { path: PathBuf, error: io::Error },
     #[error("{path:?} can't be written: {error}; name a folder that can")]
     Report { path: PathBuf, error: String },
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod bench_error;
 mod bench_plan;
 mod bench_runtimes;
+mod decision_log;
 mod engine_trouble;
 mod fairness_bench;
 mod link_bench;
@@ -26,9 +27,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use arguments::{Attainment, Fairness, Overhead, SavorywalkBench, SavorywalkBenchCmd};
+use arguments::{Attainment, Decisions, Fairness, Overhead, SavorywalkBench, SavorywalkBenchCmd};
 use attainment_bench::AttainmentOptions;
 use bench_error::BenchError;
+use decision_log::DecisionLog;
 use engine_trouble::EngineTrouble;
 use report_folder::ReportFolder;
 
@@ -40,6 +42,8 @@
 const DEFAULT_ROUTINGS: &str = "adaptive,round_robin,least_outstanding";
 const DEFAULT_FAULTS: &str = "none";
 const OVERHEAD_SECONDS: f64 = 3.0;
+/// Some four calls to a stage endpoint, so that each window has enough of them.
+const WINDOW_SECONDS: f64 = 2.0;
 /// Long enough that a fifth too much load outgrows the deadline.
 const RUN_SECONDS: f64 = 6.0;
 
@@ -49,6 +53,7 @@
         SavorywalkBenchCmd::Overhead(arguments) => overhead(arguments),
         SavorywalkBenchCmd::Attainment(arguments) => attainment(&arguments),
         SavorywalkBenchCmd::Fairness(arguments) => fairness(arguments),
+        SavorywalkBenchCmd::Decisions(arguments) => decisions(&arguments),
         SavorywalkBenchCmd::Links(arguments) => link_bench::run(arguments.seconds),
     };
     match ended {
@@ -101,3 +106,22 @@
 fn runtime() -> Result<tokio::runtime::Runtime> {
     tokio::runtime::Runtime::new().map_err(BenchError::Runtime)
 }
+
+fn decisions(arguments: &Decisions) -> Result<()> {
+    let window_seconds = arguments.window.unwrap_or(WINDOW_SECONDS);
+    if !window_seconds.is_finite() || window_seconds <= 0.0 {
+        let problem = format!("--window {window_seconds}: name seconds above 0");
+        return Err(BenchError::Argument(problem));
+    }
+    let mut decision_log = DecisionLog::new(window_seconds);
+    for file in &arguments.file {
+        let log = std::fs::read_to_string(file).map_err(|error| BenchError::Log {
+            path: file.clone(),
+            error,
+        })?;
+        let name = file.file_name().unwrap_or(file.as_os_str());
+        decision_log.read(&name.to_string_lossy(), &log);
+    }
+    print!("{decision_log}");
+    Ok(())
+}
--- a/crates/savorywalk/src/telemetry/request_timeline.rs
+++ b/crates/savorywalk/src/telemetry/request_timeline.rs
@@ -78,6 +78,24 @@
     pub details: String,
 }
 
+impl TimelineEntry {
+    /// Parses a log line; `None` if it is not one. `source` names the process where no word
+    /// before the line does.
+    pub fn parse(source: &str, line: &str) -> Option<Self> {
+        let (before, rest) = line.split_once("time=")?;
+        let (time, rest) = rest.split_once(' ')?;
+        let (_, rest) = rest.split_once("event=")?;
+        let (event, details) = rest.split_once(' ').unwrap_or((rest, ""));
+        let named = before.split_whitespace().last().unwrap_or(source);
+        Some(Self {
+            time: time.to_string(),
+            source: named.to_string(),
+            event: event.to_string(),
+            details: details.to_string(),
+        })
+    }
+}
+
 /// All that logs tell of one request, in order of time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestTimeline {
@@ -90,7 +108,7 @@
         let wanted = format!("request={id}");
         for line in log.lines() {
             let is_about = line.split_whitespace().any(|word| word == wanted);
-            if let (true, Some(line)) = (is_about, read_line(source, line)) {
+            if let (true, Some(line)) = (is_about, TimelineEntry::parse(source, line)) {
                 self.lines.push(line);
             }
         }
@@ -121,20 +139,6 @@
     known.map(|(_, meaning)| *meaning)
 }
 
-fn read_line(source: &str, line: &str) -> Option<TimelineEntry> {
-    let (before, rest) = line.split_once("time=")?;
-    let (time, rest) = rest.split_once(' ')?;
-    let (_, rest) = rest.split_once("event=")?;
-    let (event, details) = rest.split_once(' ').unwrap_or((rest, ""));
-    let named = before.split_whitespace().last().unwrap_or(source);
-    Some(TimelineEntry {
-        time: time.to_string(),
-        source: named.to_string(),
-        event: event.to_string(),
-        details: details.to_string(),
-    })
-}
-
 #[cfg(test)]
 #[path = "request_timeline_tests.rs"]
 mod tests;
