Coordinate shards by the capacity of entries

Cause: the coordinator of a shard was the entry with the highest hash, whatever it has; where entries have 0.09 to 0.3 core the smallest could coordinate the largest shard.

Change: entries tell their capacity with FollowCall, registries pass it on beside the names with a digest of its own, and entries rank by weighted rendezvous hashing (third power). Weighted only once all entries have told a capacity and these differ: an earlier entry among them would otherwise be a second settled coordinator. A new view updates the tenures of the permit gate, so that a coordinator that was replaced in between is unsettled again.

--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -8,7 +8,7 @@
 use super::{GatewayError, Result, RetryLimits, WireFormat, cluster_hub};
 use crate::api::HttpServer;
 use crate::prelude::*;
-use crate::registry::{EntryFollower, FollowOptions};
+use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
 use crate::settings::{ClusterSettings, DaemonSettings, GatewaySettings};
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkHub, LinkThread};
@@ -63,8 +63,9 @@
         // Binds its configured port before the other links, which bind any free port.
         let hub = cluster_hub::start_occasional(cluster)?;
         let announce_interval = Duration::from_millis(gateway.announce_interval_ms.into());
+        let capacity = EntryCapacity::from_cores(gateway.processor_cores);
         let (control_hub, follower) =
-            start_follower(&links, cluster, max_key_age, announce_interval)?;
+            start_follower(&links, cluster, max_key_age, announce_interval, capacity)?;
         let crash_detector = start_crash_detector(&links, &follower, &metric_set);
         let features = wire.load_features(&gateway.platform_terms);
         let features = features.with_settings(gateway);
@@ -161,6 +162,7 @@
     cluster: &ClusterSettings,
     max_age: Duration,
     announce_interval: Duration,
+    capacity: EntryCapacity,
 ) -> Result<(LinkHub, Arc<EntryFollower>)> {
     let _entered = links.enter();
     let hub = cluster_hub::start_dialler(cluster)?;
@@ -169,6 +171,7 @@
         order_key: address_hash(&cluster.address),
         max_age,
         announce_interval,
+        capacity,
     };
     let follower = EntryFollower::start(hub.clone(), options);
     Ok((hub, follower))
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -3,10 +3,12 @@
 use tokio::sync::watch;
 
 use super::cached_connections::ConnectionCache;
+use super::coordination_driver;
 use super::crash_detector::CrashDetector;
 use super::endpoint_availability::EndpointAvailability;
 use super::endpoint_score::EndpointScores;
 use super::engine_scheduler::EngineScheduler;
+use super::entry_capacity::{CapacityMeter, CapacityWeights, OwnShards};
 use super::first_event_times::FirstEventTimes;
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_view::{AgedView, GatewayView};
@@ -50,6 +52,10 @@
     pub(super) permits: PermitGate,
     pub(super) availability: EndpointAvailability,
     pub(super) region_map: RegionMap,
+    /// Shards that this entry coordinates.
+    pub(super) own_shards: OwnShards,
+    /// Decides how much of its capacity this entry tells.
+    pub(super) capacity_meter: Mutex<CapacityMeter>,
     /// Optional features that are on.
     pub(super) features: LoadFeatures,
     /// Time in which every live endpoint has announced itself.
@@ -107,6 +113,8 @@
             permits: PermitGate::new(parts.cold_bounds),
             availability: EndpointAvailability::default(),
             region_map: parts.region_map,
+            own_shards: OwnShards::default(),
+            capacity_meter: Mutex::default(),
             features: parts.features,
             report_time: parts.announce_interval * REPORT_ANNOUNCEMENTS,
             quarantine: watch::Sender::default(),
@@ -123,7 +131,9 @@
         node.register_evacuations();
         node.register_limits();
         node.register_backoffs();
+        node.register_coordination();
         tokio::spawn(Arc::clone(&node).follow());
+        tokio::spawn(coordination_driver::run_meter(Arc::downgrade(&node)));
         tokio::spawn(release_queue::run(Arc::clone(&node), released));
         let notices = parts.hub.subscribe(LinkChannel::Work);
         tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
@@ -325,10 +335,11 @@
                 Arc::clone(state.quarantine()),
             )
         });
-        let (roster, entries, evacuations) = self.follower.read_changes(|state| {
+        let (roster, entries, capacities, evacuations) = self.follower.read_changes(|state| {
             (
                 self.updated_roster(&before, state),
                 Arc::clone(state.entries()),
+                Arc::clone(state.entry_capacities()),
                 state.evacuations().revision(),
             )
         });
@@ -359,20 +370,28 @@
                 }
             }
         }
+        let is_ranked =
+            Arc::ptr_eq(&entries, &before.entries) && before.weights.is_built_from(&capacities);
         let view = GatewayView {
             table,
             roster,
             evacuations,
-            ranks: match Arc::ptr_eq(&entries, &before.entries) {
+            ranks: match is_ranked {
                 true => Arc::clone(&before.ranks),
                 false => Arc::default(),
             },
+            weights: match is_ranked {
+                true => Arc::clone(&before.weights),
+                false => Arc::new(CapacityWeights::new(&entries, &capacities)),
+            },
             entries,
             change_count: count,
             ..GatewayView::default()
         };
-        self.view
-            .store(Arc::new(view.with_shard_digest(Instant::now(), &before)));
+        let now = Instant::now();
+        let view = Arc::new(view.with_shard_digest(now, &before));
+        self.view.store(Arc::clone(&view));
+        self.record_coordinators(now, &view, &before);
         self.view_count.send_modify(|count| *count += 1);
         self.connection_cache.expire();
         for dispatcher in self.dispatchers().values() {
--- a/crates/savorywalk/src/gateway/gateway_view.rs
+++ b/crates/savorywalk/src/gateway/gateway_view.rs
@@ -1,5 +1,6 @@
 use std::sync::{Mutex, PoisonError};
 
+use super::entry_capacity::{CapacityWeights, ShardSet};
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use super::{EndpointRoster, RouteTable};
 use crate::hashing::stable_hash;
@@ -18,7 +19,9 @@
     pub(super) evacuations: u64,
     /// Entries that share budgets and pools, including this one.
     pub(super) entries: Arc<[PeerName]>,
-    /// Coordinator ranks of `entries`, shared with later views of the same entries.
+    /// Weights of `entries` by their capacities, for ranking them as coordinators.
+    pub(super) weights: Arc<CapacityWeights>,
+    /// Coordinator ranks of `entries`, shared with later views of the same entries and weights.
     pub(super) ranks: Arc<CoordinatorRanks>,
     /// Shard maps of the pools, computed on first use.
     pub(super) maps: Arc<ShardMaps>,
@@ -80,6 +83,21 @@
         map
     }
 
+    /// Returns the shards that an entry coordinates.
+    pub(super) fn shards_of(&self, entry: &PeerName) -> ShardSet {
+        let pools = self.table.iter().flat_map(|table| table.pools());
+        let engines = pools.filter(|pool| pool.engine.is_some());
+        let engines = engines.map(|pool| (WorkKind::Prompts, pool.name.as_str()));
+        let mut own = ShardSet::new();
+        for (kind, pool) in engines.chain([(WorkKind::Stages, "")]) {
+            let map = self.shard_map(kind, pool);
+            let is_own = |shard: &&WorkShard| self.ranked(kind, shard).first() == Some(entry);
+            let shards = map.shards().filter(is_own);
+            own.extend(shards.map(|shard| (kind, shard.clone())));
+        }
+        own
+    }
+
     /// Sets the shard digest, and the time of its last change.
     pub(super) fn with_shard_digest(mut self, now: Instant, before: &Self) -> Self {
         let pools = self.table.iter().flat_map(|table| table.pools());
@@ -117,7 +135,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         let cached = ranked.entry((kind, shard.clone()));
         Arc::clone(cached.or_insert_with(|| {
-            let first = shard.first_ranked(kind, &self.entries, MAX_RANKED_ENTRIES);
+            let first = shard.first_ranked(kind, &self.weights, &self.entries, MAX_RANKED_ENTRIES);
             first.into()
         }))
     }
--- a/crates/savorywalk/src/gateway/permit_gate.rs
+++ b/crates/savorywalk/src/gateway/permit_gate.rs
@@ -1,7 +1,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use super::endpoint_limits::EndpointLimits;
-use super::gateway_view::AgedView;
+use super::gateway_view::{AgedView, GatewayView};
 use super::send_permits::{ColdLimit, PermitDecision, SendPermits};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{PoolMember, PoolProfile};
@@ -210,6 +210,21 @@
         }
     }
 
+    /// Records the coordinators of a new view. A coordinator that was another entry in between
+    /// starts anew, even if no permit was requested meanwhile.
+    pub(super) fn record_coordinators(&self, now: Instant, view: &GatewayView) {
+        let tenures = self.tenures.lock();
+        let mut tenures = tenures.unwrap_or_else(PoisonError::into_inner);
+        for ((kind, shard), tenure) in &mut *tenures {
+            let coordinator = view.ranked(*kind, shard).first().cloned();
+            if let Some(coordinator) = coordinator
+                && coordinator != tenure.0
+            {
+                *tenure = (coordinator, now);
+            }
+        }
+    }
+
     /// Since when this entry has known the coordinator of a shard.
     fn coordinator_since(
         &self,
--- a/crates/savorywalk/src/gateway/permit_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/permit_gate_tests.rs
@@ -1,7 +1,10 @@
 use super::*;
+use crate::gateway::entry_capacity::CapacityWeights;
 use crate::gateway::gateway_view::GatewayView;
 use crate::gateway::{AdvertisedRate, EndpointRoster, RouteTable, TableParts};
-use crate::registry::{BootTime, Confirmation, EndpointReport, FollowReply, FollowState};
+use crate::registry::{
+    BootTime, Confirmation, EndpointReport, EntryCapacity, FollowReply, FollowState,
+};
 
 const POOL: &str = "engines";
 
@@ -162,6 +165,32 @@
     assert_eq!(interval_ms(&gate, start + MIN_TENURE, &stale), Some(2_500));
 }
 
+/// Coordination moves away by a change of weights and back again, and no permit is requested in
+/// between. The entry in between may still count as settled.
+#[test]
+fn a_coordinator_that_was_replaced_for_a_while_is_unsettled_again() {
+    let (gate, whole) = limited_gate(&["entry-1", "entry-2"]);
+    let with_millicores = |millicores: [u32; 2]| {
+        let told: Arc<[EntryCapacity]> = millicores.map(EntryCapacity).into();
+        Arc::new(GatewayView {
+            weights: Arc::new(CapacityWeights::new(&whole.entries, &told)),
+            ranks: Arc::default(),
+            ..GatewayView::clone(&whole)
+        })
+    };
+    let (own_view, other_view) = (with_millicores([900, 1]), with_millicores([1, 900]));
+    let fresh = aged_view(&own_view, Duration::ZERO);
+    let start = Instant::now();
+    assert_eq!(interval_ms(&gate, start, &fresh), Some(2_500));
+    let settled = start + MIN_TENURE;
+    assert_eq!(interval_ms(&gate, settled, &fresh), Some(500));
+    gate.record_coordinators(settled, &other_view);
+    gate.record_coordinators(settled, &own_view);
+    assert_eq!(interval_ms(&gate, settled, &fresh), Some(2_500));
+    let later = settled + MIN_TENURE;
+    assert_eq!(interval_ms(&gate, later, &fresh), Some(500));
+}
+
 /// Guards against having no permits while the coordinator is unreachable, and against
 /// permits from arbitrary entries.
 #[test]
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -11,7 +11,7 @@
     WireFormat, WorkspaceRule, cluster_hub,
 };
 use crate::prelude::*;
-use crate::registry::{EntryFollower, FollowOptions};
+use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
 use crate::settings::ClusterSettings;
 use crate::telemetry::MetricSet;
 
@@ -139,6 +139,7 @@
         order_key: 0,
         max_age: MAX_KEY_AGE,
         announce_interval: Duration::from_millis(1_200),
+        capacity: EntryCapacity::default(),
     };
     let follower = EntryFollower::start(hub.clone(), options);
     let metric_set = Arc::new(MetricSet::new().unwrap());
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -154,7 +154,10 @@
         let is_usable = |entry: &&PeerName| !avoided.contains_key(*entry);
         let ranked = view.ranked(kind, shard);
         let first = ranked.iter().find(is_usable);
-        let among_all = || shard.coordinator(kind, view.entries.iter().filter(is_usable));
+        let among_all = || {
+            let usable = view.entries.iter().filter(is_usable);
+            shard.coordinator(kind, &view.weights, usable)
+        };
         let chosen = first.or_else(among_all)?;
         (chosen != self.hub.name()).then(|| chosen.clone())
     }
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -1,3 +1,4 @@
+use super::entry_capacity::{CapacityWeights, EntryRank};
 use super::gateway_view::GatewayView;
 use super::{DataCenterFilter, PoolMember};
 use crate::hashing::stable_hash;
@@ -16,7 +17,7 @@
 const MAX_UNSPLIT_MEMBERS: usize = 6;
 
 /// Kind of work that one entry coordinates for all entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) enum WorkKind {
     /// Executing the stages of requests.
     Stages,
@@ -35,10 +36,11 @@
         }
     }
 
-    const fn name(self) -> &'static [u8] {
+    /// Name in logs, and in the hash that ranks entries.
+    pub(super) const fn label(self) -> &'static str {
         match self {
-            Self::Stages => b"stages",
-            Self::Prompts => b"prompts",
+            Self::Stages => "stages",
+            Self::Prompts => "prompts",
         }
     }
 }
@@ -126,30 +128,32 @@
     }
 
     /// Returns the usable entry that coordinates a kind of work for the shard: the one with the
-    /// highest hash, so that all entries choose the same one (rendezvous hashing).
+    /// highest rank, so that all entries choose the same one (rendezvous hashing).
     pub(super) fn coordinator<'a>(
         &self,
         kind: WorkKind,
+        weights: &CapacityWeights,
         usable: impl Iterator<Item = &'a PeerName>,
     ) -> Option<&'a PeerName> {
-        usable.max_by_key(|entry| self.rank(kind, entry))
+        usable.max_by_key(|entry| self.rank(kind, weights, entry))
     }
 
-    fn rank(&self, kind: WorkKind, entry: &PeerName) -> u64 {
-        let name = self.name().as_bytes();
-        stable_hash(&[kind.name(), name, entry.as_str().as_bytes()])
+    fn rank(&self, kind: WorkKind, weights: &CapacityWeights, entry: &PeerName) -> EntryRank {
+        let words = [kind.label(), self.name(), entry.as_str()];
+        weights.rank(entry, stable_hash(&words.map(str::as_bytes)))
     }
 
     /// Returns the first `count` entries by rank, beginning with the coordinator.
     pub(super) fn first_ranked(
         &self,
         kind: WorkKind,
+        weights: &CapacityWeights,
         entries: &[PeerName],
         count: usize,
     ) -> Vec<PeerName> {
-        let mut first: Vec<(u64, &PeerName)> = Vec::with_capacity(count + 1);
+        let mut first: Vec<(EntryRank, &PeerName)> = Vec::with_capacity(count + 1);
         for entry in entries {
-            let rank = self.rank(kind, entry);
+            let rank = self.rank(kind, weights, entry);
             // Among equal ranks the later entry goes first, as in `coordinator`.
             let index = first.partition_point(|(known, _)| *known > rank);
             if index < count {
--- a/crates/savorywalk/src/gateway/work_shard_tests.rs
+++ b/crates/savorywalk/src/gateway/work_shard_tests.rs
@@ -18,7 +18,11 @@
     let chosen: BTreeSet<&PeerName> = (0..40)
         .filter_map(|place| {
             let shard = WorkShard::from_name(&format!("place-{place}"));
-            shard.coordinator(WorkKind::Stages, entries.iter())
+            shard.coordinator(
+                WorkKind::Stages,
+                &CapacityWeights::default(),
+                entries.iter(),
+            )
         })
         .collect();
     assert!(chosen.len() >= 5, "{chosen:?}");
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use prost::Message;
@@ -6,8 +6,8 @@
 use tokio::task::AbortHandle;
 
 use super::{
-    BootClock, BootTime, Confirmation, FollowCall, FollowOutcome, FollowReply, FollowState,
-    FollowTimeouts, FollowUpdate, MemberRing,
+    BootClock, BootTime, Confirmation, EntryCapacity, FollowCall, FollowOutcome, FollowReply,
+    FollowState, FollowTimeouts, FollowUpdate, MemberRing,
 };
 use crate::control::{ControlOutcome, ControlVerdict};
 use crate::generated::control_link::control_call::Call;
@@ -39,6 +39,8 @@
     pub max_age: Duration,
     /// Time between two announcements of an endpoint.
     pub announce_interval: Duration,
+    /// Capacity of this entry that it tells at first.
+    pub capacity: EntryCapacity,
 }
 
 /// Why control has not decided on a report.
@@ -56,6 +58,8 @@
     hub: LinkHub,
     clock: BootClock,
     is_leaving: AtomicBool,
+    /// Capacity that this entry tells, in thousandths of a core.
+    capacity: AtomicU32,
     state: Mutex<FollowState>,
     seeds: watch::Sender<Vec<PeerName>>,
     /// The control daemon that is called now.
@@ -81,6 +85,7 @@
             hub,
             clock: BootClock,
             is_leaving: AtomicBool::new(false),
+            capacity: AtomicU32::new(options.capacity.0),
             state: Mutex::new(FollowState::with_interval(options.announce_interval)),
             seeds: watch::Sender::new(options.seeds.clone()),
             current_target: watch::Sender::default(),
@@ -139,6 +144,16 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Capacity that this entry tells in its calls.
+    pub fn capacity(&self) -> EntryCapacity {
+        EntryCapacity(self.capacity.load(Ordering::Relaxed))
+    }
+
+    /// Sets the capacity that this entry tells in its next calls.
+    pub fn set_capacity(&self, capacity: EntryCapacity) {
+        self.capacity.store(capacity.0, Ordering::Relaxed);
+    }
+
     /// Replaces the seeds after a change of the settings.
     pub fn set_seeds(&self, seeds: Vec<PeerName>) {
         self.seeds.send_replace(seeds);
@@ -279,6 +294,7 @@
     ) -> std::result::Result<TimedReply, String> {
         let mut call = self.read(|state| state.next_call(timeouts.hold()));
         call.leaving = self.is_leaving.load(Ordering::Relaxed);
+        call.capacity_millicores = self.capacity.load(Ordering::Relaxed);
         let sent = self.clock.now();
         let timeout = timeouts.answer_timeout();
         match self.call(target, Call::Follow(call), timeout).await? {
--- a/crates/savorywalk/src/registry/entry_list/follower_list.rs
+++ b/crates/savorywalk/src/registry/entry_list/follower_list.rs
@@ -1,3 +1,4 @@
+use super::EntryCapacity;
 use super::member_followers::MemberFollowers;
 use super::named_entries::{EntryChanges, NamedEntries, name_digest};
 use crate::prelude::*;
@@ -12,18 +13,27 @@
 #[derive(Debug)]
 pub(in crate::registry) struct FollowerList {
     epoch: u64,
-    /// Entries that follow this daemon, with their last calls.
-    own: BTreeMap<Arc<str>, Instant>,
+    /// Entries that follow this daemon.
+    own: BTreeMap<Arc<str>, OwnFollower>,
     own_digest: u64,
+    own_capacities_digest: u64,
     /// Changes of `own` that were not sent to the other control daemons yet.
     pending: FollowerChanges,
     members: FastMap<Arc<str>, MemberFollowers>,
     entries: NamedEntries,
 }
 
+/// An entry that follows this daemon, as of its last call.
+#[derive(Clone, Copy, Debug)]
+struct OwnFollower {
+    last_call: Instant,
+    capacity: EntryCapacity,
+}
+
 /// Changes of the entries that follow one control daemon.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(in crate::registry) struct FollowerChanges {
+    /// Entries that were added, or whose capacity changed.
     pub(in crate::registry) joined: BTreeSet<Arc<str>>,
     pub(in crate::registry) left: BTreeSet<Arc<str>>,
 }
@@ -47,6 +57,7 @@
             epoch,
             own: BTreeMap::new(),
             own_digest: 0,
+            own_capacities_digest: 0,
             pending: FollowerChanges::default(),
             members: FastMap::default(),
             entries: NamedEntries::default(),
@@ -68,6 +79,16 @@
         self.entries.digest()
     }
 
+    /// Digest of the known capacities of all entries; 0 for none.
+    pub(in crate::registry) fn capacities_digest(&self) -> u64 {
+        self.entries.capacities_digest()
+    }
+
+    /// Capacities of all entries, sorted by name; empty if all are unknown.
+    pub(in crate::registry) fn capacities(&self) -> Vec<u32> {
+        self.entries.capacities()
+    }
+
     /// All entries, sorted by name.
     pub(in crate::registry) fn names(&self) -> Vec<String> {
         self.entries.names()
@@ -85,6 +106,7 @@
         &mut self,
         now: Instant,
         entry: &PeerName,
+        capacity: EntryCapacity,
         leaving: bool,
     ) {
         if leaving {
@@ -94,21 +116,32 @@
             }
             return;
         }
-        if let Some(last_call) = self.own.get_mut(entry.as_str()) {
-            *last_call = now;
-            return;
-        }
         let name: Arc<str> = entry.as_str().into();
-        self.own.insert(Arc::clone(&name), now);
-        self.own_digest ^= name_digest(&name);
-        self.entries.add(&name);
+        let follower = OwnFollower {
+            last_call: now,
+            capacity,
+        };
+        match self.own.insert(Arc::clone(&name), follower) {
+            None => {
+                self.own_digest ^= name_digest(&name);
+                self.own_capacities_digest ^= capacity.digest(&name);
+                self.entries.add(&name, capacity);
+            }
+            Some(before) if before.capacity != capacity => {
+                let before = before.capacity;
+                self.own_capacities_digest ^= before.digest(&name) ^ capacity.digest(&name);
+                self.entries.replace_capacity(&name, before, capacity);
+            }
+            Some(_) => return,
+        }
         self.pending.record_joined(&name);
     }
 
     fn remove_own(&mut self, name: &str) {
-        if let Some((name, _)) = self.own.remove_entry(name) {
+        if let Some((name, OwnFollower { capacity, .. })) = self.own.remove_entry(name) {
             self.own_digest ^= name_digest(&name);
-            self.entries.remove(&name);
+            self.own_capacities_digest ^= capacity.digest(&name);
+            self.entries.remove(&name, capacity);
             self.pending.record_left(&name);
         }
     }
@@ -116,7 +149,7 @@
     /// Removes entries that no longer call, and the entries of control daemons that are lost.
     pub(in crate::registry) fn expire(&mut self, now: Instant) {
         let silent = self.own.iter();
-        let silent = silent.filter(|(_, last_call)| now >= **last_call + FOLLOWER_TIMEOUT);
+        let silent = silent.filter(|(_, follower)| now >= follower.last_call + FOLLOWER_TIMEOUT);
         let silent: Vec<Arc<str>> = silent.map(|(name, _)| Arc::clone(name)).collect();
         for name in silent {
             self.remove_own(&name);
@@ -136,6 +169,27 @@
         self.own.keys().map(ToString::to_string).collect()
     }
 
+    /// Capacities of the entries that follow this daemon, sorted by name; empty if all are
+    /// unknown.
+    pub(in crate::registry) fn own_capacities(&self) -> Vec<u32> {
+        EntryCapacity::to_list(self.own.values().map(|follower| follower.capacity))
+    }
+
+    /// Capacities of some entries of this daemon, in their order; empty if all are unknown.
+    pub(in crate::registry) fn capacities_of(&self, names: &BTreeSet<Arc<str>>) -> Vec<u32> {
+        let followers = names.iter().map(|name| self.own.get(name));
+        EntryCapacity::to_list(followers.map(|follower| {
+            follower
+                .map(|follower| follower.capacity)
+                .unwrap_or_default()
+        }))
+    }
+
+    /// Digest of the known capacities of the entries that follow this daemon; 0 for none.
+    pub(in crate::registry) fn own_capacities_digest(&self) -> u64 {
+        self.own_capacities_digest
+    }
+
     /// Number of the entries that follow this daemon.
     pub(in crate::registry) fn count_own(&self) -> usize {
         self.own.len()
@@ -160,33 +214,42 @@
         now: Instant,
         member: &str,
         joined: &[String],
+        capacities: &[u32],
         left: &[String],
     ) {
         let known = self.members.entry(member.into()).or_default();
         known.touch(now);
-        for name in joined {
-            known.add(name, &mut self.entries);
+        for (name, capacity) in EntryCapacity::beside(joined, capacities) {
+            known.add(name, capacity, &mut self.entries);
         }
         for name in left {
             known.remove(name, &mut self.entries);
         }
     }
 
-    /// Compares the known followers of another control daemon with the digest that it reports.
+    /// Compares the known followers of another control daemon, and their capacities, with the
+    /// digests that it reports.
     pub(in crate::registry) fn compare(
         &mut self,
         member: &str,
         digest: &EndpointDigest,
+        capacities_digest: u64,
     ) -> DigestOutcome {
         let known = self.members.entry(member.into()).or_default();
-        known.compare(digest)
+        known.compare(digest, capacities_digest)
     }
 
     /// Applies the complete list of entries that follow another control daemon.
-    pub(in crate::registry) fn apply_list(&mut self, now: Instant, member: &str, names: &[String]) {
+    pub(in crate::registry) fn apply_list(
+        &mut self,
+        now: Instant,
+        member: &str,
+        names: &[String],
+        capacities: &[u32],
+    ) {
         let known = self.members.entry(member.into()).or_default();
         known.touch(now);
-        known.replace(names, &mut self.entries);
+        known.replace(names, capacities, &mut self.entries);
     }
 }
 
--- a/crates/savorywalk/src/registry/entry_list/follower_list_tests.rs
+++ b/crates/savorywalk/src/registry/entry_list/follower_list_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
 const MEMBER: &str = "10-2-0-1";
+const UNKNOWN: EntryCapacity = EntryCapacity(0);
 
 fn name(name: &str) -> PeerName {
     PeerName::new(name).unwrap()
@@ -27,9 +28,13 @@
         let texts = |names: BTreeSet<Arc<str>>| -> Vec<String> {
             names.iter().map(ToString::to_string).collect()
         };
+        let capacities = self.first.capacities_of(&changes.joined);
         let (joined, left) = (texts(changes.joined), texts(changes.left));
-        self.second.apply_changes(now, MEMBER, &joined, &left);
-        self.second.compare(MEMBER, &self.first.own_digest())
+        self.second
+            .apply_changes(now, MEMBER, &joined, &capacities, &left);
+        let capacities_digest = self.first.own_capacities_digest();
+        self.second
+            .compare(MEMBER, &self.first.own_digest(), capacities_digest)
     }
 }
 
@@ -37,8 +42,8 @@
 fn names_include_followers_of_all_daemons() {
     let now = Instant::now();
     let mut pair = Pair::new();
-    pair.first.record_own_call(now, &name("b"), false);
-    pair.second.record_own_call(now, &name("a"), false);
+    pair.first.record_own_call(now, &name("b"), UNKNOWN, false);
+    pair.second.record_own_call(now, &name("a"), UNKNOWN, false);
     assert_eq!(pair.report(now), DigestOutcome::Listed);
     assert_eq!(pair.second.names(), ["a", "b"]);
     assert_eq!(pair.second.own_names(), ["a"]);
@@ -48,10 +53,10 @@
 fn an_entry_that_stops_calling_or_leaves_is_removed() {
     let now = Instant::now();
     let mut list = FollowerList::new(1);
-    list.record_own_call(now, &name("a"), false);
-    list.record_own_call(now, &name("b"), false);
+    list.record_own_call(now, &name("a"), UNKNOWN, false);
+    list.record_own_call(now, &name("b"), UNKNOWN, false);
     let before = list.digest();
-    list.record_own_call(now, &name("a"), true);
+    list.record_own_call(now, &name("a"), UNKNOWN, true);
     assert_eq!(list.names(), ["b"]);
     assert_ne!(list.digest(), before);
     list.expire(now + FOLLOWER_TIMEOUT);
@@ -65,11 +70,11 @@
     let now = Instant::now();
     let mut list = FollowerList::new(1);
     for number in 0..1_000 {
-        list.record_own_call(now, &name(&format!("e-{number}")), false);
+        list.record_own_call(now, &name(&format!("e-{number}")), UNKNOWN, false);
     }
     let known = list.revision();
-    list.record_own_call(now, &name("e-7"), true);
-    list.record_own_call(now, &name("new"), false);
+    list.record_own_call(now, &name("e-7"), UNKNOWN, true);
+    list.record_own_call(now, &name("new"), UNKNOWN, false);
     let changes = list.changes_after(known).unwrap();
     assert_eq!(changes.joined, ["new"]);
     assert_eq!(changes.left, ["e-7"]);
@@ -84,11 +89,12 @@
 fn a_lost_change_is_detected_by_the_digest() {
     let now = Instant::now();
     let mut pair = Pair::new();
-    pair.first.record_own_call(now, &name("a"), false);
+    pair.first.record_own_call(now, &name("a"), UNKNOWN, false);
     pair.first.take_pending();
     assert_eq!(pair.report(now), DigestOutcome::Unsettled);
     assert_eq!(pair.report(now), DigestOutcome::Unlisted);
-    pair.second.apply_list(now, MEMBER, &pair.first.own_names());
+    let (names, capacities) = (pair.first.own_names(), pair.first.own_capacities());
+    pair.second.apply_list(now, MEMBER, &names, &capacities);
     assert_eq!(pair.report(now), DigestOutcome::Listed);
     assert_eq!(pair.second.names(), ["a"]);
 }
@@ -97,11 +103,12 @@
 fn followers_of_a_lost_daemon_are_removed_unless_another_daemon_has_them() {
     let now = Instant::now();
     let mut pair = Pair::new();
-    pair.first.record_own_call(now, &name("a"), false);
-    pair.first.record_own_call(now, &name("b"), false);
+    pair.first.record_own_call(now, &name("a"), UNKNOWN, false);
+    pair.first.record_own_call(now, &name("b"), UNKNOWN, false);
     pair.report(now);
     let later = now + FOLLOWER_TIMEOUT;
-    pair.second.record_own_call(later, &name("b"), false);
+    pair.second
+        .record_own_call(later, &name("b"), UNKNOWN, false);
     pair.second.expire(later);
     assert_eq!(pair.second.names(), ["b"]);
 }
@@ -111,12 +118,12 @@
 fn a_bounded_number_of_removals_is_kept() {
     let now = Instant::now();
     let mut list = FollowerList::new(1);
-    list.record_own_call(now, &name("stays"), false);
+    list.record_own_call(now, &name("stays"), UNKNOWN, false);
     let known = list.revision();
     for number in 0..5_000 {
         let entry = name(&format!("e-{number}"));
-        list.record_own_call(now, &entry, false);
-        list.record_own_call(now, &entry, true);
+        list.record_own_call(now, &entry, UNKNOWN, false);
+        list.record_own_call(now, &entry, UNKNOWN, true);
     }
     assert!(list.changes_after(known).is_none());
     assert!(list.changes_after(list.revision()).is_some());
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -7,8 +7,8 @@
 use crate::prelude::*;
 use crate::quarantine::{QuarantineCommand, QuarantineRegister};
 use crate::registry::{
-    BootTime, EndpointReport, FollowCall, FollowOutcome, FollowReply, FollowState, FollowTimeouts,
-    MemberRing, ReportBatch,
+    BootTime, EndpointReport, EntryCapacity, FollowCall, FollowOutcome, FollowReply, FollowState,
+    FollowTimeouts, MemberRing, ReportBatch,
 };
 use crate::transport::PeerName;
 
@@ -89,6 +89,7 @@
         from: usize,
         reports: Vec<EndpointReport>,
         followers: Vec<String>,
+        capacities: Vec<u32>,
     },
     PublishDocument,
     Retire {
@@ -387,7 +388,8 @@
                 from,
                 reports,
                 followers,
-            } => self.apply_list(registry, from, &reports, &followers),
+                capacities,
+            } => self.apply_list(registry, from, &reports, (&followers, &capacities)),
             FleetEvent::PublishDocument => self.publish_document(),
             FleetEvent::Retire { endpoint } => self.retire_endpoint(endpoint),
             FleetEvent::Evacuate {
@@ -456,7 +458,12 @@
             };
             return self.after(LINK_TIME, event);
         }
-        daemon.followers.record_own_call(now, &name, false);
+        daemon.followers.record_own_call(
+            now,
+            &name,
+            EntryCapacity(call.capacity_millicores),
+            false,
+        );
         let until = self.now + Duration::from_millis(call.wait_ms.into());
         let is_behind = daemon.is_behind(&call);
         daemon.held.push(HeldCall {
@@ -680,9 +687,11 @@
         }
         let reports = source.table.own_reports();
         let followers = source.followers.own_names();
+        let capacities = source.followers.own_capacities();
         let list = FollowReply {
             reports: reports.clone(),
             entries: followers.clone(),
+            entry_capacities: capacities.clone(),
             ..Default::default()
         };
         let bytes = list.encoded_len();
@@ -692,6 +701,7 @@
             from,
             reports,
             followers,
+            capacities,
         };
         self.after(LINK_TIME * 2, list);
     }
@@ -701,13 +711,13 @@
         registry: usize,
         from: usize,
         reports: &[EndpointReport],
-        followers: &[String],
+        (followers, capacities): (&[String], &[u32]),
     ) {
         let now = self.instant();
         if self.registries[registry].is_up {
             let name = self.members[from].clone();
             let daemon = &mut self.registries[registry];
-            daemon.apply_list(now, name.as_str(), reports, followers);
+            daemon.apply_list(now, name.as_str(), reports, followers, capacities);
             self.publish(registry);
         }
     }
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -68,10 +68,17 @@
     /// requested.
     pub(super) fn apply_batch(&mut self, now: Instant, from: &str, batch: &ReportBatch) -> bool {
         let joined = &batch.followers;
-        self.followers
-            .apply_changes(now, from, joined, &batch.followers_left);
+        self.followers.apply_changes(
+            now,
+            from,
+            joined,
+            &batch.follower_capacities,
+            &batch.followers_left,
+        );
         let digest = batch.followers_digest.unwrap_or_default();
-        let followed = self.followers.compare(from, &digest);
+        let followed = self
+            .followers
+            .compare(from, &digest, batch.capacities_digest);
         for report in &batch.reports {
             if !self.documents.is_retired(&report.incarnation()) {
                 self.table.record_from(now, from, report.clone());
@@ -88,8 +95,9 @@
         from: &str,
         reports: &[EndpointReport],
         followers: &[String],
+        capacities: &[u32],
     ) {
-        self.followers.apply_list(now, from, followers);
+        self.followers.apply_list(now, from, followers, capacities);
         let documents = &self.documents;
         let reports = reports
             .iter()
--- a/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/table_tests.rs
@@ -5,7 +5,9 @@
 
 use crate::prelude::*;
 use crate::registry::entry_list::FollowerList;
-use crate::registry::{BootTime, EndpointReport, FollowReply, FollowState, RegistryTable};
+use crate::registry::{
+    BootTime, EndpointReport, EntryCapacity, FollowReply, FollowState, RegistryTable,
+};
 use crate::transport::PeerName;
 
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
@@ -206,7 +208,7 @@
     let name = |number: usize| PeerName::new(&format!("10-1-{number}")).unwrap();
     let mut list = FollowerList::new(1);
     for number in 0..entries {
-        list.record_own_call(now, &name(number), false);
+        list.record_own_call(now, &name(number), EntryCapacity::default(), false);
     }
     let at = BootTime::after(Duration::from_secs(1));
     let mut state = FollowState::default();
@@ -219,9 +221,9 @@
         size
     };
     send_entries(&list);
-    list.record_own_call(now, &name(7), true);
+    list.record_own_call(now, &name(7), EntryCapacity::default(), true);
     let left = send_entries(&list);
-    list.record_own_call(now, &name(7), false);
+    list.record_own_call(now, &name(7), EntryCapacity::default(), false);
     let joined = send_entries(&list);
     assert!(left + joined < 150, "{left} and {joined} B");
 }
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -158,12 +158,16 @@
         }
     }
 
-    /// Adds the entries that follow control, if the follower's list differs.
+    /// Adds the entries that follow control and their capacities, if the follower's list
+    /// differs. A follower that does not read capacities is not sent a list for their sake.
     pub(super) fn add_entries(&mut self, call: &FollowCall, entries: &FollowerList) {
         self.entries_epoch = entries.epoch();
         self.entries_revision = entries.revision();
         self.entries_digest = entries.digest();
-        if self.entries_digest == call.entries_digest {
+        self.capacities_digest = entries.capacities_digest();
+        let has_capacities =
+            !call.reads_capacities || self.capacities_digest == call.capacities_digest;
+        if self.entries_digest == call.entries_digest && has_capacities {
             return;
         }
         let is_same_list = call.entries_epoch == entries.epoch();
@@ -172,9 +176,16 @@
             Some(changes) => {
                 self.entries_since = true;
                 self.entries = changes.joined;
+                self.entry_capacities = changes.capacities;
                 self.entries_left = changes.left;
             }
-            None => self.entries = entries.names(),
+            None => {
+                self.entries = entries.names();
+                self.entry_capacities = entries.capacities();
+            }
+        }
+        if !call.reads_capacities {
+            self.entry_capacities.clear();
         }
     }
 }
--- a/crates/savorywalk/src/registry/follow_service.rs
+++ b/crates/savorywalk/src/registry/follow_service.rs
@@ -1,4 +1,4 @@
-use super::{FollowCall, FollowReply, RegistryNode};
+use super::{EntryCapacity, FollowCall, FollowReply, RegistryNode};
 use crate::prelude::*;
 use crate::transport::PeerName;
 
@@ -13,9 +13,13 @@
     pub(super) async fn follow(&self, from: &PeerName, call: &FollowCall) -> FollowReply {
         let arrived = Instant::now();
         if !call.entry {
+            let followers = self.lock_followers();
+            let (entries, entry_capacities) = (followers.own_names(), followers.own_capacities());
+            drop(followers);
             return FollowReply {
                 reports: self.table().own_reports(),
-                entries: self.lock_followers().own_names(),
+                entries,
+                entry_capacities,
                 ..Default::default()
             };
         }
@@ -25,8 +29,9 @@
                 ..Default::default()
             };
         }
+        let capacity = EntryCapacity(call.capacity_millicores);
         self.lock_followers()
-            .record_own_call(arrived, from, call.leaving);
+            .record_own_call(arrived, from, capacity, call.leaving);
         self.wait_for_update(call).await;
         let held = arrived.elapsed();
         let confirmed = self.confirm().await;
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -1,7 +1,7 @@
 use super::table_digest::{PartDigests, ReportKey};
 use super::{
-    BootTime, EndpointIncarnation, EndpointReport, FollowCall, FollowReply, IncarnationToken,
-    TableComparison,
+    BootTime, EndpointIncarnation, EndpointReport, EntryCapacity, FollowCall, FollowReply,
+    IncarnationToken, TableComparison,
 };
 use crate::evacuation::EvacuationView;
 use crate::hashing::stable_hash;
@@ -80,7 +80,7 @@
     pub document: bool,
     /// Endpoints were added, changed or removed.
     pub endpoints: bool,
-    /// Entries were added or removed.
+    /// Entries were added or removed, or their capacities changed.
     pub entries: bool,
     /// The list of requests in quarantine has a new revision.
     pub quarantine: bool,
@@ -99,6 +99,9 @@
     confirmation: Option<Confirmation>,
     entries: Arc<[PeerName]>,
     entries_digest: u64,
+    /// Capacities of `entries`, in the same order; empty if all are unknown.
+    entry_capacities: Arc<[EntryCapacity]>,
+    capacities_digest: u64,
     entries_epoch: u64,
     entries_revision: u64,
     endpoints: BTreeMap<String, FollowedEndpoint>,
@@ -148,6 +151,9 @@
             entries_revision: self.entries_revision,
             entries_epoch: self.entries_epoch,
             only_members: false,
+            capacity_millicores: 0,
+            reads_capacities: true,
+            capacities_digest: self.capacities_digest,
         }
     }
 
@@ -185,16 +191,11 @@
         self.apply_comparison(now, &reply);
         self.table_epoch = reply.table_epoch;
         self.table_revision = reply.table_revision;
-        for report in reply.reports {
+        for report in std::mem::take(&mut reply.reports) {
             update.endpoints |= self.apply_report(report);
         }
         update.endpoints |= self.remove_expired(now);
-        update.entries = self.apply_entries(
-            reply.entries_digest,
-            reply.entries,
-            &reply.entries_left,
-            reply.entries_since,
-        );
+        update.entries = self.apply_entries(&reply);
         // With a list that differs from the reported digest, epoch 0 requests the whole list
         // in the next call.
         let is_list_current = self.entries_digest == reply.entries_digest;
@@ -322,39 +323,74 @@
         self.mark_listed(|key| is_compared(key) && !is_replaced(key));
     }
 
-    /// Applies all entries, or the changes since the known revision; returns whether the
-    /// digest differs from the known one. If the changes don't lead to the reported digest,
-    /// the whole list is requested next.
-    fn apply_entries(
-        &mut self,
-        digest: u64,
-        names: Vec<String>,
-        left: &[String],
-        is_delta: bool,
-    ) -> bool {
-        if digest == self.entries_digest {
+    /// Applies all entries with their capacities, or the changes since the known revision;
+    /// returns whether one of the digests differs from the known one. If the changes don't lead
+    /// to the reported digests, the whole list is requested next.
+    fn apply_entries(&mut self, reply: &FollowReply) -> bool {
+        let is_same_list = reply.entries_digest == self.entries_digest;
+        if is_same_list && reply.capacities_digest == self.capacities_digest {
             return false;
         }
-        let named = names.iter().filter_map(|name| PeerName::new(name).ok());
-        let mut entries: BTreeSet<PeerName> = named.collect();
-        self.entries_digest = digest;
-        if is_delta {
-            entries.extend(self.entries.iter().cloned());
-            for name in left {
-                entries.remove(name.as_str());
-            }
-            let known = entries
-                .iter()
-                .map(|name| stable_hash(&[name.as_str().as_bytes()]));
-            if known.fold(0, |digest, name| digest ^ name) != digest {
-                self.entries_digest = 0;
-                log_event!(info, "entries_differ", known = entries.len());
+        // A daemon of an earlier version knows no capacities, and sends no list whose names the
+        // follower has.
+        let is_list_sent = !is_same_list || !reply.entries.is_empty();
+        let mut entries = match reply.entries_since || !is_list_sent {
+            true => self.known_entries(),
+            false => BTreeMap::new(),
+        };
+        for (name, capacity) in EntryCapacity::beside(&reply.entries, &reply.entry_capacities) {
+            if let Ok(name) = PeerName::new(name) {
+                entries.insert(name, capacity);
             }
         }
-        self.entries = entries.into_iter().collect();
+        for name in &reply.entries_left {
+            entries.remove(name.as_str());
+        }
+        if reply.capacities_digest == 0 {
+            entries
+                .values_mut()
+                .for_each(|capacity| *capacity = EntryCapacity::default());
+        }
+        self.set_entries(entries);
+        self.entries_digest = reply.entries_digest;
+        self.capacities_digest = reply.capacities_digest;
+        if reply.entries_since && !self.has_digests(reply) {
+            self.entries_digest = 0;
+            log_event!(info, "entries_differ", known = self.entries.len());
+        }
         true
     }
 
+    fn known_entries(&self) -> BTreeMap<PeerName, EntryCapacity> {
+        let capacities = self.entry_capacities.iter().copied();
+        let capacities = capacities.chain(std::iter::repeat(EntryCapacity::default()));
+        self.entries.iter().cloned().zip(capacities).collect()
+    }
+
+    /// Keeps the previous lists where they are the same, so that views of them stay valid.
+    fn set_entries(&mut self, entries: BTreeMap<PeerName, EntryCapacity>) {
+        let is_known = entries.values().any(|capacity| capacity.is_known());
+        let capacities = entries.values().copied().filter(|_| is_known);
+        let capacities: Arc<[EntryCapacity]> = capacities.collect();
+        if capacities != self.entry_capacities {
+            self.entry_capacities = capacities;
+        }
+        let names: Arc<[PeerName]> = entries.into_keys().collect();
+        if names != self.entries {
+            self.entries = names;
+        }
+    }
+
+    /// Whether the known entries and capacities have the digests that the daemon reports.
+    fn has_digests(&self, reply: &FollowReply) -> bool {
+        let names = self.entries.iter().map(PeerName::as_str);
+        let entries_digest = names.clone().map(|name| stable_hash(&[name.as_bytes()]));
+        let capacities = self.entry_capacities.iter().zip(names);
+        let capacities_digest = capacities.map(|(capacity, name)| capacity.digest(name));
+        entries_digest.fold(0, |digest, name| digest ^ name) == reply.entries_digest
+            && capacities_digest.fold(0, |digest, entry| digest ^ entry) == reply.capacities_digest
+    }
+
     /// Marks matching endpoints as unlisted since `now`, if they are not marked already.
     fn mark_unlisted(&mut self, now: BootTime, is_matching: impl Fn(&ReportKey) -> bool) {
         for known in self.endpoints.values_mut() {
@@ -445,6 +481,11 @@
     pub fn entries(&self) -> &Arc<[PeerName]> {
         &self.entries
     }
+
+    /// Capacities of [`Self::entries`], in the same order; empty if all are unknown.
+    pub fn entry_capacities(&self) -> &Arc<[EntryCapacity]> {
+        &self.entry_capacities
+    }
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -35,6 +35,7 @@
 };
 pub use boot_clock::{BootClock, BootTime};
 pub use entry_follower::{EntryFollower, FollowOptions, ReportFailure};
+pub use entry_list::EntryCapacity;
 pub use follow_state::{Confirmation, FollowState, FollowUpdate, FollowedEndpoint};
 pub use follow_timeouts::{FollowOutcome, FollowTimeouts};
 pub use incarnation_token::IncarnationToken;
--- a/crates/savorywalk/src/registry/report_exchange.rs
+++ b/crates/savorywalk/src/registry/report_exchange.rs
@@ -121,10 +121,11 @@
     fn apply_follower_changes(&self, now: Instant, from: &PeerName, batch: &ReportBatch) -> bool {
         let mut followers = self.lock_followers();
         let from = from.as_str();
-        followers.apply_changes(now, from, &batch.followers, &batch.followers_left);
+        let (joined, left) = (&batch.followers, &batch.followers_left);
+        followers.apply_changes(now, from, joined, &batch.follower_capacities, left);
         let outcome = batch
             .followers_digest
-            .map(|digest| followers.compare(from, &digest));
+            .map(|digest| followers.compare(from, &digest, batch.capacities_digest));
         outcome != Some(DigestOutcome::Unlisted)
     }
 
@@ -183,7 +184,8 @@
         };
         let now = Instant::now();
         let mut followers = self.lock_followers();
-        followers.apply_list(now, member.as_str(), &reply.entries);
+        let (names, capacities) = (&reply.entries, &reply.entry_capacities);
+        followers.apply_list(now, member.as_str(), names, capacities);
         drop(followers);
         let reports = self.drop_retired(reply.reports);
         let mut table = self.table();
--- a/crates/savorywalk/src/registry/report_outbox.rs
+++ b/crates/savorywalk/src/registry/report_outbox.rs
@@ -68,7 +68,7 @@
             .extend(newly_silent.map(|report| (report.id.clone(), report)));
     }
 
-    /// Takes the pending changes, with digests of the live endpoints and of the followers;
+    /// Takes the pending changes, with digests of the live endpoints, the followers and their capacities;
     /// `None` if nothing is due.
     pub(super) fn take_batch(
         &mut self,
@@ -88,6 +88,7 @@
         }
         self.last_batch = Some(now);
         let reports = std::mem::take(&mut self.reports);
+        let follower_capacities = followers.capacities_of(&joined);
         let names = |names: BTreeSet<Arc<str>>| names.iter().map(ToString::to_string).collect();
         Some(ReportBatch {
             reports: reports.into_values().collect(),
@@ -96,6 +97,8 @@
             followers: names(joined),
             followers_left: names(left),
             followers_digest: Some(followers.own_digest()),
+            follower_capacities,
+            capacities_digest: followers.own_capacities_digest(),
         })
     }
 }
--- a/crates/savorywalk/src/registry/report_outbox_tests.rs
+++ b/crates/savorywalk/src/registry/report_outbox_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::registry::EntryCapacity;
 use crate::transport::PeerName;
 
 const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
@@ -23,7 +24,12 @@
 /// A list with one entry that follows this daemon.
 fn followers(now: Instant) -> FollowerList {
     let mut list = FollowerList::new(1);
-    list.record_own_call(now, &PeerName::new(FOLLOWER).unwrap(), false);
+    list.record_own_call(
+        now,
+        &PeerName::new(FOLLOWER).unwrap(),
+        EntryCapacity::default(),
+        false,
+    );
     list
 }
 
@@ -78,7 +84,12 @@
     let start = Instant::now();
     let mut list = followers(start);
     outbox.take_batch(start, OWN_DIGEST, &mut list);
-    list.record_own_call(start, &PeerName::new(FOLLOWER).unwrap(), true);
+    list.record_own_call(
+        start,
+        &PeerName::new(FOLLOWER).unwrap(),
+        EntryCapacity::default(),
+        true,
+    );
     let batch = outbox
         .take_batch(start + FLUSH_INTERVAL, OWN_DIGEST, &mut list)
         .unwrap();
