--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -7,8 +7,8 @@
 use crate::prelude::*;
 use crate::quarantine::{QuarantineCommand, QuarantineRegister};
 use crate::registry::{
-    BootTime, EndpointReport, FollowCall, FollowOutcome, FollowReply, FollowState, FollowTimeouts,
-    MemberRing, ReportBatch,
+    BootTime, EndpointReport, EntryCapacity, FollowCall, FollowOutcome, FollowReply, FollowState,
+    FollowTimeouts, MemberRing, ReportBatch,
 };
 use crate::transport::PeerName;
 
@@ -89,6 +89,7 @@
         from: usize,
         reports: Vec<EndpointReport>,
         followers: Vec<String>,
+        capacities: Vec<u32>,
     },
     PublishDocument,
     Retire {
@@ -321,6 +322,23 @@
         max.unwrap_or(0) / (self.plan.length - WARM_UP).as_secs() as usize
     }
 
+    /// Number of entries that do not know the capacities of all entries.
+    pub(super) fn count_without_capacities(&self) -> usize {
+        let capacities: BTreeMap<&PeerName, EntryCapacity> = self
+            .entries
+            .iter()
+            .enumerate()
+            .map(|(index, entry)| (&entry.name, capacity_of(index)))
+            .collect();
+        let has_all = |state: &FollowState| {
+            let known = state.entries().iter().zip(state.entry_capacities().iter());
+            let known = known.filter(|(name, capacity)| capacities.get(name) == Some(capacity));
+            known.count() == capacities.len()
+        };
+        let without = self.entries.iter().filter(|entry| !has_all(&entry.state));
+        without.count()
+    }
+
     /// Number of followers of the registry with the most.
     pub(super) fn max_followers(&mut self) -> usize {
         let now = self.instant();
@@ -387,7 +405,8 @@
                 from,
                 reports,
                 followers,
-            } => self.apply_list(registry, from, &reports, &followers),
+                capacities,
+            } => self.apply_list(registry, from, &reports, (&followers, &capacities)),
             FleetEvent::PublishDocument => self.publish_document(),
             FleetEvent::Retire { endpoint } => self.retire_endpoint(endpoint),
             FleetEvent::Evacuate {
@@ -416,7 +435,10 @@
             .position(|member| Some(member) == target.as_ref());
         let Some(registry) = registry else { return };
         let call = match requester.ring.is_settled() {
-            true => requester.state.next_call(requester.timeouts.hold()),
+            true => FollowCall {
+                capacity_millicores: capacity_of(entry).0,
+                ..requester.state.next_call(requester.timeouts.hold())
+            },
             false => FollowCall::for_members(),
         };
         requester.bytes += counted_bytes(self.now, call.encoded_len());
@@ -456,7 +478,12 @@
             };
             return self.after(LINK_TIME, event);
         }
-        daemon.followers.record_own_call(now, &name, false);
+        daemon.followers.record_own_call(
+            now,
+            &name,
+            EntryCapacity(call.capacity_millicores),
+            false,
+        );
         let until = self.now + Duration::from_millis(call.wait_ms.into());
         let is_behind = daemon.is_behind(&call);
         daemon.held.push(HeldCall {
@@ -680,9 +707,11 @@
         }
         let reports = source.table.own_reports();
         let followers = source.followers.own_names();
+        let capacities = source.followers.own_capacities();
         let list = FollowReply {
             reports: reports.clone(),
             entries: followers.clone(),
+            entry_capacities: capacities.clone(),
             ..Default::default()
         };
         let bytes = list.encoded_len();
@@ -692,6 +721,7 @@
             from,
             reports,
             followers,
+            capacities,
         };
         self.after(LINK_TIME * 2, list);
     }
@@ -701,13 +731,13 @@
         registry: usize,
         from: usize,
         reports: &[EndpointReport],
-        followers: &[String],
+        (followers, capacities): (&[String], &[u32]),
     ) {
         let now = self.instant();
         if self.registries[registry].is_up {
             let name = self.members[from].clone();
             let daemon = &mut self.registries[registry];
-            daemon.apply_list(now, name.as_str(), reports, followers);
+            daemon.apply_list(now, name.as_str(), reports, followers, capacities);
             self.publish(registry);
         }
     }
@@ -849,3 +879,8 @@
         self.after(CHECK_INTERVAL, FleetEvent::CheckEntries);
     }
 }
+
+/// Capacity that an entry tells: a quarter of the entries have more than the others.
+fn capacity_of(entry: usize) -> EntryCapacity {
+    EntryCapacity(if entry.is_multiple_of(4) { 300 } else { 90 })
+}
