Homes of shared prompt parts, and the reasons for reading them again

Cause: shared parts are read again although an engine has them; the coordinator weighed only the reading time and half of it, and gave a new part to the least loaded engine, so that a new coordinator and an entry by itself chose others.

Change: the coordinator keeps homes of each shared part, counts why a part is read, chooses a home unless it costs three times the reading time more, and takes first homes by a hash of part and engine. An entry that places a prompt itself prefers the shard's engine by that hash.

--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -165,8 +165,8 @@
     pub(super) surcharge: f64,
 }
 
-/// Rank of an endpoint for a hash.
-fn endpoint_rank(hash: u64, endpoint: &str) -> u64 {
+/// Rank of an endpoint for a hash, the same at all entries; the lowest is the first.
+pub(super) fn endpoint_rank(hash: u64, endpoint: &str) -> u64 {
     stable_hash(&[&hash.to_le_bytes(), endpoint.as_bytes()])
 }
 
--- a/crates/savorywalk/src/gateway/engine_model.rs
+++ b/crates/savorywalk/src/gateway/engine_model.rs
@@ -1,3 +1,6 @@
+use super::prompt_homes::{
+    EngineOption, HomeChoice, HomeState, HomeTable, PlacementCounts, PromptBeginning,
+};
 use super::{PromptPart, QuantileScale};
 use crate::prelude::*;
 
@@ -25,10 +28,6 @@
 /// Cost that each running request adds to an engine, as it lengthens the engine's steps.
 const RUNNING_REQUEST_COST: Duration = Duration::from_millis(4);
 
-/// Extra cost of reading shared parts that an engine has not cached, relative to the reading
-/// time: it delays other requests and evicts parts that these share.
-const REREAD_COST_FACTOR: f64 = 0.5;
-
 /// Fraction of an engine's memory assumed to cache shared parts; running requests and their own
 /// parts use the rest.
 const SHARED_CACHE_FRACTION: f64 = 0.6;
@@ -44,6 +43,7 @@
     /// Actual times of the engines relative to those that [`TOKENS_PER_MS`] and the other
     /// constants give.
     time_scale: QuantileScale,
+    homes: HomeTable,
 }
 
 /// Estimated state of one engine.
@@ -92,6 +92,23 @@
     pub endpoint: &'a str,
     /// Expected time until the first event of the answer.
     pub expected: Duration,
+    /// Tokens of its shared parts, by the reason for reading them.
+    pub reads: PlacementCounts,
+}
+
+impl PromptQuery<'_> {
+    /// The parts that other requests may have in common with the prompt.
+    fn shared(&self) -> &[PromptPart] {
+        self.parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared)
+    }
+
+    /// Time to read the shared parts, in milliseconds at the assumed speed.
+    fn shared_ms(&self) -> f64 {
+        let tokens: u64 = self.shared().iter().map(|part| part.tokens).sum();
+        tokens as f64 / TOKENS_PER_MS
+    }
 }
 
 impl EngineState {
@@ -114,6 +131,17 @@
         )
     }
 
+    /// Time in which a target reads a prompt.
+    fn reading_time(
+        &self,
+        parts: &[PromptPart],
+        time_scale: f64,
+        target: &EngineTarget<'_>,
+    ) -> Duration {
+        let (read_ms, _) = self.reading_ms(parts);
+        millis(read_ms * time_scale * target.duration_factor.max(1.0))
+    }
+
     fn time_until_free(&self, now: Instant) -> Duration {
         let until = self.busy_until.unwrap_or(now);
         until.saturating_duration_since(now)
@@ -135,11 +163,7 @@
         self.request_ends.retain(|end| *end > now);
         let answer = query.answer_tokens as u32 * USUAL_ANSWER_PERMILLE / 1_000;
         self.request_ends.push_back(read_at + TOKEN_TIME * answer);
-        let shared = query
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        for part in shared {
+        for part in query.shared() {
             let cached = CachedPart {
                 tokens: part.tokens,
                 last_used: now,
@@ -174,30 +198,103 @@
         query: PromptQuery<'_>,
         targets: &[EngineTarget<'a>],
     ) -> Option<EngineChoice<'a>> {
-        let unused = EngineState::default();
         let time_scale = self.time_scale.scale();
         let first_token = FIRST_TOKEN_TIME.mul_f64(time_scale);
-        let costs = targets.iter().map(|target| {
-            let state = self.engines.get(target.endpoint).unwrap_or(&unused);
-            let (read_ms, shared_ms) = state.reading_ms(query.parts);
-            let (read_ms, shared_ms) = (read_ms * time_scale, shared_ms * time_scale);
-            let reading = millis(read_ms * target.duration_factor.max(1.0));
-            let read_in = state.time_until_free(now) + reading;
-            let cost = read_in
-                + millis(shared_ms * REREAD_COST_FACTOR)
-                + RUNNING_REQUEST_COST * state.running_requests(now)
-                + first_token.mul_f64(target.duration_factor.max(1.0) - 1.0);
-            (cost, read_in, target)
-        });
-        let (_, read_in, target) = costs.min_by_key(|(cost, ..)| *cost)?;
+        let longest = query.shared().last().map(|part| part.id);
+        let options: Vec<EngineOption<'a>> = targets
+            .iter()
+            .map(|target| self.option(now, &query, longest, target))
+            .collect();
+        let choice = HomeChoice {
+            part: longest.unwrap_or_default(),
+            wanted: longest.map_or(1, |part| self.homes.home_count(now, part)),
+            beginning: self.beginning(now, &query),
+            shared_reading: millis(query.shared_ms() * time_scale),
+        };
+        let target = &targets[choice.choose(&options)?];
+        let reads = self.record_homes(now, &query, target.endpoint, targets);
         let state = self.engines.entry(target.endpoint.into()).or_default();
+        let reading = state.reading_time(query.parts, time_scale, target);
+        let read_in = state.time_until_free(now) + reading;
         state.record_prompt(now, &query, now + read_in, target.memory_tokens);
         Some(EngineChoice {
             endpoint: target.endpoint,
             expected: read_in + first_token,
+            reads,
+        })
+    }
+
+    /// The first part of a prompt that shares more than one.
+    fn beginning(&self, now: Instant, query: &PromptQuery<'_>) -> Option<PromptBeginning> {
+        let [first, _, ..] = query.shared() else {
+            return None;
+        };
+        Some(PromptBeginning {
+            part: first.id,
+            engine_share: self.homes.engine_share(now, first.id),
         })
     }
 
+    /// What a prompt costs at an engine.
+    fn option<'a>(
+        &self,
+        now: Instant,
+        query: &PromptQuery<'_>,
+        longest: Option<u64>,
+        target: &EngineTarget<'a>,
+    ) -> EngineOption<'a> {
+        let unused = EngineState::default();
+        let state = self.engines.get(target.endpoint).unwrap_or(&unused);
+        let time_scale = self.time_scale.scale();
+        let (_, shared_ms) = state.reading_ms(query.parts);
+        let slowness = target.duration_factor.max(1.0) - 1.0;
+        let cost = state.time_until_free(now)
+            + state.reading_time(query.parts, time_scale, target)
+            + RUNNING_REQUEST_COST * state.running_requests(now)
+            + FIRST_TOKEN_TIME.mul_f64(time_scale).mul_f64(slowness);
+        EngineOption {
+            endpoint: target.endpoint,
+            cost,
+            reread: millis(shared_ms * time_scale),
+            is_home: longest.is_some_and(|part| state.parts.contains_key(&part)),
+        }
+    }
+
+    /// Records the engine as a home of the prompt's shared parts.
+    fn record_homes(
+        &mut self,
+        now: Instant,
+        query: &PromptQuery<'_>,
+        endpoint: &str,
+        targets: &[EngineTarget<'_>],
+    ) -> PlacementCounts {
+        let engines = &self.engines;
+        let has = |engine: &str, part: u64| {
+            let state = engines.get(engine);
+            state.is_some_and(|state| state.parts.contains_key(&part))
+        };
+        let is_target = |engine: &str| targets.iter().any(|target| target.endpoint == engine);
+        let mut reads = PlacementCounts::default();
+        for part in query.shared() {
+            let state_of = |engine: &str| match (has(engine, part.id), is_target(engine)) {
+                (true, true) => HomeState::Ready,
+                (true, false) => HomeState::Unusable,
+                (false, _) => HomeState::Evicted,
+            };
+            let is_cached = has(endpoint, part.id);
+            let homes = &mut self.homes;
+            let reason = homes.record_use(now, *part, endpoint, is_cached, state_of);
+            reads.add(reason, part.tokens);
+        }
+        let own: u64 = query.parts.last().map_or(0, |part| part.tokens);
+        let work = own as f64 / TOKENS_PER_MS * self.time_scale.scale();
+        self.homes.record_own_work(now, work);
+        for part in query.shared() {
+            self.homes.record_work(now, part.id, work);
+        }
+        reads
+    }
+
     /// Learns the speed of the pool as a whole from a prompt whose first event took `ratio`
     /// times the expected time.
     pub fn observe(&mut self, ratio: f64) {
--- a/crates/savorywalk/src/gateway/engine_scheduler.rs
+++ b/crates/savorywalk/src/gateway/engine_scheduler.rs
@@ -1,11 +1,13 @@
 use std::sync::{Mutex, PoisonError};
 
 use super::endpoint_score::EndpointScores;
+use super::gateway_metrics::GatewayMetrics;
 use super::gateway_view::GatewayView;
 use super::permit_gate::PermitWindow;
+use super::prompt_homes::PlacementCounts;
 use super::send_permits::PermitDecision;
 use super::work_shard::WorkShard;
-use super::{EngineModel, EngineTarget, PoolMember, PromptPart, PromptQuery};
+use super::{EngineChoice, EngineModel, EngineTarget, PoolMember, PromptPart, PromptQuery};
 use crate::generated::work::{PlaceCall, PlaceReply, PlaceReport};
 use crate::prelude::*;
 use crate::routing::AttemptReport;
@@ -14,14 +16,43 @@
 /// to the expected time so that long and short prompts count alike.
 const NOMINAL_LATENCY: Duration = Duration::from_millis(300);
 
+/// Time between log lines that sum up placements, so that a coordinator of a hundred prompts a
+/// second logs few lines.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Chooses the engines for the prompts of all entries, in the shards that this entry
 /// coordinates.
 #[derive(Debug, Default)]
 pub(super) struct EngineScheduler {
     models: Mutex<FastMap<EngineKey, EngineModel>>,
+    summary: Mutex<PlacementSummary>,
     scores: EndpointScores,
 }
 
+/// Placements since the last log line that sums them up.
+#[derive(Debug, Default)]
+struct PlacementSummary {
+    prompts: u64,
+    reads: PlacementCounts,
+    logged_at: Option<Instant>,
+}
+
+impl PlacementSummary {
+    fn add(&mut self, now: Instant, reads: &PlacementCounts) {
+        self.prompts += 1;
+        self.reads.merge(reads);
+        let logged_at = *self.logged_at.get_or_insert(now);
+        if now.saturating_duration_since(logged_at) >= SUMMARY_INTERVAL {
+            let (prompts, reads) = (self.prompts, self.reads);
+            log_event!(info, "prompts_placed", prompts = prompts, tokens = reads);
+            *self = Self {
+                logged_at: Some(now),
+                ..Self::default()
+            };
+        }
+    }
+}
+
 /// The engines of a pool in one shard.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct EngineKey {
@@ -38,6 +69,7 @@
         view: &GatewayView,
         call: &PlaceCall,
         permits: &PermitWindow<'_>,
+        metrics: &GatewayMetrics,
     ) -> PlaceReply {
         if !call.permit_for.is_empty() {
             return issue_permit(now, view, call, permits);
@@ -72,6 +104,8 @@
         let Some(choice) = model.place(now, query, &targets) else {
             return PlaceReply::default();
         };
+        drop(models);
+        self.record_reads(now, call, choice, metrics);
         let member = view.roster.member(&call.pool, choice.endpoint);
         PlaceReply {
             endpoint: choice.endpoint.to_string(),
@@ -81,6 +115,25 @@
         }
     }
 
+    fn record_reads(
+        &self,
+        now: Instant,
+        call: &PlaceCall,
+        choice: EngineChoice<'_>,
+        metrics: &GatewayMetrics,
+    ) {
+        log_event!(
+            debug,
+            "prompt_placed",
+            pool = call.pool,
+            endpoint = choice.endpoint,
+            tokens = choice.reads
+        );
+        metrics.record_placement(&call.pool, &choice.reads);
+        let mut summary = self.summary.lock().unwrap_or_else(PoisonError::into_inner);
+        summary.add(now, &choice.reads);
+    }
+
     /// The members that are neither silent nor ejected, as targets for a prompt.
     fn targets<'a>(
         &self,
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -139,6 +139,15 @@
         self.pick(view, |member| !self.needs_permit(member))
     }
 
+    /// Chooses the engine of the prompt's shard that a coordinator would probably have chosen:
+    /// both go by the same hash of the shared part.
+    fn pick_home(&self, view: &GatewayView) -> Option<Arc<PoolMember>> {
+        let shard = prompt_exchange::engine_shard(view, &self.context);
+        self.pick(view, |member| {
+            shard.has(member) && !self.needs_permit(member)
+        })
+    }
+
     /// Chooses the endpoint for the next attempt. A prompt goes to the engine that the
     /// coordinator of its shard chose, unless this entry finds that engine unhealthy or
     /// unavailable.
@@ -187,7 +196,7 @@
                     // The coordinator that placed the prompt may not know of the limit.
                     self.node.report_limit(pool, member.endpoint());
                 }
-                match self.pick_unlimited(view) {
+                match self.pick_home(view).or_else(|| self.pick_unlimited(view)) {
                     Some(member) => Some(member),
                     None => self.pick_permitted(view).await,
                 }
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -1,6 +1,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use super::prompt_homes::PlacementCounts;
 use crate::prelude::*;
 
 /// Upper bounds of the duration buckets, from a round trip in a data centre to the longest
@@ -21,6 +22,7 @@
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     backoffs: Counter<u64>,
+    placements: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +54,18 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            placements: meter
+                .u64_counter("savorywalk_gateway_prompt_placements")
+                .with_description("Tokens of shared prompt parts by the reason for reading them")
+                .build(),
+        }
+    }
+
+    pub(super) fn record_placement(&self, pool: &str, reads: &PlacementCounts) {
+        for (reason, tokens) in reads.by_reason() {
+            let pool = KeyValue::new("pool", pool.to_string());
+            let reason = KeyValue::new("reason", reason.name());
+            self.placements.add(tokens, &[pool, reason]);
         }
     }
 
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 mod plan_utility;
 mod pool_load;
 mod prompt_exchange;
+mod prompt_homes;
 mod quantile_scale;
 mod quarantine_gate;
 mod region_map;
@@ -107,6 +108,7 @@
 };
 pub use plan_utility::{UtilityLevel, UtilityScale, rank_utility, utility_level};
 pub use pool_load::PoolRate;
+pub use prompt_homes::{PlacementCounts, ReadReason};
 pub use quantile_scale::QuantileScale;
 pub use registry_daemon::RegistryDaemon;
 pub use request_rank::{engine_rank, request_rank, turn_rank};
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -327,7 +327,7 @@
         let shard = WorkShard::from_name(&call.shard);
         let kind = WorkKind::for_permits(view, &call.pool);
         let permits = self.permit_window(now, &call.pool, kind, &shard);
-        let mut reply = self.engines.place(now, view, call, &permits);
+        let mut reply = self.engines.place(now, view, call, &permits, &self.metrics);
         if !call.permit_for.is_empty() {
             reply.limit = self.limit_notice(&call.pool, &call.permit_for);
         }
