Shares of workspaces: plans of equal utility begin by usage for weight

Cause: plans of equal utility began by latest beginning alone, so a workspace that sends ten times as much got ten times as much of a pool that is short.

Change: gateway/workspace_shares holds usage by workspace as a virtual time, lanes of waiting plans by level, class and pools, a forecast of the wait that fits them, weights and floors of the document, and sums exchanged between the coordinators by UsageNotice. WaitingPlans takes the place of the scheduler's map; without shares it keeps its order.

--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -1,6 +1,9 @@
+use std::sync::{Mutex, PoisonError};
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use super::workspace_shares::WorkspaceLabels;
 use crate::prelude::*;
 
 /// Upper bounds of the duration buckets, from a round trip in a data centre to the longest
@@ -21,6 +24,8 @@
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     backoffs: Counter<u64>,
+    workspace_seconds: Counter<f64>,
+    workspace_labels: Arc<Mutex<WorkspaceLabels>>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +57,11 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            workspace_seconds: meter
+                .f64_counter("savorywalk_gateway_workspace_endpoint_seconds")
+                .with_description("Endpoint time of begun plans by workspace, the largest by name")
+                .build(),
+            workspace_labels: Arc::default(),
         }
     }
 
@@ -78,6 +88,16 @@
         self.backoffs.add(1, &[pool]);
     }
 
+    /// Adds the endpoint time that workspaces have begun to use.
+    pub(super) fn record_workspace_work(&self, used: Vec<(Arc<str>, Duration)>) {
+        let labels = self.workspace_labels.lock();
+        let mut labels = labels.unwrap_or_else(PoisonError::into_inner);
+        for (label, used) in labels.label(used) {
+            let label = KeyValue::new("workspace", label.to_string());
+            self.workspace_seconds.add(used.as_secs_f64(), &[label]);
+        }
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -439,6 +439,15 @@
         plan_admission
     }
 
+    /// The admissions of all shards in which this entry has coordinated work.
+    pub(super) fn all_plan_admissions(&self) -> Vec<Arc<PlanAdmission>> {
+        let plan_admissions = self
+            .plan_admissions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        plan_admissions.values().cloned().collect()
+    }
+
     /// Reports released results to the dispatchers of a shard.
     pub(super) fn record_released(&self, shard: &WorkShard, handles: &[ResultHandle]) {
         let dispatchers = self.dispatchers();
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -83,9 +83,11 @@
 mod stream_relay;
 mod success_count;
 mod table_error;
+mod usage_exchange;
 mod wire_format;
 mod work_exchange;
 mod work_shard;
+mod workspace_shares;
 
 pub use call_utilization::CallUtilization;
 pub use data_center_filter::DataCenterFilter;
@@ -126,6 +128,7 @@
     LoadReport, PieceOutcome, PieceRequest, PieceSource, PromptPart, RegistryAnswer, RegistryCall,
     ResultHandle, TokenCounts, WireFormat,
 };
+pub use workspace_shares::ShareRule;
 
 /// Result of this module's fallible calls.
 pub type Result<T, E = GatewayError> = std::result::Result<T, E>;
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -7,7 +7,7 @@
 use super::{
     CallerHead, EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, InvalidCall,
     LoadFeatures, PieceOutcome, PieceRequest, PoolProfile, PoolShare, RegistryAnswer, RegistryCall,
-    ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, TableError, TableParts,
+    ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, ShareRule, TableError, TableParts,
     WireFormat, WorkspaceRule, cluster_hub,
 };
 use crate::prelude::*;
@@ -55,6 +55,7 @@
             keys: vec![word()],
             rank: None,
             allowed_regions: Vec::new(),
+            share: ShareRule::default(),
         }],
         limits: Default::default(),
     }
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -6,7 +6,9 @@
 use super::piece_dispatcher::{DispatcherKey, PieceDispatcher};
 use super::plan_request::PlanRequest;
 use super::plan_results::PlanFailure;
+use super::usage_exchange;
 use super::work_shard::WorkShard;
+use super::workspace_shares::WaitingPlans;
 use super::{
     PlanClass, PlanDemand, PlanNumber, PlanOutcome, PlanScheduler, PoolRates, ReturnTime,
     RouteTable, StageDemand, StageForecast, UtilityScale, rank_utility,
@@ -97,9 +99,26 @@
             wake: Notify::new(),
         });
         tokio::spawn(Arc::clone(&plan_admission).run());
+        plan_admission.start_shares();
         plan_admission
     }
 
+    /// Lets workspaces have shares if that part is on.
+    fn start_shares(self: &Arc<Self>) {
+        if !self.node.features.workspace_shares {
+            return;
+        }
+        self.with_waiting(|waiting| waiting.enable_shares(rand::random()));
+        let node = Arc::clone(&self.node);
+        let shard = self.shard.clone();
+        tokio::spawn(usage_exchange::run(node, shard, Arc::clone(self)));
+    }
+
+    /// Accesses the waiting plans.
+    pub(super) fn with_waiting<T>(&self, act: impl FnOnce(&mut WaitingPlans) -> T) -> T {
+        act(self.state().scheduler.waiting_plans_mut())
+    }
+
     /// Waits until the scheduler begins or refuses a plan.
     pub(super) async fn admit(
         self: &Arc<Self>,
@@ -123,6 +142,7 @@
                     "plan_refused",
                     request = request.request_id,
                     route = request.route,
+                    workspace = request.workspace,
                     size = request.size,
                     due_ms = due_ms,
                     left_ms = left_ms,
@@ -145,6 +165,7 @@
             "plan_decided",
             request = request.request_id,
             route = request.route,
+            workspace = request.workspace,
             size = request.size,
             due_ms = due_ms,
             left_ms = left_ms,
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -3,6 +3,7 @@
 use super::returns::ReturnTime;
 use super::route_shares::RouteShares;
 use super::size_shares::SizeShares;
+use super::workspace_shares::WaitingPlans;
 use crate::prelude::*;
 
 /// Work in progress allowed beyond what the time through the stages requires, in time of the
@@ -145,19 +146,19 @@
     next: u64,
     loads: FastMap<Arc<str>, PoolLoad>,
     begun: FastMap<PlanNumber, Vec<StageDemand>>,
-    waiting: BTreeMap<WaitKey, PlanDemand>,
+    waiting: WaitingPlans,
     sizes: SizeShares,
     routes: RouteShares,
 }
 
 /// Sort key of waiting plans.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct WaitKey {
-    level: UtilityLevel,
-    class: PlanClass,
+pub(super) struct WaitKey {
+    pub(super) level: UtilityLevel,
+    pub(super) class: PlanClass,
     /// Latest start to be in time for timely classes; end of the maximum wait for others.
-    until: Instant,
-    number: PlanNumber,
+    pub(super) until: Instant,
+    pub(super) number: PlanNumber,
 }
 
 impl PlanDemand {
@@ -171,7 +172,7 @@
     }
 
     /// Demands of the stages that are not left out.
-    fn demands(&self) -> impl Iterator<Item = &StageDemand> {
+    pub(super) fn demands(&self) -> impl Iterator<Item = &StageDemand> {
         self.stages.iter().filter(|stage| !stage.work.is_zero())
     }
 }
@@ -228,7 +229,7 @@
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
             load.record_arrival(now, key.level, stage.work);
         }
-        self.waiting.insert(key, plan);
+        self.waiting.insert(now, key, plan);
     }
 
     /// Queues a plan that can't be in time, or refuses it.
@@ -276,9 +277,10 @@
     pub fn decide(&mut self, now: Instant, rates: &PoolRates) -> Vec<(PlanNumber, PlanOutcome)> {
         let mut outcomes = self.expire_waiting(now, rates);
         let mut blocked: FastSet<Arc<str>> = FastSet::default();
-        let waiting: Vec<WaitKey> = self.waiting.keys().copied().collect();
-        for key in waiting {
+        let mut order = self.waiting.begin_order();
+        while let Some(key) = self.waiting.next(&mut order, &blocked) {
             if !self.may_begin(&key, rates, &mut blocked) {
+                order.pass_over();
                 continue;
             }
             if let Some(plan) = self.waiting.remove(&key) {
@@ -299,9 +301,7 @@
         rates: &PoolRates,
     ) -> Vec<(PlanNumber, PlanOutcome)> {
         let mut outcomes = Vec::new();
-        let expired = self.waiting.keys().filter(|key| key.until < now);
-        let expired: Vec<WaitKey> = expired.copied().collect();
-        for key in expired {
+        for key in self.waiting.expired(now) {
             let Some(plan) = self.waiting.remove(&key) else {
                 continue;
             };
@@ -349,6 +349,7 @@
 
     fn begin(&mut self, now: Instant, number: PlanNumber, plan: PlanDemand) {
         self.sizes.record_outcome(now, &plan.route, plan.size, true);
+        self.waiting.record_begin(now, &plan);
         for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
             load.add(stage);
@@ -375,13 +376,18 @@
             self.finish_stage(number, stage);
         }
         self.begun.remove(&number);
-        self.waiting.retain(|key, _| key.number != number);
+        self.waiting.remove_number(number);
     }
 
     /// Next time at which [`Self::decide`] may change a plan without other events.
     pub fn next_due(&self) -> Option<Instant> {
-        let until = self.waiting.keys().map(|key| key.until);
-        until.min().map(|until| until + WAKE_MARGIN)
+        let until = self.waiting.first_end();
+        until.map(|until| until + WAKE_MARGIN)
+    }
+
+    /// The waiting plans, with the shares of workspaces.
+    pub(super) fn waiting_plans_mut(&mut self) -> &mut WaitingPlans {
+        &mut self.waiting
     }
 
     /// Number of waiting plans.
@@ -399,7 +405,11 @@
         plan: &PlanDemand,
         rates: &PoolRates,
     ) -> Duration {
-        let preceding: Vec<&PlanDemand> = self.waiting.range(..key).map(|(_, plan)| plan).collect();
+        let shares = self.waiting.share_forecast(now, key, plan);
+        let preceding: Vec<&PlanDemand> = match shares {
+            Some(_) => Vec::new(),
+            None => self.waiting.before(key).collect(),
+        };
         let waits = plan.demands().filter_map(|stage| {
             let rate = rates.get(&stage.pool)?;
             let demands = preceding.iter().flat_map(|plan| plan.demands());
@@ -414,7 +424,15 @@
             let remaining = PoolRate {
                 endpoints: (rate.endpoints - incoming).max(min_endpoints),
             };
-            Some(remaining.time_for(queued + excess))
+            Some(match &shares {
+                None => remaining.time_for(queued + excess),
+                Some(shares) => {
+                    let level_rate = load.map_or(0.0, |load| load.arriving_at(now, key.level));
+                    shares.wait(&stage.pool, level_rate, |queued| {
+                        remaining.time_for(queued + excess)
+                    })
+                }
+            })
         });
         waits.max().unwrap_or_default()
     }
--- a/crates/savorywalk/src/gateway/plan_utility.rs
+++ b/crates/savorywalk/src/gateway/plan_utility.rs
@@ -32,7 +32,7 @@
 const ROUTE_RANKS: u8 = 16;
 
 /// Level of the utility of a request; 0 is the highest utility.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UtilityLevel(u8);
 
 impl UtilityLevel {
--- a/crates/savorywalk/src/gateway/pool_load.rs
+++ b/crates/savorywalk/src/gateway/pool_load.rs
@@ -59,6 +59,13 @@
         work / ARRIVAL_TIME_CONSTANT.as_secs_f64()
     }
 
+    /// Rate at which work of `level` has arrived recently, as a number of endpoints.
+    pub(super) fn arriving_at(&self, now: Instant, level: UtilityLevel) -> f64 {
+        let arrivals = self.arrivals.get(level.index());
+        let work = arrivals.map_or(0.0, |sum| sum.value(now, ARRIVAL_TIME_CONSTANT));
+        work / ARRIVAL_TIME_CONSTANT.as_secs_f64()
+    }
+
     pub(super) fn add(&mut self, stage: &StageDemand) {
         self.work_seconds += stage.work.as_secs_f64();
         self.weighted_seconds += weighted_seconds(stage);
--- a/crates/savorywalk/src/gateway/route_rule.rs
+++ b/crates/savorywalk/src/gateway/route_rule.rs
@@ -1,4 +1,4 @@
-use super::{StageGraph, TableError};
+use super::{ShareRule, StageGraph, TableError};
 use crate::prelude::*;
 
 /// One route: the requests it matches, the pools that serve it, and its limits.
@@ -78,7 +78,7 @@
 }
 
 /// A workspace and the keys that its callers may present.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkspaceRule {
     /// Name of the workspace that owns the keys.
     pub name: String,
@@ -88,6 +88,8 @@
     pub rank: Option<u8>,
     /// Regions in which requests may be processed; any if empty.
     pub allowed_regions: Vec<String>,
+    /// Share of the stage pools while they are short.
+    pub share: ShareRule,
 }
 
 impl RouteRule {
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -1,4 +1,4 @@
-use super::{RouteRule, TableError, WorkspaceRule};
+use super::{RouteRule, ShareRule, TableError, WorkspaceRule};
 use crate::prelude::*;
 
 /// The validated contents of a document, indexed for look-ups.
@@ -125,6 +125,9 @@
         for route in parts.routes {
             table.add_route(route)?;
         }
+        let workspaces = parts.workspaces.iter();
+        let shares = workspaces.map(|workspace| (workspace.name.as_str(), workspace.share));
+        ShareRule::check_all(shares)?;
         for workspace in parts.workspaces {
             table.add_workspace(workspace)?;
         }
--- a/crates/savorywalk/src/gateway/route_table_tests.rs
+++ b/crates/savorywalk/src/gateway/route_table_tests.rs
@@ -104,6 +104,7 @@
         keys: vec!["k".into()],
         rank: None,
         allowed_regions: Vec::new(),
+        share: ShareRule::default(),
     };
     let mut parts = parts(vec![route("r", "/a/")]);
     parts.workspaces = vec![workspace("one"), workspace("two")];
@@ -118,3 +119,32 @@
     let drawn = (0..100).filter(|ticket| split.pool_for(*ticket) == "encoders");
     assert_eq!(drawn.count(), 10);
 }
+
+#[test]
+fn weights_and_floors_out_of_range_are_errors_with_a_remedy() {
+    let build = |shares: &[(f64, f64)]| {
+        let mut parts = parts(vec![route("r", "/a/")]);
+        let workspaces = shares.iter().map(|(weight, floor)| WorkspaceRule {
+            name: "w".into(),
+            share: ShareRule {
+                weight: *weight,
+                floor: *floor,
+            },
+            ..WorkspaceRule::default()
+        });
+        parts.workspaces = workspaces.collect();
+        RouteTable::build(parts).map(drop)
+    };
+    for weight in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let error = build(&[(weight, 0.0)]).unwrap_err();
+        assert!(matches!(error, TableError::ShareWeight { .. }), "{error}");
+        assert!(error.to_string().contains("give it a number above 0"));
+    }
+    for floor in [-0.1, f64::NAN, f64::INFINITY] {
+        let error = build(&[(1.0, floor)]).unwrap_err();
+        assert!(matches!(error, TableError::ShareFloor { .. }), "{error}");
+    }
+    let error = build(&[(1.0, 0.6), (1.0, 0.5)]).unwrap_err();
+    assert!(matches!(error, TableError::FloorSum(_)), "{error}");
+    assert_eq!(build(&[(0.5, 0.1); 10]), Ok(()));
+}
--- a/crates/savorywalk/src/gateway/table_error.rs
+++ b/crates/savorywalk/src/gateway/table_error.rs
@@ -43,6 +43,27 @@
         /// Name of the other workspace.
         second: String,
     },
+    /// The weight of a workspace is not a positive finite number.
+    #[error(
+        "workspace {workspace:?} has the weight {weight}; give it a number above 0, or none for 1"
+    )]
+    ShareWeight {
+        /// Name of the workspace.
+        workspace: String,
+        /// The weight that was given.
+        weight: String,
+    },
+    /// The floor of a workspace is negative or not finite.
+    #[error("workspace {workspace:?} has the floor {floor}; give it a share from 0 to 1, or none")]
+    ShareFloor {
+        /// Name of the workspace.
+        workspace: String,
+        /// The floor that was given.
+        floor: String,
+    },
+    /// The floors of all workspaces exceed the whole.
+    #[error("the floors of the workspaces add up to {0}; lower them to a sum of at most 1")]
+    FloorSum(String),
     /// The document can't be parsed.
     #[error("the document can't be read: {0}; send it whole, in its documented form")]
     Unreadable(String),
