--- a/crates/savorywalk/src/gateway/gateway_node_tests.rs
+++ b/crates/savorywalk/src/gateway/gateway_node_tests.rs
@@ -95,3 +95,20 @@
     let unknown = admit(&node, "/q/x", "key");
     assert!(is_refused_as_stale(&unknown), "{unknown:?}");
 }
+
+/// A weight of 0 makes a document invalid; requests go on by the document before.
+#[tokio::test]
+async fn a_document_with_an_invalid_weight_leaves_the_one_before_in_force() {
+    let node = node();
+    let in_force = |number, content| {
+        let reply = document_reply(number, content);
+        node.follower.apply_reply(BootClock.now(), reply);
+        let view = node.aged_view().view;
+        let table = view.table.as_ref().unwrap();
+        let weight = table.workspaces().next().unwrap().share.weight;
+        (view.document(), weight)
+    };
+    assert_eq!(in_force(1, "1 /p/ key 2.5"), (1, 2.5));
+    assert_eq!(in_force(2, "2 /p/ key 0"), (1, 2.5));
+    assert_eq!(in_force(3, "3 /p/ key 4"), (3, 4.0));
+}
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -26,7 +26,7 @@
     let text = std::str::from_utf8(content).unwrap();
     let mut words = text.split(' ');
     let mut word = || words.next().unwrap().to_string();
-    TableParts {
+    let mut parts = TableParts {
         number: word().parse().unwrap(),
         routes: vec![RouteRule {
             name: "r".into(),
@@ -58,7 +58,11 @@
             share: ShareRule::default(),
         }],
         limits: Default::default(),
+    };
+    if let Some(weight) = words.next() {
+        parts.workspaces[0].share.weight = weight.parse().unwrap();
     }
+    parts
 }
 
 impl WireFormat for PlainWire {
--- a/crates/savorywalk/src/gateway/workspace_shares/share_ledger.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/share_ledger.rs
@@ -139,7 +139,12 @@
         if let Some(floor) = account.rule.floor_units() {
             account.floor_time = account.floor_time.max(earliest).plus(work, floor);
         }
-        self.charge(workspace, work);
+        // A workspace whose turn it is has no lead, so its plan is charged in full, however small
+        // its weight is.
+        self.charge(workspace, |before, limit, weight| match before < limit {
+            true => before.plus(work, weight),
+            false => before,
+        });
     }
 
     /// Charges a workspace for endpoint time that it has used in other shards.
@@ -150,19 +155,26 @@
         work: Duration,
     ) {
         self.account(now, workspace);
-        self.charge(workspace, work);
+        self.charge(workspace, |before, limit, weight| {
+            before.plus(work, weight).min(limit).max(before)
+        });
     }
 
-    fn charge(&mut self, workspace: &Arc<str>, work: Duration) {
+    /// Moves a workspace to the time that `after` returns for its time, the limit of its lead
+    /// and its weight.
+    fn charge(
+        &mut self,
+        workspace: &Arc<str>,
+        after: impl Fn(VirtualTime, VirtualTime, u32) -> VirtualTime,
+    ) {
         self.advance();
         let virtual_now = self.virtual_now;
         let Some(account) = self.accounts.get_mut(workspace) else {
             return;
         };
-        let weight = account.rule.weight_units();
-        let before = account.virtual_time.max(virtual_now);
         let limit = virtual_now.plus(MAX_LEAD, ShareRule::WHOLE);
-        let after = before.plus(work, weight).min(limit).max(before);
+        let before = account.virtual_time.max(virtual_now);
+        let after = after(before, limit, account.rule.weight_units());
         if account.waiting > 0 {
             let key = (account.virtual_time, Arc::clone(workspace));
             self.waiting.remove(&key);
--- a/crates/savorywalk/src/gateway/workspace_shares/shares_failure_tests.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/shares_failure_tests.rs
@@ -1,6 +1,6 @@
 use super::own_usage::{MAX_NOTICE_WORKSPACES, OwnUsage};
 use super::remote_usage::RemoteUsage;
-use super::{ShareLedger, WorkspaceLabels};
+use super::{ShareLedger, ShareRule, WorkspaceLabels};
 use crate::generated::work::UsageNotice;
 use crate::prelude::*;
 
@@ -103,6 +103,27 @@
     assert_eq!(ledger.turn("w0"), ledger.turn("waiting"));
 }
 
+/// A plan costs a hundredth of a weight more than the bound of a lead.
+#[test]
+fn small_weights_are_charged_in_full() {
+    let now = Instant::now();
+    let mut ledger = ShareLedger::default();
+    let names: [Arc<str>; 2] = ["small".into(), "usual".into()];
+    let small = ShareRule {
+        weight: 0.01,
+        ..ShareRule::default()
+    };
+    ledger.set_rules(FastMap::from_iter([("small".into(), small)]));
+    names.iter().for_each(|name| ledger.enqueue(now, name));
+    let mut counts = [0_u32; 2];
+    for _ in 0..1_010 {
+        let next = usize::from(ledger.turn("usual") <= ledger.turn("small"));
+        ledger.begin(now, &names[next], SECOND);
+        counts[next] += 1;
+    }
+    assert_eq!(counts, [10, 1_000]);
+}
+
 #[test]
 fn labels_are_bounded_and_kept() {
     let mut labels = WorkspaceLabels::default();
