--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -7,7 +7,7 @@
 use super::{
     CallerHead, EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, InvalidCall,
     LoadFeatures, PieceOutcome, PieceRequest, PoolProfile, PoolShare, RegistryAnswer, RegistryCall,
-    ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, TableError, TableParts,
+    ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, ShareRule, TableError, TableParts,
     WireFormat, WorkspaceRule, cluster_hub,
 };
 use crate::prelude::*;
@@ -26,7 +26,7 @@
     let text = std::str::from_utf8(content).unwrap();
     let mut words = text.split(' ');
     let mut word = || words.next().unwrap().to_string();
-    TableParts {
+    let mut parts = TableParts {
         number: word().parse().unwrap(),
         routes: vec![RouteRule {
             name: "r".into(),
@@ -55,9 +55,14 @@
             keys: vec![word()],
             rank: None,
             allowed_regions: Vec::new(),
+            share: ShareRule::default(),
         }],
         limits: Default::default(),
+    };
+    if let Some(weight) = words.next() {
+        parts.workspaces[0].share.weight = weight.parse().unwrap();
     }
+    parts
 }
 
 impl WireFormat for PlainWire {
