Shard balance: a refused plan goes to the shard that has room

Cause: a plan that its first shard can't begin in time asks one other shard, drawn by a hash, whatever its load; each such refusal costs two coordinators a call.

Change: coordinators of stage shards tell each other the backlog of their pools. The one that refuses names the shard that begins the plan soonest, or decides finally when none has room; without fresh reports the hash decides as before. Off by default.

--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -21,6 +21,7 @@
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     backoffs: Counter<u64>,
+    plans: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +53,10 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            plans: meter
+                .u64_counter("savorywalk_gateway_plans")
+                .with_description("Plans of several shards by the shard that decided on them")
+                .build(),
         }
     }
 
@@ -78,6 +83,13 @@
         self.backoffs.add(1, &[pool]);
     }
 
+    /// Counts a plan by the shard that decided on it: `first`; `named` by the first one or
+    /// `hashed`, when the first one refused; or `decided_here`, when the first one refused
+    /// finally.
+    pub(super) fn record_plan(&self, shard: &'static str) {
+        self.plans.add(1, &[KeyValue::new("shard", shard)]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -11,11 +11,13 @@
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_view::{AgedView, GatewayView};
 use super::graceful_stop::StopSchedule;
+use super::load_exchange;
 use super::permit_gate::{ColdBounds, PermitGate, PermitWindow};
 use super::piece_dispatcher::{DispatcherKey, PieceDispatcher};
 use super::plan_admission::PlanAdmission;
 use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
+use super::shard_balance::ShardLoads;
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
@@ -67,6 +69,8 @@
     retries: Mutex<FastMap<String, RetryWindow>>,
     dispatchers: Mutex<FastMap<DispatcherKey, Arc<PieceDispatcher>>>,
     plan_admissions: Mutex<FastMap<WorkShard, Arc<PlanAdmission>>>,
+    /// Loads of the stage shards, told by their coordinators.
+    pub(super) shard_loads: Mutex<ShardLoads>,
 }
 
 /// Dependencies and settings of a [`GatewayNode`].
@@ -117,6 +121,7 @@
             retries: Mutex::default(),
             dispatchers: Mutex::default(),
             plan_admissions: Mutex::default(),
+            shard_loads: Mutex::default(),
         });
         node.register_view_age();
         node.register_quarantine();
@@ -129,6 +134,9 @@
         tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
         let calls = parts.hub.serve(LinkChannel::Work);
         tokio::spawn(work_exchange::serve(Arc::clone(&node), calls));
+        if node.features.shard_balance {
+            tokio::spawn(load_exchange::run(Arc::clone(&node)));
+        }
         node
     }
 
@@ -439,6 +447,17 @@
         plan_admission
     }
 
+    /// Returns the admissions that have been started at this entry, with their shards.
+    pub(super) fn all_plan_admissions(&self) -> Vec<(WorkShard, Arc<PlanAdmission>)> {
+        let plan_admissions = self
+            .plan_admissions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let all = plan_admissions.iter();
+        all.map(|(shard, plan_admission)| (shard.clone(), Arc::clone(plan_admission)))
+            .collect()
+    }
+
     /// Reports released results to the dispatchers of a shard.
     pub(super) fn record_released(&self, shard: &WorkShard, handles: &[ResultHandle]) {
         let dispatchers = self.dispatchers();
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod limit_exchange;
 #[cfg(test)]
 mod limit_simulation_tests;
+mod load_exchange;
 mod load_features;
 mod metrics_page;
 mod nearby_slots;
@@ -77,6 +78,7 @@
 mod route_table;
 mod run_ledger;
 mod send_permits;
+mod shard_balance;
 mod size_shares;
 mod stage_forecast;
 mod stage_graph;
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -6,6 +6,7 @@
 use super::piece_dispatcher::{DispatcherKey, PieceDispatcher};
 use super::plan_request::PlanRequest;
 use super::plan_results::PlanFailure;
+use super::shard_balance::{ShardChoice, ShardReport};
 use super::work_shard::WorkShard;
 use super::{
     PlanClass, PlanDemand, PlanNumber, PlanOutcome, PlanScheduler, PoolRates, ReturnTime,
@@ -48,6 +49,9 @@
     rank: u8,
 }
 
+/// A plan that waits for its decision.
+type WaitingPlan = (PlanPermit, oneshot::Receiver<PlanOutcome>);
+
 impl Drop for PlanPermit {
     fn drop(&mut self) {
         let mut state = self.plan_admission.state();
@@ -115,7 +119,11 @@
             .saturating_duration_since(arrived)
             .as_millis();
         let tail_ms = request.tail.as_millis();
-        let (mut permit, decision) = match self.enqueue(arrived, request, demand, forecast) {
+        let may_send = demand.timely_only && self.node.features.shard_balance;
+        let sendable = may_send.then(|| demand.clone());
+        let submitted = self.enqueue_or_send(arrived, request, demand, forecast);
+        let (waiting, mut other_shard) = submitted;
+        let (mut permit, decision) = match waiting {
             Ok(waiting) => waiting,
             Err(return_time) => {
                 log_event!(
@@ -130,9 +138,13 @@
                     tail_ms = tail_ms,
                     waiting = self.state().scheduler.waiting(),
                     retry_after_ms = delay_ms(Some(return_time)),
-                    returns = return_time.name()
+                    returns = return_time.name(),
+                    other_shard = other_shard.as_ref().map_or("", WorkShard::name)
                 );
-                return Err(PlanFailure::overload(return_time));
+                return Err(PlanFailure::Overload {
+                    return_time,
+                    other_shard,
+                });
             }
         };
         self.wake.notify_one();
@@ -140,6 +152,10 @@
             log_event!(warn, "plan_undecided", request = request.request_id);
             return Err(PlanFailure::Failed);
         };
+        if let (PlanOutcome::Refused(_), Some(demand), None) = (outcome, sendable, &other_shard) {
+            let choice = self.choose_other_shard(Instant::now(), request, &demand);
+            other_shard = self.shard_to_ask(choice);
+        }
         log_event!(
             info,
             "plan_decided",
@@ -154,7 +170,8 @@
             waited_ms = arrived.elapsed().as_millis(),
             outcome = outcome.name(),
             retry_after_ms = delay_ms(outcome.return_time()),
-            returns = outcome.return_time().map_or("", ReturnTime::name)
+            returns = outcome.return_time().map_or("", ReturnTime::name),
+            other_shard = other_shard.as_ref().map_or("", WorkShard::name)
         );
         match outcome {
             PlanOutcome::Begun(PlanClass::SizeBoost) => {
@@ -166,17 +183,97 @@
                 Ok(permit)
             }
             PlanOutcome::Begun(PlanClass::Timely | PlanClass::Late) => Ok(permit),
-            PlanOutcome::Refused(return_time) => Err(PlanFailure::overload(return_time)),
+            PlanOutcome::Refused(return_time) => Err(PlanFailure::Overload {
+                return_time,
+                other_shard,
+            }),
+        }
+    }
+
+    /// Enqueues a plan. Names another shard for a plan that is refused and may go there, or
+    /// this shard if it decides on the plan finally since no other has room.
+    fn enqueue_or_send(
+        self: &Arc<Self>,
+        now: Instant,
+        request: &PlanRequest,
+        demand: PlanDemand,
+        forecast: StageForecast,
+    ) -> (Result<WaitingPlan, ReturnTime>, Option<WorkShard>) {
+        if !(demand.timely_only && self.node.features.shard_balance) {
+            return (self.enqueue(now, request, demand, forecast), None);
+        }
+        let first = self.enqueue(now, request, demand.clone(), forecast.clone());
+        let Err(return_time) = first else {
+            return (first, None);
+        };
+        let choice = self.choose_other_shard(now, request, &demand);
+        let decided = match choice {
+            ShardChoice::Named(_) | ShardChoice::Unknown => Err(return_time),
+            ShardChoice::NoneHasRoom => {
+                let demand = PlanDemand {
+                    timely_only: false,
+                    ..demand
+                };
+                self.enqueue(now, request, demand, forecast)
+            }
+        };
+        (decided, self.shard_to_ask(choice))
+    }
+
+    /// Returns the shard to name in a refusal: this one if the refusal is final.
+    fn shard_to_ask(&self, choice: ShardChoice) -> Option<WorkShard> {
+        match choice {
+            ShardChoice::Named(shard) => Some(shard),
+            ShardChoice::NoneHasRoom => Some(self.shard.clone()),
+            ShardChoice::Unknown => None,
         }
     }
 
+    fn choose_other_shard(
+        &self,
+        now: Instant,
+        request: &PlanRequest,
+        demand: &PlanDemand,
+    ) -> ShardChoice {
+        let wait = self.scheduled_wait(now, demand);
+        let node = &self.node;
+        node.choose_other_shard(now, &self.shard, request, demand, wait)
+    }
+
+    /// Expected wait of a plan, and the share of the whole backlog that precedes it.
+    fn scheduled_wait(&self, now: Instant, demand: &PlanDemand) -> (Duration, f64) {
+        let rates = self.rates(now);
+        let state = self.state();
+        let wait = state.scheduler.timely_wait(now, demand, &rates);
+        let report = ShardReport::new(&state.scheduler.backlogs(&rates), &rates);
+        drop(state);
+        let whole = report.wait(demand, |_| 0.0).unwrap_or_default();
+        let share = match whole.is_zero() {
+            true => 1.0,
+            false => (wait.as_secs_f64() / whole.as_secs_f64()).min(1.0),
+        };
+        (wait, share)
+    }
+
+    /// Whether any plan waits or has begun.
+    pub(super) fn has_work(&self) -> bool {
+        self.state().scheduler.has_work()
+    }
+
+    /// Reports the load of the shard's pools.
+    pub(super) fn report(&self, now: Instant) -> ShardReport {
+        let rates = self.rates(now);
+        let state = self.state();
+        ShardReport::new(&state.scheduler.backlogs(&rates), &rates)
+    }
+
     fn enqueue(
         self: &Arc<Self>,
         now: Instant,
         request: &PlanRequest,
         demand: PlanDemand,
         forecast: StageForecast,
-    ) -> Result<(PlanPermit, oneshot::Receiver<PlanOutcome>), ReturnTime> {
+    ) -> Result<WaitingPlan, ReturnTime> {
         let rates = self.rates(now);
         let mut state = self.state();
         let number = state.scheduler.submit(now, demand, &rates)?;
--- a/crates/savorywalk/src/gateway/plan_results.rs
+++ b/crates/savorywalk/src/gateway/plan_results.rs
@@ -12,7 +12,8 @@
     Overload {
         /// When the caller may return.
         return_time: ReturnTime,
-        /// Another shard that probably has room.
+        /// Another shard that probably has room; the refusing one itself if none is known to,
+        /// so that the refusal is final. `None` if too little is known of the others.
         other_shard: Option<WorkShard>,
     },
     /// An input was no longer stored at its endpoint.
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -389,6 +389,47 @@
         self.waiting.len()
     }
 
+    /// Whether any plan waits or has begun.
+    pub(super) fn has_work(&self) -> bool {
+        !self.waiting.is_empty() || !self.begun.is_empty()
+    }
+
+    /// Time in which each pool does the work that waits for it: that of the waiting plans, and
+    /// what has begun beyond the amount that keeps the pool busy. Late plans don't count, since
+    /// they use what others leave.
+    pub(super) fn backlogs(&self, rates: &PoolRates) -> FastMap<Arc<str>, Duration> {
+        let mut queued: FastMap<&str, f64> = FastMap::default();
+        let waiting = self.waiting.iter();
+        let waiting = waiting.filter(|(key, _)| key.class != PlanClass::Late);
+        for stage in waiting.flat_map(|(_, plan)| plan.demands()) {
+            *queued.entry(&stage.pool).or_default() += stage.work.as_secs_f64();
+        }
+        let backlogs = rates.iter().map(|(pool, rate)| {
+            let load = self.loads.get(pool);
+            let excess = load.map_or(0.0, |load| load.excess_seconds(*rate, WORK_SLACK, 1_000));
+            let queued = queued.get(pool.as_ref()).copied().unwrap_or(0.0);
+            (Arc::clone(pool), rate.time_for(queued + excess.max(0.0)))
+        });
+        backlogs.collect()
+    }
+
+    /// Expected wait of a plan if it were submitted as one that can be in time.
+    pub(super) fn timely_wait(
+        &self,
+        now: Instant,
+        plan: &PlanDemand,
+        rates: &PoolRates,
+    ) -> Duration {
+        let (class, utility) = self.timely_class(now, plan);
+        let key = WaitKey {
+            level: utility_level(utility, true),
+            class,
+            until: plan.latest_begin().unwrap_or(now),
+            number: PlanNumber(self.next),
+        };
+        self.expected_wait(now, &key, plan, rates)
+    }
+
     /// Expected wait of a plan: time for the work of waiting plans that precede it, while the
     /// pool also does the work that is expected to arrive and precede it, at the recent
     /// arrival rate.
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// Handles notices from other entries: results to release, reports on engines, and rate limits.
+/// Handles notices from other entries: results to release, reports on engines, rate limits, and
+/// loads of shards.
 pub(super) async fn serve(node: Arc<GatewayNode>, mut notices: mpsc::Receiver<InboundMessage>) {
     while let Some(message) = notices.recv().await {
         let notice = match WorkNotice::decode(message.payload) {
@@ -96,7 +97,11 @@
                 node.adopt_limit(message.from.as_str(), &limit);
                 continue;
             }
-            Some(Notice::ShardLoad(_) | Notice::Usage(_)) => {
+            Some(Notice::ShardLoad(notice)) => {
+                node.record_shard_load(&message.from, &notice);
+                continue;
+            }
+            Some(Notice::Usage(_)) => {
                 log_event!(debug, "load_notice_unused", from = message.from);
                 continue;
             }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -76,10 +76,27 @@
             return self.execute_in_shard(node, &first, &request).await;
         };
         request.timely_only = true;
-        match self.execute_in_shard(node, &first, &request).await {
-            Err(PlanFailure::Overload { .. }) => {}
-            outcome => return outcome,
-        }
+        let outcome = self.execute_in_shard(node, &first, &request).await;
+        let Err(PlanFailure::Overload { other_shard, .. }) = &outcome else {
+            node.metrics.record_plan("first");
+            return outcome;
+        };
+        let other_shard = other_shard.as_ref();
+        let other_shard = other_shard.filter(|_| node.features.shard_balance);
+        let second = match other_shard {
+            Some(other) if *other == first => {
+                node.metrics.record_plan("decided_here");
+                return outcome;
+            }
+            Some(other) if map.has(other) => {
+                node.metrics.record_plan("named");
+                other
+            }
+            Some(_) | None => {
+                node.metrics.record_plan("hashed");
+                second
+            }
+        };
         request.timely_only = false;
         self.execute_in_shard(node, second, &request).await
     }
