Shard balance: backlogs by the scheduler's own wait, sent work counts whole

The reported backlog left out the work that arrives meanwhile, and sent work was counted by the share that precedes a plan in a backlog, although it is of the same rank.

Change: the backlog of a pool is the wait of a plan that goes behind all others, by the rule by which plans are refused; sent work counts whole. plan_refused and plan_decided tell the shard.

--- a/crates/savorywalk/src/gateway/load_exchange.rs
+++ b/crates/savorywalk/src/gateway/load_exchange.rs
@@ -164,3 +164,7 @@
 fn first_sequence() -> u64 {
     BootClock.now().since(BootTime::default()).as_millis() as u64
 }
+
+#[cfg(test)]
+#[path = "load_exchange_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -130,6 +130,7 @@
                     info,
                     "plan_refused",
                     request = request.request_id,
+                    shard = self.shard.name(),
                     route = request.route,
                     size = request.size,
                     due_ms = due_ms,
@@ -160,6 +161,7 @@
             info,
             "plan_decided",
             request = request.request_id,
+            shard = self.shard.name(),
             route = request.route,
             size = request.size,
             due_ms = due_ms,
@@ -245,9 +247,9 @@
         let rates = self.rates(now);
         let state = self.state();
         let wait = state.scheduler.timely_wait(now, demand, &rates);
-        let report = ShardReport::new(&state.scheduler.backlogs(&rates), &rates);
+        let report = ShardReport::new(&state.scheduler.backlogs(now, &rates), &rates);
         drop(state);
-        let whole = report.wait(demand, |_| 0.0).unwrap_or_default();
+        let whole = report.wait(demand, 1.0, |_| 0.0).unwrap_or_default();
         let share = match whole.is_zero() {
             true => 1.0,
             false => (wait.as_secs_f64() / whole.as_secs_f64()).min(1.0),
@@ -264,7 +266,7 @@
     pub(super) fn report(&self, now: Instant) -> ShardReport {
         let rates = self.rates(now);
         let state = self.state();
-        ShardReport::new(&state.scheduler.backlogs(&rates), &rates)
+        ShardReport::new(&state.scheduler.backlogs(now, &rates), &rates)
     }
 
     fn enqueue(
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -394,21 +394,28 @@
         !self.waiting.is_empty() || !self.begun.is_empty()
     }
 
-    /// Time in which each pool does the work that waits for it: that of the waiting plans, and
-    /// what has begun beyond the amount that keeps the pool busy. Late plans don't count, since
-    /// they use what others leave.
-    pub(super) fn backlogs(&self, rates: &PoolRates) -> FastMap<Arc<str>, Duration> {
+    /// Expected wait in each pool of a plan that goes behind all others: time for the work of
+    /// the waiting plans, and for what has begun beyond the amount that keeps the pool busy,
+    /// while the pool also does the work that arrives at the recent rate.
+    pub(super) fn backlogs(&self, now: Instant, rates: &PoolRates) -> FastMap<Arc<str>, Duration> {
         let mut queued: FastMap<&str, f64> = FastMap::default();
-        let waiting = self.waiting.iter();
-        let waiting = waiting.filter(|(key, _)| key.class != PlanClass::Late);
-        for stage in waiting.flat_map(|(_, plan)| plan.demands()) {
+        for stage in self.waiting.values().flat_map(PlanDemand::demands) {
             *queued.entry(&stage.pool).or_default() += stage.work.as_secs_f64();
         }
+        let last = utility_level(0.0, true);
         let backlogs = rates.iter().map(|(pool, rate)| {
             let load = self.loads.get(pool);
             let excess = load.map_or(0.0, |load| load.excess_seconds(*rate, WORK_SLACK, 1_000));
+            let incoming = load.map_or(0.0, |load| load.arriving_before(now, last));
+            let min_endpoints = rate.endpoints * MIN_REMAINING_SHARE;
+            let remaining = PoolRate {
+                endpoints: (rate.endpoints - incoming).max(min_endpoints),
+            };
             let queued = queued.get(pool.as_ref()).copied().unwrap_or(0.0);
-            (Arc::clone(pool), rate.time_for(queued + excess.max(0.0)))
+            (
+                Arc::clone(pool),
+                remaining.time_for(queued + excess.max(0.0)),
+            )
         });
         backlogs.collect()
     }
--- a/crates/savorywalk/src/gateway/shard_balance/report_pacer.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/report_pacer.rs
@@ -92,3 +92,7 @@
         })
     })
 }
+
+#[cfg(test)]
+#[path = "report_pacer_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
@@ -153,10 +153,9 @@
         if age > MAX_REPORT_AGE {
             return None;
         }
-        let wait = known
-            .report
-            .wait(query.plan, |pool| known.sent_seconds(pool))?;
-        let wait = wait.mul_f64(query.preceding_share.clamp(0.0, 1.0));
+        let share = query.preceding_share.clamp(0.0, 1.0);
+        let sent = |pool: &str| known.sent_seconds(pool);
+        let wait = known.report.wait(query.plan, share, sent)?;
         let (uncertainty, is_idle) = match wait.is_zero() {
             true => (Duration::ZERO, true),
             false => (age, false),
@@ -195,7 +194,7 @@
 
 #[cfg(test)]
 #[path = "shard_loads_tests.rs"]
-mod tests;
+pub(super) mod tests;
 
 #[cfg(test)]
 #[path = "balance_load_tests.rs"]
--- a/crates/savorywalk/src/gateway/shard_balance/shard_loads_tests.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_loads_tests.rs
@@ -9,7 +9,7 @@
 }
 
 /// A report on one pool of four endpoints.
-pub(super) fn report(backlog: Duration) -> ShardReport {
+pub(in crate::gateway::shard_balance) fn report(backlog: Duration) -> ShardReport {
     let rates = PoolRates::from_iter([("pool".into(), PoolRate { endpoints: 4.0 })]);
     let backlogs = FastMap::from_iter([("pool".into(), backlog)]);
     ShardReport::new(&backlogs, &rates)
@@ -180,6 +180,25 @@
     assert_eq!(choose(&mut loads, later, &others), named("a"));
 }
 
+/// Load: a burst of the first rank, which a tenth of the backlog precedes. What was sent is of
+/// that rank too, so it counts whole.
+#[test]
+fn a_better_rank_waits_for_a_share_of_the_backlog_and_all_that_was_sent() {
+    let now = Instant::now();
+    let mut loads = ShardLoads::default();
+    loads.record(now, &peer("x"), &shard("a"), 1, report(ms(1_000)));
+    let plan = plan(now, ms(300));
+    let others = others(&["a"]);
+    let query = BalanceQuery {
+        plan: &plan,
+        own_wait: OWN_WAIT,
+        preceding_share: 0.1,
+        others: &others,
+    };
+    let sent = (0..100).filter(|_| loads.choose(now, &query) == named("a"));
+    assert_eq!(sent.count(), 9);
+}
+
 /// A late plan goes only where endpoints would be idle.
 #[test]
 fn a_plan_that_is_late_everywhere_goes_to_an_idle_shard() {
--- a/crates/savorywalk/src/gateway/shard_balance/shard_report.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_report.rs
@@ -78,11 +78,12 @@
         backlogs.max().unwrap_or_default()
     }
 
-    /// Time until a plan begins behind the whole backlog of its pools, to which `added` seconds
-    /// of endpoint time are added for each pool; `None` if a pool of the plan is not reported.
+    /// Time until a plan begins behind a share of the backlog of its pools, and `added` seconds
+    /// of endpoint time in each pool; `None` if a pool of the plan is not reported.
     pub(in crate::gateway) fn wait(
         &self,
         plan: &PlanDemand,
+        preceding_share: f64,
         added: impl Fn(&str) -> f64,
     ) -> Option<Duration> {
         let stages = plan.stages.iter().filter(|stage| !stage.work.is_zero());
@@ -90,7 +91,10 @@
         for stage in stages {
             let report = self.pools.get(&stage.pool)?;
             let wait = match report.rate.endpoints > 0.0 {
-                true => report.backlog + report.rate.time_for(added(&stage.pool)),
+                true => {
+                    let backlog = report.backlog.mul_f64(preceding_share);
+                    backlog + report.rate.time_for(added(&stage.pool))
+                }
                 false => UNUSABLE_WAIT,
             };
             longest = longest.max(wait);
