--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -28,6 +28,7 @@
     placements: Counter<u64>,
     workspace_seconds: Counter<f64>,
     workspace_labels: Arc<Mutex<WorkspaceLabels>>,
+    plans: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -59,6 +60,10 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            plans: meter
+                .u64_counter("savorywalk_gateway_plans")
+                .with_description("Plans of several shards by the shard that decided on them")
+                .build(),
             workspace_seconds: meter
                 .f64_counter("savorywalk_gateway_workspace_endpoint_seconds")
                 .with_description("Endpoint time of begun plans by workspace, the largest by name")
@@ -112,6 +117,13 @@
         }
     }
 
+    /// Counts a plan by the shard that decided on it: `first`; `named` by the first one or
+    /// `hashed`, when the first one refused; or `decided_here`, when the first one refused
+    /// finally.
+    pub(super) fn record_plan(&self, shard: &'static str) {
+        self.plans.add(1, &[KeyValue::new("shard", shard)]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -75,8 +75,8 @@
     }
 }
 
-/// Handles notices from other entries: results to release, reports on engines, rate limits,
-/// and usage of workspaces.
+/// Handles notices from other entries: results to release, reports on engines, rate limits, usage
+/// of workspaces, and loads of shards.
 pub(super) async fn serve(node: Arc<GatewayNode>, mut notices: mpsc::Receiver<InboundMessage>) {
     while let Some(message) = notices.recv().await {
         let notice = match WorkNotice::decode(message.payload) {
@@ -101,8 +101,8 @@
                 node.adopt_usage(&usage);
                 continue;
             }
-            Some(Notice::ShardLoad(_)) => {
-                log_event!(debug, "load_notice_unused", from = message.from);
+            Some(Notice::ShardLoad(notice)) => {
+                node.record_shard_load(&message.from, &notice);
                 continue;
             }
             None => continue,
--- a/crates/savorywalk/src/gateway/usage_exchange.rs
+++ b/crates/savorywalk/src/gateway/usage_exchange.rs
@@ -44,7 +44,7 @@
     /// Another coordinator of the same shard counts as well: what it began, this one did not.
     pub(super) fn adopt_usage(&self, notice: &UsageNotice) {
         let now = Instant::now();
-        for plan_admission in self.all_plan_admissions() {
+        for (_, plan_admission) in self.all_plan_admissions() {
             plan_admission.with_waiting(|waiting| {
                 if let Some(queues) = waiting.queues_mut() {
                     queues.adopt(now, notice);
