Returns: refused plans get an appointment with reserved room

Cause: callers that are refused in a burst wait for as long as they are told and return once; told a fixed pause they return into the same burst and are refused for good.

Change: ReturnCalendar keeps the endpoint time that is promised by pool and slot, under the digest of the request. A plan that is refused for good gets the first slot in which all of its pools have room; when it returns then it goes before newcomers of its level, and late newcomers leave the room of those who are due. With appointments, shards are drawn by the digest.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -16,6 +16,10 @@
 /// Longest wait for a permit; beyond it the request is refused with a retry time.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
 
+/// Time told to callers whose return is of no use. Told none, callers return at once, several
+/// times, and take room in queues that others could use.
+const HOPELESS_RETRY: Duration = Duration::from_secs(5);
+
 /// Returns a random time between half of `retry_after` and all of it, so that callers that
 /// were refused together do not retry together.
 fn with_jitter(retry_after: Duration) -> Duration {
@@ -303,7 +307,7 @@
                 retry_after: match return_time {
                     ReturnTime::After(delay) => Some(with_jitter(delay)),
                     ReturnTime::Appointed(delay) => Some(delay),
-                    ReturnTime::Hopeless => None,
+                    ReturnTime::Hopeless => Some(HOPELESS_RETRY),
                 },
             },
             (PlanFailure::Overload { .. }, None) => self.refuse(NotRunReason::Overload),
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -1,6 +1,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
+use super::returns::CalendarCounts;
 use crate::prelude::*;
 
 /// Upper bounds of the duration buckets, from a round trip in a data centre to the longest
@@ -21,6 +22,7 @@
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     backoffs: Counter<u64>,
+    appointments: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +54,10 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            appointments: meter
+                .u64_counter("savorywalk_gateway_appointments")
+                .with_description("Appointments of refused callers by what became of them")
+                .build(),
         }
     }
 
@@ -78,6 +84,15 @@
         self.backoffs.add(1, &[pool]);
     }
 
+    pub(super) fn record_appointments(&self, counts: CalendarCounts) {
+        for (outcome, count) in counts.by_name() {
+            if count > 0 {
+                let outcome = KeyValue::new("outcome", outcome);
+                self.appointments.add(count, &[outcome]);
+            }
+        }
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -112,7 +112,7 @@
 pub use request_rank::{engine_rank, request_rank, turn_rank};
 pub use result_capacity::ResultCapacity;
 pub use retry_window::{RetryLimits, RetryWindow};
-pub use returns::ReturnTime;
+pub use returns::{CalendarCounts, ReturnTime};
 pub use route_rule::{PoolShare, RouteKind, RouteRule, StageRule, WorkspaceRule};
 pub use route_table::{
     EngineProfile, PieceProfile, PoolProfile, RequestLimits, RouteTable, TableParts,
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -64,8 +64,9 @@
         &self.forecast
     }
 
-    /// When the request should be answered. For [`PlanClass::SizeBoost`] it is the expected
-    /// time of the answer, so that its pieces are scheduled like those of timely plans.
+    /// When the request should be answered. For [`PlanClass::SizeBoost`] and
+    /// [`PlanClass::Appointed`] it is the expected time of the answer, so that the pieces are
+    /// scheduled like those of timely plans.
     pub(super) fn due(&self) -> Instant {
         self.due
     }
@@ -90,10 +91,14 @@
 impl PlanAdmission {
     /// Starts the admission task of a shard.
     pub(super) fn start(node: Arc<GatewayNode>, shard: &WorkShard) -> Arc<Self> {
+        let mut state = AdmissionState::default();
+        if node.features.appointments {
+            state.scheduler = PlanScheduler::with_appointments();
+        }
         let plan_admission = Arc::new(Self {
             node,
             shard: shard.clone(),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             wake: Notify::new(),
         });
         tokio::spawn(Arc::clone(&plan_admission).run());
@@ -157,7 +162,7 @@
             returns = outcome.return_time().map_or("", ReturnTime::name)
         );
         match outcome {
-            PlanOutcome::Begun(PlanClass::SizeBoost) => {
+            PlanOutcome::Begun(PlanClass::Appointed | PlanClass::SizeBoost) => {
                 permit.due = Instant::now() + permit.forecast.total() + request.tail;
                 Ok(permit)
             }
@@ -242,6 +247,7 @@
             deadline: request.deadline.checked_sub(request.tail).unwrap_or(now),
             returning: request.returning,
             timely_only: request.timely_only,
+            digest: request.digest,
         }
     }
 
@@ -269,6 +275,9 @@
                 log_event!(debug, "plan_abandoned", shard = self.shard.name());
             }
         }
+        let counts = state.scheduler.take_return_counts();
+        drop(state);
+        self.node.metrics.record_appointments(counts);
     }
 
     /// Returns the rates of the shard's pools, at most [`MAX_RATES_AGE`] old.
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -1,9 +1,12 @@
 use super::plan_utility::{UtilityLevel, utility_level};
 use super::pool_load::{PoolLoad, PoolRate};
-use super::returns::ReturnTime;
+use super::returns::{
+    CalendarCounts, PoolOutlook, ReturnCalendar, ReturnClaim, ReturnSpan, ReturnTime, UsualArrivals,
+};
 use super::route_shares::RouteShares;
 use super::size_shares::SizeShares;
 use crate::prelude::*;
+use crate::quarantine::RequestDigest;
 
 /// Work in progress allowed beyond what the time through the stages requires, in time of the
 /// whole pool. About half of a full call of 280 to 370 ms, so that an endpoint that becomes
@@ -30,6 +33,10 @@
 /// the expected wait finite.
 const MIN_REMAINING_SHARE: f64 = 0.05;
 
+/// Shortest time after which a refused caller returns at its appointment: the refusal and the
+/// new request cross the network, and the pools have begun what waits now.
+const MIN_RETURN_DELAY: Duration = Duration::from_millis(250);
+
 /// Added to a plan's `until` for a wake-up strictly after it.
 const WAKE_MARGIN: Duration = Duration::from_micros(100);
 
@@ -73,11 +80,15 @@
     pub returning: bool,
     /// Whether the plan is refused when it can't be in time.
     pub timely_only: bool,
+    /// Digest by which the request is recognised when it is sent again.
+    pub digest: Option<RequestDigest>,
 }
 
 /// Class of a plan among those of equal utility, in order of precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PlanClass {
+    /// The plan can't be in time, and its caller has returned at the time of its appointment.
+    Appointed,
     /// The plan can be in time.
     Timely,
     /// The plan can be in time, and its route has a much smaller share of timely plans than
@@ -95,7 +106,7 @@
     pub const fn is_timely(self) -> bool {
         match self {
             Self::Timely | Self::RouteBoost => true,
-            Self::SizeBoost | Self::Late => false,
+            Self::Appointed | Self::SizeBoost | Self::Late => false,
         }
     }
 }
@@ -113,6 +124,7 @@
     /// Name of the outcome in logs.
     pub const fn name(self) -> &'static str {
         match self {
+            Self::Begun(PlanClass::Appointed) => "begun_appointed",
             Self::Begun(PlanClass::Timely) => "begun_timely",
             Self::Begun(PlanClass::RouteBoost) => "begun_in_turn",
             Self::Begun(PlanClass::SizeBoost) => "begun_owed",
@@ -148,6 +160,14 @@
     waiting: BTreeMap<WaitKey, PlanDemand>,
     sizes: SizeShares,
     routes: RouteShares,
+    returns: Option<ReturnDesk>,
+}
+
+/// What the scheduler knows about refused plans that return, while appointments are made.
+#[derive(Debug, Default)]
+struct ReturnDesk {
+    calendar: ReturnCalendar,
+    arrivals: UsualArrivals,
 }
 
 /// Sort key of waiting plans.
@@ -177,6 +197,14 @@
 }
 
 impl PlanScheduler {
+    /// Creates a scheduler that reserves room for the return of plans that it refuses.
+    pub fn with_appointments() -> Self {
+        Self {
+            returns: Some(ReturnDesk::default()),
+            ..Self::default()
+        }
+    }
+
     /// Submits a plan. It waits until [`Self::decide`] returns its outcome.
     ///
     /// # Errors
@@ -198,13 +226,15 @@
             until: plan.latest_begin().unwrap_or(now),
             number,
         };
+        let is_due = self.claim(now, &plan);
         if plan.is_timely(now + self.expected_wait(now, &key, &plan, rates)) {
             self.enqueue(now, key, plan);
             return Ok(number);
         }
-        match plan.timely_only {
-            true => Err(return_time(now, &plan)),
-            false => self.enqueue_late(now, number, plan, rates),
+        match (is_due, plan.timely_only) {
+            (true, _) => self.enqueue_appointed(now, number, plan, rates),
+            (false, true) => Err(return_time(now, &plan)),
+            (false, false) => self.enqueue_late(now, number, plan, rates),
         }
     }
 
@@ -227,6 +257,10 @@
         for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
             load.record_arrival(now, key.level, stage.work);
+            if let Some(desk) = &mut self.returns {
+                let arrivals = &mut desk.arrivals;
+                arrivals.record(now, &stage.pool, key.level, stage.work);
+            }
         }
         self.waiting.insert(key, plan);
     }
@@ -258,27 +292,28 @@
         };
         let wait = self.expected_wait(now, &key, &plan, rates);
         if wait > max_wait || now + wait + plan.total > plan.deadline {
-            return Err(self.refuse(now, &plan));
+            return Err(self.refuse(now, &plan, rates));
         }
         self.enqueue(now, key, plan);
         Ok(number)
     }
 
     /// Records that a plan is refused, and returns when its caller may return.
-    fn refuse(&mut self, now: Instant, plan: &PlanDemand) -> ReturnTime {
+    fn refuse(&mut self, now: Instant, plan: &PlanDemand, rates: &PoolRates) -> ReturnTime {
         self.sizes
             .record_outcome(now, &plan.route, plan.size, false);
         self.routes.record_outcome(now, &plan.route, false);
-        return_time(now, plan)
+        self.appoint(now, plan, rates)
     }
 
     /// Begins and refuses waiting plans according to the current rates of the pools.
     pub fn decide(&mut self, now: Instant, rates: &PoolRates) -> Vec<(PlanNumber, PlanOutcome)> {
         let mut outcomes = self.expire_waiting(now, rates);
         let mut blocked: FastSet<Arc<str>> = FastSet::default();
+        let due_work = self.due_work(now);
         let waiting: Vec<WaitKey> = self.waiting.keys().copied().collect();
         for key in waiting {
-            if !self.may_begin(&key, rates, &mut blocked) {
+            if !self.may_begin(&key, rates, &due_work, &mut blocked) {
                 continue;
             }
             if let Some(plan) = self.waiting.remove(&key) {
@@ -309,7 +344,9 @@
                 PlanClass::Timely | PlanClass::RouteBoost => {
                     self.enqueue_late(now, key.number, plan, rates)
                 }
-                PlanClass::SizeBoost | PlanClass::Late => Err(self.refuse(now, &plan)),
+                PlanClass::Appointed | PlanClass::SizeBoost | PlanClass::Late => {
+                    Err(self.refuse(now, &plan, rates))
+                }
             };
             if let Err(return_time) = outcome {
                 outcomes.push((key.number, PlanOutcome::Refused(return_time)));
@@ -320,7 +357,13 @@
 
     /// Whether all pools of a plan have capacity for it. A full pool is then blocked for all
     /// plans behind this one, unless this one is late: they must not overtake it there.
-    fn may_begin(&self, key: &WaitKey, rates: &PoolRates, blocked: &mut FastSet<Arc<str>>) -> bool {
+    fn may_begin(
+        &self,
+        key: &WaitKey,
+        rates: &PoolRates,
+        due_work: &FastMap<Arc<str>, f64>,
+        blocked: &mut FastSet<Arc<str>>,
+    ) -> bool {
         let Some(plan) = self.waiting.get(key) else {
             return false;
         };
@@ -330,7 +373,10 @@
         let is_late = key.class == PlanClass::Late;
         let permille = if is_late { LATE_LIMIT_PERMILLE } else { 1_000 };
         let full = plan.demands();
-        let full = full.filter(|stage| !self.has_capacity(stage, rates, permille));
+        let full = full.filter(|stage| match is_late {
+            true => !self.has_capacity(&with_due_work(stage, due_work), rates, permille),
+            false => !self.has_capacity(stage, rates, permille),
+        });
         let full: Vec<Arc<str>> = full.map(|stage| Arc::clone(&stage.pool)).collect();
         let may_begin = full.is_empty();
         if !is_late {
@@ -348,6 +394,9 @@
     }
 
     fn begin(&mut self, now: Instant, number: PlanNumber, plan: PlanDemand) {
+        if let (Some(desk), Some(digest)) = (&mut self.returns, plan.digest) {
+            desk.calendar.cancel(digest);
+        }
         self.sizes.record_outcome(now, &plan.route, plan.size, true);
         for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
@@ -420,6 +469,146 @@
     }
 }
 
+/// Returns of refused plans.
+impl PlanScheduler {
+    /// Returns what became of appointments since the last call.
+    pub fn take_return_counts(&mut self) -> CalendarCounts {
+        let desk = self.returns.as_mut();
+        desk.map(|desk| desk.calendar.take_counts())
+            .unwrap_or_default()
+    }
+
+    /// Whether a plan has an appointment that is due, which is claimed.
+    fn claim(&mut self, now: Instant, plan: &PlanDemand) -> bool {
+        let (Some(desk), Some(digest)) = (&mut self.returns, plan.digest) else {
+            return false;
+        };
+        match desk.calendar.claim(now, digest) {
+            ReturnClaim::Due => true,
+            ReturnClaim::Early(_) | ReturnClaim::Absent => false,
+        }
+    }
+
+    /// Queues a plan at its appointment. Its room was found before, so it waits for it as long
+    /// as its caller has time for the stages.
+    fn enqueue_appointed(
+        &mut self,
+        now: Instant,
+        number: PlanNumber,
+        plan: PlanDemand,
+        rates: &PoolRates,
+    ) -> Result<PlanNumber, ReturnTime> {
+        let latest = plan.deadline.checked_sub(plan.total).unwrap_or(now);
+        if latest <= now {
+            return Err(self.refuse(now, &plan, rates));
+        }
+        let key = WaitKey {
+            level: utility_level(plan.utility, false),
+            class: PlanClass::Appointed,
+            until: latest.min(now + MAX_RETURNING_WAIT),
+            number,
+        };
+        self.enqueue(now, key, plan);
+        Ok(number)
+    }
+
+    /// When the caller of a refused plan may return. Callers return once, so that nothing is
+    /// reserved for one that has returned.
+    ///
+    /// Without room before the latest return, the caller is told that latest time, at which the
+    /// load is lowest as far as is known: callers who are told nothing return at once.
+    fn appoint(&mut self, now: Instant, plan: &PlanDemand, rates: &PoolRates) -> ReturnTime {
+        let (true, Some(digest), false) = (self.returns.is_some(), plan.digest, plan.returning)
+        else {
+            return return_time(now, plan);
+        };
+        let left = plan.deadline.saturating_duration_since(now);
+        let max_delay = MAX_RETRY_AFTER.min(left / 3);
+        let max_delay = max_delay.min(left.saturating_sub(plan.total));
+        let outlooks = self.outlooks(now, plan, rates);
+        let Some(desk) = &mut self.returns else {
+            return return_time(now, plan);
+        };
+        let span = ReturnSpan {
+            earliest: now + MIN_RETURN_DELAY,
+            latest: now + max_delay,
+        };
+        if span.latest < span.earliest {
+            desk.calendar.record_hopeless();
+            return ReturnTime::Hopeless;
+        }
+        match desk.calendar.reserve(now, digest, span, &outlooks) {
+            Some(at) => ReturnTime::Appointed(at.saturating_duration_since(now)),
+            None => ReturnTime::After(max_delay),
+        }
+    }
+
+    /// Outlook of each pool that a late plan needs.
+    fn outlooks(&self, now: Instant, plan: &PlanDemand, rates: &PoolRates) -> Vec<PoolOutlook> {
+        let level = utility_level(plan.utility, false);
+        let mut outlooks: Vec<PoolOutlook> = Vec::new();
+        for stage in plan.demands() {
+            let work_seconds = stage.work.as_secs_f64();
+            let known = outlooks.iter_mut().find(|known| known.pool == stage.pool);
+            match (known, rates.get(&stage.pool)) {
+                (Some(known), _) => known.work_seconds += work_seconds,
+                (None, None) => {}
+                (None, Some(rate)) => outlooks.push(PoolOutlook {
+                    pool: Arc::clone(&stage.pool),
+                    work_seconds,
+                    rate: *rate,
+                    backlog_seconds: self.backlog_seconds(&stage.pool, level, *rate),
+                    recent_arrivals: self.recent_arrivals(now, &stage.pool, level),
+                    usual_arrivals: self
+                        .returns
+                        .as_ref()
+                        .map_or(0.0, |desk| desk.arrivals.before(now, &stage.pool, level)),
+                }),
+            }
+        }
+        outlooks
+    }
+
+    fn recent_arrivals(&self, now: Instant, pool: &str, level: UtilityLevel) -> f64 {
+        let load = self.loads.get(pool);
+        load.map_or(0.0, |load| load.arriving_before(now, level))
+    }
+
+    /// Work of a pool that waits before late plans of a level, and work in progress beyond
+    /// what keeps it busy, in seconds of one endpoint.
+    fn backlog_seconds(&self, pool: &str, level: UtilityLevel, rate: PoolRate) -> f64 {
+        let preceding = self.waiting.iter().filter(|(key, _)| {
+            key.level < level || (key.level == level && key.class != PlanClass::Late)
+        });
+        let demands = preceding.flat_map(|(_, plan)| plan.demands());
+        let demands = demands.filter(|demand| *demand.pool == *pool);
+        let queued: f64 = demands.map(|demand| demand.work.as_secs_f64()).sum();
+        let excess = self.loads.get(pool).map_or(0.0, |load| {
+            load.excess_seconds(rate, WORK_SLACK, 1_000).max(0.0)
+        });
+        queued + excess
+    }
+
+    /// Work of appointments that are due, by pool, in seconds of one endpoint.
+    fn due_work(&mut self, now: Instant) -> FastMap<Arc<str>, f64> {
+        let Some(desk) = &mut self.returns else {
+            return FastMap::default();
+        };
+        desk.calendar.expire(now);
+        desk.calendar.due_work(now)
+    }
+}
+
+/// Adds the work of due appointments to a stage, so that a newcomer that is late doesn't take
+/// their room.
+fn with_due_work(stage: &StageDemand, due_work: &FastMap<Arc<str>, f64>) -> StageDemand {
+    let due = due_work.get(&stage.pool).copied().unwrap_or(0.0);
+    StageDemand {
+        work: stage.work + Duration::from_secs_f64(due),
+        ..stage.clone()
+    }
+}
+
 fn return_time(now: Instant, plan: &PlanDemand) -> ReturnTime {
     let left = plan.deadline.saturating_duration_since(now);
     ReturnTime::After(MAX_RETRY_AFTER.min(left / 3))
@@ -440,3 +629,7 @@
 #[cfg(test)]
 #[path = "plan_scheduler_load_tests.rs"]
 mod load_tests;
+
+#[cfg(test)]
+#[path = "plan_scheduler_return_tests.rs"]
+mod return_tests;
--- a/crates/savorywalk/src/gateway/plan_scheduler_burst.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_burst.rs
@@ -27,6 +27,23 @@
     size: u64,
     sent_at: Instant,
     is_retry: bool,
+    digest: RequestDigest,
+}
+
+/// A time with a multiple of the usual request rate.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadPeak {
+    pub(super) from: Duration,
+    pub(super) until: Duration,
+    pub(super) factor: f64,
+}
+
+/// A return at an appointment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AppointedReturn {
+    pub(super) at: Instant,
+    /// Work in the pool that is short, in seconds of one endpoint.
+    pub(super) work_seconds: f64,
 }
 
 /// An event of the simulation; events are handled in the order of their times.
@@ -41,6 +58,7 @@
 struct RequestResult {
     route: &'static str,
     size: u64,
+    is_retry: bool,
     /// Class with which the plan began; `None` when the request was refused twice.
     begun: Option<PlanClass>,
 }
@@ -57,6 +75,9 @@
     waiting: FastMap<PlanNumber, (Caller, PlanDemand)>,
     results: Vec<RequestResult>,
     random: StdRng,
+    peak: Option<LoadPeak>,
+    pub(super) appointed: Vec<AppointedReturn>,
+    first_refusals: usize,
 }
 
 /// Time from the end of the stages to the engine's first event: 110 ms, and 20 ms per thousand
@@ -65,6 +86,12 @@
     Duration::from_millis(110 + size / 50)
 }
 
+fn stable_digest(route: &str, number: u64) -> RequestDigest {
+    let hash = crate::hashing::stable_hash(&[route.as_bytes()]);
+    let bytes = [hash.to_le_bytes(), number.to_le_bytes()].concat();
+    RequestDigest::from_bytes(&bytes).unwrap()
+}
+
 impl BurstSimulation {
     pub(super) fn new(seed: u64, loads: &[RouteLoad]) -> Self {
         Self {
@@ -77,9 +104,22 @@
             waiting: FastMap::default(),
             results: Vec::new(),
             random: StdRng::seed_from_u64(seed),
+            peak: None,
+            appointed: Vec::new(),
+            first_refusals: 0,
         }
     }
 
+    pub(super) fn with_peak(mut self, peak: LoadPeak) -> Self {
+        self.peak = Some(peak);
+        self
+    }
+
+    pub(super) fn with_scheduler(mut self, scheduler: PlanScheduler) -> Self {
+        self.scheduler = scheduler;
+        self
+    }
+
     /// Draws a size from a distribution with a median of 19,400, a tenth below 12,200 and a
     /// tenth above 33,500.
     fn size(&mut self) -> u64 {
@@ -106,6 +146,7 @@
             due: due.checked_sub(tail).unwrap_or(now),
             deadline: caller.sent_at + TIMEOUT - tail,
             returning: caller.is_retry,
+            digest: Some(caller.digest),
             ..chain(now, 0, 0)
         }
     }
@@ -122,18 +163,32 @@
         self.results.push(RequestResult {
             route: caller.load.route,
             size: caller.size,
+            is_retry: caller.is_retry,
             begun,
         });
     }
 
     fn refuse(&mut self, now: Instant, caller: Caller, return_time: ReturnTime) {
+        self.first_refusals += usize::from(!caller.is_retry);
         let delay = return_time.delay().filter(|_| !caller.is_retry);
         let Some(delay) = delay else {
             self.record_result(&caller, None);
             return;
         };
         let half = delay / 2;
-        let spread = half.mul_f64(self.random.random::<f64>());
+        let spread = match return_time {
+            ReturnTime::Appointed(_) => half,
+            ReturnTime::After(_) | ReturnTime::Hopeless => {
+                half.mul_f64(self.random.random::<f64>())
+            }
+        };
+        if let ReturnTime::Appointed(_) = return_time {
+            let stages = chain(now, 0, 0).stages;
+            self.appointed.push(AppointedReturn {
+                at: now + delay,
+                work_seconds: stages[2].work.as_secs_f64(),
+            });
+        }
         let retry = Caller {
             is_retry: true,
             ..caller
@@ -161,16 +216,26 @@
 
     fn send_all(&mut self, start: Instant, load: RouteLoad) {
         let mut sent_at = start;
+        let mut sent = 0_u64;
         while sent_at < start + BURST_DURATION {
             let size = self.size();
+            sent += 1;
+            let digest = stable_digest(load.route, sent);
             let caller = Caller {
                 load,
                 size,
                 sent_at,
                 is_retry: false,
+                digest,
             };
             self.schedule(sent_at, SimulationEvent::Send(caller));
-            let pause = -self.random.random::<f64>().max(1e-9).ln() / load.per_second;
+            let since = sent_at - start;
+            let factor = self.peak.map_or(1.0, |peak| match since {
+                since if (peak.from..peak.until).contains(&since) => peak.factor,
+                _ => 1.0,
+            });
+            let rate = load.per_second * factor;
+            let pause = -self.random.random::<f64>().max(1e-9).ln() / rate;
             sent_at += Duration::from_secs_f64(pause);
         }
     }
@@ -216,6 +281,13 @@
         served.len() as f64 / (served.len() + refused.len()).max(1) as f64
     }
 
+    /// Share of those refused at first that were begun on their return.
+    pub(super) fn returned_share(&self) -> f64 {
+        let returned = self.results.iter();
+        let returned = returned.filter(|result| result.is_retry && result.begun.is_some());
+        returned.count() as f64 / self.first_refusals.max(1) as f64
+    }
+
     /// Share of the requests of some routes that were begun in time.
     pub(super) fn timely_share(&self, routes: &[&str]) -> f64 {
         let of_routes = self
--- a/crates/savorywalk/src/gateway/plan_scheduler_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_tests.rs
@@ -34,6 +34,7 @@
         deadline: now + Duration::from_secs(14),
         returning: false,
         timely_only: false,
+        digest: None,
     }
 }
 
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -65,7 +65,7 @@
     ) -> Result<PlanResults, PlanFailure> {
         let map = node.view.load().shard_map(WorkKind::Stages, "");
         let map = ShardMap::clone(&map).retain_allowed(&request.data_center_filter);
-        let ticket = stable_hash(&[request.request_id.as_bytes()]);
+        let ticket = shard_ticket(node.features.appointments, &request);
         let near = match request.has_large_results() {
             true => map.in_data_center(&request.near, ticket),
             false => None,
@@ -335,6 +335,15 @@
     }
 }
 
+/// Returns the ticket by which the shards of a request are drawn. With appointments it is the
+/// same when the request is sent again, so that it comes to the shard that reserved its room.
+fn shard_ticket(has_appointments: bool, request: &PlanRequest) -> u64 {
+    match request.digest.filter(|_| has_appointments) {
+        Some(digest) => stable_hash(&[&digest.to_bytes()]),
+        None => stable_hash(&[request.request_id.as_bytes()]),
+    }
+}
+
 fn read_overload(reply: &PlanReply) -> PlanFailure {
     let delay = Duration::from_millis(reply.retry_after_ms.into());
     let return_time = match (reply.hopeless, reply.appointed) {
