--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -485,7 +485,7 @@
         };
         match desk.calendar.claim(now, digest) {
             ReturnClaim::Due => true,
-            ReturnClaim::Early(_) | ReturnClaim::Absent => false,
+            ReturnClaim::Early | ReturnClaim::Absent => false,
         }
     }
 
--- a/crates/savorywalk/src/gateway/returns/return_calendar.rs
+++ b/crates/savorywalk/src/gateway/returns/return_calendar.rs
@@ -41,8 +41,8 @@
 pub(in crate::gateway) enum ReturnClaim {
     /// The appointment is due.
     Due,
-    /// The appointment is at this later time.
-    Early(Instant),
+    /// The appointment is later; it stays in force.
+    Early,
     /// There is no appointment, or its time is over.
     Absent,
 }
@@ -231,7 +231,7 @@
         };
         if now + EARLY_MARGIN < appointment.at {
             self.counts.early += 1;
-            return ReturnClaim::Early(appointment.at);
+            return ReturnClaim::Early;
         }
         self.remove(digest);
         self.counts.kept += 1;
