--- a/crates/savorywalk/src/gateway/gateway_refusal.rs
+++ b/crates/savorywalk/src/gateway/gateway_refusal.rs
@@ -18,8 +18,8 @@
         proof: NotRun,
         /// Cause of the refusal.
         reason: NotRunReason,
-        /// Time after which the caller should send it again; `None` if it can't be served in
-        /// the time that its caller has left.
+        /// Time after which the caller should send it again; without one, callers do so at
+        /// once.
         retry_after: Option<Duration>,
     },
     /// The request may have run, and its answer is lost.
