--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
 use super::prompt_homes::PlacementCounts;
+use super::returns::CalendarCounts;
 use super::workspace_shares::WorkspaceLabels;
 use crate::prelude::*;
 
@@ -29,6 +30,7 @@
     workspace_seconds: Counter<f64>,
     workspace_labels: Arc<Mutex<WorkspaceLabels>>,
     plans: Counter<u64>,
+    appointments: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -60,6 +62,10 @@
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
                 .build(),
+            appointments: meter
+                .u64_counter("savorywalk_gateway_appointments")
+                .with_description("Appointments of refused callers by what became of them")
+                .build(),
             plans: meter
                 .u64_counter("savorywalk_gateway_plans")
                 .with_description("Plans of several shards by the shard that decided on them")
@@ -124,6 +130,15 @@
         self.plans.add(1, &[KeyValue::new("shard", shard)]);
     }
 
+    pub(super) fn record_appointments(&self, counts: CalendarCounts) {
+        for (outcome, count) in counts.by_name() {
+            if count > 0 {
+                let outcome = KeyValue::new("outcome", outcome);
+                self.appointments.add(count, &[outcome]);
+            }
+        }
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
