--- a/crates/savorywalk/src/gateway/load_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/load_exchange_tests.rs
@@ -78,6 +78,7 @@
     let now = Instant::now();
     let total = Duration::from_millis(300);
     let plan = PlanDemand {
+        digest: None,
         stages: vec![StageDemand {
             pool: POOL.into(),
             work: Duration::from_millis(50),
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -454,7 +454,7 @@
     /// while the pool also does the work that arrives at the recent rate.
     pub(super) fn backlogs(&self, now: Instant, rates: &PoolRates) -> FastMap<Arc<str>, Duration> {
         let mut queued: FastMap<&str, f64> = FastMap::default();
-        for stage in self.waiting.values().flat_map(PlanDemand::demands) {
+        for stage in self.waiting.iter().flat_map(|(plan, _)| plan.demands()) {
             *queued.entry(&stage.pool).or_default() += stage.work.as_secs_f64();
         }
         let last = utility_level(0.0, true);
@@ -643,10 +643,8 @@
     /// Work of a pool that waits before late plans of a level, and work in progress beyond
     /// what keeps it busy, in seconds of one endpoint.
     fn backlog_seconds(&self, pool: &str, level: UtilityLevel, rate: PoolRate) -> f64 {
-        let preceding = self.waiting.iter().filter(|(key, _)| {
-            key.level < level || (key.level == level && key.class != PlanClass::Late)
-        });
-        let demands = preceding.flat_map(|(_, plan)| plan.demands());
+        let preceding = self.waiting.before_late(level);
+        let demands = preceding.flat_map(PlanDemand::demands);
         let demands = demands.filter(|demand| *demand.pool == *pool);
         let queued: f64 = demands.map(|demand| demand.work.as_secs_f64()).sum();
         let excess = self.loads.get(pool).map_or(0.0, |load| {
--- a/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
@@ -99,7 +99,7 @@
 }
 
 fn class_of(scheduler: &PlanScheduler, number: PlanNumber) -> Option<PlanClass> {
-    let key = scheduler.waiting.keys().find(|key| key.number == number);
+    let key = scheduler.waiting.key(number);
     key.map(|key| key.class)
 }
 
--- a/crates/savorywalk/src/gateway/shard_balance/shard_loads_tests.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_loads_tests.rs
@@ -19,6 +19,7 @@
 pub(super) fn plan(now: Instant, slack: Duration) -> PlanDemand {
     let total = Duration::from_secs(1);
     PlanDemand {
+        digest: None,
         stages: vec![StageDemand {
             pool: "pool".into(),
             work: ms(100),
--- a/crates/savorywalk/src/gateway/workspace_shares/shares_simulation.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/shares_simulation.rs
@@ -252,6 +252,7 @@
 
 fn demand(now: Instant, workspace: Arc<str>) -> PlanDemand {
     PlanDemand {
+        digest: None,
         stages: vec![StageDemand {
             pool: "pool".into(),
             work: WORK,
--- a/crates/savorywalk/src/gateway/workspace_shares/waiting_plans.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/waiting_plans.rs
@@ -1,7 +1,7 @@
 use super::begin_order::BeginOrder;
 use super::{ShareForecast, WorkspaceQueues};
 use crate::gateway::plan_scheduler::WaitKey;
-use crate::gateway::{PlanDemand, PlanNumber};
+use crate::gateway::{PlanClass, PlanDemand, PlanNumber, UtilityLevel};
 use crate::prelude::*;
 
 /// The waiting plans of a scheduler, by key, number and end of their wait, and by workspace if
@@ -65,6 +65,16 @@
         self.plans.get(key).map(|waiting| &waiting.plan)
     }
 
+    /// The key of a waiting plan.
+    #[cfg(test)]
+    pub(in crate::gateway) fn key(&self, number: PlanNumber) -> Option<&WaitKey> {
+        self.keys.get(&number)
+    }
+
+    pub(in crate::gateway) fn is_empty(&self) -> bool {
+        self.plans.is_empty()
+    }
+
     pub(in crate::gateway) fn len(&self) -> usize {
         self.plans.len()
     }
@@ -131,6 +141,17 @@
         Some(queues.forecast(now, key, plan))
     }
 
+    /// Plans that precede late ones of a level.
+    pub(in crate::gateway) fn before_late(
+        &self,
+        level: UtilityLevel,
+    ) -> impl Iterator<Item = &PlanDemand> {
+        let is_before = move |key: &WaitKey| (key.level, key.class) < (level, PlanClass::Late);
+        let plans = self.plans.iter();
+        let before = plans.take_while(move |(key, _)| is_before(key));
+        before.map(|(_, waiting)| &waiting.plan)
+    }
+
     /// Plans that precede a key.
     pub(in crate::gateway) fn before(&self, key: &WaitKey) -> impl Iterator<Item = &PlanDemand> {
         let before = self.plans.range(..key);
