--- a/crates/savorywalk/src/gateway/usage_exchange.rs
+++ b/crates/savorywalk/src/gateway/usage_exchange.rs
@@ -114,7 +114,7 @@
         let largest = largest(now, waiting, queues, logged, MAX_LOGGED);
         *logged = usage_sums(Some(queues));
         let count = queues.ledger().len();
-        (waiting.len() > 0).then(|| (largest, waiting.len(), count))
+        (!waiting.is_empty()).then(|| (largest, waiting.len(), count))
     });
     let Some((largest, waiting, known)) = report else {
         return;
