Faults found by review of the five parts

- Prompt homes: an entry that places by itself preferred a silent or ejected engine of the prompt's shard to a healthy one elsewhere.
Placements look at the cache before the targets, which are a set; a full table of parts is halved unless ageing frees a quarter.
- Returns: an appointment was lost when its plan was expected to be in time and then was not; a caller that came at its appointment could be promised another one; a shard whose refusal was not final reserved room; a caller was told that no return helps although one at the shortest delay would; the slot that has begun counted as a whole one.
- Returns with balance: a second shard is chosen by its load, which a return does not reach again, so that it reserves nothing there (PlanCall.no_reservation).
- Balance: a refusal is final only if no other shard had room by its report alone; a stand-in for an unreachable coordinator tells no load.
- Shares: the cut of a lead ended turns between workspaces that were ahead of one that could not begin; weights are bounded, as a large one was charged no time.
- Capacity: an entry whose halved capacity made all equal told it for ever.

--- a/crates/savorywalk/src/gateway/coordination_driver.rs
+++ b/crates/savorywalk/src/gateway/coordination_driver.rs
@@ -54,10 +54,14 @@
     /// Records the lateness of a timer, and tells another part of the `whole` capacity if the
     /// meter decides so. Only a part counts where entries are weighted.
     fn record_lateness(&self, now: Instant, lateness: Duration, whole: EntryCapacity) {
-        if !self.view.load().weights.is_weighted() {
+        // An entry that tells less may have made all capacities equal; it has to recover.
+        let mut meter = self.lock_meter();
+        if !self.view.load().weights.is_weighted() && meter.steps() == 0 {
             return;
         }
-        let Some(steps) = self.lock_meter().record(now, lateness) else {
+        let steps = meter.record(now, lateness);
+        drop(meter);
+        let Some(steps) = steps else {
             return;
         };
         let told = whole.halved(steps);
--- a/crates/savorywalk/src/gateway/engine_model.rs
+++ b/crates/savorywalk/src/gateway/engine_model.rs
@@ -273,13 +273,13 @@
             let state = engines.get(engine);
             state.is_some_and(|state| state.parts.contains_key(&part))
         };
-        let is_target = |engine: &str| targets.iter().any(|target| target.endpoint == engine);
+        let targets: FastSet<&str> = targets.iter().map(|target| target.endpoint).collect();
         let mut reads = PlacementCounts::default();
         for part in query.shared() {
-            let state_of = |engine: &str| match (has(engine, part.id), is_target(engine)) {
-                (true, true) => HomeState::Ready,
-                (true, false) => HomeState::Unusable,
-                (false, _) => HomeState::Evicted,
+            let state_of = |engine: &str| match has(engine, part.id) {
+                true if targets.contains(engine) => HomeState::Ready,
+                true => HomeState::Unusable,
+                false => HomeState::Evicted,
             };
             let is_cached = has(endpoint, part.id);
             let homes = &mut self.homes;
--- a/crates/savorywalk/src/gateway/entry_capacity/capacity_meter.rs
+++ b/crates/savorywalk/src/gateway/entry_capacity/capacity_meter.rs
@@ -68,6 +68,11 @@
 }
 
 impl CapacityMeter {
+    /// Steps of a factor of two by which less is told now.
+    pub(in crate::gateway) fn steps(&self) -> u32 {
+        self.steps
+    }
+
     /// Records how much later than set a timer went off. Returns the steps of a factor of two
     /// by which less is to be told, if these change now.
     pub(in crate::gateway) fn record(&mut self, now: Instant, lateness: Duration) -> Option<u32> {
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -144,11 +144,16 @@
     }
 
     /// Chooses the engine of the prompt's shard that a coordinator would probably have chosen:
-    /// both go by the same hash of the shared part.
+    /// both go by the same hash of the shared part. `None` if the shard has no healthy one.
     fn pick_home(&self, view: &GatewayView) -> Option<Arc<PoolMember>> {
         let shard = prompt_exchange::engine_shard(view, &self.context);
+        let now = Instant::now();
+        let is_healthy = |member: &PoolMember| {
+            let cost = self.node.scores.cost(now, &self.context.pool, member);
+            cost.surcharge == 0.0
+        };
         self.pick(view, |member| {
-            shard.has(member) && !self.needs_permit(member)
+            shard.has(member) && !self.needs_permit(member) && is_healthy(member)
         })
     }
 
@@ -305,6 +310,7 @@
             data_center_filter: context.data_center_filter.clone(),
             returning: context.is_returning,
             timely_only: false,
+            no_reservation: false,
         }
     }
 
--- a/crates/savorywalk/src/gateway/load_exchange.rs
+++ b/crates/savorywalk/src/gateway/load_exchange.rs
@@ -50,7 +50,9 @@
     ) {
         let map = view.shard_map(WorkKind::Stages, "");
         let coordinator = |shard| self.exchange.coordinator(view, WorkKind::Stages, shard);
-        if !map.has(shard) || coordinator(shard).is_some() {
+        // A stand-in for an entry that this one can't reach has little of the shard's work.
+        let ranked = view.ranked(WorkKind::Stages, shard);
+        if !map.has(shard) || ranked.first() != Some(self.exchange.hub.name()) {
             return;
         }
         let others = map.shards().filter(|other| *other != shard);
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -367,7 +367,7 @@
             deadline: request.deadline.checked_sub(request.tail).unwrap_or(now),
             returning: request.returning,
             timely_only: request.timely_only,
-            digest: request.digest,
+            digest: request.digest.filter(|_| !request.no_reservation),
         }
     }
 
--- a/crates/savorywalk/src/gateway/plan_request.rs
+++ b/crates/savorywalk/src/gateway/plan_request.rs
@@ -39,6 +39,9 @@
     /// Whether to refuse the request if it cannot be answered in time, because another shard
     /// may still do so.
     pub(super) timely_only: bool,
+    /// Whether no room is to be reserved for the caller's return, since that will reach
+    /// another shard.
+    pub(super) no_reservation: bool,
 }
 
 impl PlanRequest {
@@ -84,6 +87,7 @@
             tail_ms: self.tail.as_millis() as u32,
             returning: self.returning,
             timely_only: self.timely_only,
+            no_reservation: self.no_reservation,
         }
     }
 
@@ -125,6 +129,7 @@
             data_center_filter: data_center_filter.unwrap_or_default(),
             returning: call.returning,
             timely_only: call.timely_only,
+            no_reservation: call.no_reservation,
         };
         Some((shard, request))
     }
--- a/crates/savorywalk/src/gateway/plan_request_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_request_tests.rs
@@ -26,6 +26,7 @@
         data_center_filter: DataCenterFilter::only(BTreeSet::from(["east".to_string()])),
         returning: true,
         timely_only: false,
+        no_reservation: true,
     }
 }
 
@@ -39,6 +40,7 @@
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
     assert_eq!(arrived.workspace, sent.workspace);
+    assert!(arrived.no_reservation);
     assert_eq!(arrived.rank, sent.rank);
     assert_eq!(arrived.turn_rank, sent.turn_rank);
     assert_eq!(arrived.key, sent.key);
--- a/crates/savorywalk/src/gateway/plan_scheduler.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler.rs
@@ -161,14 +161,16 @@
     waiting: WaitingPlans,
     sizes: SizeShares,
     routes: RouteShares,
-    returns: Option<ReturnDesk>,
+    returns: Option<ReturnState>,
 }
 
 /// What the scheduler knows about refused plans that return, while appointments are made.
 #[derive(Debug, Default)]
-struct ReturnDesk {
+struct ReturnState {
     calendar: ReturnCalendar,
     arrivals: UsualArrivals,
+    /// Plans at their appointments that wait as plans that can be in time.
+    claimed: FastSet<PlanNumber>,
 }
 
 /// Sort key of waiting plans.
@@ -201,7 +203,7 @@
     /// Creates a scheduler that reserves room for the return of plans that it refuses.
     pub fn with_appointments() -> Self {
         Self {
-            returns: Some(ReturnDesk::default()),
+            returns: Some(ReturnState::default()),
             ..Self::default()
         }
     }
@@ -214,12 +216,14 @@
     pub fn submit(
         &mut self,
         now: Instant,
-        plan: PlanDemand,
+        mut plan: PlanDemand,
         rates: &PoolRates,
     ) -> Result<PlanNumber, ReturnTime> {
         let number = PlanNumber(self.next);
         self.next += 1;
         self.sizes.record_size(&plan.route, plan.size);
+        let is_due = self.claim(now, &plan);
+        plan.returning |= is_due;
         let (class, utility) = self.timely_class(now, &plan);
         let key = WaitKey {
             level: utility_level(utility, true),
@@ -227,8 +231,10 @@
             until: plan.latest_begin().unwrap_or(now),
             number,
         };
-        let is_due = self.claim(now, &plan);
         if plan.is_timely(now + self.expected_wait(now, &key, &plan, rates)) {
+            if let Some(state) = self.returns.as_mut().filter(|_| is_due) {
+                state.claimed.insert(number);
+            }
             self.enqueue(now, key, plan);
             return Ok(number);
         }
@@ -258,8 +264,8 @@
         for stage in plan.demands() {
             let load = self.loads.entry(Arc::clone(&stage.pool)).or_default();
             load.record_arrival(now, key.level, stage.work);
-            if let Some(desk) = &mut self.returns {
-                let arrivals = &mut desk.arrivals;
+            if let Some(state) = &mut self.returns {
+                let arrivals = &mut state.arrivals;
                 arrivals.record(now, &stage.pool, key.level, stage.work);
             }
         }
@@ -341,9 +347,10 @@
                 continue;
             };
             let outcome = match key.class {
-                PlanClass::Timely | PlanClass::RouteBoost => {
-                    self.enqueue_late(now, key.number, plan, rates)
-                }
+                PlanClass::Timely | PlanClass::RouteBoost => match self.take_claim(key.number) {
+                    true => self.enqueue_appointed(now, key.number, plan, rates),
+                    false => self.enqueue_late(now, key.number, plan, rates),
+                },
                 PlanClass::Appointed | PlanClass::SizeBoost | PlanClass::Late => {
                     Err(self.refuse(now, &plan, rates))
                 }
@@ -394,8 +401,8 @@
     }
 
     fn begin(&mut self, now: Instant, number: PlanNumber, plan: PlanDemand) {
-        if let (Some(desk), Some(digest)) = (&mut self.returns, plan.digest) {
-            desk.calendar.cancel(digest);
+        if let (Some(state), Some(digest)) = (&mut self.returns, plan.digest) {
+            state.calendar.cancel(digest);
         }
         self.sizes.record_outcome(now, &plan.route, plan.size, true);
         self.waiting.record_begin(now, &plan);
@@ -424,6 +431,7 @@
         for stage in 0..stages {
             self.finish_stage(number, stage);
         }
+        self.take_claim(number);
         self.begun.remove(&number);
         self.waiting.remove_number(number);
     }
@@ -539,22 +547,29 @@
 impl PlanScheduler {
     /// Returns what became of appointments since the last call.
     pub fn take_return_counts(&mut self) -> CalendarCounts {
-        let desk = self.returns.as_mut();
-        desk.map(|desk| desk.calendar.take_counts())
+        let state = self.returns.as_mut();
+        state
+            .map(|state| state.calendar.take_counts())
             .unwrap_or_default()
     }
 
     /// Whether a plan has an appointment that is due, which is claimed.
     fn claim(&mut self, now: Instant, plan: &PlanDemand) -> bool {
-        let (Some(desk), Some(digest)) = (&mut self.returns, plan.digest) else {
+        let (Some(state), Some(digest)) = (&mut self.returns, plan.digest) else {
             return false;
         };
-        match desk.calendar.claim(now, digest) {
+        match state.calendar.claim(now, digest) {
             ReturnClaim::Due => true,
             ReturnClaim::Early | ReturnClaim::Absent => false,
         }
     }
 
+    /// Whether a plan came at its appointment and has waited since as one that can be in time.
+    fn take_claim(&mut self, number: PlanNumber) -> bool {
+        let state = self.returns.as_mut();
+        state.is_some_and(|state| state.claimed.remove(&number))
+    }
+
     /// Queues a plan at its appointment. Its room was found before, so it waits for it as long
     /// as its caller has time for the stages.
     fn enqueue_appointed(
@@ -579,20 +594,20 @@
     }
 
     /// When the caller of a refused plan may return. Callers return once, so that nothing is
-    /// reserved for one that has returned.
+    /// reserved for one that has returned; nor by a shard whose refusal is not final.
     ///
     /// Without room before the latest return, the caller is told that latest time, at which the
     /// load is lowest as far as is known: callers who are told nothing return at once.
     fn appoint(&mut self, now: Instant, plan: &PlanDemand, rates: &PoolRates) -> ReturnTime {
-        let (true, Some(digest), false) = (self.returns.is_some(), plan.digest, plan.returning)
-        else {
+        let may_reserve = self.returns.is_some() && !plan.returning && !plan.timely_only;
+        let Some(digest) = plan.digest.filter(|_| may_reserve) else {
             return return_time(now, plan);
         };
         let left = plan.deadline.saturating_duration_since(now);
-        let max_delay = MAX_RETRY_AFTER.min(left / 3);
+        let max_delay = MAX_RETRY_AFTER.min(left / 3).max(MIN_RETURN_DELAY);
         let max_delay = max_delay.min(left.saturating_sub(plan.total));
         let outlooks = self.outlooks(now, plan, rates);
-        let Some(desk) = &mut self.returns else {
+        let Some(state) = &mut self.returns else {
             return return_time(now, plan);
         };
         let span = ReturnSpan {
@@ -600,10 +615,10 @@
             latest: now + max_delay,
         };
         if span.latest < span.earliest {
-            desk.calendar.record_hopeless();
+            state.calendar.record_hopeless();
             return ReturnTime::Hopeless;
         }
-        match desk.calendar.reserve(now, digest, span, &outlooks) {
+        match state.calendar.reserve(now, digest, span, &outlooks) {
             Some(at) => ReturnTime::Appointed(at.saturating_duration_since(now)),
             None => ReturnTime::After(max_delay),
         }
@@ -628,7 +643,7 @@
                     usual_arrivals: self
                         .returns
                         .as_ref()
-                        .map_or(0.0, |desk| desk.arrivals.before(now, &stage.pool, level)),
+                        .map_or(0.0, |state| state.arrivals.before(now, &stage.pool, level)),
                 }),
             }
         }
@@ -655,11 +670,11 @@
 
     /// Work of appointments that are due, by pool, in seconds of one endpoint.
     fn due_work(&mut self, now: Instant) -> FastMap<Arc<str>, f64> {
-        let Some(desk) = &mut self.returns else {
+        let Some(state) = &mut self.returns else {
             return FastMap::default();
         };
-        desk.calendar.expire(now);
-        desk.calendar.due_work(now)
+        state.calendar.expire(now);
+        state.calendar.due_work(now)
     }
 }
 
--- a/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
@@ -151,3 +151,25 @@
     let refused = scheduler.submit(now, plan, &rates());
     assert_eq!(refused, Err(ReturnTime::Hopeless));
 }
+
+/// A caller returns at its appointment with time enough that its plan is expected to be in
+/// time, and better plans fill the pools after that.
+#[test]
+fn an_appointment_is_kept_by_a_plan_that_becomes_late() {
+    let now = Instant::now();
+    let (mut scheduler, at) = appointed(now);
+    let returning = PlanDemand {
+        digest: Some(digest(1)),
+        ..chain(at, 1, 5_000)
+    };
+    let number = scheduler.submit(at, returning, &rates()).unwrap();
+    assert_eq!(class_of(&scheduler, number), Some(PlanClass::Timely));
+    let latest = scheduler.waiting.key(number).unwrap().until;
+    let closed: PoolRates = rates()
+        .into_iter()
+        .map(|(pool, _)| (pool, PoolRate { endpoints: 0.001 }))
+        .collect();
+    let over = latest + Duration::from_millis(1);
+    scheduler.expire_waiting(over, &closed);
+    assert_eq!(class_of(&scheduler, number), Some(PlanClass::Appointed));
+}
--- a/crates/savorywalk/src/gateway/prompt_homes/home_table.rs
+++ b/crates/savorywalk/src/gateway/prompt_homes/home_table.rs
@@ -119,14 +119,15 @@
         reason
     }
 
-    /// Forgets old parts, and half of the parts if that is not enough for another one.
+    /// Forgets old parts, and half of the parts if that leaves less than a quarter free: the
+    /// next parts must not each search all of them again.
     fn make_room(&mut self, now: Instant, part: u64) {
         if self.parts.len() < MAX_PARTS || self.parts.contains_key(&part) {
             return;
         }
         self.parts
             .retain(|_, record| now.saturating_duration_since(record.last_used) < PART_AGE);
-        if self.parts.len() < MAX_PARTS {
+        if self.parts.len() <= MAX_PARTS / 4 * 3 {
             return;
         }
         let mut used: Vec<Instant> = self.parts.values().map(|record| record.last_used).collect();
--- a/crates/savorywalk/src/gateway/returns/return_calendar.rs
+++ b/crates/savorywalk/src/gateway/returns/return_calendar.rs
@@ -137,7 +137,8 @@
     ) -> Option<Instant> {
         self.shortage.record(now);
         if let Some(appointment) = self.appointments.get(&digest) {
-            return Some(appointment.at);
+            // One that is over by now was for a return that did not come.
+            return Some(appointment.at).filter(|at| *at >= now);
         }
         let found = match self.appointments.len() < MAX_APPOINTMENTS {
             true => self.find(now, span, outlooks),
@@ -200,6 +201,7 @@
         first: u64,
         last: u64,
     ) -> SlotRoom<'a> {
+        let epoch = self.epoch.unwrap_or(now);
         let shortage_end = self.shortage.expected_end(now);
         let promised = self.promised.get(&outlook.pool);
         let mut backlog = outlook.backlog_seconds;
@@ -212,7 +214,11 @@
         for slot in first..=last {
             let start = now + SLOT * (slot - first) as u32;
             let endpoints = outlook.free_endpoints(start < shortage_end);
-            let seconds = endpoints * SLOT.as_secs_f64();
+            let left = match slot == first {
+                true => time_left_in_slot(now, epoch, first),
+                false => SLOT,
+            };
+            let seconds = endpoints * left.as_secs_f64();
             let ahead = backlog.min(seconds);
             backlog -= ahead;
             room.total.push(seconds - ahead);
@@ -307,6 +313,11 @@
     (age.as_nanos() / SLOT.as_nanos()) as u64
 }
 
+fn time_left_in_slot(now: Instant, epoch: Instant, slot: u64) -> Duration {
+    let end = slot_start(epoch, slot) + SLOT;
+    end.saturating_duration_since(now)
+}
+
 fn slot_start(epoch: Instant, slot: u64) -> Instant {
     epoch + Duration::from_nanos(slot * SLOT.as_nanos() as u64)
 }
--- a/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
@@ -69,9 +69,10 @@
 pub(in crate::gateway) enum ShardChoice {
     /// To the shard that probably begins it soonest.
     Named(WorkShard),
-    /// Nowhere: the loads of all shards are known, and none has room.
+    /// Nowhere: the loads of all other shards are known, and none has room.
     NoneHasRoom,
-    /// The load of some shard is not known, and none that is known has room.
+    /// No shard is known to have room, and some may have it: its load is not known, or may
+    /// have fallen since its report.
     Unknown,
 }
 
@@ -82,6 +83,8 @@
     /// Time until the plan begins, and the results are carried.
     delay: Duration,
     is_room: bool,
+    /// Whether there was room by the report alone, without a margin for its age.
+    was_room: bool,
 }
 
 impl ShardLoads {
@@ -130,6 +133,8 @@
         let prospects: Vec<_> = prospects
             .filter_map(|other| self.prospect(now, query, other))
             .collect();
+        let is_known = !prospects.is_empty() && prospects.len() == query.others.len();
+        let is_full = is_known && prospects.iter().all(|prospect| !prospect.was_room);
         let with_room = prospects.iter().filter(|prospect| prospect.is_room);
         let soonest = with_room.min_by_key(|prospect| (prospect.delay, prospect.shard));
         match soonest {
@@ -137,7 +142,7 @@
                 self.record_sent(now, soonest.shard, query.plan);
                 ShardChoice::Named(soonest.shard.clone())
             }
-            None if prospects.len() == query.others.len() => ShardChoice::NoneHasRoom,
+            None if is_full => ShardChoice::NoneHasRoom,
             None => ShardChoice::Unknown,
         }
     }
@@ -161,13 +166,16 @@
             false => (age, false),
         };
         let delay = wait + uncertainty + other.carriage;
-        let gains = delay < query.own_wait;
-        let is_timely = now + delay + query.plan.total <= query.plan.due;
-        let can_end = now + delay + query.plan.total <= query.plan.deadline;
+        let has_room = |delay: Duration| {
+            let end = now + delay + query.plan.total;
+            let is_in_time = end <= query.plan.due || (is_idle && end <= query.plan.deadline);
+            delay < query.own_wait && is_in_time
+        };
         Some(Prospect {
             shard: &other.shard,
             delay,
-            is_room: gains && (is_timely || (is_idle && can_end)),
+            is_room: has_room(delay),
+            was_room: has_room(wait + other.carriage),
         })
     }
 
--- a/crates/savorywalk/src/gateway/table_error.rs
+++ b/crates/savorywalk/src/gateway/table_error.rs
@@ -43,9 +43,9 @@
         /// Name of the other workspace.
         second: String,
     },
-    /// The weight of a workspace is not a positive finite number.
+    /// The weight of a workspace is out of range.
     #[error(
-        "workspace {workspace:?} has the weight {weight}; give it a number above 0, or none for 1"
+        "workspace {workspace:?} has the weight {weight}; give it one from 0.001 to 1000, or none for 1"
     )]
     ShareWeight {
         /// Name of the workspace.
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -98,6 +98,8 @@
             }
         };
         request.timely_only = false;
+        // By loads, the caller's return may reach any second shard, but always the same first.
+        request.no_reservation = node.features.shard_balance;
         self.execute_in_shard(node, second, &request).await
     }
 
--- a/crates/savorywalk/src/gateway/workspace_shares/share_forecast.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/share_forecast.rs
@@ -55,7 +55,7 @@
     ) -> Self {
         let group = (key.level, key.class);
         let mut forecast = Self {
-            floor: ledger.rule(&plan.workspace).floor,
+            floor: ledger.rule(&plan.workspace).kept_floor(),
             ..Self::default()
         };
         for (lane_key, lane) in lanes.before(group) {
--- a/crates/savorywalk/src/gateway/workspace_shares/share_ledger.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/share_ledger.rs
@@ -102,12 +102,13 @@
     pub(in crate::gateway) fn enqueue(&mut self, now: Instant, workspace: &Arc<str>) {
         self.advance();
         let (virtual_now, floor_clock) = (self.virtual_now, self.floor_clock);
+        let limit = virtual_now.plus(MAX_LEAD, ShareRule::WHOLE);
         let account = self.account(now, workspace);
         if account.waiting == 0 {
             let is_rested = now.saturating_duration_since(account.active_at) >= REST_TIME;
             account.virtual_time = match is_rested {
                 true => virtual_now,
-                false => account.virtual_time.max(virtual_now),
+                false => account.virtual_time.clamp(virtual_now, limit),
             };
             account.floor_time = account.floor_time.max(floor_clock);
         }
@@ -139,12 +140,9 @@
         if let Some(floor) = account.rule.floor_units() {
             account.floor_time = account.floor_time.max(earliest).plus(work, floor);
         }
-        // A workspace whose turn it is has no lead, so its plan is charged in full, however small
-        // its weight is.
-        self.charge(workspace, |before, limit, weight| match before < limit {
-            true => before.plus(work, weight),
-            false => before,
-        });
+        // Charged in full whatever its lead is: among workspaces that wait, one whose plans can't
+        // begin must not keep the others from taking turns.
+        self.charge(workspace, |before, _, weight| before.plus(work, weight));
     }
 
     /// Charges a workspace for endpoint time that it has used in other shards.
--- a/crates/savorywalk/src/gateway/workspace_shares/share_rule.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/share_rule.rs
@@ -9,7 +9,7 @@
 /// A workspace's share of pools that are short.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShareRule {
-    /// Weight relative to other workspaces; a positive finite number.
+    /// Weight relative to other workspaces, from [`Self::MIN_WEIGHT`] to [`Self::MAX_WEIGHT`].
     pub weight: f64,
     /// Least share of the begun endpoint time while the workspace waits, from 0 to 1.
     pub floor: f64,
@@ -25,6 +25,12 @@
 }
 
 impl ShareRule {
+    /// Least weight: one unit of [`Self::weight_units`].
+    pub const MIN_WEIGHT: f64 = 0.001;
+
+    /// Largest weight. With a larger one a short stage would be charged no time at all.
+    pub const MAX_WEIGHT: f64 = 1_000.0;
+
     /// Whole pools, in units of [`Self::floor_units`].
     pub(super) const WHOLE: u32 = UNITS as u32;
 
@@ -48,7 +54,8 @@
     }
 
     fn check(self, workspace: &str) -> Result<(), TableError> {
-        if !self.weight.is_finite() || self.weight <= 0.0 {
+        let weights = Self::MIN_WEIGHT..=Self::MAX_WEIGHT;
+        if !weights.contains(&self.weight) {
             return Err(TableError::ShareWeight {
                 workspace: workspace.to_string(),
                 weight: self.weight.to_string(),
@@ -68,6 +75,11 @@
         ((self.weight * UNITS).round() as u32).max(1)
     }
 
+    /// Floor that is kept: in whole thousandths.
+    pub(super) fn kept_floor(self) -> f64 {
+        f64::from(self.floor_units().unwrap_or(0)) / UNITS
+    }
+
     /// Floor in thousandths of the whole; `None` without one.
     pub(super) fn floor_units(self) -> Option<u32> {
         let units = (self.floor * UNITS).round() as u32;
--- a/crates/savorywalk/src/gateway/workspace_shares/shares_failure_tests.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/shares_failure_tests.rs
@@ -124,6 +124,25 @@
     assert_eq!(counts, [10, 1_000]);
 }
 
+/// One workspace waits for a pool that has stopped, while two others compete for another pool.
+#[test]
+fn a_workspace_that_never_begins_does_not_end_the_turns_of_others() {
+    let now = Instant::now();
+    let mut ledger = ShareLedger::default();
+    let [stuck, first, second]: [Arc<str>; 3] = ["stuck", "first", "second"].map(Arc::from);
+    for workspace in [&stuck, &first, &second] {
+        ledger.enqueue(now, workspace);
+    }
+    let mut begun = [0; 2];
+    for _ in 0..400 {
+        let is_second = ledger.turn(&second) < ledger.turn(&first);
+        let workspace = if is_second { &second } else { &first };
+        begun[usize::from(is_second)] += 1;
+        ledger.begin(now, workspace, Duration::from_millis(50));
+    }
+    assert_eq!(begun, [200, 200]);
+}
+
 #[test]
 fn labels_are_bounded_and_kept() {
     let mut labels = WorkspaceLabels::default();
