--- a/crates/savorywalk/src/gateway/coordination_driver.rs
+++ b/crates/savorywalk/src/gateway/coordination_driver.rs
@@ -6,10 +6,10 @@
 use crate::prelude::*;
 use crate::registry::EntryCapacity;
 
-/// Which shards this entry coordinates, and how much of its capacity it tells.
+/// Which shards this entry coordinates, and how much of its capacity it reports.
 impl GatewayNode {
     /// Registers the gauges of the shards that this entry coordinates and of the capacity that
-    /// it tells.
+    /// it reports.
     pub(super) fn register_coordination(self: &Arc<Self>) {
         let meter = self.metric_set.meter();
         let node = Arc::downgrade(self);
@@ -24,7 +24,7 @@
         let node = Arc::downgrade(self);
         meter
             .f64_observable_gauge("savorywalk_gateway_capacity_cores")
-            .with_description("Processor time that this entry tells to have; 0 if unknown")
+            .with_description("Processor time that this entry reports to have; 0 if unknown")
             .with_callback(move |gauge| {
                 let capacity = node.upgrade().map(|node| node.follower.capacity());
                 gauge.observe(capacity.unwrap_or_default().cores(), &[]);
@@ -51,10 +51,10 @@
         }
     }
 
-    /// Records the lateness of a timer, and tells another part of the `whole` capacity if the
+    /// Records the lateness of a timer, and reports another part of the `whole` capacity if the
     /// meter decides so. Only a part counts where entries are weighted.
     fn record_lateness(&self, now: Instant, lateness: Duration, whole: EntryCapacity) {
-        // An entry that tells less may have made all capacities equal; it has to recover.
+        // An entry that reports less may have made all capacities equal; it has to recover.
         let mut meter = self.lock_meter();
         if !self.view.load().weights.is_weighted() && meter.steps() == 0 {
             return;
@@ -64,12 +64,12 @@
         let Some(steps) = steps else {
             return;
         };
-        let told = whole.halved(steps);
-        self.follower.set_capacity(told);
+        let reported = whole.halved(steps);
+        self.follower.set_capacity(reported);
         log_event!(
             info,
             "capacity_changed",
-            capacity_millicores = told.0,
+            capacity_millicores = reported.0,
             whole_millicores = whole.0,
             shards = self.own_shards.count()
         );
@@ -82,7 +82,7 @@
 }
 
 /// Measures the lateness of a timer on the runtime of requests, until the node is dropped. An
-/// entry of unknown capacity has nothing to tell.
+/// entry of unknown capacity has nothing to report.
 pub(super) async fn run_meter(node: Weak<GatewayNode>) {
     let whole = node.upgrade().map(|node| node.follower.capacity());
     let Some(whole) = whole.filter(|whole| whole.is_known()) else {
--- a/crates/savorywalk/src/gateway/entry_capacity/capacity_meter_tests.rs
+++ b/crates/savorywalk/src/gateway/entry_capacity/capacity_meter_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// Runs a meter whose timer is as late as `lateness` says for the steps told. Returns the time
-/// of each change in seconds, with the steps that are told from then on.
+/// Runs a meter whose timer is as late as `lateness` says for the steps reported. Returns the time
+/// of each change in seconds, with the steps that are reported from then on.
 fn run(seconds: u64, lateness: impl Fn(f64, u32) -> f64) -> Vec<(f64, u32)> {
     let start = Instant::now();
     let mut meter = CapacityMeter::default();
@@ -18,7 +18,7 @@
     changes
 }
 
-/// An entry that is five times slower than it tells to be keeps up only with an eighth of its
+/// An entry that is five times slower than it reports to be keeps up only with an eighth of its
 /// shards. It hands over within seconds and tries again less and less often.
 #[test]
 fn an_entry_that_is_much_slower_hands_over_and_does_not_swing() {
@@ -26,13 +26,12 @@
         0..=2 => 0.5,
         _ => 0.01,
     });
-    println!("{changes:?}");
     let steps: Vec<u32> = changes.iter().take(3).map(|(_, steps)| *steps).collect();
     assert_eq!(steps, [1, 2, 3]);
     assert!(changes[0].0 < 4.0 && changes[2].0 < 16.0);
     let pauses = changes.windows(2).map(|pair| pair[1].0 - pair[0].0);
     assert!(pauses.clone().all(|pause| pause >= 5.0), "{changes:?}");
-    // Each attempt to tell more is one change up and one down.
+    // Each attempt to report more is one change up and one down.
     assert!(changes.len() <= 3 + 2 * 5, "{changes:?}");
 }
 
@@ -44,7 +43,7 @@
 }
 
 #[test]
-fn an_entry_that_keeps_up_again_tells_all_after_a_while() {
+fn an_entry_that_keeps_up_again_reports_all_after_a_while() {
     let changes = run(200, |at, _| if at < 30.0 { 0.5 } else { 0.0 });
     assert_eq!(
         changes.iter().map(|(_, steps)| *steps).max(),
--- a/crates/savorywalk/src/gateway/entry_capacity/capacity_weights.rs
+++ b/crates/savorywalk/src/gateway/entry_capacity/capacity_weights.rs
@@ -13,14 +13,14 @@
 
 /// Weights by which entries are ranked as coordinators.
 ///
-/// Entries are weighted only if all have told their capacity and these differ. Otherwise they
+/// Entries are weighted only if all have reported their capacity and these differ. Otherwise they
 /// are ranked by the plain hash, as entries of earlier versions do: if one of those is among
 /// them, all must choose as it does, since two coordinators of a shard would issue twice its
 /// permits.
 #[derive(Clone, Debug, Default)]
 pub(in crate::gateway) struct CapacityWeights {
     /// The capacities that these weights were built from.
-    told: Arc<[EntryCapacity]>,
+    reported: Arc<[EntryCapacity]>,
     /// Weights by entry; empty if entries are not weighted.
     weights: FastMap<PeerName, f64>,
 }
@@ -36,13 +36,14 @@
 
 impl CapacityWeights {
     /// Builds the weights of entries from their capacities, which are in the same order.
-    pub(in crate::gateway) fn new(entries: &[PeerName], told: &Arc<[EntryCapacity]>) -> Self {
-        let is_told = told.len() == entries.len() && told.iter().all(|own| own.is_known());
-        let is_even = told.iter().min() == told.iter().max();
-        let weighted = entries.iter().zip(told.iter());
-        let weighted = weighted.filter(|_| is_told && !is_even);
+    pub(in crate::gateway) fn new(entries: &[PeerName], reported: &Arc<[EntryCapacity]>) -> Self {
+        let is_reported =
+            reported.len() == entries.len() && reported.iter().all(|own| own.is_known());
+        let is_even = reported.iter().min() == reported.iter().max();
+        let weighted = entries.iter().zip(reported.iter());
+        let weighted = weighted.filter(|_| is_reported && !is_even);
         Self {
-            told: Arc::clone(told),
+            reported: Arc::clone(reported),
             weights: weighted
                 .map(|(entry, capacity)| (entry.clone(), weight(*capacity)))
                 .collect(),
@@ -50,8 +51,8 @@
     }
 
     /// Whether these weights were built from the same list of capacities.
-    pub(in crate::gateway) fn is_built_from(&self, told: &Arc<[EntryCapacity]>) -> bool {
-        Arc::ptr_eq(&self.told, told)
+    pub(in crate::gateway) fn is_built_from(&self, reported: &Arc<[EntryCapacity]>) -> bool {
+        Arc::ptr_eq(&self.reported, reported)
     }
 
     /// Whether entries are weighted.
--- a/crates/savorywalk/src/gateway/entry_capacity/capacity_weights_tests.rs
+++ b/crates/savorywalk/src/gateway/entry_capacity/capacity_weights_tests.rs
@@ -12,8 +12,8 @@
 }
 
 fn weights(entries: &[PeerName], millicores: &[u32]) -> CapacityWeights {
-    let told: Arc<[EntryCapacity]> = millicores.iter().copied().map(EntryCapacity).collect();
-    CapacityWeights::new(entries, &told)
+    let reported: Arc<[EntryCapacity]> = millicores.iter().copied().map(EntryCapacity).collect();
+    CapacityWeights::new(entries, &reported)
 }
 
 fn mixed() -> Vec<u32> {
@@ -34,14 +34,14 @@
 }
 
 /// Daemons of earlier versions rank by the plain hash. With even capacities, with none, and
-/// while one entry has not told its own, the order of all entries must be the same as theirs.
+/// while one entry has not reported its own, the order of all entries must be the same as theirs.
 #[test]
 fn entries_that_are_not_weighted_are_in_the_order_of_the_plain_hash() {
     let entries = names(984);
     let mut one_unknown = [vec![90; 900], vec![300; 84]].concat();
     one_unknown[17] = 0;
-    for told in [vec![], vec![0; 984], vec![90; 984], one_unknown] {
-        let weights = weights(&entries, &told);
+    for reported in [vec![], vec![0; 984], vec![90; 984], one_unknown] {
+        let weights = weights(&entries, &reported);
         assert!(!weights.is_weighted());
         for shard in 0..20 {
             let mut plain = entries.clone();
@@ -59,7 +59,6 @@
     let entries = names(SMALL + LARGE);
     let chosen = coordinators(&entries, &weights(&entries, &mixed()));
     let small = chosen.iter().filter(|index| **index < SMALL).count();
-    println!("{small} of {SHARDS} shards at small entries");
     assert!((1..SHARDS / 50).contains(&small), "{small}");
     for index in SMALL..SMALL + LARGE {
         let own = chosen.iter().filter(|chosen| **chosen == index).count();
@@ -72,16 +71,15 @@
 fn a_change_of_one_capacity_moves_only_shards_of_that_entry() {
     let entries = names(SMALL + LARGE);
     let before = coordinators(&entries, &weights(&entries, &mixed()));
-    let mut told = mixed();
-    told[SMALL] /= 2;
-    let after = coordinators(&entries, &weights(&entries, &told));
+    let mut reported = mixed();
+    reported[SMALL] /= 2;
+    let after = coordinators(&entries, &weights(&entries, &reported));
     let moved: Vec<usize> = before
         .iter()
         .zip(&after)
         .filter(|(before, after)| before != after)
         .map(|(before, _)| *before)
         .collect();
-    println!("{} of {SHARDS} shards moved", moved.len());
     assert!(moved.iter().all(|index| *index == SMALL));
     assert!(!moved.is_empty() && moved.len() < SHARDS * 2 / LARGE);
 }
--- a/crates/savorywalk/src/gateway/entry_capacity/own_shards.rs
+++ b/crates/savorywalk/src/gateway/entry_capacity/own_shards.rs
@@ -17,7 +17,7 @@
 
 impl OwnShards {
     /// Replaces the shards; returns whether there is one that this entry did not coordinate
-    /// before. A change is logged with the capacity that this entry tells.
+    /// before. A change is logged with the capacity that this entry reports.
     pub(in crate::gateway) fn replace(&self, shards: ShardSet, capacity_millicores: u32) -> bool {
         let mut known = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
         if *known == shards {
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -56,7 +56,7 @@
     pub(super) region_map: RegionMap,
     /// Shards that this entry coordinates.
     pub(super) own_shards: OwnShards,
-    /// Decides how much of its capacity this entry tells.
+    /// Decides how much of its capacity this entry reports.
     pub(super) capacity_meter: Mutex<CapacityMeter>,
     /// Optional features that are on.
     pub(super) features: LoadFeatures,
@@ -75,7 +75,7 @@
     retries: Mutex<FastMap<String, RetryWindow>>,
     dispatchers: Mutex<FastMap<DispatcherKey, Arc<PieceDispatcher>>>,
     plan_admissions: Mutex<FastMap<WorkShard, Arc<PlanAdmission>>>,
-    /// Loads of the stage shards, told by their coordinators.
+    /// Loads of the stage shards, reported by their coordinators.
     pub(super) shard_loads: Mutex<ShardLoads>,
 }
 
--- a/crates/savorywalk/src/gateway/load_exchange.rs
+++ b/crates/savorywalk/src/gateway/load_exchange.rs
@@ -72,7 +72,7 @@
         };
         log_event!(
             debug,
-            "shard_load_told",
+            "shard_load_reported",
             shard = shard.name(),
             sequence = sequence,
             backlog_ms = report.longest_backlog().as_millis(),
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Records the load of a shard that its coordinator told.
+    /// Records the load of a shard that its coordinator reported.
     pub(super) fn record_shard_load(&self, from: &PeerName, notice: &ShardLoadNotice) {
         let shard = WorkShard::from_name(&notice.shard);
         let report = ShardReport::from_notice(notice);
@@ -162,7 +162,7 @@
 }
 
 /// Milliseconds since the VM was booted, which are higher after each restart of this entry than
-/// the number of reports it has told.
+/// the number of reports it has sent.
 fn first_sequence() -> u64 {
     BootClock.now().since(BootTime::default()).as_millis() as u64
 }
--- a/crates/savorywalk/src/gateway/load_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/load_exchange_tests.rs
@@ -100,10 +100,10 @@
     node.choose_other_shard(now, &WorkShard::from_name("a"), request, &plan, wait)
 }
 
-/// One entry coordinates both shards: it tells itself, without a link, and only data centres
+/// One entry coordinates both shards: it reports to itself, without a link, and only data centres
 /// that the request may use are chosen.
 #[tokio::test]
-async fn an_entry_that_coordinates_two_shards_tells_itself() {
+async fn an_entry_that_coordinates_two_shards_reports_to_itself() {
     let node = node();
     let view = view(node.exchange.hub.name());
     node.view.store(Arc::clone(&view));
@@ -116,7 +116,7 @@
     let mut pacers = FastMap::default();
     node.tell_load(&view, &other, &admission, &mut pacers);
     let idle = choose(&node, &request);
-    assert_eq!(idle, ShardChoice::Unknown, "an idle shard tells nothing");
+    assert_eq!(idle, ShardChoice::Unknown, "an idle shard reports nothing");
 
     let _permit = admission.admit(&request).await.unwrap();
     node.tell_load(&view, &other, &admission, &mut pacers);
--- a/crates/savorywalk/src/gateway/permit_gate_tests.rs
+++ b/crates/savorywalk/src/gateway/permit_gate_tests.rs
@@ -171,9 +171,9 @@
 fn a_coordinator_that_was_replaced_for_a_while_is_unsettled_again() {
     let (gate, whole) = limited_gate(&["entry-1", "entry-2"]);
     let with_millicores = |millicores: [u32; 2]| {
-        let told: Arc<[EntryCapacity]> = millicores.map(EntryCapacity).into();
+        let reported: Arc<[EntryCapacity]> = millicores.map(EntryCapacity).into();
         Arc::new(GatewayView {
-            weights: Arc::new(CapacityWeights::new(&whole.entries, &told)),
+            weights: Arc::new(CapacityWeights::new(&whole.entries, &reported)),
             ranks: Arc::default(),
             ..GatewayView::clone(&whole)
         })
--- a/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_scheduler_return_tests.rs
@@ -165,10 +165,10 @@
     let number = scheduler.submit(at, returning, &rates()).unwrap();
     assert_eq!(class_of(&scheduler, number), Some(PlanClass::Timely));
     let latest = scheduler.waiting.key(number).unwrap().until;
-    let closed: PoolRates = rates()
-        .into_iter()
-        .map(|(pool, _)| (pool, PoolRate { endpoints: 0.001 }))
-        .collect();
+    let mut closed = rates();
+    for rate in closed.values_mut() {
+        rate.endpoints = 0.001;
+    }
     let over = latest + Duration::from_millis(1);
     scheduler.expire_waiting(over, &closed);
     assert_eq!(class_of(&scheduler, number), Some(PlanClass::Appointed));
--- a/crates/savorywalk/src/gateway/prompt_homes/home_load_tests.rs
+++ b/crates/savorywalk/src/gateway/prompt_homes/home_load_tests.rs
@@ -206,7 +206,6 @@
         cost.again_percent(),
         cost.mean_time()
     );
-    println!("{figures}");
     assert!(homes.again_percent() < 8.0, "{figures}");
     assert!(homes.again_percent() < cost.again_percent(), "{figures}");
     assert!(homes.mean_time() <= cost.mean_time(), "{figures}");
@@ -220,7 +219,6 @@
         homes.again_percent(),
         homes.mean_time()
     );
-    println!("{figures}");
     assert!(reads.tokens_of(ReadReason::EngineLost) > 0, "{figures}");
     assert!(homes.again_percent() < 8.0, "{figures}");
 }
@@ -234,7 +232,6 @@
         homes.again_percent(),
         kept.again_percent()
     );
-    println!("{figures}");
     let more = homes.read_again.saturating_sub(kept.read_again);
     let all_parts = 600 * 3_800;
     assert!(more < all_parts / 2, "{figures}");
@@ -268,7 +265,6 @@
     let hot = homes_at(10, 20, 0.9);
     homes_at(20, 35, 0.02);
     let after = homes_at(35, 45, 0.02);
-    println!("{usual} {hot} {after}");
     assert!(
         usual <= 2 && hot >= 4 && after <= hot / 2,
         "{usual} {hot} {after}"
--- a/crates/savorywalk/src/gateway/shard_balance/balance_load_tests.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/balance_load_tests.rs
@@ -1,8 +1,6 @@
-//! Guards against bursts that fill the pools of one shard while another has room, and against
-//! work that swings between shards because each acts on old word of the other.
-//!
-//! On a deployment with four data centres, 720 requests were refused in 4 s while endpoints of
-//! the same pool were busy for 0.7 s of 2 s in one data centre and without a pause in another.
+//! Guards against bursts that fill the pools of one shard while endpoints of the same pools are
+//! idle in another, and against work that swings between shards because each acts on outdated
+//! reports of the other.
 
 use super::tests::{peer, plan, report, shard};
 use super::*;
--- a/crates/savorywalk/src/gateway/shard_balance/report_pacer.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/report_pacer.rs
@@ -5,7 +5,7 @@
 /// changes by less than what a plan may wait.
 pub(in crate::gateway) const TELL_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Interval after which an unchanged load is told again while there is work, so that two
+/// Interval after which an unchanged load is reported again while there is work, so that two
 /// reports may be lost before the last one is too old.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -13,13 +13,13 @@
 /// fiftieth of a small entry's processor time.
 const TIME_PER_RECEIVER: Duration = Duration::from_millis(25);
 
-/// Change of a backlog that is told at once: a sixth of the wait that makes a plan late.
+/// Change of a backlog that is reported at once: a sixth of the wait that makes a plan late.
 const NOTABLE_CHANGE: Duration = Duration::from_millis(40);
 
-/// Change of a pool's rate that is told at once, as a share of it.
+/// Change of a pool's rate that is reported at once, as a share of it.
 const NOTABLE_RATE_SHARE: f64 = 0.1;
 
-/// Decides when the load of a shard is told: on a notable change, at a bounded rate, and not
+/// Decides when the load of a shard is reported: on a notable change, at a bounded rate, and not
 /// while the shard is idle. A state machine without I/O.
 #[derive(Debug)]
 pub(in crate::gateway) struct ReportPacer {
@@ -59,7 +59,7 @@
     }
 
     /// Returns the sequence number with which to tell a report; `None` if it says too little
-    /// that is new. The first report without work is always told.
+    /// that is new. The first report without work is always reported.
     pub(in crate::gateway) fn tell(
         &mut self,
         now: Instant,
--- a/crates/savorywalk/src/gateway/shard_balance/report_pacer_tests.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/report_pacer_tests.rs
@@ -16,14 +16,14 @@
     backlog: impl Fn(u64) -> Duration,
 ) -> usize {
     let ticks = 0..time.as_millis() as u64 / 10;
-    let told = ticks.filter(|tick| {
+    let reported = ticks.filter(|tick| {
         *now += ms(10);
         pacer.may_tell(*now, 3, has_work)
             && pacer
                 .tell(*now, has_work, &report(backlog(*tick)))
                 .is_some()
     });
-    told.count()
+    reported.count()
 }
 
 /// Load: a burst whose backlog changes all the time, then steady work, then none.
--- a/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
+++ b/crates/savorywalk/src/gateway/shard_balance/shard_loads.rs
@@ -5,7 +5,7 @@
 use crate::transport::PeerName;
 
 /// Maximum age of a report by which work is sent. Two reports may be lost; a coordinator that
-/// tells nothing for longer has failed, or its shard is idle.
+/// reports nothing for longer has failed, or its shard is idle.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_200);
 
 /// Time for which the last sequence number of a sender is kept: longer than any message is
@@ -16,7 +16,7 @@
 /// interval of reports.
 const SEND_TIME: Duration = Duration::from_millis(200);
 
-/// Loads of the other shards, as their coordinators told them. A state machine without I/O.
+/// Loads of the other shards, as their coordinators reported them. A state machine without I/O.
 ///
 /// Work that is sent by a report is added to it, so that one report does not draw everything.
 #[derive(Debug, Default)]
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -39,7 +39,7 @@
     pub max_age: Duration,
     /// Time between two announcements of an endpoint.
     pub announce_interval: Duration,
-    /// Capacity of this entry that it tells at first.
+    /// Capacity that this entry reports at first.
     pub capacity: EntryCapacity,
 }
 
@@ -58,7 +58,7 @@
     hub: LinkHub,
     clock: BootClock,
     is_leaving: AtomicBool,
-    /// Capacity that this entry tells, in thousandths of a core.
+    /// Capacity that this entry reports, in thousandths of a core.
     capacity: AtomicU32,
     state: Mutex<FollowState>,
     seeds: watch::Sender<Vec<PeerName>>,
@@ -144,12 +144,12 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Capacity that this entry tells in its calls.
+    /// Capacity that this entry reports in its calls.
     pub fn capacity(&self) -> EntryCapacity {
         EntryCapacity(self.capacity.load(Ordering::Relaxed))
     }
 
-    /// Sets the capacity that this entry tells in its next calls.
+    /// Sets the capacity that this entry reports in its next calls.
     pub fn set_capacity(&self, capacity: EntryCapacity) {
         self.capacity.store(capacity.0, Ordering::Relaxed);
     }
--- a/crates/savorywalk/src/registry/entry_list/capacity_list_tests.rs
+++ b/crates/savorywalk/src/registry/entry_list/capacity_list_tests.rs
@@ -217,7 +217,7 @@
 
 /// Without capacities, calls and answers have to stay as small as before.
 #[test]
-fn untold_capacities_add_three_bytes_to_a_call_and_none_to_an_answer() {
+fn unknown_capacities_add_three_bytes_to_a_call_and_none_to_an_answer() {
     let list = list(984, 0);
     let call = FollowState::default().next_call(Duration::ZERO);
     let earlier = as_earlier_call(call.clone());
--- a/crates/savorywalk/src/registry/entry_list/entry_capacity.rs
+++ b/crates/savorywalk/src/registry/entry_list/entry_capacity.rs
@@ -3,7 +3,7 @@
 /// Thousandths in a core.
 const MILLICORES: f64 = 1_000.0;
 
-/// Processor time that an entry tells to have, in thousandths of a core; 0 if unknown.
+/// Processor time that an entry reports to have, in thousandths of a core; 0 if unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EntryCapacity(pub u32);
 
@@ -27,7 +27,7 @@
         Self(self.0.checked_shr(steps).unwrap_or(0).max(least))
     }
 
-    /// Whether the entry has told its capacity.
+    /// Whether the entry has reported its capacity.
     pub fn is_known(self) -> bool {
         self.0 > 0
     }
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -880,7 +880,7 @@
     }
 }
 
-/// Capacity that an entry tells: a quarter of the entries have more than the others.
+/// Capacity that an entry reports: a quarter of the entries have more than the others.
 fn capacity_of(entry: usize) -> EntryCapacity {
     EntryCapacity(if entry.is_multiple_of(4) { 300 } else { 90 })
 }
