--- a/crates/savorywalk/src/gateway/workspace_shares/share_rule.rs
+++ b/crates/savorywalk/src/gateway/workspace_shares/share_rule.rs
@@ -25,7 +25,7 @@
 }
 
 impl ShareRule {
-    /// Least weight: one unit of [`Self::weight_units`].
+    /// Least weight: a thousandth, the precision of weights.
     pub const MIN_WEIGHT: f64 = 0.001;
 
     /// Largest weight. With a larger one a short stage would be charged no time at all.
