--- a/crates/savorywalk/src/telemetry/request_timeline.rs
+++ b/crates/savorywalk/src/telemetry/request_timeline.rs
@@ -3,11 +3,11 @@
 pub const REQUEST_EVENTS: [(&str, &str); 18] = [
     (
         "plan_refused",
-        "its stages can't be in time in this shard, or would wait in vain",
+        "its stages can't be in time in this shard; other_shard names the next one, returns says what its caller is told",
     ),
     (
         "plan_decided",
-        "its stages were begun or refused after waited_ms; fate says which",
+        "its stages were begun or refused after waited_ms; outcome says which",
     ),
     (
         "stages_done",
