Gateway: one place opens connections to endpoints

No behaviour changes. EndpointConnector replaces EndpointCall::open, and the network is a trait at the edge of the process, so that a test can cut one of several daemons in one process off from the endpoints that the others reach, by loopback proxies of its own.

--- a/crates/savorywalk/src/gateway/cached_connections/connection_cache.rs
+++ b/crates/savorywalk/src/gateway/cached_connections/connection_cache.rs
@@ -2,6 +2,7 @@
 
 use super::idle_connections::IdleConnections;
 use crate::gateway::endpoint_call::{CallError, EndpointCall};
+use crate::gateway::endpoint_paths::EndpointConnector;
 use crate::gateway::{EndpointHead, PoolMember};
 use crate::prelude::*;
 
@@ -19,12 +20,15 @@
     /// Returns a cached connection or opens a new one, and whether it was cached.
     pub(in crate::gateway) async fn open(
         &self,
+        connector: &EndpointConnector,
         member: &PoolMember,
     ) -> Result<(EndpointCall, bool), CallError> {
         if let Some(call) = self.take(member.endpoint()) {
             return Ok((call, true));
         }
-        let call = EndpointCall::open(member.address(), &member.incarnation_token).await?;
+        let call = connector
+            .open(member.address(), &member.incarnation_token)
+            .await?;
         Ok((call, false))
     }
 
--- a/crates/savorywalk/src/gateway/crash_detector.rs
+++ b/crates/savorywalk/src/gateway/crash_detector.rs
@@ -1,9 +1,9 @@
 use opentelemetry::metrics::{Counter, Meter};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
 use super::answered_requests::AnsweredRequests;
 use super::crash_report::{CrashReport, FailedCalls, build_reports};
+use super::endpoint_paths::EndpointNetwork;
 use crate::prelude::*;
 use crate::quarantine::{QUARANTINE_TIME, QuarantineCommand, RequestDigest};
 use crate::registry::{EntryFollower, ReportFailure};
@@ -116,10 +116,15 @@
 
 impl CrashDetector {
     /// Starts the detector on the current runtime.
-    pub(super) fn start(follower: &Arc<EntryFollower>, meter: &Meter) -> Self {
+    pub(super) fn start(
+        follower: &Arc<EntryFollower>,
+        network: Arc<dyn EndpointNetwork>,
+        meter: &Meter,
+    ) -> Self {
         let (events, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
         let task = DetectorTask {
             follower: Arc::clone(follower),
+            network,
             crashes: meter
                 .u64_counter("savorywalk_gateway_endpoint_crashes")
                 .with_description("Endpoints that crashed while they worked for this entry")
@@ -171,6 +176,7 @@
 
 struct DetectorTask {
     follower: Arc<EntryFollower>,
+    network: Arc<dyn EndpointNetwork>,
     crashes: Counter<u64>,
     /// When control was last informed that a quarantined request still comes in.
     last_reported: FastMap<RequestDigest, Instant>,
@@ -278,11 +284,12 @@
                 DetectorEvent::Answered(digest) => command.answered.push(digest.to_bytes()),
             }
         }
+        let network = &self.network;
         let probes = failed_calls
             .endpoints()
             .map(|(endpoint, address)| async move {
                 let probe = match address {
-                    Some(address) => probe_endpoint(address).await,
+                    Some(address) => probe_endpoint(network.as_ref(), address).await,
                     None => EndpointProbe::Refuses,
                 };
                 (endpoint.to_string(), probe)
@@ -338,8 +345,8 @@
 
 /// Tests whether an endpoint still accepts connections. A call can fail for reasons other
 /// than a crash, and such a failure is no evidence against its request.
-async fn probe_endpoint(address: SocketAddr) -> EndpointProbe {
-    let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+async fn probe_endpoint(network: &dyn EndpointNetwork, address: SocketAddr) -> EndpointProbe {
+    let connecting = tokio::time::timeout(PROBE_TIMEOUT, network.connect(address));
     match connecting.await {
         Ok(Ok(_)) => EndpointProbe::Accepts,
         Ok(Err(_)) => EndpointProbe::Refuses,
--- a/crates/savorywalk/src/gateway/crash_detector_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_detector_tests.rs
@@ -2,6 +2,7 @@
 use tokio::sync::oneshot::error::TryRecvError;
 
 use super::*;
+use crate::gateway::TcpNetwork;
 use crate::gateway::plain_wire_tests::node;
 use crate::registry::{BootClock, FollowReply};
 
@@ -27,9 +28,15 @@
 async fn an_endpoint_that_accepts_connections_has_not_crashed() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    assert_eq!(probe_endpoint(address).await, EndpointProbe::Accepts);
+    assert_eq!(
+        probe_endpoint(&TcpNetwork, address).await,
+        EndpointProbe::Accepts
+    );
     drop(listener);
-    assert_eq!(probe_endpoint(address).await, EndpointProbe::Refuses);
+    assert_eq!(
+        probe_endpoint(&TcpNetwork, address).await,
+        EndpointProbe::Refuses
+    );
 }
 
 /// No other task runs between the update and the requests that wait.
@@ -76,6 +83,7 @@
     let meter = node.metric_set.meter();
     DetectorTask {
         follower: Arc::clone(&node.follower),
+        network: Arc::new(TcpNetwork),
         crashes: meter.u64_counter("crashes").build(),
         last_reported: FastMap::default(),
         unreported: VecDeque::new(),
--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -3,18 +3,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
 use super::guarded_stream::GuardedStream;
 use crate::prelude::*;
 use crate::registry::IncarnationToken;
 
-/// Timeout of connecting to an endpoint. Within a region, a round trip takes 3 ms and accepting
-/// 1 ms. TCP resends a lost first packet only after a second; another endpoint is tried long
-/// before that.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Size limit of a response body that is read completely.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -50,27 +45,18 @@
 }
 
 impl EndpointCall {
-    /// Connects to an incarnation of an endpoint. The connection breaks when that incarnation
-    /// ends. An error means that nothing was sent.
-    pub(super) async fn open(
-        address: SocketAddr,
+    /// Starts a call to an incarnation of an endpoint over a new connection, which breaks when
+    /// that incarnation ends. An error means that nothing was sent.
+    pub(super) async fn start(
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         incarnation_token: &IncarnationToken,
     ) -> Result<Self, CallError> {
-        let unsent = |reason: String| CallError::Unsent(reason);
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = match connecting.await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(unsent(error.to_string())),
-            Err(_) => return Err(unsent("connecting timed out".into())),
-        };
-        if let Err(error) = stream.set_nodelay(true) {
-            log_event!(debug, "nodelay_not_set", error = error);
-        }
         let handshake = http1::Builder::new()
             .preserve_header_case(true)
             .handshake(TokioIo::new(GuardedStream::new(stream, incarnation_token)))
             .await;
-        let (sender, connection) = handshake.map_err(|error| unsent(error.to_string()))?;
+        let (sender, connection) =
+            handshake.map_err(|error| CallError::Unsent(error.to_string()))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log_event!(debug, "endpoint_connection_ended", error = error);
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -196,7 +196,7 @@
         let response = match call.send(request()).await {
             // The endpoint may have closed a cached connection.
             Err(CallError::Broken(_)) if was_cached && self.node.try_retry(&self.context.pool) => {
-                call = EndpointCall::open(member.address(), &member.incarnation_token).await?;
+                call = self.node.connect(member).await?;
                 sent = BootClock.now();
                 call.send(request()).await?
             }
@@ -235,10 +235,9 @@
     /// idempotent requests use one.
     async fn open_call(&self, member: &PoolMember) -> Result<(EndpointCall, bool), CallError> {
         match self.context.route.kind {
-            RouteKind::Idempotent => self.node.connection_cache.open(member).await,
+            RouteKind::Idempotent => self.node.open_cached(member).await,
             RouteKind::NonIdempotent | RouteKind::Stream { .. } => {
-                let call = EndpointCall::open(member.address(), &member.incarnation_token).await?;
-                Ok((call, false))
+                Ok((self.node.connect(member).await?, false))
             }
         }
     }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -2,6 +2,7 @@
 
 use super::call_handler::{CallHandler, CallHandlerKind};
 use super::crash_detector::CrashDetector;
+use super::endpoint_paths::{EndpointNetwork, TcpNetwork};
 use super::gateway_node::{GatewayNode, NodeParts};
 use super::permit_gate::ColdBounds;
 use super::region_map::RegionMap;
@@ -46,6 +47,19 @@
     ///
     /// When a settings section is missing or an address can't be used.
     pub async fn start(settings: &DaemonSettings, wire: Arc<dyn WireFormat>) -> Result<Self> {
+        Self::start_on(settings, wire, Arc::new(TcpNetwork)).await
+    }
+
+    /// Like [`start`](Self::start), with another network to endpoints.
+    ///
+    /// # Errors
+    ///
+    /// As for [`start`](Self::start).
+    pub async fn start_on(
+        settings: &DaemonSettings,
+        wire: Arc<dyn WireFormat>,
+        network: Arc<dyn EndpointNetwork>,
+    ) -> Result<Self> {
         let missing_section = GatewayError::MissingSection;
         let node_settings = settings.node.as_ref().ok_or(missing_section("node"))?;
         let cluster = settings
@@ -66,12 +80,13 @@
         let capacity = EntryCapacity::from_cores(gateway.processor_cores);
         let (control_hub, follower) =
             start_follower(&links, cluster, max_key_age, announce_interval, capacity)?;
-        let crash_detector = start_crash_detector(&links, &follower, &metric_set);
+        let crash_detector = start_crash_detector(&links, &follower, &network, &metric_set);
         let features = wire.load_features(&gateway.platform_terms);
         let features = features.with_settings(gateway);
         let node = GatewayNode::start(NodeParts {
             features,
             hub: hub.clone(),
+            network,
             wire,
             follower,
             data_center: node_settings.data_center.clone(),
@@ -181,10 +196,11 @@
 fn start_crash_detector(
     links: &LinkThread,
     follower: &Arc<EntryFollower>,
+    network: &Arc<dyn EndpointNetwork>,
     metrics: &MetricSet,
 ) -> CrashDetector {
     let _entered = links.enter();
-    CrashDetector::start(follower, metrics.meter())
+    CrashDetector::start(follower, Arc::clone(network), metrics.meter())
 }
 
 async fn serve(
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -6,6 +6,8 @@
 use super::coordination_driver;
 use super::crash_detector::CrashDetector;
 use super::endpoint_availability::EndpointAvailability;
+use super::endpoint_call::{CallError, EndpointCall};
+use super::endpoint_paths::{EndpointConnector, EndpointNetwork};
 use super::endpoint_score::EndpointScores;
 use super::engine_scheduler::EngineScheduler;
 use super::entry_capacity::{CapacityMeter, CapacityWeights, OwnShards};
@@ -47,6 +49,7 @@
     pub(super) first_events: FirstEventTimes,
     pub(super) engines: EngineScheduler,
     pub(super) releases: ReleaseQueue,
+    pub(super) connector: EndpointConnector,
     pub(super) connection_cache: ConnectionCache,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
@@ -82,6 +85,7 @@
 /// Dependencies and settings of a [`GatewayNode`].
 pub(super) struct NodeParts {
     pub(super) hub: LinkHub,
+    pub(super) network: Arc<dyn EndpointNetwork>,
     pub(super) wire: Arc<dyn WireFormat>,
     pub(super) follower: Arc<EntryFollower>,
     pub(super) data_center: String,
@@ -101,6 +105,7 @@
         let (releases, released) = ReleaseQueue::new();
         let node = Arc::new(Self {
             releases,
+            connector: EndpointConnector::new(parts.network),
             connection_cache: ConnectionCache::default(),
             wire: parts.wire,
             follower: parts.follower,
@@ -420,6 +425,22 @@
         Arc::new(roster)
     }
 
+    /// Opens a connection to an endpoint. An error means that nothing was sent.
+    pub(super) async fn connect(&self, member: &PoolMember) -> Result<EndpointCall, CallError> {
+        let connecting = self
+            .connector
+            .open(member.address(), &member.incarnation_token);
+        connecting.await
+    }
+
+    /// Returns a cached connection to an endpoint or opens a new one, and whether it was cached.
+    pub(super) async fn open_cached(
+        &self,
+        member: &PoolMember,
+    ) -> Result<(EndpointCall, bool), CallError> {
+        self.connection_cache.open(&self.connector, member).await
+    }
+
     /// Counts the first send of a request to `pool`.
     pub(super) fn record_first_send(&self, pool: &str) {
         self.retry_window(pool, |window| window.record_first_send(Instant::now()));
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod endpoint_call;
 mod endpoint_limits;
 mod endpoint_load;
+mod endpoint_paths;
 mod endpoint_roster;
 mod endpoint_score;
 mod engine_model;
@@ -96,6 +97,7 @@
 
 pub use call_utilization::CallUtilization;
 pub use data_center_filter::DataCenterFilter;
+pub use endpoint_paths::{EndpointNetwork, NetworkConnect, TcpNetwork};
 pub use endpoint_roster::{EndpointRoster, PoolMember};
 pub use endpoint_score::PlacementQuery;
 pub use engine_model::{EngineChoice, EngineModel, EngineTarget, PromptQuery};
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -1,4 +1,4 @@
-use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::endpoint_call::{CallError, read_complete};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::{
@@ -76,7 +76,7 @@
     member: &PoolMember,
     pieces: &[QueuedPiece],
 ) -> Result<CallResult, CallError> {
-    let mut call = EndpointCall::open(member.address(), &member.incarnation_token).await?;
+    let mut call = node.connect(member).await?;
     if !node.is_available(member.endpoint()) {
         return Ok(CallResult::Denied { load: None });
     }
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -8,7 +8,7 @@
     CallerHead, EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, InvalidCall,
     LoadFeatures, PieceOutcome, PieceRequest, PoolProfile, PoolShare, RegistryAnswer, RegistryCall,
     ResultHandle, RetryLimits, RouteKind, RouteRule, RouteTable, ShareRule, TableError, TableParts,
-    WireFormat, WorkspaceRule, cluster_hub,
+    TcpNetwork, WireFormat, WorkspaceRule, cluster_hub,
 };
 use crate::prelude::*;
 use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
@@ -150,9 +150,10 @@
     let metric_set = Arc::new(MetricSet::new().unwrap());
     GatewayNode::start(NodeParts {
         features: LoadFeatures::default(),
-        crash_detector: CrashDetector::start(&follower, metric_set.meter()),
+        crash_detector: CrashDetector::start(&follower, Arc::new(TcpNetwork), metric_set.meter()),
         follower,
         hub,
+        network: Arc::new(TcpNetwork),
         wire: Arc::new(PlainWire),
         data_center: "a".into(),
         max_key_age: MAX_KEY_AGE,
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -1,7 +1,7 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::endpoint_call::{CallError, read_complete};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -175,8 +175,12 @@
     handles: &[ResultHandle],
 ) -> Result<(), CallError> {
     let mut call = match &member {
-        Some((_, member)) => node.connection_cache.open(member).await?.0,
-        None => EndpointCall::open(holder, &IncarnationToken::default()).await?,
+        Some((_, member)) => node.open_cached(member).await?.0,
+        None => {
+            node.connector
+                .open(holder, &IncarnationToken::default())
+                .await?
+        }
     };
     let sent = BootClock.now();
     let request = node.wire.release_request(handles, holder);
