Relay connections to endpoints while an entry's own paths are lost

Callers of entries that were partitioned from all endpoints got 503 after three connections of 300 ms each: 0 of 42 first attempts served, the others 90 of 92. Where the coordinator of the stages was among them, the others fell to 26 of 69, as it kept its shard and refused every plan.

Cause: an entry has one path to an endpoint, its own connection, and counts each failure against the endpoint. Class: a fault of the own path that is taken for many faults of others.

Change: EndpointConnector races its own connection, after a head start of 100 ms, with one that another entry relays over the links, and remembers paths that only a relay has. All calls use it: requests, pieces, releases. A path counts as lost only when a relay reaches an endpoint that this entry does not, so a pool that is down for everybody is not mistaken. Calls that break on a lost path are not reported to health, to coordinators or to the quarantine.

Ruled out: being not ready alone (open connections, all entries of a data centre), handing whole requests over (counts twice in admission and budgets, unknown outcomes), moving shards.

--- a/crates/savorywalk/src/gateway/cached_connections/connection_cache.rs
+++ b/crates/savorywalk/src/gateway/cached_connections/connection_cache.rs
@@ -1,9 +1,8 @@
 use std::sync::{Mutex, PoisonError};
 
 use super::idle_connections::IdleConnections;
-use crate::gateway::endpoint_call::{CallError, EndpointCall};
-use crate::gateway::endpoint_paths::EndpointConnector;
-use crate::gateway::{EndpointHead, PoolMember};
+use crate::gateway::EndpointHead;
+use crate::gateway::endpoint_call::EndpointCall;
 use crate::prelude::*;
 
 /// Idle connections to endpoints, reused by calls of some kinds.
@@ -17,22 +16,8 @@
 }
 
 impl ConnectionCache {
-    /// Returns a cached connection or opens a new one, and whether it was cached.
-    pub(in crate::gateway) async fn open(
-        &self,
-        connector: &EndpointConnector,
-        member: &PoolMember,
-    ) -> Result<(EndpointCall, bool), CallError> {
-        if let Some(call) = self.take(member.endpoint()) {
-            return Ok((call, true));
-        }
-        let call = connector
-            .open(member.address(), &member.incarnation_token)
-            .await?;
-        Ok((call, false))
-    }
-
-    fn take(&self, endpoint: &str) -> Option<EndpointCall> {
+    /// Takes an open connection to an endpoint.
+    pub(in crate::gateway) fn take(&self, endpoint: &str) -> Option<EndpointCall> {
         let mut connections = self
             .connections
             .lock()
@@ -46,9 +31,10 @@
     }
 
     /// Caches the connection of a call whose answer was read completely, unless the
-    /// endpoint closes the connection, is leaving or is another incarnation.
+    /// endpoint closes the connection, is leaving or is another incarnation, or unless another
+    /// entry relays it, which should not last longer than the loss of the own path.
     pub(in crate::gateway) fn put(&self, endpoint: &str, call: EndpointCall, head: &EndpointHead) {
-        if head.closes || head.is_leaving || head.is_other_incarnation {
+        if head.closes || head.is_leaving || head.is_other_incarnation || call.is_relayed() {
             return;
         }
         let mut connections = self
@@ -58,6 +44,11 @@
         connections.put(Instant::now(), endpoint, call, head.keep_alive);
     }
 
+    /// Closes the connections to an endpoint.
+    pub(in crate::gateway) fn close_all(&self, endpoint: &str) {
+        while self.take(endpoint).is_some() {}
+    }
+
     /// Closes connections that have been idle for too long.
     pub(in crate::gateway) fn expire(&self) {
         let mut connections = self
--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -3,9 +3,9 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
+use super::endpoint_paths::EndpointStream;
 use super::guarded_stream::GuardedStream;
 use crate::prelude::*;
 use crate::registry::IncarnationToken;
@@ -36,6 +36,7 @@
 pub(super) struct EndpointCall {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    is_relayed: bool,
 }
 
 impl Drop for EndpointCall {
@@ -48,9 +49,10 @@
     /// Starts a call to an incarnation of an endpoint over a new connection, which breaks when
     /// that incarnation ends. An error means that nothing was sent.
     pub(super) async fn start(
-        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        stream: EndpointStream,
         incarnation_token: &IncarnationToken,
     ) -> Result<Self, CallError> {
+        let is_relayed = stream.is_relayed();
         let handshake = http1::Builder::new()
             .preserve_header_case(true)
             .handshake(TokioIo::new(GuardedStream::new(stream, incarnation_token)))
@@ -65,9 +67,15 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            is_relayed,
         })
     }
 
+    /// Whether another entry opened the connection.
+    pub(super) fn is_relayed(&self) -> bool {
+        self.is_relayed
+    }
+
     /// Whether the connection can carry another call.
     pub(super) fn is_open(&self) -> bool {
         self.sender.is_ready()
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -143,18 +143,18 @@
                 return Ok(AttemptEnd::Unsent);
             }
             Ok(Err(CallError::Broken(reason))) => {
-                self.suspect_crash(&endpoint, CallFailure::Cut);
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
+                self.record_failure(&endpoint, Some(CallFailure::Cut), &reason)
+                    .await;
                 return Ok(AttemptEnd::Lost);
             }
             Ok(Err(CallError::Lost(reason))) => {
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
+                self.record_failure(&endpoint, None, &reason).await;
                 return Ok(AttemptEnd::Lost);
             }
             Err(_) => {
-                self.suspect_crash(&endpoint, CallFailure::TimedOut);
                 let reason = "no response head within the timeout";
-                self.report(&view, &endpoint, AttemptReport::Failed, reason);
+                self.record_failure(&endpoint, Some(CallFailure::TimedOut), reason)
+                    .await;
                 return Ok(AttemptEnd::Lost);
             }
         };
@@ -232,11 +232,14 @@
 
     /// Returns a connection for the request, and whether it was cached. After a failure on
     /// a cached connection it is not always known whether the request arrived, so only
-    /// idempotent requests use one.
+    /// idempotent requests use one. A retry does not either: the cause of the failure before it
+    /// may have broken all connections of this entry.
     async fn open_call(&self, member: &PoolMember) -> Result<(EndpointCall, bool), CallError> {
         match self.context.route.kind {
-            RouteKind::Idempotent => self.node.open_cached(member).await,
-            RouteKind::NonIdempotent | RouteKind::Stream { .. } => {
+            RouteKind::Idempotent if self.ledger.sends() <= 1 => {
+                self.node.open_cached(member).await
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent | RouteKind::Stream { .. } => {
                 Ok((self.node.connect(member).await?, false))
             }
         }
@@ -299,7 +302,9 @@
                     Err(_) => CallFailure::TimedOut,
                     Ok(_) => CallFailure::Cut,
                 };
-                self.suspect_crash(&endpoint, failure);
+                if !self.has_lost_path(&endpoint).await {
+                    self.suspect_crash(&endpoint, failure);
+                }
                 return Ok(AttemptEnd::Lost);
             };
             self.record_answered(is_delimited(&parts));
@@ -359,6 +364,42 @@
         self.decision = (failure == CallFailure::Cut).then_some(decision);
     }
 
+    /// Whether the path to an endpoint whose call failed is lost, so that the failure says nothing
+    /// about the endpoint or the request.
+    async fn has_lost_path(&self, endpoint: &str) -> bool {
+        let view = self.node.view.load_full();
+        let member = view.roster.member(&self.context.pool, endpoint);
+        let Some(member) = member else {
+            return false;
+        };
+        let is_lost = self.node.has_lost_path(member).await;
+        if is_lost {
+            log_event!(
+                info,
+                "attempt_path_lost",
+                request = self.context.id,
+                endpoint = endpoint
+            );
+        }
+        is_lost
+    }
+
+    /// Reports a call that failed after the request was sent, unless its path is lost.
+    pub(super) async fn record_failure(
+        &mut self,
+        endpoint: &str,
+        failure: Option<CallFailure>,
+        reason: &str,
+    ) {
+        if failure.is_some() && self.has_lost_path(endpoint).await {
+            return;
+        }
+        if let Some(failure) = failure {
+            self.suspect_crash(endpoint, failure);
+        }
+        self.report_failure(endpoint, reason);
+    }
+
     /// Records that an endpoint answered the request without crashing, if the answer shows
     /// where it ends.
     pub(super) fn record_answered(&self, is_delimited: bool) {
@@ -400,13 +441,15 @@
                 AnswerOutcome::Whole(response)
             }
             Ok(Err(error)) => {
-                self.suspect_crash(&open.endpoint, CallFailure::Cut);
-                self.report_failure(&open.endpoint, &error.to_string());
+                let failure = Some(CallFailure::Cut);
+                self.record_failure(&open.endpoint, failure, &error.to_string())
+                    .await;
                 AnswerOutcome::Lost
             }
             Err(_) => {
-                self.suspect_crash(&open.endpoint, CallFailure::TimedOut);
-                self.report_failure(&open.endpoint, "no complete answer within the timeout");
+                let reason = "no complete answer within the timeout";
+                self.record_failure(&open.endpoint, Some(CallFailure::TimedOut), reason)
+                    .await;
                 AnswerOutcome::Lost
             }
         }
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -156,6 +156,8 @@
         tokio::time::sleep(DRAIN_DELAY.min(self.stop_time / 2)).await;
         let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
         let finished = self.callers.close(left).await;
+        let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
+        self.node.relay_service.drain(left).await;
         log_event!(info, "gateway_closed", finished = finished);
         drop(self.probes);
         tokio::join!(
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -7,7 +7,7 @@
 use super::crash_detector::CrashDetector;
 use super::endpoint_availability::EndpointAvailability;
 use super::endpoint_call::{CallError, EndpointCall};
-use super::endpoint_paths::{EndpointConnector, EndpointNetwork};
+use super::endpoint_paths::{self, EndpointConnector, EndpointNetwork, RelayService};
 use super::endpoint_score::EndpointScores;
 use super::engine_scheduler::EngineScheduler;
 use super::entry_capacity::{CapacityMeter, CapacityWeights, OwnShards};
@@ -50,6 +50,8 @@
     pub(super) engines: EngineScheduler,
     pub(super) releases: ReleaseQueue,
     pub(super) connector: EndpointConnector,
+    /// Connections that this entry relays for others.
+    pub(super) relay_service: RelayService,
     pub(super) connection_cache: ConnectionCache,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
@@ -105,7 +107,8 @@
         let (releases, released) = ReleaseQueue::new();
         let node = Arc::new(Self {
             releases,
-            connector: EndpointConnector::new(parts.network),
+            connector: EndpointConnector::new(parts.network, parts.hub.clone()),
+            relay_service: RelayService::default(),
             connection_cache: ConnectionCache::default(),
             wire: parts.wire,
             follower: parts.follower,
@@ -142,11 +145,15 @@
         node.register_limits();
         node.register_backoffs();
         node.register_coordination();
+        node.register_paths();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(coordination_driver::run_meter(Arc::downgrade(&node)));
         tokio::spawn(release_queue::run(Arc::clone(&node), released));
         let notices = parts.hub.subscribe(LinkChannel::Work);
         tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
+        let streams = parts.hub.serve_streams(LinkChannel::Work);
+        tokio::spawn(endpoint_paths::run_relays(Arc::clone(&node), streams));
+        tokio::spawn(endpoint_paths::run_prober(Arc::downgrade(&node)));
         let calls = parts.hub.serve(LinkChannel::Work);
         tokio::spawn(work_exchange::serve(Arc::clone(&node), calls));
         if node.features.shard_balance {
@@ -215,6 +222,29 @@
             .build();
     }
 
+    /// Registers the gauges of lost paths to endpoints and of relayed connections.
+    fn register_paths(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_lost_paths")
+            .with_description("Endpoints that other entries reach and this one does not")
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.connector.lost_paths());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+        let node = Arc::downgrade(self);
+        meter
+            .u64_observable_gauge("savorywalk_gateway_relayed_connections")
+            .with_description("Connections to endpoints that this entry relays for others")
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.relay_service.count());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
     fn count_evacuated(&self) -> usize {
         self.apply_updates();
         self.follower
@@ -427,10 +457,21 @@
 
     /// Opens a connection to an endpoint. An error means that nothing was sent.
     pub(super) async fn connect(&self, member: &PoolMember) -> Result<EndpointCall, CallError> {
-        let connecting = self
-            .connector
-            .open(member.address(), &member.incarnation_token);
-        connecting.await
+        let entries = Arc::clone(&self.view.load().entries);
+        let stream = self.connector.open(&entries, member).await?;
+        if stream.is_relayed() {
+            // Connections that were opened before the path was lost may be silent for good.
+            self.connection_cache.close_all(member.endpoint());
+        }
+        EndpointCall::start(stream, &member.incarnation_token).await
+    }
+
+    /// Whether another entry reaches an endpoint whose call failed here, and this entry does not:
+    /// then the failure says nothing about the endpoint or the request.
+    pub(super) async fn has_lost_path(&self, member: &PoolMember) -> bool {
+        let entries = Arc::clone(&self.view.load().entries);
+        let connected = self.connector.open(&entries, member).await;
+        connected.is_ok_and(|stream| stream.is_relayed())
     }
 
     /// Returns a cached connection to an endpoint or opens a new one, and whether it was cached.
@@ -438,7 +479,10 @@
         &self,
         member: &PoolMember,
     ) -> Result<(EndpointCall, bool), CallError> {
-        self.connection_cache.open(&self.connector, member).await
+        match self.connection_cache.take(member.endpoint()) {
+            Some(call) => Ok((call, true)),
+            None => Ok((self.connect(member).await?, false)),
+        }
     }
 
     /// Counts the first send of a request to `pool`.
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -43,6 +43,17 @@
         }
     }
 
+    /// Whether the call failed in a way in which calls fail when the path to the endpoint is lost.
+    pub(super) fn may_have_lost_path(&self) -> bool {
+        match self {
+            Self::Answered { .. } | Self::Denied { .. } => false,
+            Self::Failed(error) => match error {
+                CallError::Broken(_) | CallError::Lost(_) => true,
+                CallError::Unsent(_) | CallError::Withheld(_) => false,
+            },
+        }
+    }
+
     /// Returns what the call shows about the endpoint's health. A refused call is no failure.
     pub(super) fn report(&self, time: Duration) -> Option<AttemptReport> {
         match self {
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -344,8 +344,9 @@
             result = result.name(),
             ms = started.elapsed().as_millis()
         );
+        let has_lost_path = result.may_have_lost_path() && self.node.has_lost_path(member).await;
         let records = view.roster.records(&self.pool);
-        if let Some(report) = result.report(started.elapsed()) {
+        if let Some(report) = result.report(started.elapsed()).filter(|_| !has_lost_path) {
             let scores = &self.node.scores;
             scores.report(&self.pool, records, &call.endpoint, report);
         }
@@ -369,12 +370,15 @@
                     pool = self.pool,
                     endpoint = call.endpoint,
                     pieces = call.pieces.len(),
-                    reason = error
+                    reason = error,
+                    path_lost = has_lost_path
                 );
                 self.state()
                     .queue
                     .record_denied(Instant::now(), &call.endpoint);
-                if let CallError::Broken(_) = error {
+                if let CallError::Broken(_) = error
+                    && !has_lost_path
+                {
                     self.report_suspected_crash(&view, &call).await;
                 }
                 self.requeue(call.pieces, true);
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -1,7 +1,8 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use super::endpoint_call::{CallError, read_complete};
+use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::endpoint_paths::EndpointStream;
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -177,9 +178,9 @@
     let mut call = match &member {
         Some((_, member)) => node.open_cached(member).await?.0,
         None => {
-            node.connector
-                .open(holder, &IncarnationToken::default())
-                .await?
+            let stream = node.connector.connect_to(holder, CALL_TIMEOUT).await?;
+            let stream = EndpointStream::Direct(stream);
+            EndpointCall::start(stream, &IncarnationToken::default()).await?
         }
     };
     let sent = BootClock.now();
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -213,20 +213,17 @@
         }
     }
 
-    fn suspect_crash(&mut self, failure: CallFailure) {
-        self.run.suspect_crash(&self.source.endpoint, failure);
-    }
-
     /// Resumes the stream at another endpoint; false if the route does not allow it or the
     /// attempt fails.
     async fn resume_elsewhere(&mut self, reason: &StreamFailure) -> bool {
-        match reason {
-            StreamFailure::Cut(_) => self.suspect_crash(CallFailure::Cut),
-            StreamFailure::TimedOut => self.suspect_crash(CallFailure::TimedOut),
-            StreamFailure::NoData => {}
-        }
+        let failure = match reason {
+            StreamFailure::Cut(_) => Some(CallFailure::Cut),
+            StreamFailure::TimedOut => Some(CallFailure::TimedOut),
+            StreamFailure::NoData => None,
+        };
         self.run
-            .report_failure(&self.source.endpoint, &reason.to_string());
+            .record_failure(&self.source.endpoint, failure, &reason.to_string())
+            .await;
         if !self.is_resumable() {
             return false;
         }
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -13,7 +13,8 @@
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
 use crate::generated::work::{
-    PlaceCall, PlaceReply, PlanEnd, PlanReply, ReleaseNotice, WorkCall, WorkNotice,
+    PlaceCall, PlaceReply, PlanEnd, PlanReply, RelayQuery, RelayStanding, ReleaseNotice, WorkCall,
+    WorkNotice,
 };
 use crate::hashing::stable_hash;
 use crate::prelude::*;
@@ -316,6 +317,13 @@
             reply.answer(placed.encode_to_vec().into());
             return;
         }
+        Some(Call::RelayQuery(RelayQuery {})) => {
+            let standing = RelayStanding {
+                relays: Some(node.does_relay()),
+            };
+            reply.answer(standing.encode_to_vec().into());
+            return;
+        }
         Some(Call::Plan(plan)) => plan,
     };
     let Some((shard, request)) = PlanRequest::from_call(arrived, plan) else {
--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -12,9 +12,9 @@
 use super::peer_slot::PeerSlot;
 use super::queue_quota::QueueQuota;
 use super::{
-    AddressBook, CertificateFiles, InboundCall, InboundMessage, LinkBudget, LinkChannel, LinkError,
-    LinkMetrics, LinkTiming, LinkTrust, PeerName, Result, connection_keeper, inbound_reader,
-    link_limits as limits, peer_writer,
+    AddressBook, CertificateFiles, InboundCall, InboundMessage, InboundStream, LinkBudget,
+    LinkChannel, LinkError, LinkMetrics, LinkTiming, LinkTrust, PeerName, Result,
+    connection_keeper, inbound_reader, link_limits as limits, peer_writer,
 };
 use crate::prelude::*;
 
@@ -36,6 +36,7 @@
     pub(super) stop: CancellationToken,
     pub(super) subscribers: [ArcSwapOption<mpsc::Sender<InboundMessage>>; LinkChannel::ALL.len()],
     pub(super) servers: [ArcSwapOption<mpsc::Sender<InboundCall>>; LinkChannel::ALL.len()],
+    pub(super) stream_servers: [ArcSwapOption<mpsc::Sender<InboundStream>>; LinkChannel::ALL.len()],
     pub(super) quota: Arc<QueueQuota>,
     pub(super) slots: RwLock<FastMap<PeerName, Arc<PeerSlot>>>,
 }
--- a/crates/savorywalk/src/transport/inbound_reader.rs
+++ b/crates/savorywalk/src/transport/inbound_reader.rs
@@ -3,6 +3,7 @@
 
 use std::sync::atomic::AtomicUsize;
 
+use bytes::Buf;
 use prost::Message;
 use quinn::{ReadToEndError, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc::error::TrySendError;
@@ -11,8 +12,9 @@
 use super::link_connection::CallGuard;
 use super::link_limits as limits;
 use super::link_metrics::count;
+use super::link_stream::{LinkStream, STREAM_MARKER};
 use super::peer_slot::PeerSlot;
-use super::{CallReplier, InboundCall, InboundMessage, LinkChannel, LinkClass};
+use super::{CallReplier, InboundCall, InboundMessage, InboundStream, LinkChannel, LinkClass};
 use crate::generated::link::call_reply::Outcome;
 use crate::generated::link::{CallRefusal, CallReply, CallRequest, MessageBatch};
 use crate::prelude::*;
@@ -24,7 +26,7 @@
 /// order in which they were sent.
 pub(super) async fn read_batches(core: Arc<HubCore>, slot: Arc<PeerSlot>, quic: quinn::Connection) {
     while let Ok(mut stream) = quic.accept_uni().await {
-        match read_stream(&mut stream).await {
+        match read_stream(&mut stream, 0).await {
             Ok(bytes) => take_batch(&core, &slot, bytes),
             Err(CallRefusal::TooLarge) => {
                 count(&core.metrics.refused_size, 1);
@@ -52,17 +54,18 @@
 ) {
     while let Ok((send, receive)) = quic.accept_bi().await {
         let guard = CallGuard::enter(&open);
-        let answering = answer_call(Arc::clone(&core), Arc::clone(&slot), send, receive);
+        let (core, slot, open) = (Arc::clone(&core), Arc::clone(&slot), Arc::clone(&open));
         tokio::spawn(async move {
-            answering.await;
+            answer(core, slot, send, receive, &open).await;
             drop(guard);
         });
     }
 }
 
-/// Reads a whole stream; one that is too large or too slow is stopped.
-async fn read_stream(stream: &mut RecvStream) -> Result<Bytes, CallRefusal> {
-    let read = stream.read_to_end(limits::MAX_STREAM_BYTES);
+/// Reads a stream of which `read_before` bytes were read to its end; one that is too large or too
+/// slow is stopped.
+async fn read_stream(stream: &mut RecvStream, read_before: usize) -> Result<Bytes, CallRefusal> {
+    let read = stream.read_to_end(limits::MAX_STREAM_BYTES - read_before);
     let (code, refusal) = match tokio::time::timeout(limits::STREAM_TIME, read).await {
         Ok(Ok(bytes)) => return Ok(bytes.into()),
         Ok(Err(ReadToEndError::TooLong)) => (STOP_TOO_LARGE, CallRefusal::TooLarge),
@@ -127,13 +130,65 @@
     }
 }
 
+/// Answers a call, or hands a stream of bytes over to what serves its channel.
+async fn answer(
+    core: Arc<HubCore>,
+    slot: Arc<PeerSlot>,
+    send: SendStream,
+    mut receive: RecvStream,
+    open: &Arc<AtomicUsize>,
+) {
+    let mut first = [0; 1];
+    let reading = tokio::time::timeout(limits::STREAM_TIME, receive.read_exact(&mut first));
+    match reading.await {
+        Ok(Ok(())) if first == [STREAM_MARKER] => {
+            let stream = LinkStream::new(send, receive, open);
+            hand_stream_over(&core, &slot, stream).await;
+        }
+        Ok(Ok(())) => answer_call(core, slot, send, receive, &first).await,
+        // An empty request is no call.
+        Ok(Err(_)) | Err(_) => answer_call(core, slot, send, receive, &[]).await,
+    }
+}
+
+async fn hand_stream_over(core: &HubCore, slot: &PeerSlot, mut stream: LinkStream) {
+    let reading = tokio::time::timeout(limits::STREAM_TIME, stream.read_header::<CallRequest>());
+    let Ok(Ok(request)) = reading.await else {
+        log_event!(debug, "link_stream_lost", peer = slot.name);
+        return;
+    };
+    let size = request.payload.len();
+    let channel = LinkChannel::from_wire(request.channel());
+    let inbound = InboundStream {
+        from: slot.name.clone(),
+        payload: request.payload,
+        stream,
+    };
+    let Some(channel) = channel else {
+        return inbound.refuse(CallRefusal::Malformed).await;
+    };
+    if !slot.lock_meter().admit(Instant::now(), channel, size) {
+        count(&core.metrics.refused_rate, 1);
+        return inbound.refuse(CallRefusal::TooFast).await;
+    }
+    let Some(server) = core.stream_servers[channel.index()].load_full() else {
+        return inbound.refuse(CallRefusal::NotServed).await;
+    };
+    match server.try_send(inbound) {
+        Ok(()) => count(&core.metrics.calls_received, 1),
+        Err(TrySendError::Full(inbound)) => inbound.refuse(CallRefusal::Busy).await,
+        Err(TrySendError::Closed(inbound)) => inbound.refuse(CallRefusal::NotServed).await,
+    }
+}
+
 async fn answer_call(
     core: Arc<HubCore>,
     slot: Arc<PeerSlot>,
     mut send: SendStream,
     mut receive: RecvStream,
+    first: &[u8],
 ) {
-    let outcome = match read_request(&core, &slot, &mut receive).await {
+    let outcome = match read_request(&core, &slot, &mut receive, first).await {
         Ok((channel, payload)) => {
             let reply = hand_over(&core, &slot, channel, payload);
             tokio::select! {
@@ -165,15 +220,16 @@
     core: &HubCore,
     slot: &PeerSlot,
     receive: &mut RecvStream,
+    first: &[u8],
 ) -> Result<(LinkChannel, Bytes), CallRefusal> {
-    let bytes = {
+    let rest = {
         let _reader = slot.readers.acquire().await;
-        read_stream(receive).await
+        read_stream(receive, first.len()).await
     };
-    if bytes == Err(CallRefusal::TooLarge) {
+    if rest == Err(CallRefusal::TooLarge) {
         count(&core.metrics.refused_size, 1);
     }
-    let request = CallRequest::decode(bytes?).map_err(|_| CallRefusal::Malformed)?;
+    let request = CallRequest::decode(first.chain(rest?)).map_err(|_| CallRefusal::Malformed)?;
     let channel = LinkChannel::from_wire(request.channel()).ok_or(CallRefusal::Malformed)?;
     let size = request.payload.len();
     if size > channel.max_message_bytes() {
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwapOption;
 use prost::Message;
+use tokio::io::AsyncWriteExt;
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant as TokioInstant;
@@ -11,14 +12,15 @@
 use super::link_connection::{CallGuard, ConnectionOrigin, LinkConnection};
 use super::link_identity::LinkIdentity;
 use super::link_metrics::count;
+use super::link_stream::STREAM_MARKER;
 use super::peer_certificate::PeerCertificate;
 use super::peer_slot::{DialFailure, PeerSlot};
 use super::queue_quota::QueueQuota;
 use super::send_queue::QueueOutcome;
 use super::{
-    AddressBook, InboundCall, InboundMessage, LinkBudget, LinkChannel, LinkClass, LinkError,
-    LinkMetrics, LinkOptions, LinkTrust, PeerName, Result, WireCounts, connection_keeper,
-    link_limits as limits, peer_writer,
+    AddressBook, InboundCall, InboundMessage, InboundStream, LinkBudget, LinkChannel, LinkClass,
+    LinkError, LinkMetrics, LinkOptions, LinkStream, LinkTrust, PeerName, Result, WireCounts,
+    connection_keeper, link_limits as limits, peer_writer,
 };
 use crate::generated::link::call_reply::Outcome;
 use crate::generated::link::{CallRefusal, CallReply, CallRequest};
@@ -68,6 +70,7 @@
             stop: stop.clone(),
             subscribers: std::array::from_fn(|_| ArcSwapOption::empty()),
             servers: std::array::from_fn(|_| ArcSwapOption::empty()),
+            stream_servers: std::array::from_fn(|_| ArcSwapOption::empty()),
             quota: Arc::new(QueueQuota::default()),
             slots: Default::default(),
         });
@@ -184,6 +187,46 @@
         }
     }
 
+    /// Opens a stream of bytes to `peer`, and returns it with the peer's answer to `payload`.
+    /// Nothing but `payload` is sent before the peer has accepted the stream. A peer of a version
+    /// without streams does not answer.
+    pub async fn open_stream(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+    ) -> Result<(LinkStream, Bytes)> {
+        check_size(channel, payload.len(), channel.max_message_bytes())?;
+        let slot = self.core.slot(peer)?;
+        let deadline = TokioInstant::now() + timeout;
+        let (connection, (send, receive)) = open_call(&slot, deadline).await?;
+        let mut stream = LinkStream::new(send, receive, connection.calls());
+        let request = CallRequest {
+            channel: channel.wire().into(),
+            payload,
+        };
+        let opening = async {
+            stream.write_all(&[STREAM_MARKER]).await?;
+            stream.write_header(&request).await?;
+            stream.read_header::<CallReply>().await
+        };
+        let peer = slot.name.clone();
+        let reply = match tokio::time::timeout_at(deadline, opening).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => return Err(lost(&connection, peer, error.to_string())),
+            Err(_) => return Err(LinkError::TimedOut { peer }),
+        };
+        Ok((stream, read_outcome(&peer, reply.outcome)?))
+    }
+
+    /// Takes the streams of bytes that peers open on `channel` from now on.
+    pub fn serve_streams(&self, channel: LinkChannel) -> mpsc::Receiver<InboundStream> {
+        let (sender, receiver) = mpsc::channel(limits::SERVER_QUEUE);
+        self.core.stream_servers[channel.index()].store(Some(Arc::new(sender)));
+        receiver
+    }
+
     /// Takes the one-way messages of `channel` from now on; an earlier
     /// subscriber gets no more. A slow one loses messages.
     pub fn subscribe(&self, channel: LinkChannel) -> mpsc::Receiver<InboundMessage> {
@@ -269,7 +312,11 @@
     let bytes = receive.read_to_end(limit).await;
     let bytes = bytes.map_err(|error| lost(error.to_string()))?;
     let reply = CallReply::decode(Bytes::from(bytes));
-    match reply.ok().and_then(|reply| reply.outcome) {
+    read_outcome(peer, reply.ok().and_then(|reply| reply.outcome))
+}
+
+fn read_outcome(peer: &PeerName, outcome: Option<Outcome>) -> Result<Bytes> {
+    match outcome {
         Some(Outcome::Payload(payload)) => Ok(payload),
         Some(Outcome::Refusal(refusal)) => Err(LinkError::Refused {
             peer: peer.clone(),
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -333,6 +333,82 @@
     );
 }
 
+/// Accepts streams, and passes them to the test.
+async fn accept_stream(streams: &mut mpsc::Receiver<InboundStream>) -> LinkStream {
+    let inbound = streams.recv().await.expect("the hub is open");
+    assert_eq!(inbound.payload, Bytes::from_static(b"open"));
+    let accepted = inbound.accept(Bytes::from_static(b"yes")).await;
+    accepted.expect("the peer waits for it")
+}
+
+async fn open_stream(hub: &LinkHub, peer: &str) -> Result<(LinkStream, Bytes)> {
+    let payload = Bytes::from_static(b"open");
+    hub.open_stream(peer, CHANNEL, payload, CALL_TIMEOUT).await
+}
+
+/// A relayed answer without a length ends with its stream, so a cut must not look like an end.
+#[tokio::test]
+async fn the_end_of_a_stream_differs_from_its_loss() {
+    use tokio::io::AsyncReadExt;
+    let authority = TestAuthority::new();
+    let (left, right) = (authority.hub("left"), authority.hub("right"));
+    acquaint(&left, &right);
+    let mut streams = right.serve_streams(CHANNEL);
+    for is_finished in [true, false] {
+        let (opened, accepted) = patiently(futures::future::join(
+            open_stream(&left, "right"),
+            accept_stream(&mut streams),
+        ))
+        .await;
+        let (mut opened, answer) = opened.expect("it is accepted");
+        assert_eq!(answer, Bytes::from_static(b"yes"));
+        let mut accepted = accepted;
+        accepted.write_all(b"bytes").await.expect("it is open");
+        let mut bytes = [0; 5];
+        patiently(opened.read_exact(&mut bytes))
+            .await
+            .expect("they come");
+        assert_eq!(&bytes, b"bytes");
+        if is_finished {
+            accepted.shutdown().await.expect("it is open");
+        }
+        drop(accepted);
+        let end = patiently(opened.read(&mut bytes)).await;
+        assert_eq!(end.is_ok(), is_finished, "{end:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_nobody_serves_or_a_caller_abandons_ends() {
+    use tokio::io::AsyncReadExt;
+    let authority = TestAuthority::new();
+    let (left, right) = (authority.hub("left"), authority.hub("right"));
+    acquaint(&left, &right);
+    let refused = patiently(open_stream(&left, "right")).await;
+    assert!(
+        matches!(
+            &refused,
+            Err(LinkError::Refused {
+                refusal: CallRefusal::NotServed,
+                ..
+            })
+        ),
+        "{refused:?}"
+    );
+    let mut streams = right.serve_streams(CHANNEL);
+    let (opened, mut accepted) = patiently(futures::future::join(
+        open_stream(&left, "right"),
+        accept_stream(&mut streams),
+    ))
+    .await;
+    drop(opened);
+    let mut byte = [0];
+    assert!(patiently(accepted.read(&mut byte)).await.is_err());
+    // Calls go on beside streams.
+    echo(&right);
+    assert!(patiently(call(&left, "right")).await.is_ok());
+}
+
 #[tokio::test]
 async fn a_queue_for_an_unreachable_peer_is_bounded_by_class() {
     let authority = TestAuthority::new();
