Relays by pool: an entry may reach one pool and not another

Change: up to three entries are asked, 25 ms apart; what they are known to reach is kept by pool; two must fail to reach an endpoint before it counts as down; one that knows that its own path is lost says so at once.

--- a/crates/savorywalk/src/gateway/endpoint_paths/endpoint_connector.rs
+++ b/crates/savorywalk/src/gateway/endpoint_paths/endpoint_connector.rs
@@ -106,6 +106,11 @@
         self.table().reaches_endpoints(Instant::now())
     }
 
+    /// Whether the path to an endpoint counts as lost.
+    pub(super) fn has_lost(&self, endpoint: &str) -> bool {
+        self.table().choose(Instant::now(), endpoint) == PathChoice::Relay
+    }
+
     /// Whether this entry seems to have no path to any endpoint.
     pub(in crate::gateway) fn is_isolated(&self) -> bool {
         self.table().is_isolated()
--- a/crates/savorywalk/src/gateway/endpoint_paths/relay_client.rs
+++ b/crates/savorywalk/src/gateway/endpoint_paths/relay_client.rs
@@ -1,8 +1,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use prost::Message;
 
-use super::relay_table::{RelayCandidate, RelayTable};
+use super::relay_table::{RelayCandidate, RelayEntries, RelayTable};
 use crate::gateway::PoolMember;
 use crate::generated::work::work_call::Call;
 use crate::generated::work::{
@@ -17,6 +19,14 @@
 /// Timeout of opening a relayed connection: the relaying entry gives up sooner.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after which the next entry is asked too: several round trips, and a small part of the
+/// time for connecting.
+const STAGGER: Duration = Duration::from_millis(25);
+
+/// Entries that must fail to reach an endpoint before it counts as down; one of them may have
+/// lost the same path.
+const MIN_WITNESSES: usize = 2;
+
 /// Why no entry relayed a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RelayFailure {
@@ -42,45 +52,84 @@
     }
 
     /// Has another entry connect to an endpoint. An error means that nothing was sent there.
+    ///
+    /// Several entries are asked, one shortly after the other, and the first that connects is
+    /// used: one that has lost its path to the endpoint as well may take long to find out.
     pub(super) async fn open(
         &self,
         entries: &[PeerName],
         member: &PoolMember,
     ) -> Result<LinkStream, RelayFailure> {
+        let pool = &member.record.announcement.pool;
         let candidates = self.table().candidates(
             Instant::now(),
             &mut rand::rng(),
-            entries,
-            self.hub.name(),
-            &self.hub.connected_peers(),
+            pool,
+            RelayEntries {
+                all: entries,
+                own: self.hub.name(),
+                linked: &self.hub.connected_peers(),
+            },
         );
-        for RelayCandidate { peer, is_known } in candidates {
-            if !is_known && !self.does_relay(&peer).await {
-                continue;
+        let count = candidates.len();
+        let asked = candidates
+            .into_iter()
+            .zip(0..)
+            .map(async |(candidate, index)| {
+                tokio::time::sleep(STAGGER * index).await;
+                self.ask(&candidate, member).await
+            });
+        let mut asked = FuturesUnordered::from_iter(asked);
+        let mut unreachable = 0;
+        while let Some(outcome) = asked.next().await {
+            match outcome {
+                Ok(stream) => return Ok(stream),
+                Err(RelayFailure::Unreachable) => unreachable += 1,
+                Err(RelayFailure::NoRelay) => {}
             }
-            let outcome = self.open_by(&peer, member).await;
-            let (end, stream) = match outcome {
-                Ok(outcome) => outcome,
-                Err(reason) => {
-                    self.record_failed(&peer, &reason);
-                    continue;
-                }
-            };
-            match end {
-                RelayEnd::Connected => {
-                    self.table().record_usable(&peer);
-                    return Ok(stream);
-                }
-                RelayEnd::Unreachable => {
-                    self.table().record_usable(&peer);
-                    return Err(RelayFailure::Unreachable);
-                }
-                RelayEnd::Unspecified | RelayEnd::NoPath | RelayEnd::Unknown | RelayEnd::Busy => {
-                    self.record_failed(&peer, end.as_str_name());
-                }
+        }
+        match unreachable > 0 && (unreachable == count || unreachable >= MIN_WITNESSES) {
+            true => Err(RelayFailure::Unreachable),
+            false => Err(RelayFailure::NoRelay),
+        }
+    }
+
+    /// Asks one entry to connect to an endpoint.
+    async fn ask(
+        &self,
+        candidate: &RelayCandidate,
+        member: &PoolMember,
+    ) -> Result<LinkStream, RelayFailure> {
+        let RelayCandidate { peer, is_known } = candidate;
+        if !is_known && !self.does_relay(peer).await {
+            return Err(RelayFailure::NoRelay);
+        }
+        let (end, stream) = match self.open_by(peer, member).await {
+            Ok(opened) => opened,
+            Err(reason) => {
+                self.record_failed(peer, &reason);
+                return Err(RelayFailure::NoRelay);
+            }
+        };
+        let pool = &member.record.announcement.pool;
+        match end {
+            RelayEnd::Connected => {
+                self.table().record_usable(pool, peer);
+                Ok(stream)
+            }
+            RelayEnd::Unreachable => {
+                self.table().record_doubtful(Instant::now(), pool, peer);
+                Err(RelayFailure::Unreachable)
+            }
+            RelayEnd::NoPath => {
+                self.table().record_doubtful(Instant::now(), pool, peer);
+                Err(RelayFailure::NoRelay)
+            }
+            RelayEnd::Unspecified | RelayEnd::Unknown | RelayEnd::Busy => {
+                self.record_failed(peer, end.as_str_name());
+                Err(RelayFailure::NoRelay)
             }
         }
-        Err(RelayFailure::NoRelay)
     }
 
     fn record_failed(&self, peer: &PeerName, reason: &str) {
--- a/crates/savorywalk/src/gateway/endpoint_paths/relay_service.rs
+++ b/crates/savorywalk/src/gateway/endpoint_paths/relay_service.rs
@@ -110,6 +110,9 @@
     let view = node.view.load_full();
     let member = view.roster.member(&open.pool, &open.endpoint);
     let member = member.ok_or(RelayEnd::Unknown)?;
+    if node.connector.has_lost(member.endpoint()) {
+        return Err(RelayEnd::NoPath);
+    }
     let connecting = node.connector.connect_for_peer(member, CONNECT_TIMEOUT);
     connecting
         .await
