Rejection limits: few requests to an endpoint that crashes when it rejects many

Six entries sent 1,372 in a second to one that rejected everything, each on its own account.

Change: a rejection by such an endpoint counts as an advertised rate of N / 2, kept by the permits that bound rate limits over all entries, until the endpoint serves a request that was sent later.

--- a/crates/savorywalk/src/gateway/endpoint_limits_tests.rs
+++ b/crates/savorywalk/src/gateway/endpoint_limits_tests.rs
@@ -1,6 +1,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::gateway::EndpointHead;
 
 const ENDPOINT: &str = "e";
 
@@ -80,3 +81,48 @@
     limits.observe(later, later, "other", per_second(1.0));
     assert_eq!(limits.get(ENDPOINT), None);
 }
+
+fn rejection(rejection_limit: Option<f64>, rate: AdvertisedRate) -> EndpointHead {
+    EndpointHead {
+        not_run: true,
+        rejection_limit,
+        rate,
+        ..Default::default()
+    }
+}
+
+/// An endpoint with full queues that crashes under rejections gets few requests until it serves
+/// one again.
+#[test]
+fn a_rejection_limits_an_endpoint_that_bears_few_until_it_serves_a_request() {
+    let limits = EndpointLimits::default();
+    let full = rejection(Some(4.0), AdvertisedRate::Absent).effective_rate();
+    assert!(limits.observe(second(10), second(9), ENDPOINT, full));
+    assert_eq!(limits.rate(ENDPOINT), Some(2.0));
+    let served = EndpointHead {
+        rejection_limit: Some(4.0),
+        ..Default::default()
+    };
+    let served = served.effective_rate();
+    assert!(!limits.observe(second(11), second(9), ENDPOINT, served));
+    assert_eq!(
+        limits.rate(ENDPOINT),
+        Some(2.0),
+        "sent before the rejection"
+    );
+    assert!(limits.observe(second(12), second(11), ENDPOINT, served));
+    assert_eq!(limits.rate(ENDPOINT), None);
+}
+
+#[rstest]
+#[case(rejection(None, AdvertisedRate::Absent), AdvertisedRate::Absent)]
+#[case(rejection(Some(4.0), per_second(1.0)), per_second(1.0))]
+#[case(rejection(Some(4.0), per_second(9.0)), per_second(2.0))]
+#[case(rejection(Some(4.0), AdvertisedRate::Invalid), per_second(2.0))]
+#[case(EndpointHead { inputs_gone: true, ..rejection(Some(4.0), AdvertisedRate::Absent) }, AdvertisedRate::Absent)]
+fn the_lower_of_two_limits_counts_and_lost_inputs_are_no_rejection(
+    #[case] head: EndpointHead,
+    #[case] rate: AdvertisedRate,
+) {
+    assert_eq!(head.effective_rate(), rate);
+}
--- a/crates/savorywalk/src/gateway/limit_exchange.rs
+++ b/crates/savorywalk/src/gateway/limit_exchange.rs
@@ -30,7 +30,7 @@
             log_event!(debug, "endpoint_limit_unreadable", endpoint = endpoint);
         }
         let limits = &self.permits.limits;
-        if limits.observe(BootClock.now(), sent, endpoint, head.rate) {
+        if limits.observe(BootClock.now(), sent, endpoint, head.effective_rate()) {
             self.log_limit_change(pool, endpoint, "answer", Duration::ZERO);
             self.report_limit(pool, endpoint);
         }
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -202,6 +202,8 @@
     pub load: Option<LoadReport>,
     /// Request rate that it accepts from all entries combined.
     pub rate: AdvertisedRate,
+    /// Requests that it can reject in a second, from all entries combined, without crashing.
+    pub rejection_limit: Option<f64>,
     /// Back-off that it requests from this entry.
     pub backoff: BackoffRequest,
     /// Whether the endpoint announces that it is leaving and accepts no new requests.
@@ -212,6 +214,28 @@
     pub keep_alive: Option<Duration>,
 }
 
+/// Part of the rejections that an endpoint bears for which requests are sent while it rejects
+/// them: permits may exceed their rate by two fifths after a change of coordinators.
+const REJECTION_SHARE: f64 = 0.5;
+
+impl EndpointHead {
+    /// The rate at which requests may be sent after this answer.
+    ///
+    /// An endpoint that rejects a request and crashes if it rejects too many is treated as if it
+    /// advertised a rate, until it serves a request again: any request may be rejected now.
+    pub(super) fn effective_rate(&self) -> AdvertisedRate {
+        let is_rejection = self.not_run && !self.inputs_gone;
+        let bearable = self.rejection_limit.filter(|_| is_rejection);
+        match (self.rate, bearable.map(|limit| limit * REJECTION_SHARE)) {
+            (AdvertisedRate::PerSecond(rate), Some(bearable)) => {
+                AdvertisedRate::PerSecond(rate.min(bearable))
+            }
+            (_, Some(bearable)) => AdvertisedRate::PerSecond(bearable),
+            (rate, None) => rate,
+        }
+    }
+}
+
 /// The back-off that an endpoint requests in a refusal.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackoffRequest {
