Soak: seeded series of overlapping faults, lost paths of one entry among them

savorywalk-proof soak draws 24 faults a run: kills, planned stops, faults of endpoints, and paths of one entry to all endpoints that hang, are reset, or refuse. A restart is tried again while its port is in use.

Checks: a connection that no process accepts is Unreached, no cut. Cuts of requests sent before the stop, of received ones and later ones stay breaches, and a restarted entry no longer counts as stopping. check-faults reads the platform's tests as well.

--- a/crates/bench/src/bench_deployment.rs
+++ b/crates/bench/src/bench_deployment.rs
@@ -48,6 +48,7 @@
             entries: entries.iter().map(EntryDaemon::endpoints_address).collect(),
             token: token_for("endpoint"),
             everywhere: true,
+            address: None,
         };
         let endpoints = start_endpoints(plan, host).await?;
         let announcers = endpoints.iter().map(|server| {
--- a/crates/daemon/src/demo_deployment.rs
+++ b/crates/daemon/src/demo_deployment.rs
@@ -37,6 +37,7 @@
             entries: vec![entry.endpoints_address()],
             token: token_for("endpoint"),
             everywhere: true,
+            address: None,
         };
         let mut endpoints = Vec::new();
         for planned in &plan.endpoints {
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -44,6 +44,7 @@
             entries: vec![self.daemon.address(ListenerKind::Endpoints)],
             token: token_for("endpoint"),
             everywhere: true,
+            address: None,
         };
         start_announcer(&server, target);
         self.endpoints.push(Arc::clone(&server));
--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -55,3 +55,14 @@
     let report = run(Deployment::Airport, script).await;
     assert!(report.is_sound(), "seed {seed}: {report}");
 }
+
+/// Guards against promises that hold under single faults, and not when restarts, lost paths and
+/// faults of endpoints come in series and overlap while callers keep their connections.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_faults_in_series_break_no_promise(#[values(1, 2)] seed: u64) {
+    let endpoints = Deployment::Airport.plan().endpoints.len();
+    let script = FaultScript::soak(seed, ENTRIES, endpoints, REQUESTS);
+    let report = run(Deployment::Airport, script).await;
+    assert!(report.is_sound(), "seed {seed}: {report}");
+}
--- a/crates/daemon/tests/support/endpoint_set.rs
+++ b/crates/daemon/tests/support/endpoint_set.rs
@@ -23,6 +23,7 @@
             entries: vec![daemon.address(ListenerKind::Endpoints)],
             token: token_for("endpoint"),
             everywhere: true,
+            address: None,
         };
         let plan = Deployment::Roadside.plan();
         let mut servers = Vec::new();
--- a/crates/proof/src/entry_fleet.rs
+++ b/crates/proof/src/entry_fleet.rs
@@ -6,6 +6,10 @@
 use crate::fleet_watch;
 use crate::{DaemonAddresses, DaemonProcess, EntryName, HistoryBook, HistoryEvent, ProcessError};
 
+/// Attempts to start a process, and the pause between them.
+const START_ATTEMPTS: usize = 20;
+const START_PAUSE: Duration = Duration::from_millis(250);
+
 /// The entries of a run as processes, and what the platform's balancer knows
 /// of them.
 #[derive(Debug)]
@@ -57,7 +61,10 @@
         }
         let name = Self::name(index).0;
         let settings = self.settings(&name, index);
-        let process = DaemonProcess::start(&self.program, &self.folder, &name, &settings).await?;
+        let process = self.start_process(&name, &settings).await?;
+        self.book.record(HistoryEvent::Started {
+            entry: Self::name(index),
+        });
         let addresses = process.addresses();
         self.addresses()[index] = Some(addresses);
         *self.slot(index) = Some(process);
@@ -66,6 +73,26 @@
         Ok(())
     }
 
+    /// Starts the process of an entry, also if another connection of this machine uses one of its
+    /// earlier ports for the moment.
+    async fn start_process(
+        &self,
+        name: &str,
+        settings: &str,
+    ) -> Result<DaemonProcess, ProcessError> {
+        let start = || DaemonProcess::start(&self.program, &self.folder, name, settings);
+        for _ in 1..START_ATTEMPTS {
+            match start().await {
+                Err(ProcessError::NotReady(log)) => {
+                    log::warn!("event=daemon_not_started entry={name} log={log:?}");
+                    tokio::time::sleep(START_PAUSE).await;
+                }
+                started => return started,
+            }
+        }
+        start().await
+    }
+
     /// Kills an entry; the balancer learns of it at once.
     pub async fn kill(&self, index: usize) -> Result<(), ProcessError> {
         self.set_route(index, None);
@@ -76,8 +103,9 @@
         }
     }
 
-    /// Stops an entry as planned; tells whether it ended well.
-    pub async fn stop(&self, index: usize) -> Result<bool, ProcessError> {
+    /// Stops an entry as planned; tells whether it ended well. With `keeps_connections`, callers
+    /// use it until its process has ended, as over connections that they keep open.
+    pub async fn stop(&self, index: usize, keeps_connections: bool) -> Result<bool, ProcessError> {
         let process = self.slot(index).take();
         let Some(process) = process else {
             return Ok(true);
@@ -85,8 +113,12 @@
         self.book.record(HistoryEvent::StopRequested {
             entry: Self::name(index),
         });
+        if !keeps_connections {
+            self.set_route(index, None);
+        }
+        let terminated = process.terminate().await;
         self.set_route(index, None);
-        let (ended_well, log) = process.terminate().await?;
+        let (ended_well, log) = terminated?;
         if !ended_well {
             log::error!(
                 "event=stop_failed entry={} log={log:?}",
@@ -109,7 +141,7 @@
     pub async fn stop_all(&self) -> Result<bool, ProcessError> {
         let mut ended_well = true;
         for index in 0..self.slots.len() {
-            ended_well &= self.stop(index).await?;
+            ended_well &= self.stop(index, false).await?;
         }
         Ok(ended_well)
     }
--- a/crates/proof/src/fault_script.rs
+++ b/crates/proof/src/fault_script.rs
@@ -1,7 +1,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use savorywalk_standin::EndpointFault;
+use savorywalk_standin::{EndpointFault, PathFault, PathState};
 
 /// How slow a slow endpoint is.
 const SLOWNESS: f64 = 10.0;
@@ -17,6 +17,8 @@
     StopEntry(usize),
     /// An endpoint misbehaves from now on, or is well again.
     SetEndpoint(usize, EndpointFault),
+    /// The paths of an entry to all endpoints are lost from now on, or sound again.
+    SetPaths(usize, PathState),
 }
 
 /// A step with the count of finished requests after which it is taken, so that
@@ -38,6 +40,8 @@
     /// entry that is alone with its claims can't recognise it; a replicated
     /// claim can.
     pub resends_bookings: bool,
+    /// Whether callers go on using an entry that stops until its process has ended.
+    pub keeps_connections: bool,
 }
 
 impl FaultScript {
@@ -96,6 +100,55 @@
     }
 }
 
+/// Faults of a soak that may overlap at one moment.
+const SOAK_OVERLAP: usize = 4;
+
+impl FaultScript {
+    /// Faults of all kinds in series, drawn from `seed`: each begins after the one before and
+    /// lasts while up to [`SOAK_OVERLAP`] others begin, so that they overlap. The first entry is
+    /// neither stopped nor killed, so that callers always find one.
+    pub fn soak(seed: u64, entries: usize, endpoints: usize, requests: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let count = SOAK_FAULTS.min(requests / 8);
+        let mut steps = Vec::new();
+        for number in 0..count {
+            let begin = requests * (number + 1) / (count + SOAK_OVERLAP + 1);
+            let length = random.random_range(1..=SOAK_OVERLAP);
+            let end = requests * (number + 1 + length) / (count + SOAK_OVERLAP + 1);
+            let step = draw_any(&mut random, entries, endpoints);
+            steps.push(TimedStep { after: begin, step });
+            steps.push(TimedStep {
+                after: end,
+                step: healed(step),
+            });
+        }
+        steps.sort_by_key(|step| step.after);
+        Self {
+            steps,
+            keeps_connections: true,
+            ..Self::default()
+        }
+    }
+}
+
+/// Faults of one soak.
+const SOAK_FAULTS: usize = 24;
+
+fn draw_any(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> FaultStep {
+    let path_faults = [PathFault::Hang, PathFault::Reset, PathFault::Refuse];
+    match random.random_range(0..4) {
+        0 => FaultStep::StopEntry(random.random_range(1..entries)),
+        1 => {
+            let fault = path_faults.choose(random).copied();
+            FaultStep::SetPaths(random.random_range(0..entries), fault)
+        }
+        _ => match draw(random, entries, endpoints) {
+            FaultStep::KillEntry(0) => FaultStep::KillEntry(1),
+            step => step,
+        },
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> FaultStep {
     if random.random_bool(0.25) {
         return FaultStep::KillEntry(random.random_range(0..entries));
@@ -122,5 +175,6 @@
         FaultStep::SetEndpoint(endpoint, _) => {
             FaultStep::SetEndpoint(endpoint, EndpointFault::None)
         }
+        FaultStep::SetPaths(entry, _) => FaultStep::SetPaths(entry, None),
     }
 }
--- a/crates/proof/src/guarantee_checker_tests.rs
+++ b/crates/proof/src/guarantee_checker_tests.rs
@@ -88,6 +88,8 @@
 #[case::refused_then_run(vec![sent(false), HistoryEvent::NotRun { request: request() }, sent(false), received("a"), answered("whole")])]
 #[case::resent_booking(vec![sent(false), received("a"), sent(false), answered("whole"), answered("whole")])]
 #[case::killed_entry(vec![sent(true), HistoryEvent::Cut { request: request(), entry: entry() }])]
+#[case::killed_after_a_restart(vec![sent(true), HistoryEvent::StopRequested { entry: entry() }, HistoryEvent::Started { entry: entry() }, HistoryEvent::Cut { request: request(), entry: entry() }])]
+#[case::unreached_entry(vec![sent(true), HistoryEvent::StopRequested { entry: entry() }, HistoryEvent::Unreached { request: request() }])]
 #[case::late_leaver(vec![HistoryEvent::Leaving { endpoint: endpoint("a") }, sent(true), received("a"), answered("whole")])]
 #[case::returned(vec![HistoryEvent::Leaving { endpoint: endpoint("a") }, sent(true), sent(true), sent(true), HistoryEvent::Returned { endpoint: endpoint("a") }, received("a"), answered("whole"), answered("whole"), answered("whole")])]
 #[case::versions(vec![served(3), served(3), served(4)])]
@@ -103,6 +105,7 @@
 #[case::doubled(vec![sent(true), answered("whole"), answered("whole")], "Doubled")]
 #[case::answered_and_failed(vec![sent(true), answered("whole"), HistoryEvent::Failed { request: request(), kind: "stage_failed".into() }], "Doubled")]
 #[case::ran_after_all(vec![sent(true), received("a"), HistoryEvent::NotRun { request: request() }], "RanAfterAll")]
+#[case::ran_after_all_beside_an_unreached_entry(vec![sent(true), HistoryEvent::Unreached { request: request() }, sent(true), received("a"), HistoryEvent::NotRun { request: request() }], "RanAfterAll")]
 #[case::ran_twice(vec![sent(false), received("a"), received("b"), answered("whole")], "RanTwice")]
 #[case::ran_twice_by_resend(vec![sent(false), received("a"), sent(false), received("a"), answered("whole"), answered("whole")], "RanTwice")]
 #[case::leaver(vec![HistoryEvent::Leaving { endpoint: endpoint("a") }, sent(true), served(1), served(1), received("a"), answered("whole")], "WorkToLeaver")]
@@ -116,3 +119,34 @@
 fn a_broken_promise_is_found(#[case] events: Vec<HistoryEvent>, #[case] breach: &str) {
     assert_eq!(breaches(events), [breach]);
 }
+
+/// A request that is sent while its entry stops, and cut after `cut_ms`.
+fn crossing(cut_ms: u64, is_received: bool) -> Vec<GuaranteeViolation> {
+    let cut = HistoryEvent::Cut {
+        request: request(),
+        entry: entry(),
+    };
+    let stop = HistoryEvent::StopRequested { entry: entry() };
+    let mut events = vec![(0, stop), (1, sent(true)), (1 + cut_ms, cut)];
+    if is_received {
+        events.insert(2, (2, received("a")));
+    }
+    let records = events.into_iter().map(|(at, event)| HistoryRecord {
+        at: Duration::from_millis(at),
+        event,
+    });
+    GuaranteeChecker::check(&records.collect::<Vec<_>>())
+}
+
+/// A soak (seed 17) cut a request 97 ms after it was sent to a stopping entry, unread.
+#[rstest]
+#[case(97, false, true)]
+#[case(97, true, false)]
+#[case(201, false, false)]
+fn a_request_may_cross_the_close_of_a_stopping_entry_unread(
+    #[case] cut_ms: u64,
+    #[case] is_received: bool,
+    #[case] is_sound: bool,
+) {
+    assert_eq!(crossing(cut_ms, is_received).is_empty(), is_sound);
+}
--- a/crates/proof/src/history_event.rs
+++ b/crates/proof/src/history_event.rs
@@ -107,6 +107,16 @@
         /// Term and index under which it was given.
         fencing: (u64, u64),
     },
+    /// No entry took the request: its address accepted no connection.
+    Unreached {
+        /// The request.
+        request: RequestMark,
+    },
+    /// An entry's process was started.
+    Started {
+        /// The entry.
+        entry: EntryName,
+    },
     /// An entry was asked to stop as planned.
     StopRequested {
         /// The entry.
--- a/crates/standin/src/bin/savorywalk-standin.rs
+++ b/crates/standin/src/bin/savorywalk-standin.rs
@@ -37,6 +37,7 @@
         entries,
         token: token_for("endpoint"),
         everywhere: true,
+        address: None,
     };
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/standin/tests/announcing.rs
+++ b/crates/standin/tests/announcing.rs
@@ -29,6 +29,7 @@
         entries: vec![listener.local_addr().unwrap()],
         token: "t".into(),
         everywhere: true,
+        address: None,
     };
     let (sender, receiver) = mpsc::unbounded_channel();
     tokio::spawn(async move {
--- a/crates/standin/tests/deployment/test_deployment.rs
+++ b/crates/standin/tests/deployment/test_deployment.rs
@@ -91,6 +91,7 @@
             entries: vec![entry.endpoints_address()],
             token: token_for("endpoint"),
             everywhere: true,
+            address: None,
         };
         Self {
             entry,
--- a/xtask/src/fault_check.rs
+++ b/xtask/src/fault_check.rs
@@ -10,6 +10,8 @@
 
 const PAGE: &str = "docs/FAULTS.md";
 const CRATES: &str = "crates";
+/// Folder of the platform's adapter, which is a crate by itself.
+const PLATFORM: &str = "platform";
 const IMPOSSIBLE: &str = "cannot happen: ";
 const OPEN: &str = "open";
 const TEST_ATTRIBUTES: [&str; 3] = ["#[test]", "#[tokio::test", "#[rstest"];
@@ -83,11 +85,15 @@
 /// and a unit test's module is the file that it tests.
 fn tests(root: &Path) -> io::Result<BTreeSet<String>> {
     let mut names = BTreeSet::new();
-    let folder = root.join(CRATES);
-    for file in repository::files(&folder, "rs")? {
-        let module = module(file.strip_prefix(&folder).unwrap_or(&file));
-        let text = fs::read_to_string(&file)?;
-        names.extend(test_functions(&text).map(|name| format!("{module}::{name}")));
+    for (folder, base) in [
+        (root.join(CRATES), root.join(CRATES)),
+        (root.join(PLATFORM), root.to_path_buf()),
+    ] {
+        for file in repository::files(&folder, "rs")? {
+            let module = module(file.strip_prefix(&base).unwrap_or(&file));
+            let text = fs::read_to_string(&file)?;
+            names.extend(test_functions(&text).map(|name| format!("{module}::{name}")));
+        }
     }
     Ok(names)
 }
