Retries after a timeout do not wait for the check of the path

A call that times out is followed by a check whether the path to its endpoint is lost. At an endpoint that is silent for a second the check itself hangs for 300 ms, by reading, and the retry waited for it. It now goes on in the background; a cut connection is still checked first, as its evidence of a crash counts.

--- a/crates/savorywalk/src/gateway/endpoint_paths/endpoint_connector.rs
+++ b/crates/savorywalk/src/gateway/endpoint_paths/endpoint_connector.rs
@@ -87,8 +87,8 @@
         Ok(stream)
     }
 
-    /// Connects to an endpoint on behalf of another entry.
-    pub(super) async fn connect_for_peer(
+    /// Connects to an endpoint without a relay, and records whether that succeeds.
+    pub(super) async fn connect_directly(
         &self,
         member: &PoolMember,
         timeout: Duration,
@@ -107,7 +107,7 @@
     }
 
     /// Whether the path to an endpoint counts as lost.
-    pub(super) fn has_lost(&self, endpoint: &str) -> bool {
+    pub(in crate::gateway) fn has_lost(&self, endpoint: &str) -> bool {
         self.table().choose(Instant::now(), endpoint) == PathChoice::Relay
     }
 
@@ -122,7 +122,7 @@
     }
 
     async fn open_direct(&self, member: &PoolMember) -> Result<EndpointStream, CallError> {
-        let stream = self.connect_for_peer(member, CONNECT_TIMEOUT).await?;
+        let stream = self.connect_directly(member, CONNECT_TIMEOUT).await?;
         Ok(EndpointStream::Direct(stream))
     }
 
@@ -134,25 +134,24 @@
         head_start: Duration,
     ) -> Result<EndpointStream, CallError> {
         let mut direct = Box::pin(self.open_direct(member));
-        let early = tokio::select! {
+        let early_error = tokio::select! {
             biased;
-            connected = &mut direct => Some(connected),
+            connected = &mut direct => match connected {
+                Ok(stream) => return Ok(stream),
+                Err(error) => Some(error),
+            },
             () = tokio::time::sleep(head_start) => None,
         };
-        if let Some(Ok(stream)) = early {
-            return Ok(stream);
-        }
         let Ok(_race) = self.races.try_acquire() else {
-            return match early {
-                Some(connected) => connected,
+            return match early_error {
+                Some(error) => Err(error),
                 None => direct.await,
             };
         };
         let relaying = tokio::time::timeout(CONNECT_TIMEOUT, self.relays.open(entries, member));
         let mut relaying = Box::pin(relaying);
-        let direct_error = match early {
-            Some(Ok(stream)) => return Ok(stream),
-            Some(Err(error)) => error,
+        let direct_error = match early_error {
+            Some(error) => error,
             None => tokio::select! {
                 biased;
                 connected = &mut direct => match connected {
--- a/crates/savorywalk/src/gateway/endpoint_paths/relay_service.rs
+++ b/crates/savorywalk/src/gateway/endpoint_paths/relay_service.rs
@@ -113,7 +113,7 @@
     if node.connector.has_lost(member.endpoint()) {
         return Err(RelayEnd::NoPath);
     }
-    let connecting = node.connector.connect_for_peer(member, CONNECT_TIMEOUT);
+    let connecting = node.connector.connect_directly(member, CONNECT_TIMEOUT);
     connecting
         .await
         .map_err(|_| match node.connector.reaches_endpoints() {
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -302,7 +302,7 @@
                     Err(_) => CallFailure::TimedOut,
                     Ok(_) => CallFailure::Cut,
                 };
-                if !self.has_lost_path(&endpoint).await {
+                if !self.has_lost_path(&endpoint, failure).await {
                     self.suspect_crash(&endpoint, failure);
                 }
                 return Ok(AttemptEnd::Lost);
@@ -366,13 +366,13 @@
 
     /// Whether the path to an endpoint whose call failed is lost, so that the failure says nothing
     /// about the endpoint or the request.
-    async fn has_lost_path(&self, endpoint: &str) -> bool {
+    async fn has_lost_path(&self, endpoint: &str, failure: CallFailure) -> bool {
         let view = self.node.view.load_full();
         let member = view.roster.member(&self.context.pool, endpoint);
         let Some(member) = member else {
             return false;
         };
-        let is_lost = self.node.has_lost_path(member).await;
+        let is_lost = self.node.has_lost_path(member, failure).await;
         if is_lost {
             log_event!(
                 info,
@@ -391,10 +391,10 @@
         failure: Option<CallFailure>,
         reason: &str,
     ) {
-        if failure.is_some() && self.has_lost_path(endpoint).await {
-            return;
-        }
         if let Some(failure) = failure {
+            if self.has_lost_path(endpoint, failure).await {
+                return;
+            }
             self.suspect_crash(endpoint, failure);
         }
         self.report_failure(endpoint, reason);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -4,7 +4,7 @@
 
 use super::cached_connections::ConnectionCache;
 use super::coordination_driver;
-use super::crash_detector::CrashDetector;
+use super::crash_detector::{CallFailure, CrashDetector};
 use super::endpoint_availability::EndpointAvailability;
 use super::endpoint_call::{CallError, EndpointCall};
 use super::endpoint_paths::{self, EndpointConnector, EndpointNetwork, RelayService};
@@ -466,9 +466,31 @@
         EndpointCall::start(stream, &member.incarnation_token).await
     }
 
-    /// Whether another entry reaches an endpoint whose call failed here, and this entry does not:
-    /// then the failure says nothing about the endpoint or the request.
-    pub(super) async fn has_lost_path(&self, member: &PoolMember) -> bool {
+    /// Whether the path to an endpoint whose call failed is lost: another entry reaches it, and
+    /// this entry does not. Then the failure says nothing about the endpoint or the request.
+    ///
+    /// After a timeout only what is known counts, and the path is checked in the background, so
+    /// that a retry does not wait for an endpoint that is silent.
+    pub(super) async fn has_lost_path(
+        self: &Arc<Self>,
+        member: &PoolMember,
+        failure: CallFailure,
+    ) -> bool {
+        match failure {
+            CallFailure::Cut => self.check_path(member).await,
+            CallFailure::TimedOut => {
+                let is_lost = self.connector.has_lost(member.endpoint());
+                if !is_lost {
+                    let (node, member) = (Arc::clone(self), member.clone());
+                    tokio::spawn(async move { node.check_path(&member).await });
+                }
+                is_lost
+            }
+        }
+    }
+
+    /// Connects to an endpoint to find out whether the path to it is lost.
+    async fn check_path(&self, member: &PoolMember) -> bool {
         let entries = Arc::clone(&self.view.load().entries);
         let connected = self.connector.open(&entries, member).await;
         connected.is_ok_and(|stream| stream.is_relayed())
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -1,3 +1,4 @@
+use super::crash_detector::CallFailure;
 use super::endpoint_call::{CallError, read_complete};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
@@ -43,13 +44,14 @@
         }
     }
 
-    /// Whether the call failed in a way in which calls fail when the path to the endpoint is lost.
-    pub(super) fn may_have_lost_path(&self) -> bool {
+    /// How the call failed, if calls fail in this way when the path to the endpoint is lost.
+    pub(super) fn path_failure(&self) -> Option<CallFailure> {
         match self {
-            Self::Answered { .. } | Self::Denied { .. } => false,
+            Self::Answered { .. } | Self::Denied { .. } => None,
             Self::Failed(error) => match error {
-                CallError::Broken(_) | CallError::Lost(_) => true,
-                CallError::Unsent(_) | CallError::Withheld(_) => false,
+                CallError::Broken(_) => Some(CallFailure::Cut),
+                CallError::Lost(_) => Some(CallFailure::TimedOut),
+                CallError::Unsent(_) | CallError::Withheld(_) => None,
             },
         }
     }
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -344,7 +344,10 @@
             result = result.name(),
             ms = started.elapsed().as_millis()
         );
-        let has_lost_path = result.may_have_lost_path() && self.node.has_lost_path(member).await;
+        let has_lost_path = match result.path_failure() {
+            Some(failure) => self.node.has_lost_path(member, failure).await,
+            None => false,
+        };
         let records = view.roster.records(&self.pool);
         if let Some(report) = result.report(started.elapsed()).filter(|_| !has_lost_path) {
             let scores = &self.node.scores;
