--- a/crates/proof/src/entry_fleet.rs
+++ b/crates/proof/src/entry_fleet.rs
@@ -1,3 +1,4 @@
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
 
@@ -16,6 +17,7 @@
 pub struct EntryFleet {
     program: PathBuf,
     folder: PathBuf,
+    ip: Ipv4Addr,
     data_centers: Vec<String>,
     book: Arc<HistoryBook>,
     slots: Vec<Mutex<Option<DaemonProcess>>>,
@@ -25,10 +27,11 @@
 }
 
 impl EntryFleet {
-    /// Starts `count` entries that read `configuration.json` in `folder`.
+    /// Starts `count` entries at `ip` that read `configuration.json` in `folder`.
     pub async fn start(
         program: &Path,
         folder: &Path,
+        ip: Ipv4Addr,
         data_centers: &[String],
         count: usize,
         book: Arc<HistoryBook>,
@@ -36,6 +39,7 @@
         let fleet = Self {
             program: program.to_path_buf(),
             folder: folder.to_path_buf(),
+            ip,
             data_centers: data_centers.to_vec(),
             book,
             slots: (0..count).map(|_| Mutex::new(None)).collect(),
@@ -164,7 +168,7 @@
     }
 
     fn settings(&self, name: &str, index: usize) -> String {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from((self.ip, 0));
         let DaemonAddresses {
             callers,
             operators,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -12,6 +12,7 @@
 mod load_caller;
 mod proof_report;
 mod proof_run;
+mod run_address;
 
 pub use daemon_process::{DaemonAddresses, DaemonProcess, ProcessError};
 pub use entry_fleet::EntryFleet;
--- a/crates/proof/src/proof_run.rs
+++ b/crates/proof/src/proof_run.rs
@@ -1,3 +1,4 @@
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -12,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::fleet_watch::FleetWatch;
+use crate::run_address;
 use crate::{
     CallOutcome, EndpointName, EntryFleet, FaultScript, FaultStep, GuaranteeChecker, HistoryBook,
     HistoryEvent, LoadCaller, LoadRequest, ProcessError, ProofReport, RequestMark, mark_in,
@@ -106,9 +108,11 @@
         let configuration = serde_json::to_vec(&deployment.configuration)?;
         std::fs::write(plan.folder.join("configuration.json"), configuration)?;
         let book = Arc::new(HistoryBook::default());
+        let ip = run_address::next();
         let fleet = EntryFleet::start(
             &plan.program,
             &plan.folder,
+            ip,
             &deployment.data_centers,
             plan.entries,
             Arc::clone(&book),
@@ -117,7 +121,7 @@
         let paths: Vec<_> = (0..plan.entries)
             .map(|_| watch::Sender::default())
             .collect();
-        let endpoints = start_endpoints(&deployment, &fleet, &paths, &book).await?;
+        let endpoints = start_endpoints(&deployment, ip, &fleet, &paths, &book).await?;
         FleetWatch::new(&fleet)
             .wait_for_endpoints(endpoints.len())
             .await;
@@ -261,13 +265,14 @@
 
 async fn start_endpoints(
     deployment: &DeploymentPlan,
+    ip: Ipv4Addr,
     fleet: &EntryFleet,
     paths: &[watch::Sender<PathState>],
     book: &Arc<HistoryBook>,
 ) -> Result<Vec<Arc<EndpointServer>>, ProofError> {
     let mut servers = Vec::new();
     for planned in &deployment.endpoints {
-        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let address = SocketAddr::from((ip, 0));
         let server = Arc::new(EndpointServer::start(planned.options.clone(), address).await?);
         observe(&server, book);
         // Each entry reaches the endpoint through a proxy of its own.
--- /dev/null
+++ b/crates/proof/src/run_address.rs
@@ -0,0 +1,15 @@
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Runs of this process so far.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address for all processes and stand-ins of one run.
+///
+/// Ports are freed and taken again during a run. With one address for all, an entry of one run
+/// could reach the stand-ins of another one on the same machine, and its requests counted there.
+pub(crate) fn next() -> Ipv4Addr {
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 128 | (high >> 1), low, 1 + (run % 250) as u8)
+}
