--- a/crates/proof/src/fault_script.rs
+++ b/crates/proof/src/fault_script.rs
@@ -3,6 +3,12 @@
 use rand_chacha::ChaCha8Rng;
 use savorywalk_standin::{EndpointFault, PathFault, PathState};
 
+/// Faults of one soak.
+const SOAK_FAULTS: usize = 24;
+
+/// Faults of a soak that may begin while one lasts.
+const SOAK_OVERLAP: usize = 4;
+
 /// How slow a slow endpoint is.
 const SLOWNESS: f64 = 10.0;
 
@@ -98,12 +104,7 @@
             ..Self::default()
         }
     }
-}
 
-/// Faults of a soak that may overlap at one moment.
-const SOAK_OVERLAP: usize = 4;
-
-impl FaultScript {
     /// Faults of all kinds in series, drawn from `seed`: each begins after the one before and
     /// lasts while up to four others begin, so that they overlap. The first entry is
     /// neither stopped nor killed, so that callers always find one.
@@ -131,9 +132,6 @@
     }
 }
 
-/// Faults of one soak.
-const SOAK_FAULTS: usize = 24;
-
 fn draw_any(random: &mut ChaCha8Rng, entries: usize, endpoints: usize) -> FaultStep {
     let path_faults = [PathFault::Hang, PathFault::Reset, PathFault::Refuse];
     match random.random_range(0..4) {
