--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -116,14 +116,7 @@
                 RelayStep::Ended(rest) => {
                     self.state = RelayState::Ended;
                     self.run.record_answered(self.source.is_delimited);
-                    let time = self.source.started.elapsed();
-                    log_event!(
-                        debug,
-                        "stream_ended",
-                        request = self.run.context.id,
-                        endpoint = self.source.endpoint,
-                        ms = time.as_millis()
-                    );
+                    self.log_end(rest.as_ref().map_or(0, Bytes::len));
                     return rest.map(|rest| Ok(Frame::data(rest)));
                 }
                 RelayStep::Failed(reason) => {
@@ -146,6 +139,19 @@
         None
     }
 
+    fn log_end(&self, partial_bytes: usize) {
+        log_event!(
+            info,
+            "stream_ended",
+            request = self.run.context.id,
+            endpoint = self.source.endpoint,
+            delimited = self.source.is_delimited,
+            last_event = format!("{:?}", self.splitter.last_id()),
+            partial_bytes = partial_bytes,
+            ms = self.source.started.elapsed().as_millis()
+        );
+    }
+
     fn record_first_events(&mut self) {
         if self.has_events {
             return;
