Streams: the end of a connection does not prove that a stream is complete

Cause: such an answer ends with its connection. A process that ends closes its connection like one that has finished, so hyper reports the end of the body, and StreamRelay took that for the end of the stream. It passed on what was left of an event.

Change: a stream of events is complete only at the end of an event; without a length or chunks it also needs an event. Otherwise it counts as cut: it continues at another endpoint after the last whole event, or breaks off visibly. The unfinished event is never passed on. The end of a connection counts as an error once its process is known to have ended.

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -4,7 +4,7 @@
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::DecisionWait;
-use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, is_delimited};
+use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer};
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
@@ -205,17 +205,11 @@
     fn relay_stream(self, open: OpenAnswer) -> Response<GatewayBody> {
         let (parts, body) = open.response.into_parts();
         let headers = self.node.wire.caller_headers(&parts);
-        let relay = StreamRelay::start(
-            self,
-            is_delimited(&parts),
-            body,
-            open.endpoint,
-            open.started,
-            open.call,
-            open.guard,
-        );
+        let status = parts.status;
+        let response = Response::from_parts(parts, body);
+        let relay = StreamRelay::start(self, OpenAnswer { response, ..open });
         let mut response = Response::new(relay.into_body());
-        *response.status_mut() = parts.status;
+        *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
--- a/crates/savorywalk/src/gateway/guarded_stream.rs
+++ b/crates/savorywalk/src/gateway/guarded_stream.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct GuardedStream<S> {
     inner: S,
+    token: IncarnationToken,
     ended: Pin<Box<WaitForCancellationFutureOwned>>,
 }
 
@@ -22,6 +23,7 @@
     pub(super) fn new(inner: S, incarnation_token: &IncarnationToken) -> Self {
         Self {
             inner,
+            token: incarnation_token.clone(),
             ended: Box::pin(incarnation_token.wait_for_end()),
         }
     }
@@ -33,8 +35,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        // Data that has arrived is valid even if its sender has ended since.
+        let filled = buffer.filled().len();
         match Pin::new(&mut self.inner).poll_read(context, buffer) {
+            // The process may have ended before the answer was complete.
+            Poll::Ready(Ok(())) if buffer.filled().len() == filled && self.token.has_ended() => {
+                Poll::Ready(Err(restarted()))
+            }
+            // Data that has arrived is valid even if its sender has ended since.
             Poll::Ready(result) => Poll::Ready(result),
             Poll::Pending => self.ended.as_mut().poll(context).map(|()| Err(restarted())),
         }
--- a/crates/savorywalk/src/gateway/guarded_stream_tests.rs
+++ b/crates/savorywalk/src/gateway/guarded_stream_tests.rs
@@ -62,6 +62,21 @@
     }
 }
 
+/// The end of the connection, too, may be that of a process that ended before it had finished.
+#[tokio::test]
+async fn an_answer_that_ends_with_the_connection_of_a_restarted_endpoint_is_not_complete() {
+    let incarnation_token = IncarnationToken::default();
+    let (mut endpoint, answer) = send_request(&incarnation_token).await;
+    receive_request(&mut endpoint).await;
+    endpoint
+        .write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        .await
+        .unwrap();
+    drop(endpoint);
+    incarnation_token.end();
+    assert!(answer.await.unwrap().is_err());
+}
+
 #[tokio::test]
 async fn an_answer_that_arrived_completely_before_a_restart_is_valid() {
     let incarnation_token = IncarnationToken::default();
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -86,6 +86,7 @@
 mod size_shares;
 mod stage_forecast;
 mod stage_graph;
+mod stream_end;
 mod stream_relay;
 mod success_count;
 mod table_error;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -4,8 +4,10 @@
 use super::call_handler::{BodyError, GatewayBody};
 use super::crash_detector::CallFailure;
 use super::endpoint_call::EndpointCall;
+use super::forward_attempt::OpenAnswer;
 use super::forward_attempt::is_delimited;
 use super::forward_run::ForwardRun;
+use super::stream_end::EndProof;
 use super::{EventSplitter, RouteKind};
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
@@ -36,6 +38,10 @@
 struct StreamSource {
     /// Whether the stream shows where it ends.
     is_delimited: bool,
+    /// What shows that the stream is complete.
+    proof: EndProof,
+    /// Whether the endpoint has sent an event.
+    has_events: bool,
     body: Incoming,
     endpoint: String,
     started: Instant,
@@ -64,33 +70,37 @@
     /// The connection ended before the stream.
     #[error("{0}")]
     Cut(String),
+    /// The connection was closed as after a complete answer, but the stream is not complete.
+    #[error("the stream ended within an event or without any")]
+    Unfinished,
     #[error("no event in time")]
     TimedOut,
     #[error("a frame without data")]
     NoData,
 }
 
+impl StreamSource {
+    fn new(open: OpenAnswer) -> Self {
+        let (head, body) = open.response.into_parts();
+        Self {
+            is_delimited: is_delimited(&head),
+            proof: EndProof::of(&head),
+            has_events: false,
+            body,
+            endpoint: open.endpoint,
+            started: open.started,
+            call: Some(open.call),
+            _guard: open.guard,
+        }
+    }
+}
+
 impl StreamRelay {
-    pub(super) fn start(
-        run: ForwardRun,
-        is_delimited: bool,
-        body: Incoming,
-        endpoint: String,
-        started: Instant,
-        call: EndpointCall,
-        guard: OutstandingGuard,
-    ) -> Self {
+    pub(super) fn start(run: ForwardRun, open: OpenAnswer) -> Self {
         Self {
             splitter: EventSplitter::after(run.context.head.last_event),
             run,
-            source: StreamSource {
-                is_delimited,
-                body,
-                endpoint,
-                started,
-                call: Some(call),
-                _guard: guard,
-            },
+            source: StreamSource::new(open),
             has_events: false,
             state: RelayState::Open,
         }
@@ -153,6 +163,7 @@
     }
 
     fn record_first_events(&mut self) {
+        self.source.has_events = true;
         if self.has_events {
             return;
         }
@@ -207,7 +218,8 @@
             Ok(Some(Err(error))) => {
                 return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
             }
-            Ok(None) => return RelayStep::Ended(self.splitter.finish()),
+            Ok(None) if self.is_complete() => return RelayStep::Ended(self.splitter.finish()),
+            Ok(None) => return RelayStep::Failed(StreamFailure::Unfinished),
             Err(_) => return RelayStep::Failed(StreamFailure::TimedOut),
         };
         let Ok(data) = frame.into_data() else {
@@ -219,18 +231,30 @@
         }
     }
 
+    /// Whether the stream is complete, once its body has ended without an error.
+    fn is_complete(&self) -> bool {
+        match self.source.proof {
+            EndProof::Framing => true,
+            // An endpoint that crashes closes its connection like one that has finished.
+            EndProof::Events => {
+                let has_proof = self.source.is_delimited || self.source.has_events;
+                has_proof && !self.splitter.is_within_event()
+            }
+        }
+    }
+
     /// Resumes the stream at another endpoint; false if the route does not allow it or the
     /// attempt fails.
     async fn resume_elsewhere(&mut self, reason: &StreamFailure) -> bool {
         let failure = match reason {
-            StreamFailure::Cut(_) => Some(CallFailure::Cut),
+            StreamFailure::Cut(_) | StreamFailure::Unfinished => Some(CallFailure::Cut),
             StreamFailure::TimedOut => Some(CallFailure::TimedOut),
             StreamFailure::NoData => None,
         };
         self.run
             .record_failure(&self.source.endpoint, failure, &reason.to_string())
             .await;
-        if !self.is_resumable() {
+        if !self.is_resumable() || !self.splitter.is_resumable() {
             return false;
         }
         self.source.call = None;
@@ -250,15 +274,7 @@
             reason = reason
         );
         self.run.node.metrics.record_resume(&self.run.context.pool);
-        let (head, body) = open.response.into_parts();
-        self.source = StreamSource {
-            is_delimited: is_delimited(&head),
-            body,
-            endpoint: open.endpoint,
-            started: open.started,
-            call: Some(open.call),
-            _guard: open.guard,
-        };
+        self.source = StreamSource::new(open);
         true
     }
 }
