Streams to HTTP/1.0 callers get a length

The answer of a stream is sent in chunks, and breaks off without the last one. An HTTP/1.0 caller knows no chunks: its answer ended with the connection, so a stream that broke off looked complete, with any framing at the endpoint.

Change: such a caller gets the whole stream with a length, or a refusal that the outcome is unknown.

--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -11,7 +11,7 @@
 use crate::registry::IncarnationToken;
 
 /// Size limit of a response body that is read completely.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Why a call to an endpoint failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -1,9 +1,13 @@
-use hyper::Response;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::http::request;
+use hyper::{Response, Version};
 use rand::RngExt;
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::DecisionWait;
+use super::endpoint_call::MAX_RESPONSE_BYTES;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer};
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -153,7 +157,7 @@
             match self.attempt(self.context.head.last_event).await {
                 Ok(AttemptEnd::Open(open)) => match self.handle_answer(*open).await {
                     AnswerOutcome::Whole(response) => return Ok(response),
-                    AnswerOutcome::Stream(open) => return Ok(self.relay_stream(*open)),
+                    AnswerOutcome::Stream(open) => return self.relay_stream(*open).await,
                     AnswerOutcome::Lost => {}
                 },
                 Ok(AttemptEnd::Failed(response)) => self.last_answer = Some(response),
@@ -202,16 +206,24 @@
     }
 
     /// Relays a stream to the caller as it arrives.
-    fn relay_stream(self, open: OpenAnswer) -> Response<GatewayBody> {
+    ///
+    /// An HTTP/1.0 caller knows no chunks and would take the end of a broken connection for the end
+    /// of the stream, so it gets the whole stream with a length.
+    async fn relay_stream(self, open: OpenAnswer) -> Result<Response<GatewayBody>, GatewayRefusal> {
+        let knows_chunks = self.parts.version >= Version::HTTP_11;
         let (parts, body) = open.response.into_parts();
         let headers = self.node.wire.caller_headers(&parts);
         let status = parts.status;
         let response = Response::from_parts(parts, body);
         let relay = StreamRelay::start(self, OpenAnswer { response, ..open });
-        let mut response = Response::new(relay.into_body());
+        let mut body = relay.into_body();
+        if !knows_chunks {
+            body = collect_stream(body).await?;
+        }
+        let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
-        response
+        Ok(response)
     }
 
     /// Releases the results of the stages, which the endpoint has fetched.
@@ -241,3 +253,19 @@
         }
     }
 }
+
+/// Reads a stream to its end, as the body of an answer with a length.
+async fn collect_stream(mut body: GatewayBody) -> Result<GatewayBody, GatewayRefusal> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame.map(Frame::into_data);
+        match data {
+            Ok(Ok(data)) if whole.len() + data.len() <= MAX_RESPONSE_BYTES => whole.extend(data),
+            Ok(_) | Err(_) => {
+                log_event!(info, "stream_not_collected", bytes = whole.len());
+                return Err(GatewayRefusal::OutcomeUnknown);
+            }
+        }
+    }
+    Ok(full_body(whole.freeze()))
+}
