Streams continue only at the pool and software version that began them

Cause: entries knew neither an endpoint's version (the announcement's was checked and dropped) nor the version that began a stream: an entry chose any endpoint to resume one, and a caller that took a stream up again was a new request.

A stale version at control is ruled out as the cause of these: no process knew any version.

Change: the version goes from the announcement to the roster. The pool and version whose first event reached the caller are the stream's origin; three entries by a hash hold it while the caller may come back, and its entry sends it again every 2 s. A request with a last event finds the origin by Resumes, or goes by the only version that can have begun the stream, or is refused at once as not run. Choice, placement, permits and data centre of the stages go by the origin, within an answer too. A version that is unknown, as from daemons of an earlier build, equals none.

--- a/crates/savorywalk/src/gateway/endpoint_roster.rs
+++ b/crates/savorywalk/src/gateway/endpoint_roster.rs
@@ -1,3 +1,4 @@
+use super::VersionHistory;
 use crate::directory::{EndpointAnnouncement, EndpointLoad, EndpointRecord, EndpointState};
 use crate::hashing::stable_hash;
 use crate::prelude::*;
@@ -21,6 +22,8 @@
     pub reports_cold: bool,
     /// Until when it counts as cold whatever its last report says.
     pub assumed_cold_until: Option<Instant>,
+    /// Version of its software; `None` if unknown.
+    pub version: Option<Arc<str>>,
     /// Cancellation token that ends with this incarnation.
     pub incarnation_token: IncarnationToken,
     /// Hash that assigns the endpoint to one of its data centre's shards.
@@ -68,6 +71,7 @@
     records: Vec<Arc<EndpointRecord>>,
     /// Members that are not silent, by data centre.
     counts: BTreeMap<String, usize>,
+    versions: VersionHistory,
 }
 
 impl PoolRoster {
@@ -76,10 +80,11 @@
             .binary_search_by(|member| member.endpoint().cmp(endpoint))
     }
 
-    fn insert(&mut self, member: Arc<PoolMember>) {
+    fn insert(&mut self, now: Instant, member: Arc<PoolMember>) {
         if let Ok(index) = self.index_of(member.endpoint()) {
-            self.remove(index);
+            self.remove(now, index);
         }
+        self.versions.add(now, member.version.as_ref());
         let (Ok(index) | Err(index)) = self.index_of(member.endpoint());
         if !member.is_silent {
             let data_center = member.data_center().to_string();
@@ -100,8 +105,9 @@
         found.map(|(index, _)| index)
     }
 
-    fn remove(&mut self, index: usize) {
+    fn remove(&mut self, now: Instant, index: usize) {
         let member = self.members.remove(index);
+        self.versions.remove(now, member.version.as_ref());
         self.records.remove(index);
         if member.is_silent {
             return;
@@ -120,8 +126,9 @@
     /// `report_time`, as they may have become cold since their last reports.
     pub fn from_state(state: &FollowState, report_time: Duration) -> Self {
         let mut roster = Self::default();
+        let now = Instant::now();
         for known in state.endpoints() {
-            roster.insert(state, known, report_time);
+            roster.insert(now, state, known, report_time);
         }
         roster
     }
@@ -134,16 +141,38 @@
         report_time: Duration,
     ) -> Self {
         let mut roster = self.clone();
+        let now = Instant::now();
         for name in changed {
-            roster.remove(name);
+            roster.remove(now, name);
             if let Some(known) = state.endpoint(name) {
-                roster.insert(state, known, report_time);
+                roster.insert(now, state, known, report_time);
             }
         }
         roster
     }
 
-    fn insert(&mut self, state: &FollowState, known: &FollowedEndpoint, report_time: Duration) {
+    /// This roster with the version histories of an earlier one.
+    pub(super) fn continuing(mut self, before: &Self) -> Self {
+        for (name, pool) in &mut self.pools {
+            if let Some(before) = before.pools.get(name) {
+                Arc::make_mut(pool).versions.continue_from(&before.versions);
+            }
+        }
+        self
+    }
+
+    /// The version of all endpoints of a pool, and for how long they have had no other one.
+    pub(super) fn only_version(&self, now: Instant, pool: &str) -> Option<(&Arc<str>, Duration)> {
+        self.pools.get(pool)?.versions.only_version(now)
+    }
+
+    fn insert(
+        &mut self,
+        now: Instant,
+        state: &FollowState,
+        known: &FollowedEndpoint,
+        report_time: Duration,
+    ) {
         let Some(mut member) = member_of(known) else {
             return;
         };
@@ -155,14 +184,14 @@
             return;
         }
         let pool = self.pools.entry(known.report.pool.clone()).or_default();
-        Arc::make_mut(pool).insert(member);
+        Arc::make_mut(pool).insert(now, member);
     }
 
-    fn remove(&mut self, name: &str) {
+    fn remove(&mut self, now: Instant, name: &str) {
         self.evacuated.remove(name);
         for pool in self.pools.values_mut() {
             if let Some(index) = pool.index_of_name(name) {
-                Arc::make_mut(pool).remove(index);
+                Arc::make_mut(pool).remove(now, index);
             }
         }
     }
@@ -229,6 +258,7 @@
         is_silent: report.silent,
         reports_cold: report.cold_ms > 0,
         assumed_cold_until: None,
+        version: (!report.version.is_empty()).then(|| report.version.as_str().into()),
         incarnation_token: known.incarnation_token.clone(),
         shard_hash: stable_hash(&[report.id.as_bytes()]),
     })
--- a/crates/savorywalk/src/gateway/engine_scheduler.rs
+++ b/crates/savorywalk/src/gateway/engine_scheduler.rs
@@ -80,7 +80,9 @@
         let usable = members.filter(|member| {
             let endpoint = member.endpoint();
             let is_avoided = call.avoid.iter().any(|avoided| avoided == endpoint);
-            !is_avoided && permits.admits(now, member)
+            let has_version =
+                call.version.is_empty() || member.version.as_deref() == Some(&call.version);
+            !is_avoided && has_version && permits.admits(now, member)
         });
         let targets = self.targets(now, view, &call.pool, usable);
         let parts = call.parts.iter().map(|part| PromptPart {
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -34,6 +34,8 @@
     /// What the endpoint reported in the head.
     pub(super) head: EndpointHead,
     pub(super) endpoint: String,
+    /// Version of the endpoint's software; `None` if unknown.
+    pub(super) version: Option<Arc<str>>,
     pub(super) started: Instant,
     pub(super) call: EndpointCall,
     pub(super) guard: OutstandingGuard,
@@ -162,6 +164,7 @@
             response,
             head,
             endpoint,
+            version: member.version.clone(),
             started,
             call,
             guard,
@@ -322,6 +325,7 @@
             response: Response::from_parts(parts, body),
             head,
             endpoint,
+            version: open.version,
             started: open.started,
             call: open.call,
             guard: open.guard,
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -18,7 +18,7 @@
 
 /// Time told to callers whose return is of no use. Told none, callers return at once, several
 /// times, and take room in queues that others could use.
-const HOPELESS_RETRY: Duration = Duration::from_secs(5);
+pub(super) const HOPELESS_RETRY: Duration = Duration::from_secs(5);
 
 /// Returns a random time between half of `retry_after` and all of it, so that callers that
 /// were refused together do not retry together.
@@ -47,6 +47,7 @@
         let members = members.filter(|member| {
             let is_allowed_data_center = data_center_filter.has(member.data_center());
             is_allowed_data_center
+                && self.may_continue_at(member)
                 && self.node.is_available(member.endpoint())
                 && is_eligible(member)
         });
@@ -177,14 +178,19 @@
         }
         let mut avoid = self.ledger.endpoints();
         avoid.extend(self.node.unavailable_endpoints(view, pool));
-        let placement = self.node.exchange.place(&self.node, &self.context, avoid);
+        let version = self.origin.as_ref().map(|origin| origin.version.clone());
+        let version = version.flatten();
+        let exchange = &self.node.exchange;
+        let placement = exchange.place(&self.node, &self.context, avoid, version.as_deref());
         let placement = placement.await;
         let member = placement
             .as_ref()
             .and_then(|placement| view.roster.member(pool, &placement.endpoint));
         let is_healthy = |member: &&Arc<PoolMember>| {
             let cost = self.node.scores.cost(Instant::now(), pool, member);
-            cost.surcharge == 0.0 && self.node.is_available(member.endpoint())
+            cost.surcharge == 0.0
+                && self.node.is_available(member.endpoint())
+                && self.may_continue_at(member)
         };
         let permitted_until = placement
             .as_ref()
@@ -216,7 +222,7 @@
     /// Data centre in which the request will probably run.
     fn planned_data_center(&self, view: &GatewayView) -> Option<String> {
         let shard = prompt_exchange::engine_shard(view, &self.context);
-        if !shard.is_whole() {
+        if !shard.is_whole() && self.origin.is_none() {
             return Some(shard.data_center().to_string());
         }
         self.pick(view, |_| true)
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -9,11 +9,13 @@
 use super::crash_detector::DecisionWait;
 use super::endpoint_call::MAX_RESPONSE_BYTES;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer};
+use super::forward_plan::HOPELESS_RETRY;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PromptPlacement;
 use super::request_context::RequestContext;
+use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
 use super::{GatewayRefusal, NotRunReason, RunLedger};
 use crate::prelude::*;
@@ -33,6 +35,27 @@
     RETRY_AFTER + Duration::from_millis(rand::rng().random_range(0..RETRY_JITTER_MS))
 }
 
+/// Retry time of a request that was refused for `reason`.
+fn retry_time(reason: NotRunReason) -> Duration {
+    match reason {
+        NotRunReason::Quarantined => QUARANTINE_TIME,
+        // A later try does not find the stream either.
+        NotRunReason::UnknownStream | NotRunReason::StreamMoved => HOPELESS_RETRY,
+        NotRunReason::NoDocument
+        | NotRunReason::StaleKeys
+        | NotRunReason::NoEndpoint
+        | NotRunReason::Denied
+        | NotRunReason::Overload
+        | NotRunReason::StageFailed
+        | NotRunReason::BodyLate
+        | NotRunReason::TimeOver
+        | NotRunReason::RateLimited
+        | NotRunReason::BackedOff
+        | NotRunReason::VersionGone
+        | NotRunReason::Stopping => retry_after(),
+    }
+}
+
 /// One request that is being forwarded to an endpoint.
 #[derive(Debug)]
 pub(super) struct ForwardRun {
@@ -43,6 +66,8 @@
     pub(super) digest: RequestDigest,
     pub(super) ledger: RunLedger,
     pub(super) results: Option<PlanResults>,
+    /// Origin of the stream, once it has begun: only its endpoints may continue it.
+    pub(super) origin: Option<StreamOrigin>,
     /// Placement of the last attempt, if a coordinator chose its engine.
     pub(super) placement: Option<PromptPlacement>,
     /// Expiry of the permit for the chosen endpoint, if it has a limit.
@@ -73,6 +98,7 @@
             body,
             ledger: RunLedger::default(),
             results: None,
+            origin: None,
             placement: None,
             permitted_until: None,
             permit_retry_after: None,
@@ -85,6 +111,7 @@
     /// further send is allowed.
     pub(super) async fn serve(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
         self.check_quarantine()?;
+        self.find_origin().await?;
         self.execute_stages().await?;
         self.send_until_answered().await
     }
@@ -94,11 +121,7 @@
             Some(proof) => GatewayRefusal::NotRun {
                 proof,
                 reason,
-                retry_after: Some(if reason == NotRunReason::Quarantined {
-                    QUARANTINE_TIME
-                } else {
-                    retry_after()
-                }),
+                retry_after: Some(retry_time(reason)),
             },
             None if self.context.remaining(Instant::now()).is_zero() => GatewayRefusal::TimedOut,
             None => GatewayRefusal::OutcomeUnknown,
@@ -233,7 +256,8 @@
 
     /// Sends the request to another endpoint, which continues after `last_event`.
     pub(super) async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenAnswer> {
-        if !self.may_send_again() || self.await_decision().await.is_err() {
+        let is_hopeless = !self.has_origin_endpoint(&self.node.view.load());
+        if is_hopeless || !self.may_send_again() || self.await_decision().await.is_err() {
             return None;
         }
         if self.results.is_none() && self.execute_stages().await.is_err() {
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -25,6 +25,7 @@
     retries: Counter<u64>,
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
+    taken_up: Counter<u64>,
     backoffs: Counter<u64>,
     placements: Counter<u64>,
     workspace_seconds: Counter<f64>,
@@ -58,6 +59,10 @@
                 .u64_counter("savorywalk_gateway_stream_resumes")
                 .with_description("Streams that went on at another endpoint")
                 .build(),
+            taken_up: meter
+                .u64_counter("savorywalk_gateway_streams_taken_up")
+                .with_description("Streams that callers take up, by how their origin was found")
+                .build(),
             backoffs: meter
                 .u64_counter("savorywalk_gateway_endpoint_backoffs")
                 .with_description("Times that endpoints asked for a pause, by pool")
@@ -139,6 +144,11 @@
         }
     }
 
+    /// Counts a stream that a caller takes up, by how its origin was found.
+    pub(super) fn record_taken_up(&self, source: &'static str) {
+        self.taken_up.add(1, &[KeyValue::new("source", source)]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -22,6 +22,7 @@
 use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
 use super::shard_balance::ShardLoads;
+use super::stream_origins::{self, OriginExchange};
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
@@ -46,6 +47,7 @@
     pub(super) view: ArcSwap<GatewayView>,
     pub(super) scores: EndpointScores,
     pub(super) exchange: WorkExchange,
+    pub(super) origins: OriginExchange,
     pub(super) first_events: FirstEventTimes,
     pub(super) engines: EngineScheduler,
     pub(super) releases: ReleaseQueue,
@@ -117,6 +119,7 @@
             refresh_lock: Mutex::default(),
             scores: EndpointScores::default(),
             exchange: WorkExchange::new(parts.hub.clone()),
+            origins: OriginExchange::new(parts.hub.clone()),
             engines: EngineScheduler::default(),
             first_events: FirstEventTimes::default(),
             metrics: GatewayMetrics::new(parts.metric_set.meter()),
@@ -146,8 +149,10 @@
         node.register_backoffs();
         node.register_coordination();
         node.register_paths();
+        node.register_origins();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(coordination_driver::run_meter(Arc::downgrade(&node)));
+        tokio::spawn(stream_origins::run_refresh(Arc::downgrade(&node)));
         tokio::spawn(release_queue::run(Arc::clone(&node), released));
         let notices = parts.hub.subscribe(LinkChannel::Work);
         tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
@@ -192,6 +197,20 @@
             .build();
     }
 
+    /// Registers the gauge of origins of streams.
+    fn register_origins(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_stream_origins")
+            .with_description("Streams whose pool and version are kept here")
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.origins.count());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
     /// Registers the gauge of rate-limited endpoints.
     fn register_limits(self: &Arc<Self>) {
         let node = Arc::downgrade(self);
@@ -387,7 +406,9 @@
             )
         });
         self.apply_quarantine(quarantine);
+        let now = Instant::now();
         let mut table = before.table.clone();
+        let mut route_history = Arc::clone(&before.route_history);
         if newest > number {
             match self.wire.read_document(&document) {
                 Ok(read) => {
@@ -401,6 +422,7 @@
                         routes = read.routes().count(),
                         workspace_ranks = format!("{ranks:?}")
                     );
+                    route_history = Arc::new(route_history.updated(now, &read));
                     table = Some(Arc::new(read));
                 }
                 Err(error) => {
@@ -417,6 +439,7 @@
             Arc::ptr_eq(&entries, &before.entries) && before.weights.is_built_from(&capacities);
         let view = GatewayView {
             table,
+            route_history,
             roster,
             evacuations,
             ranks: match is_ranked {
@@ -431,7 +454,6 @@
             change_count: count,
             ..GatewayView::default()
         };
-        let now = Instant::now();
         let view = Arc::new(view.with_shard_digest(now, &before));
         self.view.store(Arc::clone(&view));
         self.record_coordinators(now, &view, &before);
@@ -446,7 +468,8 @@
     fn updated_roster(&self, before: &GatewayView, state: &mut FollowState) -> Arc<EndpointRoster> {
         let changed = state.take_changed();
         if before.evacuations != state.evacuations().revision() {
-            return Arc::new(EndpointRoster::from_state(state, self.report_time));
+            let roster = EndpointRoster::from_state(state, self.report_time);
+            return Arc::new(roster.continuing(&before.roster));
         }
         if changed.is_empty() {
             return Arc::clone(&before.roster);
--- a/crates/savorywalk/src/gateway/gateway_refusal.rs
+++ b/crates/savorywalk/src/gateway/gateway_refusal.rs
@@ -53,6 +53,12 @@
     RateLimited,
     /// All suitable endpoints have requested a back-off from this entry.
     BackedOff,
+    /// It takes a stream up, and no entry knows which software version began it.
+    UnknownStream,
+    /// It takes a stream up, and its route has moved to other pools.
+    StreamMoved,
+    /// It takes a stream up, and no endpoint of the software version that began it is left.
+    VersionGone,
     /// This daemon is stopping, and no endpoint has run the request.
     Stopping,
 }
@@ -72,6 +78,9 @@
             Self::Quarantined => "quarantined",
             Self::RateLimited => "rate_limited",
             Self::BackedOff => "backed_off",
+            Self::UnknownStream => "unknown_stream",
+            Self::StreamMoved => "stream_moved",
+            Self::VersionGone => "version_gone",
             Self::Stopping => "stopping",
         }
     }
--- a/crates/savorywalk/src/gateway/gateway_view.rs
+++ b/crates/savorywalk/src/gateway/gateway_view.rs
@@ -1,6 +1,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use super::entry_capacity::{CapacityWeights, ShardSet};
+use super::stream_origins::RouteHistory;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use super::{EndpointRoster, RouteTable};
 use crate::hashing::stable_hash;
@@ -13,6 +14,8 @@
 pub(super) struct GatewayView {
     /// The document in force; `None` before the first.
     pub(super) table: Option<Arc<RouteTable>>,
+    /// Since when each route has had its pools.
+    pub(super) route_history: Arc<RouteHistory>,
     /// Endpoints that may be given new work.
     pub(super) roster: Arc<EndpointRoster>,
     /// Revision of the evacuations applied to the roster.
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -87,6 +87,7 @@
 mod stage_forecast;
 mod stage_graph;
 mod stream_end;
+mod stream_origins;
 mod stream_relay;
 mod success_count;
 mod table_error;
@@ -131,6 +132,7 @@
 pub use run_ledger::{NotRun, RunLedger};
 pub use stage_forecast::StageForecast;
 pub use stage_graph::StageGraph;
+pub use stream_origins::VersionHistory;
 pub use table_error::TableError;
 pub use wire_format::{
     AdvertisedRate, BackoffRequest, CallerHead, EndpointHead, EndpointTarget, ForwardHeaders,
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -83,6 +83,7 @@
         node: &Arc<GatewayNode>,
         context: &RequestContext,
         avoid: Vec<String>,
+        version: Option<&str>,
     ) -> Option<PromptPlacement> {
         let view = node.view.load_full();
         let shard = engine_shard(&view, context);
@@ -97,6 +98,7 @@
             parts: parts.collect(),
             answer_tokens: answer as u32,
             avoid,
+            version: version.unwrap_or_default().to_string(),
             ..Default::default()
         };
         let sent = BootClock.now();
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -102,6 +102,10 @@
                 node.adopt_usage(&usage);
                 continue;
             }
+            Some(Notice::Origins(notice)) => {
+                node.origins.adopt(notice);
+                continue;
+            }
             Some(Notice::ShardLoad(notice)) => {
                 node.record_shard_load(&message.from, &notice);
                 continue;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -8,6 +8,7 @@
 use super::forward_attempt::is_delimited;
 use super::forward_run::ForwardRun;
 use super::stream_end::EndProof;
+use super::stream_origins::OriginGuard;
 use super::{EventSplitter, RouteKind};
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
@@ -32,6 +33,8 @@
     splitter: EventSplitter,
     has_events: bool,
     state: RelayState,
+    /// Keeps the stream's origin at its homes.
+    origin_guard: Option<OriginGuard>,
 }
 
 /// The endpoint's side of the stream.
@@ -44,6 +47,7 @@
     has_events: bool,
     body: Incoming,
     endpoint: String,
+    version: Option<Arc<str>>,
     started: Instant,
     /// Dropped before another endpoint resumes the stream, so that the two never work on
     /// the same request.
@@ -88,6 +92,7 @@
             has_events: false,
             body,
             endpoint: open.endpoint,
+            version: open.version,
             started: open.started,
             call: Some(open.call),
             _guard: open.guard,
@@ -103,6 +108,7 @@
             source: StreamSource::new(open),
             has_events: false,
             state: RelayState::Open,
+            origin_guard: None,
         }
     }
 
@@ -168,12 +174,14 @@
             return;
         }
         self.has_events = true;
+        self.origin_guard = self.run.begin_stream(self.source.version.as_ref());
         let time = self.source.started.elapsed();
         log_event!(
             info,
             "stream_started",
             request = self.run.context.id,
             endpoint = self.source.endpoint,
+            version = self.source.version.as_deref().unwrap_or_default(),
             prompt = format!(
                 "{:?}",
                 self.run
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -135,6 +135,8 @@
     pub piece_key: String,
     /// Last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Identity of the try that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// Size of a request to an engine.
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -317,6 +317,11 @@
             reply.answer(placed.encode_to_vec().into());
             return;
         }
+        Some(Call::OriginQuery(query)) => {
+            let origin = node.answer_origin(&query);
+            reply.answer(origin.encode_to_vec().into());
+            return;
+        }
         Some(Call::RelayQuery(RelayQuery {})) => {
             let standing = RelayStanding {
                 relays: Some(node.does_relay()),
--- a/crates/savorywalk/src/registry/registry_table.rs
+++ b/crates/savorywalk/src/registry/registry_table.rs
@@ -586,6 +586,7 @@
         && known.born_ms == reported.born_ms
         && known.is_same_location(reported)
         && known.slots == reported.slots
+        && known.version == reported.version
 }
 
 #[cfg(test)]
