A request sent over a cached connection never counts as unsent

Cause: ForwardRun::send_to returned the connect error of the second send as it was. Change: a failure after the first send counts as a broken call. Measured: the test got 503 before and 502 with the change; its endpoint reads a request and ends.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -199,7 +199,9 @@
         let response = match call.send(request()).await {
             // The endpoint may have closed a cached connection.
             Err(CallError::Broken(_)) if was_cached && self.node.try_retry(&self.context.pool) => {
-                call = self.node.connect(member).await?;
+                // The endpoint may have run the first send, so no failure counts as unsent now.
+                let connected = self.node.connect(member).await;
+                call = connected.map_err(|error| CallError::Broken(error.to_string()))?;
                 sent = BootClock.now();
                 call.send(request()).await?
             }
