Stand-ins answer without length or chunks, and soaks play it

Unframed: an answer that ends with its connection in the middle. The product's own entries take no end for completeness: streams need finish_reason and the end marker, other answers are JSON documents. The fault is in the fault tests of daemons, in pairs, and among the faults that soaks draw.

--- a/crates/daemon/tests/endpoint_faults.rs
+++ b/crates/daemon/tests/endpoint_faults.rs
@@ -13,7 +13,7 @@
 use support::http_call::{HttpAnswer, HttpCall, ListenerKind};
 use support::serve_test::{ServeProcess, ServeTest};
 
-use EndpointFault::{Crossed, Cut, CutShort, Fail, Late, Refuse, Silent, Slow, Twice};
+use EndpointFault::{Crossed, Cut, CutShort, Fail, Late, Refuse, Silent, Slow, Twice, Unframed};
 
 /// Longer than any deadline here.
 const NEVER_MS: u64 = 3_600_000;
@@ -55,7 +55,7 @@
 #[tokio::test]
 async fn a_fault_that_shows_at_once_costs_no_answer(
     #[values("encoders", "retrievers", "rerankers", "engines")] pool: &str,
-    #[values(Refuse, Fail, Cut, CutShort, Crossed, Twice)] fault: EndpointFault,
+    #[values(Refuse, Fail, Cut, CutShort, Unframed, Crossed, Twice)] fault: EndpointFault,
 ) {
     let (daemon, set) = start(&SUMMARISE).await;
     set.fault(pool, fault);
@@ -99,6 +99,7 @@
 #[case(Fail, "outcome_unknown")]
 #[case(Cut, "outcome_unknown")]
 #[case(CutShort, "outcome_unknown")]
+#[case(Unframed, "outcome_unknown")]
 #[case(Crossed, "outcome_unknown")]
 #[case(Silent, "outcome_unknown")]
 #[case(Late(NEVER_MS), "outcome_unknown")]
--- a/crates/daemon/tests/fault_pairs.rs
+++ b/crates/daemon/tests/fault_pairs.rs
@@ -17,14 +17,15 @@
 use support::http_call::HttpAnswer;
 use support::serve_test::{ServeProcess, ServeTest};
 
-use EndpointFault::{Crossed, Cut, CutShort, Fail, Late, Refuse, Silent, Slow, Twice};
+use EndpointFault::{Crossed, Cut, CutShort, Fail, Late, Refuse, Silent, Slow, Twice, Unframed};
 
-const FAULTS: [EndpointFault; 9] = [
+const FAULTS: [EndpointFault; 10] = [
     Slow(10.0),
     Refuse,
     Fail,
     Cut,
     CutShort,
+    Unframed,
     Silent,
     Late(400),
     Twice,
--- a/crates/proof/src/fault_script.rs
+++ b/crates/proof/src/fault_script.rs
@@ -156,6 +156,7 @@
         EndpointFault::Refuse,
         EndpointFault::Fail,
         EndpointFault::Cut,
+        EndpointFault::Unframed,
         EndpointFault::Silent,
         EndpointFault::Crossed,
     ];
--- a/crates/standin/src/endpoint_fault.rs
+++ b/crates/standin/src/endpoint_fault.rs
@@ -20,6 +20,8 @@
     Cut,
     /// Ends the answer in the middle as if it were whole.
     CutShort,
+    /// Sends neither a length nor chunks, and closes the connection in the middle of the answer.
+    Unframed,
     /// Takes the request and never answers.
     Silent,
     /// Runs the request, then holds its answer back for this many milliseconds.
@@ -40,6 +42,7 @@
             | Self::Fail
             | Self::Cut
             | Self::CutShort
+            | Self::Unframed
             | Self::Silent
             | Self::Late(_)
             | Self::Twice
--- a/crates/standin/src/endpoint_response.rs
+++ b/crates/standin/src/endpoint_response.rs
@@ -3,12 +3,12 @@
 use std::io;
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{StreamExt, TryStreamExt};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use serde::Serialize;
 use serde_json::json;
 
@@ -53,6 +53,7 @@
     match fault {
         EndpointFault::Cut => cut(text),
         EndpointFault::CutShort => whole(StatusCode::OK, half(&text).to_string()),
+        EndpointFault::Unframed => without_framing(whole(StatusCode::OK, half(&text).to_string())),
         EndpointFault::Twice => whole(StatusCode::OK, format!("{text}{text}")),
         EndpointFault::None
         | EndpointFault::Slow(_)
@@ -72,7 +73,9 @@
 ) -> Response<Body> {
     let source = EventSource {
         limit: match fault {
-            EndpointFault::Cut | EndpointFault::CutShort => Some(reader.stream().length() / 2),
+            EndpointFault::Cut | EndpointFault::CutShort | EndpointFault::Unframed => {
+                Some(reader.stream().length() / 2)
+            }
             EndpointFault::None
             | EndpointFault::Slow(_)
             | EndpointFault::Refuse
@@ -94,9 +97,21 @@
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let content_type = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, content_type);
+    if fault == EndpointFault::Unframed {
+        return without_framing(response);
+    }
     response
 }
 
+/// Makes an answer end with its connection, as hyper sends one of HTTP/1.0.
+fn without_framing(response: Response<Body>) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    parts.version = Version::HTTP_10;
+    // A body of unknown length gets no header that tells it.
+    let frames = body.into_data_stream().map_ok(Frame::data);
+    Response::from_parts(parts, StreamBody::new(frames).boxed_unsync())
+}
+
 /// The frames of one streamed answer.
 struct EventSource {
     reader: StreamReader,
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -53,6 +53,13 @@
         let short = post(&server, "/v1/completions", &completion("a b")).await;
         let short = text(short).await.unwrap();
         assert!(short.len() < whole.len() && whole.starts_with(&short));
+        server.faults().set(EndpointFault::Unframed);
+        let unframed = post(&server, "/v1/completions", &completion("a b")).await;
+        for header in ["content-length", "transfer-encoding"] {
+            assert!(!unframed.headers().contains_key(header), "{header}");
+        }
+        let short = text(unframed).await.unwrap();
+        assert!(short.len() < whole.len() && whole.starts_with(&short));
     }
 }
 
