An end without framing proves nothing once the endpoint accepts no connections

An end between two events shows nothing in the bytes, and a process that crashes closes its connections like one that has finished. Change: after such an end the entry connects to the endpoint, by a relay if its path is lost. If no connection is accepted, the answer counts as cut, streams and others alike; an endpoint that is leaving may end after its last answer. Delimited answers cost no connection. What remains: an endpoint that breaks off between events and lives on can't be told from one that has finished.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -390,6 +390,18 @@
         is_lost
     }
 
+    /// Whether an endpoint accepts no connections after it ended an answer that only the end of its
+    /// connection completes: a process that crashes closes its connections like one that has
+    /// finished. One that is leaving may end after its last answer.
+    pub(super) async fn has_crashed(&self, endpoint: &str) -> bool {
+        let view = self.node.view.load_full();
+        let member = view.roster.member(&self.context.pool, endpoint);
+        match member.filter(|_| !self.node.availability.is_leaving(endpoint)) {
+            Some(member) => !self.node.is_reachable(member).await,
+            None => false,
+        }
+    }
+
     /// Reports a call that failed after the request was sent, unless its path is lost.
     pub(super) async fn record_failure(
         &mut self,
@@ -433,11 +445,18 @@
         }
         let (parts, body) = open.response.into_parts();
         let time = self.head_timeout();
+        let is_delimited = is_delimited(&parts);
         match tokio::time::timeout(time, read_complete(body)).await {
+            Ok(Ok(_)) if !is_delimited && self.has_crashed(&open.endpoint).await => {
+                let reason = "the endpoint accepts no connections after an end without framing";
+                self.record_failure(&open.endpoint, Some(CallFailure::Cut), reason)
+                    .await;
+                AnswerOutcome::Lost
+            }
             Ok(Ok(body)) => {
                 self.report_success(&open.endpoint, open.started.elapsed());
-                self.record_answered(is_delimited(&parts));
-                if self.context.route.kind == RouteKind::Idempotent && is_delimited(&parts) {
+                self.record_answered(is_delimited);
+                if self.context.route.kind == RouteKind::Idempotent && is_delimited {
                     let cache = &self.node.connection_cache;
                     cache.put(&open.endpoint, open.call, &open.head);
                 }
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -512,6 +512,12 @@
         }
     }
 
+    /// Whether an endpoint accepts connections, from this entry or by a relay.
+    pub(super) async fn is_reachable(&self, member: &PoolMember) -> bool {
+        let entries = Arc::clone(&self.view.load().entries);
+        self.connector.open(&entries, member).await.is_ok()
+    }
+
     /// Connects to an endpoint to find out whether the path to it is lost.
     async fn check_path(&self, member: &PoolMember) -> bool {
         let entries = Arc::clone(&self.view.load().entries);
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -77,6 +77,9 @@
     /// The connection was closed as after a complete answer, but the stream is not complete.
     #[error("the stream ended within an event or without any")]
     Unfinished,
+    /// The connection was closed as after a complete answer, but the endpoint has crashed.
+    #[error("the endpoint accepts no connections after an end that only its connection shows")]
+    Crashed,
     #[error("no event in time")]
     TimedOut,
     #[error("a frame without data")]
@@ -226,8 +229,7 @@
             Ok(Some(Err(error))) => {
                 return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
             }
-            Ok(None) if self.is_complete() => return RelayStep::Ended(self.splitter.finish()),
-            Ok(None) => return RelayStep::Failed(StreamFailure::Unfinished),
+            Ok(None) => return self.end().await,
             Err(_) => return RelayStep::Failed(StreamFailure::TimedOut),
         };
         let Ok(data) = frame.into_data() else {
@@ -239,6 +241,18 @@
         }
     }
 
+    /// Decides how the stream has ended, once its body has ended without an error.
+    async fn end(&mut self) -> RelayStep {
+        if !self.is_complete() {
+            return RelayStep::Failed(StreamFailure::Unfinished);
+        }
+        let source = &self.source;
+        if !source.is_delimited && self.run.has_crashed(&source.endpoint).await {
+            return RelayStep::Failed(StreamFailure::Crashed);
+        }
+        RelayStep::Ended(self.splitter.finish())
+    }
+
     /// Whether the stream is complete, once its body has ended without an error.
     fn is_complete(&self) -> bool {
         match self.source.proof {
@@ -255,7 +269,9 @@
     /// attempt fails.
     async fn resume_elsewhere(&mut self, reason: &StreamFailure) -> bool {
         let failure = match reason {
-            StreamFailure::Cut(_) | StreamFailure::Unfinished => Some(CallFailure::Cut),
+            StreamFailure::Cut(_) | StreamFailure::Unfinished | StreamFailure::Crashed => {
+                Some(CallFailure::Cut)
+            }
             StreamFailure::TimedOut => Some(CallFailure::TimedOut),
             StreamFailure::NoData => None,
         };
