--- a/crates/savorywalk/src/gateway/stream_end.rs
+++ b/crates/savorywalk/src/gateway/stream_end.rs
@@ -7,7 +7,7 @@
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// What shows that a stream whose body ended without an error is complete. See
-/// docs/design/request-path.md.
+/// docs/design/answer-ends.md.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndProof {
     /// The length or the last chunk. An answer that is no stream of events and has neither
