Origins at 335 entries, without a network

Answers the load and the fault of stream origins: copies at the entry that holds most, and what is found after a tenth of the entries is lost.

--- a/crates/savorywalk/src/gateway/stream_origins/mod.rs
+++ b/crates/savorywalk/src/gateway/stream_origins/mod.rs
@@ -4,6 +4,8 @@
 mod forward_origin;
 mod origin_exchange;
 mod origin_homes;
+#[cfg(test)]
+mod origin_load_tests;
 mod origin_table;
 mod route_history;
 mod stream_origin;
--- a/crates/savorywalk/src/gateway/stream_origins/origin_table.rs
+++ b/crates/savorywalk/src/gateway/stream_origins/origin_table.rs
@@ -2,7 +2,7 @@
 use crate::prelude::*;
 
 /// Maximum number of origins; each takes some 120 bytes.
-const MAX_ORIGINS: usize = 32_768;
+pub(super) const MAX_ORIGINS: usize = 32_768;
 
 /// Longest time for which an origin is kept, whatever its caller asks for.
 pub(super) const MAX_LIFETIME: Duration = Duration::from_secs(120);
