--- a/crates/savorywalk/src/gateway/stream_origins/forward_origin.rs
+++ b/crates/savorywalk/src/gateway/stream_origins/forward_origin.rs
@@ -1,5 +1,4 @@
-use super::origin_exchange::StreamQuestion;
-use super::{FoundOrigin, OriginGuard, StreamKey, StreamOrigin};
+use super::{FoundOrigin, OriginGuard, StreamKey, StreamOrigin, StreamQuestion};
 use crate::gateway::forward_run::ForwardRun;
 use crate::gateway::gateway_view::GatewayView;
 use crate::gateway::{GatewayRefusal, NotRunReason, PoolMember, RouteKind};
--- a/crates/savorywalk/src/gateway/stream_origins/mod.rs
+++ b/crates/savorywalk/src/gateway/stream_origins/mod.rs
@@ -6,13 +6,15 @@
 mod origin_homes;
 #[cfg(test)]
 mod origin_load_tests;
+mod origin_lookup;
 mod origin_table;
 mod route_history;
 mod stream_origin;
 mod version_history;
 
-pub(super) use origin_exchange::{FoundOrigin, OriginExchange, OriginGuard, run_refresh};
+pub(super) use origin_exchange::{OriginExchange, OriginGuard, run_refresh};
 pub(super) use origin_homes::origin_homes;
+pub(super) use origin_lookup::{FoundOrigin, StreamQuestion};
 pub(super) use origin_table::OriginTable;
 pub(super) use route_history::RouteHistory;
 pub(super) use stream_origin::{OnlyOrigin, StreamKey, StreamOrigin};
