Origins: a copy at any home goes before what another knows of the only version

Found by reading: a home whose roster lags may call the earlier version the only one while another home holds a copy with the newer one, and the first reply decided.

--- a/crates/savorywalk/src/gateway/stream_origins/origin_lookup.rs
+++ b/crates/savorywalk/src/gateway/stream_origins/origin_lookup.rs
@@ -45,8 +45,10 @@
 
 /// Questions to other entries.
 impl OriginExchange {
-    /// Asks the homes of a stream for its origin, or for the only one that streams of `route` have
-    /// had for at least `time`. `None` if they know neither or do not answer in time.
+    /// Asks the homes of a stream for its origin, or for the only one that streams of its route have
+    /// had for long enough. `None` if they know neither or do not answer in time.
+    ///
+    /// A copy goes before the only origin: another home may not know of the newest version yet.
     pub(in crate::gateway) async fn ask_homes(
         &self,
         entries: &[PeerName],
@@ -55,20 +57,18 @@
         let homes = origin_homes(&stream.home_key(), entries).into_iter();
         let homes = homes.filter(|home| *home != self.hub.name());
         let mut replies: FuturesUnordered<_> = homes.map(|home| self.ask(home, stream)).collect();
+        let mut only_version = None;
         while let Some(reply) = replies.next().await {
             let reply = reply.unwrap_or_default();
-            let held = reply.origin.map(StreamOrigin::from_message);
+            if let Some(held) = reply.origin {
+                return Some(FoundOrigin::Held(StreamOrigin::from_message(held)));
+            }
             let is_certain = Duration::from_millis(reply.only_for_ms.into()) >= stream.time;
             let only = reply.only.filter(|_| is_certain);
             let only = only.map(StreamOrigin::from_message);
-            let found = held
-                .map(FoundOrigin::Held)
-                .or(only.map(FoundOrigin::OnlyVersion));
-            if found.is_some() {
-                return found;
-            }
+            only_version = only_version.or(only.map(FoundOrigin::OnlyVersion));
         }
-        None
+        only_version
     }
 
     async fn ask(&self, home: &PeerName, stream: StreamQuestion<'_>) -> Option<OriginReply> {
