--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -353,6 +353,7 @@
                 "attempt_failed",
                 request = self.context.id,
                 digest = self.digest,
+                prompt = self.context.prompt_text(),
                 endpoint = endpoint,
                 reason = reason
             );
--- a/crates/savorywalk/src/gateway/request_context.rs
+++ b/crates/savorywalk/src/gateway/request_context.rs
@@ -30,6 +30,9 @@
     pub(super) is_returning: bool,
 }
 
+/// Maximum number of parts of a prompt in a log line. Usual prompts have two or three.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Prompt tokens that an engine reads in about the time of writing one token.
 const READ_TOKENS_PER_WRITTEN: u64 = 10;
 
@@ -52,6 +55,18 @@
         self.head.tokens.map_or(parts, |tokens| tokens.prompt)
     }
 
+    /// The parts of its prompt for a log line, each with its id and its length in tokens.
+    pub(super) fn prompt_text(&self) -> String {
+        let parts = self.head.prefix.iter().take(MAX_LOGGED_PARTS);
+        let texts: Vec<String> = parts
+            .map(|part| format!("{:x}:{}", part.id, part.tokens))
+            .collect();
+        match self.head.prefix.len().saturating_sub(MAX_LOGGED_PARTS) {
+            0 => texts.join(","),
+            more => format!("{},+{more}", texts.join(",")),
+        }
+    }
+
     /// Work that the request needs from an engine, in prompt tokens.
     pub(super) fn size(&self) -> u64 {
         let tokens = self.head.tokens.unwrap_or_default();
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -146,6 +146,7 @@
                             "stream_broken",
                             request = self.run.context.id,
                             digest = self.run.digest,
+                            prompt = self.run.context.prompt_text(),
                             endpoint = self.source.endpoint,
                             last_event = format!("{:?}", self.splitter.last_id()),
                             reason = reason
@@ -185,16 +186,7 @@
             request = self.run.context.id,
             endpoint = self.source.endpoint,
             version = self.source.version.as_deref().unwrap_or_default(),
-            prompt = format!(
-                "{:?}",
-                self.run
-                    .context
-                    .head
-                    .prefix
-                    .iter()
-                    .map(|part| part.tokens)
-                    .collect::<Vec<_>>()
-            ),
+            prompt = self.run.context.prompt_text(),
             ms = time.as_millis()
         );
         self.run.node.first_events.observe(&self.run.context, time);
@@ -292,6 +284,7 @@
             "stream_resumed",
             request = self.run.context.id,
             digest = self.run.digest,
+            prompt = self.run.context.prompt_text(),
             from = self.source.endpoint,
             to = open.endpoint,
             last_event = format!("{last_event:?}"),
