--- a/crates/savorywalk/src/control/control_machine.rs
+++ b/crates/savorywalk/src/control/control_machine.rs
@@ -26,6 +26,8 @@
     pub retired_total: u64,
     /// Revision of the quarantine.
     pub quarantine_revision: u64,
+    /// Revision of the watched and the quarantined prompt parts.
+    pub part_revision: u64,
     /// Revision of the evacuations.
     pub evacuation_revision: u64,
 }
@@ -81,6 +83,7 @@
             number: state.documents().number(),
             retired_total: state.documents().retired_total(),
             quarantine_revision: state.quarantined().revision(),
+            part_revision: state.quarantined().parts().revision(),
             evacuation_revision: state.evacuations().revision(),
         };
         self.revisions.send_if_modified(|published| {
--- a/crates/savorywalk/src/control/control_state.rs
+++ b/crates/savorywalk/src/control/control_state.rs
@@ -14,7 +14,9 @@
 use crate::evacuation::{EvacuationCommand, EvacuationRegister};
 use crate::orders::{OrderBook, OrderCommand, OrderOutcome, OrderStep, OrderVerdict};
 use crate::prelude::*;
-use crate::quarantine::{QuarantineCommand, QuarantineRegister, RequestDigest};
+use crate::quarantine::{
+    CrashSuspect, PartId, QuarantineCommand, QuarantineRegister, RequestDigest,
+};
 
 /// Format of the snapshots that this program writes and reads.
 const SNAPSHOT_FORMAT: u32 = 1;
@@ -208,17 +210,27 @@
     /// many crashes.
     fn quarantine(&mut self, command: &QuarantineCommand) -> ControlVerdict {
         let outcome = self.quarantine.apply(self.index, command);
-        let added = outcome.added.iter().map(|digest| (digest, "quarantined"));
-        let removed = outcome.removed.iter().map(|digest| (digest, "released"));
-        for (digest, change) in added.chain(removed) {
-            let digest = RequestDigest::from_bytes(digest);
-            let digest = digest.map(|digest| digest.to_string()).unwrap_or_default();
+        let requests = |digests: &[Bytes]| -> Vec<CrashSuspect> {
+            let digests = RequestDigest::read_all(digests);
+            digests.map(CrashSuspect::Request).collect()
+        };
+        let part = |id: u64| CrashSuspect::Part(PartId(id));
+        let mut added = requests(&outcome.added);
+        added.extend(outcome.added_parts.iter().map(|added| part(added.part)));
+        let mut removed = requests(&outcome.removed);
+        removed.extend(outcome.removed_parts.iter().copied().map(part));
+        let added = added.iter().map(|suspect| (suspect, "quarantined"));
+        let removed = removed.iter().map(|suspect| (suspect, "released"));
+        for (suspect, change) in added.chain(removed) {
             self.record(AuditFields {
                 author: "control",
                 kind: "quarantine",
-                subject: &digest,
+                subject: &suspect.to_string(),
                 outcome: change,
-                detail: format!("revision {}", outcome.revision),
+                detail: format!(
+                    "revision {}, of parts {}",
+                    outcome.revision, outcome.part_revision
+                ),
             });
         }
         ControlVerdict::Quarantine(outcome)
--- a/crates/savorywalk/src/control/control_state_tests.rs
+++ b/crates/savorywalk/src/control/control_state_tests.rs
@@ -514,6 +514,7 @@
                 crashes: vec![EndpointCrash {
                     endpoint: format!("e-{index}"),
                     digests: vec![digest.clone()],
+                    prompts: Vec::new(),
                 }],
                 ..Default::default()
             })),
--- a/crates/savorywalk/src/gateway/crash_detector.rs
+++ b/crates/savorywalk/src/gateway/crash_detector.rs
@@ -5,7 +5,10 @@
 use super::crash_report::{CrashReport, FailedCalls, build_reports};
 use super::endpoint_paths::EndpointNetwork;
 use crate::prelude::*;
-use crate::quarantine::{QUARANTINE_TIME, QuarantineCommand, RequestDigest};
+use crate::quarantine::{
+    AnsweredPrompt, CrashSuspect, PartId, QUARANTINE_TIME, QuarantineCommand, RequestDigest,
+    SuspectRequest,
+};
 use crate::registry::{EntryFollower, ReportFailure};
 
 /// Capacity of the event queue. Events beyond it are dropped and reported only if they
@@ -53,10 +56,12 @@
 pub(super) enum DetectorEvent {
     /// A call was cut or timed out while an endpoint worked on it.
     Failed(FailedCall, DecisionSender),
-    /// A quarantined request came in again and was refused.
-    Refused(RequestDigest),
+    /// A request that is quarantined, itself or by a part, came in again and was refused.
+    Refused(CrashSuspect),
     /// A quarantined request was answered recently.
     Answered(RequestDigest),
+    /// A request was answered that was sent while parts of its prompt were watched.
+    PromptAnswered(AnsweredPrompt),
 }
 
 /// A call that was cut or timed out.
@@ -70,6 +75,8 @@
     pub(super) failure: CallFailure,
     /// Digest of the request.
     pub(super) digest: RequestDigest,
+    /// What is known of its prompt; without parts for a call that is no prompt.
+    pub(super) prompt: SuspectRequest,
 }
 
 /// How a call failed.
@@ -129,7 +136,7 @@
                 .u64_counter("savorywalk_gateway_endpoint_crashes")
                 .with_description("Endpoints that crashed while they worked for this entry")
                 .build(),
-            last_reported: FastMap::default(),
+            last_reported: BTreeMap::new(),
             unreported: VecDeque::new(),
             retry_delay: FIRST_RETRY_DELAY,
         };
@@ -149,9 +156,18 @@
         DecisionWait(receiver)
     }
 
-    /// Records that a quarantined request came in again.
-    pub(super) fn record_refused(&self, digest: RequestDigest) {
-        self.record(DetectorEvent::Refused(digest));
+    /// Records that a request came in again that is quarantined because of `suspect`.
+    pub(super) fn record_refused(&self, suspect: CrashSuspect) {
+        self.record(DetectorEvent::Refused(suspect));
+    }
+
+    /// Records that an endpoint answered in full a request with watched parts, which was sent
+    /// when this entry had the part lists of `revision`.
+    pub(super) fn record_answered_parts(&self, parts: &BTreeSet<PartId>, revision: u64) {
+        self.record(DetectorEvent::PromptAnswered(AnsweredPrompt {
+            parts: parts.iter().map(|part| part.0).collect(),
+            part_revision: revision,
+        }));
     }
 
     /// Records that an endpoint answered a request.
@@ -178,8 +194,8 @@
     follower: Arc<EntryFollower>,
     network: Arc<dyn EndpointNetwork>,
     crashes: Counter<u64>,
-    /// When control was last informed that a quarantined request still comes in.
-    last_reported: FastMap<RequestDigest, Instant>,
+    /// When control was last informed that a quarantined request or part still comes in.
+    last_reported: BTreeMap<CrashSuspect, Instant>,
     /// Reports that control has not decided on yet, oldest first.
     unreported: VecDeque<CrashReport>,
     /// Delay before an undecided report is sent again.
@@ -229,12 +245,17 @@
             if !report.waiters.is_empty() {
                 // The requests that wait check the quarantine list next, so it must be up
                 // to date here.
-                let updating = self.follower.wait_for_quarantine(outcome.revision);
+                let updating = self.follower.wait_for_quarantine(&outcome);
                 if tokio::time::timeout(DECISION_TIMEOUT, updating)
                     .await
                     .is_err()
                 {
-                    log_event!(debug, "quarantine_not_reached", revision = outcome.revision);
+                    log_event!(
+                        debug,
+                        "quarantine_not_reached",
+                        revision = outcome.revision,
+                        part_revision = outcome.part_revision
+                    );
                 }
             }
             self.unreported.pop_front();
@@ -277,11 +298,19 @@
         for event in events {
             match event {
                 DetectorEvent::Failed(call, waiter) => failed_calls.add(call, waiter),
-                DetectorEvent::Refused(digest) if self.is_refusal_due(now, digest) => {
-                    command.refused.push(digest.to_bytes());
+                DetectorEvent::Refused(suspect) if self.is_refusal_due(now, suspect) => {
+                    match suspect {
+                        CrashSuspect::Request(digest) => command.refused.push(digest.to_bytes()),
+                        CrashSuspect::Part(part) => command.refused_parts.push(part.0),
+                    }
                 }
                 DetectorEvent::Refused(_) => {}
                 DetectorEvent::Answered(digest) => command.answered.push(digest.to_bytes()),
+                DetectorEvent::PromptAnswered(prompt) => {
+                    if !command.answered_prompts.contains(&prompt) {
+                        command.answered_prompts.push(prompt);
+                    }
+                }
             }
         }
         let network = &self.network;
@@ -318,13 +347,13 @@
         build_reports(command, failed_calls)
     }
 
-    /// Whether control should be informed now that a quarantined request still comes in.
-    fn is_refusal_due(&mut self, now: Instant, digest: RequestDigest) -> bool {
+    /// Whether control should be informed now that a quarantined request or part still comes in.
+    fn is_refusal_due(&mut self, now: Instant, suspect: CrashSuspect) -> bool {
         self.last_reported
             .retain(|_, at| now.saturating_duration_since(*at) < REFUSED_INTERVAL);
-        let is_due = !self.last_reported.contains_key(&digest);
+        let is_due = !self.last_reported.contains_key(&suspect);
         if is_due {
-            self.last_reported.insert(digest, now);
+            self.last_reported.insert(suspect, now);
         }
         is_due
     }
--- a/crates/savorywalk/src/gateway/crash_detector_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_detector_tests.rs
@@ -3,13 +3,27 @@
 
 use super::*;
 use crate::gateway::TcpNetwork;
+use crate::gateway::gateway_node::GatewayNode;
 use crate::gateway::plain_wire_tests::node;
+use crate::quarantine::RequestIdentity;
 use crate::registry::{BootClock, FollowReply};
 
 fn digest(number: u8) -> RequestDigest {
     RequestDigest::from_bytes(&[number; 16]).unwrap()
 }
 
+fn identity(number: u8) -> RequestIdentity {
+    RequestIdentity::new(digest(number), std::iter::empty())
+}
+
+fn is_quarantined(node: &GatewayNode, number: u8) -> bool {
+    node.quarantine_list().find(&identity(number)).is_some()
+}
+
+fn suspect(number: u8) -> CrashSuspect {
+    CrashSuspect::Request(digest(number))
+}
+
 /// A reply of control with a quarantine list.
 fn quarantine(revision: u64, numbers: &[u8]) -> FollowReply {
     FollowReply {
@@ -43,14 +57,14 @@
 #[tokio::test]
 async fn a_request_is_refused_as_soon_as_its_entry_received_the_quarantine_list() {
     let node = node();
-    assert!(!node.is_quarantined(&digest(1)));
+    assert!(!is_quarantined(&node, 1));
     node.follower
         .apply_reply(BootClock.now(), quarantine(1, &[1]));
-    assert!(node.is_quarantined(&digest(1)));
-    assert!(!node.is_quarantined(&digest(2)));
+    assert!(is_quarantined(&node, 1));
+    assert!(!is_quarantined(&node, 2));
     node.follower
         .apply_reply(BootClock.now(), quarantine(2, &[]));
-    assert!(!node.is_quarantined(&digest(1)));
+    assert!(!is_quarantined(&node, 1));
 }
 
 #[tokio::test]
@@ -58,7 +72,7 @@
     let node = node();
     let waiter = tokio::spawn({
         let node = Arc::clone(&node);
-        async move { node.until_quarantined(&digest(1)).await }
+        async move { node.until_quarantined(&identity(1)).await }
     });
     node.follower
         .apply_reply(BootClock.now(), quarantine(1, &[1]));
@@ -74,8 +88,8 @@
         .apply_reply(BootClock.now(), quarantine(2, &[1]));
     node.follower
         .apply_reply(BootClock.now(), quarantine(1, &[2]));
-    assert!(node.is_quarantined(&digest(1)));
-    assert!(!node.is_quarantined(&digest(2)));
+    assert!(is_quarantined(&node, 1));
+    assert!(!is_quarantined(&node, 2));
 }
 
 fn task() -> DetectorTask {
@@ -85,7 +99,7 @@
         follower: Arc::clone(&node.follower),
         network: Arc::new(TcpNetwork),
         crashes: meter.u64_counter("crashes").build(),
-        last_reported: FastMap::default(),
+        last_reported: BTreeMap::new(),
         unreported: VecDeque::new(),
         retry_delay: FIRST_RETRY_DELAY,
     }
@@ -97,6 +111,7 @@
         address: Some(address),
         failure,
         digest: digest(1),
+        prompt: SuspectRequest::default(),
     }
 }
 
@@ -163,10 +178,10 @@
 async fn refusals_are_reported_once_per_interval() {
     let mut task = task();
     let start = Instant::now();
-    assert!(task.is_refusal_due(start, digest(1)));
-    assert!(!task.is_refusal_due(start, digest(1)));
-    assert!(task.is_refusal_due(start, digest(2)));
-    assert!(task.is_refusal_due(start + REFUSED_INTERVAL, digest(1)));
+    assert!(task.is_refusal_due(start, suspect(1)));
+    assert!(!task.is_refusal_due(start, suspect(1)));
+    assert!(task.is_refusal_due(start, suspect(2)));
+    assert!(task.is_refusal_due(start + REFUSED_INTERVAL, suspect(1)));
 }
 
 /// Control of an older version may not know the format of a report.
@@ -190,3 +205,17 @@
     assert!(task.drop_unreadable(&unreadable));
     assert_eq!(task.unreported[0].command.forget_through, 2);
 }
+
+/// Parts that are watched at the send of a request count when it is answered, and each once.
+#[tokio::test]
+async fn answered_parts_are_reported_once_per_batch() {
+    let mut task = task();
+    let answered = AnsweredPrompt {
+        parts: vec![1, 2],
+        part_revision: 7,
+    };
+    let events = [(); 2].map(|()| DetectorEvent::PromptAnswered(answered.clone()));
+    let reports = task.evaluate(events.into()).await;
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].command.answered_prompts, vec![answered]);
+}
--- a/crates/savorywalk/src/gateway/crash_report.rs
+++ b/crates/savorywalk/src/gateway/crash_report.rs
@@ -1,6 +1,9 @@
 use super::crash_detector::{CallFailure, DecisionSender, FailedCall};
 use crate::prelude::*;
-use crate::quarantine::{EndpointCrash, MAX_SUSPECTS, QuarantineCommand, RequestDigest};
+use crate::quarantine::{
+    EndpointCrash, MAX_CRASH_PARTS, MAX_PROMPT_PARTS, MAX_SUSPECTS, QuarantineCommand,
+    RequestDigest, SuspectRequest,
+};
 
 /// Maximum number of digests in a log line, about a kilobyte.
 const MAX_LOGGED_DIGESTS: usize = 32;
@@ -16,6 +19,8 @@
     address: Option<SocketAddr>,
     was_cut: bool,
     digests: BTreeSet<RequestDigest>,
+    /// Those of the requests whose prompts have shared parts.
+    prompts: BTreeMap<RequestDigest, SuspectRequest>,
     waiters: Vec<DecisionSender>,
 }
 
@@ -35,6 +40,7 @@
         endpoint.waiters.push(waiter);
         if endpoint.digests.len() < MAX_SUSPECTS {
             endpoint.digests.insert(call.digest);
+            endpoint.add_prompt(call.digest, call.prompt);
         }
     }
 
@@ -69,18 +75,35 @@
     }
 }
 
+impl FailedEndpoint {
+    /// Adds the prompt of a request. Beyond [`MAX_CRASH_PARTS`], further ones are left out.
+    fn add_prompt(&mut self, digest: RequestDigest, prompt: SuspectRequest) {
+        let has_room = self.count_parts() + prompt.parts.len() <= MAX_CRASH_PARTS;
+        if !prompt.parts.is_empty() && has_room {
+            self.prompts.entry(digest).or_default().merge(prompt);
+        }
+    }
+
+    fn count_parts(&self) -> usize {
+        self.prompts.values().map(|prompt| prompt.parts.len()).sum()
+    }
+}
+
 /// Builds the reports of crashes and of the requests in `observed`. Each has at most
-/// [`MAX_SUSPECTS`] digests, since control rejects larger ones.
+/// [`MAX_SUSPECTS`] digests and [`MAX_CRASH_PARTS`] parts, since control rejects larger ones.
 pub(super) fn build_reports(observed: QuarantineCommand, crashes: FailedCalls) -> Vec<CrashReport> {
-    let mut reports = digest_reports(observed);
-    let mut report = reports.pop().unwrap_or_default();
-    let mut digests = report.command.answered.len() + report.command.refused.len();
+    let mut reports = observed_reports(observed);
+    let mut report = CrashReport::default();
+    let (mut digests, mut parts) = (0, 0);
     for (endpoint, failed) in crashes.by_endpoint {
-        if digests + failed.digests.len() > MAX_SUSPECTS {
+        let is_full = digests + failed.digests.len() > MAX_SUSPECTS
+            || parts + failed.count_parts() > MAX_CRASH_PARTS;
+        if is_full {
             reports.push(std::mem::take(&mut report));
-            digests = 0;
+            (digests, parts) = (0, 0);
         }
         digests += failed.digests.len();
+        parts += failed.count_parts();
         report.waiters.extend(failed.waiters);
         report.command.crashes.push(EndpointCrash {
             endpoint,
@@ -89,6 +112,11 @@
                 .iter()
                 .map(|digest| digest.to_bytes())
                 .collect(),
+            prompts: failed
+                .prompts
+                .iter()
+                .map(|(digest, prompt)| prompt.to_prompt(*digest))
+                .collect(),
         });
     }
     reports.push(report);
@@ -96,8 +124,8 @@
     reports
 }
 
-/// Builds the reports of the answered and of the refused requests.
-fn digest_reports(observed: QuarantineCommand) -> Vec<CrashReport> {
+/// Builds the reports of the answered and of the refused requests and parts.
+fn observed_reports(observed: QuarantineCommand) -> Vec<CrashReport> {
     let answered = observed.answered.chunks(MAX_SUSPECTS).map(|answered| {
         let answered = answered.to_vec();
         QuarantineCommand {
@@ -112,7 +140,18 @@
             ..Default::default()
         }
     });
-    let commands = answered.chain(refused);
+    let prompts = observed.answered_prompts;
+    let prompts = prompts.chunks(MAX_CRASH_PARTS / MAX_PROMPT_PARTS);
+    let prompts = prompts.map(|prompts| QuarantineCommand {
+        answered_prompts: prompts.to_vec(),
+        ..Default::default()
+    });
+    let parts = observed.refused_parts.chunks(MAX_CRASH_PARTS);
+    let parts = parts.map(|parts| QuarantineCommand {
+        refused_parts: parts.to_vec(),
+        ..Default::default()
+    });
+    let commands = answered.chain(refused).chain(prompts).chain(parts);
     let reports = commands.map(|command| CrashReport {
         command,
         waiters: Vec::new(),
--- a/crates/savorywalk/src/gateway/crash_report_tests.rs
+++ b/crates/savorywalk/src/gateway/crash_report_tests.rs
@@ -1,6 +1,7 @@
 use tokio::sync::oneshot;
 
 use super::*;
+use crate::quarantine::PartId;
 
 fn digest(number: u64) -> RequestDigest {
     let mut bytes = [0; 16];
@@ -14,9 +15,18 @@
         address: None,
         failure: CallFailure::Cut,
         digest: digest(number),
+        prompt: SuspectRequest {
+            parts: BTreeSet::from([PartId(1), PartId(number)]),
+            ..Default::default()
+        },
     }
 }
 
+fn count_parts(command: &QuarantineCommand) -> usize {
+    let prompts = command.crashes.iter().flat_map(|crash| &crash.prompts);
+    prompts.map(|prompt| prompt.parts.len()).sum()
+}
+
 #[test]
 fn the_digests_in_a_log_line_are_bounded() {
     let mut calls = FailedCalls::default();
@@ -51,6 +61,8 @@
     let sizes: Vec<usize> = sizes.collect();
     assert_eq!(sizes.iter().sum::<usize>(), 2_000);
     assert!(sizes.iter().all(|size| *size <= MAX_SUSPECTS), "{sizes:?}");
+    let parts = reports.iter().map(|report| count_parts(&report.command));
+    assert!(parts.max().is_some_and(|parts| parts <= MAX_CRASH_PARTS));
 }
 
 /// Callers of one workspace may all resend requests that were answered recently.
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -4,7 +4,7 @@
 use hyper::http::response;
 
 use super::call_handler::{GatewayBody, full_body};
-use super::crash_detector::CallFailure;
+use super::crash_detector::{CallFailure, FailedCall};
 use super::endpoint_call::{CallError, EndpointCall, read_complete};
 use super::forward_run::ForwardRun;
 use super::gateway_view::GatewayView;
@@ -15,6 +15,7 @@
     RouteKind, engine_rank,
 };
 use crate::prelude::*;
+use crate::quarantine::SuspectRequest;
 use crate::registry::{BootClock, BootTime};
 use crate::routing::{AttemptReport, OutstandingGuard};
 
@@ -88,16 +89,23 @@
             return Err(self.refuse(NotRunReason::TimeOver));
         }
         let node = Arc::clone(&self.node);
+        let identity = self.identity.clone();
         let chosen = tokio::select! {
-            chosen = self.choose(&view) => chosen,
+            chosen = self.choose(&view) => Some(chosen),
+            () = node.until_quarantined(&identity) => None,
             () = node.stop.until_unsent_refused() => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
         };
+        let Some(chosen) = chosen else {
+            return Err(self.refuse_quarantined());
+        };
         let Some(member) = chosen else {
             return Err(self.refuse_unplaced(&view));
         };
         self.check_quarantine()?;
+        self.list_at_send = self.node.quarantine_list();
+        self.has_answer_begun = false;
         let endpoint = member.endpoint().to_string();
         let guard = self.node.scores.outstanding.begin_attempt(&endpoint);
         let started = Instant::now();
@@ -117,11 +125,13 @@
         let limit = self.head_timeout();
         let sending = self.send_to(&member, last_event);
         let sent = tokio::select! {
-            sent = tokio::time::timeout(limit, sending) => sent,
+            // A request that is quarantined while its connection opens is not sent on it.
+            biased;
             // Cancelling the request may prevent a crash if the endpoint has not begun it.
-            () = self.node.until_quarantined(&self.digest) => {
+            () = self.node.until_quarantined(&self.identity) => {
                 return Err(self.refuse_quarantined());
             }
+            sent = tokio::time::timeout(limit, sending) => sent,
             () = self.node.stop.until_sent_answered() => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
@@ -160,6 +170,7 @@
                 return Ok(AttemptEnd::Lost);
             }
         };
+        self.has_answer_begun = true;
         let open = OpenAnswer {
             response,
             head,
@@ -352,7 +363,7 @@
                 info,
                 "attempt_failed",
                 request = self.context.id,
-                digest = self.digest,
+                digest = self.identity.digest,
                 prompt = self.context.prompt_text(),
                 endpoint = endpoint,
                 reason = reason
@@ -363,10 +374,18 @@
     /// Records that an endpoint may have crashed while it worked on the request.
     pub(super) fn suspect_crash(&mut self, endpoint: &str, failure: CallFailure) {
         let view = self.node.view.load();
-        let pool = &self.context.pool;
-        let decision = self
-            .node
-            .suspect_crash(&view, pool, endpoint, failure, self.digest);
+        let call = FailedCall {
+            endpoint: endpoint.to_string(),
+            address: None,
+            failure,
+            digest: self.identity.digest,
+            prompt: SuspectRequest {
+                parts: BTreeSet::clone(&self.identity.parts),
+                part_revision: self.list_at_send.part_revision(),
+                begun: self.has_answer_begun,
+            },
+        };
+        let decision = self.node.suspect_crash(&view, &self.context.pool, call);
         // After a timeout the resend has waited long enough.
         self.decision = (failure == CallFailure::Cut).then_some(decision);
     }
@@ -423,7 +442,22 @@
     /// where it ends.
     pub(super) fn record_answered(&self, is_delimited: bool) {
         if is_delimited {
-            self.node.crash_detector.record_answered(self.digest);
+            self.node
+                .crash_detector
+                .record_answered(self.identity.digest);
+        }
+    }
+
+    /// Records that an endpoint answered the request successfully and in full, if the answer shows
+    /// where it ends: neither the request nor a part of its prompt crashes endpoints.
+    pub(super) fn record_served(&self, is_delimited: bool) {
+        self.record_answered(is_delimited);
+        let watched = self.list_at_send.watched_parts(&self.identity);
+        if is_delimited && !watched.is_empty() {
+            let revision = self.list_at_send.part_revision();
+            self.node
+                .crash_detector
+                .record_answered_parts(&watched, revision);
         }
     }
 
@@ -456,7 +490,7 @@
             }
             Ok(Ok(body)) => {
                 self.report_success(&open.endpoint, open.started.elapsed());
-                self.record_answered(is_delimited);
+                self.record_served(is_delimited);
                 if self.context.route.kind == RouteKind::Idempotent && is_delimited {
                     let cache = &self.node.connection_cache;
                     cache.put(&open.endpoint, open.call, &open.head);
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -248,6 +248,9 @@
         let working = self.node.exchange.execute_plan(&self.node, request);
         let outcome = tokio::select! {
             outcome = tokio::time::timeout(remaining, working) => outcome,
+            () = self.node.until_quarantined(&self.identity) => {
+                return Err(self.refuse_quarantined());
+            }
             () = self.node.stop.until_unsent_refused() => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
@@ -300,7 +303,7 @@
         let context = &self.context;
         PlanRequest {
             request_id: Arc::clone(&context.id),
-            digest: Some(self.digest),
+            digest: Some(self.identity.digest),
             graph: Arc::clone(&context.route.stages),
             pieces: context.head.piece_counts.as_slice().into(),
             key: context.head.piece_key.as_str().into(),
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -19,7 +19,9 @@
 use super::stream_relay::StreamRelay;
 use super::{GatewayRefusal, NotRunReason, RunLedger};
 use crate::prelude::*;
-use crate::quarantine::{QUARANTINE_TIME, RequestDigest};
+use crate::quarantine::{
+    CrashSuspect, QUARANTINE_TIME, QuarantineList, RequestDigest, RequestIdentity,
+};
 use crate::registry::BootTime;
 
 /// Maximum number of sends of one request, including those that were refused without
@@ -63,7 +65,11 @@
     pub(super) context: RequestContext,
     pub(super) parts: request::Parts,
     pub(super) body: Bytes,
-    pub(super) digest: RequestDigest,
+    pub(super) identity: RequestIdentity,
+    /// The quarantine lists that this entry had at the last send.
+    pub(super) list_at_send: Arc<QuarantineList>,
+    /// Whether the answer to the last send has begun.
+    pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
     pub(super) results: Option<PlanResults>,
     /// Origin of the stream, once it has begun: only its endpoints may continue it.
@@ -90,8 +96,11 @@
     ) -> Self {
         let host = &context.route.host;
         let digest = RequestDigest::from_request(&parts, host, &context.caller, &body);
+        let prompt = context.head.prefix.iter().map(|part| part.id);
         Self {
-            digest,
+            identity: RequestIdentity::new(digest, prompt),
+            list_at_send: Arc::default(),
+            has_answer_begun: false,
             node,
             context,
             parts,
@@ -147,9 +156,9 @@
 
     /// Refuses a quarantined request, at any step of its run.
     pub(super) fn check_quarantine(&self) -> Result<(), GatewayRefusal> {
-        match self.node.is_quarantined(&self.digest) {
-            true => Err(self.refuse_quarantined()),
-            false => Ok(()),
+        match self.node.quarantine_list().find(&self.identity) {
+            Some(_) => Err(self.refuse_quarantined()),
+            None => Ok(()),
         }
     }
 
@@ -163,12 +172,16 @@
     }
 
     pub(super) fn refuse_quarantined(&self) -> GatewayRefusal {
-        self.node.crash_detector.record_refused(self.digest);
+        let suspect = self.node.quarantine_list().find(&self.identity);
+        // A coordinator may have refused the request by a newer list.
+        let suspect = suspect.unwrap_or(CrashSuspect::Request(self.identity.digest));
+        self.node.crash_detector.record_refused(suspect);
         log_event!(
             info,
             "quarantine_met",
             request = self.context.id,
-            digest = self.digest,
+            digest = self.identity.digest,
+            suspect = suspect,
             sends = self.ledger.sends()
         );
         self.refuse(NotRunReason::Quarantined)
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -29,7 +29,7 @@
     EndpointRoster, LoadFeatures, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat,
 };
 use crate::prelude::*;
-use crate::quarantine::RequestDigest;
+use crate::quarantine::QuarantineList;
 use crate::registry::{BootClock, EntryFollower, FollowState};
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkChannel, LinkHub};
@@ -69,8 +69,8 @@
     pub(super) features: LoadFeatures,
     /// Time in which every live endpoint has announced itself.
     report_time: Duration,
-    /// Digests of requests that are not sent to any endpoint.
-    pub(super) quarantine: watch::Sender<Arc<BTreeSet<RequestDigest>>>,
+    /// Requests and prompt parts that are not sent to any endpoint.
+    pub(super) quarantine: watch::Sender<Arc<QuarantineList>>,
     /// Serialises the building of newer views.
     refresh_lock: Mutex<()>,
     /// Maximum age of the view with which keyed requests are accepted.
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::{Notify, mpsc};
 
-use super::crash_detector::CallFailure;
+use super::crash_detector::{CallFailure, FailedCall};
 use super::endpoint_call::CallError;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -14,6 +14,7 @@
     PoolRate, QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
+use crate::quarantine::SuspectRequest;
 
 /// Number of failed calls with a piece after which the piece fails.
 const MAX_FAILURES: u32 = 4;
@@ -397,12 +398,14 @@
         for piece in &call.pieces {
             piece.task.isolate();
             if let Some(digest) = piece.task.digest {
-                let (pool, endpoint) = (&self.pool, &call.endpoint);
-                let failure = CallFailure::Cut;
-                decision = Some(
-                    self.node
-                        .suspect_crash(view, pool, endpoint, failure, digest),
-                );
+                let failed = FailedCall {
+                    endpoint: call.endpoint.to_string(),
+                    address: None,
+                    failure: CallFailure::Cut,
+                    digest,
+                    prompt: SuspectRequest::default(),
+                };
+                decision = Some(self.node.suspect_crash(view, &self.pool, failed));
             }
         }
         if let Some(decision) = decision {
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -134,7 +134,7 @@
                 }
                 RelayStep::Ended(rest) => {
                     self.state = RelayState::Ended;
-                    self.run.record_answered(self.source.is_delimited);
+                    self.run.record_served(self.source.is_delimited);
                     self.log_end(rest.as_ref().map_or(0, Bytes::len));
                     return rest.map(|rest| Ok(Frame::data(rest)));
                 }
@@ -145,7 +145,7 @@
                             info,
                             "stream_broken",
                             request = self.run.context.id,
-                            digest = self.run.digest,
+                            digest = self.run.identity.digest,
                             prompt = self.run.context.prompt_text(),
                             endpoint = self.source.endpoint,
                             last_event = format!("{:?}", self.splitter.last_id()),
@@ -283,7 +283,7 @@
             info,
             "stream_resumed",
             request = self.run.context.id,
-            digest = self.run.digest,
+            digest = self.run.identity.digest,
             prompt = self.run.context.prompt_text(),
             from = self.source.endpoint,
             to = open.endpoint,
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -18,6 +18,7 @@
 };
 use crate::hashing::stable_hash;
 use crate::prelude::*;
+use crate::quarantine::RequestIdentity;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
 
 /// Time for which an unresponsive entry is avoided; by then the registry has reported whether
@@ -427,9 +428,11 @@
     let Some(digest) = request.digest else {
         return admit_and_run(node, shard, request).await;
     };
+    // The entry of the request ends its call when a part of the prompt is quarantined.
+    let identity = RequestIdentity::new(digest, std::iter::empty());
     tokio::select! {
         biased;
-        () = node.until_quarantined(&digest) => Err(PlanFailure::Quarantined),
+        () = node.until_quarantined(&identity) => Err(PlanFailure::Quarantined),
         outcome = admit_and_run(node, shard, request) => outcome,
     }
 }
--- a/crates/savorywalk/src/quarantine/crash_evidence.rs
+++ b/crates/savorywalk/src/quarantine/crash_evidence.rs
@@ -1,41 +1,36 @@
-use super::{CrashRecord, RequestDigest};
+use super::{CrashRecord, PartId, RequestDigest, SuspectRequest};
 use crate::prelude::*;
 
-/// Smallest number of crashes that makes a request a culprit. With two, a request that was
-/// resent once beside a culprit would become one as well.
-const MIN_CULPRIT_CRASHES: usize = 3;
-
 /// Largest number of crashes kept; the oldest is dropped. A few suffice to find a culprit.
 const MAX_CRASHES: usize = 256;
 
 /// Largest number of requests kept for one crash; several times what an engine runs at once.
 pub const MAX_SUSPECTS: usize = 512;
 
-/// Requests that were in progress at each crash of an endpoint, from which the requests that
-/// cause crashes are found.
+/// Largest number of prompt parts kept for one crash, and in one report.
+pub const MAX_CRASH_PARTS: usize = 1_024;
+
+/// Requests that were in progress at each crash of an endpoint, from which the requests and the
+/// prompt parts that cause crashes are found.
 ///
-/// A crash ends all requests at the endpoint, so most of them are victims. The request that was
-/// present at the most crashes is considered their cause. These crashes then no longer count
-/// against the other requests, so a victim that was resent beside a culprit is not blamed.
+/// A crash ends all requests at the endpoint, so most of them are victims. The request, or the
+/// prompt part, that was present at the most crashes is considered their cause. These crashes then
+/// no longer count against the others, so a victim that was resent beside a culprit is not blamed.
+/// See docs/design/quarantine.md and docs/design/quarantined-parts.md.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashEvidence {
-    crashes: VecDeque<Crash>,
-}
-
-/// Requests that the crashes point to.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CrashFindings {
-    /// Requests that were present at enough crashes to be the cause of them.
-    pub candidates: BTreeSet<RequestDigest>,
-    /// Those of the candidates that are considered the cause.
-    pub culprits: BTreeSet<RequestDigest>,
+    crashes: VecDeque<EndpointFailure>,
 }
 
+/// The crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Crash {
+pub(super) struct EndpointFailure {
     endpoint: String,
     index: u64,
-    suspects: BTreeSet<RequestDigest>,
+    /// Requests that were in progress.
+    pub(super) suspects: BTreeSet<RequestDigest>,
+    /// Those of them whose prompts have shared parts.
+    pub(super) prompts: BTreeMap<RequestDigest, SuspectRequest>,
 }
 
 impl CrashEvidence {
@@ -46,19 +41,21 @@
         index: u64,
         endpoint: &str,
         suspects: impl IntoIterator<Item = RequestDigest>,
+        prompts: impl IntoIterator<Item = (RequestDigest, SuspectRequest)>,
     ) {
         let mut crashes = self.crashes.iter_mut();
         if let Some(known) = crashes.find(|crash| crash.endpoint == endpoint) {
             known.index = index;
-            known.add(suspects);
+            known.add(suspects, prompts);
             return;
         }
-        let mut crash = Crash {
+        let mut crash = EndpointFailure {
             endpoint: endpoint.to_string(),
             index,
             suspects: BTreeSet::new(),
+            prompts: BTreeMap::new(),
         };
-        crash.add(suspects);
+        crash.add(suspects, prompts);
         self.crashes.push_back(crash);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_front();
@@ -69,6 +66,15 @@
     pub fn clear(&mut self, digest: &RequestDigest) {
         for crash in &mut self.crashes {
             crash.suspects.remove(digest);
+            crash.prompts.remove(digest);
+        }
+    }
+
+    /// Removes a prompt part from all crashes, because a request with it was answered.
+    pub fn clear_part(&mut self, part: PartId) {
+        let prompts = self.crashes.iter_mut();
+        for prompt in prompts.flat_map(|crash| crash.prompts.values_mut()) {
+            prompt.parts.remove(&part);
         }
     }
 
@@ -77,35 +83,26 @@
         self.crashes.retain(|crash| crash.index > index);
     }
 
-    /// Finds the requests that caused the crashes. Among requests with equally many crashes,
-    /// one that `is_known` as a culprit is chosen first. The next crash corrects a wrong choice,
-    /// since the victim is absent from it.
-    pub fn find_culprits(&self, is_known: impl Fn(&RequestDigest) -> bool) -> CrashFindings {
-        let mut counts: FastMap<RequestDigest, usize> = FastMap::default();
-        for suspect in self.crashes.iter().flat_map(|crash| &crash.suspects) {
-            *counts.entry(*suspect).or_default() += 1;
-        }
-        let mut unexplained: Vec<&Crash> = self.crashes.iter().collect();
-        let mut findings = CrashFindings {
-            candidates: counts
-                .iter()
-                .filter(|(_, count)| **count >= MIN_CULPRIT_CRASHES)
-                .map(|(suspect, _)| *suspect)
-                .collect(),
-            culprits: BTreeSet::new(),
-        };
-        while let Some(culprit) = findings.top_candidate(&counts, &is_known) {
-            let (explained, remaining) = unexplained
-                .into_iter()
-                .partition(|crash| crash.suspects.contains(&culprit));
-            unexplained = remaining;
-            let explained: Vec<&Crash> = explained;
-            for suspect in explained.iter().flat_map(|crash| &crash.suspects) {
-                counts.entry(*suspect).and_modify(|count| *count -= 1);
-            }
-            findings.culprits.insert(culprit);
-        }
-        findings
+    /// The crashes, oldest first.
+    pub(super) fn crashes(&self) -> impl Iterator<Item = &EndpointFailure> {
+        self.crashes.iter()
+    }
+
+    /// Parts that were in every prompt in which `part` was, and that no answer has cleared; `None`
+    /// without evidence of `part`.
+    pub fn companions(&self, part: PartId) -> Option<BTreeSet<PartId>> {
+        let prompts = self
+            .crashes
+            .iter()
+            .flat_map(|crash| crash.prompts.values())
+            .filter(|prompt| prompt.parts.contains(&part));
+        let common = prompts
+            .map(|prompt| prompt.parts.clone())
+            .reduce(|common, parts| &common & &parts);
+        common.map(|mut common| {
+            common.remove(&part);
+            common
+        })
     }
 
     /// Converts the evidence for a snapshot of the log.
@@ -118,16 +115,26 @@
                 .iter()
                 .map(|digest| digest.to_bytes())
                 .collect(),
+            prompts: crash
+                .prompts
+                .iter()
+                .map(|(digest, prompt)| prompt.to_prompt(*digest))
+                .collect(),
         });
         records.collect()
     }
 
     /// Restores the evidence from a snapshot of the log.
     pub fn restore(records: Vec<CrashRecord>) -> Self {
-        let crashes = records.into_iter().map(|record| Crash {
+        let crashes = records.into_iter().map(|record| EndpointFailure {
             endpoint: record.endpoint,
             index: record.index,
             suspects: RequestDigest::read_all(&record.digests).collect(),
+            prompts: record
+                .prompts
+                .iter()
+                .filter_map(SuspectRequest::read)
+                .collect(),
         });
         Self {
             crashes: crashes.collect(),
@@ -135,28 +142,25 @@
     }
 }
 
-impl Crash {
-    fn add(&mut self, suspects: impl IntoIterator<Item = RequestDigest>) {
+impl EndpointFailure {
+    fn add(
+        &mut self,
+        suspects: impl IntoIterator<Item = RequestDigest>,
+        prompts: impl IntoIterator<Item = (RequestDigest, SuspectRequest)>,
+    ) {
         for suspect in suspects {
             if self.suspects.len() < MAX_SUSPECTS {
                 self.suspects.insert(suspect);
             }
         }
-    }
-}
-
-impl CrashFindings {
-    /// The candidate with the most unexplained crashes, if they are enough to blame it.
-    fn top_candidate(
-        &self,
-        counts: &FastMap<RequestDigest, usize>,
-        is_known: impl Fn(&RequestDigest) -> bool,
-    ) -> Option<RequestDigest> {
-        let count = |suspect: &RequestDigest| counts.get(suspect).copied().unwrap_or(0);
-        let candidates = self.candidates.iter();
-        let top = candidates.max_by_key(|suspect| (count(suspect), is_known(suspect), **suspect));
-        top.copied()
-            .filter(|suspect| count(suspect) >= MIN_CULPRIT_CRASHES)
+        let mut parts: usize = self.prompts.values().map(|prompt| prompt.parts.len()).sum();
+        for (digest, prompt) in prompts {
+            parts += prompt.parts.len();
+            if parts > MAX_CRASH_PARTS || self.prompts.len() >= MAX_SUSPECTS {
+                return;
+            }
+            self.prompts.entry(digest).or_default().merge(prompt);
+        }
     }
 }
 
--- a/crates/savorywalk/src/quarantine/quarantine_register.rs
+++ b/crates/savorywalk/src/quarantine/quarantine_register.rs
@@ -1,13 +1,14 @@
 use super::{
-    CrashEvidence, QuarantineCommand, QuarantineOutcome, QuarantineSnapshot, QuarantinedRequest,
-    RequestDigest,
+    CrashEvidence, CrashSuspect, PartId, PartRegister, QuarantineCommand, QuarantineOutcome,
+    QuarantineSnapshot, QuarantinedRequest, RequestDigest, SuspectRequest,
 };
 use crate::prelude::*;
 
 /// Largest number of requests in quarantine; the least recently received one is removed.
 const MAX_REQUESTS: usize = 1_024;
 
-/// Requests in quarantine, which no entry sends to an endpoint, and the evidence against them.
+/// Requests and prompt parts in quarantine, which no entry sends to an endpoint, and the evidence
+/// against them.
 ///
 /// The register is a part of the replicated state, so it survives the loss of every process. It
 /// holds no times; the age of its records follows from their log indexes.
@@ -17,9 +18,15 @@
     evidence: CrashEvidence,
     /// Log index at which each request was last received.
     requests: BTreeMap<RequestDigest, u64>,
+    parts: PartRegister,
 }
 
 impl QuarantineRegister {
+    /// Prompt parts that are watched, and those in quarantine.
+    pub fn parts(&self) -> &PartRegister {
+        &self.parts
+    }
+
     /// Revision of the set of requests in quarantine; each command that changes it increases it.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -35,9 +42,11 @@
         self.requests.contains_key(digest)
     }
 
-    /// Applies the command at `index` of the log, and returns which requests it added and removed.
+    /// Applies the command at `index` of the log, and returns which requests and parts it added and
+    /// removed.
     pub fn apply(&mut self, index: u64, command: &QuarantineCommand) -> QuarantineOutcome {
         let before: BTreeSet<RequestDigest> = self.requests.keys().copied().collect();
+        let parts_before = self.parts.clone();
         for digest in RequestDigest::read_all(&command.answered) {
             self.evidence.clear(&digest);
             self.requests.remove(&digest);
@@ -47,13 +56,31 @@
                 *last = index;
             }
         }
+        self.apply_parts(index, command);
         for crash in &command.crashes {
             let suspects = RequestDigest::read_all(&crash.digests);
-            self.evidence.record(index, &crash.endpoint, suspects);
+            let prompts = crash.prompts.iter().filter_map(SuspectRequest::read);
+            self.evidence
+                .record(index, &crash.endpoint, suspects, prompts);
         }
         self.remove_through(command.forget_through);
-        self.update_requests(index);
-        self.outcome(&before)
+        self.update_culprits(index);
+        self.parts.set_revision(index, &parts_before);
+        self.outcome(&before, &parts_before)
+    }
+
+    /// Applies what a command reports of answered and of refused prompts.
+    fn apply_parts(&mut self, index: u64, command: &QuarantineCommand) {
+        for prompt in &command.answered_prompts {
+            for part in prompt.parts.iter().copied().map(PartId) {
+                if self.parts.clear(part, prompt.part_revision) {
+                    self.evidence.clear_part(part);
+                }
+            }
+        }
+        for part in command.refused_parts.iter().copied().map(PartId) {
+            self.parts.record_refused(index, part);
+        }
     }
 
     /// Whether any crash or request was last recorded at `index` or before.
@@ -66,20 +93,27 @@
     fn remove_through(&mut self, index: u64) {
         self.evidence.remove_through(index);
         self.requests.retain(|_, last| *last > index);
+        self.parts.remove_through(index);
     }
 
-    fn update_requests(&mut self, index: u64) {
-        let requests = &self.requests;
-        let findings = self
-            .evidence
-            .find_culprits(|digest| requests.contains_key(digest));
+    fn update_culprits(&mut self, index: u64) {
+        let (requests, parts) = (&self.requests, &self.parts);
+        let is_known = |suspect: &CrashSuspect| match suspect {
+            CrashSuspect::Request(digest) => requests.contains_key(digest),
+            CrashSuspect::Part(part) => parts.contains(*part),
+        };
+        let findings = self.evidence.find_culprits(parts.watched(), is_known);
         // Releases requests that, by later crashes, were only victims beside a culprit.
         self.requests.retain(|digest, _| {
-            findings.culprits.contains(digest) || !findings.candidates.contains(digest)
+            let suspect = CrashSuspect::Request(*digest);
+            findings.culprits.contains(&suspect) || !findings.candidates.contains(&suspect)
         });
-        for culprit in findings.culprits {
-            self.requests.entry(culprit).or_insert(index);
+        for culprit in &findings.culprits {
+            if let CrashSuspect::Request(digest) = culprit {
+                self.requests.entry(*digest).or_insert(index);
+            }
         }
+        self.parts.update(index, &findings, &self.evidence);
         while self.requests.len() > MAX_REQUESTS {
             let oldest = self.requests.iter().min_by_key(|(_, last)| **last);
             let Some(digest) = oldest.map(|(digest, _)| *digest) else {
@@ -90,7 +124,11 @@
         }
     }
 
-    fn outcome(&mut self, before: &BTreeSet<RequestDigest>) -> QuarantineOutcome {
+    fn outcome(
+        &mut self,
+        before: &BTreeSet<RequestDigest>,
+        parts_before: &PartRegister,
+    ) -> QuarantineOutcome {
         let added = self.requests.keys();
         let added = added.filter(|digest| !before.contains(digest));
         let removed = before.iter();
@@ -104,6 +142,9 @@
             revision: self.revision,
             added,
             removed,
+            part_revision: self.parts.revision(),
+            added_parts: self.parts.quarantines_since(parts_before),
+            removed_parts: self.parts.released_since(parts_before),
         }
     }
 
@@ -118,6 +159,9 @@
             revision: self.revision,
             crashes: self.evidence.snapshot(),
             requests: requests.collect(),
+            part_revision: self.parts.revision(),
+            watched_parts: self.parts.watched_snapshot(),
+            quarantined_parts: self.parts.quarantine_snapshot(),
         }
     }
 
@@ -131,6 +175,11 @@
             revision: snapshot.revision,
             evidence: CrashEvidence::restore(snapshot.crashes),
             requests: requests.collect(),
+            parts: PartRegister::restore(
+                snapshot.part_revision,
+                &snapshot.watched_parts,
+                snapshot.quarantined_parts,
+            ),
         }
     }
 }
--- a/crates/savorywalk/src/quarantine/quarantine_register_tests.rs
+++ b/crates/savorywalk/src/quarantine/quarantine_register_tests.rs
@@ -14,6 +14,7 @@
         crashes: vec![EndpointCrash {
             endpoint: endpoint.into(),
             digests: digests.iter().map(|number| bytes(*number)).collect(),
+            prompts: Vec::new(),
         }],
         ..Default::default()
     }
@@ -99,6 +100,7 @@
         let crashes = (0..3).map(|endpoint| EndpointCrash {
             endpoint: format!("e-{number}-{endpoint}"),
             digests: vec![Bytes::copy_from_slice(&digest)],
+            prompts: Vec::new(),
         });
         let command = QuarantineCommand {
             crashes: crashes.collect(),
--- a/crates/savorywalk/src/registry/entry_follower.rs
+++ b/crates/savorywalk/src/registry/entry_follower.rs
@@ -192,10 +192,15 @@
         }
     }
 
-    /// Waits until the quarantine list has arrived here in at least `revision`.
-    pub async fn wait_for_quarantine(&self, revision: u64) {
+    /// Waits until the quarantine lists have arrived here in at least the revisions of `outcome`.
+    pub async fn wait_for_quarantine(&self, outcome: &QuarantineOutcome) {
         let mut changes = self.change_count.subscribe();
-        let reached = |_: &u64| self.read(FollowState::quarantine_revision) >= revision;
+        let reached = |_: &u64| {
+            self.read(|state| {
+                let list = state.quarantine();
+                list.revision() >= outcome.revision && list.part_revision() >= outcome.part_revision
+            })
+        };
         if changes.wait_for(reached).await.is_err() {
             log_event!(debug, "follower_ended");
         }
--- a/crates/savorywalk/src/registry/fleet_simulation/resent_request.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/resent_request.rs
@@ -1,7 +1,7 @@
 use super::SimulatedFleet;
 use super::simulated_fleet::FleetEvent;
 use crate::prelude::*;
-use crate::quarantine::{EndpointCrash, QuarantineCommand, RequestDigest};
+use crate::quarantine::{EndpointCrash, QuarantineCommand, RequestDigest, RequestIdentity};
 
 /// Time between a crash and its report by the entry: until the call fails, the endpoint is
 /// probed and the failures of other calls are collected.
@@ -23,10 +23,9 @@
     /// Delivers the request to an entry, which sends it to an endpoint unless it is
     /// quarantined there.
     pub(super) fn resend(&mut self, entry: usize) {
-        let is_quarantined = self.entries[entry]
-            .state
-            .quarantine()
-            .contains(&crashing_request());
+        let identity = RequestIdentity::new(crashing_request(), std::iter::empty());
+        let list = self.entries[entry].state.quarantine();
+        let is_quarantined = list.find(&identity).is_some();
         if is_quarantined {
             return;
         }
@@ -36,6 +35,7 @@
             crashes: vec![EndpointCrash {
                 endpoint: format!("crashed-{}", self.crashes),
                 digests: vec![crashing_request().to_bytes()],
+                prompts: Vec::new(),
             }],
             ..Default::default()
         };
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_registry.rs
@@ -124,6 +124,7 @@
             number: self.documents.number(),
             retired_total: self.documents.retired_total(),
             quarantine_revision: self.quarantine.revision(),
+            part_revision: self.quarantine.parts().revision(),
             evacuation_revision: self.evacuations.revision(),
         };
         call.is_behind(revisions, &self.table)
--- a/crates/savorywalk/src/registry/follow_reply.rs
+++ b/crates/savorywalk/src/registry/follow_reply.rs
@@ -27,6 +27,7 @@
         revisions.number > self.document_number
             || revisions.retired_total > self.retired_total
             || revisions.quarantine_revision > self.quarantine_revision
+            || revisions.part_revision > self.part_revision
             || revisions.evacuation_revision > self.evacuation_revision
             || table.epoch() != self.table_epoch
             || table.published() > self.table_revision
@@ -55,12 +56,19 @@
         self.retired = retired.cloned().collect();
     }
 
-    /// Adds the requests in quarantine if the follower has an older revision.
+    /// Adds the requests in quarantine, and the watched and quarantined prompt parts, if the
+    /// follower has an older revision.
     pub(super) fn add_quarantine(&mut self, call: &FollowCall, register: &QuarantineRegister) {
         self.quarantine_revision = register.revision();
         if register.revision() > call.quarantine_revision {
             self.quarantined = register.digests().map(|digest| digest.to_bytes()).collect();
         }
+        let parts = register.parts();
+        self.part_revision = parts.revision();
+        if parts.revision() > call.part_revision {
+            self.watched_parts = parts.watched().keys().map(|part| part.0).collect();
+            self.quarantined_parts = parts.quarantines().collect();
+        }
     }
 
     /// Adds the evacuations if the follower has an older revision.
--- a/crates/savorywalk/src/registry/follow_state.rs
+++ b/crates/savorywalk/src/registry/follow_state.rs
@@ -6,7 +6,7 @@
 use crate::evacuation::EvacuationView;
 use crate::hashing::stable_hash;
 use crate::prelude::*;
-use crate::quarantine::RequestDigest;
+use crate::quarantine::QuarantineList;
 use crate::transport::PeerName;
 
 /// Announcement intervals for which an endpoint is kept that the followed daemon does not
@@ -82,7 +82,7 @@
     pub endpoints: bool,
     /// Entries were added or removed, or their capacities changed.
     pub entries: bool,
-    /// The list of requests in quarantine has a new revision.
+    /// The list of requests or that of prompt parts in quarantine has a new revision.
     pub quarantine: bool,
     /// Evacuations began or ended.
     pub evacuations: bool,
@@ -113,8 +113,7 @@
     changed: BTreeSet<String>,
     /// `born_ms` of the latest retired incarnation of each endpoint.
     retired: FastMap<String, u64>,
-    quarantine_revision: u64,
-    quarantine: Arc<BTreeSet<RequestDigest>>,
+    quarantine: Arc<QuarantineList>,
     evacuations: EvacuationView,
     announce_interval: Option<Duration>,
 }
@@ -143,7 +142,8 @@
             entry: true,
             leaving: false,
             entries_digest: self.entries_digest,
-            quarantine_revision: self.quarantine_revision,
+            quarantine_revision: self.quarantine.revision(),
+            part_revision: self.quarantine.part_revision(),
             evacuation_revision: self.evacuations.revision(),
             endpoints_digest: self.digests.root(),
             comparison: self.comparison,
@@ -205,12 +205,7 @@
             0
         };
         self.entries_revision = reply.entries_revision;
-        if reply.quarantine_revision > self.quarantine_revision {
-            self.quarantine_revision = reply.quarantine_revision;
-            let digests = RequestDigest::read_all(&reply.quarantined);
-            self.quarantine = Arc::new(digests.collect());
-            update.quarantine = true;
-        }
+        update.quarantine = self.apply_quarantine(&reply);
         update.evacuations = self.evacuations.apply(
             Instant::now(),
             reply.evacuation_revision,
@@ -226,6 +221,22 @@
         update
     }
 
+    /// Applies newer quarantine lists; returns whether there were any.
+    fn apply_quarantine(&mut self, reply: &FollowReply) -> bool {
+        let is_newer = reply.quarantine_revision > self.quarantine.revision()
+            || reply.part_revision > self.quarantine.part_revision();
+        if is_newer {
+            let list = Arc::make_mut(&mut self.quarantine);
+            list.apply_requests(reply.quarantine_revision, &reply.quarantined);
+            list.apply_parts(
+                reply.part_revision,
+                &reply.watched_parts,
+                &reply.quarantined_parts,
+            );
+        }
+        is_newer
+    }
+
     fn confirm(&mut self, at: BootTime) {
         let before = self.confirmation.map(|confirmation| confirmation.at);
         self.confirmation = Some(Confirmation {
@@ -462,13 +473,8 @@
         self.confirmation.map(|confirmation| confirmation.at)
     }
 
-    /// Revision of the quarantine; 0 for none.
-    pub fn quarantine_revision(&self) -> u64 {
-        self.quarantine_revision
-    }
-
-    /// Requests in quarantine, which are sent to no endpoint.
-    pub fn quarantine(&self) -> &Arc<BTreeSet<RequestDigest>> {
+    /// Requests and prompt parts in quarantine, which are sent to no endpoint, and watched parts.
+    pub fn quarantine(&self) -> &Arc<QuarantineList> {
         &self.quarantine
     }
 
--- a/crates/savorywalk/src/registry/quarantine_batcher.rs
+++ b/crates/savorywalk/src/registry/quarantine_batcher.rs
@@ -1,7 +1,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::prelude::*;
-use crate::quarantine::{MAX_SUSPECTS, QuarantineCommand, QuarantineOutcome, RequestDigest};
+use crate::quarantine::{
+    MAX_CRASH_PARTS, MAX_SUSPECTS, QuarantineCommand, QuarantineOutcome, RequestDigest,
+    SuspectRequest,
+};
 
 /// Maximum number of waiting reports, more than the entries that may follow one daemon in a
 /// fleet of the target size.
@@ -14,6 +17,9 @@
 /// Number of digests in a command, some 16 KB, from which no more reports are added.
 const MAX_COMMAND_DIGESTS: usize = 1_024;
 
+/// Number of prompt parts in a command, some 16 KB, from which no more reports are added.
+const MAX_COMMAND_PARTS: usize = 2_048;
+
 /// Maximum length of an incarnation's name; usual names have a few dozen bytes.
 const MAX_NAME_BYTES: usize = 256;
 
@@ -60,6 +66,8 @@
     has_names
         && report.forget_through == 0
         && count_digests(report) <= MAX_SUSPECTS
+        && count_parts(report) <= MAX_CRASH_PARTS
+        && has_readable_prompts(report)
         && digests.all(|digest| RequestDigest::from_bytes(digest).is_some())
 }
 
@@ -75,6 +83,7 @@
         let mut callers = vec![reply];
         tokio::time::sleep(BATCH_TIME).await;
         while count_digests(&command) < MAX_COMMAND_DIGESTS
+            && count_parts(&command) < MAX_COMMAND_PARTS
             && let Ok((report, reply)) = reports.try_recv()
         {
             merge(&mut command, report);
@@ -95,16 +104,35 @@
     crash_digests + report.answered.len() + report.refused.len()
 }
 
+/// Number of prompt parts in a report; a prompt without any counts as one.
+fn count_parts(report: &QuarantineCommand) -> usize {
+    let prompts = report.crashes.iter().flat_map(|crash| &crash.prompts);
+    let suspected: usize = prompts.map(|prompt| prompt.parts.len().max(1)).sum();
+    let answered = report.answered_prompts.iter();
+    let answered: usize = answered.map(|prompt| prompt.parts.len().max(1)).sum();
+    suspected + answered + report.refused_parts.len()
+}
+
+fn has_readable_prompts(report: &QuarantineCommand) -> bool {
+    let mut prompts = report.crashes.iter().flat_map(|crash| &crash.prompts);
+    prompts.all(|prompt| SuspectRequest::read(prompt).is_some())
+}
+
 fn merge(command: &mut QuarantineCommand, report: QuarantineCommand) {
     for crash in report.crashes {
         let mut known = command.crashes.iter_mut();
         match known.find(|known| known.endpoint == crash.endpoint) {
-            Some(known) => known.digests.extend(crash.digests),
+            Some(known) => {
+                known.digests.extend(crash.digests);
+                known.prompts.extend(crash.prompts);
+            }
             None => command.crashes.push(crash),
         }
     }
     command.answered.extend(report.answered);
     command.refused.extend(report.refused);
+    command.answered_prompts.extend(report.answered_prompts);
+    command.refused_parts.extend(report.refused_parts);
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/registry/quarantine_batcher_tests.rs
+++ b/crates/savorywalk/src/registry/quarantine_batcher_tests.rs
@@ -12,6 +12,7 @@
         crashes: vec![EndpointCrash {
             endpoint: endpoint.into(),
             digests: vec![digest(number)],
+            prompts: Vec::new(),
         }],
         ..Default::default()
     }
--- a/crates/savorywalk/src/registry/quarantine_service.rs
+++ b/crates/savorywalk/src/registry/quarantine_service.rs
@@ -3,7 +3,7 @@
 use crate::generated::control_link::control_response::Response;
 use crate::prelude::*;
 use crate::quarantine::{
-    IndexAges, QUARANTINE_TIME, QuarantineCommand, QuarantineOutcome, RequestDigest,
+    IndexAges, PartQuarantine, QUARANTINE_TIME, QuarantineCommand, QuarantineOutcome, RequestDigest,
 };
 
 /// Time between two checks for outdated quarantine records.
@@ -44,7 +44,10 @@
                     crashes = crashes,
                     revision = outcome.revision,
                     added = format_digests(&outcome.added),
-                    removed = format_digests(&outcome.removed)
+                    removed = format_digests(&outcome.removed),
+                    part_revision = outcome.part_revision,
+                    added_parts = format_quarantines(&outcome.added_parts),
+                    removed_parts = format_parts(&outcome.removed_parts)
                 );
                 Some(outcome)
             }
@@ -95,6 +98,24 @@
     }
 }
 
+/// Formats parts for a log line, each followed by its companions.
+fn format_quarantines(quarantines: &[PartQuarantine]) -> String {
+    let texts: Vec<String> = quarantines
+        .iter()
+        .map(|quarantine| match quarantine.companions.as_slice() {
+            [] => format!("{:x}", quarantine.part),
+            companions => format!("{:x}+{}", quarantine.part, format_parts(companions)),
+        })
+        .collect();
+    texts.join(",")
+}
+
+/// Formats ids of parts for a log line.
+fn format_parts(parts: &[u64]) -> String {
+    let texts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    texts.join("+")
+}
+
 /// Formats digests for a log line.
 fn format_digests(digests: &[Bytes]) -> String {
     let digests = RequestDigest::read_all(digests);
--- a/crates/savorywalk/src/registry/voter_supervisor.rs
+++ b/crates/savorywalk/src/registry/voter_supervisor.rs
@@ -92,6 +92,7 @@
             let is_new = revisions.number > published.number
                 || revisions.retired_total > published.retired_total
                 || revisions.quarantine_revision > published.quarantine_revision
+                || revisions.part_revision > published.part_revision
                 || revisions.evacuation_revision > published.evacuation_revision;
             if is_new {
                 *published = revisions;
