Blame the part at fault before the popular one beside it; simulation of prompts

Cause: only a part with which a request had crashed an engine while it was watched could be a candidate. Requests with the popular part are sent at every moment, so it had one first. And the reports of a crash arrive one by one: a victim's before the culprit's makes the popular part the one with the most crashes, and the right one was released and had to be proven anew.

Change: the search ranks parts before it asks for a proof; one that has none yet explains its crashes for other parts, but is not quarantined. Several requests with a part at one crash count against its score. A part that another one explains stays watched. An answer to a request that was sent before its part was watched disputes the part, which then takes six crashes. Parts stay watched also where a request explains the crashes, since it may have been blamed for its part.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -452,7 +452,7 @@
     /// where it ends: neither the request nor a part of its prompt crashes endpoints.
     pub(super) fn record_served(&self, is_delimited: bool) {
         self.record_answered(is_delimited);
-        let watched = self.list_at_send.watched_parts(&self.identity);
+        let watched = self.node.quarantine_list().watched_parts(&self.identity);
         if is_delimited && !watched.is_empty() {
             let revision = self.list_at_send.part_revision();
             self.node
--- a/crates/savorywalk/src/quarantine/culprit_search.rs
+++ b/crates/savorywalk/src/quarantine/culprit_search.rs
@@ -1,7 +1,7 @@
 use std::cmp::Reverse;
 
 use super::crash_evidence::EndpointFailure;
-use super::{CrashEvidence, PartId, RequestDigest};
+use super::{CrashEvidence, PartId, PartWatch, RequestDigest};
 use crate::prelude::*;
 
 /// Smallest number of crashes that makes a request or a part a culprit. With two, a request that
@@ -12,7 +12,11 @@
 /// is blamed itself.
 const MIN_PART_REQUESTS: usize = 2;
 
-/// Number of unexplained crashes from which a part is watched.
+/// Smallest number of crashes that makes a part a culprit if an answer disputes it. By then, answers
+/// to requests that were sent while it was watched have cleared a sound part.
+const MIN_DISPUTED_CRASHES: usize = 6;
+
+/// Number of crashes from which a part is watched, if no other part explains them.
 const WATCH_CRASHES: usize = 2;
 
 /// What may cause crashes.
@@ -40,20 +44,23 @@
     pub candidates: BTreeSet<CrashSuspect>,
     /// Those of the candidates that are considered the cause.
     pub culprits: BTreeSet<CrashSuspect>,
-    /// Parts at crashes that no culprit explains, with the number of these crashes.
+    /// Parts at crashes that no other part explains, with the number of these crashes. A request
+    /// that explains them may itself have been blamed for one of its parts.
     pub open_parts: BTreeMap<PartId, usize>,
+    /// Parts that were at as many crashes, whatever explains these.
+    pub present_parts: BTreeSet<PartId>,
 }
 
 impl CrashEvidence {
-    /// Finds the requests and the parts that caused the crashes. Among suspects of one kind that
-    /// explain equally many crashes, one that `is_known` as a culprit is chosen first. The next
-    /// crash corrects a wrong choice, since the victim is absent from it.
+    /// Finds the requests and the parts that caused the crashes. Among suspects of one kind to which
+    /// they point equally, one that `is_known` as a culprit is chosen first. The next crash corrects
+    /// a wrong choice, since the victim is absent from it.
     ///
-    /// `watched` names the watched parts and the revision of the part lists since which each is.
-    /// Only a part that crashed an endpoint while it was watched can be a culprit.
+    /// Only one of the `watched` parts can be a culprit, if it crashed an endpoint since then. Until
+    /// it has, other parts are not blamed for the same crashes, but requests are.
     pub fn find_culprits(
         &self,
-        watched: &BTreeMap<PartId, u64>,
+        watched: &BTreeMap<PartId, PartWatch>,
         is_known: impl Fn(&CrashSuspect) -> bool,
     ) -> CrashFindings {
         CulpritSearch::new(self, watched, is_known).run()
@@ -63,14 +70,18 @@
 /// The search for culprits among the suspects of all crashes.
 struct CulpritSearch<'a, F> {
     crashes: Vec<&'a EndpointFailure>,
-    watched: &'a BTreeMap<PartId, u64>,
+    watched: &'a BTreeMap<PartId, PartWatch>,
     is_known: F,
     /// Unexplained crashes at which each suspect was present, by position.
     presence: BTreeMap<CrashSuspect, BTreeSet<usize>>,
 }
 
 impl<'a, F: Fn(&CrashSuspect) -> bool> CulpritSearch<'a, F> {
-    fn new(evidence: &'a CrashEvidence, watched: &'a BTreeMap<PartId, u64>, is_known: F) -> Self {
+    fn new(
+        evidence: &'a CrashEvidence,
+        watched: &'a BTreeMap<PartId, PartWatch>,
+        is_known: F,
+    ) -> Self {
         let crashes: Vec<&EndpointFailure> = evidence.crashes().collect();
         let mut presence: BTreeMap<CrashSuspect, BTreeSet<usize>> = BTreeMap::new();
         for (position, crash) in crashes.iter().enumerate() {
@@ -88,17 +99,20 @@
 
     fn run(mut self) -> CrashFindings {
         let suspects = self.presence.keys().copied();
+        let candidates = suspects.filter(|suspect| self.is_candidate(suspect));
         let mut findings = CrashFindings {
-            candidates: suspects
-                .filter(|suspect| self.is_candidate(suspect))
-                .collect(),
+            candidates: candidates.collect(),
+            present_parts: self.present_parts(),
             ..Default::default()
         };
-        while let Some(culprit) = self.top_candidate(&findings.candidates) {
-            self.explain(culprit);
-            findings.culprits.insert(culprit);
+        while let Some(suspect) = self.top_candidate(&findings.candidates) {
+            let is_proven = self.is_proven(&suspect);
+            self.explain(suspect, is_proven);
+            if is_proven {
+                findings.culprits.insert(suspect);
+            }
         }
-        findings.open_parts = self.open_parts();
+        findings.open_parts = self.open_parts(&findings.culprits);
         findings
     }
 
@@ -118,12 +132,27 @@
         }
         match suspect {
             CrashSuspect::Request(_) => true,
-            CrashSuspect::Part(part) => {
-                self.count_requests(suspect) >= MIN_PART_REQUESTS && self.crashed_watched(*part)
-            }
+            CrashSuspect::Part(_) => self.count_requests(suspect) >= MIN_PART_REQUESTS,
         }
     }
 
+    /// Whether an answer disputes a suspect, and its crashes are too few in spite of it.
+    fn is_disputed(&self, suspect: &CrashSuspect) -> bool {
+        let CrashSuspect::Part(part) = suspect else {
+            return false;
+        };
+        let watch = self.watched.get(part);
+        watch.is_some_and(|watch| watch.is_disputed) && self.count(suspect) < MIN_DISPUTED_CRASHES
+    }
+
+    /// How strongly the crashes point to a suspect. The cause of a crash is one request, so a part
+    /// that several requests at one crash have is more likely to be a popular one beside it.
+    fn score(&self, suspect: &CrashSuspect) -> isize {
+        let crashes = self.count(suspect);
+        let surplus = self.count_requests(suspect).saturating_sub(crashes);
+        2 * crashes as isize - surplus as isize
+    }
+
     /// Number of different requests with a suspect at its crashes.
     fn count_requests(&self, suspect: &CrashSuspect) -> usize {
         let CrashSuspect::Part(part) = suspect else {
@@ -151,26 +180,29 @@
         self.presence_of(suspect).filter(had_begun).count()
     }
 
-    /// Whether a request that was sent while the part was watched is among those at its crashes.
-    fn crashed_watched(&self, part: PartId) -> bool {
-        let Some(since) = self.watched.get(&part) else {
+    /// Whether a suspect is a request, or a part with which a request was sent that crashed an
+    /// endpoint while the part was watched.
+    fn is_proven(&self, suspect: &CrashSuspect) -> bool {
+        let CrashSuspect::Part(part) = suspect else {
+            return true;
+        };
+        let Some(watch) = self.watched.get(part) else {
             return false;
         };
-        let suspect = CrashSuspect::Part(part);
-        let crashes = self.presence_of(&suspect);
+        let crashes = self.presence_of(suspect);
         let mut prompts = crashes.flat_map(|crash| crash.prompts.values());
-        prompts.any(|prompt| prompt.part_revision >= *since && prompt.parts.contains(&part))
+        prompts.any(|prompt| prompt.part_revision >= watch.since && prompt.parts.contains(part))
     }
 
-    /// The candidate that explains the most crashes, if they still suffice to blame it.
+    /// The candidate to which the crashes point most strongly, if they still suffice to blame it.
     fn top_candidate(&self, candidates: &BTreeSet<CrashSuspect>) -> Option<CrashSuspect> {
         let candidates = candidates.iter();
-        let remaining = candidates.filter(|suspect| self.is_candidate(suspect));
+        let remaining =
+            candidates.filter(|suspect| self.is_candidate(suspect) && !self.is_disputed(suspect));
         let top = remaining.max_by_key(|suspect| {
             (
-                self.count(suspect),
+                self.score(suspect),
                 matches!(suspect, CrashSuspect::Request(_)),
-                // A part that many requests have is more likely to be beside the cause.
                 Reverse(self.count_requests(suspect)),
                 (self.is_known)(suspect),
                 self.count_begun(suspect),
@@ -180,26 +212,43 @@
         top.copied()
     }
 
-    /// Removes the crashes that a culprit explains from those of all suspects.
-    fn explain(&mut self, culprit: CrashSuspect) {
+    /// Removes the crashes that a suspect explains from those of the others. One that is not proven
+    /// yet explains nothing for requests.
+    fn explain(&mut self, culprit: CrashSuspect, is_proven: bool) {
         for position in self.presence.remove(&culprit).into_iter().flatten() {
             for suspect in suspects_of(self.crashes[position]) {
-                if let Some(presence) = self.presence.get_mut(&suspect) {
+                let is_explained = is_proven || matches!(suspect, CrashSuspect::Part(_));
+                if let Some(presence) = self.presence.get_mut(&suspect).filter(|_| is_explained) {
                     presence.remove(&position);
                 }
             }
         }
     }
 
-    fn open_parts(&self) -> BTreeMap<PartId, usize> {
+    fn present_parts(&self) -> BTreeSet<PartId> {
         let presence = self.presence.iter();
-        let open = presence.filter_map(|(suspect, crashes)| match suspect {
-            CrashSuspect::Part(part) if crashes.len() >= WATCH_CRASHES => {
-                Some((*part, crashes.len()))
-            }
+        let present = presence.filter_map(|(suspect, crashes)| match suspect {
+            CrashSuspect::Part(part) if crashes.len() >= WATCH_CRASHES => Some(*part),
             CrashSuspect::Part(_) | CrashSuspect::Request(_) => None,
         });
-        open.collect()
+        present.collect()
+    }
+
+    fn open_parts(&self, culprits: &BTreeSet<CrashSuspect>) -> BTreeMap<PartId, usize> {
+        let mut counts = BTreeMap::new();
+        for crash in &self.crashes {
+            let prompts = crash.prompts.values();
+            let parts: BTreeSet<PartId> =
+                prompts.flat_map(|prompt| &prompt.parts).copied().collect();
+            let is_culprit = |part: &PartId| culprits.contains(&CrashSuspect::Part(*part));
+            if !parts.iter().any(is_culprit) {
+                parts
+                    .iter()
+                    .for_each(|part| *counts.entry(*part).or_default() += 1);
+            }
+        }
+        counts.retain(|_, count| *count >= WATCH_CRASHES);
+        counts
     }
 }
 
--- a/crates/savorywalk/src/quarantine/mod.rs
+++ b/crates/savorywalk/src/quarantine/mod.rs
@@ -22,7 +22,7 @@
 pub use culprit_search::{CrashFindings, CrashSuspect};
 pub use index_ages::IndexAges;
 pub use part_id::PartId;
-pub use part_register::PartRegister;
+pub use part_register::{PartRegister, PartWatch};
 pub use quarantine_list::QuarantineList;
 pub use quarantine_register::QuarantineRegister;
 pub use request_digest::RequestDigest;
--- a/crates/savorywalk/src/quarantine/part_register.rs
+++ b/crates/savorywalk/src/quarantine/part_register.rs
@@ -10,13 +10,21 @@
 /// Largest number of parts in quarantine; the least recently received one is removed.
 const MAX_PART_QUARANTINES: usize = 256;
 
+/// What is known of a watched part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartWatch {
+    /// Index of the command since which it is watched.
+    pub since: u64,
+    /// Whether a request with it, which was sent before, has been answered since then.
+    pub is_disputed: bool,
+}
+
 /// Prompt parts that are watched, and those in quarantine, as a part of the replicated state.
 /// See docs/design/quarantined-parts.md.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartRegister {
     revision: u64,
-    /// Index of the command since which each part is watched.
-    watched: BTreeMap<PartId, u64>,
+    watched: BTreeMap<PartId, PartWatch>,
     quarantined: BTreeMap<PartId, HeldPart>,
 }
 
@@ -35,8 +43,8 @@
         self.revision
     }
 
-    /// The watched parts, with the revision since which each is watched.
-    pub fn watched(&self) -> &BTreeMap<PartId, u64> {
+    /// The watched parts.
+    pub fn watched(&self) -> &BTreeMap<PartId, PartWatch> {
         &self.watched
     }
 
@@ -53,11 +61,14 @@
         })
     }
 
-    /// Clears a part if it was watched at `revision`, at which a request with it was sent that has
-    /// been answered. Returns whether it was.
-    pub(super) fn clear(&mut self, part: PartId, revision: u64) -> bool {
-        let since = self.watched.get(&part);
-        if since.is_none_or(|since| *since > revision) {
+    /// Records that a request with a part was answered, which was sent by the lists of `revision`.
+    /// Clears the part if it was watched then, and returns whether it was; else disputes it.
+    pub(super) fn record_answered(&mut self, part: PartId, revision: u64) -> bool {
+        let Some(watch) = self.watched.get_mut(&part) else {
+            return false;
+        };
+        if watch.since > revision {
+            watch.is_disputed = true;
             return false;
         }
         self.watched.remove(&part);
@@ -121,6 +132,10 @@
             parts.insert(*part);
             parts.extend(&held.companions);
         }
+        // A part that another one explains stays watched, so that what is known of it is kept while
+        // the reports of a crash arrive one by one.
+        let watched = self.watched.keys();
+        parts.extend(watched.filter(|part| findings.present_parts.contains(part)));
         let mut open: Vec<(PartId, usize)> = findings
             .open_parts
             .iter()
@@ -129,9 +144,13 @@
         open.sort_by_key(|(part, crashes)| (std::cmp::Reverse(*crashes), *part));
         let free = MAX_WATCHED.saturating_sub(parts.len());
         parts.extend(open.into_iter().take(free).map(|(part, _)| part));
-        let watched = &self.watched;
-        let since = |part: &PartId| watched.get(part).copied().unwrap_or(index);
-        self.watched = parts.iter().map(|part| (*part, since(part))).collect();
+        let new = PartWatch {
+            since: index,
+            is_disputed: false,
+        };
+        let known = &self.watched;
+        let watch = |part: &PartId| known.get(part).copied().unwrap_or(new);
+        self.watched = parts.iter().map(|part| (*part, watch(part))).collect();
     }
 
     /// The quarantines that `before` has not, or has with other companions.
@@ -152,18 +171,25 @@
     /// Sets the revision to `index` if the lists differ from those of `before`, which has an
     /// earlier revision.
     pub(super) fn set_revision(&mut self, index: u64, before: &Self) {
-        let is_same = self.watched == before.watched && self.quarantines().eq(before.quarantines());
+        let is_same = self.watched_since() == before.watched_since()
+            && self.quarantines().eq(before.quarantines());
         if !is_same {
             self.revision = index;
         }
     }
 
+    fn watched_since(&self) -> Vec<(PartId, u64)> {
+        let watched = self.watched.iter();
+        watched.map(|(part, watch)| (*part, watch.since)).collect()
+    }
+
     /// The watched parts of the register, for a snapshot of the log.
     pub(super) fn watched_snapshot(&self) -> Vec<WatchedPart> {
         let watched = self.watched.iter();
-        let watched = watched.map(|(part, since)| WatchedPart {
+        let watched = watched.map(|(part, watch)| WatchedPart {
             part: part.0,
-            since: *since,
+            since: watch.since,
+            disputed: watch.is_disputed,
         });
         watched.collect()
     }
@@ -184,7 +210,13 @@
         watched: &[WatchedPart],
         quarantined: Vec<QuarantinedPart>,
     ) -> Self {
-        let watched = watched.iter().map(|part| (PartId(part.part), part.since));
+        let watched = watched.iter().map(|watched| {
+            let watch = PartWatch {
+                since: watched.since,
+                is_disputed: watched.disputed,
+            };
+            (PartId(watched.part), watch)
+        });
         let quarantined = quarantined.into_iter().filter_map(|part| {
             let PartQuarantine {
                 part: id,
--- a/crates/savorywalk/src/quarantine/quarantine_register.rs
+++ b/crates/savorywalk/src/quarantine/quarantine_register.rs
@@ -73,7 +73,7 @@
     fn apply_parts(&mut self, index: u64, command: &QuarantineCommand) {
         for prompt in &command.answered_prompts {
             for part in prompt.parts.iter().copied().map(PartId) {
-                if self.parts.clear(part, prompt.part_revision) {
+                if self.parts.record_answered(part, prompt.part_revision) {
                     self.evidence.clear_part(part);
                 }
             }
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_check.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_check.rs
@@ -185,11 +185,11 @@
         }
     }
 
-    fn is_undisturbed(&self, now: Duration, entry: usize) -> bool {
+    pub(super) fn is_undisturbed(&self, now: Duration, entry: usize) -> bool {
         now >= self.disturbed[entry].max(self.control_disturbed) + MIN_UNDISTURBED
     }
 
-    fn record_violation(&mut self, now: Duration, entry: usize, violation: String) {
+    pub(super) fn record_violation(&mut self, now: Duration, entry: usize, violation: String) {
         self.violations
             .push(format!("{now:?} entry {entry}: {violation}"));
     }
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
@@ -25,6 +25,12 @@
     /// Times at which an entry receives the request that crashes each endpoint that begins
     /// it.
     pub(super) resends: Vec<(Duration, usize)>,
+    /// Times at which an entry receives a request with a prompt, and whether it crashes engines.
+    pub(super) prompts: Vec<(Duration, bool)>,
+    /// Seed of the entries, engines and parts of these requests.
+    pub(super) prompt_seed: u64,
+    /// Time at which half of the engines crash at once.
+    pub(super) engines_lost: Option<Duration>,
     pub(super) faults: Vec<(Duration, PlannedFault)>,
 }
 
@@ -59,6 +65,9 @@
             evacuation_bound: Duration::from_secs(5),
             evacuations: Vec::new(),
             resends: Vec::new(),
+            prompts: Vec::new(),
+            prompt_seed: 0,
+            engines_lost: None,
             faults: Vec::new(),
         }
     }
@@ -74,6 +83,25 @@
         self
     }
 
+    /// Adds sound requests with prompts every `pause`, and crashing ones every `crashing_pause`.
+    pub(super) fn with_prompts(
+        mut self,
+        seed: u64,
+        pause: Duration,
+        crashing_pause: Option<Duration>,
+    ) -> Self {
+        let first = Duration::from_secs(4);
+        let times = |first: Duration, pause: Duration| {
+            let count = (self.length - first).as_millis() / pause.as_millis();
+            (0..count as u32).map(move |index| first + pause * index)
+        };
+        let sound = times(first, pause).map(|at| (at, false));
+        let crashing = crashing_pause.map(|pause| times(first * 2, pause).map(|at| (at, true)));
+        self.prompts = sound.chain(crashing.into_iter().flatten()).collect();
+        self.prompt_seed = seed;
+        self
+    }
+
     /// Adds evacuations: two data centres are evacuated for overlapping times, and the
     /// evacuation of a third one begins, ends and begins again.
     pub(super) fn with_evacuations(mut self, seed: u64) -> Self {
--- a/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/simulated_fleet.rs
@@ -1,6 +1,8 @@
 use prost::Message;
 
-use super::{FleetCheck, FleetPlan, HeldCall, PlannedFault, SimulatedRegistry};
+use super::{
+    FleetCheck, FleetPlan, HeldCall, PlannedFault, PromptRun, SimulatedPrompt, SimulatedRegistry,
+};
 use crate::configuration::DocumentRegister;
 use crate::control::{DocumentCommand, EndpointIncarnation};
 use crate::evacuation::{EvacuationCommand, EvacuationRegister};
@@ -114,6 +116,22 @@
     Decide {
         report: QuarantineCommand,
     },
+    /// An entry receives a request with a prompt.
+    Prompt {
+        is_crashing: bool,
+    },
+    /// An entry sends a request with a prompt to another engine.
+    PromptResent {
+        prompt: Box<SimulatedPrompt>,
+    },
+    /// An engine has answered its request `number`, or crashes under it.
+    PromptDone {
+        engine: usize,
+        incarnation: u64,
+        number: u64,
+    },
+    /// Half of the engines crash at once.
+    EnginesLost,
     Fault(PlannedFault),
     RegistryRestored {
         registry: usize,
@@ -162,6 +180,8 @@
     epochs: u64,
     /// Number of answers to followers.
     pub(super) answers: usize,
+    /// Engines, and the requests with prompts.
+    pub(super) prompts: PromptRun,
     pub(super) check: FleetCheck,
 }
 
@@ -229,6 +249,7 @@
             next_document: 1,
             epochs: plan.registries as u64 + 1,
             answers: 0,
+            prompts: PromptRun::new(plan.prompt_seed),
             check: FleetCheck::new(&plan),
             members,
             plan,
@@ -275,6 +296,12 @@
         for (at, entry) in self.plan.resends.clone() {
             self.at(at, FleetEvent::Resend { entry });
         }
+        for (at, is_crashing) in self.plan.prompts.clone() {
+            self.at(at, FleetEvent::Prompt { is_crashing });
+        }
+        if let Some(at) = self.plan.engines_lost {
+            self.at(at, FleetEvent::EnginesLost);
+        }
         for (at, fault) in self.plan.faults.clone() {
             self.at(at, FleetEvent::Fault(fault));
         }
@@ -420,6 +447,14 @@
                 report,
             } => self.report_crash(entry, incarnation, report),
             FleetEvent::Decide { report } => self.decide(&report),
+            FleetEvent::Prompt { is_crashing } => self.receive_prompt(is_crashing),
+            FleetEvent::PromptResent { prompt } => self.send_prompt(*prompt),
+            FleetEvent::PromptDone {
+                engine,
+                incarnation,
+                number,
+            } => self.finish_prompt(engine, incarnation, number),
+            FleetEvent::EnginesLost => self.crash_half_the_engines(),
             FleetEvent::Fault(fault) => self.inject_fault(fault),
             FleetEvent::RegistryRestored { registry } => self.restore_registry(registry),
             FleetEvent::CheckEntries => self.check_entries(),
