Search for culprits only when the evidence changes, and in one pass a culprit

Reports that change nothing are not searched any more; the search keeps by which request a suspect was at a crash.

--- a/crates/savorywalk/src/quarantine/crash_evidence.rs
+++ b/crates/savorywalk/src/quarantine/crash_evidence.rs
@@ -62,12 +62,15 @@
         }
     }
 
-    /// Removes a request from all crashes, because it was answered and so caused none.
-    pub fn clear(&mut self, digest: &RequestDigest) {
+    /// Removes a request from all crashes, because it was answered and so caused none. Returns
+    /// whether it was at any.
+    pub fn clear(&mut self, digest: &RequestDigest) -> bool {
+        let mut was_present = false;
         for crash in &mut self.crashes {
-            crash.suspects.remove(digest);
+            was_present |= crash.suspects.remove(digest);
             crash.prompts.remove(digest);
         }
+        was_present
     }
 
     /// Removes a prompt part from all crashes, because a request with it was answered.
--- a/crates/savorywalk/src/quarantine/crash_evidence_tests.rs
+++ b/crates/savorywalk/src/quarantine/crash_evidence_tests.rs
@@ -90,7 +90,7 @@
 #[test]
 fn an_answered_request_is_no_suspect() {
     let mut evidence = evidence(&[&[1], &[1], &[1]]);
-    evidence.clear(&digest(1));
+    assert!(evidence.clear(&digest(1)));
     assert_eq!(find(&evidence, &[])[1], []);
     record(&mut evidence, 2, "e-9", [digest(1)]);
     assert_eq!(find(&evidence, &[])[0], []);
--- a/crates/savorywalk/src/quarantine/culprit_search.rs
+++ b/crates/savorywalk/src/quarantine/culprit_search.rs
@@ -72,8 +72,19 @@
     crashes: Vec<&'a EndpointFailure>,
     watched: &'a BTreeMap<PartId, PartWatch>,
     is_known: F,
-    /// Unexplained crashes at which each suspect was present, by position.
-    presence: BTreeMap<CrashSuspect, BTreeSet<usize>>,
+    /// Presence of each suspect at crashes that are not explained, in their order.
+    presence: BTreeMap<CrashSuspect, Vec<SuspectPresence>>,
+}
+
+/// A request by which a suspect was present at a crash.
+struct SuspectPresence {
+    /// Position of the crash.
+    crash: usize,
+    digest: RequestDigest,
+    /// Whether its answer had begun.
+    begun: bool,
+    /// Revision of the part lists that its entry had when it sent the request.
+    part_revision: u64,
 }
 
 impl<'a, F: Fn(&CrashSuspect) -> bool> CulpritSearch<'a, F> {
@@ -83,10 +94,10 @@
         is_known: F,
     ) -> Self {
         let crashes: Vec<&EndpointFailure> = evidence.crashes().collect();
-        let mut presence: BTreeMap<CrashSuspect, BTreeSet<usize>> = BTreeMap::new();
+        let mut presence: BTreeMap<CrashSuspect, Vec<SuspectPresence>> = BTreeMap::new();
         for (position, crash) in crashes.iter().enumerate() {
-            for suspect in suspects_of(crash) {
-                presence.entry(suspect).or_default().insert(position);
+            for (suspect, present) in presence_at(position, crash) {
+                presence.entry(suspect).or_default().push(present);
             }
         }
         Self {
@@ -116,13 +127,13 @@
         findings
     }
 
-    fn presence_of(&self, suspect: &CrashSuspect) -> impl Iterator<Item = &'a EndpointFailure> {
-        let positions = self.presence.get(suspect).into_iter().flatten();
-        positions.map(|position| self.crashes[*position])
+    fn presence_of(&self, suspect: &CrashSuspect) -> &[SuspectPresence] {
+        self.presence.get(suspect).map_or(&[], Vec::as_slice)
     }
 
+    /// Number of unexplained crashes at which a suspect was present.
     fn count(&self, suspect: &CrashSuspect) -> usize {
-        self.presence.get(suspect).map_or(0, BTreeSet::len)
+        count_crashes(self.presence_of(suspect).iter())
     }
 
     /// Whether the unexplained crashes suffice to blame a suspect.
@@ -145,39 +156,11 @@
         watch.is_some_and(|watch| watch.is_disputed) && self.count(suspect) < MIN_DISPUTED_CRASHES
     }
 
-    /// How strongly the crashes point to a suspect. The cause of a crash is one request, so a part
-    /// that several requests at one crash have is more likely to be a popular one beside it.
-    fn score(&self, suspect: &CrashSuspect) -> isize {
-        let crashes = self.count(suspect);
-        let surplus = self.count_requests(suspect).saturating_sub(crashes);
-        2 * crashes as isize - surplus as isize
-    }
-
-    /// Number of different requests with a suspect at its crashes.
+    /// Number of different requests by which a suspect was present.
     fn count_requests(&self, suspect: &CrashSuspect) -> usize {
-        let CrashSuspect::Part(part) = suspect else {
-            return 1;
-        };
-        let prompts = self.presence_of(suspect).flat_map(|crash| &crash.prompts);
-        let digests = prompts
-            .filter(|(_, prompt)| prompt.parts.contains(part))
-            .map(|(digest, _)| *digest);
-        digests.collect::<BTreeSet<RequestDigest>>().len()
-    }
-
-    /// Number of its crashes at which an answer to a request with a suspect had begun.
-    fn count_begun(&self, suspect: &CrashSuspect) -> usize {
-        let had_begun = |crash: &&EndpointFailure| match suspect {
-            CrashSuspect::Request(digest) => {
-                let prompt = crash.prompts.get(digest);
-                prompt.is_some_and(|prompt| prompt.begun)
-            }
-            CrashSuspect::Part(part) => {
-                let mut prompts = crash.prompts.values();
-                prompts.any(|prompt| prompt.begun && prompt.parts.contains(part))
-            }
-        };
-        self.presence_of(suspect).filter(had_begun).count()
+        let digests = self.presence_of(suspect).iter();
+        let digests = digests.map(|present| present.digest);
+        digests.collect::<FastSet<RequestDigest>>().len()
     }
 
     /// Whether a suspect is a request, or a part with which a request was sent that crashed an
@@ -189,9 +172,8 @@
         let Some(watch) = self.watched.get(part) else {
             return false;
         };
-        let crashes = self.presence_of(suspect);
-        let mut prompts = crashes.flat_map(|crash| crash.prompts.values());
-        prompts.any(|prompt| prompt.part_revision >= watch.since && prompt.parts.contains(part))
+        let mut presence = self.presence_of(suspect).iter();
+        presence.any(|present| present.part_revision >= watch.since)
     }
 
     /// The candidate to which the crashes point most strongly, if they still suffice to blame it.
@@ -200,12 +182,19 @@
         let remaining =
             candidates.filter(|suspect| self.is_candidate(suspect) && !self.is_disputed(suspect));
         let top = remaining.max_by_key(|suspect| {
+            let crashes = self.count(suspect);
+            let requests = self.count_requests(suspect);
+            // The cause of a crash is one request, so a part that several requests at one crash
+            // have is more likely to be a popular one beside it.
+            let surplus = requests.saturating_sub(crashes);
+            let begun = self.presence_of(suspect).iter();
+            let begun = begun.filter(|present| present.begun);
             (
-                self.score(suspect),
+                2 * crashes as isize - surplus as isize,
                 matches!(suspect, CrashSuspect::Request(_)),
-                Reverse(self.count_requests(suspect)),
+                Reverse(requests),
                 (self.is_known)(suspect),
-                self.count_begun(suspect),
+                count_crashes(begun),
                 **suspect,
             )
         });
@@ -215,20 +204,18 @@
     /// Removes the crashes that a suspect explains from those of the others. One that is not proven
     /// yet explains nothing for requests.
     fn explain(&mut self, culprit: CrashSuspect, is_proven: bool) {
-        for position in self.presence.remove(&culprit).into_iter().flatten() {
-            for suspect in suspects_of(self.crashes[position]) {
-                let is_explained = is_proven || matches!(suspect, CrashSuspect::Part(_));
-                if let Some(presence) = self.presence.get_mut(&suspect).filter(|_| is_explained) {
-                    presence.remove(&position);
-                }
+        let presence = self.presence.remove(&culprit).unwrap_or_default();
+        let explained: BTreeSet<usize> = presence.iter().map(|present| present.crash).collect();
+        for (suspect, presence) in &mut self.presence {
+            if is_proven || matches!(suspect, CrashSuspect::Part(_)) {
+                presence.retain(|present| !explained.contains(&present.crash));
             }
         }
     }
 
     fn present_parts(&self) -> BTreeSet<PartId> {
-        let presence = self.presence.iter();
-        let present = presence.filter_map(|(suspect, crashes)| match suspect {
-            CrashSuspect::Part(part) if crashes.len() >= WATCH_CRASHES => Some(*part),
+        let present = self.presence.keys().filter_map(|suspect| match suspect {
+            CrashSuspect::Part(part) if self.count(suspect) >= WATCH_CRASHES => Some(*part),
             CrashSuspect::Part(_) | CrashSuspect::Request(_) => None,
         });
         present.collect()
@@ -242,9 +229,9 @@
                 prompts.flat_map(|prompt| &prompt.parts).copied().collect();
             let is_culprit = |part: &PartId| culprits.contains(&CrashSuspect::Part(*part));
             if !parts.iter().any(is_culprit) {
-                parts
-                    .iter()
-                    .for_each(|part| *counts.entry(*part).or_default() += 1);
+                for part in parts {
+                    *counts.entry(part).or_default() += 1;
+                }
             }
         }
         counts.retain(|_, count| *count >= WATCH_CRASHES);
@@ -252,11 +239,40 @@
     }
 }
 
+/// Number of different crashes; the presences are in the order of the crashes.
+fn count_crashes<'a>(presence: impl Iterator<Item = &'a SuspectPresence>) -> usize {
+    let mut last = None;
+    let first_at = presence.filter(|present| last.replace(present.crash) != Some(present.crash));
+    first_at.count()
+}
+
 /// All requests at a crash, and the parts of their prompts.
-fn suspects_of(crash: &EndpointFailure) -> impl Iterator<Item = CrashSuspect> {
-    let requests = crash.suspects.iter().copied().map(CrashSuspect::Request);
-    let parts = crash.prompts.values().flat_map(|prompt| &prompt.parts);
-    requests.chain(parts.copied().map(CrashSuspect::Part))
+fn presence_at(
+    position: usize,
+    crash: &EndpointFailure,
+) -> impl Iterator<Item = (CrashSuspect, SuspectPresence)> {
+    let requests = crash.suspects.iter().map(move |digest| {
+        let prompt = crash.prompts.get(digest);
+        let present = SuspectPresence {
+            crash: position,
+            digest: *digest,
+            begun: prompt.is_some_and(|prompt| prompt.begun),
+            part_revision: 0,
+        };
+        (CrashSuspect::Request(*digest), present)
+    });
+    let parts = crash.prompts.iter().flat_map(move |(digest, prompt)| {
+        prompt.parts.iter().map(move |part| {
+            let present = SuspectPresence {
+                crash: position,
+                digest: *digest,
+                begun: prompt.begun,
+                part_revision: prompt.part_revision,
+            };
+            (CrashSuspect::Part(*part), present)
+        })
+    });
+    requests.chain(parts)
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/quarantine/part_register.rs
+++ b/crates/savorywalk/src/quarantine/part_register.rs
@@ -19,6 +19,17 @@
     pub is_disputed: bool,
 }
 
+/// What an answer to a request with a part changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerEffect {
+    /// The part crashes no endpoint.
+    Cleared,
+    /// The part takes more crashes to be blamed.
+    Disputed,
+    /// The part is not watched, or was disputed already.
+    Unchanged,
+}
+
 /// Prompt parts that are watched, and those in quarantine, as a part of the replicated state.
 /// See docs/design/quarantined-parts.md.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -62,21 +73,23 @@
     }
 
     /// Records that a request with a part was answered, which was sent by the lists of `revision`.
-    /// Clears the part if it was watched then, and returns whether it was; else disputes it.
-    pub(super) fn record_answered(&mut self, part: PartId, revision: u64) -> bool {
+    /// Clears the part if it was watched then; else disputes it.
+    pub(super) fn record_answered(&mut self, part: PartId, revision: u64) -> AnswerEffect {
         let Some(watch) = self.watched.get_mut(&part) else {
-            return false;
+            return AnswerEffect::Unchanged;
         };
         if watch.since > revision {
-            watch.is_disputed = true;
-            return false;
+            return match std::mem::replace(&mut watch.is_disputed, true) {
+                true => AnswerEffect::Unchanged,
+                false => AnswerEffect::Disputed,
+            };
         }
         self.watched.remove(&part);
         self.quarantined.remove(&part);
         for held in self.quarantined.values_mut() {
             held.companions.remove(&part);
         }
-        true
+        AnswerEffect::Cleared
     }
 
     /// Records that a request with a quarantined part was received at `index`.
--- a/crates/savorywalk/src/quarantine/quarantine_register.rs
+++ b/crates/savorywalk/src/quarantine/quarantine_register.rs
@@ -1,3 +1,4 @@
+use super::part_register::AnswerEffect;
 use super::{
     CrashEvidence, CrashSuspect, PartId, PartRegister, QuarantineCommand, QuarantineOutcome,
     QuarantineSnapshot, QuarantinedRequest, RequestDigest, SuspectRequest,
@@ -47,8 +48,9 @@
     pub fn apply(&mut self, index: u64, command: &QuarantineCommand) -> QuarantineOutcome {
         let before: BTreeSet<RequestDigest> = self.requests.keys().copied().collect();
         let parts_before = self.parts.clone();
+        let mut has_changed = false;
         for digest in RequestDigest::read_all(&command.answered) {
-            self.evidence.clear(&digest);
+            has_changed |= self.evidence.clear(&digest);
             self.requests.remove(&digest);
         }
         for digest in RequestDigest::read_all(&command.refused) {
@@ -56,31 +58,42 @@
                 *last = index;
             }
         }
-        self.apply_parts(index, command);
+        has_changed |= self.apply_parts(index, command);
+        has_changed |= !command.crashes.is_empty();
         for crash in &command.crashes {
             let suspects = RequestDigest::read_all(&crash.digests);
             let prompts = crash.prompts.iter().filter_map(SuspectRequest::read);
             self.evidence
                 .record(index, &crash.endpoint, suspects, prompts);
         }
+        has_changed |= command.forget_through > 0;
         self.remove_through(command.forget_through);
-        self.update_culprits(index);
+        // Most reports are of answers and refusals that change nothing.
+        if has_changed {
+            self.update_culprits(index);
+        }
         self.parts.set_revision(index, &parts_before);
         self.outcome(&before, &parts_before)
     }
 
-    /// Applies what a command reports of answered and of refused prompts.
-    fn apply_parts(&mut self, index: u64, command: &QuarantineCommand) {
+    /// Applies what a command reports of answered and of refused prompts. Returns whether that
+    /// changes what the crashes point to.
+    fn apply_parts(&mut self, index: u64, command: &QuarantineCommand) -> bool {
+        let mut has_changed = false;
         for prompt in &command.answered_prompts {
             for part in prompt.parts.iter().copied().map(PartId) {
-                if self.parts.record_answered(part, prompt.part_revision) {
-                    self.evidence.clear_part(part);
+                match self.parts.record_answered(part, prompt.part_revision) {
+                    AnswerEffect::Cleared => self.evidence.clear_part(part),
+                    AnswerEffect::Disputed => {}
+                    AnswerEffect::Unchanged => continue,
                 }
+                has_changed = true;
             }
         }
         for part in command.refused_parts.iter().copied().map(PartId) {
             self.parts.record_refused(index, part);
         }
+        has_changed
     }
 
     /// Whether any crash or request was last recorded at `index` or before.
