Parts that answers have cleared are blamed only after more crashes; soak of processes

Cause: a part that all prompts have is at each crash, whatever its cause. Between the crash that has it watched and the first answer to a request that was sent afterwards come six crashes, which blamed it; the answer cleared it, all evidence was forgotten, and the next crashes blamed it again.

Change: a cleared part is remembered, in the log's state as well, and is disputed when it is watched again; a disputed part takes twelve crashes in place of six.

Also: savorywalk-proof prompts, the soak with gateways and three registries as processes, which are killed, stopped, frozen, hung up and started again; one seed runs with the tests.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 
 use rstest::rstest;
-use savorywalk_proof::{FaultScript, ProofPlan, ProofReport, run_proof};
+use savorywalk_proof::{FaultScript, PromptPlan, ProofPlan, ProofReport, run_prompts, run_proof};
 use savorywalk_standin::Deployment;
 
 const ENTRIES: usize = 3;
@@ -66,3 +66,18 @@
     let report = run(Deployment::Airport, script).await;
     assert!(report.is_sound(), "seed {seed}: {report}");
 }
+
+/// Guards against a part of prompts that crashes engine after engine, or sound parts that are blamed,
+/// while gateways and registries are killed, stopped, frozen and started again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_prompt_part_stays_out_while_processes_come_and_go() {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = PromptPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        gateways: ENTRIES,
+        seed: 1,
+    };
+    let report = run_prompts(&plan).await.unwrap();
+    assert!(report.is_sound(), "{report}");
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arguments::{SavorywalkProof, SavorywalkProofCmd};
-use savorywalk_proof::{FaultScript, ProofPlan, run_proof};
+use arguments::{Prompts, SavorywalkProof, SavorywalkProofCmd};
+use savorywalk_proof::{FaultScript, PromptPlan, ProofPlan, run_prompts, run_proof};
 use savorywalk_standin::Deployment;
 
 mod arguments {
@@ -36,6 +36,16 @@
                 /// Entries; default 6.
                 optional --entries entries: usize
             }
+            /// Gateways and registries before engines that crash under one part of prompts, one run
+            /// a seed.
+            cmd prompts {
+                /// First seed; default 1.
+                optional --seed seed: u64
+                /// Runs, each with the next seed; default 1.
+                optional --runs runs: u64
+                /// Gateways; default 6.
+                optional --gateways gateways: usize
+            }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
                 /// Seed; default 1.
@@ -52,6 +62,9 @@
 const DEFAULT_CALLERS: usize = 32;
 const DEFAULT_PAIRS: usize = 8;
 
+/// Most gateways of a soak of prompts, each a process.
+const MAX_GATEWAYS: usize = 200;
+
 #[tokio::main]
 async fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
     savorywalk::telemetry::init_logging("error");
@@ -77,6 +90,7 @@
             let script = |seed| FaultScript::soak(seed, entries, endpoints, requests);
             seeds.map(script).collect()
         }
+        SavorywalkProofCmd::Prompts(prompts) => return soak_prompts(program, &prompts).await,
         SavorywalkProofCmd::Pairs(pairs) => {
             let seed = pairs.seed.unwrap_or(1);
             let count = pairs.count.unwrap_or(DEFAULT_PAIRS);
@@ -109,3 +123,31 @@
         false => ExitCode::FAILURE,
     })
 }
+
+/// Runs the soak of prompts, one run a seed.
+async fn soak_prompts(
+    program: PathBuf,
+    prompts: &Prompts,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let first = prompts.seed.unwrap_or(1);
+    let mut is_sound = true;
+    for seed in first..first + prompts.runs.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = PromptPlan {
+            program: program.clone(),
+            folder: folder.path().to_path_buf(),
+            gateways: prompts.gateways.unwrap_or(ENTRIES).clamp(2, MAX_GATEWAYS),
+            seed,
+        };
+        let report = run_prompts(&plan).await?;
+        println!("seed {seed}: {report}");
+        if !report.is_sound() {
+            println!("seed {seed}: logs are kept in {}", folder.keep().display());
+            is_sound = false;
+        }
+    }
+    Ok(match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/crates/savorywalk/src/quarantine/culprit_search.rs
+++ b/crates/savorywalk/src/quarantine/culprit_search.rs
@@ -12,9 +12,10 @@
 /// is blamed itself.
 const MIN_PART_REQUESTS: usize = 2;
 
-/// Smallest number of crashes that makes a part a culprit if an answer disputes it. By then, answers
-/// to requests that were sent while it was watched have cleared a sound part.
-const MIN_DISPUTED_CRASHES: usize = 6;
+/// Smallest number of crashes that makes a part a culprit if an answer disputes it. Engines that crash
+/// for another reason do so several times until an answer to a request that was sent while the part was
+/// watched clears it.
+const MIN_DISPUTED_CRASHES: usize = 12;
 
 /// Number of crashes from which a part is watched, if no other part explains them.
 const WATCH_CRASHES: usize = 2;
--- a/crates/savorywalk/src/quarantine/culprit_search_tests.rs
+++ b/crates/savorywalk/src/quarantine/culprit_search_tests.rs
@@ -170,8 +170,8 @@
     assert_eq!(culprits(&[&crashes[0], &crashes[1], &crashes[2]]), []);
 }
 
-/// A request with the popular part was answered after other crashes, and had been sent before the
-/// part was watched.
+/// A request with the popular part was answered after the crashes, and had been sent before the part
+/// was watched.
 #[test]
 fn a_disputed_part_needs_more_crashes() {
     let shared = |number: u8| [request(number, 1, &[POPULAR, CRASHING])];
--- a/crates/savorywalk/src/quarantine/mod.rs
+++ b/crates/savorywalk/src/quarantine/mod.rs
@@ -14,7 +14,7 @@
 mod suspect_request;
 
 pub use crate::generated::quarantine::{
-    AnsweredPrompt, CrashRecord, EndpointCrash, PartQuarantine, QuarantineCommand,
+    AnsweredPrompt, ClearedPart, CrashRecord, EndpointCrash, PartQuarantine, QuarantineCommand,
     QuarantineOutcome, QuarantineSnapshot, QuarantinedPart, QuarantinedRequest, SuspectPrompt,
     WatchedPart,
 };
--- a/crates/savorywalk/src/quarantine/part_register.rs
+++ b/crates/savorywalk/src/quarantine/part_register.rs
@@ -1,6 +1,6 @@
 use super::{
-    CrashEvidence, CrashFindings, CrashSuspect, PartId, PartQuarantine, QuarantinedPart,
-    WatchedPart,
+    ClearedPart, CrashEvidence, CrashFindings, CrashSuspect, PartId, PartQuarantine,
+    QuarantinedPart, WatchedPart,
 };
 use crate::prelude::*;
 
@@ -10,12 +10,16 @@
 /// Largest number of parts in quarantine; the least recently received one is removed.
 const MAX_PART_QUARANTINES: usize = 256;
 
+/// Largest number of cleared parts that are remembered; the one cleared the longest ago is removed.
+const MAX_CLEARED: usize = 1_024;
+
 /// What is known of a watched part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartWatch {
     /// Index of the command since which it is watched.
     pub since: u64,
-    /// Whether a request with it, which was sent before, has been answered since then.
+    /// Whether a request with it, which was sent before, has been answered since then, or an answer
+    /// has cleared it earlier.
     pub is_disputed: bool,
 }
 
@@ -36,6 +40,8 @@
 pub struct PartRegister {
     revision: u64,
     watched: BTreeMap<PartId, PartWatch>,
+    /// Log index at which an answer cleared each part last.
+    cleared: BTreeMap<PartId, u64>,
     quarantined: BTreeMap<PartId, HeldPart>,
 }
 
@@ -72,9 +78,14 @@
         })
     }
 
-    /// Records that a request with a part was answered, which was sent by the lists of `revision`.
-    /// Clears the part if it was watched then; else disputes it.
-    pub(super) fn record_answered(&mut self, part: PartId, revision: u64) -> AnswerEffect {
+    /// Records at `index` that a request with a part was answered, which was sent by the lists of
+    /// `revision`. Clears the part if it was watched then; else disputes it.
+    pub(super) fn record_answered(
+        &mut self,
+        index: u64,
+        part: PartId,
+        revision: u64,
+    ) -> AnswerEffect {
         let Some(watch) = self.watched.get_mut(&part) else {
             return AnswerEffect::Unchanged;
         };
@@ -85,6 +96,7 @@
             };
         }
         self.watched.remove(&part);
+        self.remember_cleared(index, part);
         self.quarantined.remove(&part);
         for held in self.quarantined.values_mut() {
             held.companions.remove(&part);
@@ -92,6 +104,16 @@
         AnswerEffect::Cleared
     }
 
+    fn remember_cleared(&mut self, index: u64, part: PartId) {
+        self.cleared.insert(part, index);
+        if self.cleared.len() > MAX_CLEARED {
+            let oldest = self.cleared.iter().min_by_key(|(_, index)| **index);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.cleared.remove(&oldest);
+            }
+        }
+    }
+
     /// Records that a request with a quarantined part was received at `index`.
     pub(super) fn record_refused(&mut self, index: u64, part: PartId) {
         if let Some(held) = self.quarantined.get_mut(&part) {
@@ -102,6 +124,7 @@
     /// Removes the quarantines that were last received at `index` or before.
     pub(super) fn remove_through(&mut self, index: u64) {
         self.quarantined.retain(|_, held| held.index > index);
+        self.cleared.retain(|_, cleared| *cleared > index);
     }
 
     /// Updates the lists by what the crashes point to.
@@ -157,12 +180,14 @@
         open.sort_by_key(|(part, crashes)| (std::cmp::Reverse(*crashes), *part));
         let free = MAX_WATCHED.saturating_sub(parts.len());
         parts.extend(open.into_iter().take(free).map(|(part, _)| part));
-        let new = PartWatch {
-            since: index,
-            is_disputed: false,
+        let (known, cleared) = (&self.watched, &self.cleared);
+        let watch = |part: &PartId| {
+            let new = PartWatch {
+                since: index,
+                is_disputed: cleared.contains_key(part),
+            };
+            known.get(part).copied().unwrap_or(new)
         };
-        let known = &self.watched;
-        let watch = |part: &PartId| known.get(part).copied().unwrap_or(new);
         self.watched = parts.iter().map(|part| (*part, watch(part))).collect();
     }
 
@@ -207,6 +232,16 @@
         watched.collect()
     }
 
+    /// The cleared parts of the register, for a snapshot of the log.
+    pub(super) fn cleared_snapshot(&self) -> Vec<ClearedPart> {
+        let cleared = self.cleared.iter();
+        let cleared = cleared.map(|(part, index)| ClearedPart {
+            part: part.0,
+            index: *index,
+        });
+        cleared.collect()
+    }
+
     /// The quarantined parts of the register, for a snapshot of the log.
     pub(super) fn quarantine_snapshot(&self) -> Vec<QuarantinedPart> {
         let quarantined = self.quarantines().zip(self.quarantined.values());
@@ -221,6 +256,7 @@
     pub(super) fn restore(
         revision: u64,
         watched: &[WatchedPart],
+        cleared: &[ClearedPart],
         quarantined: Vec<QuarantinedPart>,
     ) -> Self {
         let watched = watched.iter().map(|watched| {
@@ -244,6 +280,10 @@
         Self {
             revision,
             watched: watched.collect(),
+            cleared: cleared
+                .iter()
+                .map(|cleared| (PartId(cleared.part), cleared.index))
+                .collect(),
             quarantined: quarantined.collect(),
         }
     }
--- a/crates/savorywalk/src/quarantine/quarantine_register.rs
+++ b/crates/savorywalk/src/quarantine/quarantine_register.rs
@@ -82,7 +82,10 @@
         let mut has_changed = false;
         for prompt in &command.answered_prompts {
             for part in prompt.parts.iter().copied().map(PartId) {
-                match self.parts.record_answered(part, prompt.part_revision) {
+                match self
+                    .parts
+                    .record_answered(index, part, prompt.part_revision)
+                {
                     AnswerEffect::Cleared => self.evidence.clear_part(part),
                     AnswerEffect::Disputed => {}
                     AnswerEffect::Unchanged => continue,
@@ -174,6 +177,7 @@
             requests: requests.collect(),
             part_revision: self.parts.revision(),
             watched_parts: self.parts.watched_snapshot(),
+            cleared_parts: self.parts.cleared_snapshot(),
             quarantined_parts: self.parts.quarantine_snapshot(),
         }
     }
@@ -191,6 +195,7 @@
             parts: PartRegister::restore(
                 snapshot.part_revision,
                 &snapshot.watched_parts,
+                &snapshot.cleared_parts,
                 snapshot.quarantined_parts,
             ),
         }
--- a/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
+++ b/crates/savorywalk/src/registry/fleet_simulation/fleet_plan.rs
@@ -29,8 +29,8 @@
     pub(super) prompts: Vec<(Duration, bool)>,
     /// Seed of the entries, engines and parts of these requests.
     pub(super) prompt_seed: u64,
-    /// Time at which half of the engines crash at once.
-    pub(super) engines_lost: Option<Duration>,
+    /// Times at which engines crash at once by themselves, and how many.
+    pub(super) engine_failures: Vec<(Duration, usize)>,
     pub(super) faults: Vec<(Duration, PlannedFault)>,
 }
 
@@ -67,7 +67,7 @@
             resends: Vec::new(),
             prompts: Vec::new(),
             prompt_seed: 0,
-            engines_lost: None,
+            engine_failures: Vec::new(),
             faults: Vec::new(),
         }
     }
@@ -102,6 +102,17 @@
         self
     }
 
+    /// Adds failures of one to three engines at once, every `pause`.
+    pub(super) fn with_engine_failures(mut self, seed: u64, pause: Duration) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let first = Duration::from_secs(6);
+        let count = (self.length - first).as_millis() / pause.as_millis();
+        self.engine_failures = (0..count as u32)
+            .map(|index| (first + pause * index, random.random_range(1..=3)))
+            .collect();
+        self
+    }
+
     /// Adds evacuations: two data centres are evacuated for overlapping times, and the
     /// evacuation of a third one begins, ends and begins again.
     pub(super) fn with_evacuations(mut self, seed: u64) -> Self {
