Count each send beyond the first, with its reason, at the last moment before it

The counter of repeats has decisions, and logs name one of six ways to a further send, so the hypotheses of the incident can't be told apart. repeat_sent and savorywalk_gateway_repeat_sends have reason, entries known and uptime for requests and pieces; plans say whether their pieces may have been sent before (is_rerun, begun), and connections to stage endpoints are opened before the pieces count as sent. No decision changes.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -1,7 +1,7 @@
-use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
+use hyper::{Request, Response};
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::{CallFailure, FailedCall};
@@ -10,6 +10,7 @@
 use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PromptPlacement;
+use super::retry_budget::RepeatReason;
 use super::{
     EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, NotRunReason, PoolMember,
     RouteKind, engine_rank,
@@ -128,11 +129,11 @@
             // A request that is quarantined while its connection opens is not sent on it.
             biased;
             // Cancelling the request may prevent a crash if the endpoint has not begun it.
-            () = self.node.until_quarantined(&self.identity) => {
+            () = node.until_quarantined(&identity) => {
                 return Err(self.refuse_quarantined());
             }
             sent = tokio::time::timeout(limit, sending) => sent,
-            () = self.node.stop.until_sent_answered() => {
+            () = node.stop.until_sent_answered() => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
         };
@@ -184,7 +185,7 @@
     }
 
     async fn send_to(
-        &self,
+        &mut self,
         member: &PoolMember,
         last_event: Option<u64>,
     ) -> Result<(EndpointCall, Response<Incoming>, EndpointHead), CallError> {
@@ -201,20 +202,18 @@
                 "the endpoint takes no requests from this entry",
             ));
         }
-        let request = || {
-            let headers = self.forward_headers(member, last_event);
-            let request = self.node.wire.endpoint_request(&self.parts, &headers);
-            request.map(|()| self.body.clone())
-        };
         let mut sent = BootClock.now();
-        let response = match call.send(request()).await {
+        self.record_send();
+        let response = match call.send(self.endpoint_request(member, last_event)).await {
             // The endpoint may have closed a cached connection.
             Err(CallError::Broken(_)) if was_cached && self.node.try_retry(&self.context.pool) => {
                 // The endpoint may have run the first send, so no failure counts as unsent now.
                 let connected = self.node.connect(member).await;
                 call = connected.map_err(|error| CallError::Broken(error.to_string()))?;
                 sent = BootClock.now();
-                call.send(request()).await?
+                self.repeat_reason = Some(RepeatReason::StaleConnection);
+                self.record_send();
+                call.send(self.endpoint_request(member, last_event)).await?
             }
             outcome => outcome?,
         };
@@ -226,6 +225,21 @@
         Ok((call, Response::from_parts(parts, body), head))
     }
 
+    /// Records that the request is sent now, and that it has been sent before any later send.
+    fn record_send(&mut self) {
+        let pool = &self.context.pool;
+        if let Some(reason) = self.repeat_reason {
+            self.node.record_repeats(pool, &self.context.id, reason, 1);
+        }
+        self.repeat_reason = Some(RepeatReason::Lost);
+    }
+
+    fn endpoint_request(&self, member: &PoolMember, last_event: Option<u64>) -> Request<Bytes> {
+        let headers = self.forward_headers(member, last_event);
+        let request = self.node.wire.endpoint_request(&self.parts, &headers);
+        request.map(|()| self.body.clone())
+    }
+
     fn forward_headers<'a>(
         &'a self,
         member: &'a PoolMember,
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -245,6 +245,7 @@
         };
         let request = self.plan_request(&near);
         let remaining = self.context.remaining(Instant::now());
+        self.has_run_stages = true;
         let working = self.node.exchange.execute_plan(&self.node, request);
         let outcome = tokio::select! {
             outcome = tokio::time::timeout(remaining, working) => outcome,
@@ -320,6 +321,7 @@
             returning: context.is_returning,
             timely_only: false,
             no_reservation: false,
+            is_rerun: self.has_run_stages,
         }
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -15,6 +15,7 @@
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PromptPlacement;
 use super::request_context::RequestContext;
+use super::retry_budget::RepeatReason;
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
 use super::{GatewayRefusal, NotRunReason, RunLedger};
@@ -71,6 +72,10 @@
     /// Whether the answer to the last send has begun.
     pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
+    /// Why the next send is not the first; `None` as long as the request has not been sent.
+    pub(super) repeat_reason: Option<RepeatReason>,
+    /// Whether the stages were executed, at least in part.
+    pub(super) has_run_stages: bool,
     pub(super) results: Option<PlanResults>,
     /// Origin of the stream, once it has begun: only its endpoints may continue it.
     pub(super) origin: Option<StreamOrigin>,
@@ -106,6 +111,8 @@
             parts,
             body,
             ledger: RunLedger::default(),
+            repeat_reason: None,
+            has_run_stages: false,
             results: None,
             origin: None,
             placement: None,
@@ -196,19 +203,19 @@
                     AnswerOutcome::Stream(open) => return self.relay_stream(*open).await,
                     AnswerOutcome::Lost => {}
                 },
-                Ok(AttemptEnd::Failed(response)) => self.last_answer = Some(response),
+                Ok(AttemptEnd::Failed(response)) => {
+                    self.set_repeat_reason(RepeatReason::Failed);
+                    self.last_answer = Some(response);
+                }
                 Ok(AttemptEnd::InputsGone) if stage_reruns == 0 => {
                     stage_reruns += 1;
+                    self.set_repeat_reason(RepeatReason::InputsGone);
                     self.execute_stages().await?;
                     continue;
                 }
                 Ok(AttemptEnd::Unsent) if self.ledger.sends() < MAX_SENDS => continue,
-                Ok(
-                    AttemptEnd::Denied
-                    | AttemptEnd::InputsGone
-                    | AttemptEnd::Unsent
-                    | AttemptEnd::Lost,
-                ) => {}
+                Ok(AttemptEnd::Denied) => self.set_repeat_reason(RepeatReason::Denied),
+                Ok(AttemptEnd::InputsGone | AttemptEnd::Unsent | AttemptEnd::Lost) => {}
                 Err(refusal) => return self.finish_refused(refusal),
             }
             if !self.may_send_again() {
@@ -218,6 +225,13 @@
         }
     }
 
+    /// Sets the reason for the next send, if the request has been sent.
+    fn set_repeat_reason(&mut self, reason: RepeatReason) {
+        if let Some(known) = &mut self.repeat_reason {
+            *known = reason;
+        }
+    }
+
     /// Returns the endpoint's own error answer if there is one and the request may have
     /// run, else the gateway's refusal.
     fn finish_refused(
@@ -269,6 +283,7 @@
 
     /// Sends the request to another endpoint, which continues after `last_event`.
     pub(super) async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenAnswer> {
+        self.set_repeat_reason(RepeatReason::Resumed);
         let is_hopeless = !self.has_origin_endpoint(&self.node.view.load());
         if is_hopeless || !self.may_send_again() || self.await_decision().await.is_err() {
             return None;
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
 use super::prompt_homes::PlacementCounts;
+use super::retry_budget::RepeatReason;
 use super::returns::CalendarCounts;
 use super::workspace_shares::WorkspaceLabels;
 use crate::prelude::*;
@@ -23,6 +24,7 @@
     requests: Counter<u64>,
     request_seconds: Histogram<f64>,
     retries: Counter<u64>,
+    repeat_sends: Counter<u64>,
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     taken_up: Counter<u64>,
@@ -50,6 +52,12 @@
                 .u64_counter("savorywalk_gateway_repeats")
                 .with_description("Repeated sends by pool, granted by the budget or not")
                 .build(),
+            repeat_sends: meter
+                .u64_counter("savorywalk_gateway_repeat_sends")
+                .with_description(
+                    "Requests and pieces sent beyond the first time, by pool and reason",
+                )
+                .build(),
             pieces_per_call: meter
                 .f64_histogram("savorywalk_gateway_pieces_per_call")
                 .with_description("Pieces that share a call")
@@ -108,6 +116,12 @@
             .add(1, &[pool, KeyValue::new("granted", granted)]);
     }
 
+    pub(super) fn record_repeat_sends(&self, pool: &str, reason: RepeatReason, count: usize) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        let reason = KeyValue::new("reason", reason.name());
+        self.repeat_sends.add(count as u64, &[pool, reason]);
+    }
+
     pub(super) fn record_call(&self, pool: &str, pieces: usize) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.pieces_per_call.record(pieces as f64, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -21,6 +21,7 @@
 use super::plan_admission::PlanAdmission;
 use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
+use super::retry_budget::RepeatReason;
 use super::shard_balance::ShardLoads;
 use super::stream_origins::{self, OriginExchange};
 use super::work_exchange::{self, WorkExchange};
@@ -78,6 +79,8 @@
     pub(super) stop: StopSchedule,
     /// Number of views put in force; subscribers wait for the next one.
     view_count: watch::Sender<u64>,
+    /// When this entry started.
+    started: Instant,
     retry_limits: RetryLimits,
     retries: Mutex<FastMap<String, RetryWindow>>,
     dispatchers: Mutex<FastMap<DispatcherKey, Arc<PieceDispatcher>>>,
@@ -136,6 +139,7 @@
             max_key_age: parts.max_key_age,
             stop: StopSchedule::default(),
             view_count: watch::Sender::default(),
+            started: Instant::now(),
             retry_limits: parts.retry_limits,
             retries: Mutex::default(),
             dispatchers: Mutex::default(),
@@ -541,6 +545,27 @@
         self.retry_window(pool, |window| window.record_first_send(Instant::now()));
     }
 
+    /// Records requests or pieces that are about to be sent beyond their first time.
+    pub(super) fn record_repeats(
+        &self,
+        pool: &str,
+        request: &str,
+        reason: RepeatReason,
+        count: usize,
+    ) {
+        self.metrics.record_repeat_sends(pool, reason, count);
+        log_event!(
+            info,
+            "repeat_sent",
+            request = request,
+            pool = pool,
+            reason = reason.name(),
+            count = count,
+            entries = self.view.load().entries.len(),
+            uptime_ms = self.started.elapsed().as_millis()
+        );
+    }
+
     /// Takes one retry from the budget of `pool`.
     pub(super) fn try_retry(&self, pool: &str) -> bool {
         let entries = self.view.load().entries.len() as u32;
--- a/crates/savorywalk/src/gateway/load_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/load_exchange_tests.rs
@@ -72,6 +72,7 @@
         returning: false,
         timely_only: true,
         no_reservation: false,
+        is_rerun: false,
     }
 }
 
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -75,6 +75,7 @@
 mod request_service;
 mod response_head;
 mod result_capacity;
+mod retry_budget;
 mod retry_window;
 mod returns;
 mod route_rule;
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -1,5 +1,5 @@
 use super::crash_detector::CallFailure;
-use super::endpoint_call::{CallError, read_complete};
+use super::endpoint_call::{CallError, EndpointCall, read_complete};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::{
@@ -66,17 +66,39 @@
     }
 }
 
-/// Makes one call, limited by a timeout.
+/// Time in which a call must be answered, from its connection on.
+pub(super) fn call_deadline(profile: &PieceProfile) -> tokio::time::Instant {
+    let call_timeout = profile.call_duration(profile.batch) * CALL_TIMEOUT_FULL_CALLS;
+    tokio::time::Instant::now() + call_timeout
+}
+
+/// Opens a connection for a call, until `deadline`. An error means that nothing was sent.
+pub(super) async fn open(
+    node: &GatewayNode,
+    member: &PoolMember,
+    deadline: tokio::time::Instant,
+) -> Result<EndpointCall, CallResult> {
+    match tokio::time::timeout_at(deadline, node.connect(member)).await {
+        Ok(Ok(_)) if !node.is_available(member.endpoint()) => {
+            Err(CallResult::Denied { load: None })
+        }
+        Ok(Ok(call)) => Ok(call),
+        Ok(Err(error)) => Err(CallResult::Failed(error)),
+        Err(_) => Err(CallResult::Failed(CallError::Lost("timed out".into()))),
+    }
+}
+
+/// Makes one call over a connection, until `deadline`.
 pub(super) async fn perform(
     node: &GatewayNode,
     pool: &str,
     member: &PoolMember,
+    call: EndpointCall,
     pieces: &[QueuedPiece],
-    profile: &PieceProfile,
+    deadline: tokio::time::Instant,
 ) -> CallResult {
-    let call_timeout = profile.call_duration(profile.batch) * CALL_TIMEOUT_FULL_CALLS;
-    let exchange = exchange(node, pool, member, pieces);
-    match tokio::time::timeout(call_timeout, exchange).await {
+    let exchange = exchange(node, pool, member, call, pieces);
+    match tokio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(result)) => result,
         Ok(Err(error)) => CallResult::Failed(error),
         Err(_) => CallResult::Failed(CallError::Lost("timed out".into())),
@@ -87,12 +109,9 @@
     node: &GatewayNode,
     pool: &str,
     member: &PoolMember,
+    mut call: EndpointCall,
     pieces: &[QueuedPiece],
 ) -> Result<CallResult, CallError> {
-    let mut call = node.connect(member).await?;
-    if !node.is_available(member.endpoint()) {
-        return Ok(CallResult::Denied { load: None });
-    }
     let now = Instant::now();
     let requests: Vec<PieceRequest<'_>> = pieces
         .iter()
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -8,6 +8,7 @@
 use super::gateway_view::GatewayView;
 use super::permit_gate::PermitWindow;
 use super::piece_call::{self, CallResult};
+use super::retry_budget::RepeatReason;
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
     PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
@@ -142,6 +143,7 @@
                 piece,
                 queued,
                 failures: 0,
+                was_sent: task.is_rerun,
             });
         }
         drop(state);
@@ -310,7 +312,7 @@
         self.node.permit_window(now, pool, WorkKind::Stages, shard)
     }
 
-    async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
+    async fn perform(self: Arc<Self>, mut call: PieceCall, profile: PieceProfile) {
         let view = self.node.view.load_full();
         let Some(member) = view.roster.member(&self.pool, &call.endpoint) else {
             self.end_call(&call, profile, None);
@@ -331,7 +333,15 @@
         let started = Instant::now();
         self.node.metrics.record_call(&self.pool, call.pieces.len());
         let (node, pool) = (&self.node, &self.pool);
-        let result = piece_call::perform(node, pool, member, &call.pieces, &profile).await;
+        let deadline = piece_call::call_deadline(&profile);
+        let result = match piece_call::open(node, member, deadline).await {
+            Ok(connection) => {
+                self.record_sends(&mut call.pieces);
+                let pieces = &call.pieces;
+                piece_call::perform(node, pool, member, connection, pieces, deadline).await
+            }
+            Err(result) => result,
+        };
         let waits = call.pieces.iter();
         let longest_wait = waits.map(|piece| started - piece.queued).max();
         log_event!(
@@ -391,6 +401,23 @@
         self.wake();
     }
 
+    /// Records that pieces are sent now, some of them perhaps not for the first time.
+    fn record_sends(&self, pieces: &mut [QueuedPiece]) {
+        let repeats = pieces.iter().filter(|piece| piece.was_sent);
+        let mut by_request: BTreeMap<(&str, &'static str), (RepeatReason, usize)> = BTreeMap::new();
+        for piece in repeats {
+            let reason = piece.repeat_reason();
+            let key = (&*piece.task.request_id, reason.name());
+            by_request.entry(key).or_insert((reason, 0)).1 += 1;
+        }
+        for ((request, _), (reason, count)) in by_request {
+            self.node.record_repeats(&self.pool, request, reason, count);
+        }
+        for piece in pieces {
+            piece.was_sent = true;
+        }
+    }
+
     /// Reports that the endpoint of a call may have crashed, and waits for control's decision
     /// before the pieces go to other endpoints.
     async fn report_suspected_crash(&self, view: &GatewayView, call: &PieceCall) {
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -38,6 +38,7 @@
         result_bytes: 1_000,
         preferred_data_center: None,
         data_center_filter: DataCenterFilter::default(),
+        is_rerun: false,
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
     })
@@ -50,6 +51,7 @@
             piece,
             queued: now,
             failures: 0,
+            was_sent: false,
         });
     }
 }
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use super::retry_budget::RepeatReason;
 use super::{DataCenterFilter, PieceSource};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
@@ -30,6 +31,8 @@
     pub preferred_data_center: Option<Arc<str>>,
     /// Data centres in which the pieces may be worked on.
     pub data_center_filter: DataCenterFilter,
+    /// Whether the pieces may have been sent before, for an earlier execution of the stage.
+    pub is_rerun: bool,
     /// Set when the request no longer waits for the pieces.
     pub abandoned: AtomicBool,
     /// Set once the first piece has been put into a call.
@@ -49,6 +52,19 @@
     pub queued: Instant,
     /// Number of failed calls with the piece.
     pub failures: u32,
+    /// Whether the piece may have been sent to an endpoint.
+    pub was_sent: bool,
+}
+
+impl QueuedPiece {
+    /// Why the piece is sent again.
+    pub(super) fn repeat_reason(&self) -> RepeatReason {
+        match (self.failures, self.task.is_rerun) {
+            (0, true) => RepeatReason::Rerun,
+            (0, false) => RepeatReason::Denied,
+            (_, _) => RepeatReason::Failed,
+        }
+    }
 }
 
 /// A call to make.
--- a/crates/savorywalk/src/gateway/piece_times_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_times_tests.rs
@@ -14,6 +14,7 @@
             piece: 0,
             queued: now,
             failures: 0,
+            was_sent: false,
         }
     };
     let light = (0..light).map(|_| piece(LIGHT));
--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -168,6 +168,7 @@
                     other_shard = other_shard.as_ref().map_or("", WorkShard::name)
                 );
                 return Err(PlanFailure::Overload {
+                    begun: false,
                     return_time,
                     other_shard,
                 });
@@ -212,6 +213,7 @@
             }
             PlanOutcome::Begun(PlanClass::Timely | PlanClass::Late) => Ok(permit),
             PlanOutcome::Refused(return_time) => Err(PlanFailure::Overload {
+                begun: false,
                 return_time,
                 other_shard,
             }),
--- a/crates/savorywalk/src/gateway/plan_progress.rs
+++ b/crates/savorywalk/src/gateway/plan_progress.rs
@@ -15,6 +15,8 @@
 pub struct PlanProgress {
     graph: Arc<StageGraph>,
     states: Vec<StageState>,
+    /// Stages that were started.
+    started: BTreeSet<usize>,
     recomputations: u32,
 }
 
@@ -35,6 +37,8 @@
     pub stage: usize,
     /// Results of the stages that it depends on; `None` for a stage that depends on none.
     pub inputs: Option<Arc<[ResultHandle]>>,
+    /// Whether the stage was started before.
+    pub is_rerun: bool,
 }
 
 /// Results of a request were lost more often than they are recomputed.
@@ -47,6 +51,7 @@
         Self {
             states: vec![StageState::Waiting; graph.len()],
             graph,
+            started: BTreeSet::new(),
             recomputations: 0,
         }
     }
@@ -60,6 +65,7 @@
             }
             if let Some(start) = self.try_start(stage) {
                 self.states[stage] = StageState::Running;
+                self.started.insert(stage);
                 starts.push(start);
             }
         }
@@ -83,6 +89,7 @@
         Some(StageStart {
             stage,
             inputs: needs_inputs.then(|| inputs.into()),
+            is_rerun: self.started.contains(&stage),
         })
     }
 
--- a/crates/savorywalk/src/gateway/plan_request.rs
+++ b/crates/savorywalk/src/gateway/plan_request.rs
@@ -42,6 +42,8 @@
     /// Whether no room is to be reserved for the caller's return, since that will reach
     /// another shard.
     pub(super) no_reservation: bool,
+    /// Whether its pieces may have been sent before.
+    pub(super) is_rerun: bool,
 }
 
 impl PlanRequest {
@@ -88,6 +90,7 @@
             returning: self.returning,
             timely_only: self.timely_only,
             no_reservation: self.no_reservation,
+            is_rerun: self.is_rerun,
         }
     }
 
@@ -130,6 +133,7 @@
             returning: call.returning,
             timely_only: call.timely_only,
             no_reservation: call.no_reservation,
+            is_rerun: call.is_rerun,
         };
         Some((shard, request))
     }
--- a/crates/savorywalk/src/gateway/plan_request_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_request_tests.rs
@@ -27,6 +27,7 @@
         returning: true,
         timely_only: false,
         no_reservation: true,
+        is_rerun: true,
     }
 }
 
@@ -40,7 +41,7 @@
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
     assert_eq!(arrived.workspace, sent.workspace);
-    assert!(arrived.no_reservation);
+    assert!(arrived.no_reservation && arrived.is_rerun);
     assert_eq!(arrived.rank, sent.rank);
     assert_eq!(arrived.turn_rank, sent.turn_rank);
     assert_eq!(arrived.key, sent.key);
--- a/crates/savorywalk/src/gateway/plan_results.rs
+++ b/crates/savorywalk/src/gateway/plan_results.rs
@@ -15,6 +15,8 @@
         /// Another shard that probably has room; the refusing one itself if none is known to,
         /// so that the refusal is final. `None` if too little is known of the others.
         other_shard: Option<WorkShard>,
+        /// Whether pieces may have been sent.
+        begun: bool,
     },
     /// An input was no longer stored at its endpoint.
     InputGone,
@@ -25,11 +27,13 @@
 }
 
 impl PlanFailure {
-    /// An overload of the shard that was asked, and of all others as far as is known.
-    pub(super) const fn overload(return_time: ReturnTime) -> Self {
+    /// An overload that a begun plan met, of the shard that was asked and of all others as far as is
+    /// known.
+    pub(super) const fn begun_overload(return_time: ReturnTime) -> Self {
         Self::Overload {
             return_time,
             other_shard: None,
+            begun: true,
         }
     }
 }
--- a/crates/savorywalk/src/gateway/plan_run.rs
+++ b/crates/savorywalk/src/gateway/plan_run.rs
@@ -164,6 +164,7 @@
         result_bytes: rule.result_bytes,
         preferred_data_center,
         data_center_filter: request.data_center_filter.clone(),
+        is_rerun: request.is_rerun || start.is_rerun,
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
         isolated: AtomicBool::new(false),
@@ -192,7 +193,7 @@
             PieceEnd::Late => return Err(PlanFailure::Late),
             PieceEnd::Overload => {
                 let return_time = ReturnTime::After(OVERLOAD_RETRY_AFTER);
-                return Err(PlanFailure::overload(return_time));
+                return Err(PlanFailure::begun_overload(return_time));
             }
             PieceEnd::InputGone => return Err(PlanFailure::InputGone),
             PieceEnd::Failed => return Err(PlanFailure::Failed),
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -75,11 +75,14 @@
         let first = near.or_else(|| map.select(ticket, None));
         let first = first.cloned().unwrap_or_default();
         let Some(second) = map.select(ticket.rotate_left(u64::BITS / 2), Some(&first)) else {
-            return self.execute_in_shard(node, &first, &request).await;
+            return self.execute_in_shard(node, &first, &mut request).await;
         };
         request.timely_only = true;
-        let outcome = self.execute_in_shard(node, &first, &request).await;
-        let Err(PlanFailure::Overload { other_shard, .. }) = &outcome else {
+        let outcome = self.execute_in_shard(node, &first, &mut request).await;
+        let Err(PlanFailure::Overload {
+            other_shard, begun, ..
+        }) = &outcome
+        else {
             node.metrics.record_plan("first");
             return outcome;
         };
@@ -99,17 +102,18 @@
                 second
             }
         };
+        request.is_rerun |= *begun;
         request.timely_only = false;
         // By loads, the caller's return may reach any second shard, but always the same first.
         request.no_reservation = node.features.shard_balance;
-        self.execute_in_shard(node, second, &request).await
+        self.execute_in_shard(node, second, &mut request).await
     }
 
     async fn execute_in_shard(
         &self,
         node: &Arc<GatewayNode>,
         shard: &WorkShard,
-        request: &PlanRequest,
+        request: &mut PlanRequest,
     ) -> Result<PlanResults, PlanFailure> {
         for _ in 0..MAX_COORDINATORS {
             let view = node.view.load_full();
@@ -123,6 +127,8 @@
                 Ok(outcome) => return outcome,
                 Err(reason) => {
                     self.mark_unresponsive(node, coordinator, shard, &request.request_id, &reason);
+                    // It may have sent pieces.
+                    request.is_rerun = true;
                 }
             }
         }
@@ -390,6 +396,7 @@
     PlanFailure::Overload {
         return_time,
         other_shard: reply.other_shard.as_deref().map(WorkShard::from_name),
+        begun: reply.begun,
     }
 }
 
@@ -404,11 +411,13 @@
         Err(PlanFailure::Overload {
             return_time,
             other_shard,
+            begun,
         }) => {
             let delay = return_time.delay().unwrap_or_default();
             reply.retry_after_ms = delay.as_millis() as u32;
             reply.appointed = matches!(return_time, ReturnTime::Appointed(_));
             reply.hopeless = *return_time == ReturnTime::Hopeless;
+            reply.begun = *begun;
             reply.other_shard = other_shard.as_ref().map(|shard| shard.name().to_string());
             PlanEnd::Overload
         }
