--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -7,7 +7,10 @@
 use std::path::PathBuf;
 
 use rstest::rstest;
-use savorywalk_proof::{FaultScript, PromptPlan, ProofPlan, ProofReport, run_prompts, run_proof};
+use savorywalk_proof::{
+    FaultScript, PromptPlan, ProofPlan, ProofReport, RetryPlan, RetryPlay, RetryReport, run_prompts,
+    run_proof, run_retries,
+};
 use savorywalk_standin::Deployment;
 
 const ENTRIES: usize = 3;
@@ -15,6 +18,9 @@
 const CALLERS: usize = 12;
 const PAIRS: usize = 3;
 
+/// Gateways before endpoints that count retries.
+const RETRY_GATEWAYS: usize = 8;
+
 async fn run(deployment: Deployment, script: FaultScript) -> ProofReport {
     let folder = tempfile::tempdir().unwrap();
     let plan = ProofPlan {
@@ -81,3 +87,37 @@
     let report = run_prompts(&plan).await.unwrap();
     assert!(report.is_sound(), "{report}");
 }
+
+async fn play_retries(play: RetryPlay) -> RetryReport {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = RetryPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        gateways: RETRY_GATEWAYS,
+        play,
+        seed: 1,
+    };
+    run_retries(&plan).await.unwrap()
+}
+
+/// Guards against requests and pieces that are sent again without a retry from the budget, which they
+/// were after results of their stages were lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn sends_after_lost_inputs_stay_within_the_retry_budget() {
+    let report = play_retries(RetryPlay::InputsGone).await;
+    assert!(report.is_sound(), "{report}");
+}
+
+/// Guards against a budget that each restart of an entry makes available again.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarts_of_all_gateways_stay_within_the_retry_budget() {
+    let report = play_retries(RetryPlay::AllGateways).await;
+    assert!(report.is_sound(), "{report}");
+}
+
+/// Guards against entries that take larger parts of the budget while they know few others.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarts_of_control_and_gateways_stay_within_the_retry_budget() {
+    let report = play_retries(RetryPlay::Control).await;
+    assert!(report.is_sound(), "{report}");
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -4,8 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arguments::{Prompts, SavorywalkProof, SavorywalkProofCmd};
-use savorywalk_proof::{FaultScript, PromptPlan, ProofPlan, run_prompts, run_proof};
+use arguments::{Prompts, Retries, SavorywalkProof, SavorywalkProofCmd};
+use savorywalk_proof::{
+    FaultScript, PromptPlan, ProofPlan, RetryPlan, RetryPlay, run_prompts, run_proof, run_retries,
+};
 use savorywalk_standin::Deployment;
 
 mod arguments {
@@ -46,6 +48,19 @@
                 /// Gateways; default 6.
                 optional --gateways gateways: usize
             }
+            /// Gateways and registries before endpoints that count what reaches them beyond the first
+            /// send of each request, one run a seed.
+            cmd retries {
+                /// Play: rejections, one-gateway, inputs-gone, gateways-in-turn, all-gateways, control
+                /// or series; default series.
+                optional --play name: String
+                /// First seed; default 1.
+                optional --seed seed: u64
+                /// Runs, each with the next seed; default 1.
+                optional --runs runs: u64
+                /// Gateways; default 8.
+                optional --gateways gateways: usize
+            }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
                 /// Seed; default 1.
@@ -62,9 +77,12 @@
 const DEFAULT_CALLERS: usize = 32;
 const DEFAULT_PAIRS: usize = 8;
 
-/// Most gateways of a soak of prompts, each a process.
+/// Most gateways of a soak, each a process.
 const MAX_GATEWAYS: usize = 200;
 
+/// Gateways of a soak of retries.
+const RETRY_GATEWAYS: usize = 8;
+
 #[tokio::main]
 async fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
     savorywalk::telemetry::init_logging("error");
@@ -91,6 +109,7 @@
             seeds.map(script).collect()
         }
         SavorywalkProofCmd::Prompts(prompts) => return soak_prompts(program, &prompts).await,
+        SavorywalkProofCmd::Retries(retries) => return soak_retries(program, &retries).await,
         SavorywalkProofCmd::Pairs(pairs) => {
             let seed = pairs.seed.unwrap_or(1);
             let count = pairs.count.unwrap_or(DEFAULT_PAIRS);
@@ -151,3 +170,37 @@
         false => ExitCode::FAILURE,
     })
 }
+
+/// Runs a play of retries, one run a seed.
+async fn soak_retries(
+    program: PathBuf,
+    retries: &Retries,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let name = retries.play.as_deref();
+    let name = name.unwrap_or(RetryPlay::Series.name());
+    let play = RetryPlay::from_name(name);
+    let play = play.ok_or_else(|| format!("no play is named {name}; see --help"))?;
+    let gateways = retries.gateways.unwrap_or(RETRY_GATEWAYS);
+    let first = retries.seed.unwrap_or(1);
+    let mut is_sound = true;
+    for seed in first..first + retries.runs.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = RetryPlan {
+            program: program.clone(),
+            folder: folder.path().to_path_buf(),
+            gateways: gateways.clamp(2, MAX_GATEWAYS),
+            play,
+            seed,
+        };
+        let report = run_retries(&plan).await?;
+        println!("{name}, seed {seed}: {report}");
+        if !report.is_sound() {
+            println!("seed {seed}: logs are kept in {}", folder.keep().display());
+            is_sound = false;
+        }
+    }
+    Ok(match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/crates/proof/src/gateway_fleet/http_call.rs
+++ b/crates/proof/src/gateway_fleet/http_call.rs
@@ -6,19 +6,19 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A connection that is used for one call after the other, until the other end is gone.
-pub(super) struct KeptConnection {
+pub(crate) struct KeptConnection {
     address: SocketAddr,
     stream: Option<BufReader<TcpStream>>,
 }
 
 /// An answer with its status and body.
-pub(super) struct CallAnswer {
-    pub(super) status: u16,
-    pub(super) body: String,
+pub(crate) struct CallAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
 }
 
 impl KeptConnection {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
             stream: None,
@@ -27,7 +27,7 @@
 
     /// Sends a call and reads its answer; `None` if the connection can't be opened, breaks off or
     /// stays silent. Each line of `headers` ends with a line break.
-    pub(super) async fn call(
+    pub(crate) async fn call(
         &mut self,
         line: &str,
         headers: &str,
@@ -52,12 +52,12 @@
 }
 
 /// Sends one call over a connection of its own.
-pub(super) async fn call_once(address: SocketAddr, line: &str, body: &str) -> Option<CallAnswer> {
+pub(crate) async fn call_once(address: SocketAddr, line: &str, body: &str) -> Option<CallAnswer> {
     KeptConnection::new(address).call(line, "", body).await
 }
 
 /// Reads the lines of a head up to the empty one; `None` if the connection ends before.
-pub(super) async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+pub(crate) async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut lines = Vec::new();
     loop {
         let mut line = String::new();
@@ -72,14 +72,14 @@
 }
 
 /// Value of a header in the lines of a head.
-pub(super) fn header<'a>(lines: &'a [String], name: &str) -> Option<&'a str> {
+pub(crate) fn header<'a>(lines: &'a [String], name: &str) -> Option<&'a str> {
     let mut headers = lines.iter().filter_map(|line| line.split_once(": "));
     let header = headers.find(|(key, _)| key.eq_ignore_ascii_case(name));
     header.map(|(_, value)| value)
 }
 
 /// Reads the body of a message with a length.
-pub(super) async fn read_body(
+pub(crate) async fn read_body(
     stream: &mut BufReader<TcpStream>,
     lines: &[String],
 ) -> Option<String> {
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -1,10 +1,10 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 
+use nix::sys::signal::Signal;
 use savorywalk::prelude::*;
 
-use super::Result;
-use super::http_call::call_once;
+use super::{Result, call_once};
 use crate::SignalledProcess;
 
 /// Ports of each daemon, at an address of its own.
@@ -20,38 +20,46 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Sizes and settings of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetPlan {
+    pub(crate) registries: usize,
+    pub(crate) gateways: usize,
+    /// Retries allowed for each request, those allowed beside, and the window of both in
+    /// milliseconds.
+    pub(crate) retry_share: f64,
+    pub(crate) retry_extra: f64,
+    pub(crate) retry_window_ms: u64,
+    /// Level of the daemons' logs.
+    pub(crate) log_level: &'static str,
+}
+
 /// Processes of a deployment: registries, then gateways.
-pub(super) struct GatewayFleet {
+pub(crate) struct ProcessFleet {
     program: PathBuf,
     folder: PathBuf,
     base: Ipv4Addr,
-    registries: usize,
+    plan: FleetPlan,
     processes: Vec<Option<SignalledProcess>>,
     has_started: Vec<bool>,
 }
 
-impl GatewayFleet {
+impl ProcessFleet {
     /// A fleet of which no process runs, at addresses of the network of `base`.
-    pub(super) fn new(
-        program: &Path,
-        folder: &Path,
-        base: Ipv4Addr,
-        registries: usize,
-        gateways: usize,
-    ) -> Self {
-        let count = registries + gateways;
+    pub(crate) fn new(program: &Path, folder: &Path, base: Ipv4Addr, plan: FleetPlan) -> Self {
+        let count = plan.registries + plan.gateways;
         Self {
             program: program.to_path_buf(),
             folder: folder.to_path_buf(),
             base,
-            registries,
+            plan,
             processes: (0..count).map(|_| None).collect(),
             has_started: vec![false; count],
         }
     }
 
     /// Starts the processes that don't run.
-    pub(super) async fn start_stopped(&mut self) -> Result<()> {
+    pub(crate) async fn start_stopped(&mut self) -> Result<()> {
         for index in 0..self.processes.len() {
             let is_running = self.processes[index]
                 .as_mut()
@@ -69,33 +77,47 @@
     }
 
     /// Kills all processes, and waits until they have ended.
-    pub(super) async fn end(self) -> Result<()> {
+    pub(crate) async fn end(self) -> Result<()> {
         for process in self.processes.into_iter().flatten() {
             process.kill().await?;
         }
         Ok(())
     }
 
-    /// The process at `index`, if it has been started.
-    pub(super) fn process(&mut self, index: usize) -> Option<&mut SignalledProcess> {
-        self.processes[index].as_mut()
+    pub(crate) fn len(&self) -> usize {
+        self.processes.len()
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.processes.len()
+    /// Sends a signal to the process at `index`, if it runs.
+    pub(crate) fn signal(&mut self, index: usize, signal: Signal) -> Result<()> {
+        let Some(process) = &mut self.processes[index] else {
+            return Ok(());
+        };
+        match process.is_running() {
+            true => process.signal(signal),
+            false => Ok(()),
+        }
+    }
+
+    /// Kills the process at `index`, and waits until it has ended.
+    pub(crate) async fn kill(&mut self, index: usize) -> Result<()> {
+        match self.processes[index].take() {
+            Some(process) => process.kill().await,
+            None => Ok(()),
+        }
     }
 
     /// Addresses at which registries take calls.
-    pub(super) fn registries(&self) -> Vec<SocketAddr> {
-        let indexes = 0..self.registries;
+    pub(crate) fn registries(&self) -> Vec<SocketAddr> {
+        let indexes = 0..self.plan.registries;
         indexes
             .map(|index| SocketAddr::from((self.ip(index), FIRST_PORT)))
             .collect()
     }
 
     /// Addresses at which gateways take requests.
-    pub(super) fn gateways(&self) -> Vec<SocketAddr> {
-        let indexes = self.registries..self.processes.len();
+    pub(crate) fn gateways(&self) -> Vec<SocketAddr> {
+        let indexes = self.plan.registries..self.processes.len();
         indexes
             .map(|index| SocketAddr::from((self.ip(index), FIRST_PORT)))
             .collect()
@@ -103,7 +125,7 @@
 
     fn ip(&self, index: usize) -> Ipv4Addr {
         let [first, second, third, _] = self.base.octets();
-        let last = match index.checked_sub(self.registries) {
+        let last = match index.checked_sub(self.plan.registries) {
             Some(gateway) => FIRST_GATEWAY + gateway as u8,
             None => FIRST_REGISTRY + index as u8,
         };
@@ -112,11 +134,11 @@
 
     fn settings(&self, index: usize) -> Result<String> {
         let ip = self.ip(index);
-        let seeds: Vec<String> = (0..self.registries)
+        let seeds: Vec<String> = (0..self.plan.registries)
             .map(|registry| format!("{}:{CLUSTER_PORT}", self.ip(registry)))
             .collect();
-        let first_start = index < self.registries && !self.has_started[index];
-        let role = match index < self.registries {
+        let first_start = index < self.plan.registries && !self.has_started[index];
+        let role = match index < self.plan.registries {
             true => {
                 let data = self.folder.join(format!("data-{index}"));
                 std::fs::create_dir_all(&data)?;
@@ -128,24 +150,26 @@
             }
             false => format!(
                 "[gateway]\ncallers = {ip}:{FIRST_PORT}\nprobes = {ip}:{PROBE_PORT}\n\
-                 key_bound_ms = 600000\nretry_share = 10\nretry_extra = 1000\n\
-                 retry_window_ms = 10000\nstop_time_ms = 3000\nannounce_interval_ms = 1200\n"
+                 key_bound_ms = 600000\nretry_share = {}\nretry_extra = {}\n\
+                 retry_window_ms = {}\nstop_time_ms = 3000\nannounce_interval_ms = 1200\n",
+                self.plan.retry_share, self.plan.retry_extra, self.plan.retry_window_ms
             ),
         };
-        let kind = match index < self.registries {
+        let kind = match index < self.plan.registries {
             true => "registry",
             false => "gateway",
         };
         Ok(format!(
             "[node]\nname = {kind}-{index}\ndata_center = z\nregion = north\nroles = {kind}\n\
              [cluster]\naddress = {ip}:{CLUSTER_PORT}\nseeds = {}\nfirst_start = {first_start}\n\
-             data_centers = z:north\n{role}[log]\nlevel = warn\n",
-            seeds.join(",")
+             data_centers = z:north\n{role}[log]\nlevel = {}\n",
+            seeds.join(","),
+            self.plan.log_level
         ))
     }
 
     /// Sends a document to the registries until one accepts it; false if none does.
-    pub(super) async fn publish(&self, document: &str) -> bool {
+    pub(crate) async fn publish(&self, document: &str) -> bool {
         wait_until(async || {
             for registry in self.registries() {
                 let answer = call_once(registry, "POST /config/put", document).await;
@@ -158,8 +182,24 @@
         .await
     }
 
+    /// Sum of a counter over all gateways that answer and all its labels that contain `label`.
+    pub(crate) async fn sum_metric(&self, name: &str, label: &str) -> f64 {
+        let mut sum = 0.0;
+        for gateway in self.gateways() {
+            let probes = SocketAddr::new(gateway.ip(), PROBE_PORT);
+            let answer = call_once(probes, "GET /metrics", "").await;
+            let page = answer.map(|answer| answer.body).unwrap_or_default();
+            let lines = page
+                .lines()
+                .filter(|line| line.starts_with(name) && line.contains(label));
+            let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            sum += values.sum::<f64>();
+        }
+        sum
+    }
+
     /// Waits until a metric of each gateway is at least 1; false if one stays below.
-    pub(super) async fn wait_for_metric(&self, name: &str) -> bool {
+    pub(crate) async fn wait_for_metric(&self, name: &str) -> bool {
         for gateway in self.gateways() {
             let probes = SocketAddr::new(gateway.ip(), PROBE_PORT);
             let is_reached = wait_until(async || {
@@ -181,7 +221,7 @@
 }
 
 /// Waits until `is_met` returns true; false if it does not within [`WAIT_TIMEOUT`].
-pub(super) async fn wait_until(mut is_met: impl AsyncFnMut() -> bool) -> bool {
+pub(crate) async fn wait_until(mut is_met: impl AsyncFnMut() -> bool) -> bool {
     let deadline = Instant::now() + WAIT_TIMEOUT;
     while !is_met().await {
         if Instant::now() > deadline {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -5,6 +5,7 @@
 mod entry_fleet;
 mod fault_script;
 mod fleet_watch;
+mod gateway_fleet;
 mod guarantee_checker;
 mod guarantee_violation;
 mod history_book;
@@ -13,6 +14,7 @@
 mod prompt_soak;
 mod proof_report;
 mod proof_run;
+mod retry_soak;
 mod run_address;
 mod signalled_process;
 
@@ -27,4 +29,8 @@
 pub use prompt_soak::{PromptPlan, PromptReport, run_prompts};
 pub use proof_report::ProofReport;
 pub use proof_run::{ProofError, ProofPlan, run_proof};
+pub use retry_soak::{
+    ArrivalLog, BudgetLimits, BudgetUse, PoolArrivals, RetryPlan, RetryPlay, RetryReport,
+    run_retries,
+};
 pub use signalled_process::SignalledProcess;
--- a/crates/proof/src/prompt_soak/mod.rs
+++ b/crates/proof/src/prompt_soak/mod.rs
@@ -2,8 +2,6 @@
 //! prompts, because such a part must stay found while processes come and go. See
 //! docs/design/proof.md.
 
-mod gateway_fleet;
-mod http_call;
 mod prompt_engine;
 mod prompt_report;
 mod soak_callers;
@@ -12,7 +10,4 @@
 pub use prompt_report::PromptReport;
 pub use soak_run::{PromptPlan, run_prompts};
 
-use crate::ProcessError;
-
-/// The result of a step of the soak.
-type Result<T, E = ProcessError> = std::result::Result<T, E>;
+use crate::gateway_fleet::Result;
--- a/crates/proof/src/prompt_soak/prompt_engine.rs
+++ b/crates/proof/src/prompt_soak/prompt_engine.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 
-use super::http_call::{call_once, header, read_body, read_head};
+use crate::gateway_fleet::{announce, header, read_body, read_head};
 
 /// Part that crashes the engine that begins an answer on it, unless it is the last.
 pub(super) const CRASHING_PART: &str = "dead";
@@ -20,9 +20,6 @@
 /// Time until an engine that has crashed starts again.
 const RESTART_TIME: Duration = Duration::from_millis(800);
 
-/// Interval between two announcements.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// What the engines of a run have received and how often they have crashed.
 #[derive(Debug, Default)]
 pub(super) struct EngineLog {
@@ -67,7 +64,12 @@
     let address = listener.local_addr()?;
     let (crash, mut crashed) = mpsc::channel(1);
     let mut tasks = JoinSet::new();
-    tasks.spawn(announce(name.to_string(), address, registries.to_vec()));
+    tasks.spawn(announce(
+        "p",
+        name.to_string(),
+        address,
+        registries.to_vec(),
+    ));
     loop {
         tokio::select! {
             accepted = listener.accept() => {
@@ -85,23 +87,6 @@
     Ok(())
 }
 
-/// Announces an engine to the first registry that answers.
-async fn announce(name: String, address: SocketAddr, registries: Vec<SocketAddr>) {
-    for sequence in 1_u64.. {
-        let report = format!(
-            r#"{{"service":"p","address":"{address}","zone":"z","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":{sequence}}}"#
-        );
-        let line = format!("POST /instances/{name}/heartbeat");
-        for registry in &registries {
-            let answer = call_once(*registry, &line, &report).await;
-            if answer.is_some_and(|answer| answer.status == 200) {
-                break;
-            }
-        }
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
-
 async fn serve(stream: TcpStream, log: Arc<EngineLog>, crash: mpsc::Sender<()>) {
     let mut stream = BufReader::new(stream);
     while let Some(lines) = read_head(&mut stream).await {
--- a/crates/proof/src/prompt_soak/soak_callers.rs
+++ b/crates/proof/src/prompt_soak/soak_callers.rs
@@ -3,8 +3,8 @@
 use savorywalk::prelude::*;
 use tokio::sync::watch;
 
-use super::http_call::{CallAnswer, KeptConnection};
 use super::prompt_engine::CRASHING_PART;
+use crate::gateway_fleet::{CallAnswer, KeptConnection};
 
 /// Pause of a caller after each request with the crashing part.
 const CRASHING_PAUSE: Duration = Duration::from_millis(40);
--- a/crates/proof/src/prompt_soak/soak_run.rs
+++ b/crates/proof/src/prompt_soak/soak_run.rs
@@ -8,11 +8,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::gateway_fleet::{GatewayFleet, wait_until};
-use super::http_call::KeptConnection;
 use super::prompt_engine::{CRASHING_PART, EngineLog, start_engines};
 use super::soak_callers::SoakCallers;
 use super::{PromptReport, Result};
+use crate::gateway_fleet::{FleetPlan, KeptConnection, ProcessFleet, wait_until};
 use crate::run_address;
 
 /// Registries of a run, of which one at a time is ended or frozen.
@@ -34,6 +33,11 @@
 /// Requests of each kind after the faults.
 const FINAL_REQUESTS: usize = 40;
 
+/// Retry limits that no run reaches, so that nothing but a quarantine ends retries.
+const RETRY_SHARE: f64 = 10.0;
+const RETRY_EXTRA: f64 = 1_000.0;
+const RETRY_WINDOW_MS: u64 = 10_000;
+
 /// Metric of a gateway: number of quarantined parts.
 const QUARANTINED_METRIC: &str = "savorywalk_gateway_quarantined_parts";
 
@@ -53,7 +57,7 @@
 /// What the steps of one run change.
 struct PromptRun {
     random: ChaCha8Rng,
-    fleet: GatewayFleet,
+    fleet: ProcessFleet,
     log: Arc<EngineLog>,
     /// Number of the newest document.
     document: u64,
@@ -69,7 +73,15 @@
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_prompts(plan: &PromptPlan) -> Result<PromptReport> {
     let base = run_address::next();
-    let mut fleet = GatewayFleet::new(&plan.program, &plan.folder, base, REGISTRIES, plan.gateways);
+    let fleet_plan = FleetPlan {
+        registries: REGISTRIES,
+        gateways: plan.gateways,
+        retry_share: RETRY_SHARE,
+        retry_extra: RETRY_EXTRA,
+        retry_window_ms: RETRY_WINDOW_MS,
+        log_level: "warn",
+    };
+    let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
     let mut run = PromptRun {
         random: ChaCha8Rng::seed_from_u64(plan.seed),
@@ -154,11 +166,11 @@
     async fn take_step(&mut self) -> Result<()> {
         let gateway = self.random.random_range(REGISTRIES + 1..self.fleet.len());
         match self.random.random_range(0..9) {
-            0 => self.signal(gateway, Signal::SIGKILL)?,
-            1 => self.signal(gateway, Signal::SIGTERM)?,
-            2 => self.signal(gateway, Signal::SIGSTOP)?,
-            3 => self.signal(gateway, Signal::SIGCONT)?,
-            4 => self.signal(gateway, Signal::SIGHUP)?,
+            0 => self.fleet.signal(gateway, Signal::SIGKILL)?,
+            1 => self.fleet.signal(gateway, Signal::SIGTERM)?,
+            2 => self.fleet.signal(gateway, Signal::SIGSTOP)?,
+            3 => self.fleet.signal(gateway, Signal::SIGCONT)?,
+            4 => self.fleet.signal(gateway, Signal::SIGHUP)?,
             5 => self.lose_registry()?,
             6 => self.heal().await?,
             7 => self.publish().await,
@@ -171,16 +183,6 @@
         Ok(())
     }
 
-    fn signal(&mut self, index: usize, signal: Signal) -> Result<()> {
-        let Some(process) = self.fleet.process(index) else {
-            return Ok(());
-        };
-        match process.is_running() {
-            true => process.signal(signal),
-            false => Ok(()),
-        }
-    }
-
     /// Kills or freezes a registry, if no other one is lost; the leader may be among them.
     fn lose_registry(&mut self) -> Result<()> {
         if self.lost_registry.is_some() {
@@ -192,13 +194,13 @@
             true => Signal::SIGKILL,
             false => Signal::SIGSTOP,
         };
-        self.signal(registry, signal)
+        self.fleet.signal(registry, signal)
     }
 
     /// Lets frozen processes go on and starts the ended ones again.
     async fn heal(&mut self) -> Result<()> {
         for index in 0..self.fleet.len() {
-            self.signal(index, Signal::SIGCONT)?;
+            self.fleet.signal(index, Signal::SIGCONT)?;
         }
         self.lost_registry = None;
         self.fleet.start_stopped().await
