--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -215,7 +215,8 @@
                 }
                 Ok(AttemptEnd::Unsent) if self.ledger.sends() < MAX_SENDS => continue,
                 Ok(AttemptEnd::Denied) => self.set_repeat_reason(RepeatReason::Denied),
-                Ok(AttemptEnd::InputsGone | AttemptEnd::Unsent | AttemptEnd::Lost) => {}
+                Ok(AttemptEnd::InputsGone) => self.set_repeat_reason(RepeatReason::InputsGone),
+                Ok(AttemptEnd::Unsent | AttemptEnd::Lost) => {}
                 Err(refusal) => return self.finish_refused(refusal),
             }
             if !self.may_send_again() {
