Retry budget held as tokens, in place of parts by the number of entries known

Callers' pools got up to 1.5 of the retries that they allow where entries restarted: each entry's count ended with its process, and after a restart of control entries divided by the few others that they knew for a moment. And an entry that met all failures could use a fifth of the budget.

Requests earn tokens where they arrive; tokens expire after a tenth of the window, are spent once, and are collected for entries that ask. The part beside is granted by one settled coordinator. An endpoint call takes a SendToken, so each further send of a request takes a retry at the last moment before it, after lost inputs and over a connection that was cached, too. The first send's token serves the next try if it was not sent.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -8,8 +8,8 @@
 
 use rstest::rstest;
 use savorywalk_proof::{
-    FaultScript, PromptPlan, ProofPlan, ProofReport, RetryPlan, RetryPlay, RetryReport, run_prompts,
-    run_proof, run_retries,
+    FaultScript, PromptPlan, ProofPlan, ProofReport, RetryPlan, RetryPlay, RetryReport,
+    run_prompts, run_proof, run_retries,
 };
 use savorywalk_standin::Deployment;
 
--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -7,6 +7,7 @@
 
 use super::endpoint_paths::EndpointStream;
 use super::guarded_stream::GuardedStream;
+use super::retry_budget::SendToken;
 use crate::prelude::*;
 use crate::registry::IncarnationToken;
 
@@ -22,6 +23,9 @@
     /// Nothing was sent because the endpoint is unavailable to this entry.
     #[error("not sent: {0}")]
     Withheld(&'static str),
+    /// Nothing was sent because the retry budget has no token.
+    #[error("not sent: the retry budget is used up")]
+    OverBudget,
     /// The connection broke before the response was complete.
     #[error("connection broke before the response was complete: {0}")]
     Broken(String),
@@ -85,6 +89,7 @@
     pub(super) async fn send(
         &mut self,
         request: Request<Bytes>,
+        _token: SendToken,
     ) -> Result<Response<Incoming>, CallError> {
         let broken = |error: hyper::Error| CallError::Broken(error.to_string());
         let request = request.map(Full::new);
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -56,6 +56,8 @@
     InputsGone,
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, and the retry budget allows no further send.
+    OverBudget,
     /// The request may have run, and its answer is lost.
     Lost,
 }
@@ -155,6 +157,10 @@
                 );
                 return Ok(AttemptEnd::Unsent);
             }
+            Ok(Err(CallError::OverBudget)) => {
+                self.ledger.record_denial();
+                return Ok(AttemptEnd::OverBudget);
+            }
             Ok(Err(CallError::Broken(reason))) => {
                 self.record_failure(&endpoint, Some(CallFailure::Cut), &reason)
                     .await;
@@ -202,18 +208,21 @@
                 "the endpoint takes no requests from this entry",
             ));
         }
+        let token = self.take_token().await?;
         let mut sent = BootClock.now();
-        self.record_send();
-        let response = match call.send(self.endpoint_request(member, last_event)).await {
+        let request = self.endpoint_request(member, last_event);
+        let response = match call.send(request, token).await {
             // The endpoint may have closed a cached connection.
-            Err(CallError::Broken(_)) if was_cached && self.node.try_retry(&self.context.pool) => {
+            Err(CallError::Broken(reason)) if was_cached => {
                 // The endpoint may have run the first send, so no failure counts as unsent now.
+                let broken = |_| CallError::Broken(reason.clone());
+                self.set_repeat_reason(RepeatReason::StaleConnection);
                 let connected = self.node.connect(member).await;
                 call = connected.map_err(|error| CallError::Broken(error.to_string()))?;
+                let token = self.take_token().await.map_err(broken)?;
                 sent = BootClock.now();
-                self.repeat_reason = Some(RepeatReason::StaleConnection);
-                self.record_send();
-                call.send(self.endpoint_request(member, last_event)).await?
+                let request = self.endpoint_request(member, last_event);
+                call.send(request, token).await?
             }
             outcome => outcome?,
         };
@@ -225,15 +234,6 @@
         Ok((call, Response::from_parts(parts, body), head))
     }
 
-    /// Records that the request is sent now, and that it has been sent before any later send.
-    fn record_send(&mut self) {
-        let pool = &self.context.pool;
-        if let Some(reason) = self.repeat_reason {
-            self.node.record_repeats(pool, &self.context.id, reason, 1);
-        }
-        self.repeat_reason = Some(RepeatReason::Lost);
-    }
-
     fn endpoint_request(&self, member: &PoolMember, last_event: Option<u64>) -> Request<Bytes> {
         let headers = self.forward_headers(member, last_event);
         let request = self.node.wire.endpoint_request(&self.parts, &headers);
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -7,7 +7,7 @@
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::DecisionWait;
-use super::endpoint_call::MAX_RESPONSE_BYTES;
+use super::endpoint_call::{CallError, MAX_RESPONSE_BYTES};
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer};
 use super::forward_plan::HOPELESS_RETRY;
 use super::gateway_node::GatewayNode;
@@ -15,7 +15,7 @@
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PromptPlacement;
 use super::request_context::RequestContext;
-use super::retry_budget::RepeatReason;
+use super::retry_budget::{RepeatReason, SendToken};
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
 use super::{GatewayRefusal, NotRunReason, RunLedger};
@@ -59,6 +59,15 @@
     }
 }
 
+/// What the next send of a request takes.
+#[derive(Debug)]
+pub(super) enum NextSend {
+    /// The request has not been sent, and this is the token of its first send.
+    First(SendToken),
+    /// The request may have reached an endpoint; a further send takes a retry from the budget.
+    Repeat(RepeatReason),
+}
+
 /// One request that is being forwarded to an endpoint.
 #[derive(Debug)]
 pub(super) struct ForwardRun {
@@ -72,8 +81,7 @@
     /// Whether the answer to the last send has begun.
     pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
-    /// Why the next send is not the first; `None` as long as the request has not been sent.
-    pub(super) repeat_reason: Option<RepeatReason>,
+    pub(super) next_send: NextSend,
     /// Whether the stages were executed, at least in part.
     pub(super) has_run_stages: bool,
     pub(super) results: Option<PlanResults>,
@@ -98,6 +106,7 @@
         context: RequestContext,
         parts: request::Parts,
         body: Bytes,
+        token: SendToken,
     ) -> Self {
         let host = &context.route.host;
         let digest = RequestDigest::from_request(&parts, host, &context.caller, &body);
@@ -111,7 +120,7 @@
             parts,
             body,
             ledger: RunLedger::default(),
-            repeat_reason: None,
+            next_send: NextSend::First(token),
             has_run_stages: false,
             results: None,
             origin: None,
@@ -210,13 +219,19 @@
                 Ok(AttemptEnd::InputsGone) if stage_reruns == 0 => {
                     stage_reruns += 1;
                     self.set_repeat_reason(RepeatReason::InputsGone);
-                    self.execute_stages().await?;
-                    continue;
+                    if self.may_send_again() {
+                        self.execute_stages().await?;
+                        continue;
+                    }
                 }
                 Ok(AttemptEnd::Unsent) if self.ledger.sends() < MAX_SENDS => continue,
                 Ok(AttemptEnd::Denied) => self.set_repeat_reason(RepeatReason::Denied),
                 Ok(AttemptEnd::InputsGone) => self.set_repeat_reason(RepeatReason::InputsGone),
                 Ok(AttemptEnd::Unsent | AttemptEnd::Lost) => {}
+                Ok(AttemptEnd::OverBudget) => {
+                    let refusal = self.refuse(NotRunReason::Denied);
+                    return self.finish_refused(refusal);
+                }
                 Err(refusal) => return self.finish_refused(refusal),
             }
             if !self.may_send_again() {
@@ -227,12 +242,26 @@
     }
 
     /// Sets the reason for the next send, if the request has been sent.
-    fn set_repeat_reason(&mut self, reason: RepeatReason) {
-        if let Some(known) = &mut self.repeat_reason {
-            *known = reason;
+    pub(super) fn set_repeat_reason(&mut self, reason: RepeatReason) {
+        match &mut self.next_send {
+            NextSend::First(_) => {}
+            NextSend::Repeat(known) => *known = reason,
         }
     }
 
+    /// Takes the token of a send that follows at once: that of the first send, or a retry from the
+    /// budget.
+    pub(super) async fn take_token(&mut self) -> Result<SendToken, CallError> {
+        let next = NextSend::Repeat(RepeatReason::Lost);
+        let reason = match std::mem::replace(&mut self.next_send, next) {
+            NextSend::First(token) => return Ok(token),
+            NextSend::Repeat(reason) => reason,
+        };
+        let node = &self.node;
+        let token = node.take_retry(&self.context.pool, &self.context.id, reason);
+        token.await.ok_or(CallError::OverBudget)
+    }
+
     /// Returns the endpoint's own error answer if there is one and the request may have
     /// run, else the gateway's refusal.
     fn finish_refused(
@@ -245,15 +274,27 @@
         }
     }
 
-    /// Whether the request may be sent to another endpoint; if so, takes one retry from the
-    /// budget.
+    /// Whether the request may be sent to another endpoint, and the retry budget probably allows it.
     pub(super) fn may_send_again(&self) -> bool {
         let route = &self.context.route;
         let runs = self.ledger.runs();
         let is_allowed = runs == 0 || route.kind.is_retryable();
         let is_within = runs < route.max_endpoints as usize && self.ledger.sends() < MAX_SENDS;
         let has_time = !self.context.remaining(Instant::now()).is_zero();
-        is_allowed && is_within && has_time && self.node.try_retry(&self.context.pool)
+        is_allowed && is_within && has_time && self.has_token()
+    }
+
+    /// Whether there probably is a token for the next send.
+    fn has_token(&self) -> bool {
+        let pool = &self.context.pool;
+        match self.next_send {
+            NextSend::First(_) => true,
+            NextSend::Repeat(_) if self.node.retry_gate.may_retry(pool) => true,
+            NextSend::Repeat(_) => {
+                self.node.metrics.record_retry(pool, false);
+                false
+            }
+        }
     }
 
     /// Relays a stream to the caller as it arrives.
@@ -300,6 +341,7 @@
                 | AttemptEnd::Denied
                 | AttemptEnd::InputsGone
                 | AttemptEnd::Unsent
+                | AttemptEnd::OverBudget
                 | AttemptEnd::Lost,
             )
             | Err(_) => None,
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -111,9 +111,13 @@
     }
 
     pub(super) fn record_retry(&self, pool: &str, granted: bool) {
+        self.record_retries(pool, granted, 1);
+    }
+
+    pub(super) fn record_retries(&self, pool: &str, granted: bool, count: u32) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.retries
-            .add(1, &[pool, KeyValue::new("granted", granted)]);
+            .add(count.into(), &[pool, KeyValue::new("granted", granted)]);
     }
 
     pub(super) fn record_repeat_sends(&self, pool: &str, reason: RepeatReason, count: usize) {
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -21,14 +21,12 @@
 use super::plan_admission::PlanAdmission;
 use super::region_map::RegionMap;
 use super::release_queue::{self, ReleaseQueue};
-use super::retry_budget::RepeatReason;
+use super::retry_budget::{self, RepeatReason, RetryGate};
 use super::shard_balance::ShardLoads;
 use super::stream_origins::{self, OriginExchange};
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
-use super::{
-    EndpointRoster, LoadFeatures, PoolMember, ResultHandle, RetryLimits, RetryWindow, WireFormat,
-};
+use super::{EndpointRoster, LoadFeatures, PoolMember, ResultHandle, RetryLimits, WireFormat};
 use crate::prelude::*;
 use crate::quarantine::QuarantineList;
 use crate::registry::{BootClock, EntryFollower, FollowState};
@@ -81,8 +79,8 @@
     view_count: watch::Sender<u64>,
     /// When this entry started.
     started: Instant,
-    retry_limits: RetryLimits,
-    retries: Mutex<FastMap<String, RetryWindow>>,
+    /// Retry budgets of the pools.
+    pub(super) retry_gate: RetryGate,
     dispatchers: Mutex<FastMap<DispatcherKey, Arc<PieceDispatcher>>>,
     plan_admissions: Mutex<FastMap<WorkShard, Arc<PlanAdmission>>>,
     /// Loads of the stage shards, reported by their coordinators.
@@ -140,8 +138,7 @@
             stop: StopSchedule::default(),
             view_count: watch::Sender::default(),
             started: Instant::now(),
-            retry_limits: parts.retry_limits,
-            retries: Mutex::default(),
+            retry_gate: RetryGate::new(parts.retry_limits),
             dispatchers: Mutex::default(),
             plan_admissions: Mutex::default(),
             shard_loads: Mutex::default(),
@@ -154,9 +151,11 @@
         node.register_coordination();
         node.register_paths();
         node.register_origins();
+        node.register_retries();
         tokio::spawn(Arc::clone(&node).follow());
         tokio::spawn(coordination_driver::run_meter(Arc::downgrade(&node)));
         tokio::spawn(stream_origins::run_refresh(Arc::downgrade(&node)));
+        tokio::spawn(retry_budget::run(Arc::downgrade(&node)));
         tokio::spawn(release_queue::run(Arc::clone(&node), released));
         let notices = parts.hub.subscribe(LinkChannel::Work);
         tokio::spawn(release_queue::serve(Arc::clone(&node), notices));
@@ -268,6 +267,22 @@
             .build();
     }
 
+    /// Registers the gauge of retry budgets whose extra part this entry grants.
+    fn register_retries(self: &Arc<Self>) {
+        let node = Arc::downgrade(self);
+        let meter = self.metric_set.meter();
+        meter
+            .u64_observable_gauge("savorywalk_gateway_settled_retry_budgets")
+            .with_description(
+                "Pools whose part of the retry budget beside requests is granted here",
+            )
+            .with_callback(move |gauge| {
+                let count = node.upgrade().map(|node| node.retry_gate.count_settled());
+                gauge.observe(count.unwrap_or(0) as u64, &[]);
+            })
+            .build();
+    }
+
     fn count_evacuated(&self) -> usize {
         self.apply_updates();
         self.follower
@@ -540,11 +555,6 @@
         }
     }
 
-    /// Counts the first send of a request to `pool`.
-    pub(super) fn record_first_send(&self, pool: &str) {
-        self.retry_window(pool, |window| window.record_first_send(Instant::now()));
-    }
-
     /// Records requests or pieces that are about to be sent beyond their first time.
     pub(super) fn record_repeats(
         &self,
@@ -566,22 +576,6 @@
         );
     }
 
-    /// Takes one retry from the budget of `pool`.
-    pub(super) fn try_retry(&self, pool: &str) -> bool {
-        let entries = self.view.load().entries.len() as u32;
-        let granted = self.retry_window(pool, |window| window.take_retry(Instant::now(), entries));
-        self.metrics.record_retry(pool, granted);
-        granted
-    }
-
-    fn retry_window<T>(&self, pool: &str, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
-        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = retries
-            .entry(pool.to_string())
-            .or_insert_with(|| RetryWindow::new(self.retry_limits));
-        act(window)
-    }
-
     /// Returns the dispatcher of this entry for `key`, and starts it on first use.
     pub(super) fn dispatcher(self: &Arc<Self>, key: &DispatcherKey) -> Arc<PieceDispatcher> {
         let mut dispatchers = self.dispatchers();
--- a/crates/savorywalk/src/gateway/gateway_view.rs
+++ b/crates/savorywalk/src/gateway/gateway_view.rs
@@ -68,7 +68,7 @@
     pub(super) fn shard_map(&self, kind: WorkKind, pool: &str) -> Arc<ShardMap> {
         let key = match kind {
             WorkKind::Stages => "",
-            WorkKind::Prompts => pool,
+            WorkKind::Prompts | WorkKind::Retries => pool,
         };
         let mut maps = self
             .maps
@@ -81,6 +81,7 @@
         let map = Arc::new(match kind {
             WorkKind::Stages => ShardMap::for_stages(self),
             WorkKind::Prompts => ShardMap::for_engines(self, pool),
+            WorkKind::Retries => ShardMap::default(),
         });
         maps.insert(key.to_string(), Arc::clone(&map));
         map
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -76,7 +76,6 @@
 mod response_head;
 mod result_capacity;
 mod retry_budget;
-mod retry_window;
 mod returns;
 mod route_rule;
 mod route_shares;
@@ -124,7 +123,7 @@
 pub use registry_daemon::RegistryDaemon;
 pub use request_rank::{engine_rank, request_rank, turn_rank};
 pub use result_capacity::ResultCapacity;
-pub use retry_window::{RetryLimits, RetryWindow};
+pub use retry_budget::RetryLimits;
 pub use returns::{CalendarCounts, ReturnTime};
 pub use route_rule::{PoolShare, RouteKind, RouteRule, StageRule, WorkspaceRule};
 pub use route_table::{
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -2,6 +2,7 @@
 use super::endpoint_call::{CallError, EndpointCall, read_complete};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
+use super::retry_budget::SendToken;
 use super::{
     EndpointTarget, LoadReport, PieceOutcome, PieceProfile, PieceRequest, PoolMember, QueuedPiece,
 };
@@ -51,7 +52,7 @@
             Self::Failed(error) => match error {
                 CallError::Broken(_) => Some(CallFailure::Cut),
                 CallError::Lost(_) => Some(CallFailure::TimedOut),
-                CallError::Unsent(_) | CallError::Withheld(_) => None,
+                CallError::Unsent(_) | CallError::Withheld(_) | CallError::OverBudget => None,
             },
         }
     }
@@ -94,10 +95,10 @@
     pool: &str,
     member: &PoolMember,
     call: EndpointCall,
-    pieces: &[QueuedPiece],
+    (pieces, token): (&[QueuedPiece], SendToken),
     deadline: tokio::time::Instant,
 ) -> CallResult {
-    let exchange = exchange(node, pool, member, call, pieces);
+    let exchange = exchange(node, pool, member, call, (pieces, token));
     match tokio::time::timeout_at(deadline, exchange).await {
         Ok(Ok(result)) => result,
         Ok(Err(error)) => CallResult::Failed(error),
@@ -110,7 +111,7 @@
     pool: &str,
     member: &PoolMember,
     mut call: EndpointCall,
-    pieces: &[QueuedPiece],
+    (pieces, token): (&[QueuedPiece], SendToken),
 ) -> Result<CallResult, CallError> {
     let now = Instant::now();
     let requests: Vec<PieceRequest<'_>> = pieces
@@ -129,7 +130,8 @@
     };
     let wire = node.wire.as_ref();
     let sent = BootClock.now();
-    let response = call.send(wire.piece_request(&requests, &target)).await?;
+    let request = wire.piece_request(&requests, &target);
+    let response = call.send(request, token).await?;
     let (parts, body) = response.into_parts();
     let head = wire.read_endpoint(&parts);
     node.record_response_head(pool, member.endpoint(), sent, &head);
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -8,7 +8,7 @@
 use super::gateway_view::GatewayView;
 use super::permit_gate::PermitWindow;
 use super::piece_call::{self, CallResult};
-use super::retry_budget::RepeatReason;
+use super::retry_budget::{RepeatReason, SendToken};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
     PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
@@ -295,7 +295,7 @@
         targets
     }
 
-    /// Whether pieces are queued while the pool has limited endpoints.
+    /// Whether pieces are queued while the pool has limited endpoints, or wait for a retry.
     fn waits_for_permit(&self, now: Instant) -> bool {
         let view = self.node.view.load();
         let mut members = view.roster.pool(&self.pool).iter().map(Arc::as_ref);
@@ -312,7 +312,7 @@
         self.node.permit_window(now, pool, WorkKind::Stages, shard)
     }
 
-    async fn perform(self: Arc<Self>, mut call: PieceCall, profile: PieceProfile) {
+    async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
         let view = self.node.view.load_full();
         let Some(member) = view.roster.member(&self.pool, &call.endpoint) else {
             self.end_call(&call, profile, None);
@@ -331,14 +331,15 @@
             .outstanding
             .begin_attempt(member.endpoint());
         let started = Instant::now();
-        self.node.metrics.record_call(&self.pool, call.pieces.len());
-        let (node, pool) = (&self.node, &self.pool);
+        let planned = call.clone();
+        let mut call = call;
         let deadline = piece_call::call_deadline(&profile);
+        let (node, pool) = (&self.node, &self.pool);
         let result = match piece_call::open(node, member, deadline).await {
             Ok(connection) => {
-                self.record_sends(&mut call.pieces);
-                let pieces = &call.pieces;
-                piece_call::perform(node, pool, member, connection, pieces, deadline).await
+                let token = self.record_sends(&mut call.pieces);
+                let sent = (call.pieces.as_slice(), token);
+                piece_call::perform(node, pool, member, connection, sent, deadline).await
             }
             Err(result) => result,
         };
@@ -368,7 +369,7 @@
             let mut state = self.state();
             state.queue.observe(&profile, &call, started.elapsed());
         }
-        self.end_call(&call, profile, result.load());
+        self.end_call(&planned, profile, result.load());
         match result {
             CallResult::Answered { outcomes, .. } => self.handle_outcomes(call, &profile, outcomes),
             CallResult::Denied { .. } => {
@@ -401,21 +402,22 @@
         self.wake();
     }
 
-    /// Records that pieces are sent now, some of them perhaps not for the first time.
-    fn record_sends(&self, pieces: &mut [QueuedPiece]) {
+    /// Records that pieces are sent now, some of them perhaps with retries from the budget.
+    fn record_sends(&self, pieces: &mut [QueuedPiece]) -> SendToken {
+        self.node.metrics.record_call(&self.pool, pieces.len());
         let repeats = pieces.iter().filter(|piece| piece.was_sent);
-        let mut by_request: BTreeMap<(&str, &'static str), (RepeatReason, usize)> = BTreeMap::new();
+        let mut counts: BTreeMap<(&str, RepeatReason), usize> = BTreeMap::new();
         for piece in repeats {
-            let reason = piece.repeat_reason();
-            let key = (&*piece.task.request_id, reason.name());
-            by_request.entry(key).or_insert((reason, 0)).1 += 1;
+            let key = (&*piece.task.request_id, piece.repeat_reason());
+            *counts.entry(key).or_default() += 1;
         }
-        for ((request, _), (reason, count)) in by_request {
+        for ((request, reason), count) in counts {
             self.node.record_repeats(&self.pool, request, reason, count);
         }
         for piece in pieces {
             piece.was_sent = true;
         }
+        SendToken::for_pieces()
     }
 
     /// Reports that the endpoint of a call may have crashed, and waits for control's decision
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -6,6 +6,7 @@
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
+use super::retry_budget::SendToken;
 use super::work_shard::WorkShard;
 use super::{PoolMember, ResultHandle};
 use crate::generated::work::WorkNotice;
@@ -189,7 +190,10 @@
     };
     let sent = BootClock.now();
     let request = node.wire.release_request(handles, holder);
-    let (parts, body) = call.send(request).await?.into_parts();
+    let (parts, body) = call
+        .send(request, SendToken::for_release())
+        .await?
+        .into_parts();
     let head = node.wire.read_endpoint(&parts);
     if let Some((pool, member)) = &member {
         node.record_response_head(pool, member.endpoint(), sent, &head);
--- a/crates/savorywalk/src/gateway/request_service.rs
+++ b/crates/savorywalk/src/gateway/request_service.rs
@@ -112,8 +112,8 @@
         Err(BodyReadError::TimedOut) => return Err(not_run(NotRunReason::BodyLate)),
         Err(BodyReadError::Failed) => return Err(GatewayRefusal::Malformed("the body broke off")),
     };
-    node.record_first_send(&context.pool);
-    ForwardRun::new(Arc::clone(node), context, parts, body)
+    let token = node.retry_gate.admit(&context.pool);
+    ForwardRun::new(Arc::clone(node), context, parts, body, token)
         .serve()
         .await
 }
--- a/crates/savorywalk/src/gateway/retry_budget/repeat_reason.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/repeat_reason.rs
@@ -1,5 +1,5 @@
 /// Why a request or a piece is sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::gateway) enum RepeatReason {
     /// The endpoint rejected it without running it.
     Denied,
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -13,8 +13,8 @@
 use crate::generated::work::work_call::Call;
 use crate::generated::work::work_notice::Notice;
 use crate::generated::work::{
-    PlaceCall, PlaceReply, PlanEnd, PlanReply, RelayQuery, RelayStanding, ReleaseNotice, WorkCall,
-    WorkNotice,
+    PlaceCall, PlaceReply, PlanEnd, PlanReply, RelayQuery, RelayStanding, ReleaseNotice,
+    RetryGrant, WorkCall, WorkNotice,
 };
 use crate::hashing::stable_hash;
 use crate::prelude::*;
@@ -329,6 +329,21 @@
             reply.answer(origin.encode_to_vec().into());
             return;
         }
+        Some(Call::RetryAsk(ask)) => {
+            let count = node.grant_retries(&ask.pool, ask.count).await;
+            reply.answer(RetryGrant { count }.encode_to_vec().into());
+            return;
+        }
+        Some(Call::RetryCollect(collect)) => {
+            let tokens = node.give_tokens(&collect);
+            reply.answer(tokens.encode_to_vec().into());
+            return;
+        }
+        Some(Call::RetryHandover(handover)) => {
+            node.adopt_ledger(&from, &handover);
+            reply.answer(Bytes::new());
+            return;
+        }
         Some(Call::RelayQuery(RelayQuery {})) => {
             let standing = RelayStanding {
                 relays: Some(node.does_relay()),
--- a/crates/savorywalk/src/gateway/work_shard.rs
+++ b/crates/savorywalk/src/gateway/work_shard.rs
@@ -23,6 +23,8 @@
     Stages,
     /// Placing prompts at engines.
     Prompts,
+    /// Granting retries from the budgets of pools.
+    Retries,
 }
 
 impl WorkKind {
@@ -41,6 +43,7 @@
         match self {
             Self::Stages => "stages",
             Self::Prompts => "prompts",
+            Self::Retries => "retries",
         }
     }
 }
