Pieces of stages that are sent again take from the pool's retry budget

Pieces were sent again without asking: up to four times after failures, and all of them when results were lost and the stages were executed once more.

The first send of a piece earns tokens, a further one takes one once the connection is open; pieces that get none wait in the queue until one is there or they are given up as late.

--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -133,6 +133,9 @@
     /// Queues all pieces of a stage.
     pub(super) fn submit(self: &Arc<Self>, task: PieceTask, pieces: u32) -> PieceBatch {
         let task = Arc::new(task);
+        if !task.is_rerun {
+            self.node.retry_gate.record_first(&self.pool, pieces);
+        }
         let (sender, updates) = mpsc::unbounded_channel();
         let queued = Instant::now();
         let mut state = self.state();
@@ -233,8 +236,10 @@
             self.send_update(&piece, PieceEnd::Overload);
         }
         let targets = self.targets(now, &view);
+        let may_repeat = self.node.retry_gate.may_retry(&self.pool);
         let calls = {
             let mut state = self.state();
+            state.queue.allow_repeats(may_repeat);
             state
                 .queue
                 .retain_endpoints(|endpoint| view.roster.has(&self.pool, endpoint));
@@ -303,7 +308,8 @@
             let rate = self.node.permits.limits.rate(member.endpoint());
             member.is_cold(now) || rate.is_some() || !self.node.is_available(member.endpoint())
         };
-        !self.state().queue.is_empty() && members.any(is_limited)
+        let state = self.state();
+        state.queue.holds_repeats() || (!state.queue.is_empty() && members.any(is_limited))
     }
 
     /// Returns the permits that this entry may issue for the limited endpoints of the pool.
@@ -337,6 +343,12 @@
         let (node, pool) = (&self.node, &self.pool);
         let result = match piece_call::open(node, member, deadline).await {
             Ok(connection) => {
+                let held_back = self.hold_back(&mut call.pieces).await;
+                self.requeue(held_back, false);
+                if call.pieces.is_empty() {
+                    self.end_call(&planned, profile, None);
+                    return self.wake();
+                }
                 let token = self.record_sends(&mut call.pieces);
                 let sent = (call.pieces.as_slice(), token);
                 piece_call::perform(node, pool, member, connection, sent, deadline).await
@@ -402,6 +414,27 @@
         self.wake();
     }
 
+    /// Removes and returns the pieces that were sent before and get no retry from the budget.
+    async fn hold_back(&self, pieces: &mut Vec<QueuedPiece>) -> Vec<QueuedPiece> {
+        let repeats = pieces.iter().filter(|piece| piece.was_sent).count() as u32;
+        if repeats == 0 {
+            return Vec::new();
+        }
+        let granted = self.node.take_retries(&self.pool, repeats).await;
+        self.node.metrics.record_retries(&self.pool, true, granted);
+        self.node
+            .metrics
+            .record_retries(&self.pool, false, repeats - granted);
+        let mut left = granted;
+        let (kept, held_back) = pieces.drain(..).partition(|piece| {
+            let is_kept = !piece.was_sent || left > 0;
+            left -= u32::from(piece.was_sent && is_kept);
+            is_kept
+        });
+        *pieces = kept;
+        held_back
+    }
+
     /// Records that pieces are sent now, some of them perhaps with retries from the budget.
     fn record_sends(&self, pieces: &mut [QueuedPiece]) -> SendToken {
         self.node.metrics.record_call(&self.pool, pieces.len());
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -57,6 +57,8 @@
     capacity: ResultCapacity,
     times: PieceTimes,
     utilization: CallUtilization,
+    /// Whether pieces that were sent before wait for a retry from the budget.
+    holds_repeats: bool,
 }
 
 /// Priority of a piece at one endpoint; the lowest value goes first.
@@ -95,6 +97,16 @@
         self.waiting.insert(key, piece);
     }
 
+    /// Sets whether pieces that were sent before may be sent again.
+    pub fn allow_repeats(&mut self, allowed: bool) {
+        self.holds_repeats = !allowed;
+    }
+
+    /// Whether pieces are held because they were sent before.
+    pub fn holds_repeats(&self) -> bool {
+        self.holds_repeats && self.waiting.values().any(|piece| piece.was_sent)
+    }
+
     /// Returns the learned durations of calls.
     pub fn times(&self) -> &PieceTimes {
         &self.times
@@ -332,7 +344,9 @@
                 Some(preferred) => &**preferred != target.data_center,
                 None => false,
             };
-            if task.is_abandoned() || !task.data_center_filter.has(target.data_center) {
+            let is_held = self.holds_repeats && piece.was_sent;
+            let is_allowed = task.data_center_filter.has(target.data_center);
+            if task.is_abandoned() || is_held || !is_allowed {
                 continue;
             }
             let has_nearby_slot = task
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -424,3 +424,35 @@
     let calls = queue.next_calls(now, &profile(), &[target("b", "y")]);
     assert_eq!(calls.iter().map(names).collect::<Vec<_>>(), [["bound"]]);
 }
+
+/// Guards against pieces that are sent again beyond the retry budget, and against first sends that
+/// wait for those.
+#[test]
+fn pieces_that_were_sent_before_wait_while_the_retry_budget_is_used_up() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let first = task(now, "first", 1, 900);
+    let repeated = task(now, "repeated", 0, 800);
+    push(&mut queue, now, &first, 2);
+    for piece in 0..2 {
+        queue.push(QueuedPiece {
+            task: Arc::clone(&repeated),
+            piece,
+            queued: now,
+            failures: 1,
+            was_sent: true,
+        });
+    }
+    queue.allow_repeats(false);
+    assert!(queue.holds_repeats());
+    let targets = [target("e", "east")];
+    let calls = queue.next_calls(now, &profile(), &targets);
+    assert_eq!(calls.len(), 1);
+    assert!(calls[0].pieces.iter().all(|piece| !piece.was_sent));
+    queue.allow_repeats(true);
+    assert!(!queue.holds_repeats());
+    let targets = [target("f", "east")];
+    let calls = queue.next_calls(now, &profile(), &targets);
+    assert_eq!(calls[0].pieces.len(), 2);
+    assert!(calls[0].pieces.iter().all(|piece| piece.was_sent));
+}
--- a/crates/savorywalk/src/gateway/plan_progress_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_progress_tests.rs
@@ -102,3 +102,21 @@
     progress.finish(3, handles(&["d"]));
     assert_eq!(progress.release_all().len(), 2);
 }
+
+/// Guards against pieces of a stage that is executed again and count as sent for the first time.
+#[test]
+fn a_stage_that_is_executed_again_is_a_rerun() {
+    let stage = |after: &[usize]| crate::gateway::StageRule {
+        pool: "pool".into(),
+        after: after.to_vec(),
+        result_bytes: 1_000,
+    };
+    let graph: StageGraph = [stage(&[]), stage(&[0])].into_iter().collect();
+    let mut progress = PlanProgress::new(Arc::new(graph));
+    assert!(progress.start_ready().iter().all(|start| !start.is_rerun));
+    progress.finish(0, Arc::default());
+    assert!(progress.start_ready().iter().all(|start| !start.is_rerun));
+    progress.recompute_inputs(1).unwrap();
+    let starts = progress.start_ready();
+    assert!(!starts.is_empty() && starts.iter().all(|start| start.is_rerun));
+}
