Ledgers outlast differing lists; denied retries and the tokens' sources in logs and metrics

An entry that adopted a ledger lost it after 2 s if its own list did not show it as the coordinator yet; it now keeps it for up to 8 s, which is shorter than anybody else needs to be settled. retry_denied names the request and the reason, savorywalk_gateway_retry_tokens where tokens came from. Budgets of pools that are no longer configured are forgotten once nothing in them counts.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -21,6 +21,9 @@
 /// Gateways before endpoints that count retries.
 const RETRY_GATEWAYS: usize = 8;
 
+/// Part of the retry budget that a gateway that meets all failures has to be able to use.
+const MIN_USABLE: f64 = 0.9;
+
 async fn run(deployment: Deployment, script: FaultScript) -> ProofReport {
     let folder = tempfile::tempdir().unwrap();
     let plan = ProofPlan {
@@ -92,6 +95,7 @@
     let folder = tempfile::tempdir().unwrap();
     let plan = RetryPlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        earlier_program: None,
         folder: folder.path().to_path_buf(),
         gateways: RETRY_GATEWAYS,
         play,
@@ -121,3 +125,18 @@
     let report = play_retries(RetryPlay::Control).await;
     assert!(report.is_sound(), "{report}");
 }
+
+/// Guards against overlapping faults that exceed the retry budget together.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_faults_in_series_stay_within_the_retry_budget() {
+    let report = play_retries(RetryPlay::Series).await;
+    assert!(report.is_sound(), "{report}");
+}
+
+/// Guards against a budget of which each entry can only use its own part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_meets_all_failures_can_use_nearly_the_whole_retry_budget() {
+    let report = play_retries(RetryPlay::OneGateway).await;
+    assert!(report.is_sound(), "{report}");
+    assert!(report.uses["p"].part() >= MIN_USABLE, "{report}");
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -60,6 +60,8 @@
                 optional --runs runs: u64
                 /// Gateways; default 8.
                 optional --gateways gateways: usize
+                /// Program of an earlier version for every second gateway.
+                optional --earlier-program file: PathBuf
             }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
@@ -187,6 +189,7 @@
         let folder = tempfile::tempdir()?;
         let plan = RetryPlan {
             program: program.clone(),
+            earlier_program: retries.earlier_program.clone(),
             folder: folder.path().to_path_buf(),
             gateways: gateways.clamp(2, MAX_GATEWAYS),
             play,
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -40,6 +40,8 @@
     folder: PathBuf,
     base: Ipv4Addr,
     plan: FleetPlan,
+    /// Program of every second gateway, in place of the usual one.
+    earlier_program: Option<PathBuf>,
     processes: Vec<Option<SignalledProcess>>,
     has_started: Vec<bool>,
 }
@@ -53,11 +55,27 @@
             folder: folder.to_path_buf(),
             base,
             plan,
+            earlier_program: None,
             processes: (0..count).map(|_| None).collect(),
             has_started: vec![false; count],
         }
     }
 
+    /// Runs every second gateway with the program of an earlier version.
+    pub(crate) fn mix_versions(&mut self, earlier_program: Option<PathBuf>) {
+        self.earlier_program = earlier_program;
+    }
+
+    fn program(&self, index: usize) -> &Path {
+        let is_second = index
+            .checked_sub(self.plan.registries)
+            .is_some_and(|gateway| !gateway.is_multiple_of(2));
+        match &self.earlier_program {
+            Some(program) if is_second => program,
+            Some(_) | None => &self.program,
+        }
+    }
+
     /// Starts the processes that don't run.
     pub(crate) async fn start_stopped(&mut self) -> Result<()> {
         for index in 0..self.processes.len() {
@@ -67,8 +85,8 @@
             if !is_running {
                 let settings = self.settings(index)?;
                 let name = format!("daemon-{index}");
-                let process =
-                    SignalledProcess::start(&self.program, &self.folder, &name, &settings)?;
+                let program = self.program(index);
+                let process = SignalledProcess::start(program, &self.folder, &name, &settings)?;
                 self.processes[index] = Some(process);
                 self.has_started[index] = true;
             }
--- a/crates/proof/src/retry_soak/retry_run.rs
+++ b/crates/proof/src/retry_soak/retry_run.rs
@@ -61,6 +61,8 @@
 pub struct RetryPlan {
     /// The `savorywalk` program.
     pub program: PathBuf,
+    /// Program of every second gateway, of an earlier version; the usual one without it.
+    pub earlier_program: Option<PathBuf>,
     /// Folder for the run's files.
     pub folder: PathBuf,
     /// Gateways to start, 200 at most.
@@ -88,6 +90,7 @@
         log_level: "info",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
+    fleet.mix_versions(plan.earlier_program.clone());
     fleet.start_stopped().await?;
     if !fleet.publish(DOCUMENT).await {
         log::error!("event=document_not_accepted");
@@ -191,7 +194,7 @@
     let uses = by_pool.iter();
     let uses = uses.map(|(pool, arrivals)| (*pool, BudgetUse::worst(arrivals, LIMITS)));
     let mut counts = BTreeMap::new();
-    if plan.play.keeps_processes() {
+    if plan.play.keeps_processes() && plan.earlier_program.is_none() {
         for (pool, arrivals) in &by_pool {
             let label = format!("pool=\"{pool}\"");
             let counted = fleet.sum_metric(REPEATS_METRIC, &label).await;
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -290,8 +290,9 @@
         match self.next_send {
             NextSend::First(_) => true,
             NextSend::Repeat(_) if self.node.retry_gate.may_retry(pool) => true,
-            NextSend::Repeat(_) => {
-                self.node.metrics.record_retry(pool, false);
+            NextSend::Repeat(reason) => {
+                let request = &self.context.id;
+                self.node.record_retry_denied(pool, request, reason);
                 false
             }
         }
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -25,6 +25,7 @@
     request_seconds: Histogram<f64>,
     retries: Counter<u64>,
     repeat_sends: Counter<u64>,
+    retry_tokens: Counter<u64>,
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     taken_up: Counter<u64>,
@@ -58,6 +59,10 @@
                     "Requests and pieces sent beyond the first time, by pool and reason",
                 )
                 .build(),
+            retry_tokens: meter
+                .u64_counter("savorywalk_gateway_retry_tokens")
+                .with_description("Retry tokens used here, earned here or granted by a coordinator")
+                .build(),
             pieces_per_call: meter
                 .f64_histogram("savorywalk_gateway_pieces_per_call")
                 .with_description("Pieces that share a call")
@@ -110,16 +115,20 @@
         self.request_seconds.record(time.as_secs_f64(), &[route]);
     }
 
-    pub(super) fn record_retry(&self, pool: &str, granted: bool) {
-        self.record_retries(pool, granted, 1);
-    }
-
     pub(super) fn record_retries(&self, pool: &str, granted: bool, count: u32) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.retries
             .add(count.into(), &[pool, KeyValue::new("granted", granted)]);
     }
 
+    pub(super) fn record_retry_tokens(&self, pool: &str, source: &'static str, count: u32) {
+        if count > 0 {
+            let pool = KeyValue::new("pool", pool.to_string());
+            let source = KeyValue::new("source", source);
+            self.retry_tokens.add(count.into(), &[pool, source]);
+        }
+    }
+
     pub(super) fn record_repeat_sends(&self, pool: &str, reason: RepeatReason, count: usize) {
         let pool = KeyValue::new("pool", pool.to_string());
         let reason = KeyValue::new("reason", reason.name());
--- a/crates/savorywalk/src/gateway/retry_budget/budget_exchange.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/budget_exchange.rs
@@ -38,13 +38,35 @@
         request: &str,
         reason: RepeatReason,
     ) -> Option<SendToken> {
-        let granted = self.take_retries(pool, 1).await;
-        self.metrics.record_retry(pool, granted > 0);
-        if granted == 0 {
-            return None;
+        match self.take_retries(pool, 1).await {
+            0 => {
+                self.record_retry_denied(pool, request, reason);
+                None
+            }
+            _ => {
+                self.metrics.record_retries(pool, true, 1);
+                self.record_repeats(pool, request, reason, 1);
+                Some(SendToken::counted())
+            }
         }
-        self.record_repeats(pool, request, reason, 1);
-        Some(SendToken::counted())
+    }
+
+    /// Records that a request is not sent again because the budget has no retry for it.
+    pub(in crate::gateway) fn record_retry_denied(
+        &self,
+        pool: &str,
+        request: &str,
+        reason: RepeatReason,
+    ) {
+        self.metrics.record_retries(pool, false, 1);
+        log_event!(
+            info,
+            "retry_denied",
+            request = request,
+            pool = pool,
+            reason = reason.name(),
+            entries = self.view.load().entries.len()
+        );
     }
 
     /// Takes up to `count` retries from the budget of `pool`, and returns how many.
@@ -52,6 +74,7 @@
         let earned = self
             .retry_gate
             .with_budget(pool, |now, budget| budget.take_earned(now, count));
+        self.metrics.record_retry_tokens(pool, "earned", earned);
         let missing = count - earned;
         let may_ask = |now, budget: &mut PoolBudget| budget.may_ask(now);
         if missing == 0 || !self.retry_gate.with_budget(pool, may_ask) {
@@ -64,6 +87,8 @@
             Some(coordinator) => self.ask_retries(&coordinator, pool, missing).await,
             None => self.grant_retries(pool, missing).await,
         };
+        self.metrics
+            .record_retry_tokens(pool, "granted", grant.count);
         if grant.count < missing {
             let time = Duration::from_millis(grant.backoff_ms.into());
             self.retry_gate
@@ -189,13 +214,9 @@
         let aged_view = self.aged_view();
         let is_fresh = aged_view.is_fresh(MAX_VIEW_AGE);
         let view = &aged_view.view;
-        let mut pools = self.retry_gate.pools();
-        let table = view.table.iter();
-        pools.extend(
-            table
-                .flat_map(|table| table.pools())
-                .map(|pool| pool.name.clone()),
-        );
+        let configured = view.table.iter().flat_map(|table| table.pools());
+        let configured = configured.map(|pool| pool.name.as_str());
+        let pools = self.retry_gate.pools(configured);
         let mut collected = Vec::new();
         for pool in pools {
             match self.successor(view, &pool) {
--- a/crates/savorywalk/src/gateway/retry_budget/budget_simulation_tests.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/budget_simulation_tests.rs
@@ -275,10 +275,22 @@
         entry.ticked = step;
     }
 
+    /// Stops an entry as planned, and starts it again.
+    fn stop(&mut self, step: u64, index: usize) {
+        self.entries[index].known[index] = false;
+        let successor = self.coordinator(index);
+        let spent = self.entries[index].budget.hand_over(at(step));
+        if let Some(spent) = spent.filter(|_| successor != index) {
+            let delay = self.random.random_range(0..=MAX_LEDGER_DELAY);
+            self.ledgers.push((step + delay, successor, spent));
+        }
+        self.restart(step, index);
+    }
+
     fn draw_fault(&mut self, step: u64) {
         let index = self.random.random_range(0..self.entries.len());
         let time = self.random.random_range(50..1_500);
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..11) {
             0 => (0..self.entries.len()).for_each(|index| self.restart(step, index)),
             1 => self.restart(step, 0),
             2 => self.entries[index].is_alive = false,
@@ -287,6 +299,7 @@
             6 => self.entries[0].suspended_until = step + time,
             7 => self.entries[index].cut_until = step + time,
             8 => self.control_down_until = step + time,
+            9 => self.stop(step, 0),
             _ => self.partial_until = step + MAX_LIST_DELAY,
         }
     }
--- a/crates/savorywalk/src/gateway/retry_budget/budget_times.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/budget_times.rs
@@ -16,6 +16,10 @@
 /// Time in which the entries' lists of each other may differ, and a view counts as fresh.
 const LIST_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time for which an entry keeps a ledger that it adopted while its own view shows another
+/// coordinator. An entry that differs by [`LIST_TIME`] can't be settled by then.
+const MAX_ADOPTION_TIME: Duration = Duration::from_secs(8);
+
 /// Longest time between two confirmations of a coordinator that is first without a break.
 const MAX_CONFIRM_GAP: Duration = Duration::from_secs(2);
 
@@ -32,6 +36,8 @@
     /// Time for which an entry must be the coordinator before it grants the extra part.
     pub(super) settling_time: Duration,
     pub(super) max_confirm_gap: Duration,
+    /// Time for which an adopted ledger is kept without a confirmation.
+    pub(super) adoption_time: Duration,
 }
 
 impl BudgetTimes {
@@ -46,6 +52,7 @@
             spent_time,
             settling_time: spent_time + LIST_TIME,
             max_confirm_gap: MAX_CONFIRM_GAP,
+            adoption_time: MAX_ADOPTION_TIME.min(window * 4 / 5),
         }
     }
 
--- a/crates/savorywalk/src/gateway/retry_budget/extra_ledger.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/extra_ledger.rs
@@ -19,9 +19,10 @@
 struct CoordinatorTenure {
     /// From when on the entry is settled.
     settled_at: BootTime,
-    /// When it was last confirmed, or adopted the ledger.
+    /// When the entry was last confirmed, or waited for a confirmation.
     last: BootTime,
-    is_confirmed: bool,
+    /// When it adopted the ledger, until it is confirmed.
+    adopted_at: Option<BootTime>,
 }
 
 impl ExtraLedger {
@@ -34,7 +35,7 @@
         self.tenure = Some(CoordinatorTenure {
             settled_at,
             last: now,
-            is_confirmed: true,
+            adopted_at: None,
         });
     }
 
@@ -82,15 +83,23 @@
         self.tenure = Some(CoordinatorTenure {
             settled_at: now,
             last: now,
-            is_confirmed: false,
+            adopted_at: Some(now),
         });
     }
 
-    /// Whether the ledger was adopted and the own view does not show this entry as the coordinator
-    /// yet.
-    pub(super) fn awaits_confirmation(&self, now: BootTime, times: &BudgetTimes) -> bool {
-        let tenure = self.current(now, times);
-        tenure.is_some_and(|tenure| !tenure.is_confirmed)
+    /// Whether the ledger was adopted lately, so that the own view may not show this entry as the
+    /// coordinator yet. Called at each tick meanwhile.
+    pub(super) fn awaits_confirmation(&mut self, now: BootTime, times: &BudgetTimes) -> bool {
+        let Some(mut tenure) = self.current(now, times) else {
+            return false;
+        };
+        let is_recent = |at: BootTime| now.since(at) < times.adoption_time;
+        let awaits = tenure.adopted_at.is_some_and(is_recent);
+        if awaits {
+            tenure.last = now;
+            self.tenure = Some(tenure);
+        }
+        awaits
     }
 
     fn current(&self, now: BootTime, times: &BudgetTimes) -> Option<CoordinatorTenure> {
--- a/crates/savorywalk/src/gateway/retry_budget/pool_budget.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/pool_budget.rs
@@ -160,8 +160,8 @@
         self.extra.confirm(now, &self.times);
     }
 
-    /// Ends this entry's time as coordinator; returns the ledger for its successor if it was settled
-    /// and did not adopt it a moment ago.
+    /// Ends this entry's time as coordinator, unless it adopted the ledger lately; returns the ledger
+    /// for its successor if it was settled.
     pub(in crate::gateway) fn hand_over(&mut self, now: BootTime) -> Option<Vec<SpentSlice>> {
         match self.extra.awaits_confirmation(now, &self.times) {
             true => None,
@@ -178,6 +178,15 @@
         self.extra.adopt(now, spent);
     }
 
+    /// Whether nothing that counts is known of the pool.
+    pub(in crate::gateway) fn is_idle(&mut self, now: BootTime) -> bool {
+        let times = &self.times;
+        let is_recent = |at: BootTime| now.since(at) < times.settling_time;
+        self.earned.is_empty(now, times)
+            && self.collected.is_empty(now, times)
+            && !self.asked_at.is_some_and(is_recent)
+    }
+
     /// Whether this entry grants from the extra part.
     pub(in crate::gateway) fn is_settled(&self, now: BootTime) -> bool {
         self.extra.is_settled(now, &self.times)
--- a/crates/savorywalk/src/gateway/retry_budget/pool_budget_tests.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/pool_budget_tests.rs
@@ -143,3 +143,28 @@
     budget.record_first(at(200), 5);
     assert!(!budget.may_ask(at(400)) && budget.may_retry(at(400)));
 }
+
+/// Guards against an extra part that is lost while lists of entries do not show a change yet.
+#[test]
+fn an_adopted_ledger_waits_for_a_confirmation_and_is_then_passed_on() {
+    let mut budget = PoolBudget::new(limits());
+    budget.adopt(at(0), std::iter::empty());
+    for millis in (500..8_000).step_by(500) {
+        assert!(budget.hand_over(at(millis)).is_none());
+    }
+    assert!(budget.is_settled(at(8_000)));
+    assert!(budget.hand_over(at(8_000)).is_some());
+    assert!(!budget.is_settled(at(8_000)));
+}
+
+#[test]
+fn a_budget_is_idle_once_nothing_in_it_counts() {
+    let mut budget = PoolBudget::new(limits());
+    assert!(budget.is_idle(at(0)));
+    budget.record_first(at(0), 50);
+    budget.take_earned(at(0), 10);
+    assert!(!budget.is_idle(at(9_000)));
+    assert!(budget.is_idle(at(11_000)));
+    budget.grant(at(11_000), 1, CURRENT);
+    assert!(!budget.is_idle(at(20_000)));
+}
--- a/crates/savorywalk/src/gateway/retry_budget/retry_gate.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/retry_gate.rs
@@ -90,9 +90,20 @@
         budgets.filter(|budget| budget.is_settled(now)).count()
     }
 
-    /// Names of the pools with a budget.
-    pub(in crate::gateway) fn pools(&self) -> BTreeSet<String> {
-        self.state().budgets.keys().cloned().collect()
+    /// Names of the pools with a budget, and of those that are `configured`. Budgets of others are
+    /// forgotten once nothing in them counts.
+    pub(in crate::gateway) fn pools<'a>(
+        &self,
+        configured: impl Iterator<Item = &'a str>,
+    ) -> BTreeSet<String> {
+        let now = BootClock.now();
+        let mut pools: BTreeSet<String> = configured.map(String::from).collect();
+        let mut state = self.state();
+        state
+            .budgets
+            .retain(|pool, budget| pools.contains(pool) || !budget.is_idle(now));
+        pools.extend(state.budgets.keys().cloned());
+        pools
     }
 
     /// Records that an entry is of this version.
--- a/crates/savorywalk/src/gateway/retry_budget/token_pot.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/token_pot.rs
@@ -86,6 +86,12 @@
         left.min(received.minus(self.spent.sum(now, times.spent_time)))
     }
 
+    /// Whether nothing was received or spent that still counts.
+    pub(super) fn is_empty(&mut self, now: BootTime, times: &BudgetTimes) -> bool {
+        self.expire(now, times);
+        self.received.is_empty() && self.spent.sum(now, times.spent_time).is_zero()
+    }
+
     fn usable(&mut self, now: BootTime) -> impl Iterator<Item = &mut ReceivedSlice> {
         let life = self.life;
         let slices = self.received.iter_mut();
