--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -8,7 +8,6 @@
 use super::gateway_view::GatewayView;
 use super::permit_gate::PermitWindow;
 use super::piece_call::{self, CallResult};
-use super::retry_budget::{RepeatReason, SendToken};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
     PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
@@ -337,23 +336,12 @@
             .outstanding
             .begin_attempt(member.endpoint());
         let started = Instant::now();
+        // The queue has reserved room for all pieces, also for those that are not sent.
         let planned = call.clone();
         let mut call = call;
-        let deadline = piece_call::call_deadline(&profile);
-        let (node, pool) = (&self.node, &self.pool);
-        let result = match piece_call::open(node, member, deadline).await {
-            Ok(connection) => {
-                let held_back = self.hold_back(&mut call.pieces).await;
-                self.requeue(held_back, false);
-                if call.pieces.is_empty() {
-                    self.end_call(&planned, profile, None);
-                    return self.wake();
-                }
-                let token = self.record_sends(&mut call.pieces);
-                let sent = (call.pieces.as_slice(), token);
-                piece_call::perform(node, pool, member, connection, sent, deadline).await
-            }
-            Err(result) => result,
+        let Some(result) = self.send_pieces(member, &mut call.pieces, &profile).await else {
+            self.end_call(&planned, profile, None);
+            return self.wake();
         };
         let waits = call.pieces.iter();
         let longest_wait = waits.map(|piece| started - piece.queued).max();
@@ -414,43 +402,29 @@
         self.wake();
     }
 
-    /// Removes and returns the pieces that were sent before and get no retry from the budget.
-    async fn hold_back(&self, pieces: &mut Vec<QueuedPiece>) -> Vec<QueuedPiece> {
-        let repeats = pieces.iter().filter(|piece| piece.was_sent).count() as u32;
-        if repeats == 0 {
-            return Vec::new();
-        }
-        let granted = self.node.take_retries(&self.pool, repeats).await;
-        self.node.metrics.record_retries(&self.pool, true, granted);
-        self.node
-            .metrics
-            .record_retries(&self.pool, false, repeats - granted);
-        let mut left = granted;
-        let (kept, held_back) = pieces.drain(..).partition(|piece| {
-            let is_kept = !piece.was_sent || left > 0;
-            left -= u32::from(piece.was_sent && is_kept);
-            is_kept
-        });
-        *pieces = kept;
-        held_back
-    }
-
-    /// Records that pieces are sent now, some of them perhaps with retries from the budget.
-    fn record_sends(&self, pieces: &mut [QueuedPiece]) -> SendToken {
-        self.node.metrics.record_call(&self.pool, pieces.len());
-        let repeats = pieces.iter().filter(|piece| piece.was_sent);
-        let mut counts: BTreeMap<(&str, RepeatReason), usize> = BTreeMap::new();
-        for piece in repeats {
-            let key = (&*piece.task.request_id, piece.repeat_reason());
-            *counts.entry(key).or_default() += 1;
-        }
-        for ((request, reason), count) in counts {
-            self.node.record_repeats(&self.pool, request, reason, count);
-        }
-        for piece in pieces {
-            piece.was_sent = true;
+    /// Makes one call with the pieces, less those that the retry budget holds back; `None` if no piece
+    /// is left.
+    async fn send_pieces(
+        &self,
+        member: &PoolMember,
+        pieces: &mut Vec<QueuedPiece>,
+        profile: &PieceProfile,
+    ) -> Option<CallResult> {
+        let deadline = piece_call::call_deadline(profile);
+        let connection = match piece_call::open(&self.node, member, deadline).await {
+            Ok(connection) => connection,
+            Err(result) => return Some(result),
+        };
+        let held_back = self.node.hold_back(&self.pool, pieces).await;
+        self.requeue(held_back, false);
+        if pieces.is_empty() {
+            return None;
         }
-        SendToken::for_pieces()
+        let token = self.node.record_piece_sends(&self.pool, pieces);
+        let sent = (pieces.as_slice(), token);
+        let (node, pool) = (&self.node, &self.pool);
+        let result = piece_call::perform(node, pool, member, connection, sent, deadline);
+        Some(result.await)
     }
 
     /// Reports that the endpoint of a call may have crashed, and waits for control's decision
--- a/crates/savorywalk/src/gateway/retry_budget/mod.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/mod.rs
@@ -6,6 +6,7 @@
 mod budget_simulation_tests;
 mod budget_times;
 mod extra_ledger;
+mod piece_repeats;
 mod pool_budget;
 mod repeat_reason;
 mod retry_gate;
--- a/crates/savorywalk/src/gateway/retry_budget/send_token.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/send_token.rs
@@ -11,7 +11,7 @@
     }
 
     /// The token of a call with pieces, of which those that were sent before have retries.
-    pub(in crate::gateway) fn for_pieces() -> Self {
+    pub(super) fn for_pieces() -> Self {
         Self(())
     }
 
