--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -51,8 +51,8 @@
             /// Gateways and registries before endpoints that count what reaches them beyond the first
             /// send of each request, one run a seed.
             cmd retries {
-                /// Play: rejections, one-gateway, inputs-gone, gateways-in-turn, all-gateways, control
-                /// or series; default series.
+                /// Play: rejections, one-gateway, inputs-gone, gateways-in-turn, stops-in-turn,
+                /// all-gateways, control or series; default series.
                 optional --play name: String
                 /// First seed; default 1.
                 optional --seed seed: u64
--- a/crates/proof/src/prompt_soak/soak_run.rs
+++ b/crates/proof/src/prompt_soak/soak_run.rs
@@ -72,7 +72,7 @@
 ///
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_prompts(plan: &PromptPlan) -> Result<PromptReport> {
-    let base = run_address::next();
+    let base = run_address::next_network();
     let fleet_plan = FleetPlan {
         registries: REGISTRIES,
         gateways: plan.gateways,
--- a/crates/proof/src/retry_soak/retry_run.rs
+++ b/crates/proof/src/retry_soak/retry_run.rs
@@ -80,7 +80,7 @@
 ///
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_retries(plan: &RetryPlan) -> Result<RetryReport> {
-    let base = run_address::next();
+    let base = run_address::next_network();
     let fleet_plan = FleetPlan {
         registries: REGISTRIES,
         gateways: plan.gateways,
