Pieces that an endpoint has no room for take no retry from the budget

Only pieces that failed, or whose stage is executed again, take a retry now; all repeats are still counted. What flow control may add to a stage pool is bounded as before, by the pauses of its endpoints and by four failures a piece.

--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -146,6 +146,7 @@
                 queued,
                 failures: 0,
                 was_sent: task.is_rerun,
+                needs_retry: task.is_rerun,
             });
         }
         drop(state);
@@ -396,7 +397,7 @@
                 {
                     self.report_suspected_crash(&view, &call).await;
                 }
-                self.requeue(call.pieces, true);
+                self.requeue_failed(call.pieces);
             }
         }
         self.wake();
@@ -473,6 +474,7 @@
     ) {
         let now = Instant::now();
         let mut unfinished = Vec::new();
+        let mut failed = Vec::new();
         let mut lacks_capacity = false;
         for (piece, outcome) in call.pieces.into_iter().zip(outcomes) {
             match outcome {
@@ -490,7 +492,7 @@
                     lacks_capacity = true;
                     unfinished.push(piece);
                 }
-                PieceOutcome::Failed => unfinished.push(piece),
+                PieceOutcome::Failed => failed.push(piece),
             }
         }
         if lacks_capacity {
@@ -505,6 +507,15 @@
                 .record_lack_of_capacity(Instant::now(), &call.endpoint);
         }
         self.requeue(unfinished, true);
+        self.requeue_failed(failed);
+    }
+
+    /// Queues pieces again whose next send takes a retry from the budget.
+    fn requeue_failed(&self, mut pieces: Vec<QueuedPiece>) {
+        for piece in &mut pieces {
+            piece.needs_retry = piece.was_sent;
+        }
+        self.requeue(pieces, true);
     }
 
     /// Queues pieces again, except those that have failed too often.
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -57,7 +57,7 @@
     capacity: ResultCapacity,
     times: PieceTimes,
     utilization: CallUtilization,
-    /// Whether pieces that were sent before wait for a retry from the budget.
+    /// Whether pieces that need a retry from the budget wait for one.
     holds_repeats: bool,
 }
 
@@ -97,14 +97,14 @@
         self.waiting.insert(key, piece);
     }
 
-    /// Sets whether pieces that were sent before may be sent again.
+    /// Sets whether pieces that need a retry from the budget may be sent.
     pub fn allow_repeats(&mut self, allowed: bool) {
         self.holds_repeats = !allowed;
     }
 
-    /// Whether pieces are held because they were sent before.
+    /// Whether pieces are held because they need a retry.
     pub fn holds_repeats(&self) -> bool {
-        self.holds_repeats && self.waiting.values().any(|piece| piece.was_sent)
+        self.holds_repeats && self.waiting.values().any(|piece| piece.needs_retry)
     }
 
     /// Returns the learned durations of calls.
@@ -344,7 +344,7 @@
                 Some(preferred) => &**preferred != target.data_center,
                 None => false,
             };
-            let is_held = self.holds_repeats && piece.was_sent;
+            let is_held = self.holds_repeats && piece.needs_retry;
             let is_allowed = task.data_center_filter.has(target.data_center);
             if task.is_abandoned() || is_held || !is_allowed {
                 continue;
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -52,6 +52,7 @@
             queued: now,
             failures: 0,
             was_sent: false,
+            needs_retry: false,
         });
     }
 }
@@ -428,7 +429,7 @@
 /// Guards against pieces that are sent again beyond the retry budget, and against first sends that
 /// wait for those.
 #[test]
-fn pieces_that_were_sent_before_wait_while_the_retry_budget_is_used_up() {
+fn pieces_that_need_a_retry_wait_while_the_budget_is_used_up() {
     let now = Instant::now();
     let mut queue = PieceQueue::default();
     let first = task(now, "first", 1, 900);
@@ -441,18 +442,29 @@
             queued: now,
             failures: 1,
             was_sent: true,
+            needs_retry: true,
         });
     }
+    // An endpoint had no room for this one.
+    queue.push(QueuedPiece {
+        task: Arc::clone(&first),
+        piece: 2,
+        queued: now,
+        failures: 1,
+        was_sent: true,
+        needs_retry: false,
+    });
     queue.allow_repeats(false);
     assert!(queue.holds_repeats());
     let targets = [target("e", "east")];
     let calls = queue.next_calls(now, &profile(), &targets);
     assert_eq!(calls.len(), 1);
-    assert!(calls[0].pieces.iter().all(|piece| !piece.was_sent));
+    assert_eq!(calls[0].pieces.len(), 3);
+    assert!(calls[0].pieces.iter().all(|piece| !piece.needs_retry));
     queue.allow_repeats(true);
     assert!(!queue.holds_repeats());
     let targets = [target("f", "east")];
     let calls = queue.next_calls(now, &profile(), &targets);
     assert_eq!(calls[0].pieces.len(), 2);
-    assert!(calls[0].pieces.iter().all(|piece| piece.was_sent));
+    assert!(calls[0].pieces.iter().all(|piece| piece.needs_retry));
 }
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -54,6 +54,9 @@
     pub failures: u32,
     /// Whether the piece may have been sent to an endpoint.
     pub was_sent: bool,
+    /// Whether its next send takes a retry from the budget: it failed, or its stage is executed again.
+    /// A piece that an endpoint had no room for is flow control, and takes none.
+    pub needs_retry: bool,
 }
 
 impl QueuedPiece {
--- a/crates/savorywalk/src/gateway/piece_times_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_times_tests.rs
@@ -15,6 +15,7 @@
             queued: now,
             failures: 0,
             was_sent: false,
+            needs_retry: false,
         }
     };
     let light = (0..light).map(|_| piece(LIGHT));
--- a/crates/savorywalk/src/gateway/retry_budget/piece_repeats.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/piece_repeats.rs
@@ -5,13 +5,13 @@
 
 /// Retries of pieces of stages.
 impl GatewayNode {
-    /// Removes and returns the pieces that were sent before and get no retry from the budget.
+    /// Removes and returns the pieces that need a retry from the budget and get none.
     pub(in crate::gateway) async fn hold_back(
         self: &Arc<Self>,
         pool: &str,
         pieces: &mut Vec<QueuedPiece>,
     ) -> Vec<QueuedPiece> {
-        let repeats = pieces.iter().filter(|piece| piece.was_sent).count() as u32;
+        let repeats = pieces.iter().filter(|piece| piece.needs_retry).count() as u32;
         if repeats == 0 {
             return Vec::new();
         }
@@ -20,8 +20,8 @@
         self.metrics.record_retries(pool, false, repeats - granted);
         let mut left = granted;
         let (kept, held_back) = pieces.drain(..).partition(|piece| {
-            let is_kept = !piece.was_sent || left > 0;
-            left -= u32::from(piece.was_sent && is_kept);
+            let is_kept = !piece.needs_retry || left > 0;
+            left -= u32::from(piece.needs_retry && is_kept);
             is_kept
         });
         *pieces = kept;
@@ -46,6 +46,7 @@
         }
         for piece in pieces {
             piece.was_sent = true;
+            piece.needs_retry = false;
         }
         SendToken::for_pieces()
     }
