--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -322,6 +322,7 @@
             timely_only: false,
             no_reservation: false,
             is_rerun: self.has_run_stages,
+            needs_retries: self.has_run_stages,
         }
     }
 
--- a/crates/savorywalk/src/gateway/load_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/load_exchange_tests.rs
@@ -73,6 +73,7 @@
         timely_only: true,
         no_reservation: false,
         is_rerun: false,
+        needs_retries: false,
     }
 }
 
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -146,7 +146,7 @@
                 queued,
                 failures: 0,
                 was_sent: task.is_rerun,
-                needs_retry: task.is_rerun,
+                needs_retry: task.needs_retries,
             });
         }
         drop(state);
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -39,6 +39,7 @@
         preferred_data_center: None,
         data_center_filter: DataCenterFilter::default(),
         is_rerun: false,
+        needs_retries: false,
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
     })
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -33,6 +33,8 @@
     pub data_center_filter: DataCenterFilter,
     /// Whether the pieces may have been sent before, for an earlier execution of the stage.
     pub is_rerun: bool,
+    /// Whether the first send of each piece takes a retry from the budget.
+    pub needs_retries: bool,
     /// Set when the request no longer waits for the pieces.
     pub abandoned: AtomicBool,
     /// Set once the first piece has been put into a call.
--- a/crates/savorywalk/src/gateway/plan_request.rs
+++ b/crates/savorywalk/src/gateway/plan_request.rs
@@ -44,6 +44,8 @@
     pub(super) no_reservation: bool,
     /// Whether its pieces may have been sent before.
     pub(super) is_rerun: bool,
+    /// Whether its pieces take retries from the budget, because results were lost.
+    pub(super) needs_retries: bool,
 }
 
 impl PlanRequest {
@@ -91,6 +93,7 @@
             timely_only: self.timely_only,
             no_reservation: self.no_reservation,
             is_rerun: self.is_rerun,
+            needs_retries: self.needs_retries,
         }
     }
 
@@ -134,6 +137,7 @@
             timely_only: call.timely_only,
             no_reservation: call.no_reservation,
             is_rerun: call.is_rerun,
+            needs_retries: call.needs_retries,
         };
         Some((shard, request))
     }
--- a/crates/savorywalk/src/gateway/plan_request_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_request_tests.rs
@@ -28,6 +28,7 @@
         timely_only: false,
         no_reservation: true,
         is_rerun: true,
+        needs_retries: true,
     }
 }
 
@@ -41,7 +42,7 @@
     assert_eq!(arrived.graph, sent.graph);
     assert_eq!(arrived.pieces, sent.pieces);
     assert_eq!(arrived.workspace, sent.workspace);
-    assert!(arrived.no_reservation && arrived.is_rerun);
+    assert!(arrived.no_reservation && arrived.is_rerun && arrived.needs_retries);
     assert_eq!(arrived.rank, sent.rank);
     assert_eq!(arrived.turn_rank, sent.turn_rank);
     assert_eq!(arrived.key, sent.key);
--- a/crates/savorywalk/src/gateway/plan_run.rs
+++ b/crates/savorywalk/src/gateway/plan_run.rs
@@ -165,6 +165,7 @@
         preferred_data_center,
         data_center_filter: request.data_center_filter.clone(),
         is_rerun: request.is_rerun || start.is_rerun,
+        needs_retries: request.needs_retries || start.is_rerun,
         abandoned: AtomicBool::new(false),
         begun: AtomicBool::new(false),
         isolated: AtomicBool::new(false),
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -127,7 +127,8 @@
                 Ok(outcome) => return outcome,
                 Err(reason) => {
                     self.mark_unresponsive(node, coordinator, shard, &request.request_id, &reason);
-                    // It may have sent pieces.
+                    // It may have sent pieces. They take no retries: what was in progress at one
+                    // coordinator is sent again once.
                     request.is_rerun = true;
                 }
             }
