--- a/crates/savorywalk/src/gateway/retry_budget/pool_budget.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/pool_budget.rs
@@ -19,8 +19,8 @@
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_TICK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after a denial for each request for tokens in the last interval: the coordinator answers about
-/// a thousand of them a second.
+/// Time after a denial for each request for tokens in the last interval: the more entries ask, the less
+/// often each does.
 const BACKOFF_PER_ASK: Duration = Duration::from_millis(1);
 
 /// The retry tokens of one pool that an entry holds, as a state machine without I/O. See
