Say why a stream was not resumed, and for how long its endpoint was silent

It now has not_resumed=REASON and silent_ms; stream_resumed has silent_ms. The counter savorywalk_gateway_broken_streams counts what callers saw. No change of logic.

--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -2,7 +2,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::http::request;
-use hyper::{Response, Version};
+use hyper::{Response, StatusCode, Version};
 use rand::RngExt;
 
 use super::call_handler::{GatewayBody, full_body};
@@ -325,31 +325,67 @@
     }
 
     /// Sends the request to another endpoint, which continues after `last_event`.
-    pub(super) async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenAnswer> {
+    pub(super) async fn resume(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<OpenAnswer, ResumeRefusal> {
         self.set_repeat_reason(RepeatReason::Resumed);
-        let is_hopeless = !self.has_origin_endpoint(&self.node.view.load());
-        if is_hopeless || !self.may_send_again() || self.await_decision().await.is_err() {
-            return None;
+        if !self.has_origin_endpoint(&self.node.view.load()) {
+            return Err(ResumeRefusal::NoEndpoint);
         }
-        if self.results.is_none() && self.execute_stages().await.is_err() {
-            return None;
+        if !self.may_send_again() {
+            return Err(ResumeRefusal::NoSendLeft);
+        }
+        self.await_decision().await?;
+        if self.results.is_none() {
+            self.execute_stages().await?;
         }
         let last_event = last_event.or(self.context.head.last_event);
-        match self.attempt(last_event).await {
-            Ok(AttemptEnd::Open(open)) => Some(*open),
-            Ok(
-                AttemptEnd::Failed(_)
-                | AttemptEnd::Denied
-                | AttemptEnd::InputsGone
-                | AttemptEnd::Unsent
-                | AttemptEnd::OverBudget
-                | AttemptEnd::Lost,
-            )
-            | Err(_) => None,
+        match self.attempt(last_event).await? {
+            AttemptEnd::Open(open) => Ok(*open),
+            AttemptEnd::Failed(response) => Err(ResumeRefusal::Failed(response.status())),
+            AttemptEnd::Denied => Err(ResumeRefusal::Denied),
+            AttemptEnd::InputsGone => Err(ResumeRefusal::InputsGone),
+            AttemptEnd::Unsent => Err(ResumeRefusal::Unsent),
+            AttemptEnd::OverBudget => Err(ResumeRefusal::OverBudget),
+            AttemptEnd::Lost => Err(ResumeRefusal::Lost),
         }
     }
 }
 
+/// Why a stream was not resumed.
+#[derive(Clone, Debug, Error)]
+pub(super) enum ResumeRefusal {
+    #[error("the route resumes no streams")]
+    NotResumable,
+    #[error("events are too large to be resumed within")]
+    WithinEvent,
+    #[error("no endpoint has the version that began the stream")]
+    NoEndpoint,
+    #[error("no further send is allowed")]
+    NoSendLeft,
+    #[error("the retry budget is used up")]
+    OverBudget,
+    #[error("refused before the send: {0:?}")]
+    Refused(GatewayRefusal),
+    #[error("the endpoint answered with status {0}")]
+    Failed(StatusCode),
+    #[error("the endpoint did not run it")]
+    Denied,
+    #[error("results of its stages are gone")]
+    InputsGone,
+    #[error("no connection to the endpoint")]
+    Unsent,
+    #[error("the answer of the endpoint was lost")]
+    Lost,
+}
+
+impl From<GatewayRefusal> for ResumeRefusal {
+    fn from(refusal: GatewayRefusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 /// Reads a stream to its end, as the body of an answer with a length.
 async fn collect_stream(mut body: GatewayBody) -> Result<GatewayBody, GatewayRefusal> {
     let mut whole = BytesMut::new();
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -28,6 +28,7 @@
     retry_tokens: Counter<u64>,
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
+    broken_streams: Counter<u64>,
     taken_up: Counter<u64>,
     backoffs: Counter<u64>,
     placements: Counter<u64>,
@@ -72,6 +73,10 @@
                 .u64_counter("savorywalk_gateway_stream_resumes")
                 .with_description("Streams that went on at another endpoint")
                 .build(),
+            broken_streams: meter
+                .u64_counter("savorywalk_gateway_broken_streams")
+                .with_description("Streams that broke off at their callers")
+                .build(),
             taken_up: meter
                 .u64_counter("savorywalk_gateway_streams_taken_up")
                 .with_description("Streams that callers take up, by how their origin was found")
@@ -176,6 +181,11 @@
         self.taken_up.add(1, &[KeyValue::new("source", source)]);
     }
 
+    pub(super) fn record_broken_stream(&self, pool: &str) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        self.broken_streams.add(1, &[pool]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -6,7 +6,7 @@
 use super::endpoint_call::EndpointCall;
 use super::forward_attempt::OpenAnswer;
 use super::forward_attempt::is_delimited;
-use super::forward_run::ForwardRun;
+use super::forward_run::{ForwardRun, ResumeRefusal};
 use super::stream_end::EndProof;
 use super::stream_origins::OriginGuard;
 use super::{EventSplitter, RouteKind};
@@ -49,6 +49,8 @@
     endpoint: String,
     version: Option<Arc<str>>,
     started: Instant,
+    /// When the endpoint last sent something.
+    heard: Instant,
     /// Dropped before another endpoint resumes the stream, so that the two never work on
     /// the same request.
     call: Option<EndpointCall>,
@@ -97,6 +99,7 @@
             endpoint: open.endpoint,
             version: open.version,
             started: open.started,
+            heard: Instant::now(),
             call: Some(open.call),
             _guard: open.guard,
         }
@@ -139,8 +142,12 @@
                     return rest.map(|rest| Ok(Frame::data(rest)));
                 }
                 RelayStep::Failed(reason) => {
-                    if !self.resume_elsewhere(&reason).await {
+                    if let Err(refusal) = self.resume_elsewhere(&reason).await {
                         self.state = RelayState::Ended;
+                        self.run
+                            .node
+                            .metrics
+                            .record_broken_stream(&self.run.context.pool);
                         log_event!(
                             info,
                             "stream_broken",
@@ -149,7 +156,9 @@
                             prompt = self.run.context.prompt_text(),
                             endpoint = self.source.endpoint,
                             last_event = format!("{:?}", self.splitter.last_id()),
-                            reason = reason
+                            silent_ms = self.source.heard.elapsed().as_millis(),
+                            reason = reason,
+                            not_resumed = refusal
                         );
                         return Some(Err(reason.into()));
                     }
@@ -224,6 +233,7 @@
             Ok(None) => return self.end().await,
             Err(_) => return RelayStep::Failed(StreamFailure::TimedOut),
         };
+        self.source.heard = Instant::now();
         let Ok(data) = frame.into_data() else {
             return RelayStep::Failed(StreamFailure::NoData);
         };
@@ -257,9 +267,8 @@
         }
     }
 
-    /// Resumes the stream at another endpoint; false if the route does not allow it or the
-    /// attempt fails.
-    async fn resume_elsewhere(&mut self, reason: &StreamFailure) -> bool {
+    /// Resumes the stream at another endpoint.
+    async fn resume_elsewhere(&mut self, reason: &StreamFailure) -> Result<(), ResumeRefusal> {
         let failure = match reason {
             StreamFailure::Cut(_) | StreamFailure::Unfinished | StreamFailure::Crashed => {
                 Some(CallFailure::Cut)
@@ -270,15 +279,17 @@
         self.run
             .record_failure(&self.source.endpoint, failure, &reason.to_string())
             .await;
-        if !self.is_resumable() || !self.splitter.is_resumable() {
-            return false;
+        if !self.is_resumable() {
+            return Err(ResumeRefusal::NotResumable);
+        }
+        if !self.splitter.is_resumable() {
+            return Err(ResumeRefusal::WithinEvent);
         }
         self.source.call = None;
         self.splitter.drop_partial();
         let last_event = self.splitter.last_id();
-        let Some(open) = self.run.resume(last_event).await else {
-            return false;
-        };
+        let silence = self.source.heard.elapsed();
+        let open = self.run.resume(last_event).await?;
         log_event!(
             info,
             "stream_resumed",
@@ -288,10 +299,11 @@
             from = self.source.endpoint,
             to = open.endpoint,
             last_event = format!("{last_event:?}"),
+            silent_ms = silence.as_millis(),
             reason = reason
         );
         self.run.node.metrics.record_resume(&self.run.context.pool);
         self.source = StreamSource::new(open);
-        true
+        Ok(())
     }
 }
