Reproduce streams that break because their engines are silent for a second

Cause under test: a gateway drops a stream's call after five pauses of silence (1.0 s), and only then looks for a retry, stages and another engine. Real gateways and registries stand before stand-ins of engines that fall silent; plays make the resume be refused by what refused it in the incident.

The answers of stand-ins and of pieces are shared with the soak of retries, and fleets set their stop time. The drawn series is not begun.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use savorywalk_proof::{
     FaultScript, PromptPlan, ProofPlan, ProofReport, RetryPlan, RetryPlay, RetryReport,
-    run_prompts, run_proof, run_retries,
+    SilencePlan, SilencePlay, SilenceReport, run_prompts, run_proof, run_retries, run_silences,
 };
 use savorywalk_standin::Deployment;
 
@@ -136,3 +136,56 @@
     let report = play_retries(RetryPlay::OneGateway).await;
     assert!(report.is_sound(), "{report}");
 }
+
+/// Gateways before engines that fall silent.
+const SILENCE_GATEWAYS: usize = 2;
+
+async fn play_silences(play: SilencePlay) -> SilenceReport {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = SilencePlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        gateways: SILENCE_GATEWAYS,
+        play,
+        seed: 1,
+    };
+    run_silences(&plan).await.unwrap()
+}
+
+/// Guards against streams that are given up because their engines are silent for a second, and then
+/// break because no retry, no stage or no other engine is there for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_outlast_engines_that_are_silent_for_a_second() {
+    let reports = futures::join!(
+        play_silences(SilencePlay::SpentBudget),
+        play_silences(SilencePlay::SilentStages),
+        play_silences(SilencePlay::FullEngines),
+        play_silences(SilencePlay::PreemptedStreams),
+    );
+    let reports = <[SilenceReport; 4]>::from(reports);
+    assert!(
+        reports.iter().all(SilenceReport::is_sound),
+        "{}",
+        reports.map(|report| report.to_string()).join("\n")
+    );
+}
+
+/// Guards against a stream that its gateway gives up while it stops, although the engine goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_stopping_gateway_outlasts_a_silent_engine() {
+    let report = play_silences(SilencePlay::StoppingGateway).await;
+    assert!(report.is_sound(), "{report}");
+}
+
+/// Guards against callers that leave because the stream of a lost engine is resumed too late for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_lost_engine_are_resumed_while_their_callers_wait() {
+    let reports = futures::join!(
+        play_silences(SilencePlay::LostEngine),
+        play_silences(SilencePlay::LostPath),
+    );
+    for report in <[SilenceReport; 2]>::from(reports) {
+        assert!(report.is_sound(), "{report}");
+        assert!(!report.resumed_gaps.is_empty(), "{report}");
+    }
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -4,9 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arguments::{Prompts, Retries, SavorywalkProof, SavorywalkProofCmd};
+use arguments::{Prompts, Retries, SavorywalkProof, SavorywalkProofCmd, Silence};
 use savorywalk_proof::{
-    FaultScript, PromptPlan, ProofPlan, RetryPlan, RetryPlay, run_prompts, run_proof, run_retries,
+    FaultScript, PromptPlan, ProofPlan, RetryPlan, RetryPlay, SilencePlan, SilencePlay,
+    run_prompts, run_proof, run_retries, run_silences,
 };
 use savorywalk_standin::Deployment;
 
@@ -63,6 +64,18 @@
                 /// Program of an earlier version for every second gateway.
                 optional --earlier-program file: PathBuf
             }
+            /// Gateways and registries before engines that fall silent and go on, one run a seed.
+            cmd silence {
+                /// Play: spent-budget, silent-stages, full-engines, preempted-streams,
+                /// stopping-gateway, lost-engine, lost-path or series; default series.
+                optional --play name: String
+                /// First seed; default 1.
+                optional --seed seed: u64
+                /// Seeds, one run each; default 1.
+                optional --seeds count: u64
+                /// Gateways; default 6.
+                optional --gateways gateways: usize
+            }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
                 /// Seed; default 1.
@@ -112,6 +125,7 @@
         }
         SavorywalkProofCmd::Prompts(prompts) => return soak_prompts(program, &prompts).await,
         SavorywalkProofCmd::Retries(retries) => return soak_retries(program, &retries).await,
+        SavorywalkProofCmd::Silence(silence) => return soak_silence(program, &silence).await,
         SavorywalkProofCmd::Pairs(pairs) => {
             let seed = pairs.seed.unwrap_or(1);
             let count = pairs.count.unwrap_or(DEFAULT_PAIRS);
@@ -207,3 +221,36 @@
         false => ExitCode::FAILURE,
     })
 }
+
+/// Runs a play of silent engines, one run a seed.
+async fn soak_silence(
+    program: PathBuf,
+    silence: &Silence,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let name = silence.play.as_deref();
+    let name = name.unwrap_or(SilencePlay::Series.name());
+    let play = SilencePlay::from_name(name);
+    let play = play.ok_or_else(|| format!("no play is named {name}; see --help"))?;
+    let first = silence.seed.unwrap_or(1);
+    let mut is_sound = true;
+    for seed in first..first + silence.seeds.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = SilencePlan {
+            program: program.clone(),
+            folder: folder.path().to_path_buf(),
+            gateways: silence.gateways.unwrap_or(ENTRIES).clamp(2, MAX_GATEWAYS),
+            play,
+            seed,
+        };
+        let report = run_silences(&plan).await?;
+        println!("{name}, seed {seed}: {report}");
+        if !report.is_sound() {
+            println!("seed {seed}: logs are kept in {}", folder.keep().display());
+            is_sound = false;
+        }
+    }
+    Ok(match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -16,6 +16,9 @@
 const FIRST_REGISTRY: u8 = 1;
 const FIRST_GATEWAY: u8 = 10;
 
+/// Usual time within which a gateway that is asked to stop ends, in milliseconds.
+pub(crate) const STOP_TIME_MS: u64 = 3_000;
+
 /// Longest wait for a condition, and the interval between two checks of it.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -30,6 +33,8 @@
     pub(crate) retry_share: f64,
     pub(crate) retry_extra: f64,
     pub(crate) retry_window_ms: u64,
+    /// Time within which a gateway that is asked to stop ends, in milliseconds.
+    pub(crate) stop_time_ms: u64,
     /// Level of the daemons' logs.
     pub(crate) log_level: &'static str,
 }
@@ -169,8 +174,11 @@
             false => format!(
                 "[gateway]\ncallers = {ip}:{FIRST_PORT}\nprobes = {ip}:{PROBE_PORT}\n\
                  key_bound_ms = 600000\nretry_share = {}\nretry_extra = {}\n\
-                 retry_window_ms = {}\nstop_time_ms = 3000\nannounce_interval_ms = 1200\n",
-                self.plan.retry_share, self.plan.retry_extra, self.plan.retry_window_ms
+                 retry_window_ms = {}\nstop_time_ms = {}\nannounce_interval_ms = 1200\n",
+                self.plan.retry_share,
+                self.plan.retry_extra,
+                self.plan.retry_window_ms,
+                self.plan.stop_time_ms
             ),
         };
         let kind = match index < self.plan.registries {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -17,6 +17,7 @@
 mod retry_soak;
 mod run_address;
 mod signalled_process;
+mod silence_soak;
 
 pub use daemon_process::{DaemonAddresses, DaemonProcess, ProcessError};
 pub use entry_fleet::EntryFleet;
@@ -34,3 +35,6 @@
     run_retries,
 };
 pub use signalled_process::SignalledProcess;
+pub use silence_soak::{
+    SilencePlan, SilencePlay, SilenceReport, StreamCounts, StreamEnd, StreamOutcome, run_silences,
+};
--- a/crates/proof/src/prompt_soak/soak_run.rs
+++ b/crates/proof/src/prompt_soak/soak_run.rs
@@ -11,7 +11,7 @@
 use super::prompt_engine::{CRASHING_PART, EngineLog, start_engines};
 use super::soak_callers::SoakCallers;
 use super::{PromptReport, Result};
-use crate::gateway_fleet::{FleetPlan, KeptConnection, ProcessFleet, wait_until};
+use crate::gateway_fleet::{FleetPlan, KeptConnection, ProcessFleet, STOP_TIME_MS, wait_until};
 use crate::run_address;
 
 /// Registries of a run, of which one at a time is ended or frozen.
@@ -79,6 +79,7 @@
         retry_share: RETRY_SHARE,
         retry_extra: RETRY_EXTRA,
         retry_window_ms: RETRY_WINDOW_MS,
+        stop_time_ms: STOP_TIME_MS,
         log_level: "warn",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
--- a/crates/proof/src/retry_soak/counted_endpoint.rs
+++ b/crates/proof/src/retry_soak/counted_endpoint.rs
@@ -2,13 +2,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 use savorywalk::prelude::*;
-use serde_json::Value;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 use super::ArrivalLog;
-use crate::gateway_fleet::{announce, header, read_body, read_head};
+use crate::gateway_fleet::{announce, endpoint_answer, header, piece_answer, read_body, read_head};
 
 /// Pools of engines and of the endpoints of stages.
 pub(super) const ENGINE_POOL: &str = "p";
@@ -146,11 +145,13 @@
     state.log.record_arrival(ENGINE_POOL, id);
     let number = state.requests.fetch_add(1, Ordering::Relaxed);
     let is_served = number.is_multiple_of(SERVED_EVERY);
-    let not_run = |status| answer(status, id, "X-Not-Executed: 1\r\n", "");
+    let not_run = |status| endpoint_answer(status, id, "X-Not-Executed: 1\r\n", "");
     match state.mode() {
         _ if path.starts_with(REJECTED_PATH) => Some(not_run("503 Service Unavailable")),
         EngineMode::Reject => Some(not_run("503 Service Unavailable")),
-        EngineMode::Fail if !is_served => Some(answer("500 Internal Server Error", id, "", "")),
+        EngineMode::Fail if !is_served => {
+            Some(endpoint_answer("500 Internal Server Error", id, "", ""))
+        }
         EngineMode::Break if !is_served => None,
         EngineMode::LoseInputs if !is_served => Some(not_run("409 Conflict")),
         EngineMode::Serve | EngineMode::Fail | EngineMode::Break | EngineMode::LoseInputs => {
@@ -161,28 +162,16 @@
 
 /// The answer to a call with pieces; `None` closes its connection.
 fn answer_pieces(body: &str, address: SocketAddr, state: &EndpointState) -> Option<String> {
-    let call: Value = serde_json::from_str(body).ok()?;
-    let items = call["items"].as_array()?;
-    for item in items {
-        let unit = format!("{}/{}/{}", item["id"], item["stage"], item["segment"]);
-        state.log.record_arrival(STAGE_POOL, &unit);
+    let pieces = piece_answer(body, address)?;
+    for unit in &pieces.units {
+        state.log.record_arrival(STAGE_POOL, unit);
     }
     if state.breaks_stages.load(Ordering::Relaxed) {
         return None;
     }
-    let handle = format!(r#"{{"handle":"{address}/1"}}"#);
-    let handles = vec![handle; items.len()].join(",");
-    Some(success("", &format!(r#"{{"items":[{handles}]}}"#)))
+    Some(success("", &pieces.answer))
 }
 
 fn success(id: &str, body: &str) -> String {
-    answer("200 OK", id, "", body)
-}
-
-fn answer(status: &str, id: &str, headers: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\n{headers}\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    endpoint_answer("200 OK", id, "", body)
 }
--- a/crates/proof/src/retry_soak/retry_run.rs
+++ b/crates/proof/src/retry_soak/retry_run.rs
@@ -15,7 +15,7 @@
 use super::retry_callers::RetryCallers;
 use super::retry_play::{PlayStep, STEP_TIME, STEPS};
 use super::{BudgetLimits, BudgetUse, Result, RetryPlay, RetryReport};
-use crate::gateway_fleet::{FleetPlan, KeptConnection, ProcessFleet, wait_until};
+use crate::gateway_fleet::{FleetPlan, KeptConnection, ProcessFleet, STOP_TIME_MS, wait_until};
 use crate::run_address;
 
 const REGISTRIES: usize = 3;
@@ -87,6 +87,7 @@
         retry_share: LIMITS.share,
         retry_extra: LIMITS.extra,
         retry_window_ms: LIMITS.window.as_millis() as u64,
+        stop_time_ms: STOP_TIME_MS,
         log_level: "info",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
--- /dev/null
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -0,0 +1,83 @@
+use savorywalk::prelude::*;
+
+/// What goes wrong in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilencePlay {
+    /// All engines are silent for a second when the retry budget is used up.
+    SpentBudget,
+    /// All engines are silent for a second, and the endpoints of stages for longer.
+    SilentStages,
+    /// Most engines are silent for a second while all are full.
+    FullEngines,
+    /// One stream of each engine pauses for a second while all are full.
+    PreemptedStreams,
+    /// One stream of a gateway that is asked to stop pauses late in its stop time.
+    StoppingGateway,
+    /// One engine is silent for good, as if its process were suspended.
+    LostEngine,
+    /// The path to one engine is lost, without a reset.
+    LostPath,
+    /// A drawn series of overlapping faults.
+    Series,
+}
+
+impl SilencePlay {
+    /// All plays but the drawn one.
+    pub const FIXED: [Self; 7] = [
+        Self::SpentBudget,
+        Self::SilentStages,
+        Self::FullEngines,
+        Self::PreemptedStreams,
+        Self::StoppingGateway,
+        Self::LostEngine,
+        Self::LostPath,
+    ];
+
+    /// Name on the command line.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::SpentBudget => "spent-budget",
+            Self::SilentStages => "silent-stages",
+            Self::FullEngines => "full-engines",
+            Self::PreemptedStreams => "preempted-streams",
+            Self::StoppingGateway => "stopping-gateway",
+            Self::LostEngine => "lost-engine",
+            Self::LostPath => "lost-path",
+            Self::Series => "series",
+        }
+    }
+
+    /// The play with a name; `None` if there is none.
+    pub fn from_name(name: &str) -> Option<Self> {
+        let plays = Self::FIXED.into_iter().chain([Self::Series]);
+        plays.into_iter().find(|play| play.name() == name)
+    }
+
+    /// Whether the budget allows next to no retries.
+    pub(super) fn has_spent_budget(self) -> bool {
+        match self {
+            Self::SpentBudget => true,
+            Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::StoppingGateway
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::Series => false,
+        }
+    }
+
+    /// Gateways that get streams in a fixed play, of the first ones.
+    pub(super) fn used_gateways(self, gateways: usize) -> usize {
+        match self {
+            Self::StoppingGateway => 1,
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::Series => gateways,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -0,0 +1,257 @@
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use savorywalk::prelude::*;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::endpoint_switch::SilenceKind;
+use super::silent_endpoint::{ENGINE_POOL, EndpointPool, STAGE_POOL};
+use super::stream_callers::StreamCallers;
+use super::{Result, SilencePlay, SilenceReport, StreamEnd, StreamOutcome};
+use crate::gateway_fleet::{FleetPlan, ProcessFleet, wait_until};
+use crate::run_address;
+
+pub(super) const REGISTRIES: usize = 3;
+const ENGINES: usize = 6;
+const STAGE_ENDPOINTS: usize = 3;
+
+/// Last octets of the engines' address and of the stage endpoints'.
+const ENGINE_OCTET: u8 = 250;
+const STAGE_OCTET: u8 = 251;
+
+/// Streams at each gateway in a fixed play, and their events.
+const STREAMS_PER_GATEWAY: usize = 12;
+const EVENTS: u64 = 40;
+
+/// Events of a stream that is to run until shortly before its gateway's stop time ends.
+const STOPPING_EVENTS: u64 = 55;
+
+/// Silences of sound engines, in milliseconds.
+const SHORT_SILENCE_MS: std::ops::Range<u64> = 1_200..1_300;
+
+/// Silence of the endpoints of stages.
+const STAGE_SILENCE: Duration = Duration::from_secs(4);
+
+/// Pause of a stream of a stopping gateway, and when it begins after SIGTERM.
+const STOPPING_PAUSE: Duration = Duration::from_millis(1_400);
+const STOPPING_PAUSE_START: Duration = Duration::from_millis(STOP_TIME_MS * 6 / 10);
+
+/// Time within which a gateway that is asked to stop ends.
+const STOP_TIME_MS: u64 = 8_000;
+
+/// Engines that go on in a play in which most are silent.
+const SPEAKING_ENGINES: usize = 2;
+
+/// Retry limits that allow no more than a retry or two, and those that no play reaches.
+const SPENT_SHARE: f64 = 0.01;
+const SPENT_EXTRA: f64 = 1.0;
+const AMPLE_SHARE: f64 = 10.0;
+const AMPLE_EXTRA: f64 = 1_000.0;
+const RETRY_WINDOW_MS: u64 = 2_000;
+
+/// Time after which all entries know what they sent in a window, and grant the extra retries; see
+/// docs/design/retry-budget.md.
+const WARM_UP: Duration = Duration::from_millis(RETRY_WINDOW_MS + 6_000);
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct SilencePlan {
+    /// The `savorywalk` program.
+    pub program: PathBuf,
+    /// Folder for the run's files.
+    pub folder: PathBuf,
+    /// Gateways to start, 200 at most.
+    pub gateways: usize,
+    /// What goes wrong.
+    pub play: SilencePlay,
+    /// Seed of what is drawn.
+    pub seed: u64,
+}
+
+/// What a run consists of.
+struct SilenceRun {
+    play: SilencePlay,
+    random: ChaCha8Rng,
+    fleet: ProcessFleet,
+    engines: EndpointPool,
+    stages: EndpointPool,
+    callers: Arc<StreamCallers>,
+}
+
+/// Runs gateways and registries as processes before engines that fall silent, and checks that no
+/// stream is broken off whose engine goes on.
+///
+/// # Errors
+///
+/// [`crate::ProcessError`] if a process can't be started or signalled.
+pub async fn run_silences(plan: &SilencePlan) -> Result<SilenceReport> {
+    let base = run_address::next_network();
+    let (retry_share, retry_extra) = match plan.play.has_spent_budget() {
+        true => (SPENT_SHARE, SPENT_EXTRA),
+        false => (AMPLE_SHARE, AMPLE_EXTRA),
+    };
+    let fleet_plan = FleetPlan {
+        registries: REGISTRIES,
+        gateways: plan.gateways,
+        retry_share,
+        retry_extra,
+        retry_window_ms: RETRY_WINDOW_MS,
+        stop_time_ms: STOP_TIME_MS,
+        log_level: "info",
+    };
+    let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
+    fleet.start_stopped().await?;
+    if !fleet.publish(&document(1, 15_000, 15_000)).await {
+        log::error!("event=document_not_accepted");
+    }
+    let [first, second, third, _] = base.octets();
+    let ip = |octet| Ipv4Addr::new(first, second, third, octet);
+    let registries = fleet.registries();
+    let engines = EndpointPool::start(ENGINE_POOL, ENGINES, ip(ENGINE_OCTET), &registries);
+    let stages = EndpointPool::start(STAGE_POOL, STAGE_ENDPOINTS, ip(STAGE_OCTET), &registries);
+    let (end, ended) = watch::channel(false);
+    let callers = Arc::new(StreamCallers::new(fleet.gateways(), ended));
+    let mut run = SilenceRun {
+        play: plan.play,
+        random: ChaCha8Rng::seed_from_u64(plan.seed),
+        fleet,
+        engines,
+        stages,
+        callers,
+    };
+    run.wait_until_served(plan.gateways).await;
+    tokio::time::sleep(WARM_UP).await;
+    run.play_silences(plan.gateways).await?;
+    end.send_replace(true);
+    let report = run.report();
+    run.fleet.end().await?;
+    Ok(report)
+}
+
+/// Configuration: one route of streams with a stage.
+fn document(version: u64, timeout_ms: u64, idle_timeout_ms: u64) -> String {
+    format!(
+        r#"{{"version": {version}, "routes": [
+        {{"name": "stream", "host": "h.example", "pathPrefix": "/stream/", "kind": "stream", "timeoutMs": {timeout_ms}, "targetLatencyMs": 500, "service": "{ENGINE_POOL}", "maxAttempts": 2, "resumable": true, "targetGapMs": 200,
+         "stages": [{{"service": "{STAGE_POOL}", "after": [], "bytes": 1000}}]}}],
+        "services": [{{"name": "{ENGINE_POOL}", "maxConnections": 1000}},
+        {{"name": "{STAGE_POOL}", "maxConnections": 1000, "segments": {{"slots": 1, "queue": 2, "batch": 8, "callMs": 20, "itemMs": 2, "headroomMb": 10, "handleS": 4, "linkMbps": 10000}}}}],
+        "limits": {{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": {idle_timeout_ms}}},
+        "tenants": [{{"name": "w", "apiKeys": ["key-w"]}}]}}"#
+    )
+}
+
+impl SilenceRun {
+    async fn wait_until_served(&self, gateways: usize) {
+        for gateway in 0..gateways {
+            let is_served = wait_until(async || {
+                let mut connection = self.callers.connection(gateway);
+                self.callers.send(&mut connection, 1).await == StreamEnd::Whole
+            });
+            if !is_served.await {
+                log::error!("event=gateway_not_serving gateway={gateway}");
+            }
+        }
+        self.callers.take_outcomes();
+        self.callers.begun.store(0, Ordering::Relaxed);
+    }
+
+    /// Begins streams at all gateways at once, brings about the faults, and waits for the streams.
+    async fn play_silences(&mut self, gateways: usize) -> Result<()> {
+        let events = match self.play {
+            SilencePlay::StoppingGateway => STOPPING_EVENTS,
+            _ => EVENTS,
+        };
+        let count = STREAMS_PER_GATEWAY * self.play.used_gateways(gateways);
+        let mut streams = JoinSet::new();
+        for position in 0..count {
+            let callers = Arc::clone(&self.callers);
+            let gateway = position / STREAMS_PER_GATEWAY;
+            streams.spawn(async move {
+                callers.send(&mut callers.connection(gateway), events).await;
+            });
+        }
+        wait_until(async || self.callers.begun.load(Ordering::Relaxed) >= count).await;
+        self.begin_silences().await?;
+        while streams.join_next().await.is_some() {}
+        Ok(())
+    }
+
+    async fn begin_silences(&mut self) -> Result<()> {
+        match self.play {
+            SilencePlay::SpentBudget => self.silence_engines(0),
+            SilencePlay::SilentStages => {
+                for index in 0..STAGE_ENDPOINTS {
+                    let time = Some(STAGE_SILENCE);
+                    self.stages.fall_silent(index, SilenceKind::Calls, time);
+                }
+                self.silence_engines(0);
+            }
+            SilencePlay::FullEngines => {
+                self.fill_engines();
+                self.silence_engines(SPEAKING_ENGINES);
+            }
+            SilencePlay::PreemptedStreams => {
+                self.fill_engines();
+                for index in 0..ENGINES {
+                    let time = self.draw_short_silence();
+                    self.engines.switches[index].preempt(time);
+                }
+            }
+            SilencePlay::StoppingGateway => {
+                self.fleet.signal(REGISTRIES, Signal::SIGTERM)?;
+                tokio::time::sleep(STOPPING_PAUSE_START).await;
+                self.engines.switches[0].preempt(STOPPING_PAUSE);
+            }
+            SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
+            SilencePlay::LostPath => self.engines.fall_silent(0, SilenceKind::Path, None),
+            SilencePlay::Series => {}
+        }
+        Ok(())
+    }
+
+    /// Makes all engines silent for a second, but the first `speaking`.
+    fn silence_engines(&mut self, speaking: usize) {
+        for index in speaking..ENGINES {
+            let time = Some(self.draw_short_silence());
+            self.engines.fall_silent(index, SilenceKind::Calls, time);
+        }
+    }
+
+    fn draw_short_silence(&mut self) -> Duration {
+        Duration::from_millis(self.random.random_range(SHORT_SILENCE_MS))
+    }
+
+    fn fill_engines(&self) {
+        for switch in &self.engines.switches {
+            switch.set_refuses(true);
+        }
+    }
+
+    fn report(&self) -> SilenceReport {
+        let outcomes = self.callers.take_outcomes();
+        let mut report = SilenceReport {
+            longest_overlap: self.engines.timeline.longest_overlap(),
+            ..SilenceReport::default()
+        };
+        for outcome in &outcomes {
+            *report.counts.entry(outcome.end).or_default() += 1;
+            if self.engines.timeline.runs(&outcome.id).len() > 1 {
+                report.resumed_gaps.push(outcome.longest_gap);
+            }
+            if !self.is_allowed(outcome) {
+                report.breaches.push(outcome.to_string());
+            }
+        }
+        report
+    }
+
+    fn is_allowed(&self, outcome: &StreamOutcome) -> bool {
+        outcome.end == StreamEnd::Whole
+    }
+}
