Replace stalled calls first, and give them up second

Cause: silence for a fixed time ended a call. The gateway closed the connection and only then asked whether the stream could be resumed: for a retry, for its stages, for an engine with room. Each "no" left the caller with nothing. The same order stood before heads of answers and bodies.

Change: silence begins a search, and the call stays open meanwhile. ProgressTable holds when each endpoint with calls of this entry last sent something; only an endpoint that is better off may replace a silent one, and new requests avoid silent ones. Whoever answers first has the request; a refused replacement leaves the stalled call in place. The limits are as before. See docs/design/stalled-calls.md.

--- a/crates/savorywalk/src/gateway/endpoint_score.rs
+++ b/crates/savorywalk/src/gateway/endpoint_score.rs
@@ -1,5 +1,6 @@
 use std::sync::{Mutex, PoisonError};
 
+use super::stalled_calls::CallProgress;
 use super::{PoolMember, RunLedger};
 use crate::directory::EndpointRecord;
 use crate::hashing::stable_hash;
@@ -17,6 +18,9 @@
 /// others cost much more.
 const SILENT_COST: f64 = 100.0;
 
+/// Cost of an endpoint that sends nothing on any of its calls from this entry.
+const STALLED_COST: f64 = 50.0;
+
 /// Cost of an endpoint ejected for its failures; higher than that of a silent one.
 const EJECTED_COST: f64 = 1_000.0;
 
@@ -47,6 +51,8 @@
     pools: Mutex<FastMap<String, PoolHealth>>,
     /// Requests of this entry in progress.
     pub(super) outstanding: OutstandingTable,
+    /// When endpoints with requests of this entry in progress last sent something.
+    pub(super) progress: CallProgress,
 }
 
 impl Default for EndpointScores {
@@ -55,6 +61,7 @@
             seed: rand::random(),
             pools: Mutex::default(),
             outstanding: OutstandingTable::default(),
+            progress: CallProgress::default(),
         }
     }
 }
@@ -96,6 +103,9 @@
         if member.is_silent {
             surcharge += SILENT_COST;
         }
+        if self.progress.is_avoided(now, member.endpoint()) {
+            surcharge += STALLED_COST;
+        }
         EndpointCost {
             outstanding,
             factor,
@@ -161,7 +171,7 @@
     pub(super) outstanding: u32,
     /// Factor for latency, failures and a cold start.
     pub(super) factor: f64,
-    /// Added cost of an endpoint that is silent or ejected; 0 for all others.
+    /// Added cost of an endpoint that is silent, stalled or ejected; 0 for all others.
     pub(super) surcharge: f64,
 }
 
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -6,11 +6,14 @@
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::{CallFailure, FailedCall};
 use super::endpoint_call::{CallError, EndpointCall, read_complete};
-use super::forward_run::ForwardRun;
+use super::forward_run::{ForwardRun, SendState};
 use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
 use super::prompt_exchange::PromptPlacement;
 use super::retry_budget::RepeatReason;
+use super::stalled_calls::{
+    HeadResult, OpenedCall, PendingCall, ProgressGuard, SearchDelay, StallEnd, StallRecord,
+};
 use super::{
     EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, NotRunReason, PoolMember,
     RouteKind, engine_rank,
@@ -41,6 +44,7 @@
     pub(super) started: Instant,
     pub(super) call: EndpointCall,
     pub(super) guard: OutstandingGuard,
+    pub(super) progress: ProgressGuard,
 }
 
 /// How an attempt ended, before the body of a successful answer is read.
@@ -60,25 +64,26 @@
     OverBudget,
     /// The request may have run, and its answer is lost.
     Lost,
+    /// The endpoint has been silent for long, and another one is better off. The call stays open.
+    Stalled(Box<PendingCall>),
 }
 
 /// A single attempt at one endpoint, and the reports on its outcome.
 impl ForwardRun {
-    /// Whether another endpoint may still get the request if this one does not answer. Only
-    /// then does the wait for this one end before the deadline.
-    fn has_spare_endpoint(&self) -> bool {
-        let route = &self.context.route;
-        route.kind.is_retryable() && self.ledger.runs() < route.max_endpoints as usize
+    /// Time after which a call without a head has stalled.
+    fn head_limit(&self) -> Duration {
+        (self.context.route.objective * HEAD_TIMEOUT_OBJECTIVES).max(MIN_HEAD_TIMEOUT)
     }
 
-    /// Longest wait for the head of an answer.
-    fn head_timeout(&self) -> Duration {
-        let remaining = self.context.remaining(Instant::now());
-        if !self.has_spare_endpoint() {
-            return remaining;
-        }
-        let limit = (self.context.route.objective * HEAD_TIMEOUT_OBJECTIVES).max(MIN_HEAD_TIMEOUT);
-        remaining.min(limit)
+    /// Whether the request may be sent again now, to an endpoint that is better off than one that
+    /// has been silent for `stall`.
+    pub(super) fn may_replace(&self, stall: Duration) -> bool {
+        let route = &self.context.route;
+        let has_spare_run = self.ledger.runs() < route.max_endpoints as usize;
+        route.kind.is_retryable()
+            && has_spare_run
+            && self.has_better_endpoint(stall)
+            && self.may_send_again()
     }
 
     /// Sends the request to the best endpoint that has not received it yet.
@@ -113,6 +118,7 @@
         let guard = self.node.scores.outstanding.begin_attempt(&endpoint);
         let started = Instant::now();
         self.ledger.record_send(&endpoint);
+        self.send_state = SendState::Opening;
         log_event!(
             debug,
             "attempt_sent",
@@ -125,12 +131,11 @@
             ),
             remaining_ms = self.context.remaining(started).as_millis()
         );
-        let limit = self.head_timeout();
-        let sending = self.send_to(&member, last_event);
+        let limit = self.context.remaining(started);
+        let sending = self.send_to(&member, last_event, started, guard);
         let sent = tokio::select! {
             // A request that is quarantined while its connection opens is not sent on it.
             biased;
-            // Cancelling the request may prevent a crash if the endpoint has not begun it.
             () = node.until_quarantined(&identity) => {
                 return Err(self.refuse_quarantined());
             }
@@ -139,14 +144,119 @@
                 return Err(self.refuse(NotRunReason::Stopping));
             }
         };
-        let (call, response, head) = match sent {
-            Ok(Ok(sent)) => sent,
-            Ok(Err(CallError::Unsent(reason))) => {
+        match sent {
+            Ok(Ok(pending)) => self.await_head(pending, last_event).await,
+            Ok(Err(error)) => self.end_call(&view, &endpoint, error).await,
+            Err(_) => self.end_silent(&endpoint).await,
+        }
+    }
+
+    /// Waits for the head of an answer until the call stalls and may be replaced.
+    async fn await_head(
+        &mut self,
+        mut pending: PendingCall,
+        last_event: Option<u64>,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        let node = Arc::clone(&self.node);
+        let identity = self.identity.clone();
+        let mut limit = pending.started + self.head_limit();
+        loop {
+            let deadline = self.context.deadline;
+            let wake_at = tokio::time::Instant::from_std(limit.min(deadline));
+            let result = tokio::select! {
+                biased;
+                // Cancelling the request may prevent a crash if the endpoint has not begun it.
+                () = node.until_quarantined(&identity) => {
+                    return Err(self.refuse_quarantined());
+                }
+                result = pending.head() => Some(result),
+                () = node.stop.until_sent_answered() => {
+                    return Err(self.refuse(NotRunReason::Stopping));
+                }
+                () = tokio::time::sleep_until(wake_at) => None,
+            };
+            match result {
+                // The endpoint may have closed a cached connection.
+                Some(Err(CallError::Broken(reason))) if pending.was_cached => {
+                    let member = Arc::clone(&pending.member);
+                    let started = pending.started;
+                    let sending = self.send_over_new(&member, last_event, started, &reason);
+                    match sending.await {
+                        Ok(next) => pending = next,
+                        Err(error) => {
+                            let view = node.view.load_full();
+                            return self.end_call(&view, member.endpoint(), error).await;
+                        }
+                    }
+                }
+                Some(result) => return self.end_pending(pending, result).await,
+                None if self.context.remaining(Instant::now()).is_zero() => {
+                    pending.finish_stall(StallEnd::Failed);
+                    return self.end_silent(pending.endpoint()).await;
+                }
+                None => {
+                    if pending.stall.is_none() {
+                        let stall = self.begin_stall(pending.endpoint(), pending.started);
+                        pending.stall = Some(stall.await);
+                    }
+                    if self.may_replace(pending.started.elapsed()) {
+                        return Ok(AttemptEnd::Stalled(Box::new(pending)));
+                    }
+                    limit = Instant::now() + SearchDelay::AFTER_NONE;
+                }
+            }
+        }
+    }
+
+    /// Ends a call whose answer has begun or can't come any more.
+    pub(super) async fn end_pending(
+        &mut self,
+        mut pending: PendingCall,
+        result: HeadResult,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        let view = self.node.view.load_full();
+        pending.finish_stall(match &result {
+            Ok(_) => StallEnd::WentOn,
+            Err(_) => StallEnd::Failed,
+        });
+        let (call, response) = match result {
+            Ok(answered) => answered,
+            Err(error) => return self.end_call(&view, pending.endpoint(), error).await,
+        };
+        let (parts, body) = response.into_parts();
+        let head = self.node.wire.read_endpoint(&parts);
+        let member = &pending.member;
+        let pool = &self.context.pool;
+        self.node
+            .record_response_head(pool, member.endpoint(), pending.sent, &head);
+        self.has_answer_begun = true;
+        let open = OpenAnswer {
+            response: Response::from_parts(parts, body),
+            head,
+            endpoint: member.endpoint().to_string(),
+            version: member.version.clone(),
+            started: pending.started,
+            call,
+            guard: pending.guard,
+            progress: pending.progress,
+        };
+        self.classify_answer(&view, open).await
+    }
+
+    /// Ends a call that has failed.
+    async fn end_call(
+        &mut self,
+        view: &GatewayView,
+        endpoint: &str,
+        error: CallError,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        match error {
+            CallError::Unsent(reason) => {
                 self.ledger.record_denial();
-                self.report(&view, &endpoint, AttemptReport::Failed, &reason);
-                return Ok(AttemptEnd::Unsent);
+                self.report(view, endpoint, AttemptReport::Failed, &reason);
+                Ok(AttemptEnd::Unsent)
             }
-            Ok(Err(CallError::Withheld(reason))) => {
+            CallError::Withheld(reason) => {
                 self.ledger.record_denial();
                 log_event!(
                     info,
@@ -155,47 +265,43 @@
                     endpoint = endpoint,
                     reason = reason
                 );
-                return Ok(AttemptEnd::Unsent);
+                Ok(AttemptEnd::Unsent)
             }
-            Ok(Err(CallError::OverBudget)) => {
+            CallError::OverBudget => {
                 self.ledger.record_denial();
-                return Ok(AttemptEnd::OverBudget);
+                Ok(AttemptEnd::OverBudget)
             }
-            Ok(Err(CallError::Broken(reason))) => {
-                self.record_failure(&endpoint, Some(CallFailure::Cut), &reason)
+            CallError::Broken(reason) => {
+                self.record_failure(endpoint, Some(CallFailure::Cut), &reason)
                     .await;
-                return Ok(AttemptEnd::Lost);
-            }
-            Ok(Err(CallError::Lost(reason))) => {
-                self.record_failure(&endpoint, None, &reason).await;
-                return Ok(AttemptEnd::Lost);
+                Ok(AttemptEnd::Lost)
             }
-            Err(_) => {
-                let reason = "no response head within the timeout";
-                self.record_failure(&endpoint, Some(CallFailure::TimedOut), reason)
-                    .await;
-                return Ok(AttemptEnd::Lost);
+            CallError::Lost(reason) => {
+                self.record_failure(endpoint, None, &reason).await;
+                Ok(AttemptEnd::Lost)
             }
-        };
-        self.has_answer_begun = true;
-        let open = OpenAnswer {
-            response,
-            head,
-            endpoint,
-            version: member.version.clone(),
-            started,
-            call,
-            guard,
-        };
-        self.classify_answer(&view, open).await
+        }
+    }
+
+    /// Ends a call that has been silent until the request's deadline.
+    pub(super) async fn end_silent(
+        &mut self,
+        endpoint: &str,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        let reason = "no response head within the timeout";
+        self.record_failure(endpoint, Some(CallFailure::TimedOut), reason)
+            .await;
+        Ok(AttemptEnd::Lost)
     }
 
     async fn send_to(
         &mut self,
-        member: &PoolMember,
+        member: &Arc<PoolMember>,
         last_event: Option<u64>,
-    ) -> Result<(EndpointCall, Response<Incoming>, EndpointHead), CallError> {
-        let (mut call, was_cached) = self.open_call(member).await?;
+        started: Instant,
+        guard: OutstandingGuard,
+    ) -> Result<PendingCall, CallError> {
+        let (call, was_cached) = self.open_call(member).await?;
         // The VM may have been suspended meanwhile, which the monotonic clock does not
         // count.
         let is_past = |expires_at: BootTime| BootClock.now() > expires_at;
@@ -209,29 +315,56 @@
             ));
         }
         let token = self.take_token().await?;
-        let mut sent = BootClock.now();
+        let opened = OpenedCall {
+            call,
+            was_cached,
+            token,
+        };
+        let progress = self.node.scores.progress.begin(member.endpoint());
+        Ok(self.begin_send(opened, member, last_event, started, (guard, progress)))
+    }
+
+    fn begin_send(
+        &mut self,
+        opened: OpenedCall,
+        member: &Arc<PoolMember>,
+        last_event: Option<u64>,
+        started: Instant,
+        guards: (OutstandingGuard, ProgressGuard),
+    ) -> PendingCall {
+        self.send_state = SendState::Sent;
+        self.send_begun.notify_one();
         let request = self.endpoint_request(member, last_event);
-        let response = match call.send(request, token).await {
-            // The endpoint may have closed a cached connection.
-            Err(CallError::Broken(reason)) if was_cached => {
-                // The endpoint may have run the first send, so no failure counts as unsent now.
-                let broken = |_| CallError::Broken(reason.clone());
-                self.set_repeat_reason(RepeatReason::StaleConnection);
-                let connected = self.node.connect(member).await;
-                call = connected.map_err(|error| CallError::Broken(error.to_string()))?;
-                let token = self.take_token().await.map_err(broken)?;
-                sent = BootClock.now();
-                let request = self.endpoint_request(member, last_event);
-                call.send(request, token).await?
-            }
-            outcome => outcome?,
+        let member = Arc::clone(member);
+        PendingCall::send(opened, request, member, (started, BootClock.now()), guards)
+    }
+
+    /// Sends the request again over a new connection, after a cached one was broken.
+    async fn send_over_new(
+        &mut self,
+        member: &Arc<PoolMember>,
+        last_event: Option<u64>,
+        started: Instant,
+        reason: &str,
+    ) -> Result<PendingCall, CallError> {
+        // The endpoint may have run the first send, so no failure counts as unsent now.
+        self.set_repeat_reason(RepeatReason::StaleConnection);
+        let connected = self.node.connect(member).await;
+        let call = connected.map_err(|error| CallError::Broken(error.to_string()))?;
+        let token = self.take_token().await;
+        let token = token.map_err(|_| CallError::Broken(reason.to_string()))?;
+        let opened = OpenedCall {
+            call,
+            was_cached: false,
+            token,
         };
-        let (parts, body) = response.into_parts();
-        let head = self.node.wire.read_endpoint(&parts);
-        let pool = &self.context.pool;
-        self.node
-            .record_response_head(pool, member.endpoint(), sent, &head);
-        Ok((call, Response::from_parts(parts, body), head))
+        let guard = self
+            .node
+            .scores
+            .outstanding
+            .begin_attempt(member.endpoint());
+        let progress = self.node.scores.progress.begin(member.endpoint());
+        Ok(self.begin_send(opened, member, last_event, started, (guard, progress)))
     }
 
     fn endpoint_request(&self, member: &PoolMember, last_event: Option<u64>) -> Request<Bytes> {
@@ -356,6 +489,7 @@
             started: open.started,
             call: open.call,
             guard: open.guard,
+            progress: open.progress,
         })))
     }
 
@@ -363,7 +497,10 @@
         let pool = &self.context.pool;
         let records = view.roster.records(pool);
         self.node.scores.report(pool, records, endpoint, report);
-        if let Some(placement) = &self.placement {
+        let placement = self.placement.as_ref();
+        // A stalled call may end after the request was placed elsewhere.
+        let placement = placement.filter(|placement| placement.endpoint == endpoint);
+        if let Some(placement) = placement {
             let elapsed = match report {
                 AttemptReport::Succeeded(time) => Some(time),
                 AttemptReport::Failed => None,
@@ -436,6 +573,17 @@
         }
     }
 
+    /// Records that a call has stalled. The endpoint may have crashed, or the path to it may be lost,
+    /// without an end of the connection; it counts as failed only once the call is replaced.
+    pub(super) async fn begin_stall(&mut self, endpoint: &str, since: Instant) -> StallRecord {
+        let context = &self.context;
+        let record = StallRecord::begin(&self.node, &context.pool, &context.id, endpoint, since);
+        if !self.has_lost_path(endpoint, CallFailure::TimedOut).await {
+            self.suspect_crash(endpoint, CallFailure::TimedOut);
+        }
+        record
+    }
+
     /// Reports a call that failed after the request was sent, unless its path is lost.
     pub(super) async fn record_failure(
         &mut self,
@@ -493,9 +641,8 @@
             RouteKind::Idempotent | RouteKind::NonIdempotent => {}
         }
         let (parts, body) = open.response.into_parts();
-        let time = self.head_timeout();
         let is_delimited = is_delimited(&parts);
-        match tokio::time::timeout(time, read_complete(body)).await {
+        match self.read_body(body).await {
             Ok(Ok(_)) if !is_delimited && self.has_crashed(&open.endpoint).await => {
                 let reason = "the endpoint accepts no connections after an end without framing";
                 self.record_failure(&open.endpoint, Some(CallFailure::Cut), reason)
@@ -520,7 +667,7 @@
                     .await;
                 AnswerOutcome::Lost
             }
-            Err(_) => {
+            Err(()) => {
                 let reason = "no complete answer within the timeout";
                 self.record_failure(&open.endpoint, Some(CallFailure::TimedOut), reason)
                     .await;
@@ -530,6 +677,27 @@
     }
 }
 
+impl ForwardRun {
+    /// Reads the body of an answer until it has stalled and the request may be sent again, or until
+    /// the deadline.
+    async fn read_body(&self, body: Incoming) -> Result<Result<Bytes, CallError>, ()> {
+        let mut reading = std::pin::pin!(read_complete(body));
+        let started = Instant::now();
+        let mut limit = started + self.head_limit();
+        loop {
+            let wake_at = limit.min(self.context.deadline).into();
+            if let Ok(body) = tokio::time::timeout_at(wake_at, &mut reading).await {
+                return Ok(body);
+            }
+            let is_over = self.context.remaining(Instant::now()).is_zero();
+            if is_over || self.may_replace(started.elapsed()) {
+                return Err(());
+            }
+            limit = Instant::now() + SearchDelay::AFTER_NONE;
+        }
+    }
+}
+
 /// Whether an answer shows where it ends. One that ends with its connection may be
 /// truncated.
 pub(super) fn is_delimited(head: &response::Parts) -> bool {
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -44,15 +44,49 @@
         let pool = &self.context.pool;
         let members = view.roster.pool(pool).iter();
         let data_center_filter = &self.context.data_center_filter;
-        let members = members.filter(|member| {
+        let is_eligible = &is_eligible;
+        let members = members.filter(move |member| {
             let is_allowed_data_center = data_center_filter.has(member.data_center());
             is_allowed_data_center
                 && self.may_continue_at(member)
+                && self.may_replace_at(member)
                 && self.node.is_available(member.endpoint())
                 && is_eligible(member)
         });
         let scores = &self.node.scores;
-        scores.place(Instant::now(), pool, members, query).cloned()
+        let now = Instant::now();
+        // One without calls from this entry may be as silent as the one that it would replace.
+        let proven = members.clone().filter(|member| self.is_proven(member));
+        let chosen = match self.stalled_since {
+            Some(_) => scores.place(now, pool, proven, query),
+            None => None,
+        };
+        chosen
+            .or_else(|| scores.place(now, pool, members, query))
+            .cloned()
+    }
+
+    /// Whether an endpoint is better off than the one that the next send would replace.
+    fn may_replace_at(&self, member: &PoolMember) -> bool {
+        let progress = &self.node.scores.progress;
+        self.stalled_since
+            .is_none_or(|since| progress.is_better(member.endpoint(), since.elapsed()))
+    }
+
+    /// Whether an endpoint is seen to make progress, if the next send replaces a stalled call.
+    fn is_proven(&self, member: &PoolMember) -> bool {
+        let progress = &self.node.scores.progress;
+        self.stalled_since
+            .is_none_or(|since| progress.is_proven(member.endpoint(), since.elapsed()))
+    }
+
+    /// Whether the request could be sent to an endpoint that is better off than one that has been
+    /// silent for `stall`.
+    pub(super) fn has_better_endpoint(&self, stall: Duration) -> bool {
+        let view = self.node.view.load();
+        let progress = &self.node.scores.progress;
+        self.pick(&view, |member| progress.is_better(member.endpoint(), stall))
+            .is_some()
     }
 
     fn needs_permit(&self, member: &PoolMember) -> bool {
@@ -178,6 +212,11 @@
         }
         let mut avoid = self.ledger.endpoints();
         avoid.extend(self.node.unavailable_endpoints(view, pool));
+        if self.stalled_since.is_some() {
+            let members = view.roster.pool(pool).iter();
+            let worse = members.filter(|member| !self.may_replace_at(member));
+            avoid.extend(worse.map(|member| member.endpoint().to_string()));
+        }
         let version = self.origin.as_ref().map(|origin| origin.version.clone());
         let version = version.flatten();
         let exchange = &self.node.exchange;
@@ -191,6 +230,7 @@
             cost.surcharge == 0.0
                 && self.node.is_available(member.endpoint())
                 && self.may_continue_at(member)
+                && self.may_replace_at(member)
         };
         let permitted_until = placement
             .as_ref()
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -1,9 +1,12 @@
+use std::pin::pin;
+
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::http::request;
 use hyper::{Response, StatusCode, Version};
 use rand::RngExt;
+use tokio::sync::Notify;
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::DecisionWait;
@@ -16,9 +19,10 @@
 use super::prompt_exchange::PromptPlacement;
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
+use super::stalled_calls::{HANDOVER_TIME, HeadResult, PendingCall, StallEnd, StalledCalls};
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
-use super::{GatewayRefusal, NotRunReason, RunLedger};
+use super::{GatewayRefusal, NotRunReason, RouteKind, RunLedger};
 use crate::prelude::*;
 use crate::quarantine::{
     CrashSuspect, QUARANTINE_TIME, QuarantineList, RequestDigest, RequestIdentity,
@@ -68,6 +72,17 @@
     Repeat(RepeatReason),
 }
 
+/// How far the last send has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendState {
+    /// No send is in progress.
+    Idle,
+    /// The endpoint is chosen, and nothing was sent yet.
+    Opening,
+    /// The request was sent.
+    Sent,
+}
+
 /// One request that is being forwarded to an endpoint.
 #[derive(Debug)]
 pub(super) struct ForwardRun {
@@ -82,6 +97,11 @@
     pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
     pub(super) next_send: NextSend,
+    pub(super) send_state: SendState,
+    /// Notified when a request is sent.
+    pub(super) send_begun: Arc<Notify>,
+    /// Since when the endpoint that the next send would replace has been silent.
+    pub(super) stalled_since: Option<Instant>,
     /// Whether the stages were executed, at least in part.
     pub(super) has_run_stages: bool,
     pub(super) results: Option<PlanResults>,
@@ -121,6 +141,9 @@
             body,
             ledger: RunLedger::default(),
             next_send: NextSend::First(token),
+            send_state: SendState::Idle,
+            send_begun: Arc::default(),
+            stalled_since: None,
             has_run_stages: false,
             results: None,
             origin: None,
@@ -205,8 +228,10 @@
 
     async fn send_until_answered(mut self) -> Result<Response<GatewayBody>, GatewayRefusal> {
         let mut stage_reruns = 0;
+        let mut stalled = StalledCalls::default();
         loop {
-            match self.attempt(self.context.head.last_event).await {
+            let last_event = self.context.head.last_event;
+            match self.attempt_beside(last_event, &mut stalled).await {
                 Ok(AttemptEnd::Open(open)) => match self.handle_answer(*open).await {
                     AnswerOutcome::Whole(response) => return Ok(response),
                     AnswerOutcome::Stream(open) => return self.relay_stream(*open).await,
@@ -224,6 +249,11 @@
                         continue;
                     }
                 }
+                Ok(AttemptEnd::Stalled(call)) => {
+                    self.set_repeat_reason(RepeatReason::Stalled);
+                    stalled.push(*call);
+                    continue;
+                }
                 Ok(AttemptEnd::Unsent) if self.ledger.sends() < MAX_SENDS => continue,
                 Ok(AttemptEnd::Denied) => self.set_repeat_reason(RepeatReason::Denied),
                 Ok(AttemptEnd::InputsGone) => self.set_repeat_reason(RepeatReason::InputsGone),
@@ -241,6 +271,116 @@
         }
     }
 
+    /// Sends the request to another endpoint, while calls that have stalled stay open. The first
+    /// head of an answer ends all other calls; a send that fails leaves them as they are.
+    pub(super) async fn attempt_beside(
+        &mut self,
+        last_event: Option<u64>,
+        stalled: &mut StalledCalls,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        if stalled.is_empty() {
+            return self.attempt(last_event).await;
+        }
+        let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
+        let oldest = stalled.oldest();
+        self.stalled_since = self.stalled_since.into_iter().chain(oldest).min();
+        let handover = self.begin_handover();
+        let (mut failed, mut replaced) = (Vec::new(), Vec::new());
+        let raced = {
+            let mut attempting = pin!(self.attempt(last_event));
+            let mut handover = pin!(handover);
+            loop {
+                tokio::select! {
+                    biased;
+                    (call, result) = stalled.next(), if !stalled.is_empty() => match result {
+                        Ok(_) => break RacedEnd::Stalled(Box::new(call), result),
+                        Err(error) => failed.push((call, error)),
+                    },
+                    end = &mut attempting => break RacedEnd::Next(end),
+                    () = &mut handover, if is_stream && !stalled.is_empty() => {
+                        replaced.extend(stalled.take());
+                    }
+                }
+            }
+        };
+        for (call, error) in failed {
+            self.end_pending(call, Err(error)).await?;
+        }
+        if let RacedEnd::Next(Ok(AttemptEnd::Open(_))) = raced {
+            replaced.extend(stalled.take());
+        }
+        for mut call in replaced {
+            call.finish_stall(StallEnd::Replaced);
+            self.report_failure(call.endpoint(), "replaced after a stall");
+        }
+        match raced {
+            RacedEnd::Stalled(call, result) => {
+                self.cancel_attempt();
+                self.end_pending(*call, result).await
+            }
+            RacedEnd::Next(Ok(AttemptEnd::Open(open))) => Ok(AttemptEnd::Open(open)),
+            RacedEnd::Next(Ok(AttemptEnd::Stalled(call))) => Ok(AttemptEnd::Stalled(call)),
+            RacedEnd::Next(end) if stalled.is_empty() => end,
+            RacedEnd::Next(end) => {
+                if let Ok(AttemptEnd::Failed(response)) = end {
+                    self.last_answer = Some(response);
+                }
+                self.await_stalled(stalled).await
+            }
+        }
+    }
+
+    /// Waits for the answer to one of the stalled calls, until the deadline.
+    async fn await_stalled(
+        &mut self,
+        stalled: &mut StalledCalls,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        let node = Arc::clone(&self.node);
+        let identity = self.identity.clone();
+        let deadline = self.context.deadline.into();
+        while !stalled.is_empty() {
+            let (call, result) = tokio::select! {
+                biased;
+                () = node.until_quarantined(&identity) => return Err(self.refuse_quarantined()),
+                ended = stalled.next() => ended,
+                () = node.stop.until_sent_answered() => {
+                    return Err(self.refuse(NotRunReason::Stopping));
+                }
+                () = tokio::time::sleep_until(deadline) => break,
+            };
+            let has_answered = result.is_ok();
+            let end = self.end_pending(call, result).await;
+            if has_answered || stalled.is_empty() {
+                return end;
+            }
+        }
+        for mut call in stalled.take() {
+            call.finish_stall(StallEnd::Failed);
+            self.end_silent(call.endpoint()).await?;
+        }
+        Ok(AttemptEnd::Lost)
+    }
+
+    /// Returns a future that ends when a call that the next send replaces has to be dropped.
+    pub(super) fn begin_handover(&mut self) -> impl Future<Output = ()> + use<> {
+        self.send_state = SendState::Idle;
+        self.send_begun = Arc::new(Notify::new());
+        let send_begun = Arc::clone(&self.send_begun);
+        async move {
+            send_begun.notified().await;
+            tokio::time::sleep(HANDOVER_TIME).await;
+        }
+    }
+
+    /// Records that an attempt was cancelled because an earlier call went on.
+    pub(super) fn cancel_attempt(&mut self) {
+        match self.send_state {
+            SendState::Opening => self.ledger.record_denial(),
+            SendState::Idle | SendState::Sent => {}
+        }
+        self.send_state = SendState::Idle;
+    }
+
     /// Sets the reason for the next send, if the request has been sent.
     pub(super) fn set_repeat_reason(&mut self, reason: RepeatReason) {
         match &mut self.next_send {
@@ -337,18 +477,31 @@
             return Err(ResumeRefusal::NoSendLeft);
         }
         self.await_decision().await?;
-        if self.results.is_none() {
-            self.execute_stages().await?;
-        }
         let last_event = last_event.or(self.context.head.last_event);
-        match self.attempt(last_event).await? {
-            AttemptEnd::Open(open) => Ok(*open),
-            AttemptEnd::Failed(response) => Err(ResumeRefusal::Failed(response.status())),
-            AttemptEnd::Denied => Err(ResumeRefusal::Denied),
-            AttemptEnd::InputsGone => Err(ResumeRefusal::InputsGone),
-            AttemptEnd::Unsent => Err(ResumeRefusal::Unsent),
-            AttemptEnd::OverBudget => Err(ResumeRefusal::OverBudget),
-            AttemptEnd::Lost => Err(ResumeRefusal::Lost),
+        let mut stalled = StalledCalls::default();
+        let mut has_rerun_stages = self.results.is_none();
+        loop {
+            if self.results.is_none() {
+                self.execute_stages().await?;
+            }
+            return match self.attempt_beside(last_event, &mut stalled).await? {
+                AttemptEnd::Stalled(call) => {
+                    stalled.push(*call);
+                    continue;
+                }
+                // The results were kept from an earlier search.
+                AttemptEnd::InputsGone if !std::mem::replace(&mut has_rerun_stages, true) => {
+                    self.release_results();
+                    continue;
+                }
+                AttemptEnd::Open(open) => Ok(*open),
+                AttemptEnd::Failed(response) => Err(ResumeRefusal::Failed(response.status())),
+                AttemptEnd::Denied => Err(ResumeRefusal::Denied),
+                AttemptEnd::InputsGone => Err(ResumeRefusal::InputsGone),
+                AttemptEnd::Unsent => Err(ResumeRefusal::Unsent),
+                AttemptEnd::OverBudget => Err(ResumeRefusal::OverBudget),
+                AttemptEnd::Lost => Err(ResumeRefusal::Lost),
+            };
         }
     }
 }
@@ -386,6 +539,14 @@
     }
 }
 
+/// Which of the calls of one request has ended first.
+enum RacedEnd {
+    /// A stalled call, with the head of its answer.
+    Stalled(Box<PendingCall>, HeadResult),
+    /// The attempt after it.
+    Next(Result<AttemptEnd, GatewayRefusal>),
+}
+
 /// Reads a stream to its end, as the body of an answer with a length.
 async fn collect_stream(mut body: GatewayBody) -> Result<GatewayBody, GatewayRefusal> {
     let mut whole = BytesMut::new();
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -6,6 +6,7 @@
 use super::prompt_homes::PlacementCounts;
 use super::retry_budget::RepeatReason;
 use super::returns::CalendarCounts;
+use super::stalled_calls::StallEnd;
 use super::workspace_shares::WorkspaceLabels;
 use crate::prelude::*;
 
@@ -29,6 +30,7 @@
     pieces_per_call: Histogram<f64>,
     resumes: Counter<u64>,
     broken_streams: Counter<u64>,
+    stalls: Histogram<f64>,
     taken_up: Counter<u64>,
     backoffs: Counter<u64>,
     placements: Counter<u64>,
@@ -77,6 +79,11 @@
                 .u64_counter("savorywalk_gateway_broken_streams")
                 .with_description("Streams that broke off at their callers")
                 .build(),
+            stalls: meter
+                .f64_histogram("savorywalk_gateway_stall_seconds")
+                .with_description("Silence of endpoints beyond a call's limit, by how it ended")
+                .with_boundaries(DURATION_BOUNDS_SECONDS.to_vec())
+                .build(),
             taken_up: meter
                 .u64_counter("savorywalk_gateway_streams_taken_up")
                 .with_description("Streams that callers take up, by how their origin was found")
@@ -186,6 +193,12 @@
         self.broken_streams.add(1, &[pool]);
     }
 
+    pub(super) fn record_stall(&self, pool: &str, end: StallEnd, silence: Duration) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        let end = KeyValue::new("end", end.name());
+        self.stalls.record(silence.as_secs_f64(), &[pool, end]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -86,6 +86,7 @@
 mod size_shares;
 mod stage_forecast;
 mod stage_graph;
+mod stalled_calls;
 mod stream_end;
 mod stream_origins;
 mod stream_relay;
--- a/crates/savorywalk/src/gateway/retry_budget/repeat_reason.rs
+++ b/crates/savorywalk/src/gateway/retry_budget/repeat_reason.rs
@@ -9,6 +9,8 @@
     Failed,
     /// No usable answer came back.
     Lost,
+    /// The endpoint has been silent for long.
+    Stalled,
     /// The endpoint had closed the cached connection.
     StaleConnection,
     /// A stream continues at another endpoint.
@@ -25,6 +27,7 @@
             Self::InputsGone => "inputs_gone",
             Self::Failed => "failed",
             Self::Lost => "lost",
+            Self::Stalled => "stalled",
             Self::StaleConnection => "stale_connection",
             Self::Resumed => "resumed",
             Self::Rerun => "rerun",
--- /dev/null
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -0,0 +1,16 @@
+//! Which endpoints with calls in progress send nothing, because a call is given up only for an
+//! endpoint that is better off. See docs/design/stalled-calls.md.
+
+mod pending_call;
+mod progress_guard;
+mod progress_table;
+mod search_delay;
+mod stall_end;
+mod stall_record;
+
+pub(super) use pending_call::{HeadResult, OpenedCall, PendingCall, StalledCalls};
+pub(super) use progress_guard::{CallProgress, ProgressGuard};
+pub(super) use progress_table::ProgressTable;
+pub(super) use search_delay::{HANDOVER_TIME, SearchDelay};
+pub(super) use stall_end::StallEnd;
+pub(super) use stall_record::StallRecord;
--- /dev/null
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -0,0 +1,65 @@
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use super::ProgressTable;
+use crate::prelude::*;
+
+/// The progress table of this entry, shared by its calls.
+#[derive(Clone, Debug, Default)]
+pub(in crate::gateway) struct CallProgress(Arc<Mutex<ProgressTable>>);
+
+/// One call in progress, until it is dropped.
+#[derive(Debug)]
+pub(in crate::gateway) struct ProgressGuard {
+    progress: CallProgress,
+    endpoint: Arc<str>,
+}
+
+impl CallProgress {
+    fn table(&self) -> MutexGuard<'_, ProgressTable> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an endpoint may replace one that has been silent for `stall`.
+    pub(in crate::gateway) fn is_better(&self, endpoint: &str, stall: Duration) -> bool {
+        self.table().is_better(Instant::now(), endpoint, stall)
+    }
+
+    /// Whether an endpoint is seen to be better off than one that has been silent for `stall`.
+    pub(in crate::gateway) fn is_proven(&self, endpoint: &str, stall: Duration) -> bool {
+        self.table().is_proven(Instant::now(), endpoint, stall)
+    }
+
+    /// Whether new requests should go to other endpoints, if there are any.
+    pub(in crate::gateway) fn is_avoided(&self, now: Instant, endpoint: &str) -> bool {
+        self.table().is_avoided(now, endpoint)
+    }
+
+    /// Number of endpoints that new requests avoid.
+    pub(in crate::gateway) fn avoided_count(&self) -> usize {
+        self.table().avoided_count(Instant::now())
+    }
+
+    /// Records that a call begins at an endpoint.
+    pub(in crate::gateway) fn begin(&self, endpoint: &str) -> ProgressGuard {
+        let endpoint: Arc<str> = endpoint.into();
+        self.table().begin(Instant::now(), &endpoint);
+        ProgressGuard {
+            progress: self.clone(),
+            endpoint,
+        }
+    }
+}
+
+impl ProgressGuard {
+    /// Records that the endpoint has sent something on the call.
+    pub(in crate::gateway) fn record_heard(&self) {
+        let now = Instant::now();
+        self.progress.table().record_heard(now, &self.endpoint);
+    }
+}
+
+impl Drop for ProgressGuard {
+    fn drop(&mut self) {
+        self.progress.table().end(&self.endpoint);
+    }
+}
--- /dev/null
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -0,0 +1,92 @@
+use super::*;
+
+const STALL: Duration = Duration::from_secs(1);
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+fn table_of(now: Instant, endpoints: &[&str]) -> ProgressTable {
+    let mut table = ProgressTable::default();
+    for endpoint in endpoints {
+        table.begin(now, &name(endpoint));
+    }
+    table
+}
+
+/// Guards against replacing streams while all engines are silent at once.
+#[test]
+fn endpoints_that_fell_silent_together_are_not_better() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a", "b", "c"]);
+    for (index, endpoint) in ["a", "b", "c"].iter().enumerate() {
+        table.record_heard(start + Duration::from_millis(20 * index as u64), endpoint);
+    }
+    for endpoint in ["b", "c"] {
+        assert!(!table.is_better(start + STALL, endpoint, STALL));
+    }
+}
+
+/// Guards against streams that stay with a lost engine although another one makes progress.
+#[test]
+fn an_endpoint_that_makes_progress_is_better() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a", "b"]);
+    let now = start + STALL;
+    table.record_heard(now - Duration::from_millis(100), "b");
+    assert!(table.is_better(now, "b", STALL));
+    assert!(
+        table.is_better(now, "idle", STALL),
+        "nothing speaks against it"
+    );
+    assert!(table.is_avoided(now, "a") && !table.is_avoided(now, "b"));
+}
+
+/// Guards against an endpoint that is avoided after it has gone on.
+#[test]
+fn the_first_byte_ends_a_silence() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    let now = start + STALL * 3;
+    assert!(table.is_avoided(now, "a"));
+    assert_eq!(table.avoided_count(now), 1);
+    table.record_heard(now, "a");
+    assert!(!table.is_avoided(now, "a"));
+    assert_eq!(table.avoided_count(now), 0);
+}
+
+/// Guards against a call that makes a silent endpoint look alive because it was just sent.
+#[test]
+fn a_further_call_does_not_end_a_silence() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    table.begin(start + STALL, &name("a"));
+    assert_eq!(table.silence(start + STALL, "a"), Some(STALL));
+}
+
+/// Guards against a table that grows with the endpoints ever called.
+#[test]
+fn endpoints_without_calls_have_no_row() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a", "a"]);
+    table.end("a");
+    assert!(table.silence(start, "a").is_some());
+    table.end("a");
+    table.end("a");
+    assert_eq!(table.silence(start, "a"), None);
+    assert!(table.endpoints.is_empty());
+}
+
+/// Guards against a replacement that is as silent as the endpoint that it replaces: a call that was
+/// just sent says nothing about its endpoint.
+#[test]
+fn a_call_that_has_just_begun_proves_nothing() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    let now = start + STALL;
+    table.begin(now, &name("b"));
+    assert!(!table.is_proven(now, "b", STALL));
+    table.record_heard(now, "b");
+    assert!(table.is_proven(now, "b", STALL));
+    assert!(!table.is_proven(now, "idle", STALL));
+}
--- /dev/null
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -0,0 +1,39 @@
+use crate::prelude::*;
+
+/// Longest time for which a stalled stream is kept open after it was sent to its replacement. An
+/// endpoint that refuses does so within a few round trips; two engines must not work on a stream
+/// for longer.
+pub(in crate::gateway) const HANDOVER_TIME: Duration = Duration::from_millis(200);
+
+/// Delay before the next search after one that was refused. It doubles, since a search may make
+/// other entries work.
+const FIRST_DELAY: Duration = Duration::from_millis(200);
+const MAX_DELAY: Duration = Duration::from_millis(1_600);
+
+/// Delays between the searches for a replacement of one stalled call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) struct SearchDelay {
+    next: Duration,
+}
+
+impl Default for SearchDelay {
+    fn default() -> Self {
+        Self { next: FIRST_DELAY }
+    }
+}
+
+impl SearchDelay {
+    /// Delay after a search that found no better endpoint; the check is local.
+    pub(in crate::gateway) const AFTER_NONE: Duration = Duration::from_millis(50);
+
+    /// Delay after a search that was refused.
+    pub(in crate::gateway) fn after_refusal(&mut self) -> Duration {
+        let delay = self.next;
+        self.next = (delay * 2).min(MAX_DELAY);
+        delay
+    }
+}
+
+#[cfg(test)]
+#[path = "search_delay_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -1,3 +1,5 @@
+use std::pin::pin;
+
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -7,36 +9,43 @@
 use super::forward_attempt::OpenAnswer;
 use super::forward_attempt::is_delimited;
 use super::forward_run::{ForwardRun, ResumeRefusal};
+use super::stalled_calls::{ProgressGuard, SearchDelay, StallEnd, StallRecord};
 use super::stream_end::EndProof;
 use super::stream_origins::OriginGuard;
 use super::{EventSplitter, RouteKind};
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
 
-/// Timeout for the next event, in multiples of the route's longest pause, after which a
-/// stream is resumed at another endpoint. It is shorter than the callers' timeout of eight
-/// pauses, and longer than a preemption usually takes.
-const TIMEOUT_PAUSES: u32 = 5;
+/// Time without an event, in multiples of the route's longest pause, after which a stream has
+/// stalled and a replacement of its endpoint is sought. Callers wait for eight pauses.
+const STALL_PAUSES: u32 = 5;
 
-/// Shortest timeout for the next event, and the pause of a route that sets none.
-const MIN_PAUSE: Duration = Duration::from_millis(900);
+/// Shortest time without an event after which a stream has stalled, and the pause of a route that
+/// sets none.
+const MIN_STALL: Duration = Duration::from_millis(900);
 
-/// Timeout for the first event, in multiples of the route's objective.
+/// Time without a first event after which a stream has stalled, in multiples of the route's
+/// objective.
 const FIRST_EVENT_OBJECTIVES: u32 = 2;
 
 /// Relays an endpoint's events to the caller, and resumes the stream at another endpoint
-/// when it fails and the route allows that. Dropping the relay cancels the work at the
-/// endpoint.
+/// when it fails, or when another one goes on before a stalled one does, if the route allows that.
+/// Dropping the relay cancels the work at the endpoint. See docs/design/stalled-calls.md.
 pub(super) struct StreamRelay {
     run: ForwardRun,
     source: StreamSource,
     splitter: EventSplitter,
     has_events: bool,
     state: RelayState,
+    /// The search for a replacement, while the endpoint is silent for long.
+    stall: Option<StreamStall>,
     /// Keeps the stream's origin at its homes.
     origin_guard: Option<OriginGuard>,
 }
 
+/// What an endpoint's connection gives next; `None` at the end of the answer.
+type SourceFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// The endpoint's side of the stream.
 struct StreamSource {
     /// Whether the stream shows where it ends.
@@ -55,6 +64,25 @@
     /// the same request.
     call: Option<EndpointCall>,
     _guard: OutstandingGuard,
+    progress: ProgressGuard,
+}
+
+/// The search for a replacement of a silent endpoint.
+#[derive(Debug)]
+struct StreamStall {
+    record: StallRecord,
+    delay: SearchDelay,
+    next_search: Instant,
+}
+
+/// What a search for a replacement came to.
+enum SearchEnd {
+    /// The endpoint sent a frame, or its connection ended.
+    Source(SourceFrame),
+    /// Another endpoint goes on with the stream.
+    Opened(Box<OpenAnswer>),
+    /// There is no replacement now.
+    Refused(ResumeRefusal),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +114,9 @@
     TimedOut,
     #[error("a frame without data")]
     NoData,
+    /// The endpoint was silent, and the one that the stream was handed over to has failed.
+    #[error("no event in time, and its replacement failed: {0}")]
+    HandedOver(String),
 }
 
 impl StreamSource {
@@ -102,8 +133,14 @@
             heard: Instant::now(),
             call: Some(open.call),
             _guard: open.guard,
+            progress: open.progress,
         }
     }
+
+    fn record_heard(&mut self) {
+        self.heard = Instant::now();
+        self.progress.record_heard();
+    }
 }
 
 impl StreamRelay {
@@ -114,6 +151,7 @@
             source: StreamSource::new(open),
             has_events: false,
             state: RelayState::Open,
+            stall: None,
             origin_guard: None,
         }
     }
@@ -207,33 +245,35 @@
         self.run.context.route.kind == RouteKind::Stream { resumable: true }
     }
 
-    /// Longest wait for the next bytes.
-    fn event_timeout(&self) -> Duration {
-        let remaining = self.run.context.remaining(Instant::now());
+    /// Time without an event after which the stream has stalled; `None` if no other endpoint may
+    /// take it over.
+    fn stall_limit(&self) -> Option<Duration> {
         let route = &self.run.context.route;
         let has_spare_endpoint = self.run.ledger.runs() < route.max_endpoints as usize;
-        if !self.is_resumable() || !has_spare_endpoint {
-            return remaining;
-        }
-        let limit = match self.has_events {
-            true => (route.pause.unwrap_or(MIN_PAUSE) * TIMEOUT_PAUSES).max(MIN_PAUSE),
+        let may_be_resumed = self.is_resumable() && has_spare_endpoint;
+        may_be_resumed.then(|| match self.has_events {
+            true => (route.pause.unwrap_or(MIN_STALL) * STALL_PAUSES).max(MIN_STALL),
             false => route.objective * FIRST_EVENT_OBJECTIVES,
-        };
-        remaining.min(limit)
+        })
+    }
+
+    /// When a replacement of the endpoint is sought next, if it stays silent.
+    fn next_search(&self) -> Option<Instant> {
+        let limit = self.stall_limit()?;
+        let stalled = self.source.heard + limit;
+        let next = self.stall.as_ref().map(|stall| stall.next_search);
+        Some(next.map_or(stalled, |next| next.max(stalled)))
     }
 
     async fn step(&mut self) -> RelayStep {
-        let event_timeout = self.event_timeout();
-        let waiting = self.source.body.frame();
-        let frame = match tokio::time::timeout(event_timeout, waiting).await {
+        let frame = match self.next_frame().await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => {
                 return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
             }
             Ok(None) => return self.end().await,
-            Err(_) => return RelayStep::Failed(StreamFailure::TimedOut),
+            Err(failure) => return RelayStep::Failed(failure),
         };
-        self.source.heard = Instant::now();
         let Ok(data) = frame.into_data() else {
             return RelayStep::Failed(StreamFailure::NoData);
         };
@@ -243,6 +283,128 @@
         }
     }
 
+    /// Waits for the next frame of the endpoint. While it is silent for long, another endpoint is
+    /// sought, and takes its place once it goes on with the stream.
+    async fn next_frame(&mut self) -> Result<SourceFrame, StreamFailure> {
+        loop {
+            let deadline = self.run.context.deadline;
+            let next_search = self.next_search();
+            let wake_at = next_search.map_or(deadline, |next| next.min(deadline));
+            let waiting = tokio::time::timeout_at(wake_at.into(), self.source.body.frame());
+            if let Ok(frame) = waiting.await {
+                self.end_stall(&frame);
+                return Ok(frame);
+            }
+            if self.run.context.remaining(Instant::now()).is_zero() {
+                self.finish_stall(StallEnd::Failed);
+                return Err(StreamFailure::TimedOut);
+            }
+            if let Some(frame) = self.search().await? {
+                self.end_stall(&frame);
+                return Ok(frame);
+            }
+        }
+    }
+
+    /// Seeks another endpoint for the stream once. Returns what the endpoint has sent meanwhile.
+    async fn search(&mut self) -> Result<Option<SourceFrame>, StreamFailure> {
+        let silence = self.source.heard.elapsed();
+        if self.stall.is_none() {
+            let (endpoint, since) = (self.source.endpoint.clone(), self.source.heard);
+            self.stall = Some(StreamStall {
+                record: self.run.begin_stall(&endpoint, since).await,
+                delay: SearchDelay::default(),
+                next_search: Instant::now(),
+            });
+        }
+        if !self.splitter.is_resumable() || !self.run.may_replace(silence) {
+            self.delay_search(SearchDelay::AFTER_NONE);
+            return Ok(None);
+        }
+        let list_at_send = Arc::clone(&self.run.list_at_send);
+        let end = self.try_replace().await;
+        self.run.stalled_since = None;
+        match end {
+            SearchEnd::Source(frame) => {
+                self.run.cancel_attempt();
+                self.run.release_results();
+                self.run.list_at_send = list_at_send;
+                Ok(Some(frame))
+            }
+            SearchEnd::Opened(open) => {
+                self.replace_source(*open, &StreamFailure::TimedOut);
+                Ok(None)
+            }
+            SearchEnd::Refused(refusal) => {
+                self.log_refusal(&refusal);
+                self.run.list_at_send = list_at_send;
+                if self.source.call.is_none() {
+                    self.finish_stall(StallEnd::Failed);
+                    return Err(StreamFailure::HandedOver(refusal.to_string()));
+                }
+                let delay = self.stall.as_mut().map(|stall| stall.delay.after_refusal());
+                self.delay_search(delay.unwrap_or(SearchDelay::AFTER_NONE));
+                Ok(None)
+            }
+        }
+    }
+
+    /// Sends the stream to another endpoint while the present one stays in place. Whoever answers
+    /// first has it; the present one is dropped soon after the send, so that two do not work on it.
+    async fn try_replace(&mut self) -> SearchEnd {
+        let last_event = self.splitter.last_id();
+        let handover = self.run.begin_handover();
+        self.run.stalled_since = Some(self.source.heard);
+        let Self { run, source, .. } = self;
+        let mut resuming = pin!(run.resume(last_event));
+        let mut handover = pin!(handover);
+        loop {
+            tokio::select! {
+                biased;
+                frame = source.body.frame(), if source.call.is_some() => {
+                    return SearchEnd::Source(frame);
+                }
+                resumed = &mut resuming => return match resumed {
+                    Ok(open) => SearchEnd::Opened(Box::new(open)),
+                    Err(refusal) => SearchEnd::Refused(refusal),
+                },
+                () = &mut handover, if source.call.is_some() => source.call = None,
+            }
+        }
+    }
+
+    fn delay_search(&mut self, delay: Duration) {
+        if let Some(stall) = &mut self.stall {
+            stall.next_search = Instant::now() + delay;
+        }
+    }
+
+    /// Records that the endpoint has sent something, or that its connection has ended.
+    fn end_stall(&mut self, frame: &SourceFrame) {
+        self.finish_stall(match frame {
+            Some(Ok(_)) | None => StallEnd::WentOn,
+            Some(Err(_)) => StallEnd::Failed,
+        });
+        self.source.record_heard();
+    }
+
+    fn finish_stall(&mut self, end: StallEnd) {
+        if let Some(stall) = self.stall.take() {
+            stall.record.finish(end);
+        }
+    }
+
+    fn log_refusal(&self, refusal: &ResumeRefusal) {
+        log_event!(
+            info,
+            "replacement_refused",
+            request = self.run.context.id,
+            endpoint = self.source.endpoint,
+            silent_ms = self.source.heard.elapsed().as_millis(),
+            reason = refusal
+        );
+    }
+
     /// Decides how the stream has ended, once its body has ended without an error.
     async fn end(&mut self) -> RelayStep {
         if !self.is_complete() {
@@ -274,7 +436,7 @@
                 Some(CallFailure::Cut)
             }
             StreamFailure::TimedOut => Some(CallFailure::TimedOut),
-            StreamFailure::NoData => None,
+            StreamFailure::NoData | StreamFailure::HandedOver(_) => None,
         };
         self.run
             .record_failure(&self.source.endpoint, failure, &reason.to_string())
@@ -286,10 +448,21 @@
             return Err(ResumeRefusal::WithinEvent);
         }
         self.source.call = None;
-        self.splitter.drop_partial();
         let last_event = self.splitter.last_id();
-        let silence = self.source.heard.elapsed();
         let open = self.run.resume(last_event).await?;
+        self.replace_source(open, reason);
+        Ok(())
+    }
+
+    /// Goes on with the stream of another endpoint.
+    fn replace_source(&mut self, open: OpenAnswer, reason: &StreamFailure) {
+        let silence = self.source.heard.elapsed();
+        if self.stall.is_some() {
+            self.finish_stall(StallEnd::Replaced);
+            self.run
+                .report_failure(&self.source.endpoint, "replaced after a stall");
+        }
+        self.splitter.drop_partial();
         log_event!(
             info,
             "stream_resumed",
@@ -298,12 +471,11 @@
             prompt = self.run.context.prompt_text(),
             from = self.source.endpoint,
             to = open.endpoint,
-            last_event = format!("{last_event:?}"),
+            last_event = format!("{:?}", self.splitter.last_id()),
             silent_ms = silence.as_millis(),
             reason = reason
         );
         self.run.node.metrics.record_resume(&self.run.context.pool);
         self.source = StreamSource::new(open);
-        Ok(())
     }
 }
