Let a stopping gateway resume streams that have begun

What callers saw: a stream broke off although its gateway had time left, because its engine was lost after 60% of the stop time.

Cause: the deadline for requests that were sent to no endpoint also refused resends and resumes, which can't be refused as not run, so their callers got nothing instead of an answer elsewhere.

Change: the deadline holds for requests that no endpoint can have run.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -98,10 +98,11 @@
         }
         let node = Arc::clone(&self.node);
         let identity = self.identity.clone();
+        let may_have_run = self.ledger.not_run().is_none();
         let chosen = tokio::select! {
             chosen = self.choose(&view) => Some(chosen),
             () = node.until_quarantined(&identity) => None,
-            () = node.stop.until_unsent_refused() => {
+            () = node.stop.until_unsent_refused(), if !may_have_run => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
         };
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -292,7 +292,7 @@
             () = self.node.until_quarantined(&self.identity) => {
                 return Err(self.refuse_quarantined());
             }
-            () = self.node.stop.until_unsent_refused() => {
+            () = self.node.stop.until_unsent_refused(), if self.ledger.not_run().is_some() => {
                 return Err(self.refuse(NotRunReason::Stopping));
             }
         };
--- a/crates/savorywalk/src/gateway/graceful_stop/stop_schedule.rs
+++ b/crates/savorywalk/src/gateway/graceful_stop/stop_schedule.rs
@@ -37,7 +37,7 @@
         self.stop.borrow().is_some()
     }
 
-    /// Waits until requests that were sent to no endpoint must be refused.
+    /// Waits until requests that no endpoint can have run must be refused.
     pub(in crate::gateway) async fn until_unsent_refused(&self) {
         self.wait_for(|times| times.unsent).await;
     }
