Pieces of a silent endpoint are queued again beside its call, not instead of it

What callers saw: a request whose stage call was silent for four full calls lost its pieces before anything could take their place. Without a retry token, or with all endpoints of the pool silent at once, it waited until its deadline for work that its endpoint was about to hand in.

Cause: the limit of a call with pieces dropped its connection; the result was thrown away, and the endpoint, which doesn't drop work that it has begun, made it all the same.

Change: at the same limit the call stalls. Its pieces wait in the queue for a token and an endpoint as before, while the call stays open; the first result of a piece ends its copies, a second one is released. A call is closed when other calls have made its pieces, no request waits for them, or their deadline has passed. An endpoint with a stalled call gets work only that no endpoint that makes progress may do. The decision is OpenCalls and PieceQueue, without I/O; the dispatcher drives it. piece_call_stalled and piece_stall_ended log each stall, savorywalk_gateway_piece_stall_duration_seconds counts them by how they ended.

As long as all endpoints that may do a piece are silent, each still gets one more call in a limit, with tokens, as before: connections that are silent for good while new ones work look the same.

--- a/crates/savorywalk/src/gateway/endpoint_load.rs
+++ b/crates/savorywalk/src/gateway/endpoint_load.rs
@@ -11,7 +11,11 @@
 pub(super) struct EndpointLoadView {
     /// Estimated durations of this entry's calls at the endpoint, in order.
     pub(super) calls: VecDeque<Duration>,
-    /// When the first of these calls was sent, or when the call before it ended.
+    /// Calls of this entry that have stalled; these are not among `calls`.
+    pub(super) stalled: usize,
+    /// Whether the endpoint has sent nothing to this entry since a call has stalled.
+    pub(super) is_silent: bool,
+    /// When the first of `calls` was sent, or when the call before it ended.
     pub(super) first_began: Option<Instant>,
     /// When the endpoint is expected to be free or may be tried again.
     pub(super) free_at: Option<Instant>,
@@ -63,15 +67,43 @@
         self.first_began = Some(now);
     }
 
+    /// Moves a call to those that have stalled.
+    pub(super) fn stall_call(&mut self, now: Instant) {
+        self.end_call(now);
+        self.stalled += 1;
+        self.is_silent = true;
+        self.reported = None;
+        self.free_at = None;
+    }
+
+    /// Records the end of a call that had stalled.
+    pub(super) fn end_stalled(&mut self) {
+        self.stalled = self.stalled.saturating_sub(1);
+        self.is_silent &= self.stalled > 0;
+    }
+
+    /// Number of this entry's calls at the endpoint.
+    pub(super) fn call_count(&self) -> usize {
+        self.calls.len() + self.stalled
+    }
+
+    /// Number of calls that take a place at the endpoint. Of those that have stalled it is one:
+    /// once the endpoint makes progress, others were probably lost with their connections.
+    fn places_taken(&self) -> usize {
+        let stalled = usize::from(self.stalled > 0 && !self.is_silent);
+        self.calls.len() + stalled
+    }
+
     /// When the next call may be sent, judged by this entry's own calls; `None` if one of them
     /// is already waiting at the endpoint or the endpoint has no queue.
     pub(super) fn next_send(&self, now: Instant, profile: &PieceProfile) -> Option<Instant> {
+        let taken = self.places_taken();
+        if taken > 1 || (taken == 1 && profile.queue == 0) {
+            return None;
+        }
         let Some(first) = self.calls.front() else {
             return Some(now);
         };
-        if self.calls.len() > 1 || profile.queue == 0 {
-            return None;
-        }
         let end = self.first_began.unwrap_or(now) + *first;
         end.checked_sub(LEAD_TIME)
     }
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -27,6 +27,7 @@
     repeat_sends: Counter<u64>,
     retry_tokens: Counter<u64>,
     pieces_per_call: Histogram<f64>,
+    piece_stall_seconds: Histogram<f64>,
     resumes: Counter<u64>,
     broken_streams: Counter<u64>,
     taken_up: Counter<u64>,
@@ -69,6 +70,11 @@
                 .with_description("Pieces that share a call")
                 .with_boundaries(PIECE_COUNT_BOUNDS.to_vec())
                 .build(),
+            piece_stall_seconds: meter
+                .f64_histogram("savorywalk_gateway_piece_stall_duration_seconds")
+                .with_description("Time from the stall of a call with pieces to its end, by how")
+                .with_boundaries(DURATION_BOUNDS_SECONDS.to_vec())
+                .build(),
             resumes: meter
                 .u64_counter("savorywalk_gateway_stream_resumes")
                 .with_description("Streams that went on at another endpoint")
@@ -145,6 +151,14 @@
         self.pieces_per_call.record(pieces as f64, &[pool]);
     }
 
+    /// Records how a stalled call with pieces ended, and how long after its stall.
+    pub(super) fn record_piece_stall(&self, pool: &str, outcome: &'static str, time: Duration) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        let outcome = KeyValue::new("outcome", outcome);
+        self.piece_stall_seconds
+            .record(time.as_secs_f64(), &[pool, outcome]);
+    }
+
     pub(super) fn record_backoff(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.backoffs.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -10,10 +10,10 @@
 use crate::registry::BootClock;
 use crate::routing::AttemptReport;
 
-/// Timeout of a call, in durations of a full call: two calls may wait ahead of it at the
-/// endpoint. An endpoint that takes longer is slow or has crashed, and another one completes
-/// the pieces sooner.
-const CALL_TIMEOUT_FULL_CALLS: u32 = 4;
+/// Time after which a call has stalled, in durations of a full call: two calls may wait ahead of
+/// it at the endpoint. An endpoint that takes longer is slow, suspended or has crashed, and
+/// another one probably makes the pieces sooner.
+const STALL_LIMIT_FULL_CALLS: u32 = 4;
 
 /// How a call ended.
 #[derive(Clone, Debug)]
@@ -67,10 +67,9 @@
     }
 }
 
-/// Time in which a call must be answered, from its connection on.
-pub(super) fn call_deadline(profile: &PieceProfile) -> tokio::time::Instant {
-    let call_timeout = profile.call_duration(profile.batch) * CALL_TIMEOUT_FULL_CALLS;
-    tokio::time::Instant::now() + call_timeout
+/// Time, from its connection on, after which a call has stalled.
+pub(super) fn stall_limit(profile: &PieceProfile) -> Duration {
+    profile.call_duration(profile.batch) * STALL_LIMIT_FULL_CALLS
 }
 
 /// Opens a connection for a call, until `deadline`. An error means that nothing was sent.
@@ -89,21 +88,16 @@
     }
 }
 
-/// Makes one call over a connection, until `deadline`.
+/// Makes one call over a connection, however long it takes.
 pub(super) async fn perform(
     node: &GatewayNode,
     pool: &str,
     member: &PoolMember,
     call: EndpointCall,
     (pieces, token): (&[QueuedPiece], SendToken),
-    deadline: tokio::time::Instant,
 ) -> CallResult {
     let exchange = exchange(node, pool, member, call, (pieces, token));
-    match tokio::time::timeout_at(deadline, exchange).await {
-        Ok(Ok(result)) => result,
-        Ok(Err(error)) => CallResult::Failed(error),
-        Err(_) => CallResult::Failed(CallError::Lost("timed out".into())),
-    }
+    exchange.await.unwrap_or_else(CallResult::Failed)
 }
 
 async fn exchange(
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -1,6 +1,7 @@
+use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::crash_detector::{CallFailure, FailedCall};
 use super::endpoint_call::CallError;
@@ -10,14 +11,12 @@
 use super::piece_call::{self, CallResult};
 use super::work_shard::{WorkKind, WorkShard};
 use super::{
-    PieceCall, PieceOutcome, PieceProfile, PieceQueue, PieceTarget, PieceTask, PoolMember,
-    PoolRate, QueuedPiece, ResultHandle,
+    CallNumber, CloseReason, LoadReport, PieceCall, PieceOutcome, PieceProfile, PieceQueue,
+    PieceTarget, PieceTask, PoolMember, PoolRate, QueuedPiece, ResultHandle,
 };
 use crate::prelude::*;
 use crate::quarantine::SuspectRequest;
-
-/// Number of failed calls with a piece after which the piece fails.
-const MAX_FAILURES: u32 = 4;
+use crate::routing::AttemptReport;
 
 /// Longest sleep of the dispatcher while nothing happens.
 const MAX_SLEEP: Duration = Duration::from_secs(5);
@@ -72,6 +71,26 @@
 struct DispatcherState {
     queue: PieceQueue,
     waiters: FastMap<TaskKey, mpsc::UnboundedSender<PieceUpdate>>,
+    /// Ends the wait for the answers of stalled calls.
+    closers: FastMap<CallNumber, oneshot::Sender<CloseReason>>,
+}
+
+impl DispatcherState {
+    /// Closes the stalled calls from which nothing is expected any more.
+    fn close_stalled(&mut self) {
+        for (number, reason) in self.queue.take_closed() {
+            if let Some(closer) = self.closers.remove(&number) {
+                // A call whose answer has just come needs no closing.
+                let _ = closer.send(reason);
+            }
+        }
+    }
+}
+
+/// A call that has ended.
+struct EndedCall {
+    result: Result<CallResult, CloseReason>,
+    stalled_at: Option<Instant>,
 }
 
 /// Identifies a task by its address in memory.
@@ -98,6 +117,8 @@
         self.task.abandon();
         let mut state = self.dispatcher.state();
         state.waiters.remove(&TaskKey::from_task(&self.task));
+        state.queue.take_abandoned();
+        state.close_stalled();
         drop(state);
         // Releases results that were completed but not received.
         self.updates.close();
@@ -224,7 +245,12 @@
     fn dispatch_calls(self: &Arc<Self>) {
         let now = Instant::now();
         let view = self.node.view.load_full();
-        let expired = self.state().queue.take_expired(now);
+        let expired = {
+            let mut state = self.state();
+            let expired = state.queue.take_expired(now);
+            state.close_stalled();
+            expired
+        };
         for piece in expired {
             self.send_update(&piece, PieceEnd::Late);
         }
@@ -321,15 +347,15 @@
     async fn perform(self: Arc<Self>, call: PieceCall, profile: PieceProfile) {
         let view = self.node.view.load_full();
         let Some(member) = view.roster.member(&self.pool, &call.endpoint) else {
-            self.end_call(&call, profile, None);
-            return self.requeue(call.pieces, false);
+            self.end_call(&call, profile, None, None);
+            return self.requeue(call.number, call.pieces, false);
         };
         if !self.node.try_issue_permit(&self.pool, &self.shard, member) {
-            self.end_call(&call, profile, None);
+            self.end_call(&call, profile, None, None);
             self.state()
                 .queue
                 .record_denied(Instant::now(), &call.endpoint);
-            return self.requeue(call.pieces, false);
+            return self.requeue(call.number, call.pieces, false);
         }
         let _guard = self
             .node
@@ -340,12 +366,17 @@
         // The queue has reserved room for all pieces, also for those that are not sent.
         let planned = call.clone();
         let mut call = call;
-        let Some(result) = self.send_pieces(member, &mut call.pieces, &profile).await else {
-            self.end_call(&planned, profile, None);
+        let Some(ended) = self.send_pieces(member, &mut call, &profile).await else {
+            self.end_call(&planned, profile, None, None);
             return self.wake();
         };
+        let EndedCall { result, stalled_at } = ended;
         let waits = call.pieces.iter();
         let longest_wait = waits.map(|piece| started - piece.queued).max();
+        let outcome = match &result {
+            Ok(result) => result.name(),
+            Err(reason) => reason.name(),
+        };
         log_event!(
             info,
             "piece_call_ended",
@@ -354,30 +385,52 @@
             pieces = call.pieces.len(),
             waited_ms = longest_wait.unwrap_or_default().as_millis(),
             still_waiting = self.state().queue.len(),
-            result = result.name(),
+            result = outcome,
             ms = started.elapsed().as_millis()
         );
+        if let Some(stalled_at) = stalled_at {
+            self.record_stall_end(&call, outcome, stalled_at);
+        }
+        let result = match result {
+            Ok(result) => result,
+            Err(reason) => {
+                let has_lost_path = self.node.connector.has_lost(member.endpoint());
+                if reason.is_failure() && !has_lost_path {
+                    self.report(&view, &call.endpoint, AttemptReport::Failed);
+                }
+                self.end_call(&planned, profile, None, stalled_at);
+                self.state()
+                    .queue
+                    .record_denied(Instant::now(), &call.endpoint);
+                return self.wake();
+            }
+        };
         let has_lost_path = match result.path_failure() {
             Some(failure) => self.node.has_lost_path(member, failure).await,
             None => false,
         };
-        let records = view.roster.records(&self.pool);
-        if let Some(report) = result.report(started.elapsed()).filter(|_| !has_lost_path) {
-            let scores = &self.node.scores;
-            scores.report(&self.pool, records, &call.endpoint, report);
+        // A stall says nothing about the time that the endpoint usually takes.
+        let elapsed = started.elapsed().min(piece_call::stall_limit(&profile));
+        if let Some(report) = result.report(elapsed).filter(|_| !has_lost_path) {
+            self.report(&view, &call.endpoint, report);
         }
-        if let CallResult::Answered { .. } = result {
-            let mut state = self.state();
-            state.queue.observe(&profile, &call, started.elapsed());
+        match &result {
+            CallResult::Answered { .. } => {
+                let mut state = self.state();
+                state.queue.observe(&profile, &call, started.elapsed());
+                state.queue.record_answer(&call.endpoint);
+            }
+            CallResult::Denied { .. } => self.state().queue.record_answer(&call.endpoint),
+            CallResult::Failed(_) => {}
         }
-        self.end_call(&planned, profile, result.load());
+        self.end_call(&planned, profile, result.load(), stalled_at);
         match result {
             CallResult::Answered { outcomes, .. } => self.handle_outcomes(call, &profile, outcomes),
             CallResult::Denied { .. } => {
                 self.state()
                     .queue
                     .record_denied(Instant::now(), &call.endpoint);
-                self.requeue(call.pieces, false);
+                self.requeue(call.number, call.pieces, false);
             }
             CallResult::Failed(error) => {
                 log_event!(
@@ -397,35 +450,122 @@
                 {
                     self.report_suspected_crash(&view, &call).await;
                 }
-                self.requeue_failed(call.pieces);
+                self.requeue_failed(call.number, call.pieces);
             }
         }
         self.wake();
     }
 
-    /// Makes one call with the pieces, less those that the retry budget holds back; `None` if no piece
-    /// is left.
+    fn report(&self, view: &GatewayView, endpoint: &str, report: AttemptReport) {
+        let records = view.roster.records(&self.pool);
+        let scores = &self.node.scores;
+        scores.report(&self.pool, records, endpoint, report);
+    }
+
+    /// Makes one call with the pieces that are still open, less those that the retry budget holds
+    /// back; `None` if no piece is left.
     async fn send_pieces(
         &self,
         member: &PoolMember,
-        pieces: &mut Vec<QueuedPiece>,
+        call: &mut PieceCall,
         profile: &PieceProfile,
-    ) -> Option<CallResult> {
-        let deadline = piece_call::call_deadline(profile);
-        let connection = match piece_call::open(&self.node, member, deadline).await {
+    ) -> Option<EndedCall> {
+        let limit = tokio::time::Instant::now() + piece_call::stall_limit(profile);
+        let connection = match piece_call::open(&self.node, member, limit).await {
             Ok(connection) => connection,
-            Err(result) => return Some(result),
+            Err(result) => {
+                return Some(EndedCall {
+                    result: Ok(result),
+                    stalled_at: None,
+                });
+            }
         };
-        let held_back = self.node.hold_back(&self.pool, pieces).await;
-        self.requeue(held_back, false);
-        if pieces.is_empty() {
+        self.retain_open(call);
+        let held_back = self.node.hold_back(&self.pool, &mut call.pieces).await;
+        self.requeue(call.number, held_back, false);
+        if call.pieces.is_empty() {
             return None;
         }
-        let token = self.node.record_piece_sends(&self.pool, pieces);
-        let sent = (pieces.as_slice(), token);
+        let token = self.node.record_piece_sends(&self.pool, &mut call.pieces);
+        let call = &*call;
+        let sent = (call.pieces.as_slice(), token);
         let (node, pool) = (&self.node, &self.pool);
-        let result = piece_call::perform(node, pool, member, connection, sent, deadline);
-        Some(result.await)
+        let mut exchange = pin!(piece_call::perform(node, pool, member, connection, sent));
+        if let Ok(result) = tokio::time::timeout_at(limit, &mut exchange).await {
+            return Some(EndedCall {
+                result: Ok(result),
+                stalled_at: None,
+            });
+        }
+        let stalled_at = Instant::now();
+        let closed = self.stall(member, call).await;
+        let result = tokio::select! {
+            result = exchange => Ok(result),
+            reason = closed => Err(reason.unwrap_or(CloseReason::Abandoned)),
+        };
+        self.state().closers.remove(&call.number);
+        Some(EndedCall {
+            result,
+            stalled_at: Some(stalled_at),
+        })
+    }
+
+    /// Drops the pieces that other calls have made meanwhile.
+    fn retain_open(&self, call: &mut PieceCall) {
+        let state = self.state();
+        let number = call.number;
+        call.pieces
+            .retain(|piece| state.queue.is_open(number, piece));
+    }
+
+    /// Queues the pieces of a silent call again while the call stays open. The receiver yields why
+    /// the call is to be closed.
+    async fn stall(&self, member: &PoolMember, call: &PieceCall) -> oneshot::Receiver<CloseReason> {
+        let (closer, closed) = oneshot::channel();
+        let queued = {
+            let mut state = self.state();
+            let before = state.queue.len();
+            if state.queue.stall(Instant::now(), call) {
+                state.closers.insert(call.number, closer);
+            }
+            state.close_stalled();
+            state.queue.len().saturating_sub(before)
+        };
+        self.wake();
+        let has_lost_path = self.node.has_lost_path(member, CallFailure::TimedOut).await;
+        let requests: BTreeSet<&str> = call
+            .pieces
+            .iter()
+            .map(|piece| &*piece.task.request_id)
+            .collect();
+        log_event!(
+            info,
+            "piece_call_stalled",
+            pool = self.pool,
+            endpoint = call.endpoint,
+            call = call.number,
+            pieces = call.pieces.len(),
+            queued_again = queued,
+            requests = requests.into_iter().collect::<Vec<_>>().join(","),
+            path_lost = has_lost_path
+        );
+        closed
+    }
+
+    fn record_stall_end(&self, call: &PieceCall, outcome: &'static str, stalled_at: Instant) {
+        let time = stalled_at.elapsed();
+        log_event!(
+            info,
+            "piece_stall_ended",
+            pool = self.pool,
+            endpoint = call.endpoint,
+            call = call.number,
+            pieces = call.pieces.len(),
+            outcome = outcome,
+            ms = time.as_millis()
+        );
+        let metrics = &self.node.metrics;
+        metrics.record_piece_stall(&self.pool, outcome, time);
     }
 
     /// Reports that the endpoint of a call may have crashed, and waits for control's decision
@@ -450,10 +590,19 @@
         }
     }
 
-    fn end_call(&self, call: &PieceCall, profile: PieceProfile, load: Option<super::LoadReport>) {
+    fn end_call(
+        &self,
+        call: &PieceCall,
+        profile: PieceProfile,
+        load: Option<LoadReport>,
+        stalled_at: Option<Instant>,
+    ) {
         let mut state = self.state();
         let now = Instant::now();
-        state.queue.finish(now, &profile, call, load);
+        match stalled_at {
+            Some(_) => state.queue.finish_stalled(now, &profile, call, load),
+            None => state.queue.finish(now, &profile, call, load),
+        }
     }
 
     /// Records that results are released, which frees capacity for others.
@@ -476,18 +625,25 @@
         let mut unfinished = Vec::new();
         let mut failed = Vec::new();
         let mut lacks_capacity = false;
+        let number = call.number;
         for (piece, outcome) in call.pieces.into_iter().zip(outcomes) {
             match outcome {
                 PieceOutcome::Made(handle) => {
                     let bytes = piece.task.result_bytes;
                     let stored = handle.clone();
-                    self.state()
-                        .queue
-                        .record_result(now, profile, &call.endpoint, stored, bytes);
-                    self.send_update(&piece, PieceEnd::Made(handle));
+                    let is_needed = {
+                        let mut state = self.state();
+                        let queue = &mut state.queue;
+                        queue.record_result(now, profile, &call.endpoint, stored, bytes);
+                        queue.complete(number, &piece)
+                    };
+                    match is_needed {
+                        true => self.send_update(&piece, PieceEnd::Made(handle)),
+                        false => self.node.releases.release(self.shard.clone(), handle),
+                    }
                 }
-                PieceOutcome::Late => self.send_update(&piece, PieceEnd::Late),
-                PieceOutcome::InputGone => self.send_update(&piece, PieceEnd::InputGone),
+                PieceOutcome::Late => self.end_piece(number, &piece, PieceEnd::Late),
+                PieceOutcome::InputGone => self.end_piece(number, &piece, PieceEnd::InputGone),
                 PieceOutcome::NoRoom => {
                     lacks_capacity = true;
                     unfinished.push(piece);
@@ -506,31 +662,37 @@
                 .queue
                 .record_lack_of_capacity(Instant::now(), &call.endpoint);
         }
-        self.requeue(unfinished, true);
-        self.requeue_failed(failed);
+        self.requeue(number, unfinished, true);
+        self.requeue_failed(number, failed);
+        self.state().close_stalled();
     }
 
-    /// Queues pieces again whose next send takes a retry from the budget.
-    fn requeue_failed(&self, mut pieces: Vec<QueuedPiece>) {
+    /// Reports that a piece can't be made, unless another call may still make it.
+    fn end_piece(&self, call: CallNumber, piece: &QueuedPiece, end: PieceEnd) {
+        let is_last = self.state().queue.end_piece(call, piece);
+        if is_last {
+            self.send_update(piece, end);
+        }
+    }
+
+    /// Queues pieces of a call again whose next send takes a retry from the budget.
+    fn requeue_failed(&self, call: CallNumber, mut pieces: Vec<QueuedPiece>) {
         for piece in &mut pieces {
             piece.needs_retry = piece.was_sent;
         }
-        self.requeue(pieces, true);
+        self.requeue(call, pieces, true);
     }
 
-    /// Queues pieces again, except those that have failed too often.
-    fn requeue(&self, pieces: Vec<QueuedPiece>, failed: bool) {
-        let mut failed_pieces = Vec::new();
-        {
+    /// Queues pieces of a call again, except those that have failed too often.
+    fn requeue(&self, call: CallNumber, pieces: Vec<QueuedPiece>, failed: bool) {
+        let failed_pieces: Vec<QueuedPiece> = {
             let mut state = self.state();
-            for mut piece in pieces {
-                piece.failures += u32::from(failed);
-                match piece.failures < MAX_FAILURES {
-                    true => state.queue.push(piece),
-                    false => failed_pieces.push(piece),
-                }
-            }
-        }
+            let queue = &mut state.queue;
+            let pieces = pieces.into_iter();
+            pieces
+                .filter_map(|piece| queue.return_piece(call, piece, failed))
+                .collect()
+        };
         for piece in failed_pieces {
             self.send_update(&piece, PieceEnd::Failed);
         }
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -2,9 +2,10 @@
 
 use super::endpoint_load::EndpointLoadView;
 use super::nearby_slots::NearbySlots;
+use super::open_calls::OpenCalls;
 use super::{
-    CallUtilization, LoadReport, PieceCall, PieceProfile, PieceTarget, PieceTimes, QueuedPiece,
-    ResultCapacity, ResultHandle,
+    CallNumber, CallUtilization, CloseReason, LoadReport, PieceCall, PieceProfile, PieceTarget,
+    PieceTimes, QueuedPiece, ResultCapacity, ResultHandle,
 };
 use crate::prelude::*;
 
@@ -27,6 +28,9 @@
 /// instead.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Number of calls with a piece that may fail or stall; after these it is sent no more.
+const MAX_FAILURES: u32 = 4;
+
 /// Largest factor by which an endpoint's cost lengthens the expected duration of a call. An
 /// endpoint with a higher cost is unhealthy rather than slow.
 const MAX_DURATION_FACTOR: f64 = 10.0;
@@ -53,6 +57,7 @@
 pub struct PieceQueue {
     waiting: BTreeMap<PieceKey, QueuedPiece>,
     next_sequence: u64,
+    open: OpenCalls,
     endpoints: FastMap<Arc<str>, EndpointLoadView>,
     capacity: ResultCapacity,
     times: PieceTimes,
@@ -135,7 +140,7 @@
     /// Removes the pieces whose deadline has passed, for their requests to be notified.
     /// Abandoned pieces are dropped.
     pub fn take_expired(&mut self, now: Instant) -> Vec<QueuedPiece> {
-        self.waiting.retain(|_, piece| !piece.task.is_abandoned());
+        self.take_abandoned();
         let is_expired = |piece: &QueuedPiece| piece.task.deadline <= now;
         let expired: Vec<PieceKey> = self
             .waiting
@@ -143,10 +148,22 @@
             .filter(|(_, piece)| is_expired(piece))
             .map(|(key, _)| *key)
             .collect();
-        expired
+        let mut expired: Vec<QueuedPiece> = expired
             .iter()
             .filter_map(|key| self.waiting.remove(key))
-            .collect()
+            .collect();
+        for piece in self.open.take_expired(now) {
+            if !expired.iter().any(|other| other.is_same(&piece)) {
+                expired.push(piece);
+            }
+        }
+        expired
+    }
+
+    /// Drops the pieces for which no request waits, those in stalled calls too.
+    pub fn take_abandoned(&mut self) {
+        self.waiting.retain(|_, piece| !piece.task.is_abandoned());
+        self.open.take_abandoned();
     }
 
     /// Removes the pieces that have waited too long for spare endpoint time, for their requests
@@ -195,7 +212,14 @@
             if self.waiting.is_empty() {
                 break;
             }
-            let pieces = self.fill_call(now, profile, target, targets);
+            let rivals: Vec<&PieceTarget<'_>> = match self.is_silent(target.endpoint) {
+                true => targets
+                    .iter()
+                    .filter(|other| !self.is_silent(other.endpoint))
+                    .collect(),
+                false => Vec::new(),
+            };
+            let pieces = self.fill_call(now, profile, target, targets, &rivals);
             if pieces.is_empty() {
                 continue;
             }
@@ -206,15 +230,20 @@
             let duration = duration.mul_f64(duration_factor.clamp(1.0, MAX_DURATION_FACTOR));
             let view = self.endpoints.entry(Arc::clone(&endpoint)).or_default();
             view.begin_call(now, duration);
-            calls.push(PieceCall { endpoint, pieces });
+            calls.push(PieceCall {
+                number: self.open.begin(&pieces),
+                endpoint,
+                pieces,
+            });
         }
         calls
     }
 
     /// Returns when [`Self::next_calls`] may have a call to make without any other event.
     pub fn next_due(&self, now: Instant, profile: &PieceProfile) -> Option<Instant> {
+        let stalled_deadline = self.open.next_deadline();
         if self.waiting.is_empty() {
-            return None;
+            return stalled_deadline;
         }
         let free_times = self.endpoints.values().filter_map(|view| view.free_at);
         let send_times = self.endpoints.values();
@@ -229,6 +258,7 @@
             .chain(send_times)
             .chain(locality_waits)
             .chain(deadlines)
+            .chain(stalled_deadline)
             .chain(expiry);
         times.filter(|at| *at > now).min()
     }
@@ -252,6 +282,134 @@
         self.capacity.release(handle);
     }
 
+    /// Records that a call has been silent for its limit: its pieces are queued again, beside the
+    /// call, and its endpoint is called only for want of others. Returns false if the call has no
+    /// open piece any more, so that nothing is to be expected of it.
+    ///
+    /// Room for its results stays reserved. `call` has the pieces as they were sent.
+    pub fn stall(&mut self, now: Instant, call: &PieceCall) -> bool {
+        if let Some(view) = self.endpoints.get_mut(&call.endpoint) {
+            view.stall_call(now);
+        }
+        self.record_denied(now, &call.endpoint);
+        let is_open = self.open.stall(call.number);
+        self.take_abandoned();
+        for piece in &call.pieces {
+            if !self.open.has(call.number, piece) {
+                continue;
+            }
+            let mut piece = piece.clone();
+            piece.failures += 1;
+            piece.needs_retry = piece.was_sent;
+            if piece.failures < MAX_FAILURES {
+                self.push(piece);
+            }
+        }
+        is_open && self.open.is_open(call.number)
+    }
+
+    /// Returns the stalled calls that are to be closed since the last call of this method.
+    pub fn take_closed(&mut self) -> Vec<(CallNumber, CloseReason)> {
+        self.open.take_closed()
+    }
+
+    /// Whether a piece of a call is still to be made: no other call has made it meanwhile.
+    pub fn is_open(&self, call: CallNumber, piece: &QueuedPiece) -> bool {
+        self.open.has(call, piece)
+    }
+
+    /// Records that a call has made a piece, which ends its copies elsewhere. Returns false for
+    /// one that another call has made before, or that has ended: its result is not needed.
+    pub fn complete(&mut self, call: CallNumber, piece: &QueuedPiece) -> bool {
+        if !self.open.has(call, piece) {
+            return false;
+        }
+        self.remove_copies(call, piece, CloseReason::Replaced);
+        true
+    }
+
+    /// Records that a call has found that a piece can't be made. Returns false while another call
+    /// has a copy that may still be: only the last one decides, or the one that replaces others.
+    pub fn end_piece(&mut self, call: CallNumber, piece: &QueuedPiece) -> bool {
+        if !self.open.has(call, piece) {
+            return false;
+        }
+        let was_stalled = self.open.is_stalled(call);
+        self.open.take(call, piece);
+        if was_stalled && self.open.is_held(piece) {
+            return false;
+        }
+        self.remove_copies(call, piece, CloseReason::Abandoned);
+        true
+    }
+
+    /// Queues a piece again that a call has not made, and that nothing else works on. Returns a
+    /// piece that has failed: it was in too many calls, and none of them can still make it.
+    pub fn return_piece(
+        &mut self,
+        call: CallNumber,
+        mut piece: QueuedPiece,
+        is_failure: bool,
+    ) -> Option<QueuedPiece> {
+        if !self.open.has(call, &piece) {
+            return None;
+        }
+        // The copies of a stalled call's pieces are queued already.
+        let may_queue = !self.open.is_stalled(call);
+        self.open.take(call, &piece);
+        piece.failures += u32::from(is_failure);
+        if may_queue && piece.failures < MAX_FAILURES {
+            self.push(piece);
+            return None;
+        }
+        let has_copy = self.open.is_held(&piece) || self.is_waiting(&piece);
+        (!has_copy).then_some(piece)
+    }
+
+    fn remove_copies(&mut self, call: CallNumber, piece: &QueuedPiece, reason: CloseReason) {
+        self.open.take(call, piece);
+        self.open.take_from_all(piece, reason);
+        if let Some(key) = self.waiting_key(piece) {
+            self.waiting.remove(&key);
+        }
+    }
+
+    fn is_waiting(&self, piece: &QueuedPiece) -> bool {
+        self.waiting_key(piece).is_some()
+    }
+
+    fn waiting_key(&self, piece: &QueuedPiece) -> Option<PieceKey> {
+        let key = |sequence| PieceKey {
+            rank: piece.task.rank,
+            due: piece.task.due,
+            sequence,
+        };
+        let mut alike = self.waiting.range(key(0)..=key(u64::MAX));
+        let found = alike.find(|(_, other)| other.is_same(piece));
+        found.map(|(key, _)| *key)
+    }
+
+    /// Records that an endpoint has answered a call, with whatever outcome.
+    pub fn record_answer(&mut self, endpoint: &str) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.is_silent = false;
+        }
+    }
+
+    /// Records the end of a call that had stalled, with the load that the endpoint reported.
+    pub fn finish_stalled(
+        &mut self,
+        now: Instant,
+        profile: &PieceProfile,
+        call: &PieceCall,
+        load: Option<LoadReport>,
+    ) {
+        if let Some(view) = self.endpoints.get_mut(&call.endpoint) {
+            view.end_stalled();
+        }
+        self.record_end(now, profile, call, load);
+    }
+
     /// Records the end of a call, with the load that the endpoint reported.
     pub fn finish(
         &mut self,
@@ -259,19 +417,31 @@
         profile: &PieceProfile,
         call: &PieceCall,
         load: Option<LoadReport>,
+    ) {
+        if let Some(view) = self.endpoints.get_mut(&call.endpoint) {
+            view.end_call(now);
+        }
+        self.record_end(now, profile, call, load);
+    }
+
+    fn record_end(
+        &mut self,
+        now: Instant,
+        profile: &PieceProfile,
+        call: &PieceCall,
+        load: Option<LoadReport>,
     ) {
         self.capacity
             .unreserve(&call.endpoint, result_bytes(&call.pieces));
         let Some(view) = self.endpoints.get_mut(&call.endpoint) else {
             return;
         };
-        view.end_call(now);
         view.reported = load.map(|_| now);
         view.record_pace(now, load.and_then(|load| load.pace_percent));
         // One call of another entry may run while the next call of this entry waits at the
         // endpoint. If more calls wait ahead, the next call is held back here and collects
         // pieces.
-        let own = view.calls.len() as u32;
+        let own = view.call_count() as u32;
         let ahead = load.map_or(0, |load| load.waiting.saturating_sub(own));
         let typical = profile.call_duration(profile.batch.div_ceil(2));
         view.free_at = (ahead > 0).then(|| now + typical * ahead);
@@ -298,7 +468,7 @@
     pub fn retain_endpoints(&mut self, is_present: impl Fn(&str) -> bool) {
         self.capacity.retain_endpoints(&is_present);
         self.endpoints
-            .retain(|endpoint, view| !view.calls.is_empty() || is_present(endpoint));
+            .retain(|endpoint, view| view.call_count() > 0 || is_present(endpoint));
     }
 
     /// Returns the expected duration of a call to an endpoint, relative to the usual duration.
@@ -310,7 +480,13 @@
     /// Returns the number of this entry's calls at an endpoint.
     fn calls_at(&self, endpoint: &str) -> usize {
         let view = self.endpoints.get(endpoint);
-        view.map_or(0, |view| view.calls.len())
+        view.map_or(0, EndpointLoadView::call_count)
+    }
+
+    /// Whether a call at an endpoint has stalled, and it has sent nothing since.
+    fn is_silent(&self, endpoint: &str) -> bool {
+        let view = self.endpoints.get(endpoint);
+        view.is_some_and(|view| view.is_silent)
     }
 
     fn is_free(&self, now: Instant, profile: &PieceProfile, endpoint: &str) -> bool {
@@ -323,13 +499,15 @@
         !is_busy && next_send.is_some_and(|at| at <= now)
     }
 
-    /// Removes the pieces for the next call to `target` from the queue.
+    /// Removes the pieces for the next call to `target` from the queue: only those that none of
+    /// its `rivals` may work on.
     fn fill_call(
         &mut self,
         now: Instant,
         profile: &PieceProfile,
         target: &PieceTarget<'_>,
         targets: &[PieceTarget<'_>],
+        rivals: &[&PieceTarget<'_>],
     ) -> Vec<QueuedPiece> {
         self.capacity.expire(now);
         let mut free_bytes = self
@@ -345,7 +523,9 @@
                 None => false,
             };
             let is_held = self.holds_repeats && piece.needs_retry;
-            let is_allowed = task.data_center_filter.has(target.data_center);
+            let filter = &task.data_center_filter;
+            let has_rival = rivals.iter().any(|rival| filter.has(rival.data_center));
+            let is_allowed = filter.has(target.data_center) && !has_rival;
             if task.is_abandoned() || is_held || !is_allowed {
                 continue;
             }
@@ -429,3 +609,7 @@
 #[cfg(test)]
 #[path = "piece_queue_tests.rs"]
 pub(super) mod tests;
+
+#[cfg(test)]
+#[path = "piece_queue_stall_tests.rs"]
+mod stall_tests;
--- a/crates/savorywalk/src/gateway/piece_task.rs
+++ b/crates/savorywalk/src/gateway/piece_task.rs
@@ -1,7 +1,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use super::retry_budget::RepeatReason;
-use super::{DataCenterFilter, PieceSource};
+use super::{CallNumber, DataCenterFilter, PieceSource};
 use crate::prelude::*;
 use crate::quarantine::RequestDigest;
 
@@ -52,7 +52,7 @@
     pub piece: u32,
     /// Time at which the piece was first queued.
     pub queued: Instant,
-    /// Number of failed calls with the piece.
+    /// Number of calls with the piece that have failed or stalled.
     pub failures: u32,
     /// Whether the piece may have been sent to an endpoint.
     pub was_sent: bool,
@@ -62,6 +62,11 @@
 }
 
 impl QueuedPiece {
+    /// Whether both are copies of one piece.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        self.piece == other.piece && Arc::ptr_eq(&self.task, &other.task)
+    }
+
     /// Why the piece is sent again.
     pub(super) fn repeat_reason(&self) -> RepeatReason {
         match (self.failures, self.task.is_rerun) {
@@ -75,6 +80,8 @@
 /// A call to make.
 #[derive(Clone, Debug)]
 pub struct PieceCall {
+    /// Number of the call in its queue.
+    pub number: CallNumber,
     /// Identity of the incarnation of the endpoint.
     pub endpoint: Arc<str>,
     /// Pieces of the call, in the order of their outcomes.
