--- a/crates/savorywalk/src/transport/inbound_reader.rs
+++ b/crates/savorywalk/src/transport/inbound_reader.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use quinn::{ReadToEndError, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::watch;
 
 use super::hub_core::HubCore;
 use super::link_connection::CallGuard;
@@ -181,6 +182,22 @@
     }
 }
 
+/// Counts a call until its answer has arrived.
+struct UnansweredGuard<'a>(&'a watch::Sender<usize>);
+
+impl<'a> UnansweredGuard<'a> {
+    fn enter(count: &'a watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count)
+    }
+}
+
+impl Drop for UnansweredGuard<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
 async fn answer_call(
     core: Arc<HubCore>,
     slot: Arc<PeerSlot>,
@@ -188,13 +205,22 @@
     mut receive: RecvStream,
     first: &[u8],
 ) {
-    let outcome = match read_request(&core, &slot, &mut receive, first).await {
+    let request = read_request(&core, &slot, &mut receive, first).await;
+    let unanswered = UnansweredGuard::enter(&core.unanswered);
+    let outcome = match request {
         Ok((channel, payload)) => {
             let reply = hand_over(&core, &slot, channel, payload);
             tokio::select! {
+                // An answer that is there is sent, also when the hub closes.
+                biased;
                 outcome = reply => outcome,
                 _ = send.stopped() => return,
-                () = core.stop.cancelled() => Err(CallRefusal::Unanswered),
+                () = core.stop.cancelled() => {
+                    // Its caller learns from the closed connection that the daemon stops.
+                    drop(unanswered);
+                    let _ = send.stopped().await;
+                    return;
+                }
             }
         }
         Err(refusal) => Err(refusal),
@@ -213,6 +239,7 @@
     if send.write_chunk(payload).await.is_ok() {
         // A stream that can't be finished belongs to a connection that is gone.
         let _ = send.finish();
+        let _ = send.stopped().await;
     }
 }
 
