Look for copies of a piece only while a call has stalled

Cause: every finished stage walked through all queued pieces, and every completed piece through the pieces of all calls, although copies exist only beside a stalled call. Change: both look for a stalled call first.

--- a/crates/savorywalk/src/gateway/open_calls.rs
+++ b/crates/savorywalk/src/gateway/open_calls.rs
@@ -95,6 +95,11 @@
         self.calls.contains_key(&number)
     }
 
+    /// Whether any call has stalled and has an open piece. Otherwise no piece has copies.
+    pub(super) fn has_stalled(&self) -> bool {
+        self.calls.values().any(OpenCall::is_stalled)
+    }
+
     /// Whether a call has stalled and has an open piece.
     pub(super) fn is_stalled(&self, number: CallNumber) -> bool {
         self.calls.get(&number).is_some_and(OpenCall::is_stalled)
@@ -129,6 +134,9 @@
 
     /// Takes the pieces for which no request waits out of stalled calls.
     pub(super) fn take_abandoned(&mut self) {
+        if !self.has_stalled() {
+            return;
+        }
         self.close_pieces(CloseReason::Abandoned, |state, piece| {
             state == CallState::Stalled && piece.task.is_abandoned()
         });
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -117,7 +117,7 @@
         self.task.abandon();
         let mut state = self.dispatcher.state();
         state.waiters.remove(&TaskKey::from_task(&self.task));
-        state.queue.take_abandoned();
+        state.queue.close_abandoned();
         state.close_stalled();
         drop(state);
         // Releases results that were completed but not received.
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -140,7 +140,8 @@
     /// Removes the pieces whose deadline has passed, for their requests to be notified.
     /// Abandoned pieces are dropped.
     pub fn take_expired(&mut self, now: Instant) -> Vec<QueuedPiece> {
-        self.take_abandoned();
+        self.waiting.retain(|_, piece| !piece.task.is_abandoned());
+        self.open.take_abandoned();
         let is_expired = |piece: &QueuedPiece| piece.task.deadline <= now;
         let expired: Vec<PieceKey> = self
             .waiting
@@ -160,9 +161,8 @@
         expired
     }
 
-    /// Drops the pieces for which no request waits, those in stalled calls too.
-    pub fn take_abandoned(&mut self) {
-        self.waiting.retain(|_, piece| !piece.task.is_abandoned());
+    /// Closes the stalled calls for whose pieces no request waits.
+    pub fn close_abandoned(&mut self) {
         self.open.take_abandoned();
     }
 
@@ -293,7 +293,7 @@
         }
         self.record_denied(now, &call.endpoint);
         let is_open = self.open.stall(call.number);
-        self.take_abandoned();
+        self.open.take_abandoned();
         for piece in &call.pieces {
             if !self.open.has(call.number, piece) {
                 continue;
@@ -367,7 +367,11 @@
     }
 
     fn remove_copies(&mut self, call: CallNumber, piece: &QueuedPiece, reason: CloseReason) {
+        let may_have_copies = self.open.has_stalled();
         self.open.take(call, piece);
+        if !may_have_copies {
+            return;
+        }
         self.open.take_from_all(piece, reason);
         if let Some(key) = self.waiting_key(piece) {
             self.waiting.remove(&key);
--- a/crates/savorywalk/src/gateway/piece_queue_stall_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_stall_tests.rs
@@ -294,9 +294,10 @@
     let call = next_call(&mut queue, now, &["a"]);
     queue.stall(now + LIMIT, &call);
     gone.abandon();
-    queue.take_abandoned();
+    queue.close_abandoned();
     assert_eq!(queue.take_closed(), [(call.number, CloseReason::Abandoned)]);
     close(&mut queue, now + LIMIT, &call);
+    assert!(queue.take_expired(now + LIMIT).is_empty());
     assert!(queue.is_empty());
 }
 
