Keep a stalled stream open until its resume has brought something

Callers of the product's entry lost a streamed answer when its engine was silent for longer than the limit between events (2 s while nothing is learnt) and the call that resumes the stream under its name failed or got no answer: the machine dropped the stalled connection (`Detach`) before it launched the resume. A stage that may run once then failed at once, although its engine was sound; an idempotent one needed a token of the retry budget.

The resume now runs beside the stalled attempt, as a retry does. The first to make progress is kept. Both read the same stream, so the loser closes its connection and sends no DELETE (`OpenStreams::cancel`, `finish`).

The test `a_stalled_stream_is_resumed_on_another_connection` asserted the fault (detached at once, failed with the resume). It now asserts that the stalled connection ends with the first event of the resume and not before, and four tests cover a resume that fails, loses, stalls, or fails before the stream does.

--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -15,6 +15,7 @@
     token_for,
 };
 use serde_json::Value;
+use support::held_engine::HeldEngine;
 use support::http_call::{HttpAnswer, ListenerKind};
 use support::serve_test::{ServeProcess, ServeTest};
 
@@ -181,6 +182,27 @@
     assert_eq!(booking.counts().ran(), 2);
 }
 
+/// Guards against a stream that is given up because its engine was silent for a time and the
+/// call that resumes it brings nothing.
+#[tokio::test]
+async fn a_silent_stream_goes_on_beside_a_resume_without_an_answer() {
+    let daemon = ServeTest::new().start();
+    let engine = HeldEngine::start_named().await;
+    for pool in ["engines", "crew-roster"] {
+        engine.announce(&daemon, pool).await;
+    }
+    let call = daemon.post("draft").header("accept", "text/event-stream");
+    let call = call.header("savorywalk-deadline-ms", DEADLINE_MS);
+    let mut response = call.open().await;
+    response.frame().await.unwrap().unwrap();
+    until(|| engine.resumes() > 0).await;
+    engine.release();
+    let rest = HttpAnswer::read(response).await.body;
+    assert!(rest.contains("\"answer\":\"tow truck\""), "{rest}");
+    assert_eq!(engine.completions(), 1, "the work was begun again");
+    assert_eq!(engine.cancels(), 0, "the stream that went on was cancelled");
+}
+
 #[rstest]
 #[case(EndpointFault::Fail, DEADLINE_MS)]
 #[case(EndpointFault::Cut, DEADLINE_MS)]
--- a/crates/savorywalk/src/attempt/endpoint_client.rs
+++ b/crates/savorywalk/src/attempt/endpoint_client.rs
@@ -169,7 +169,7 @@
                     request.send_event(AttemptEvent::Token(token_event)).await
                 }
                 StreamItem::End(tokens) => {
-                    request.streams.remove(request.id.attempt);
+                    request.streams.finish(request.id.attempt);
                     self.put_drained(connection, stream);
                     return Ok(AttemptEvent::StreamEnded(tokens));
                 }
--- a/crates/savorywalk/src/attempt/open_streams.rs
+++ b/crates/savorywalk/src/attempt/open_streams.rs
@@ -20,6 +20,12 @@
     stream: String,
 }
 
+impl OpenStream {
+    fn is_same_stream(&self, other: &Self) -> bool {
+        self.address == other.address && self.stream == other.stream
+    }
+}
+
 impl OpenStreams {
     pub(super) fn new(client: &EndpointClient) -> Self {
         Self {
@@ -40,17 +46,32 @@
         });
     }
 
-    /// Removes the stream of an attempt without cancelling it: it has ended, or
-    /// another attempt resumes it.
+    /// Removes the stream of an attempt without cancelling it, as another attempt
+    /// resumes it.
     pub(super) fn remove(&self, attempt: u16) {
         self.streams().retain(|open| open.attempt != attempt);
     }
 
-    /// Cancels the stream of an attempt.
+    /// Removes the stream of an attempt, which has ended, for all attempts that
+    /// read it.
+    pub(super) fn finish(&self, attempt: u16) {
+        let mut streams = self.streams();
+        let index = streams.iter().position(|open| open.attempt == attempt);
+        if let Some(finished) = index.map(|index| streams.swap_remove(index)) {
+            streams.retain(|open| !open.is_same_stream(&finished));
+        }
+    }
+
+    /// Cancels the stream of an attempt, unless another attempt reads it as well.
     pub(super) fn cancel(&self, attempt: u16) {
         let mut streams = self.streams();
-        for open in streams.extract_if(.., |open| open.attempt == attempt) {
-            self.client.cancel_stream(open.address, &open.stream);
+        let index = streams.iter().position(|open| open.attempt == attempt);
+        let Some(cancelled) = index.map(|index| streams.swap_remove(index)) else {
+            return;
+        };
+        if !streams.iter().any(|open| open.is_same_stream(&cancelled)) {
+            self.client
+                .cancel_stream(cancelled.address, &cancelled.stream);
         }
     }
 
@@ -61,7 +82,9 @@
 
 impl Drop for OpenStreams {
     fn drop(&mut self) {
-        for open in self.streams().drain(..) {
+        let mut streams = std::mem::take(&mut *self.streams());
+        while let Some(open) = streams.pop() {
+            streams.retain(|other| !other.is_same_stream(&open));
             self.client.cancel_stream(open.address, &open.stream);
         }
     }
--- a/crates/savorywalk/src/attempt/stage_action.rs
+++ b/crates/savorywalk/src/attempt/stage_action.rs
@@ -60,11 +60,9 @@
 pub enum StageAction {
     /// Start the attempt with this number.
     Launch(u16, LaunchKind),
-    /// Abort the attempt and cancel its stream at the engine.
+    /// Abort the attempt and cancel its stream at the engine, unless another
+    /// attempt reads the same stream.
     Cancel(u16),
-    /// Close the attempt's connection without cancelling its stream, which
-    /// another attempt resumes.
-    Detach(u16),
     /// Send text to the caller.
     SendText(String),
     /// End the stage. No action follows.
--- a/crates/savorywalk/src/attempt/stage_machine.rs
+++ b/crates/savorywalk/src/attempt/stage_machine.rs
@@ -300,14 +300,16 @@
         if self.is_progressing() {
             return Vec::new();
         }
-        if let Some(action) = self.resume(attempt, &AttemptError::TimedOut) {
-            self.track_mut(attempt).state = AttemptState::Abandoned;
-            self.uncertain_error.get_or_insert(AttemptError::TimedOut);
-            return vec![StageAction::Detach(attempt), action];
-        }
         // The stalled attempt continues in parallel with the new one, as it may
         // only be slow. The first of them to make progress is kept.
-        self.retry(now, false, budgets).into_iter().collect()
+        let action = match self.resume(attempt, &AttemptError::TimedOut) {
+            Some(action) => {
+                self.uncertain_error.get_or_insert(AttemptError::TimedOut);
+                Some(action)
+            }
+            None => self.retry(now, false, budgets),
+        };
+        action.into_iter().collect()
     }
 
     fn resume(&mut self, attempt: u16, error: &AttemptError) -> Option<StageAction> {
--- a/crates/savorywalk/src/attempt/stage_machine_tests.rs
+++ b/crates/savorywalk/src/attempt/stage_machine_tests.rs
@@ -45,9 +45,7 @@
                     assert_eq!(usize::from(attempt), self.launched.len());
                     self.launched.push(kind);
                 }
-                StageAction::Cancel(attempt) | StageAction::Detach(attempt) => {
-                    self.cancelled.push(attempt);
-                }
+                StageAction::Cancel(attempt) => self.cancelled.push(attempt),
                 StageAction::SendText(text) => self.sent_text.push_str(&text),
                 StageAction::Finish(end) => self.ends.push(end),
             }
@@ -123,22 +121,99 @@
     assert_eq!(*driver.answer(), StageReply::Text { text, tokens: 9 });
 }
 
-#[test]
-fn a_stalled_stream_is_resumed_on_another_connection() {
+/// A stream that stalled with one event, and is being resumed.
+fn resuming_driver() -> MachineDriver {
     let mut driver = MachineDriver::new(false, true);
     driver.attempt(0, AttemptEvent::StreamNamed("s".into()));
     driver.token_event(0, 0);
     driver.attempt(0, AttemptEvent::Stalled);
+    let LaunchKind::Resume(point) = &driver.launched[1] else {
+        panic!("{:?}", driver.launched);
+    };
+    assert_eq!((point.attempt, point.offset), (0, 1));
+    driver
+}
+
+/// Guards against a stalled connection that is kept after its stream goes on at another one.
+#[test]
+fn a_stalled_stream_is_resumed_on_another_connection() {
+    let mut driver = resuming_driver();
+    assert!(
+        driver.cancelled.is_empty(),
+        "the resume has brought nothing"
+    );
+    driver.token_event(1, 1);
     assert_eq!(driver.cancelled, [0]);
-    assert!(matches!(driver.launched[1], LaunchKind::Resume(_)));
+    driver.token_event(0, 1);
+    assert_eq!(driver.machine.counts().late, 1);
+    for index in 2..TEXT.len() {
+        driver.token_event(1, index);
+    }
+    driver.attempt(1, AttemptEvent::StreamEnded(9));
+    let text = TEXT.concat();
+    assert_eq!(driver.sent_text, text);
+    assert_eq!(*driver.answer(), StageReply::Text { text, tokens: 9 });
+}
+
+/// Guards against a silent stream that is given up before its resume has brought anything.
+#[test]
+fn a_stalled_stream_goes_on_when_its_resume_fails() {
+    let failures = [
+        AttemptError::Refused("full".into()),
+        AttemptError::Unreachable("no connection in time".into()),
+        AttemptError::UnknownStream("none".into()),
+        AttemptError::Cut("reset".into()),
+    ];
+    for failure in failures {
+        let mut driver = resuming_driver();
+        driver.attempt(1, AttemptEvent::Failed(failure.clone()));
+        assert!(driver.ends.is_empty(), "ended by {failure:?}");
+        for index in 1..TEXT.len() {
+            driver.token_event(0, index);
+        }
+        driver.attempt(0, AttemptEvent::StreamEnded(9));
+        let text = TEXT.concat();
+        assert_eq!(driver.sent_text, text, "{failure:?}");
+        assert_eq!(*driver.answer(), StageReply::Text { text, tokens: 9 });
+        assert_eq!(driver.launched.len(), 2, "{failure:?}");
+    }
+}
+
+/// Guards against a resume that stays open beside the stream that goes on by itself.
+#[test]
+fn a_stalled_stream_that_goes_on_ends_its_resume() {
+    let mut driver = resuming_driver();
+    driver.token_event(0, 1);
+    assert_eq!(driver.cancelled, [1]);
+    driver.token_event(1, 1);
+    assert_eq!(driver.machine.counts().late, 1);
+    assert_eq!(driver.sent_text, TEXT[..2].concat());
+}
+
+/// Guards against a lost stream that counts as refused because its resume was.
+#[test]
+fn a_stalled_stream_that_breaks_after_its_resume_has_an_unknown_outcome() {
+    let mut driver = resuming_driver();
+    driver.attempt(1, refused());
+    driver.attempt(1, refused());
     driver.attempt(
-        1,
-        AttemptEvent::Failed(AttemptError::Refused("gone".into())),
+        0,
+        AttemptEvent::Failed(AttemptError::Unreadable("?".into())),
     );
     let (error, not_run) = driver.failure();
     assert_eq!((error, not_run), (Some(AttemptError::TimedOut), false));
 }
 
+/// Guards against stalled attempts that end each other: without budget, both go on.
+#[test]
+fn a_resume_that_stalls_as_well_leaves_both_connections_open() {
+    let mut driver = resuming_driver();
+    while driver.budgets.retry.try_take(driver.now) {}
+    driver.attempt(1, AttemptEvent::Stalled);
+    assert_eq!(driver.launched.len(), 2);
+    assert!(driver.ends.is_empty() && driver.cancelled.is_empty());
+}
+
 #[test]
 fn a_retried_text_that_differs_fails_the_stage() {
     let mut driver = MachineDriver::new(true, true);
--- a/crates/savorywalk/src/attempt/stage_run.rs
+++ b/crates/savorywalk/src/attempt/stage_run.rs
@@ -128,10 +128,6 @@
                     self.streams.cancel(attempt);
                     self.abort(attempt);
                 }
-                StageAction::Detach(attempt) => {
-                    self.streams.remove(attempt);
-                    self.abort(attempt);
-                }
                 StageAction::SendText(text) => self.send_text(text).await,
                 StageAction::Finish(end) => return Some(end),
             }
@@ -153,8 +149,11 @@
         };
         let resume = match &kind {
             LaunchKind::Resume(point) => {
-                // From here on, the stream belongs to the new attempt.
-                self.streams.remove(point.attempt);
+                let resumed = self.ledger.entry(point.attempt);
+                if resumed.is_some_and(|entry| entry.has_ended()) {
+                    // From here on, the stream belongs to the new attempt.
+                    self.streams.remove(point.attempt);
+                }
                 self.streams.insert(attempt, address, &point.stream);
                 Some(point.clone())
             }
