Test that late announcements never end an incarnation

A token of an incarnation cuts all streams to its endpoint, so it must not end because announcements are late. The test drives two registry tables and an entry without a network: announcements of one, six or all of ten endpoints late by 0.3 to 5 s, with nothing else, a change of the leader and of the followed daemon, or a restart of the daemon without its table in between.

No endpoint is forgotten, no token ends, and the silent mark ends with the announcements: the code needed no change. A second test shows that the check can fail: a later incarnation ends the token of its endpoint alone.

--- a/crates/savorywalk/src/registry/mod.rs
+++ b/crates/savorywalk/src/registry/mod.rs
@@ -27,6 +27,8 @@
 
 #[cfg(test)]
 mod fleet_simulation;
+#[cfg(test)]
+mod late_announcement_tests;
 
 pub use crate::control::EndpointIncarnation;
 pub use crate::generated::control_link::{
