Close no replaced or surplus link under a stream in progress

An entry relays a connection to an endpoint as a stream on its link to another entry. Two rules closed such a link although both ends live: a connection that another one has replaced (after a silence of a second, or since both ends dialled) closed 15 s later whatever was in progress on it, and the oldest of more than four connections to a peer closed at once, which two or three short silences within those 15 s are enough for. Each cut all streams that the connection relayed.

`ConnectionUses` counts calls and streams of a connection from either end. A replaced connection now closes after its linger once nothing is in progress, and of too many the oldest goes on which nothing is. A stream ends with its request, so neither stays open for good.

Tests, each failing before: a retired connection past its linger with a stream, and five later connections beside one with a stream.

--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -106,7 +106,7 @@
             Arc::clone(self),
             Arc::clone(slot),
             connection.quic.clone(),
-            Arc::clone(connection.calls()),
+            Arc::clone(connection.uses()),
         ));
         slot.adopt(connection);
     }
--- a/crates/savorywalk/src/transport/inbound_reader.rs
+++ b/crates/savorywalk/src/transport/inbound_reader.rs
@@ -1,15 +1,13 @@
 //! Reads what a peer sends. A certified peer may still be faulty, so sizes,
 //! rates and times are checked here, whatever it should keep to.
 
-use std::sync::atomic::AtomicUsize;
-
 use bytes::Buf;
 use prost::Message;
 use quinn::{ReadToEndError, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc::error::TrySendError;
 
+use super::connection_uses::{CallGuard, ConnectionUses};
 use super::hub_core::HubCore;
-use super::link_connection::CallGuard;
 use super::link_limits as limits;
 use super::link_metrics::count;
 use super::link_stream::{LinkStream, STREAM_MARKER};
@@ -50,13 +48,13 @@
     core: Arc<HubCore>,
     slot: Arc<PeerSlot>,
     quic: quinn::Connection,
-    open: Arc<AtomicUsize>,
+    uses: Arc<ConnectionUses>,
 ) {
     while let Ok((send, receive)) = quic.accept_bi().await {
-        let guard = CallGuard::enter(&open);
-        let (core, slot, open) = (Arc::clone(&core), Arc::clone(&slot), Arc::clone(&open));
+        let guard = CallGuard::enter(&uses);
+        let (core, slot, uses) = (Arc::clone(&core), Arc::clone(&slot), Arc::clone(&uses));
         tokio::spawn(async move {
-            answer(core, slot, send, receive, &open).await;
+            answer(core, slot, send, receive, &uses).await;
             drop(guard);
         });
     }
@@ -136,13 +134,13 @@
     slot: Arc<PeerSlot>,
     send: SendStream,
     mut receive: RecvStream,
-    open: &Arc<AtomicUsize>,
+    uses: &Arc<ConnectionUses>,
 ) {
     let mut first = [0; 1];
     let reading = tokio::time::timeout(limits::STREAM_TIME, receive.read_exact(&mut first));
     match reading.await {
         Ok(Ok(())) if first == [STREAM_MARKER] => {
-            let stream = LinkStream::new(send, receive, open);
+            let stream = LinkStream::new(send, receive, uses);
             hand_stream_over(&core, &slot, stream).await;
         }
         Ok(Ok(())) => answer_call(core, slot, send, receive, &first).await,
--- a/crates/savorywalk/src/transport/link_connection.rs
+++ b/crates/savorywalk/src/transport/link_connection.rs
@@ -1,7 +1,7 @@
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::connection_health::{ConnectionHealth, ConnectionSample, HealthState};
+use super::connection_uses::ConnectionUses;
 use super::link_limits as limits;
 use crate::prelude::*;
 
@@ -27,34 +27,12 @@
     opened: Instant,
     /// Quiet time after which it is closed, if this daemon opened it.
     unused_time: Duration,
-    calls: Arc<AtomicUsize>,
+    uses: Arc<ConnectionUses>,
     judgement: Mutex<ConnectionJudgement>,
     /// The socket of its own, for a connection dialled past a silent one.
     _socket: Option<quinn::Endpoint>,
 }
 
-/// Counts a call in progress on a connection until it is dropped.
-#[derive(Debug)]
-pub(super) struct CallGuard {
-    calls: Arc<AtomicUsize>,
-}
-
-impl CallGuard {
-    /// Counts one more call.
-    pub(super) fn enter(calls: &Arc<AtomicUsize>) -> Self {
-        calls.fetch_add(1, Ordering::Relaxed);
-        Self {
-            calls: Arc::clone(calls),
-        }
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        self.calls.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 #[derive(Debug)]
 struct ConnectionJudgement {
     health: ConnectionHealth,
@@ -78,7 +56,7 @@
             origin,
             opened: now,
             unused_time,
-            calls: Arc::default(),
+            uses: Arc::default(),
             judgement: Mutex::new(ConnectionJudgement {
                 health: ConnectionHealth::default(),
                 state: HealthState::Live,
@@ -90,9 +68,9 @@
         })
     }
 
-    /// Number of calls in progress on it, from either end.
-    pub(super) fn calls(&self) -> &Arc<AtomicUsize> {
-        &self.calls
+    /// The calls and streams in progress on it, from either end.
+    pub(super) fn uses(&self) -> &Arc<ConnectionUses> {
+        &self.uses
     }
 
     /// Whether the connection is still there.
@@ -133,13 +111,13 @@
         }
     }
 
-    /// Gives it no more work; it closes after a linger.
+    /// Gives it no more work; it closes after a linger, once nothing is in progress on it.
     pub(super) fn retire(&self, now: Instant) {
         self.judgement().retired.get_or_insert(now);
     }
 
     /// Reads the counters; tells whether the connection has become suspect,
-    /// and closes it when its linger is over.
+    /// and closes it when its linger is over and nothing is in progress on it.
     pub(super) fn inspect(&self, now: Instant) -> bool {
         let stats = self.quic.stats();
         let sample = ConnectionSample {
@@ -154,7 +132,7 @@
             judgement.streams = streams;
             judgement.used = now;
         }
-        if self.calls.load(Ordering::Relaxed) > 0 {
+        if !self.uses.is_empty() {
             judgement.used = now;
         }
         let is_unused = now.saturating_duration_since(judgement.used) >= self.unused_time;
@@ -165,7 +143,7 @@
         let lingered = judgement
             .retired
             .is_some_and(|retired| now.saturating_duration_since(retired) >= limits::RETIRE_LINGER);
-        if lingered {
+        if lingered && self.uses.is_empty() {
             self.quic.close(CLOSE_REPLACED.into(), b"replaced");
         }
         before == HealthState::Live && judgement.state == HealthState::Suspect
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant as TokioInstant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::connection_uses::CallGuard;
 use super::hub_core::HubCore;
-use super::link_connection::{CallGuard, ConnectionOrigin, LinkConnection};
+use super::link_connection::{ConnectionOrigin, LinkConnection};
 use super::link_identity::LinkIdentity;
 use super::link_metrics::count;
 use super::link_stream::STREAM_MARKER;
@@ -174,7 +175,7 @@
         };
         let request = Bytes::from(request.encode_to_vec());
         let (connection, streams) = open_call(&slot, deadline).await?;
-        let _guard = CallGuard::enter(connection.calls());
+        let _guard = CallGuard::enter(connection.uses());
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
         let exchange = exchange(&slot.name, streams, request, channel);
@@ -201,7 +202,7 @@
         let slot = self.core.slot(peer)?;
         let deadline = TokioInstant::now() + timeout;
         let (connection, (send, receive)) = open_call(&slot, deadline).await?;
-        let mut stream = LinkStream::new(send, receive, connection.calls());
+        let mut stream = LinkStream::new(send, receive, connection.uses());
         let request = CallRequest {
             channel: channel.wire().into(),
             payload,
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -3,6 +3,7 @@
 
 use tempfile::TempDir;
 use time::OffsetDateTime;
+use tokio::io::AsyncReadExt;
 use tokio::net::UdpSocket;
 
 use super::*;
@@ -349,7 +350,6 @@
 /// A relayed answer without a length ends with its stream, so a cut must not look like an end.
 #[tokio::test]
 async fn the_end_of_a_stream_differs_from_its_loss() {
-    use tokio::io::AsyncReadExt;
     let authority = TestAuthority::new();
     let (left, right) = (authority.hub("left"), authority.hub("right"));
     acquaint(&left, &right);
@@ -380,7 +380,6 @@
 
 #[tokio::test]
 async fn a_stream_that_nobody_serves_or_a_caller_abandons_ends() {
-    use tokio::io::AsyncReadExt;
     let authority = TestAuthority::new();
     let (left, right) = (authority.hub("left"), authority.hub("right"));
     acquaint(&left, &right);
@@ -623,6 +622,91 @@
     );
 }
 
+/// Two hubs with the times of links between entries, one with an open stream to the other.
+struct StreamTest {
+    one: LinkHub,
+    two: LinkHub,
+    near: LinkStream,
+    far: LinkStream,
+}
+
+impl StreamTest {
+    async fn start() -> Self {
+        let authority = TestAuthority::new();
+        let hub = |name| {
+            let timing = LinkTiming::occasional();
+            let options = authority.options(name);
+            LinkHub::start(LinkOptions { timing, ..options }).expect("it starts")
+        };
+        let (one, two) = (hub("one"), hub("two"));
+        acquaint(&one, &two);
+        let mut streams = two.serve_streams(CHANNEL);
+        let accepted = tokio::spawn(async move { accept_stream(&mut streams).await });
+        let (near, _) = open_stream(&one, "two").await.expect("a stream");
+        let far = accepted.await.expect("it is accepted");
+        let mut test = Self {
+            one,
+            two,
+            near,
+            far,
+        };
+        test.exchange().await;
+        test
+    }
+
+    /// Sends some bytes in both directions of the stream.
+    async fn exchange(&mut self) {
+        send_bytes(&mut self.near, &mut self.far).await;
+        send_bytes(&mut self.far, &mut self.near).await;
+    }
+
+    fn connection_of(hub: &LinkHub, peer: &str) -> Arc<LinkConnection> {
+        let slot = hub.core.slot(peer).expect("it is there");
+        slot.current().expect("it is open")
+    }
+}
+
+async fn send_bytes(from: &mut LinkStream, to: &mut LinkStream) {
+    let mut bytes = [0; 4];
+    from.write_all(b"text").await.expect("it is open");
+    to.read_exact(&mut bytes).await.expect("it is open");
+    assert_eq!(&bytes, b"text");
+}
+
+/// Guards against a stream that is cut because another connection has replaced its own.
+#[tokio::test]
+async fn a_replaced_connection_closes_after_its_last_stream() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    let now = Instant::now();
+    connection.retire(now);
+    let later = now + limits::RETIRE_LINGER * 2;
+    connection.inspect(later);
+    assert!(connection.is_open(), "its stream is in progress");
+    drop(test.near);
+    connection.inspect(later);
+    assert!(!connection.is_open(), "nothing is in progress");
+}
+
+/// Guards against a stream that is cut because its peer has opened many connections since.
+#[tokio::test]
+async fn the_connection_of_a_stream_outlives_later_ones_without() {
+    let mut test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    let core = &test.one.core;
+    let slot = core.slot("two").expect("it is there");
+    for _ in 0..=limits::MAX_CONNECTIONS_PER_PEER {
+        let client = core.identity.load().client.clone();
+        let address = test.two.address().expect("it is open");
+        let dialled = core.endpoint.connect_with(client, address, "two");
+        let quic = patiently(dialled.expect("a good name")).await;
+        let origin = ConnectionOrigin::Dialled { generation: 0 };
+        core.adopt(&slot, quic.expect("it accepts"), origin, None);
+    }
+    assert!(connection.is_open());
+    patiently(test.exchange()).await;
+}
+
 #[tokio::test]
 async fn two_that_dial_each_other_settle_on_one_connection() {
     let authority = TestAuthority::new();
--- a/crates/savorywalk/src/transport/link_stream.rs
+++ b/crates/savorywalk/src/transport/link_stream.rs
@@ -1,13 +1,12 @@
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::AtomicUsize;
 use std::task::{Context, Poll, ready};
 
 use prost::Message;
 use quinn::{RecvStream, SendStream, VarInt};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 
-use super::link_connection::CallGuard;
+use super::connection_uses::{ConnectionUses, StreamGuard};
 use crate::prelude::*;
 
 /// First byte of a stream of bytes. No call starts with it, since protobuf has no field 0 and no
@@ -27,7 +26,7 @@
     send: SendStream,
     receive: RecvStream,
     is_finished: bool,
-    _guard: CallGuard,
+    _guard: StreamGuard,
 }
 
 impl Drop for LinkStream {
@@ -41,12 +40,12 @@
 }
 
 impl LinkStream {
-    pub(super) fn new(send: SendStream, receive: RecvStream, calls: &Arc<AtomicUsize>) -> Self {
+    pub(super) fn new(send: SendStream, receive: RecvStream, uses: &Arc<ConnectionUses>) -> Self {
         Self {
             send,
             receive,
             is_finished: false,
-            _guard: CallGuard::enter(calls),
+            _guard: StreamGuard::enter(uses),
         }
     }
 
--- a/crates/savorywalk/src/transport/peer_slot.rs
+++ b/crates/savorywalk/src/transport/peer_slot.rs
@@ -126,13 +126,17 @@
         self.waiting.load(Ordering::Relaxed) > 0 || !self.lock_queue().is_empty()
     }
 
-    /// Takes a new connection; the oldest goes when the peer has too many.
+    /// Takes a new connection. When the peer has too many, the oldest goes on which nothing is in
+    /// progress, or else the oldest of all.
     pub(super) fn adopt(&self, connection: Arc<LinkConnection>) {
         self.state.send_modify(|state| {
             state.connections.retain(|connection| connection.is_open());
             state.connections.push(connection);
             if state.connections.len() > limits::MAX_CONNECTIONS_PER_PEER {
-                let oldest = state.connections.remove(0);
+                let mut earlier = state.connections.iter();
+                earlier.next_back();
+                let unused = earlier.position(|connection| connection.uses().is_empty());
+                let oldest = state.connections.remove(unused.unwrap_or(0));
                 oldest
                     .quic
                     .close(CLOSE_TOO_MANY.into(), b"too many connections");
