Keep a silent link open under the streams that it relays

A relayed connection broke when the relaying entry was suspended, or the link to it silent, for 1.5 s: the idle timeout closed the link at both ends, and with it every stream, although the entry, the endpoint and its connection lived. Whoever had the call then needed a retry, its stages and an endpoint, and a caller whose request may run once got a failure.

The idle timeout now ends what it is about: calls and messages. After it a connection takes none, its calls fail, and a fresh one is dialled, as before. Under a stream it stays open, since the stream has an owner that replaces a stalled one. It closes with its last stream; or when the peer answers on another connection while this one is silent for as long again, which a path that has lost track of it does and a suspended process does not; or after 15 s. QUIC's own timeout is 15 s for these links only; the links to control are as they were. The peer's connections are also looked at while one is dialled.

Cost: a stream over a connection that the path has lost ends 3 to 3.5 s after its last byte instead of 1.5 to 1.9 s (by reading), unless its owner has replaced it by then; a relay that crashed without a reset is found by that owner alone.

Tests, the first and third failing before: a stream through a cut of 3 s; a call on a silent link with a stream fails (without waiting for its timeout); a silent link closes with its last stream; a stream ends when only another connection is answered.

--- a/crates/savorywalk/src/transport/connection_keeper.rs
+++ b/crates/savorywalk/src/transport/connection_keeper.rs
@@ -55,11 +55,7 @@
         }
         let now = Instant::now();
         let generation = core.identity.load().generation;
-        let suspects = slot.inspect(now, generation);
-        if suspects > 0 {
-            count(&core.metrics.connections_suspect, suspects);
-            log_event!(warn, "link_suspect", peer = slot.name);
-        }
+        inspect(&core, &slot);
         let healthy = slot.has_healthy(now, generation);
         let needed = !healthy && (slot.has_open() || slot.is_wanted());
         if healthy {
@@ -69,11 +65,30 @@
             tokio::select! {
                 () = core.stop.cancelled() => return,
                 () = dial_once(&core, &slot, &mut backoff) => {}
+                () = inspect_often(&core, &slot) => {}
             }
         }
     }
 }
 
+/// Looks at the connections once.
+fn inspect(core: &HubCore, slot: &PeerSlot) {
+    let generation = core.identity.load().generation;
+    let suspects = slot.inspect(Instant::now(), generation);
+    if suspects > 0 {
+        count(&core.metrics.connections_suspect, suspects);
+        log_event!(warn, "link_suspect", peer = slot.name);
+    }
+}
+
+/// Looks at the connections for as long as another one is being dialled.
+async fn inspect_often(core: &HubCore, slot: &PeerSlot) {
+    loop {
+        tokio::time::sleep(limits::HEALTH_INTERVAL).await;
+        inspect(core, slot);
+    }
+}
+
 /// Time until the next look; none when nothing is open or wanted.
 fn pause(slot: &PeerSlot, backoff: &DialBackoff) -> Option<Duration> {
     if slot.has_open() {
--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -95,8 +95,7 @@
             peer = slot.name,
             address = quic.remote_address()
         );
-        let unused_time = self.timing.unused_time;
-        let connection = LinkConnection::new(Instant::now(), quic, origin, socket, unused_time);
+        let connection = LinkConnection::new(Instant::now(), quic, origin, socket, self.timing);
         self.runtime.spawn(inbound_reader::read_batches(
             Arc::clone(self),
             Arc::clone(slot),
--- a/crates/savorywalk/src/transport/link_connection.rs
+++ b/crates/savorywalk/src/transport/link_connection.rs
@@ -1,8 +1,10 @@
 use std::sync::Mutex;
 
+use tokio::sync::watch;
+
 use super::connection_health::{ConnectionHealth, ConnectionSample, HealthState};
 use super::connection_uses::ConnectionUses;
-use super::link_limits as limits;
+use super::{LinkTiming, link_limits as limits};
 use crate::prelude::*;
 
 /// Which end opened a connection.
@@ -25,10 +27,11 @@
     /// Which end opened it.
     pub(super) origin: ConnectionOrigin,
     opened: Instant,
-    /// Quiet time after which it is closed, if this daemon opened it.
-    unused_time: Duration,
+    timing: LinkTiming,
     uses: Arc<ConnectionUses>,
     judgement: Mutex<ConnectionJudgement>,
+    /// Whether nothing was received for the idle timeout.
+    silent: watch::Sender<bool>,
     /// The socket of its own, for a connection dialled past a silent one.
     _socket: Option<quinn::Endpoint>,
 }
@@ -37,6 +40,12 @@
 struct ConnectionJudgement {
     health: ConnectionHealth,
     state: HealthState,
+    /// Datagrams received by the last look.
+    received: u64,
+    /// Time of the first look that found the last of them.
+    heard: Instant,
+    /// Since when it is silent and its peer answers on another one.
+    outlived: Option<Instant>,
     streams: u64,
     used: Instant,
     retired: Option<Instant>,
@@ -49,17 +58,21 @@
         quic: quinn::Connection,
         origin: ConnectionOrigin,
         socket: Option<quinn::Endpoint>,
-        unused_time: Duration,
+        timing: LinkTiming,
     ) -> Arc<Self> {
         Arc::new(Self {
             quic,
             origin,
             opened: now,
-            unused_time,
+            timing,
             uses: Arc::default(),
+            silent: watch::Sender::default(),
             judgement: Mutex::new(ConnectionJudgement {
                 health: ConnectionHealth::default(),
                 state: HealthState::Live,
+                received: 0,
+                heard: now,
+                outlived: None,
                 streams: 0,
                 used: now,
                 retired: None,
@@ -88,6 +101,20 @@
         self.judgement().retired.is_some()
     }
 
+    /// Whether it takes calls and messages: it is open, neither retired nor silent for the idle
+    /// timeout.
+    pub(super) fn is_usable(&self) -> bool {
+        self.is_open() && !self.is_retired() && !*self.silent.borrow()
+    }
+
+    /// Completes once nothing was received for the idle timeout.
+    pub(super) async fn until_silent(&self) {
+        let mut silent = self.silent.subscribe();
+        if silent.wait_for(|is_silent| *is_silent).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Whether this daemon opened it.
     pub(super) fn is_dialled(&self) -> bool {
         match self.origin {
@@ -111,13 +138,30 @@
         }
     }
 
+    /// Closes a silent connection whose peer answers on another one: what lies between the two
+    /// ends has lost track of it. It is first left silent for as long again as it was by then:
+    /// its probes back off exponentially, so one of them has been sent in that time.
+    pub(super) fn close_if_lost(&self, now: Instant, is_peer_live: bool) {
+        let mut judgement = self.judgement();
+        if !*self.silent.borrow() || !is_peer_live {
+            judgement.outlived = None;
+            return;
+        }
+        let outlived = *judgement.outlived.get_or_insert(now);
+        let silence = outlived.saturating_duration_since(judgement.heard);
+        if now.saturating_duration_since(outlived) >= silence {
+            self.quic.close(CLOSE_SILENT.into(), b"silent");
+        }
+    }
+
     /// Gives it no more work; it closes after a linger, once nothing is in progress on it.
     pub(super) fn retire(&self, now: Instant) {
         self.judgement().retired.get_or_insert(now);
     }
 
-    /// Reads the counters; tells whether the connection has become suspect,
-    /// and closes it when its linger is over and nothing is in progress on it.
+    /// Reads the counters; tells whether the connection has become suspect, and closes it when
+    /// its linger is over or its peer is silent, but not under a stream in progress. That stream
+    /// has an owner, who gives it up once there is something better.
     pub(super) fn inspect(&self, now: Instant) -> bool {
         let stats = self.quic.stats();
         let sample = ConnectionSample {
@@ -127,6 +171,13 @@
         let streams = stats.frame_tx.stream + stats.frame_rx.stream;
         let mut judgement = self.judgement();
         let before = judgement.state;
+        if sample.received != judgement.received {
+            judgement.received = sample.received;
+            judgement.heard = now;
+        }
+        let silence = now.saturating_duration_since(judgement.heard);
+        // Elsewhere the connection's own idle timeout ends it.
+        let is_silent = self.timing.keeps_streams() && silence >= self.timing.idle_timeout;
         judgement.state = judgement.health.observe(now, sample);
         if streams != judgement.streams {
             judgement.streams = streams;
@@ -135,7 +186,7 @@
         if !self.uses.is_empty() {
             judgement.used = now;
         }
-        let is_unused = now.saturating_duration_since(judgement.used) >= self.unused_time;
+        let is_unused = now.saturating_duration_since(judgement.used) >= self.timing.unused_time;
         if is_unused && self.is_dialled() && judgement.retired.replace(now).is_some() {
             // It took nothing new since the look before.
             self.quic.close(CLOSE_UNUSED.into(), b"unused");
@@ -146,6 +197,14 @@
         if lingered && self.uses.is_empty() {
             self.quic.close(CLOSE_REPLACED.into(), b"replaced");
         }
+        if is_silent && !self.uses.has_streams() {
+            self.quic.close(CLOSE_SILENT.into(), b"silent");
+        }
+        self.silent.send_if_modified(|before| {
+            let is_new = *before != is_silent;
+            *before = is_silent;
+            is_new
+        });
         before == HealthState::Live && judgement.state == HealthState::Suspect
     }
 
@@ -161,3 +220,6 @@
 
 /// Close code of a connection that another one has replaced.
 const CLOSE_REPLACED: u32 = 1;
+
+/// Close code of a connection whose peer is silent.
+const CLOSE_SILENT: u32 = 5;
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -108,12 +108,12 @@
         &self.core.metrics
     }
 
-    /// Peers with an open connection.
+    /// Peers with a connection that takes calls.
     pub fn connected_peers(&self) -> Vec<PeerName> {
         let slots = self.core.slots.read();
         let slots = slots.unwrap_or_else(|poison| poison.into_inner());
-        let open = slots.values().filter(|slot| slot.has_open());
-        open.map(|slot| slot.name.clone()).collect()
+        let linked = slots.values().filter(|slot| slot.current().is_some());
+        linked.map(|slot| slot.name.clone()).collect()
     }
 
     /// What the open connections have put on the wire.
@@ -179,6 +179,15 @@
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
         let exchange = exchange(&slot.name, streams, request, channel);
+        let exchange = async {
+            tokio::select! {
+                outcome = exchange => outcome,
+                () = connection.until_silent() => Err(LinkError::Lost {
+                    peer: slot.name.clone(),
+                    detail: "the peer is silent".into(),
+                }),
+            }
+        };
         match tokio::time::timeout_at(deadline, exchange).await {
             Ok(Err(LinkError::Lost { peer, detail })) => Err(lost(&connection, peer, detail)),
             Ok(outcome) => outcome,
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -1,5 +1,6 @@
 use std::collections::hash_map::Entry;
 use std::fs;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use tempfile::TempDir;
 use time::OffsetDateTime;
@@ -525,6 +526,7 @@
     address: SocketAddr,
     senders: Arc<Mutex<Vec<SocketAddr>>>,
     silenced: Arc<Mutex<Vec<SocketAddr>>>,
+    is_cut: Arc<AtomicBool>,
 }
 
 impl UdpRelay {
@@ -534,8 +536,10 @@
             address: front.local_addr().expect("it is open"),
             senders: Arc::default(),
             silenced: Arc::default(),
+            is_cut: Arc::default(),
         };
         let (senders, silenced) = (Arc::clone(&relay.senders), Arc::clone(&relay.silenced));
+        let is_cut = Arc::clone(&relay.is_cut);
         tokio::spawn(async move {
             let mut backs: FastMap<SocketAddr, Arc<UdpSocket>> = FastMap::default();
             let mut buffer = vec![0; 65_536];
@@ -552,10 +556,12 @@
                         Arc::clone(&back),
                         from,
                         Arc::clone(&silenced),
+                        Arc::clone(&is_cut),
                     ));
                     vacancy.insert(back);
                 }
-                if !silenced.lock().expect("unpoisoned").contains(&from) {
+                let is_dropped = is_cut.load(Ordering::Relaxed);
+                if !is_dropped && !silenced.lock().expect("unpoisoned").contains(&from) {
                     let _ = backs[&from].send(&buffer[..size]).await;
                 }
             }
@@ -568,6 +574,11 @@
         let senders = self.senders.lock().expect("unpoisoned").clone();
         *self.silenced.lock().expect("unpoisoned") = senders;
     }
+
+    /// Drops everything, also from and to those that send later, or passes everything on.
+    fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
 }
 
 async fn pass_back(
@@ -575,13 +586,15 @@
     back: Arc<UdpSocket>,
     to: SocketAddr,
     silenced: Arc<Mutex<Vec<SocketAddr>>>,
+    is_cut: Arc<AtomicBool>,
 ) {
     let mut buffer = vec![0; 65_536];
     loop {
         let Ok(size) = back.recv(&mut buffer).await else {
             continue;
         };
-        if !silenced.lock().expect("unpoisoned").contains(&to) {
+        let is_dropped = is_cut.load(Ordering::Relaxed);
+        if !is_dropped && !silenced.lock().expect("unpoisoned").contains(&to) {
             let _ = front.send_to(&buffer[..size], to).await;
         }
     }
@@ -626,6 +639,7 @@
 struct StreamTest {
     one: LinkHub,
     two: LinkHub,
+    relay: UdpRelay,
     near: LinkStream,
     far: LinkStream,
 }
@@ -639,7 +653,9 @@
             LinkHub::start(LinkOptions { timing, ..options }).expect("it starts")
         };
         let (one, two) = (hub("one"), hub("two"));
-        acquaint(&one, &two);
+        let relay = UdpRelay::start(two.address().expect("it is open")).await;
+        one.addresses().set(two.name().clone(), relay.address);
+        echo(&two);
         let mut streams = two.serve_streams(CHANNEL);
         let accepted = tokio::spawn(async move { accept_stream(&mut streams).await });
         let (near, _) = open_stream(&one, "two").await.expect("a stream");
@@ -647,6 +663,7 @@
         let mut test = Self {
             one,
             two,
+            relay,
             near,
             far,
         };
@@ -673,6 +690,60 @@
     assert_eq!(&bytes, b"text");
 }
 
+/// Guards against a stream between two daemons that live, cut because one of them or the path
+/// between them was silent for longer than a link without a stream is kept.
+#[tokio::test]
+async fn a_stream_outlives_a_silence_of_its_link() {
+    let mut test = StreamTest::start().await;
+    test.relay.set_cut(true);
+    tokio::time::sleep(LinkTiming::occasional().idle_timeout * 2).await;
+    test.relay.set_cut(false);
+    patiently(test.exchange()).await;
+    let answer = call(&test.one, "two").await;
+    answer.expect("a connection serves");
+}
+
+/// Guards against calls that wait for a silent peer as long as a stream on the same link may.
+#[tokio::test]
+async fn a_call_does_not_wait_on_a_silent_link_that_a_stream_keeps_open() {
+    let test = StreamTest::start().await;
+    test.relay.set_cut(true);
+    let failed = call(&test.one, "two").await;
+    let failed = failed.expect_err("it is silent");
+    assert!(matches!(failed, LinkError::Lost { .. }), "{failed:?}");
+    assert!(test.one.connected_peers().is_empty());
+    test.relay.set_cut(false);
+    patiently(async { while call(&test.one, "two").await.is_err() {} }).await;
+}
+
+/// Guards against a stream that waits on a connection of which the path has lost track, while its
+/// peer answers on another one.
+#[tokio::test]
+async fn a_stream_ends_when_its_peer_answers_on_another_connection_only() {
+    let mut test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    test.relay.silence();
+    let mut byte = [0];
+    let read = patiently(test.near.read(&mut byte)).await;
+    read.expect_err("the connection is lost");
+    let reason = connection.quic.close_reason();
+    let is_closed_here = matches!(reason, Some(quinn::ConnectionError::LocallyClosed));
+    assert!(is_closed_here, "{reason:?}");
+    patiently(call(&test.one, "two")).await.expect("an answer");
+}
+
+/// Guards against a link that stays open for a peer that is gone once its streams have ended.
+#[tokio::test]
+async fn a_silent_link_closes_with_its_last_stream() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    test.relay.set_cut(true);
+    tokio::time::sleep(LinkTiming::occasional().idle_timeout * 2).await;
+    assert!(connection.is_open(), "its stream is in progress");
+    drop(test.near);
+    until(|| !connection.is_open()).await;
+}
+
 /// Guards against a stream that is cut because another connection has replaced its own.
 #[tokio::test]
 async fn a_replaced_connection_closes_after_its_last_stream() {
--- a/crates/savorywalk/src/transport/link_identity.rs
+++ b/crates/savorywalk/src/transport/link_identity.rs
@@ -191,7 +191,8 @@
 
 fn transport_config(timing: LinkTiming) -> quinn::TransportConfig {
     let mut transport = quinn::TransportConfig::default();
-    let idle = timing.idle_timeout.as_millis() as u32;
+    let idle = timing.idle_timeout.max(timing.stream_idle_timeout);
+    let idle = idle.as_millis() as u32;
     transport
         .initial_rtt(timing.initial_round_trip)
         .max_idle_timeout(Some(quinn::VarInt::from_u32(idle).into()))
--- a/crates/savorywalk/src/transport/link_limits.rs
+++ b/crates/savorywalk/src/transport/link_limits.rs
@@ -36,6 +36,10 @@
 /// Time a replaced connection stays open for the calls in progress on it.
 pub const RETIRE_LINGER: Duration = MAX_CALL_TIME;
 
+/// Silence after which a connection is given up that carries a stream of bytes. Such a stream
+/// belongs to a request, whose entry replaces or ends it much earlier.
+pub const STREAM_IDLE_TIMEOUT: Duration = MAX_CALL_TIME;
+
 /// Longest time until a peer must have sent the whole of a stream it opened.
 pub const STREAM_TIME: Duration = Duration::from_secs(10);
 
--- a/crates/savorywalk/src/transport/link_trust.rs
+++ b/crates/savorywalk/src/transport/link_trust.rs
@@ -49,6 +49,9 @@
     pub keep_alive: Duration,
     /// Silence after which a connection is given up.
     pub idle_timeout: Duration,
+    /// Silence after which a connection is given up that carries a stream of bytes; for calls and
+    /// messages it counts as lost after `idle_timeout` all the same.
+    pub stream_idle_timeout: Duration,
     /// Longest handshake.
     pub handshake_timeout: Duration,
     /// Longest pause between dials.
@@ -65,6 +68,7 @@
         Self {
             keep_alive: limits::KEEP_ALIVE,
             idle_timeout: limits::IDLE_TIMEOUT,
+            stream_idle_timeout: limits::IDLE_TIMEOUT,
             handshake_timeout: limits::HANDSHAKE_TIMEOUT,
             max_dial_backoff: limits::MAX_DIAL_BACKOFF,
             initial_round_trip: limits::INITIAL_ROUND_TRIP,
@@ -74,6 +78,11 @@
 }
 
 impl LinkTiming {
+    /// Whether a connection with a stream of bytes outlives the idle timeout.
+    pub(super) fn keeps_streams(&self) -> bool {
+        self.stream_idle_timeout > self.idle_timeout
+    }
+
     /// For VMs of one region, where a change must be known everywhere within
     /// two seconds although links are cut and healed: a silent path is given
     /// up and dialled afresh well within that time.
@@ -81,6 +90,7 @@
         Self {
             keep_alive: Duration::from_millis(250),
             idle_timeout: Duration::from_millis(1_100),
+            stream_idle_timeout: Duration::from_millis(1_100),
             handshake_timeout: Duration::from_millis(800),
             max_dial_backoff: Duration::from_millis(400),
             initial_round_trip: Duration::from_millis(15),
@@ -90,11 +100,13 @@
 
     /// For links from many entries to the few that work for all of them: each is used every
     /// some seconds, and hundreds of links that are kept alive meanwhile cost more than new
-    /// ones.
+    /// ones. They also carry the connections that entries relay for each other, which outlive
+    /// the silence of a suspended process; see docs/design/stalled-calls.md.
     pub fn occasional() -> Self {
         Self {
             keep_alive: Duration::from_millis(400),
             idle_timeout: Duration::from_millis(1_500),
+            stream_idle_timeout: limits::STREAM_IDLE_TIMEOUT,
             unused_time: Duration::from_secs(4),
             ..Self::regional()
         }
--- a/crates/savorywalk/src/transport/peer_slot.rs
+++ b/crates/savorywalk/src/transport/peer_slot.rs
@@ -85,7 +85,7 @@
             .connections
             .iter()
             .enumerate()
-            .filter(|(_, connection)| connection.is_open() && !connection.is_retired());
+            .filter(|(_, connection)| connection.is_usable());
         let best = usable.max_by_key(|(index, connection)| {
             let preferred = connection.is_dialled() == self.prefers_own;
             (!connection.is_suspect(), preferred, *index)
@@ -96,8 +96,7 @@
     /// Whether there is a connection that nothing speaks against.
     pub(super) fn has_healthy(&self, now: Instant, generation: u64) -> bool {
         self.state.borrow().connections.iter().any(|connection| {
-            connection.is_open()
-                && !connection.is_retired()
+            connection.is_usable()
                 && !connection.is_suspect()
                 && !connection.is_outdated(now, generation)
         })
@@ -170,9 +169,13 @@
             .iter()
             .filter(|connection| connection.inspect(now))
             .count();
-        if self.has_healthy(now, generation) {
+        let is_healthy = self.has_healthy(now, generation);
+        if is_healthy {
             self.retire_replaced(now, generation, &connections);
         }
+        for connection in &connections {
+            connection.close_if_lost(now, is_healthy);
+        }
         if connections.iter().any(|connection| !connection.is_open()) {
             self.prune();
         }
