--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant as TokioInstant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::connection_uses::CallGuard;
 use super::hub_core::HubCore;
-use super::link_connection::{CallGuard, ConnectionOrigin, LinkConnection};
+use super::link_connection::{ConnectionOrigin, LinkConnection};
 use super::link_identity::LinkIdentity;
 use super::link_metrics::count;
 use super::link_stream::STREAM_MARKER;
@@ -108,12 +109,12 @@
         &self.core.metrics
     }
 
-    /// Peers with an open connection.
+    /// Peers with a connection that takes calls.
     pub fn connected_peers(&self) -> Vec<PeerName> {
         let slots = self.core.slots.read();
         let slots = slots.unwrap_or_else(|poison| poison.into_inner());
-        let open = slots.values().filter(|slot| slot.has_open());
-        open.map(|slot| slot.name.clone()).collect()
+        let linked = slots.values().filter(|slot| slot.current().is_some());
+        linked.map(|slot| slot.name.clone()).collect()
     }
 
     /// What the open connections have put on the wire.
@@ -175,10 +176,19 @@
         };
         let request = Bytes::from(request.encode_to_vec());
         let (connection, streams) = open_call(&slot, deadline).await?;
-        let _guard = CallGuard::enter(connection.calls());
+        let _guard = CallGuard::enter(connection.uses());
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
         let exchange = exchange(&slot.name, streams, request, channel);
+        let exchange = async {
+            tokio::select! {
+                outcome = exchange => outcome,
+                () = connection.until_silent() => Err(LinkError::Lost {
+                    peer: slot.name.clone(),
+                    detail: "the peer is silent".into(),
+                }),
+            }
+        };
         match tokio::time::timeout_at(deadline, exchange).await {
             Ok(Err(LinkError::Lost { peer, detail })) => Err(lost(&connection, peer, detail)),
             Ok(outcome) => outcome,
@@ -202,7 +212,7 @@
         let slot = self.core.slot(peer)?;
         let deadline = TokioInstant::now() + timeout;
         let (connection, (send, receive)) = open_call(&slot, deadline).await?;
-        let mut stream = LinkStream::new(send, receive, connection.calls());
+        let mut stream = LinkStream::new(send, receive, connection.uses());
         let request = CallRequest {
             channel: channel.wire().into(),
             payload,
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -1,8 +1,10 @@
 use std::collections::hash_map::Entry;
 use std::fs;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use tempfile::TempDir;
 use time::OffsetDateTime;
+use tokio::io::AsyncReadExt;
 use tokio::net::UdpSocket;
 
 use super::*;
@@ -349,7 +351,6 @@
 /// A relayed answer without a length ends with its stream, so a cut must not look like an end.
 #[tokio::test]
 async fn the_end_of_a_stream_differs_from_its_loss() {
-    use tokio::io::AsyncReadExt;
     let authority = TestAuthority::new();
     let (left, right) = (authority.hub("left"), authority.hub("right"));
     acquaint(&left, &right);
@@ -380,7 +381,6 @@
 
 #[tokio::test]
 async fn a_stream_that_nobody_serves_or_a_caller_abandons_ends() {
-    use tokio::io::AsyncReadExt;
     let authority = TestAuthority::new();
     let (left, right) = (authority.hub("left"), authority.hub("right"));
     acquaint(&left, &right);
@@ -526,6 +526,7 @@
     address: SocketAddr,
     senders: Arc<Mutex<Vec<SocketAddr>>>,
     silenced: Arc<Mutex<Vec<SocketAddr>>>,
+    is_cut: Arc<AtomicBool>,
 }
 
 impl UdpRelay {
@@ -535,8 +536,10 @@
             address: front.local_addr().expect("it is open"),
             senders: Arc::default(),
             silenced: Arc::default(),
+            is_cut: Arc::default(),
         };
         let (senders, silenced) = (Arc::clone(&relay.senders), Arc::clone(&relay.silenced));
+        let is_cut = Arc::clone(&relay.is_cut);
         tokio::spawn(async move {
             let mut backs: FastMap<SocketAddr, Arc<UdpSocket>> = FastMap::default();
             let mut buffer = vec![0; 65_536];
@@ -553,10 +556,12 @@
                         Arc::clone(&back),
                         from,
                         Arc::clone(&silenced),
+                        Arc::clone(&is_cut),
                     ));
                     vacancy.insert(back);
                 }
-                if !silenced.lock().expect("unpoisoned").contains(&from) {
+                let is_dropped = is_cut.load(Ordering::Relaxed);
+                if !is_dropped && !silenced.lock().expect("unpoisoned").contains(&from) {
                     let _ = backs[&from].send(&buffer[..size]).await;
                 }
             }
@@ -569,6 +574,11 @@
         let senders = self.senders.lock().expect("unpoisoned").clone();
         *self.silenced.lock().expect("unpoisoned") = senders;
     }
+
+    /// Drops everything, also from and to those that send later, or passes everything on.
+    fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
 }
 
 async fn pass_back(
@@ -576,13 +586,15 @@
     back: Arc<UdpSocket>,
     to: SocketAddr,
     silenced: Arc<Mutex<Vec<SocketAddr>>>,
+    is_cut: Arc<AtomicBool>,
 ) {
     let mut buffer = vec![0; 65_536];
     loop {
         let Ok(size) = back.recv(&mut buffer).await else {
             continue;
         };
-        if !silenced.lock().expect("unpoisoned").contains(&to) {
+        let is_dropped = is_cut.load(Ordering::Relaxed);
+        if !is_dropped && !silenced.lock().expect("unpoisoned").contains(&to) {
             let _ = front.send_to(&buffer[..size], to).await;
         }
     }
@@ -623,6 +635,149 @@
     );
 }
 
+/// Two hubs with the times of links between entries, one with an open stream to the other.
+struct StreamTest {
+    one: LinkHub,
+    two: LinkHub,
+    relay: UdpRelay,
+    near: LinkStream,
+    far: LinkStream,
+}
+
+impl StreamTest {
+    async fn start() -> Self {
+        let authority = TestAuthority::new();
+        let hub = |name| {
+            let timing = LinkTiming::occasional();
+            let options = authority.options(name);
+            LinkHub::start(LinkOptions { timing, ..options }).expect("it starts")
+        };
+        let (one, two) = (hub("one"), hub("two"));
+        let relay = UdpRelay::start(two.address().expect("it is open")).await;
+        one.addresses().set(two.name().clone(), relay.address);
+        echo(&two);
+        let mut streams = two.serve_streams(CHANNEL);
+        let accepted = tokio::spawn(async move { accept_stream(&mut streams).await });
+        let (near, _) = open_stream(&one, "two").await.expect("a stream");
+        let far = accepted.await.expect("it is accepted");
+        let mut test = Self {
+            one,
+            two,
+            relay,
+            near,
+            far,
+        };
+        test.exchange().await;
+        test
+    }
+
+    /// Sends some bytes in both directions of the stream.
+    async fn exchange(&mut self) {
+        send_bytes(&mut self.near, &mut self.far).await;
+        send_bytes(&mut self.far, &mut self.near).await;
+    }
+
+    fn connection_of(hub: &LinkHub, peer: &str) -> Arc<LinkConnection> {
+        let slot = hub.core.slot(peer).expect("it is there");
+        slot.current().expect("it is open")
+    }
+}
+
+async fn send_bytes(from: &mut LinkStream, to: &mut LinkStream) {
+    let mut bytes = [0; 4];
+    from.write_all(b"text").await.expect("it is open");
+    to.read_exact(&mut bytes).await.expect("it is open");
+    assert_eq!(&bytes, b"text");
+}
+
+/// Guards against a stream between two daemons that live, cut because one of them or the path
+/// between them was silent for longer than a link without a stream is kept.
+#[tokio::test]
+async fn a_stream_outlives_a_silence_of_its_link() {
+    let mut test = StreamTest::start().await;
+    test.relay.set_cut(true);
+    tokio::time::sleep(LinkTiming::occasional().idle_timeout * 2).await;
+    test.relay.set_cut(false);
+    patiently(test.exchange()).await;
+    let answer = call(&test.one, "two").await;
+    answer.expect("a connection serves");
+}
+
+/// Guards against calls that wait for a silent peer as long as a stream on the same link may.
+#[tokio::test]
+async fn a_call_does_not_wait_on_a_silent_link_that_a_stream_keeps_open() {
+    let test = StreamTest::start().await;
+    test.relay.set_cut(true);
+    let failed = call(&test.one, "two").await;
+    let failed = failed.expect_err("it is silent");
+    assert!(matches!(failed, LinkError::Lost { .. }), "{failed:?}");
+    assert!(test.one.connected_peers().is_empty());
+    test.relay.set_cut(false);
+    patiently(async { while call(&test.one, "two").await.is_err() {} }).await;
+}
+
+/// Guards against a stream that waits on a connection of which the path has lost track, while its
+/// peer answers on another one.
+#[tokio::test]
+async fn a_stream_ends_when_its_peer_answers_on_another_connection_only() {
+    let mut test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    test.relay.silence();
+    let mut byte = [0];
+    let read = patiently(test.near.read(&mut byte)).await;
+    read.expect_err("the connection is lost");
+    let reason = connection.quic.close_reason();
+    let is_closed_here = matches!(reason, Some(quinn::ConnectionError::LocallyClosed));
+    assert!(is_closed_here, "{reason:?}");
+    patiently(call(&test.one, "two")).await.expect("an answer");
+}
+
+/// Guards against a link that stays open for a peer that is gone once its streams have ended.
+#[tokio::test]
+async fn a_silent_link_closes_with_its_last_stream() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    test.relay.set_cut(true);
+    tokio::time::sleep(LinkTiming::occasional().idle_timeout * 2).await;
+    assert!(connection.is_open(), "its stream is in progress");
+    drop(test.near);
+    until(|| !connection.is_open()).await;
+}
+
+/// Guards against a stream that is cut because another connection has replaced its own.
+#[tokio::test]
+async fn a_replaced_connection_closes_after_its_last_stream() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    let now = Instant::now();
+    connection.retire(now);
+    let later = now + limits::RETIRE_LINGER * 2;
+    connection.inspect(later);
+    assert!(connection.is_open(), "its stream is in progress");
+    drop(test.near);
+    connection.inspect(later);
+    assert!(!connection.is_open(), "nothing is in progress");
+}
+
+/// Guards against a stream that is cut because its peer has opened many connections since.
+#[tokio::test]
+async fn the_connection_of_a_stream_outlives_later_ones_without() {
+    let mut test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    let core = &test.one.core;
+    let slot = core.slot("two").expect("it is there");
+    for _ in 0..=limits::MAX_CONNECTIONS_PER_PEER {
+        let client = core.identity.load().client.clone();
+        let address = test.two.address().expect("it is open");
+        let dialled = core.endpoint.connect_with(client, address, "two");
+        let quic = patiently(dialled.expect("a good name")).await;
+        let origin = ConnectionOrigin::Dialled { generation: 0 };
+        core.adopt(&slot, quic.expect("it accepts"), origin, None);
+    }
+    assert!(connection.is_open());
+    patiently(test.exchange()).await;
+}
+
 #[tokio::test]
 async fn two_that_dial_each_other_settle_on_one_connection() {
     let authority = TestAuthority::new();
--- a/crates/savorywalk/src/transport/peer_slot.rs
+++ b/crates/savorywalk/src/transport/peer_slot.rs
@@ -85,7 +85,7 @@
             .connections
             .iter()
             .enumerate()
-            .filter(|(_, connection)| connection.is_open() && !connection.is_retired());
+            .filter(|(_, connection)| connection.is_usable());
         let best = usable.max_by_key(|(index, connection)| {
             let preferred = connection.is_dialled() == self.prefers_own;
             (!connection.is_suspect(), preferred, *index)
@@ -96,8 +96,7 @@
     /// Whether there is a connection that nothing speaks against.
     pub(super) fn has_healthy(&self, now: Instant, generation: u64) -> bool {
         self.state.borrow().connections.iter().any(|connection| {
-            connection.is_open()
-                && !connection.is_retired()
+            connection.is_usable()
                 && !connection.is_suspect()
                 && !connection.is_outdated(now, generation)
         })
@@ -126,13 +125,17 @@
         self.waiting.load(Ordering::Relaxed) > 0 || !self.lock_queue().is_empty()
     }
 
-    /// Takes a new connection; the oldest goes when the peer has too many.
+    /// Takes a new connection. When the peer has too many, the oldest goes on which nothing is in
+    /// progress, or else the oldest of all.
     pub(super) fn adopt(&self, connection: Arc<LinkConnection>) {
         self.state.send_modify(|state| {
             state.connections.retain(|connection| connection.is_open());
             state.connections.push(connection);
             if state.connections.len() > limits::MAX_CONNECTIONS_PER_PEER {
-                let oldest = state.connections.remove(0);
+                let mut earlier = state.connections.iter();
+                earlier.next_back();
+                let unused = earlier.position(|connection| connection.uses().is_empty());
+                let oldest = state.connections.remove(unused.unwrap_or(0));
                 oldest
                     .quic
                     .close(CLOSE_TOO_MANY.into(), b"too many connections");
@@ -166,9 +169,13 @@
             .iter()
             .filter(|connection| connection.inspect(now))
             .count();
-        if self.has_healthy(now, generation) {
+        let is_healthy = self.has_healthy(now, generation);
+        if is_healthy {
             self.retire_replaced(now, generation, &connections);
         }
+        for connection in &connections {
+            connection.close_if_lost(now, is_healthy);
+        }
         if connections.iter().any(|connection| !connection.is_open()) {
             self.prune();
         }
