Soak silent engines under overlapping faults

Each second seed has a retry budget that allows next to nothing. `StreamCheck` holds each stream that is not whole against what its engine and its gateway did; `StreamExcuse` lists the cases that are not counted.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -138,16 +138,20 @@
 }
 
 /// Gateways before engines that fall silent.
-const SILENCE_GATEWAYS: usize = 2;
+const SILENCE_GATEWAYS: usize = 3;
 
 async fn play_silences(play: SilencePlay) -> SilenceReport {
+    play_seed(play, 1).await
+}
+
+async fn play_seed(play: SilencePlay, seed: u64) -> SilenceReport {
     let folder = tempfile::tempdir().unwrap();
     let plan = SilencePlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
         folder: folder.path().to_path_buf(),
         gateways: SILENCE_GATEWAYS,
         play,
-        seed: 1,
+        seed,
     };
     run_silences(&plan).await.unwrap()
 }
@@ -189,3 +193,11 @@
         assert!(!report.resumed_gaps.is_empty(), "{report}");
     }
 }
+
+/// Guards against streams that hold under single silences, and break when silences of all kinds,
+/// documents, reloads, stops, kills and frozen processes overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_silences_in_series_break_off_no_sound_stream() {
+    let report = play_seed(SilencePlay::Series, 2).await;
+    assert!(report.is_sound(), "{report}");
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -36,5 +36,6 @@
 };
 pub use signalled_process::SignalledProcess;
 pub use silence_soak::{
-    SilencePlan, SilencePlay, SilenceReport, StreamCounts, StreamEnd, StreamOutcome, run_silences,
+    SilencePlan, SilencePlay, SilenceReport, StreamCounts, StreamEnd, StreamExcuse, StreamOutcome,
+    run_silences,
 };
--- a/crates/proof/src/silence_soak/endpoint_switch.rs
+++ b/crates/proof/src/silence_soak/endpoint_switch.rs
@@ -52,8 +52,11 @@
 }
 
 impl EndpointSwitch {
-    /// Makes the endpoint silent for `time`, for good without one.
-    pub(super) fn fall_silent(&self, kind: SilenceKind, time: Option<Duration>) -> Silence {
+    /// Makes the endpoint silent for `time`, for good without one; `None` if it is silent already.
+    pub(super) fn fall_silent(&self, kind: SilenceKind, time: Option<Duration>) -> Option<Silence> {
+        if self.silence().is_some() {
+            return None;
+        }
         let began = Instant::now();
         let silence = Silence {
             kind,
@@ -61,7 +64,7 @@
             ends: time.map(|time| began + time),
         };
         self.silence.send_replace(Some(silence));
-        silence
+        Some(silence)
     }
 
     /// Ends a silence.
@@ -90,7 +93,7 @@
     }
 
     /// The silence that lasts, if there is one.
-    pub(super) fn silence(&self) -> Option<Silence> {
+    fn silence(&self) -> Option<Silence> {
         let silence = *self.silence.borrow();
         silence.filter(|silence| silence.lasts(Instant::now()))
     }
--- a/crates/proof/src/silence_soak/endpoint_timeline.rs
+++ b/crates/proof/src/silence_soak/endpoint_timeline.rs
@@ -9,6 +9,8 @@
 pub(super) struct RunSpan {
     pub(super) endpoint: usize,
     pub(super) began: Instant,
+    /// When it sent its last event so far.
+    pub(super) sent: Option<Instant>,
     /// When it sent everything, or saw that its connection was closed.
     pub(super) ended: Option<Instant>,
 }
@@ -37,6 +39,7 @@
             spans.push(RunSpan {
                 endpoint,
                 began: Instant::now(),
+                sent: None,
                 ended: None,
             });
         }
@@ -53,6 +56,16 @@
         }
     }
 
+    /// Records that all silences of an endpoint are over.
+    pub(super) fn record_speech(&self, endpoint: usize, now: Instant) {
+        let Ok(mut silences) = self.silences.lock() else {
+            return;
+        };
+        for (_, silence) in silences.iter_mut().filter(|(index, _)| *index == endpoint) {
+            silence.ends = Some(silence.ends.map_or(now, |ends| ends.min(now)));
+        }
+    }
+
     /// Runs of a request, in the order of their beginnings.
     pub(super) fn runs(&self, id: &str) -> Vec<RunSpan> {
         let runs = self.runs.lock().ok();
@@ -61,51 +74,56 @@
     }
 
     /// Longest time for which two endpoints worked on the same request at once.
-    pub(super) fn longest_overlap(&self) -> Duration {
-        let Ok(runs) = self.runs.lock() else {
-            return Duration::ZERO;
-        };
-        let overlaps = runs.values().flat_map(|spans| {
-            spans.windows(2).map(|pair| {
-                let first_end = pair[0].ended.unwrap_or_else(Instant::now);
-                let second_end = pair[1].ended.unwrap_or_else(Instant::now);
-                let end = first_end.min(second_end);
-                end.saturating_duration_since(pair[1].began)
-            })
+    pub(super) fn longest_overlap(&self, id: &str) -> Duration {
+        let spans = self.runs(id);
+        let overlaps = spans.windows(2).map(|pair| {
+            let ends = pair
+                .iter()
+                .map(|span| span.ended.unwrap_or_else(Instant::now));
+            let end = ends.min().unwrap_or(pair[1].began);
+            end.saturating_duration_since(pair[1].began)
         });
         overlaps.max().unwrap_or_default()
     }
 
-    /// Longest silence of an endpoint that lasted at some time in `from..to`; `None` if it was one
-    /// for good.
-    pub(super) fn longest_silence(
+    /// Sum of an endpoint's silences that lasted at some time in `from..=to`; `None` if one of them
+    /// is for good.
+    pub(super) fn silent_time(
         &self,
         endpoint: usize,
         from: Instant,
         to: Instant,
     ) -> Option<Duration> {
         let silences = self.silences.lock().ok()?;
-        let mut longest = Duration::ZERO;
-        for (_, silence) in silences.iter().filter(|(index, _)| *index == endpoint) {
-            let is_within = silence.began <= to && silence.ends.is_none_or(|ends| ends >= from);
-            if is_within {
-                longest = longest.max(silence.ends? - silence.began);
-            }
-        }
-        Some(longest)
+        let silences = silences.iter().filter(|(index, _)| *index == endpoint);
+        let within = silences.filter(|(_, silence)| {
+            silence.began <= to && silence.ends.is_none_or(|ends| ends >= from)
+        });
+        within
+            .map(|(_, silence)| Some(silence.ends?.saturating_duration_since(silence.began)))
+            .sum()
     }
 }
 
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
+impl RunGuard<'_> {
+    /// Records that an event was sent.
+    pub(super) fn record_event(&self) {
+        self.change(|span| span.sent = Some(Instant::now()));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut RunSpan)) {
         let Ok(mut runs) = self.timeline.runs.lock() else {
             return;
         };
-        let span = runs
-            .get_mut(&self.id)
-            .and_then(|spans| spans.get_mut(self.index));
-        if let Some(span) = span {
-            span.ended = Some(Instant::now());
+        let spans = runs.get_mut(&self.id);
+        if let Some(span) = spans.and_then(|spans| spans.get_mut(self.index)) {
+            change(span);
         }
     }
 }
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.change(|span| span.ended = Some(Instant::now()));
+    }
+}
--- a/crates/proof/src/silence_soak/silence_play.rs
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -53,17 +53,31 @@
         plays.into_iter().find(|play| play.name() == name)
     }
 
-    /// Whether the budget allows next to no retries.
-    pub(super) fn has_spent_budget(self) -> bool {
+    /// Whether the budget allows next to no retries; in series every second seed.
+    pub(super) fn has_spent_budget(self, seed: u64) -> bool {
         match self {
             Self::SpentBudget => true,
+            Self::Series => seed.is_multiple_of(2),
             Self::SilentStages
             | Self::FullEngines
             | Self::PreemptedStreams
             | Self::StoppingGateway
             | Self::LostEngine
+            | Self::LostPath => false,
+        }
+    }
+
+    /// Time within which gateways that are asked to stop end.
+    pub(super) const fn stop_time(self) -> Duration {
+        match self {
+            Self::StoppingGateway => Duration::from_secs(8),
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::LostEngine
             | Self::LostPath
-            | Self::Series => false,
+            | Self::Series => Duration::from_secs(6),
         }
     }
 
--- a/crates/proof/src/silence_soak/silence_report.rs
+++ b/crates/proof/src/silence_soak/silence_report.rs
@@ -1,6 +1,6 @@
 use savorywalk::prelude::*;
 
-use super::StreamEnd;
+use super::{StreamEnd, StreamExcuse};
 
 /// Broken streams that a report shows one by one.
 const MAX_SHOWN: usize = 8;
@@ -13,6 +13,8 @@
 pub struct SilenceReport {
     /// Streams by how they ended.
     pub counts: StreamCounts,
+    /// Those that were not whole and are not counted, by reason.
+    pub excused: BTreeMap<StreamExcuse, usize>,
     /// Those that were not whole although nothing excuses it, with what happened to them.
     pub breaches: Vec<String>,
     /// Streams that another engine took up, and the longest waits of their callers for an event.
@@ -42,6 +44,10 @@
         for (end, count) in &self.counts {
             write!(formatter, " {end:?} {count}")?;
         }
+        write!(formatter, "; not counted")?;
+        for (excuse, count) in &self.excused {
+            write!(formatter, " {excuse:?} {count}")?;
+        }
         let mut gaps = self.resumed_gaps.clone();
         gaps.sort_unstable();
         if let (Some(median), Some(longest)) = (gaps.get(gaps.len() / 2), gaps.last()) {
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -10,13 +10,18 @@
 use tokio::task::JoinSet;
 
 use super::endpoint_switch::SilenceKind;
+use super::gateway_timeline::GatewayTimeline;
+use super::silence_step::{
+    MIN_ROUTE_TIMEOUT_MS, RegistryLoss, STEP_TIME, STEPS, SilenceStep, StepScope,
+};
 use super::silent_endpoint::{ENGINE_POOL, EndpointPool, STAGE_POOL};
 use super::stream_callers::StreamCallers;
-use super::{Result, SilencePlay, SilenceReport, StreamEnd, StreamOutcome};
+use super::stream_check::StreamCheck;
+use super::{Result, SilencePlay, SilenceReport, StreamEnd};
 use crate::gateway_fleet::{FleetPlan, ProcessFleet, wait_until};
 use crate::run_address;
 
-pub(super) const REGISTRIES: usize = 3;
+const REGISTRIES: usize = 3;
 const ENGINES: usize = 6;
 const STAGE_ENDPOINTS: usize = 3;
 
@@ -37,12 +42,9 @@
 /// Silence of the endpoints of stages.
 const STAGE_SILENCE: Duration = Duration::from_secs(4);
 
-/// Pause of a stream of a stopping gateway, and when it begins after SIGTERM.
+/// Pause of a stream of a stopping gateway, and the part of the stop time after which it begins.
 const STOPPING_PAUSE: Duration = Duration::from_millis(1_400);
-const STOPPING_PAUSE_START: Duration = Duration::from_millis(STOP_TIME_MS * 6 / 10);
-
-/// Time within which a gateway that is asked to stop ends.
-const STOP_TIME_MS: u64 = 8_000;
+const STOPPING_PAUSE_START: f64 = 0.6;
 
 /// Engines that go on in a play in which most are silent.
 const SPEAKING_ENGINES: usize = 2;
@@ -58,6 +60,13 @@
 /// docs/design/retry-budget.md.
 const WARM_UP: Duration = Duration::from_millis(RETRY_WINDOW_MS + 6_000);
 
+/// Route timeout and idle timeout of the first document, in milliseconds.
+const FIRST_TIMEOUT_MS: u64 = 15_000;
+
+/// Callers of each gateway in a series, and the events of their streams.
+const CALLERS_PER_GATEWAY: usize = 4;
+const SERIES_EVENTS: [u64; 4] = [10, 20, 30, 40];
+
 /// One run.
 #[derive(Clone, Debug)]
 pub struct SilencePlan {
@@ -81,6 +90,11 @@
     engines: EndpointPool,
     stages: EndpointPool,
     callers: Arc<StreamCallers>,
+    gateways: GatewayTimeline,
+    /// Number of the newest document.
+    document: u64,
+    /// Whether a registry is killed or frozen.
+    has_lost_registry: bool,
 }
 
 /// Runs gateways and registries as processes before engines that fall silent, and checks that no
@@ -91,7 +105,7 @@
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_silences(plan: &SilencePlan) -> Result<SilenceReport> {
     let base = run_address::next_network();
-    let (retry_share, retry_extra) = match plan.play.has_spent_budget() {
+    let (retry_share, retry_extra) = match plan.play.has_spent_budget(plan.seed) {
         true => (SPENT_SHARE, SPENT_EXTRA),
         false => (AMPLE_SHARE, AMPLE_EXTRA),
     };
@@ -101,12 +115,15 @@
         retry_share,
         retry_extra,
         retry_window_ms: RETRY_WINDOW_MS,
-        stop_time_ms: STOP_TIME_MS,
+        stop_time_ms: plan.play.stop_time().as_millis() as u64,
         log_level: "info",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
-    if !fleet.publish(&document(1, 15_000, 15_000)).await {
+    if !fleet
+        .publish(&document(1, FIRST_TIMEOUT_MS, FIRST_TIMEOUT_MS))
+        .await
+    {
         log::error!("event=document_not_accepted");
     }
     let [first, second, third, _] = base.octets();
@@ -123,11 +140,16 @@
         engines,
         stages,
         callers,
+        gateways: GatewayTimeline::default(),
+        document: 1,
+        has_lost_registry: false,
     };
     run.wait_until_served(plan.gateways).await;
     tokio::time::sleep(WARM_UP).await;
-    run.play_silences(plan.gateways).await?;
-    end.send_replace(true);
+    match plan.play {
+        SilencePlay::Series => run.play_series(plan.gateways, &end).await?,
+        _ => run.play_silences(plan.gateways).await?,
+    }
     let report = run.report();
     run.fleet.end().await?;
     Ok(report)
@@ -193,11 +215,11 @@
                 self.silence_engines(0);
             }
             SilencePlay::FullEngines => {
-                self.fill_engines();
+                self.fill_engines(true);
                 self.silence_engines(SPEAKING_ENGINES);
             }
             SilencePlay::PreemptedStreams => {
-                self.fill_engines();
+                self.fill_engines(true);
                 for index in 0..ENGINES {
                     let time = self.draw_short_silence();
                     self.engines.switches[index].preempt(time);
@@ -205,7 +227,8 @@
             }
             SilencePlay::StoppingGateway => {
                 self.fleet.signal(REGISTRIES, Signal::SIGTERM)?;
-                tokio::time::sleep(STOPPING_PAUSE_START).await;
+                let start = self.play.stop_time().mul_f64(STOPPING_PAUSE_START);
+                tokio::time::sleep(start).await;
                 self.engines.switches[0].preempt(STOPPING_PAUSE);
             }
             SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
@@ -227,31 +250,138 @@
         Duration::from_millis(self.random.random_range(SHORT_SILENCE_MS))
     }
 
-    fn fill_engines(&self) {
+    fn fill_engines(&self, is_full: bool) {
         for switch in &self.engines.switches {
-            switch.set_refuses(true);
+            switch.set_refuses(is_full);
+        }
+    }
+
+    /// Sends streams to all gateways while drawn faults overlap.
+    async fn play_series(&mut self, gateways: usize, end: &watch::Sender<bool>) -> Result<()> {
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS_PER_GATEWAY * gateways {
+            let sender = Arc::clone(&self.callers);
+            callers.spawn(async move {
+                let events = |number| SERIES_EVENTS[(caller + number) % SERIES_EVENTS.len()];
+                sender.send_until_ended(caller, events).await;
+            });
+        }
+        let scope = StepScope {
+            engines: ENGINES,
+            stages: STAGE_ENDPOINTS,
+            registries: REGISTRIES,
+            gateways,
+        };
+        for _ in 0..STEPS {
+            let step = SilenceStep::draw(scope, &mut self.random);
+            log::info!("event=silence_step step={step:?}");
+            self.take_step(step).await?;
+            tokio::time::sleep(STEP_TIME).await;
+        }
+        self.heal().await?;
+        end.send_replace(true);
+        while callers.join_next().await.is_some() {}
+        Ok(())
+    }
+
+    async fn take_step(&mut self, step: SilenceStep) -> Result<()> {
+        let now = Instant::now();
+        match step {
+            SilenceStep::SilenceEngines(indexes, kind, time) => {
+                for index in indexes {
+                    self.engines.fall_silent(index, kind, time);
+                }
+            }
+            SilenceStep::SilenceStage(index, time) => {
+                self.stages
+                    .fall_silent(index, SilenceKind::Calls, Some(time));
+            }
+            SilenceStep::Preempt(index, time) => self.engines.switches[index].preempt(time),
+            SilenceStep::FillEngines(is_full) => self.fill_engines(is_full),
+            SilenceStep::Publish(timeout_ms, idle_timeout_ms) => {
+                self.document += 1;
+                let document = document(self.document, timeout_ms, idle_timeout_ms);
+                if !self.fleet.publish(&document).await {
+                    log::error!("event=document_not_accepted number={}", self.document);
+                }
+            }
+            SilenceStep::Kill(gateway) => {
+                self.gateways.record_kill(gateway, now);
+                self.signal_gateway(gateway, Signal::SIGKILL)?;
+            }
+            SilenceStep::Stop(gateway) => {
+                self.gateways.record_stop(gateway, now);
+                self.signal_gateway(gateway, Signal::SIGTERM)?;
+            }
+            SilenceStep::Freeze(gateway) => {
+                self.gateways.record_freeze(gateway, now);
+                self.signal_gateway(gateway, Signal::SIGSTOP)?;
+            }
+            SilenceStep::Thaw => self.thaw()?,
+            SilenceStep::Reload(gateway) => self.signal_gateway(gateway, Signal::SIGHUP)?,
+            SilenceStep::LoseRegistry(_, _) if self.has_lost_registry => {}
+            SilenceStep::LoseRegistry(registry, loss) => {
+                self.has_lost_registry = true;
+                let signal = match loss {
+                    RegistryLoss::Killed => Signal::SIGKILL,
+                    RegistryLoss::Frozen => Signal::SIGSTOP,
+                };
+                self.fleet.signal(registry, signal)?;
+            }
+            SilenceStep::Heal => self.heal().await?,
+        }
+        Ok(())
+    }
+
+    fn signal_gateway(&mut self, gateway: usize, signal: Signal) -> Result<()> {
+        self.fleet.signal(REGISTRIES + gateway, signal)
+    }
+
+    fn thaw(&mut self) -> Result<()> {
+        for gateway in self.gateways.frozen() {
+            self.signal_gateway(gateway, Signal::SIGCONT)?;
+            self.gateways.record_thaw(gateway, Instant::now());
         }
+        Ok(())
+    }
+
+    /// Lets frozen processes and engines that are silent for good go on, and starts the ended ones
+    /// again.
+    async fn heal(&mut self) -> Result<()> {
+        self.thaw()?;
+        for registry in 0..REGISTRIES {
+            self.fleet.signal(registry, Signal::SIGCONT)?;
+        }
+        self.has_lost_registry = false;
+        self.fill_engines(false);
+        for index in 0..ENGINES {
+            self.engines.go_on(index);
+        }
+        self.fleet.start_stopped().await
     }
 
     fn report(&self) -> SilenceReport {
         let outcomes = self.callers.take_outcomes();
-        let mut report = SilenceReport {
-            longest_overlap: self.engines.timeline.longest_overlap(),
-            ..SilenceReport::default()
+        let engines = &self.engines.timeline;
+        let check = StreamCheck {
+            engines,
+            gateways: &self.gateways,
+            stop_time: self.play.stop_time(),
+            route_timeout: Duration::from_millis(MIN_ROUTE_TIMEOUT_MS),
         };
+        let mut report = SilenceReport::default();
         for outcome in &outcomes {
             *report.counts.entry(outcome.end).or_default() += 1;
-            if self.engines.timeline.runs(&outcome.id).len() > 1 {
+            if engines.runs(&outcome.id).len() > 1 {
                 report.resumed_gaps.push(outcome.longest_gap);
             }
-            if !self.is_allowed(outcome) {
-                report.breaches.push(outcome.to_string());
+            let overlap = engines.longest_overlap(&outcome.id);
+            report.longest_overlap = report.longest_overlap.max(overlap);
+            report.breaches.extend(check.breach(outcome));
+            if let Some(excuse) = check.excuse(outcome) {
+                *report.excused.entry(excuse).or_default() += 1;
             }
         }
         report
     }
-
-    fn is_allowed(&self, outcome: &StreamOutcome) -> bool {
-        outcome.end == StreamEnd::Whole
-    }
 }
--- a/crates/proof/src/silence_soak/silent_endpoint.rs
+++ b/crates/proof/src/silence_soak/silent_endpoint.rs
@@ -5,7 +5,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
-use super::endpoint_switch::{EndpointSwitch, SilenceKind};
+use super::endpoint_switch::{EndpointSwitch, Silence, SilenceKind};
 use super::endpoint_timeline::EndpointTimeline;
 use crate::gateway_fleet::{announce, endpoint_answer, header, piece_answer, read_body, read_head};
 
@@ -69,8 +69,15 @@
 
     /// Makes an endpoint silent for `time`, for good without one.
     pub(super) fn fall_silent(&self, index: usize, kind: SilenceKind, time: Option<Duration>) {
-        let silence = self.switches[index].fall_silent(kind, time);
-        self.timeline.record_silence(index, silence);
+        if let Some(silence) = self.switches[index].fall_silent(kind, time) {
+            self.timeline.record_silence(index, silence);
+        }
+    }
+
+    /// Ends an endpoint's silence.
+    pub(super) fn go_on(&self, index: usize) {
+        self.switches[index].go_on();
+        self.timeline.record_speech(index, Instant::now());
     }
 }
 
@@ -197,7 +204,7 @@
         if let Some(refusal) = refused {
             return stream.get_mut().write_all(refusal.as_bytes()).await.ok();
         }
-        let _run = self.timeline.begin(id, self.index);
+        let run = self.timeline.begin(id, self.index);
         let last: u64 = header(lines, "last-event-id").map_or(Some(0), |id| id.parse().ok())?;
         let count: u64 = body.split(' ').next()?.parse().ok()?;
         let head = format!(
@@ -209,6 +216,7 @@
             let event = event(id, number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             self.send(stream, &chunk, EVENT_INTERVAL).await?;
+            run.record_event();
         }
         self.send(stream, "0\r\n\r\n", Duration::ZERO).await
     }
@@ -224,7 +232,7 @@
             tokio::time::sleep(pause).await;
             if let Some(time) = self.switch.take_preemption() {
                 let began = Instant::now();
-                let silence = super::endpoint_switch::Silence {
+                let silence = Silence {
                     kind: SilenceKind::Calls,
                     began,
                     ends: Some(began + time),
--- /dev/null
+++ b/crates/proof/src/silence_soak/stream_check_tests.rs
@@ -0,0 +1,141 @@
+#![allow(clippy::unwrap_used, reason = "test code: a failure should panic")]
+
+use rstest::rstest;
+
+use super::super::endpoint_switch::{Silence, SilenceKind};
+use super::*;
+
+const STOP_TIME: Duration = Duration::from_secs(6);
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A stream that an engine began and whose last event came `gap_ms` before its end.
+fn outcome(end: StreamEnd, gap_ms: u64) -> StreamOutcome {
+    let ended = Instant::now() + Duration::from_secs(100);
+    StreamOutcome {
+        id: "a".to_string(),
+        gateway: 1,
+        sent: ended - Duration::from_secs(4),
+        heard: ended - Duration::from_millis(gap_ms),
+        ended,
+        events: 3,
+        longest_gap: Duration::ZERO,
+        end,
+    }
+}
+
+fn excuse(
+    engines: &EndpointTimeline,
+    gateways: &GatewayTimeline,
+    outcome: &StreamOutcome,
+) -> Option<StreamExcuse> {
+    let check = StreamCheck {
+        engines,
+        gateways,
+        stop_time: STOP_TIME,
+        route_timeout: ROUTE_TIMEOUT,
+    };
+    check.excuse(outcome)
+}
+
+fn silence_engine(engines: &EndpointTimeline, began: Instant, time_ms: Option<u64>) {
+    let ends = time_ms.map(|time_ms| began + Duration::from_millis(time_ms));
+    let kind = SilenceKind::Calls;
+    engines.record_silence(2, Silence { kind, began, ends });
+}
+
+// Guards against a check that excuses streams whose engines go on in time, or counts others.
+#[rstest]
+#[case(Some(1_300), None)]
+#[case(Some(2_500), Some(StreamExcuse::Silent))]
+#[case(None, Some(StreamExcuse::Silent))]
+fn a_silence_excuses_if_it_outlasts_the_caller(
+    #[case] time_ms: Option<u64>,
+    #[case] expected: Option<StreamExcuse>,
+) {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Broken, 1_000);
+    silence_engine(&engines, outcome.heard, time_ms);
+    assert_eq!(
+        excuse(&engines, &GatewayTimeline::default(), &outcome),
+        expected
+    );
+}
+
+// Guards against silences of other times and of other engines that excuse a broken stream.
+#[test]
+fn a_silence_elsewhere_excuses_nothing() {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Broken, 1_000);
+    silence_engine(&engines, outcome.sent - Duration::from_secs(9), Some(2_500));
+    let silence = Silence {
+        kind: SilenceKind::Calls,
+        began: outcome.heard,
+        ends: None,
+    };
+    engines.record_silence(0, silence);
+    let gateways = GatewayTimeline::default();
+    assert_eq!(excuse(&engines, &gateways, &outcome), None);
+    let check = StreamCheck {
+        engines: &engines,
+        gateways: &gateways,
+        stop_time: STOP_TIME,
+        route_timeout: ROUTE_TIMEOUT,
+    };
+    assert!(check.breach(&outcome).is_some());
+}
+
+// Guards against faults of other gateways, and stops that have only begun, that excuse.
+#[rstest]
+#[case(1, 2_000, Some(StreamExcuse::Killed), None)]
+#[case(0, 2_000, None, None)]
+#[case(1, 5_500, None, Some(StreamExcuse::StopTimeOver))]
+fn a_gateway_excuses_by_its_end(
+    #[case] gateway: usize,
+    #[case] before_ms: u64,
+    #[case] killed: Option<StreamExcuse>,
+    #[case] stopped: Option<StreamExcuse>,
+) {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Broken, 100);
+    let at = outcome.ended - Duration::from_millis(before_ms);
+    let mut gateways = GatewayTimeline::default();
+    gateways.record_kill(gateway, at);
+    assert_eq!(excuse(&engines, &gateways, &outcome), killed);
+    let mut gateways = GatewayTimeline::default();
+    gateways.record_stop(gateway, at);
+    assert_eq!(excuse(&engines, &gateways, &outcome), stopped);
+}
+
+// Guards against a short freeze and a short silence that are excused one by one, or never together.
+#[rstest]
+#[case(500, None)]
+#[case(900, Some(StreamExcuse::Silent))]
+fn a_freeze_adds_to_a_silence(#[case] freeze_ms: u64, #[case] expected: Option<StreamExcuse>) {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Left, 2_000);
+    silence_engine(&engines, outcome.heard, Some(1_000));
+    let mut gateways = GatewayTimeline::default();
+    gateways.record_freeze(1, outcome.heard);
+    gateways.record_thaw(1, outcome.heard + Duration::from_millis(freeze_ms));
+    assert_eq!(excuse(&engines, &gateways, &outcome), expected);
+}
+
+// Guards against events that come twice or get lost and are taken for the engine's silence.
+#[test]
+fn wrong_events_are_never_excused() {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Wrong, 1_000);
+    silence_engine(&engines, outcome.heard, None);
+    let check = StreamCheck {
+        engines: &engines,
+        gateways: &GatewayTimeline::default(),
+        stop_time: STOP_TIME,
+        route_timeout: ROUTE_TIMEOUT,
+    };
+    assert!(check.breach(&outcome).is_some());
+}
--- a/crates/proof/src/silence_soak/stream_outcome.rs
+++ b/crates/proof/src/silence_soak/stream_outcome.rs
@@ -19,6 +19,22 @@
     Wrong,
 }
 
+/// Why a stream that is not whole is not counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StreamExcuse {
+    /// No engine began it, so the gateway may not have read it, or its stages were not made.
+    NotRun,
+    /// Its gateway was killed.
+    Killed,
+    /// Its gateway was asked to stop, and most of the stop time is over.
+    StopTimeOver,
+    /// It has lasted for as long as the shortest timeout of its route.
+    TimedOut,
+    /// The engine that sent its last event, and its gateway, were silent and suspended for longer
+    /// than its caller waits.
+    Silent,
+}
+
 /// One stream as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct StreamOutcome {
