Check that silent endpoints are passed over after their pause, and called once they answer

Two checks were too weak: without the rule that a silent endpoint gets only what no other may do, and without the end of a silence by an answer, all tests of stalls passed. Now each of the two fails one (tried on a scratch change of piece_queue.rs).

--- a/crates/savorywalk/src/gateway/piece_queue_stall_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_stall_tests.rs
@@ -76,8 +76,12 @@
     assert!(queue.stall(limit, &lost));
     push(&mut queue, limit, &task(limit, "two", 1, 9_000), 6);
     let calls = send(&mut queue, limit, &["a", "b"]);
-    assert_eq!(calls.len(), 1, "the silent endpoint is passed over");
+    assert_eq!(calls.len(), 1);
     assert_eq!(&*calls[0].endpoint, "b");
+    let later = limit + DENIED_PAUSE;
+    let others = send(&mut queue, later, &["a", "b"]);
+    assert!(others.is_empty(), "the silent endpoint is passed over");
+    assert_eq!(queue.len(), 4);
     assert_eq!(calls[0].pieces.len(), 4);
     assert!(lost.pieces.iter().all(|piece| {
         let copies = calls[0].pieces.iter();
@@ -345,3 +349,26 @@
     let expected = [("a", vec!["bound"]), ("b", vec!["free"])];
     assert_eq!(requests, BTreeMap::from(expected));
 }
+
+/// A silence of two calls at one endpoint ends: the first answer shows that the endpoint makes
+/// progress, so it is called again although the second call may be lost with its connection.
+#[test]
+fn an_endpoint_is_called_again_once_it_has_answered() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    push(&mut queue, now, &task(now, "one", 1, 9_000), 8);
+    let first = next_call(&mut queue, now, &["a"]);
+    let second_at = now + profile().call_duration(4);
+    let second = next_call(&mut queue, second_at, &["a"]);
+    queue.stall(now + LIMIT, &first);
+    let later = second_at + LIMIT;
+    queue.stall(later, &second);
+    assert_eq!(answer(&mut queue, later, &first, true), 4);
+    push(&mut queue, later, &task(later, "two", 1, 9_000), 8);
+    let calls = send(&mut queue, later, &["a", "b"]);
+    let endpoints: BTreeSet<&str> = calls.iter().map(|call| &*call.endpoint).collect();
+    assert_eq!(endpoints, BTreeSet::from(["a", "b"]));
+    let soon = later + profile().call_duration(4);
+    let more = send(&mut queue, soon, &["a"]);
+    assert!(more.is_empty(), "the second call still has its place");
+}
