--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -145,8 +145,7 @@
         }
     }
 
-    /// Stops gracefully: reports not ready, then closes the listeners, then, once the plans and
-    /// connections of other entries have ended, the links. Returns
+    /// Stops gracefully: reports not ready, then closes the listeners, then the links. Returns
     /// whether every request was answered.
     pub async fn stop(self) -> bool {
         let began = Instant::now();
@@ -158,8 +157,6 @@
         let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
         let finished = self.callers.close(left).await;
         let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
-        self.node.exchange.served_plans.drain(left).await;
-        let left = self.stop_time.saturating_sub(began.elapsed() + STOP_MARGIN);
         self.node.relay_service.drain(left).await;
         log_event!(info, "gateway_closed", finished = finished);
         drop(self.probes);
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -83,7 +83,6 @@
 mod route_table;
 mod run_ledger;
 mod send_permits;
-mod served_plans;
 mod shard_balance;
 mod size_shares;
 mod stage_forecast;
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -8,7 +8,6 @@
 use super::plan_request::PlanRequest;
 use super::plan_results::{PlanFailure, PlanResults};
 use super::plan_run;
-use super::served_plans::ServedPlans;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use super::{ResultHandle, ReturnTime};
 use crate::generated::work::work_call::Call;
@@ -48,7 +47,6 @@
 pub(super) struct WorkExchange {
     pub(super) hub: LinkHub,
     avoided: Mutex<FastMap<PeerName, Instant>>,
-    pub(super) served_plans: ServedPlans,
 }
 
 impl WorkExchange {
@@ -56,7 +54,6 @@
         Self {
             hub,
             avoided: Mutex::default(),
-            served_plans: ServedPlans::default(),
         }
     }
 
@@ -361,7 +358,6 @@
         reply.refuse(CallRefusal::Malformed);
         return;
     };
-    let _served = node.exchange.served_plans.begin();
     let outcome = tokio::select! {
         outcome = execute_locally(node, &shard, &request) => outcome,
         () = reply.abandoned() => return,
--- a/crates/savorywalk/src/transport/hub_core.rs
+++ b/crates/savorywalk/src/transport/hub_core.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwapOption;
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use super::link_connection::{ConnectionOrigin, LinkConnection};
@@ -34,8 +34,6 @@
     pub(super) metrics: Arc<LinkMetrics>,
     pub(super) handshakes: Arc<Semaphore>,
     pub(super) stop: CancellationToken,
-    /// Number of calls whose answers their callers have not acknowledged yet.
-    pub(super) unanswered: watch::Sender<usize>,
     pub(super) subscribers: [ArcSwapOption<mpsc::Sender<InboundMessage>>; LinkChannel::ALL.len()],
     pub(super) servers: [ArcSwapOption<mpsc::Sender<InboundCall>>; LinkChannel::ALL.len()],
     pub(super) stream_servers: [ArcSwapOption<mpsc::Sender<InboundStream>>; LinkChannel::ALL.len()],
--- a/crates/savorywalk/src/transport/inbound_reader.rs
+++ b/crates/savorywalk/src/transport/inbound_reader.rs
@@ -5,7 +5,6 @@
 use prost::Message;
 use quinn::{ReadToEndError, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::watch;
 
 use super::connection_uses::{CallGuard, ConnectionUses};
 use super::hub_core::HubCore;
@@ -180,22 +179,6 @@
     }
 }
 
-/// Counts a call until its answer has arrived.
-struct UnansweredGuard<'a>(&'a watch::Sender<usize>);
-
-impl<'a> UnansweredGuard<'a> {
-    fn enter(count: &'a watch::Sender<usize>) -> Self {
-        count.send_modify(|count| *count += 1);
-        Self(count)
-    }
-}
-
-impl Drop for UnansweredGuard<'_> {
-    fn drop(&mut self) {
-        self.0.send_modify(|count| *count -= 1);
-    }
-}
-
 async fn answer_call(
     core: Arc<HubCore>,
     slot: Arc<PeerSlot>,
@@ -203,22 +186,13 @@
     mut receive: RecvStream,
     first: &[u8],
 ) {
-    let request = read_request(&core, &slot, &mut receive, first).await;
-    let unanswered = UnansweredGuard::enter(&core.unanswered);
-    let outcome = match request {
+    let outcome = match read_request(&core, &slot, &mut receive, first).await {
         Ok((channel, payload)) => {
             let reply = hand_over(&core, &slot, channel, payload);
             tokio::select! {
-                // An answer that is there is sent, also when the hub closes.
-                biased;
                 outcome = reply => outcome,
                 _ = send.stopped() => return,
-                () = core.stop.cancelled() => {
-                    // Its caller learns from the closed connection that the daemon stops.
-                    drop(unanswered);
-                    let _ = send.stopped().await;
-                    return;
-                }
+                () = core.stop.cancelled() => Err(CallRefusal::Unanswered),
             }
         }
         Err(refusal) => Err(refusal),
@@ -237,7 +211,6 @@
     if send.write_chunk(payload).await.is_ok() {
         // A stream that can't be finished belongs to a connection that is gone.
         let _ = send.finish();
-        let _ = send.stopped().await;
     }
 }
 
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 use tokio::io::AsyncWriteExt;
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant as TokioInstant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -69,7 +69,6 @@
             metrics: Arc::new(LinkMetrics::default()),
             handshakes: Arc::new(Semaphore::new(limits::MAX_HANDSHAKES)),
             stop: stop.clone(),
-            unanswered: watch::Sender::default(),
             subscribers: std::array::from_fn(|_| ArcSwapOption::empty()),
             servers: std::array::from_fn(|_| ArcSwapOption::empty()),
             stream_servers: std::array::from_fn(|_| ArcSwapOption::empty()),
@@ -261,18 +260,9 @@
         reload(&self.core)
     }
 
-    /// Closes every connection, after the answers to calls have arrived, for which it waits for
-    /// [`limits::FLUSH_TIME`] at most; nothing else is sent or accepted any more.
+    /// Closes every connection; nothing is sent or accepted any more.
     pub async fn close(&self) {
         self.core.stop.cancel();
-        let mut unanswered = self.core.unanswered.subscribe();
-        let flushing = unanswered.wait_for(|count| *count == 0);
-        if tokio::time::timeout(limits::FLUSH_TIME, flushing)
-            .await
-            .is_err()
-        {
-            log_event!(debug, "link_answers_lost");
-        }
         self.core.endpoint.close(CLOSE_STOPPED.into(), b"stopped");
         self.core.endpoint.wait_idle().await;
     }
--- a/crates/savorywalk/src/transport/link_limits.rs
+++ b/crates/savorywalk/src/transport/link_limits.rs
@@ -51,10 +51,6 @@
 /// certificate lives on for no longer.
 pub const MAX_CONNECTION_AGE: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// Longest time for which a hub that closes waits until answers have arrived: several round trips
-/// in a region.
-pub const FLUSH_TIME: Duration = Duration::from_millis(100);
-
 /// Time after which an unacknowledged notice is sent again, when the peer has
 /// another connection by then.
 pub const NOTICE_RESEND: Duration = Duration::from_millis(500);
