Count no silence of a link while the daemon itself is suspended

The silence of a link between entries is judged by looks at its counters since. A daemon that was suspended for longer than the idle timeout closed such links at its first look afterwards, before it had read what its peers had sent meanwhile, and lost the calls in progress on them.

`ConnectionSilence` leaves out the time by which a look is late.

--- a/crates/savorywalk/src/transport/link_connection.rs
+++ b/crates/savorywalk/src/transport/link_connection.rs
@@ -3,6 +3,7 @@
 use tokio::sync::watch;
 
 use super::connection_health::{ConnectionHealth, ConnectionSample, HealthState};
+use super::connection_silence::ConnectionSilence;
 use super::connection_uses::{ConnectionUse, ConnectionUses};
 use super::{LinkTiming, link_limits as limits};
 use crate::prelude::*;
@@ -40,12 +41,11 @@
 struct ConnectionJudgement {
     health: ConnectionHealth,
     state: HealthState,
-    /// Datagrams received by the last look.
-    received: u64,
-    /// Time of the first look that found the last of them.
-    heard: Instant,
-    /// Since when it is silent and its peer answers on another one.
-    outlived: Option<Instant>,
+    silence: ConnectionSilence,
+    /// For how long it was silent by the last look.
+    silent_for: Duration,
+    /// Since when its peer answers on another one, and for how long it was silent by then.
+    outlived: Option<(Instant, Duration)>,
     streams: u64,
     used: Instant,
     retired: Option<Instant>,
@@ -70,8 +70,8 @@
             judgement: Mutex::new(ConnectionJudgement {
                 health: ConnectionHealth::default(),
                 state: HealthState::Live,
-                received: 0,
-                heard: now,
+                silence: ConnectionSilence::new(now),
+                silent_for: Duration::ZERO,
                 outlived: None,
                 streams: 0,
                 used: now,
@@ -147,9 +147,9 @@
             judgement.outlived = None;
             return;
         }
-        let outlived = *judgement.outlived.get_or_insert(now);
-        let silence = outlived.saturating_duration_since(judgement.heard);
-        if now.saturating_duration_since(outlived) >= silence {
+        let silent_for = judgement.silent_for;
+        let (since, silence) = *judgement.outlived.get_or_insert((now, silent_for));
+        if now.saturating_duration_since(since) >= silence {
             self.quic.close(CLOSE_SILENT.into(), b"silent");
         }
     }
@@ -171,13 +171,10 @@
         let streams = stats.frame_tx.stream + stats.frame_rx.stream;
         let mut judgement = self.judgement();
         let before = judgement.state;
-        if sample.received != judgement.received {
-            judgement.received = sample.received;
-            judgement.heard = now;
-        }
-        let silence = now.saturating_duration_since(judgement.heard);
+        judgement.silent_for = judgement.silence.observe(now, sample.received);
         // Elsewhere the connection's own idle timeout ends it.
-        let is_silent = self.timing.keeps_streams() && silence >= self.timing.idle_timeout;
+        let is_silent =
+            self.timing.keeps_streams() && judgement.silent_for >= self.timing.idle_timeout;
         judgement.state = judgement.health.observe(now, sample);
         if streams != judgement.streams {
             judgement.streams = streams;
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -763,6 +763,21 @@
     until(|| !connection.is_open()).await;
 }
 
+/// Guards against links that a daemon closes because it was suspended itself: what it has not read
+/// meanwhile does not show that its peers were silent.
+#[tokio::test]
+async fn a_daemon_that_was_suspended_closes_no_link() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    drop(test.near);
+    drop(test.far);
+    let before = Instant::now();
+    connection.inspect(before);
+    connection.inspect(before + LinkTiming::occasional().idle_timeout * 2);
+    assert!(connection.is_open(), "closed at the first look");
+    assert!(connection.is_usable());
+}
+
 /// Guards against a stream that is cut because another connection has replaced its own.
 #[tokio::test]
 async fn a_replaced_connection_closes_after_its_last_stream() {
--- a/crates/savorywalk/src/transport/mod.rs
+++ b/crates/savorywalk/src/transport/mod.rs
@@ -8,6 +8,7 @@
 mod certificate_files;
 mod connection_health;
 mod connection_keeper;
+mod connection_silence;
 mod connection_uses;
 mod hub_core;
 mod inbound_call;
