--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -635,6 +635,25 @@
     );
 }
 
+/// Guards against a daemon that closes its links while a peer waits for its answer.
+#[tokio::test]
+async fn a_daemon_that_stops_waits_for_the_calls_that_it_serves() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    acquaint(&one, &two);
+    let mut calls = two.serve(CHANNEL);
+    let caller = one.clone();
+    let called = tokio::spawn(async move { call(&caller, "two").await });
+    let inbound = patiently(calls.recv()).await.expect("the hub is open");
+    assert_eq!(two.finish_served(Duration::ZERO).await, 1);
+    assert_eq!(one.finish_served(WAIT_TIMEOUT).await, 0, "it serves none");
+    let payload = inbound.payload.clone();
+    assert!(inbound.reply.answer(payload));
+    assert_eq!(two.finish_served(WAIT_TIMEOUT).await, 0);
+    let answer = called.await.expect("it ends");
+    answer.expect("an answer");
+}
+
 /// Two hubs with the times of links between entries, one with an open stream to the other.
 struct StreamTest {
     one: LinkHub,
@@ -744,6 +763,21 @@
     until(|| !connection.is_open()).await;
 }
 
+/// Guards against links that a daemon closes because it was suspended itself: what it has not read
+/// meanwhile does not show that its peers were silent.
+#[tokio::test]
+async fn a_daemon_that_was_suspended_closes_no_link() {
+    let test = StreamTest::start().await;
+    let connection = StreamTest::connection_of(&test.one, "two");
+    drop(test.near);
+    drop(test.far);
+    let before = Instant::now();
+    connection.inspect(before);
+    connection.inspect(before + LinkTiming::occasional().idle_timeout * 2);
+    assert!(connection.is_open(), "closed at the first look");
+    assert!(connection.is_usable());
+}
+
 /// Guards against a stream that is cut because another connection has replaced its own.
 #[tokio::test]
 async fn a_replaced_connection_closes_after_its_last_stream() {
