Hold fixed plays of silent engines to whole streams, and excuse fewer in series

In fixed plays nothing excuses now, so that streams of a lost engine have to be resumed. The first stop, or the end of the freeze, counts now, and a caller that leaves before an event because its stages took long is excused (`BegunLate`).

--- a/crates/proof/src/silence_soak/gateway_timeline.rs
+++ b/crates/proof/src/silence_soak/gateway_timeline.rs
@@ -36,7 +36,16 @@
         }
     }
 
+    /// Records the end of a freeze. A process that was asked to stop meanwhile begins to stop now.
     pub(super) fn record_thaw(&mut self, gateway: usize, now: Instant) {
+        let lasting = self.freezes.iter();
+        let lasting = lasting.filter(|freeze| freeze.gateway == gateway && freeze.ended.is_none());
+        if let Some(began) = lasting.map(|freeze| freeze.began).min() {
+            let stops = self.stops.iter_mut();
+            for (_, at) in stops.filter(|(stopped, at)| *stopped == gateway && *at >= began) {
+                *at = now;
+            }
+        }
         let freezes = self.freezes.iter_mut();
         let freezes = freezes.filter(|freeze| freeze.gateway == gateway);
         for freeze in freezes {
@@ -56,10 +65,11 @@
         kills.any(|(killed, at)| *killed == gateway && *at >= from && *at <= to)
     }
 
-    /// When the gateway was last asked to stop before `now`.
-    pub(super) fn stopped(&self, gateway: usize, now: Instant) -> Option<Instant> {
-        let stops = self.stops.iter().filter(|(stopped, _)| *stopped == gateway);
-        stops.map(|(_, at)| *at).filter(|at| *at <= now).max()
+    /// Times at which the gateway was asked to stop; a process may be asked again.
+    pub(super) fn stops(&self, gateway: usize) -> impl Iterator<Item = Instant> {
+        let stops = self.stops.iter();
+        let stops = stops.filter(move |(stopped, _)| *stopped == gateway);
+        stops.map(|(_, at)| *at)
     }
 
     /// Length of the gateway's freezes that lasted at some time in `from..=to`.
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -366,6 +366,7 @@
         let check = StreamCheck {
             engines,
             gateways: &self.gateways,
+            has_excuses: self.play == SilencePlay::Series,
             stop_time: self.play.stop_time(),
             route_timeout: Duration::from_millis(MIN_ROUTE_TIMEOUT_MS),
         };
--- a/crates/proof/src/silence_soak/stream_outcome.rs
+++ b/crates/proof/src/silence_soak/stream_outcome.rs
@@ -24,6 +24,8 @@
 pub enum StreamExcuse {
     /// No engine began it, so the gateway may not have read it, or its stages were not made.
     NotRun,
+    /// Its caller left before an event came, and it had waited for its stages until shortly before.
+    BegunLate,
     /// Its gateway was killed.
     Killed,
     /// Its gateway was asked to stop, and most of the stop time is over.
