--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -12,7 +12,8 @@
 use super::prompt_exchange::PromptPlacement;
 use super::retry_budget::RepeatReason;
 use super::stalled_calls::{
-    HeadResult, OpenedCall, PendingCall, ProgressGuard, SearchDelay, StallEnd, StallRecord,
+    HeadResult, OpenedCall, PendingCall, ProgressGuard, ReplacementChance, SearchDelay, StallEnd,
+    StallRecord,
 };
 use super::{
     EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, NotRunReason, PoolMember,
@@ -77,13 +78,15 @@
 
     /// Whether the request may be sent again now, to an endpoint that is better off than one that
     /// has been silent for `stall`.
-    pub(super) fn may_replace(&self, stall: Duration) -> bool {
+    pub(super) fn find_replacement(&self, stall: Duration) -> ReplacementChance {
         let route = &self.context.route;
         let has_spare_run = self.ledger.runs() < route.max_endpoints as usize;
-        route.kind.is_retryable()
-            && has_spare_run
-            && self.has_better_endpoint(stall)
-            && self.may_send_again()
+        let may_run = route.kind.is_retryable() && has_spare_run;
+        match may_run && self.has_better_endpoint(stall) {
+            false => ReplacementChance::NoEndpoint,
+            true if self.may_send_again() => ReplacementChance::Likely,
+            true => ReplacementChance::Denied,
+        }
     }
 
     /// Sends the request to the best endpoint that has not received it yet.
@@ -119,7 +122,7 @@
         let guard = self.node.scores.outstanding.begin_attempt(&endpoint);
         let started = Instant::now();
         self.ledger.record_send(&endpoint);
-        self.send_state = SendState::Opening;
+        self.send_state = SendState::Opening(Arc::from(endpoint.as_str()));
         log_event!(
             debug,
             "attempt_sent",
@@ -160,9 +163,13 @@
     ) -> Result<AttemptEnd, GatewayRefusal> {
         let node = Arc::clone(&self.node);
         let identity = self.identity.clone();
-        let mut limit = pending.started + self.head_limit();
+        let deadline = self.context.deadline;
+        let mut limit = match self.context.route.kind.is_retryable() {
+            true => pending.started + self.head_limit(),
+            false => deadline,
+        };
+        let mut delay = SearchDelay::default();
         loop {
-            let deadline = self.context.deadline;
             let wake_at = tokio::time::Instant::from_std(limit.min(deadline));
             let result = tokio::select! {
                 biased;
@@ -200,10 +207,13 @@
                         let stall = self.begin_stall(pending.endpoint(), pending.started);
                         pending.stall = Some(stall.await);
                     }
-                    if self.may_replace(pending.started.elapsed()) {
-                        return Ok(AttemptEnd::Stalled(Box::new(pending)));
-                    }
-                    limit = Instant::now() + SearchDelay::AFTER_NONE;
+                    limit = match self.find_replacement(pending.started.elapsed()) {
+                        ReplacementChance::Likely => {
+                            return Ok(AttemptEnd::Stalled(Box::new(pending)));
+                        }
+                        ReplacementChance::NoEndpoint => Instant::now() + SearchDelay::AFTER_NONE,
+                        ReplacementChance::Denied => Instant::now() + delay.after_refusal(),
+                    };
                 }
             }
         }
@@ -251,14 +261,15 @@
         endpoint: &str,
         error: CallError,
     ) -> Result<AttemptEnd, GatewayRefusal> {
+        self.send_state = SendState::Idle;
         match error {
             CallError::Unsent(reason) => {
-                self.ledger.record_denial();
+                self.ledger.record_denial(endpoint);
                 self.report(view, endpoint, AttemptReport::Failed, &reason);
                 Ok(AttemptEnd::Unsent)
             }
             CallError::Withheld(reason) => {
-                self.ledger.record_denial();
+                self.ledger.record_denial(endpoint);
                 log_event!(
                     info,
                     "attempt_withheld",
@@ -269,7 +280,7 @@
                 Ok(AttemptEnd::Unsent)
             }
             CallError::OverBudget => {
-                self.ledger.record_denial();
+                self.ledger.record_denial(endpoint);
                 Ok(AttemptEnd::OverBudget)
             }
             CallError::Broken(reason) => {
@@ -419,7 +430,7 @@
         let (parts, body) = open.response.into_parts();
         let (head, endpoint) = (open.head, open.endpoint);
         if head.is_other_incarnation || head.not_run {
-            self.ledger.record_denial();
+            self.ledger.record_denial(&endpoint);
             let status = parts.status.as_u16();
             log_event!(
                 info,
@@ -644,13 +655,13 @@
         let (parts, body) = open.response.into_parts();
         let is_delimited = is_delimited(&parts);
         match self.read_body(body).await {
-            Ok(Ok(_)) if !is_delimited && self.has_crashed(&open.endpoint).await => {
+            BodyEnd::Read(Ok(_)) if !is_delimited && self.has_crashed(&open.endpoint).await => {
                 let reason = "the endpoint accepts no connections after an end without framing";
                 self.record_failure(&open.endpoint, Some(CallFailure::Cut), reason)
                     .await;
                 AnswerOutcome::Lost
             }
-            Ok(Ok(body)) => {
+            BodyEnd::Read(Ok(body)) => {
                 self.report_success(&open.endpoint, open.started.elapsed());
                 self.record_served(is_delimited);
                 if self.context.route.kind == RouteKind::Idempotent && is_delimited {
@@ -662,13 +673,18 @@
                 *response.headers_mut() = self.node.wire.caller_headers(&parts);
                 AnswerOutcome::Whole(response)
             }
-            Ok(Err(error)) => {
+            BodyEnd::Replaced(replacement) => {
+                self.report_failure(&open.endpoint, "replaced after a stall");
+                drop(open.call);
+                Box::pin(self.handle_answer(*replacement)).await
+            }
+            BodyEnd::Read(Err(error)) => {
                 let failure = Some(CallFailure::Cut);
                 self.record_failure(&open.endpoint, failure, &error.to_string())
                     .await;
                 AnswerOutcome::Lost
             }
-            Err(()) => {
+            BodyEnd::TimedOut => {
                 let reason = "no complete answer within the timeout";
                 self.record_failure(&open.endpoint, Some(CallFailure::TimedOut), reason)
                     .await;
@@ -678,23 +694,60 @@
     }
 }
 
+/// How the reading of an answer's body ended.
+enum BodyEnd {
+    Read(Result<Bytes, CallError>),
+    /// Another endpoint has begun to answer before the body was complete.
+    Replaced(Box<OpenAnswer>),
+    TimedOut,
+}
+
 impl ForwardRun {
-    /// Reads the body of an answer until it has stalled and the request may be sent again, or until
-    /// the deadline.
-    async fn read_body(&self, body: Incoming) -> Result<Result<Bytes, CallError>, ()> {
+    /// Reads the body of an answer until it is complete, until another endpoint answers after it has
+    /// stalled, or until the deadline.
+    async fn read_body(&mut self, body: Incoming) -> BodyEnd {
         let mut reading = std::pin::pin!(read_complete(body));
         let started = Instant::now();
         let mut limit = started + self.head_limit();
+        let mut delay = SearchDelay::default();
         loop {
             let wake_at = limit.min(self.context.deadline).into();
             if let Ok(body) = tokio::time::timeout_at(wake_at, &mut reading).await {
-                return Ok(body);
+                return BodyEnd::Read(body);
+            }
+            if self.context.remaining(Instant::now()).is_zero() {
+                return BodyEnd::TimedOut;
             }
-            let is_over = self.context.remaining(Instant::now()).is_zero();
-            if is_over || self.may_replace(started.elapsed()) {
-                return Err(());
+            match self.find_replacement(started.elapsed()) {
+                ReplacementChance::Likely => {}
+                ReplacementChance::NoEndpoint => {
+                    limit = Instant::now() + SearchDelay::AFTER_NONE;
+                    continue;
+                }
+                ReplacementChance::Denied => {
+                    limit = Instant::now() + delay.after_refusal();
+                    continue;
+                }
+            }
+            self.set_repeat_reason(RepeatReason::Stalled);
+            self.stalled_since = Some(started);
+            let raced = tokio::select! {
+                biased;
+                body = &mut reading => Err(body),
+                end = self.attempt(None) => Ok(end),
+            };
+            self.stalled_since = None;
+            match raced {
+                Err(body) => {
+                    self.cancel_attempt();
+                    return BodyEnd::Read(body);
+                }
+                Ok(Ok(AttemptEnd::Open(open))) => return BodyEnd::Replaced(open),
+                Ok(_) => {
+                    self.ledger.forget_denials();
+                    limit = Instant::now() + delay.after_refusal();
+                }
             }
-            limit = Instant::now() + SearchDelay::AFTER_NONE;
         }
     }
 }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -19,7 +19,9 @@
 use super::prompt_exchange::PromptPlacement;
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
-use super::stalled_calls::{HANDOVER_TIME, HeadResult, PendingCall, StallEnd, StalledCalls};
+use super::stalled_calls::{
+    HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay, StallEnd, StalledCalls,
+};
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
 use super::{GatewayRefusal, NotRunReason, RouteKind, RunLedger};
@@ -73,12 +75,12 @@
 }
 
 /// How far the last send has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum SendState {
     /// No send is in progress.
     Idle,
-    /// The endpoint is chosen, and nothing was sent yet.
-    Opening,
+    /// This endpoint is chosen, and nothing was sent to it yet.
+    Opening(Arc<str>),
     /// The request was sent.
     Sent,
 }
@@ -272,93 +274,152 @@
     }
 
     /// Sends the request to another endpoint, while calls that have stalled stay open. The first
-    /// head of an answer ends all other calls; a send that fails leaves them as they are.
+    /// success ends all other calls; after a send that fails, another endpoint is sought.
     pub(super) async fn attempt_beside(
         &mut self,
         last_event: Option<u64>,
         stalled: &mut StalledCalls,
     ) -> Result<AttemptEnd, GatewayRefusal> {
-        if stalled.is_empty() {
+        let Some(oldest) = stalled.oldest() else {
             return self.attempt(last_event).await;
+        };
+        let before = self.stalled_since;
+        self.stalled_since = before.into_iter().chain([oldest]).min();
+        let end = self.race_stalled(last_event, stalled).await;
+        self.stalled_since = before;
+        end
+    }
+
+    async fn race_stalled(
+        &mut self,
+        last_event: Option<u64>,
+        stalled: &mut StalledCalls,
+    ) -> Result<AttemptEnd, GatewayRefusal> {
+        let mut delay = SearchDelay::default();
+        loop {
+            let (list_at_send, has_answer_begun) =
+                (Arc::clone(&self.list_at_send), self.has_answer_begun);
+            let race = self.race_once(last_event, stalled).await;
+            for endpoint in race.replaced {
+                self.report_failure(&endpoint, "replaced after a stall");
+            }
+            let mut end = match race.end {
+                RacedEnd::Next(end) => end,
+                RacedEnd::Stalled(call, result) => {
+                    self.cancel_attempt();
+                    self.list_at_send = list_at_send;
+                    self.has_answer_begun = has_answer_begun;
+                    self.end_pending(*call, result).await
+                }
+            };
+            // Stalled calls that came to nothing while the other one was still in progress.
+            for (call, result) in race.useless {
+                let useless = self.end_pending(call, result).await?;
+                if let (AttemptEnd::Failed(response), Ok(AttemptEnd::Lost)) = (useless, &end) {
+                    end = Ok(AttemptEnd::Failed(response));
+                }
+            }
+            let is_final = match &end {
+                Ok(AttemptEnd::Open(_) | AttemptEnd::Failed(_) | AttemptEnd::Stalled(_)) => true,
+                Ok(
+                    AttemptEnd::Denied
+                    | AttemptEnd::InputsGone
+                    | AttemptEnd::Unsent
+                    | AttemptEnd::OverBudget
+                    | AttemptEnd::Lost,
+                ) => false,
+                Err(_) => self.check_quarantine().is_err(),
+            };
+            if is_final || stalled.is_empty() {
+                return end;
+            }
+            self.ledger.forget_denials();
+            if let Some(end) = self.await_stalled(stalled, delay.after_refusal()).await {
+                return end;
+            }
         }
+    }
+
+    /// Sends the request once more beside the stalled calls. A stalled call that fails or refuses
+    /// does not end the race, since the other one may succeed.
+    async fn race_once(&mut self, last_event: Option<u64>, stalled: &mut StalledCalls) -> CallRace {
         let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
-        let oldest = stalled.oldest();
-        self.stalled_since = self.stalled_since.into_iter().chain(oldest).min();
         let handover = self.begin_handover();
-        let (mut failed, mut replaced) = (Vec::new(), Vec::new());
-        let raced = {
-            let mut attempting = pin!(self.attempt(last_event));
-            let mut handover = pin!(handover);
-            loop {
-                tokio::select! {
-                    biased;
-                    (call, result) = stalled.next(), if !stalled.is_empty() => match result {
-                        Ok(_) => break RacedEnd::Stalled(Box::new(call), result),
-                        Err(error) => failed.push((call, error)),
-                    },
-                    end = &mut attempting => break RacedEnd::Next(end),
-                    () = &mut handover, if is_stream && !stalled.is_empty() => {
-                        replaced.extend(stalled.take());
+        let (mut useless, mut replaced) = (Vec::new(), Vec::new());
+        let mut attempting = pin!(self.attempt(last_event));
+        let mut handover = pin!(handover);
+        let end = loop {
+            tokio::select! {
+                biased;
+                (call, result) = stalled.next(), if !stalled.is_empty() => match &result {
+                    Ok((_, response)) if response.status().is_success() => {
+                        break RacedEnd::Stalled(Box::new(call), result);
                     }
+                    Ok(_) | Err(_) => useless.push((call, result)),
+                },
+                end = &mut attempting => break RacedEnd::Next(end),
+                () = &mut handover, if is_stream && !stalled.is_empty() => {
+                    replaced.extend(stalled.finish_replaced());
                 }
             }
         };
-        for (call, error) in failed {
-            self.end_pending(call, Err(error)).await?;
-        }
-        if let RacedEnd::Next(Ok(AttemptEnd::Open(_))) = raced {
-            replaced.extend(stalled.take());
+        if let RacedEnd::Next(Ok(AttemptEnd::Open(_))) = end {
+            replaced.extend(stalled.finish_replaced());
         }
-        for mut call in replaced {
-            call.finish_stall(StallEnd::Replaced);
-            self.report_failure(call.endpoint(), "replaced after a stall");
-        }
-        match raced {
-            RacedEnd::Stalled(call, result) => {
-                self.cancel_attempt();
-                self.end_pending(*call, result).await
-            }
-            RacedEnd::Next(Ok(AttemptEnd::Open(open))) => Ok(AttemptEnd::Open(open)),
-            RacedEnd::Next(Ok(AttemptEnd::Stalled(call))) => Ok(AttemptEnd::Stalled(call)),
-            RacedEnd::Next(end) if stalled.is_empty() => end,
-            RacedEnd::Next(end) => {
-                if let Ok(AttemptEnd::Failed(response)) = end {
-                    self.last_answer = Some(response);
-                }
-                self.await_stalled(stalled).await
-            }
+        CallRace {
+            end,
+            useless,
+            replaced,
         }
     }
 
-    /// Waits for the answer to one of the stalled calls, until the deadline.
+    /// Waits for the answer to one of the stalled calls. Ends without one when another endpoint may
+    /// be sought, after `search_delay` at the earliest.
     async fn await_stalled(
         &mut self,
         stalled: &mut StalledCalls,
-    ) -> Result<AttemptEnd, GatewayRefusal> {
+        search_delay: Duration,
+    ) -> Option<Result<AttemptEnd, GatewayRefusal>> {
         let node = Arc::clone(&self.node);
         let identity = self.identity.clone();
-        let deadline = self.context.deadline.into();
-        while !stalled.is_empty() {
-            let (call, result) = tokio::select! {
+        let deadline = self.context.deadline;
+        let mut next_search = Instant::now() + search_delay;
+        while let Some(oldest) = stalled.oldest() {
+            let wake_at = next_search.min(deadline).into();
+            let ended = tokio::select! {
                 biased;
-                () = node.until_quarantined(&identity) => return Err(self.refuse_quarantined()),
-                ended = stalled.next() => ended,
+                () = node.until_quarantined(&identity) => {
+                    return Some(Err(self.refuse_quarantined()));
+                }
+                ended = stalled.next() => Some(ended),
                 () = node.stop.until_sent_answered() => {
-                    return Err(self.refuse(NotRunReason::Stopping));
+                    return Some(Err(self.refuse(NotRunReason::Stopping)));
                 }
-                () = tokio::time::sleep_until(deadline) => break,
+                () = tokio::time::sleep_until(wake_at) => None,
             };
-            let has_answered = result.is_ok();
-            let end = self.end_pending(call, result).await;
-            if has_answered || stalled.is_empty() {
-                return end;
+            if let Some((call, result)) = ended {
+                let end = self.end_pending(call, result).await;
+                let has_answered = matches!(end, Ok(AttemptEnd::Open(_) | AttemptEnd::Failed(_)));
+                if has_answered || stalled.is_empty() {
+                    return Some(end);
+                }
+            } else if self.context.remaining(Instant::now()).is_zero() {
+                break;
+            } else {
+                next_search = match self.find_replacement(oldest.elapsed()) {
+                    ReplacementChance::Likely => return None,
+                    ReplacementChance::NoEndpoint => Instant::now() + SearchDelay::AFTER_NONE,
+                    ReplacementChance::Denied => Instant::now() + search_delay,
+                };
             }
         }
         for mut call in stalled.take() {
             call.finish_stall(StallEnd::Failed);
-            self.end_silent(call.endpoint()).await?;
+            if let Err(refusal) = self.end_silent(call.endpoint()).await {
+                return Some(Err(refusal));
+            }
         }
-        Ok(AttemptEnd::Lost)
+        Some(Ok(AttemptEnd::Lost))
     }
 
     /// Returns a future that ends when a call that the next send replaces has to be dropped.
@@ -374,11 +435,13 @@
 
     /// Records that an attempt was cancelled because an earlier call went on.
     pub(super) fn cancel_attempt(&mut self) {
-        match self.send_state {
-            SendState::Opening => self.ledger.record_denial(),
+        match std::mem::replace(&mut self.send_state, SendState::Idle) {
+            SendState::Opening(endpoint) => {
+                self.ledger.record_denial(&endpoint);
+                self.ledger.forget_denials();
+            }
             SendState::Idle | SendState::Sent => {}
         }
-        self.send_state = SendState::Idle;
     }
 
     /// Sets the reason for the next send, if the request has been sent.
@@ -539,11 +602,20 @@
     }
 }
 
-/// Which of the calls of one request has ended first.
+/// What became of calls of one request that were in progress at the same time.
+struct CallRace {
+    end: RacedEnd,
+    /// Stalled calls that have failed or refused.
+    useless: Vec<(PendingCall, HeadResult)>,
+    /// Endpoints whose stalled calls were replaced.
+    replaced: Vec<String>,
+}
+
+/// The call that has ended the race.
 enum RacedEnd {
-    /// A stalled call, with the head of its answer.
+    /// A stalled call, with the head of a success.
     Stalled(Box<PendingCall>, HeadResult),
-    /// The attempt after it.
+    /// The attempt beside it.
     Next(Result<AttemptEnd, GatewayRefusal>),
 }
 
--- a/crates/savorywalk/src/gateway/run_ledger.rs
+++ b/crates/savorywalk/src/gateway/run_ledger.rs
@@ -8,21 +8,40 @@
 /// Records which endpoints a request was sent to, and how many of them may have run it.
 #[derive(Clone, Debug, Default)]
 pub struct RunLedger {
-    sent: Vec<Arc<str>>,
-    denials: usize,
+    sent: Vec<RecordedSend>,
+}
+
+#[derive(Clone, Debug)]
+struct RecordedSend {
+    endpoint: Arc<str>,
+    /// Whether the endpoint guarantees not to have run the request.
+    is_denied: bool,
 }
 
 impl RunLedger {
     /// Records that the request is about to be sent to `endpoint`.
     pub fn record_send(&mut self, endpoint: &str) {
-        self.sent.push(endpoint.into());
+        self.sent.push(RecordedSend {
+            endpoint: endpoint.into(),
+            is_denied: false,
+        });
+    }
+
+    /// Records that `endpoint` guarantees not to have run the request, or that none of its bytes
+    /// were written.
+    pub fn record_denial(&mut self, endpoint: &str) {
+        let mut sends = self.sent.iter_mut().rev();
+        let send = sends.find(|send| &*send.endpoint == endpoint && !send.is_denied);
+        debug_assert!(send.is_some(), "a denial without a send");
+        if let Some(send) = send {
+            send.is_denied = true;
+        }
     }
 
-    /// Records that the endpoint of the last send guarantees not to have run the request,
-    /// or that none of its bytes were written.
-    pub fn record_denial(&mut self) {
-        debug_assert!(self.denials < self.sent.len());
-        self.denials += 1;
+    /// Forgets the sends to endpoints that have not run the request, so that these may be asked
+    /// again.
+    pub(super) fn forget_denials(&mut self) {
+        self.sent.retain(|send| !send.is_denied);
     }
 
     /// The proof, unless an endpoint may have run the request.
@@ -32,7 +51,7 @@
 
     /// Number of endpoints that may have run the request.
     pub fn runs(&self) -> usize {
-        self.sent.len() - self.denials
+        self.sent.iter().filter(|send| !send.is_denied).count()
     }
 
     /// Number of sends, including denied ones.
@@ -42,12 +61,15 @@
 
     /// Endpoints that the request was sent to, in order.
     pub(super) fn endpoints(&self) -> Vec<String> {
-        self.sent.iter().map(|sent| sent.to_string()).collect()
+        self.sent
+            .iter()
+            .map(|send| send.endpoint.to_string())
+            .collect()
     }
 
     /// Whether the request was sent to `endpoint`.
     pub fn was_sent_to(&self, endpoint: &str) -> bool {
-        self.sent.iter().any(|sent| &**sent == endpoint)
+        self.sent.iter().any(|send| &*send.endpoint == endpoint)
     }
 }
 
--- a/crates/savorywalk/src/gateway/stalled_calls/mod.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -11,6 +11,6 @@
 pub(super) use pending_call::{HeadResult, OpenedCall, PendingCall, StalledCalls};
 pub(super) use progress_guard::{CallProgress, ProgressGuard};
 pub(super) use progress_table::ProgressTable;
-pub(super) use search_delay::{HANDOVER_TIME, SearchDelay};
+pub(super) use search_delay::{HANDOVER_TIME, ReplacementChance, SearchDelay};
 pub(super) use stall_end::StallEnd;
 pub(super) use stall_record::StallRecord;
--- a/crates/savorywalk/src/gateway/stalled_calls/pending_call.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/pending_call.rs
@@ -90,7 +90,9 @@
     /// Waits for the head of the answer. Cancelling the wait loses nothing.
     pub(in crate::gateway) async fn head(&mut self) -> HeadResult {
         let result = Pin::new(&mut self.sending).await;
-        self.progress.record_heard();
+        if result.is_ok() {
+            self.progress.record_heard();
+        }
         result
     }
 
@@ -122,13 +124,25 @@
         std::mem::take(&mut self.0)
     }
 
+    /// Closes all calls, which another one has replaced, and returns their endpoints.
+    pub(in crate::gateway) fn finish_replaced(&mut self) -> Vec<String> {
+        let calls = self.take().into_iter();
+        let endpoints = calls.map(|mut call| {
+            call.finish_stall(StallEnd::Replaced);
+            call.endpoint().to_string()
+        });
+        endpoints.collect()
+    }
+
     /// Waits for the head of the next answer, and takes its call out. Never ends without calls.
     pub(in crate::gateway) async fn next(&mut self) -> (PendingCall, HeadResult) {
         std::future::poll_fn(|context| {
             for index in 0..self.0.len() {
                 if let std::task::Poll::Ready(result) = self.0[index].poll_head(context) {
                     let call = self.0.swap_remove(index);
-                    call.progress.record_heard();
+                    if result.is_ok() {
+                        call.progress.record_heard();
+                    }
                     return std::task::Poll::Ready((call, result));
                 }
             }
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -1,6 +1,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use super::ProgressTable;
+use super::{ProgressTable, StallEnd};
 use crate::prelude::*;
 
 /// The progress table of this entry, shared by its calls.
@@ -34,9 +34,20 @@
         self.table().is_avoided(now, endpoint)
     }
 
-    /// Number of endpoints that new requests avoid.
-    pub(in crate::gateway) fn avoided_count(&self) -> usize {
-        self.table().avoided_count(Instant::now())
+    /// Number of endpoints with stalled calls.
+    pub(in crate::gateway) fn stalled_count(&self) -> usize {
+        self.table().stalled_count()
+    }
+
+    /// Records that a call to an endpoint has stalled.
+    pub(in crate::gateway) fn begin_stall(&self, endpoint: &str) {
+        self.table().begin_stall(endpoint);
+    }
+
+    /// Records that the stall of a call has ended.
+    pub(in crate::gateway) fn end_stall(&self, endpoint: &str, end: StallEnd) {
+        let went_on = end == StallEnd::WentOn;
+        self.table().end_stall(Instant::now(), endpoint, went_on);
     }
 
     /// Records that a call begins at an endpoint.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -5,18 +5,26 @@
 /// the time between two of their events.
 const BETTER_FRACTION: u32 = 2;
 
-/// Silence from which an endpoint gets no new requests while another one makes progress: longer
-/// than most prompts hold up the events of other streams while they are read.
+/// Silence from which an endpoint with a stalled call gets no new requests while another one makes
+/// progress: longer than most prompts hold up the events of other streams while they are read.
 const AVOIDED_SILENCE: Duration = Duration::from_millis(500);
 
+/// Time for which an endpoint counts as silent after a stalled call to it has ended without a sign of
+/// life, unless it sends something.
+const DOUBT_TIME: Duration = Duration::from_secs(2);
+
 /// When each endpoint with calls in progress at this entry last sent something, as a state
 /// machine without I/O.
 ///
-/// It has a row for each endpoint with calls only, so it is bounded by the calls of this entry,
-/// whatever the size of the deployment.
+/// It has a row for each endpoint with calls, and for each that was silent lately, so it is bounded
+/// by the calls of this entry, whatever the size of the deployment.
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct ProgressTable {
     endpoints: FastMap<Arc<str>, EndpointProgress>,
+    /// Number of stalled calls by endpoint.
+    stalls: FastMap<String, usize>,
+    /// Until when endpoints count as silent whose stalled calls have ended.
+    doubted: FastMap<String, Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +71,30 @@
         if let Some(progress) = self.endpoints.get_mut(endpoint) {
             progress.heard = progress.heard.max(Some(now));
         }
+        self.doubted.remove(endpoint);
+    }
+
+    /// Records that a call to an endpoint has stalled.
+    pub(in crate::gateway) fn begin_stall(&mut self, endpoint: &str) {
+        *self.stalls.entry(endpoint.to_string()).or_default() += 1;
+    }
+
+    /// Records that the stall of a call has ended; `went_on` if its endpoint has sent something.
+    pub(in crate::gateway) fn end_stall(&mut self, now: Instant, endpoint: &str, went_on: bool) {
+        if let Some(count) = self.stalls.get_mut(endpoint) {
+            *count -= 1;
+            if *count == 0 {
+                self.stalls.remove(endpoint);
+            }
+        }
+        self.doubted.retain(|_, until| now < *until);
+        if !went_on {
+            self.doubted.insert(endpoint.to_string(), now + DOUBT_TIME);
+        }
+    }
+
+    fn is_doubted(&self, now: Instant, endpoint: &str) -> bool {
+        self.doubted.get(endpoint).is_some_and(|until| now < *until)
     }
 
     /// For how long an endpoint has sent nothing on any of its calls; `None` without calls.
@@ -79,7 +111,10 @@
         endpoint: &str,
         stall: Duration,
     ) -> bool {
-        !self.endpoints.contains_key(endpoint) || self.is_proven(now, endpoint, stall)
+        match self.endpoints.contains_key(endpoint) {
+            true => self.is_proven(now, endpoint, stall),
+            false => !self.is_doubted(now, endpoint),
+        }
     }
 
     /// Whether an endpoint has sent something, much more recently than one that has been silent for
@@ -98,13 +133,14 @@
     /// Whether new requests should go to other endpoints, if there are any.
     pub(in crate::gateway) fn is_avoided(&self, now: Instant, endpoint: &str) -> bool {
         let silence = self.silence(now, endpoint);
-        silence.is_some_and(|silence| silence >= AVOIDED_SILENCE)
+        let is_silent = silence.is_some_and(|silence| silence >= AVOIDED_SILENCE);
+        let is_stalled = is_silent && self.stalls.contains_key(endpoint);
+        is_stalled || self.is_doubted(now, endpoint)
     }
 
-    /// Number of endpoints that new requests avoid.
-    pub(in crate::gateway) fn avoided_count(&self, now: Instant) -> usize {
-        let is_silent = |progress: &&EndpointProgress| progress.silence(now) >= AVOIDED_SILENCE;
-        self.endpoints.values().filter(is_silent).count()
+    /// Number of endpoints with stalled calls.
+    pub(in crate::gateway) fn stalled_count(&self) -> usize {
+        self.stalls.len()
     }
 }
 
--- a/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -10,6 +10,17 @@
 const FIRST_DELAY: Duration = Duration::from_millis(200);
 const MAX_DELAY: Duration = Duration::from_millis(1_600);
 
+/// Whether a stalled call could be replaced now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum ReplacementChance {
+    /// No endpoint is better off, or none may get the request.
+    NoEndpoint,
+    /// One is, and the request may not be sent again now.
+    Denied,
+    /// One is, and the request may probably be sent to it.
+    Likely,
+}
+
 /// Delays between the searches for a replacement of one stalled call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::gateway) struct SearchDelay {
--- a/crates/savorywalk/src/gateway/stalled_calls/stall_record.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/stall_record.rs
@@ -24,13 +24,14 @@
         endpoint: &str,
         since: Instant,
     ) -> Self {
+        node.scores.progress.begin_stall(endpoint);
         log_event!(
             info,
             "call_stalled",
             request = request,
             endpoint = endpoint,
             silent_ms = since.elapsed().as_millis(),
-            avoided_endpoints = node.scores.progress.avoided_count()
+            stalled_endpoints = node.scores.progress.stalled_count()
         );
         Self {
             node: Arc::clone(node),
@@ -51,6 +52,8 @@
 impl Drop for StallRecord {
     fn drop(&mut self) {
         let silence = self.since.elapsed();
+        let progress = &self.node.scores.progress;
+        progress.end_stall(&self.endpoint, self.end);
         log_event!(
             info,
             "call_stall_ended",
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -9,7 +9,7 @@
 use super::forward_attempt::OpenAnswer;
 use super::forward_attempt::is_delimited;
 use super::forward_run::{ForwardRun, ResumeRefusal};
-use super::stalled_calls::{ProgressGuard, SearchDelay, StallEnd, StallRecord};
+use super::stalled_calls::{ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord};
 use super::stream_end::EndProof;
 use super::stream_origins::OriginGuard;
 use super::{EventSplitter, RouteKind};
@@ -317,18 +317,33 @@
                 next_search: Instant::now(),
             });
         }
-        if !self.splitter.is_resumable() || !self.run.may_replace(silence) {
-            self.delay_search(SearchDelay::AFTER_NONE);
-            return Ok(None);
+        let chance = match self.splitter.is_resumable() {
+            true => self.run.find_replacement(silence),
+            false => ReplacementChance::NoEndpoint,
+        };
+        match chance {
+            ReplacementChance::Likely => {}
+            ReplacementChance::NoEndpoint => {
+                self.delay_search(SearchDelay::AFTER_NONE);
+                return Ok(None);
+            }
+            ReplacementChance::Denied => {
+                self.delay_after_refusal();
+                return Ok(None);
+            }
         }
         let list_at_send = Arc::clone(&self.run.list_at_send);
+        let has_answer_begun = self.run.has_answer_begun;
         let end = self.try_replace().await;
         self.run.stalled_since = None;
         match end {
             SearchEnd::Source(frame) => {
                 self.run.cancel_attempt();
-                self.run.release_results();
+                if self.has_events {
+                    self.run.release_results();
+                }
                 self.run.list_at_send = list_at_send;
+                self.run.has_answer_begun = has_answer_begun;
                 Ok(Some(frame))
             }
             SearchEnd::Opened(open) => {
@@ -338,12 +353,13 @@
             SearchEnd::Refused(refusal) => {
                 self.log_refusal(&refusal);
                 self.run.list_at_send = list_at_send;
+                self.run.has_answer_begun = has_answer_begun;
+                self.run.ledger.forget_denials();
                 if self.source.call.is_none() {
                     self.finish_stall(StallEnd::Failed);
                     return Err(StreamFailure::HandedOver(refusal.to_string()));
                 }
-                let delay = self.stall.as_mut().map(|stall| stall.delay.after_refusal());
-                self.delay_search(delay.unwrap_or(SearchDelay::AFTER_NONE));
+                self.delay_after_refusal();
                 Ok(None)
             }
         }
@@ -351,6 +367,7 @@
 
     /// Sends the stream to another endpoint while the present one stays in place. Whoever answers
     /// first has it; the present one is dropped soon after the send, so that two do not work on it.
+    /// If its connection breaks, the other one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
         let last_event = self.splitter.last_id();
         let handover = self.run.begin_handover();
@@ -358,21 +375,33 @@
         let Self { run, source, .. } = self;
         let mut resuming = pin!(run.resume(last_event));
         let mut handover = pin!(handover);
+        let mut broken = None;
         loop {
             tokio::select! {
                 biased;
-                frame = source.body.frame(), if source.call.is_some() => {
-                    return SearchEnd::Source(frame);
-                }
-                resumed = &mut resuming => return match resumed {
-                    Ok(open) => SearchEnd::Opened(Box::new(open)),
-                    Err(refusal) => SearchEnd::Refused(refusal),
+                frame = source.body.frame(), if source.call.is_some() => match frame {
+                    Some(Err(error)) => {
+                        source.call = None;
+                        broken = Some(error);
+                    }
+                    Some(Ok(_)) | None => return SearchEnd::Source(frame),
+                },
+                resumed = &mut resuming => return match (resumed, broken) {
+                    (Ok(open), _) => SearchEnd::Opened(Box::new(open)),
+                    (Err(_), Some(error)) => SearchEnd::Source(Some(Err(error))),
+                    (Err(refusal), None) => SearchEnd::Refused(refusal),
                 },
                 () = &mut handover, if source.call.is_some() => source.call = None,
             }
         }
     }
 
+    fn delay_after_refusal(&mut self) {
+        if let Some(stall) = &mut self.stall {
+            stall.next_search = Instant::now() + stall.delay.after_refusal();
+        }
+    }
+
     fn delay_search(&mut self, delay: Duration) {
         if let Some(stall) = &mut self.stall {
             stall.next_search = Instant::now() + delay;
@@ -385,7 +414,9 @@
             Some(Ok(_)) | None => StallEnd::WentOn,
             Some(Err(_)) => StallEnd::Failed,
         });
-        self.source.record_heard();
+        if let Some(Ok(_)) = frame {
+            self.source.record_heard();
+        }
     }
 
     fn finish_stall(&mut self, end: StallEnd) {
