Let new requests avoid endpoints that are silent on all calls for 750 ms

A call without a head stalls after two objectives only, so requests went on to engines that had stopped. Silence counts again, from 750 ms in place of 500 ms: engines take up to 640 ms for the largest prompts.

--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -5,9 +5,9 @@
 /// the time between two of their events.
 const BETTER_FRACTION: u32 = 2;
 
-/// Silence from which an endpoint with a stalled call gets no new requests while another one makes
-/// progress: longer than most prompts hold up the events of other streams while they are read.
-const AVOIDED_SILENCE: Duration = Duration::from_millis(500);
+/// Silence on all of its calls from which an endpoint gets no new requests while another one makes
+/// progress: longer than engines take to read the largest prompts.
+const AVOIDED_SILENCE: Duration = Duration::from_millis(750);
 
 /// Time for which an endpoint counts as silent after a stalled call to it has ended without a sign of
 /// life, unless it sends something.
@@ -134,8 +134,7 @@
     pub(in crate::gateway) fn is_avoided(&self, now: Instant, endpoint: &str) -> bool {
         let silence = self.silence(now, endpoint);
         let is_silent = silence.is_some_and(|silence| silence >= AVOIDED_SILENCE);
-        let is_stalled = is_silent && self.stalls.contains_key(endpoint);
-        is_stalled || self.is_doubted(now, endpoint)
+        is_silent || self.is_doubted(now, endpoint)
     }
 
     /// Number of endpoints with stalled calls.
