Doubt only endpoints whose stalled calls were replaced

A stall that ended with its request (the caller had left) made the endpoint count as silent for 2 s. With all endpoints of a pool doubted a request whose path was lost was sent again only after 2 s, when the retry that it had earned was gone, and then not at all until its deadline.

Traced with logs of the test.

--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -46,8 +46,9 @@
 
     /// Records that the stall of a call has ended.
     pub(in crate::gateway) fn end_stall(&self, endpoint: &str, end: StallEnd) {
-        let went_on = end == StallEnd::WentOn;
-        self.table().end_stall(Instant::now(), endpoint, went_on);
+        let is_replaced = end == StallEnd::Replaced;
+        self.table()
+            .end_stall(Instant::now(), endpoint, is_replaced);
     }
 
     /// Records that a call begins at an endpoint.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -9,21 +9,21 @@
 /// progress: longer than engines take to read the largest prompts.
 const AVOIDED_SILENCE: Duration = Duration::from_millis(750);
 
-/// Time for which an endpoint counts as silent after a stalled call to it has ended without a sign of
-/// life, unless it sends something.
+/// Time for which an endpoint counts as silent after a stalled call to it was replaced, unless it sends
+/// something.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
 
 /// When each endpoint with calls in progress at this entry last sent something, as a state
 /// machine without I/O.
 ///
-/// It has a row for each endpoint with calls, and for each that was silent lately, so it is bounded
+/// It has a row for each endpoint with calls, and for each that was replaced lately, so it is bounded
 /// by the calls of this entry, whatever the size of the deployment.
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct ProgressTable {
     endpoints: FastMap<Arc<str>, EndpointProgress>,
     /// Number of stalled calls by endpoint.
     stalls: FastMap<String, usize>,
-    /// Until when endpoints count as silent whose stalled calls have ended.
+    /// Until when endpoints count as silent whose stalled calls were replaced.
     doubted: FastMap<String, Instant>,
 }
 
@@ -79,8 +79,13 @@
         *self.stalls.entry(endpoint.to_string()).or_default() += 1;
     }
 
-    /// Records that the stall of a call has ended; `went_on` if its endpoint has sent something.
-    pub(in crate::gateway) fn end_stall(&mut self, now: Instant, endpoint: &str, went_on: bool) {
+    /// Records that the stall of a call has ended; `is_replaced` if another endpoint took its place.
+    pub(in crate::gateway) fn end_stall(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        is_replaced: bool,
+    ) {
         if let Some(count) = self.stalls.get_mut(endpoint) {
             *count -= 1;
             if *count == 0 {
@@ -88,7 +93,7 @@
             }
         }
         self.doubted.retain(|_, until| now < *until);
-        if !went_on {
+        if is_replaced {
             self.doubted.insert(endpoint.to_string(), now + DOUBT_TIME);
         }
     }
