--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -24,13 +24,13 @@
 use crate::registry::{BootClock, BootTime};
 use crate::routing::{AttemptReport, OutstandingGuard};
 
-/// Timeout for an answer's head, in multiples of the route's objective, after which a
-/// retryable request goes to another endpoint. At a healthy endpoint only a small part of
-/// requests takes over twice the objective, at a hanging one all do.
-const HEAD_TIMEOUT_OBJECTIVES: u32 = 2;
+/// Time without a head, or a whole body, after which a call has stalled, in multiples of the route's
+/// objective. At a healthy endpoint only a small part of requests takes over twice the objective, at
+/// a hanging one all do. See docs/design/stalled-calls.md.
+const STALL_OBJECTIVES: u32 = 2;
 
-/// Shortest timeout for an answer's head: a few scheduling delays of a loaded VM.
-const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Shortest time after which a call has stalled: a few scheduling delays of a loaded VM.
+const MIN_STALL: Duration = Duration::from_millis(300);
 
 /// An answer whose head has arrived, with the connection and the guard that must be kept as
 /// long as its body.
@@ -71,9 +71,9 @@
 
 /// A single attempt at one endpoint, and the reports on its outcome.
 impl ForwardRun {
-    /// Time after which a call without a head has stalled.
-    fn head_limit(&self) -> Duration {
-        (self.context.route.objective * HEAD_TIMEOUT_OBJECTIVES).max(MIN_HEAD_TIMEOUT)
+    /// Time after which a call without a head, or a whole body, has stalled.
+    fn stall_limit(&self) -> Duration {
+        (self.context.route.objective * STALL_OBJECTIVES).max(MIN_STALL)
     }
 
     /// Whether the request may be sent again now, to an endpoint that is better off than one that
@@ -165,7 +165,7 @@
         let identity = self.identity.clone();
         let deadline = self.context.deadline;
         let mut limit = match self.context.route.kind.is_retryable() {
-            true => pending.started + self.head_limit(),
+            true => pending.started + self.stall_limit(),
             false => deadline,
         };
         let mut delay = SearchDelay::default();
@@ -708,7 +708,7 @@
     async fn read_body(&mut self, body: Incoming) -> BodyEnd {
         let mut reading = std::pin::pin!(read_complete(body));
         let started = Instant::now();
-        let mut limit = started + self.head_limit();
+        let mut limit = started + self.stall_limit();
         let mut delay = SearchDelay::default();
         loop {
             let wake_at = limit.min(self.context.deadline).into();
