Reproduce streams handed to idle engines that are as silent, with real daemons

What callers saw: no event for longer than they wait, although the engine of their stream went on after 1.2 to 1.3 s. Cause: an engine of which an entry knows nothing counts as better, and the silent call is dropped 0.2 s after the send. Change: the play idle-engines of the soak: two streams at two engines; all six fall silent at once, the idle ones for 2.5 s.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -194,6 +194,14 @@
     }
 }
 
+/// Guards against streams that are handed to idle engines as silent as their own, and break although
+/// their own go on in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_while_idle_engines_are_as_silent() {
+    let report = play_silences(SilencePlay::IdleEngines).await;
+    assert!(report.is_sound(), "{report}");
+}
+
 /// Guards against streams that hold under single silences, and break when silences of all kinds,
 /// documents, reloads, stops, kills and frozen processes overlap.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/proof/src/silence_soak/endpoint_timeline.rs
+++ b/crates/proof/src/silence_soak/endpoint_timeline.rs
@@ -73,6 +73,15 @@
         spans.unwrap_or_default()
     }
 
+    /// Whether an endpoint works on a request.
+    pub(super) fn has_runs(&self, endpoint: usize) -> bool {
+        let Ok(runs) = self.runs.lock() else {
+            return false;
+        };
+        let mut spans = runs.values().flatten();
+        spans.any(|span| span.endpoint == endpoint && span.ended.is_none())
+    }
+
     /// Longest time for which two endpoints worked on the same request at once.
     pub(super) fn longest_overlap(&self, id: &str) -> Duration {
         let spans = self.runs(id);
--- a/crates/proof/src/silence_soak/silence_play.rs
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -1,5 +1,11 @@
 use savorywalk::prelude::*;
 
+/// Streams at each gateway, where engines need not be idle.
+const STREAMS_PER_GATEWAY: usize = 12;
+
+/// Most engines with a stream, where the others are to be idle.
+const USED_ENGINES: usize = 2;
+
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SilencePlay {
@@ -17,13 +23,16 @@
     LostEngine,
     /// The path to one engine is lost, without a reset.
     LostPath,
+    /// All engines fall silent at once: those with streams for a second, the idle ones for longer
+    /// than callers wait.
+    IdleEngines,
     /// A drawn series of overlapping faults.
     Series,
 }
 
 impl SilencePlay {
     /// All plays but the drawn one.
-    pub const FIXED: [Self; 7] = [
+    pub const FIXED: [Self; 8] = [
         Self::SpentBudget,
         Self::SilentStages,
         Self::FullEngines,
@@ -31,6 +40,7 @@
         Self::StoppingGateway,
         Self::LostEngine,
         Self::LostPath,
+        Self::IdleEngines,
     ];
 
     /// Name on the command line.
@@ -43,6 +53,7 @@
             Self::StoppingGateway => "stopping-gateway",
             Self::LostEngine => "lost-engine",
             Self::LostPath => "lost-path",
+            Self::IdleEngines => "idle-engines",
             Self::Series => "series",
         }
     }
@@ -63,7 +74,8 @@
             | Self::PreemptedStreams
             | Self::StoppingGateway
             | Self::LostEngine
-            | Self::LostPath => false,
+            | Self::LostPath
+            | Self::IdleEngines => false,
         }
     }
 
@@ -77,6 +89,7 @@
             | Self::PreemptedStreams
             | Self::LostEngine
             | Self::LostPath
+            | Self::IdleEngines
             | Self::Series => Duration::from_secs(6),
         }
     }
@@ -85,6 +98,7 @@
     pub(super) fn used_gateways(self, gateways: usize) -> usize {
         match self {
             Self::StoppingGateway => 1,
+            Self::IdleEngines => gateways.min(USED_ENGINES),
             Self::SpentBudget
             | Self::SilentStages
             | Self::FullEngines
@@ -94,4 +108,19 @@
             | Self::Series => gateways,
         }
     }
+
+    /// Streams at each of these gateways.
+    pub(super) const fn streams_per_gateway(self) -> usize {
+        match self {
+            Self::IdleEngines => 1,
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::StoppingGateway
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::Series => STREAMS_PER_GATEWAY,
+        }
+    }
 }
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -29,8 +29,7 @@
 const ENGINE_OCTET: u8 = 250;
 const STAGE_OCTET: u8 = 251;
 
-/// Streams at each gateway in a fixed play, and their events.
-const STREAMS_PER_GATEWAY: usize = 12;
+/// Events of a stream in a fixed play.
 const EVENTS: u64 = 40;
 
 /// Events of a stream that is to run until shortly before its gateway's stop time ends.
@@ -39,6 +38,9 @@
 /// Silences of sound engines, in milliseconds.
 const SHORT_SILENCE_MS: std::ops::Range<u64> = 1_200..1_300;
 
+/// Silence of idle engines, longer than callers wait.
+const IDLE_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// Silence of the endpoints of stages.
 const STAGE_SILENCE: Duration = Duration::from_secs(4);
 
@@ -189,11 +191,12 @@
             SilencePlay::StoppingGateway => STOPPING_EVENTS,
             _ => EVENTS,
         };
-        let count = STREAMS_PER_GATEWAY * self.play.used_gateways(gateways);
+        let streams_per_gateway = self.play.streams_per_gateway();
+        let count = streams_per_gateway * self.play.used_gateways(gateways);
         let mut streams = JoinSet::new();
         for position in 0..count {
             let callers = Arc::clone(&self.callers);
-            let gateway = position / STREAMS_PER_GATEWAY;
+            let gateway = position / streams_per_gateway;
             streams.spawn(async move {
                 callers.send(&mut callers.connection(gateway), events).await;
             });
@@ -233,6 +236,7 @@
             }
             SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
             SilencePlay::LostPath => self.engines.fall_silent(0, SilenceKind::Path, None),
+            SilencePlay::IdleEngines => self.silence_idle_engines(),
             SilencePlay::Series => {}
         }
         Ok(())
@@ -246,6 +250,18 @@
         }
     }
 
+    /// Makes all engines silent at once, for a second those that work on streams.
+    fn silence_idle_engines(&mut self) {
+        for index in 0..ENGINES {
+            let time = match self.engines.timeline.has_runs(index) {
+                true => self.draw_short_silence(),
+                false => IDLE_SILENCE,
+            };
+            self.engines
+                .fall_silent(index, SilenceKind::Calls, Some(time));
+        }
+    }
+
     fn draw_short_silence(&mut self) -> Duration {
         Duration::from_millis(self.random.random_range(SHORT_SILENCE_MS))
     }
