Ask an endpoint for a sign of life before a stream is handed to it

What callers saw: a stream whose engine was silent for a second was handed to an idle engine, which was as silent; the first engine was dropped 0.2 s later and would have gone on. Cause: an endpoint without calls from this entry counted as better off, although nothing was known of it. Change: an endpoint that is to take over a stream is asked for its report while its connection opens, and gets nothing without an answer within 120 ms. It replaces no other one for the next 0.5 s. New log event replacement_silent and savorywalk_gateway_silent_replacements.

--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -26,6 +26,9 @@
     /// Nothing was sent because the retry budget has no token.
     #[error("not sent: the retry budget is used up")]
     OverBudget,
+    /// Nothing was sent because the endpoint, which was to replace a silent one, is silent itself.
+    #[error("not sent: the endpoint is silent")]
+    Silent,
     /// The connection broke before the response was complete.
     #[error("connection broke before the response was complete: {0}")]
     Broken(String),
@@ -95,6 +98,13 @@
         let request = request.map(Full::new);
         self.sender.send_request(request).await.map_err(broken)
     }
+
+    /// Asks the endpoint a question that it answers at once, and waits for the head of the answer.
+    pub(super) async fn probe(&mut self, request: Request<Bytes>) -> Result<(), CallError> {
+        let broken = |error: hyper::Error| CallError::Broken(error.to_string());
+        let sending = self.sender.send_request(request.map(Full::new));
+        sending.await.map(drop).map_err(broken)
+    }
 }
 
 /// Reads a response body to its proven end.
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -12,8 +12,8 @@
 use super::prompt_exchange::PromptPlacement;
 use super::retry_budget::RepeatReason;
 use super::stalled_calls::{
-    HeadResult, OpenedCall, PendingCall, ProgressGuard, ReplacementChance, SearchDelay, StallEnd,
-    StallRecord,
+    HeadResult, OpenedCall, PendingCall, ProgressGuard, ReplacementChance, SearchDelay,
+    SilentReplacement, StallEnd, StallRecord,
 };
 use super::{
     EndpointHead, EndpointTarget, ForwardHeaders, GatewayRefusal, NotRunReason, PoolMember,
@@ -283,6 +283,11 @@
                 self.ledger.record_denial(endpoint);
                 Ok(AttemptEnd::OverBudget)
             }
+            CallError::Silent => {
+                self.ledger.record_denial(endpoint);
+                self.record_silent_replacement(endpoint, SilentReplacement::BeforeSend);
+                Ok(AttemptEnd::Unsent)
+            }
             CallError::Broken(reason) => {
                 self.record_failure(endpoint, Some(CallFailure::Cut), &reason)
                     .await;
@@ -313,7 +318,18 @@
         started: Instant,
         guard: OutstandingGuard,
     ) -> Result<PendingCall, CallError> {
-        let (call, was_cached) = self.open_call(member).await?;
+        let (call, was_cached) = match self.needs_sign_of_life() {
+            true => {
+                let (opened, is_alive) =
+                    tokio::join!(self.open_call(member), self.node.has_sign_of_life(member));
+                let opened = opened?;
+                if !is_alive {
+                    return Err(CallError::Silent);
+                }
+                opened
+            }
+            false => self.open_call(member).await?,
+        };
         // The VM may have been suspended meanwhile, which the monotonic clock does not
         // count.
         let is_past = |expires_at: BootTime| BootClock.now() > expires_at;
@@ -336,6 +352,13 @@
         Ok(self.begin_send(opened, member, last_event, started, (guard, progress)))
     }
 
+    /// Whether the next send replaces a stalled call that is dropped soon after it: an endpoint that
+    /// is as silent must not take its place.
+    fn needs_sign_of_life(&self) -> bool {
+        let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
+        is_stream && self.stalled_since.is_some()
+    }
+
     fn begin_send(
         &mut self,
         opened: OpenedCall,
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -20,7 +20,8 @@
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
 use super::stalled_calls::{
-    HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay, StallEnd, StalledCalls,
+    HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay, SilentReplacement,
+    StallEnd, StalledCalls,
 };
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
@@ -433,6 +434,21 @@
         }
     }
 
+    /// Records that an endpoint that was to replace another one gave no sign of life.
+    pub(super) fn record_silent_replacement(&self, endpoint: &str, found: SilentReplacement) {
+        let node = &self.node;
+        node.scores.progress.record_silent_probe(endpoint);
+        node.metrics
+            .record_silent_replacement(&self.context.pool, found);
+        log_event!(
+            info,
+            "replacement_silent",
+            request = self.context.id,
+            endpoint = endpoint,
+            found = found.name()
+        );
+    }
+
     /// Records that an attempt was cancelled because an earlier call went on.
     pub(super) fn cancel_attempt(&mut self) {
         match std::mem::replace(&mut self.send_state, SendState::Idle) {
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -6,7 +6,7 @@
 use super::prompt_homes::PlacementCounts;
 use super::retry_budget::RepeatReason;
 use super::returns::CalendarCounts;
-use super::stalled_calls::StallEnd;
+use super::stalled_calls::{SilentReplacement, StallEnd};
 use super::workspace_shares::WorkspaceLabels;
 use crate::prelude::*;
 
@@ -31,6 +31,7 @@
     piece_stall_seconds: Histogram<f64>,
     resumes: Counter<u64>,
     broken_streams: Counter<u64>,
+    silent_replacements: Counter<u64>,
     stalls: Histogram<f64>,
     taken_up: Counter<u64>,
     backoffs: Counter<u64>,
@@ -85,6 +86,10 @@
                 .u64_counter("savorywalk_gateway_broken_streams")
                 .with_description("Streams that broke off at their callers")
                 .build(),
+            silent_replacements: meter
+                .u64_counter("savorywalk_gateway_silent_replacements")
+                .with_description("Endpoints that were to replace a silent one and were silent too")
+                .build(),
             stalls: meter
                 .f64_histogram("savorywalk_gateway_stall_seconds")
                 .with_description("Silence of endpoints beyond a call's limit, by how it ended")
@@ -213,6 +218,12 @@
         self.stalls.record(silence.as_secs_f64(), &[pool, end]);
     }
 
+    pub(super) fn record_silent_replacement(&self, pool: &str, found: SilentReplacement) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        let found = KeyValue::new("found", found.name());
+        self.silent_replacements.add(1, &[pool, found]);
+    }
+
     pub(super) fn record_resume(&self, pool: &str) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.resumes.add(1, &[pool]);
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -23,10 +23,13 @@
 use super::release_queue::{self, ReleaseQueue};
 use super::retry_budget::{self, RepeatReason, RetryGate};
 use super::shard_balance::ShardLoads;
+use super::stalled_calls::PROBE_TIMEOUT;
 use super::stream_origins::{self, OriginExchange};
 use super::work_exchange::{self, WorkExchange};
 use super::work_shard::{WorkKind, WorkShard};
-use super::{EndpointRoster, LoadFeatures, PoolMember, ResultHandle, RetryLimits, WireFormat};
+use super::{
+    EndpointRoster, EndpointTarget, LoadFeatures, PoolMember, ResultHandle, RetryLimits, WireFormat,
+};
 use crate::prelude::*;
 use crate::quarantine::QuarantineList;
 use crate::registry::{BootClock, EntryFollower, FollowState};
@@ -537,6 +540,21 @@
         self.connector.open(&entries, member).await.is_ok()
     }
 
+    /// Whether an endpoint answers a question within [`PROBE_TIMEOUT`], over a connection of its own. Any
+    /// answer will do.
+    pub(super) async fn has_sign_of_life(&self, member: &PoolMember) -> bool {
+        let target = EndpointTarget {
+            name: &member.name,
+            address: member.address(),
+        };
+        let probing = async {
+            let mut call = self.connect(member).await?;
+            call.probe(self.wire.probe_request(&target)).await
+        };
+        let answer = tokio::time::timeout(PROBE_TIMEOUT, probing).await;
+        answer.is_ok_and(|answer| answer.is_ok())
+    }
+
     /// Connects to an endpoint to find out whether the path to it is lost.
     async fn check_path(&self, member: &PoolMember) -> bool {
         let entries = Arc::clone(&self.view.load().entries);
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -52,7 +52,10 @@
             Self::Failed(error) => match error {
                 CallError::Broken(_) => Some(CallFailure::Cut),
                 CallError::Lost(_) => Some(CallFailure::TimedOut),
-                CallError::Unsent(_) | CallError::Withheld(_) | CallError::OverBudget => None,
+                CallError::Unsent(_)
+                | CallError::Withheld(_)
+                | CallError::OverBudget
+                | CallError::Silent => None,
             },
         }
     }
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -124,6 +124,10 @@
         Ok(Vec::new())
     }
 
+    fn probe_request(&self, _: &EndpointTarget<'_>) -> Request<Bytes> {
+        Request::default()
+    }
+
     fn release_request(&self, _: &[ResultHandle], _: SocketAddr) -> Request<Bytes> {
         Request::default()
     }
--- a/crates/savorywalk/src/gateway/stalled_calls/mod.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -5,12 +5,14 @@
 mod progress_guard;
 mod progress_table;
 mod search_delay;
+mod silent_replacement;
 mod stall_end;
 mod stall_record;
 
 pub(super) use pending_call::{HeadResult, OpenedCall, PendingCall, StalledCalls};
 pub(super) use progress_guard::{CallProgress, ProgressGuard};
 pub(super) use progress_table::ProgressTable;
-pub(super) use search_delay::{HANDOVER_TIME, ReplacementChance, SearchDelay};
+pub(super) use search_delay::{HANDOVER_TIME, PROBE_TIMEOUT, ReplacementChance, SearchDelay};
+pub(super) use silent_replacement::SilentReplacement;
 pub(super) use stall_end::StallEnd;
 pub(super) use stall_record::StallRecord;
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -44,6 +44,12 @@
         self.table().begin_stall(endpoint);
     }
 
+    /// Records that an endpoint gave no sign of life.
+    pub(in crate::gateway) fn record_silent_probe(&self, endpoint: &str) {
+        let now = Instant::now();
+        self.table().record_silent_probe(now, endpoint);
+    }
+
     /// Records that the stall of a call has ended.
     pub(in crate::gateway) fn end_stall(&self, endpoint: &str, end: StallEnd) {
         let is_replaced = end == StallEnd::Replaced;
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -13,6 +13,10 @@
 /// something.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which an endpoint that gave no sign of life replaces no other one, unless it sends
+/// something. Shorter than the doubt after a stall, as it was asked once only.
+const SILENT_PROBE_TIME: Duration = Duration::from_millis(500);
+
 /// When each endpoint with calls in progress at this entry last sent something, as a state
 /// machine without I/O.
 ///
@@ -23,7 +27,8 @@
     endpoints: FastMap<Arc<str>, EndpointProgress>,
     /// Number of stalled calls by endpoint.
     stalls: FastMap<String, usize>,
-    /// Until when endpoints count as silent whose stalled calls were replaced.
+    /// Until when endpoints count as silent whose stalled calls were replaced, or that gave no sign of
+    /// life.
     doubted: FastMap<String, Instant>,
 }
 
@@ -92,12 +97,23 @@
                 self.stalls.remove(endpoint);
             }
         }
-        self.doubted.retain(|_, until| now < *until);
         if is_replaced {
-            self.doubted.insert(endpoint.to_string(), now + DOUBT_TIME);
+            self.doubt(now, endpoint, DOUBT_TIME);
         }
     }
 
+    /// Records that an endpoint gave no sign of life.
+    pub(in crate::gateway) fn record_silent_probe(&mut self, now: Instant, endpoint: &str) {
+        self.doubt(now, endpoint, SILENT_PROBE_TIME);
+    }
+
+    fn doubt(&mut self, now: Instant, endpoint: &str, time: Duration) {
+        self.doubted.retain(|_, until| now < *until);
+        let until = now + time;
+        let doubt = self.doubted.entry(endpoint.to_string()).or_insert(until);
+        *doubt = until.max(*doubt);
+    }
+
     fn is_doubted(&self, now: Instant, endpoint: &str) -> bool {
         self.doubted.get(endpoint).is_some_and(|until| now < *until)
     }
@@ -132,7 +148,9 @@
     ) -> bool {
         let progress = self.endpoints.get(endpoint);
         let heard = progress.filter(|progress| progress.heard.is_some());
-        heard.is_some_and(|progress| progress.silence(now) < stall / BETTER_FRACTION)
+        let is_recent =
+            |progress: &EndpointProgress| progress.silence(now) < stall / BETTER_FRACTION;
+        heard.is_some_and(is_recent) && !self.is_doubted(now, endpoint)
     }
 
     /// Whether new requests should go to other endpoints, if there are any.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -122,3 +122,30 @@
     assert!(table.is_proven(now, "b", STALL));
     assert!(!table.is_proven(now, "idle", STALL));
 }
+
+/// Guards against streams that are handed, one after the other, to an engine that answers nothing.
+#[test]
+fn an_endpoint_without_a_sign_of_life_is_not_better_until_it_sends_something() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["busy"]);
+    table.record_heard(start, "busy");
+    for endpoint in ["idle", "busy"] {
+        assert!(table.is_better(start, endpoint, STALL), "{endpoint}");
+        table.record_silent_probe(start, endpoint);
+        assert!(!table.is_better(start, endpoint, STALL), "{endpoint}");
+    }
+    table.record_heard(start, "busy");
+    assert!(table.is_better(start, "busy", STALL));
+    assert!(table.is_better(start + SILENT_PROBE_TIME, "idle", STALL));
+}
+
+/// Guards against a longer doubt that is cut short by a question without an answer.
+#[test]
+fn a_silent_probe_shortens_no_doubt() {
+    let start = Instant::now();
+    let mut table = ProgressTable::default();
+    table.begin_stall("a");
+    table.end_stall(start, "a", true);
+    table.record_silent_probe(start, "a");
+    assert!(!table.is_better(start + SILENT_PROBE_TIME, "a", STALL));
+}
--- a/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -5,6 +5,10 @@
 /// for longer.
 pub(in crate::gateway) const HANDOVER_TIME: Duration = Duration::from_millis(200);
 
+/// Longest time for which an endpoint may take to give a sign of life: many round trips within a
+/// region. Sound endpoints answer at once, whatever they work on.
+pub(in crate::gateway) const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
+
 /// Delay before the next search after one that was refused. It doubles, since a search may make
 /// other entries work.
 const FIRST_DELAY: Duration = Duration::from_millis(200);
