Drop a replacement that has fallen silent instead of the call that it was to replace

What callers saw: a stream whose engine was silent for a second was handed to an engine that fell silent just then; both went on, the first one in time, and its call had been dropped. Cause: the handover dropped the stalled call 0.2 s after the send, whatever became of the replacement. Change: 80 ms after the send the replacement is asked for a second sign of life. Without one it is dropped itself, the send is withdrawn (RunLedger: it may have run, counts once, and may get the request again), and the search goes on.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -80,7 +80,7 @@
     /// has been silent for `stall`.
     pub(super) fn find_replacement(&self, stall: Duration) -> ReplacementChance {
         let route = &self.context.route;
-        let has_spare_run = self.ledger.runs() < route.max_endpoints as usize;
+        let has_spare_run = self.ledger.has_spare_endpoint(route.max_endpoints as usize);
         let may_run = route.kind.is_retryable() && has_spare_run;
         match may_run && self.has_better_endpoint(stall) {
             false => ReplacementChance::NoEndpoint,
@@ -368,7 +368,7 @@
         guards: (OutstandingGuard, ProgressGuard),
     ) -> PendingCall {
         self.send_state = SendState::Sent;
-        self.send_begun.notify_one();
+        self.sent_to.send_replace(Some(Arc::clone(member)));
         let request = self.endpoint_request(member, last_event);
         let member = Arc::clone(member);
         PendingCall::send(opened, request, member, (started, BootClock.now()), guards)
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -49,6 +49,7 @@
             let is_allowed_data_center = data_center_filter.has(member.data_center());
             is_allowed_data_center
                 && self.may_continue_at(member)
+                && self.may_run_at(member)
                 && self.may_replace_at(member)
                 && self.node.is_available(member.endpoint())
                 && is_eligible(member)
@@ -66,6 +67,13 @@
             .cloned()
     }
 
+    /// Whether the route allows the request to run at one more endpoint, if it has not been at this
+    /// one.
+    fn may_run_at(&self, member: &PoolMember) -> bool {
+        let max_endpoints = self.context.route.max_endpoints as usize;
+        self.ledger.may_run_at(member.endpoint(), max_endpoints)
+    }
+
     /// Whether an endpoint is better off than the one that the next send would replace.
     fn may_replace_at(&self, member: &PoolMember) -> bool {
         let progress = &self.node.scores.progress;
@@ -230,6 +238,7 @@
             cost.surcharge == 0.0
                 && self.node.is_available(member.endpoint())
                 && self.may_continue_at(member)
+                && self.may_run_at(member)
                 && self.may_replace_at(member)
         };
         let permitted_until = placement
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -6,7 +6,7 @@
 use hyper::http::request;
 use hyper::{Response, StatusCode, Version};
 use rand::RngExt;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::DecisionWait;
@@ -20,12 +20,12 @@
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
 use super::stalled_calls::{
-    HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay, SilentReplacement,
-    StallEnd, StalledCalls,
+    HANDOVER_PROBE_DELAY, HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay,
+    SilentReplacement, StallEnd, StalledCalls,
 };
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
-use super::{GatewayRefusal, NotRunReason, RouteKind, RunLedger};
+use super::{GatewayRefusal, NotRunReason, PoolMember, RouteKind, RunLedger};
 use crate::prelude::*;
 use crate::quarantine::{
     CrashSuspect, QUARANTINE_TIME, QuarantineList, RequestDigest, RequestIdentity,
@@ -101,8 +101,8 @@
     pub(super) ledger: RunLedger,
     pub(super) next_send: NextSend,
     pub(super) send_state: SendState,
-    /// Notified when a request is sent.
-    pub(super) send_begun: Arc<Notify>,
+    /// The endpoint of the last send since a handover began.
+    pub(super) sent_to: watch::Sender<Option<Arc<PoolMember>>>,
     /// Since when the endpoint that the next send would replace has been silent.
     pub(super) stalled_since: Option<Instant>,
     /// Whether the stages were executed, at least in part.
@@ -145,7 +145,7 @@
             ledger: RunLedger::default(),
             next_send: NextSend::First(token),
             send_state: SendState::Idle,
-            send_begun: Arc::default(),
+            sent_to: watch::Sender::default(),
             stalled_since: None,
             has_run_stages: false,
             results: None,
@@ -306,6 +306,12 @@
             }
             let mut end = match race.end {
                 RacedEnd::Next(end) => end,
+                RacedEnd::Silent(member) => {
+                    self.withdraw(&member);
+                    self.list_at_send = list_at_send;
+                    self.has_answer_begun = has_answer_begun;
+                    Ok(AttemptEnd::Unsent)
+                }
                 RacedEnd::Stalled(call, result) => {
                     self.cancel_attempt();
                     self.list_at_send = list_at_send;
@@ -349,6 +355,7 @@
         let (mut useless, mut replaced) = (Vec::new(), Vec::new());
         let mut attempting = pin!(self.attempt(last_event));
         let mut handover = pin!(handover);
+        let mut is_handed_over = false;
         let end = loop {
             tokio::select! {
                 biased;
@@ -359,8 +366,14 @@
                     Ok(_) | Err(_) => useless.push((call, result)),
                 },
                 end = &mut attempting => break RacedEnd::Next(end),
-                () = &mut handover, if is_stream && !stalled.is_empty() => {
-                    replaced.extend(stalled.finish_replaced());
+                end = &mut handover, if is_stream && !stalled.is_empty() && !is_handed_over => {
+                    match end {
+                        HandoverEnd::Complete => {
+                            is_handed_over = true;
+                            replaced.extend(stalled.finish_replaced());
+                        }
+                        HandoverEnd::Silent(member) => break RacedEnd::Silent(member),
+                    }
                 }
             }
         };
@@ -423,17 +436,41 @@
         Some(Ok(AttemptEnd::Lost))
     }
 
-    /// Returns a future that ends when a call that the next send replaces has to be dropped.
-    pub(super) fn begin_handover(&mut self) -> impl Future<Output = ()> + use<> {
+    /// Returns a future that ends when either the next send, or the call that it replaces, has to be
+    /// dropped.
+    pub(super) fn begin_handover(&mut self) -> impl Future<Output = HandoverEnd> + use<> {
         self.send_state = SendState::Idle;
-        self.send_begun = Arc::new(Notify::new());
-        let send_begun = Arc::clone(&self.send_begun);
+        self.sent_to = watch::Sender::default();
+        let mut sent_to = self.sent_to.subscribe();
+        let node = Arc::clone(&self.node);
         async move {
-            send_begun.notified().await;
-            tokio::time::sleep(HANDOVER_TIME).await;
+            let member = match sent_to.wait_for(Option::is_some).await {
+                Ok(member) => member.clone(),
+                Err(_) => None,
+            };
+            let Some(member) = member else {
+                return std::future::pending().await;
+            };
+            let ends_at = Instant::now() + HANDOVER_TIME;
+            tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
+            let is_alive = node.has_sign_of_life(&member).await;
+            tokio::time::sleep_until(ends_at.into()).await;
+            match is_alive {
+                true => HandoverEnd::Complete,
+                false => HandoverEnd::Silent(member),
+            }
         }
     }
 
+    /// Records that the request was withdrawn from an endpoint that was to replace another one and has
+    /// fallen silent itself.
+    pub(super) fn withdraw(&mut self, member: &PoolMember) {
+        let endpoint = member.endpoint();
+        self.send_state = SendState::Idle;
+        self.ledger.record_withdrawal(endpoint);
+        self.record_silent_replacement(endpoint, SilentReplacement::AfterSend);
+    }
+
     /// Records that an endpoint that was to replace another one gave no sign of life.
     pub(super) fn record_silent_replacement(&self, endpoint: &str, found: SilentReplacement) {
         let node = &self.node;
@@ -498,7 +535,8 @@
         let route = &self.context.route;
         let runs = self.ledger.runs();
         let is_allowed = runs == 0 || route.kind.is_retryable();
-        let is_within = runs < route.max_endpoints as usize && self.ledger.sends() < MAX_SENDS;
+        let has_spare_endpoint = self.ledger.has_spare_endpoint(route.max_endpoints as usize);
+        let is_within = has_spare_endpoint && self.ledger.sends() < MAX_SENDS;
         let has_time = !self.context.remaining(Instant::now()).is_zero();
         is_allowed && is_within && has_time && self.has_token()
     }
@@ -610,6 +648,8 @@
     Unsent,
     #[error("the answer of the endpoint was lost")]
     Lost,
+    #[error("the endpoint is silent as well")]
+    Silent,
 }
 
 impl From<GatewayRefusal> for ResumeRefusal {
@@ -633,6 +673,17 @@
     Stalled(Box<PendingCall>, HeadResult),
     /// The attempt beside it.
     Next(Result<AttemptEnd, GatewayRefusal>),
+    /// The endpoint of the attempt beside it has fallen silent.
+    Silent(Arc<PoolMember>),
+}
+
+/// How a handover ended.
+#[derive(Debug)]
+pub(super) enum HandoverEnd {
+    /// The replacement is alive, so the stalled call has to be dropped.
+    Complete,
+    /// The replacement is silent as well, so it has to be dropped.
+    Silent(Arc<PoolMember>),
 }
 
 /// Reads a stream to its end, as the body of an answer with a length.
--- a/crates/savorywalk/src/gateway/run_ledger.rs
+++ b/crates/savorywalk/src/gateway/run_ledger.rs
@@ -14,8 +14,19 @@
 #[derive(Clone, Debug)]
 struct RecordedSend {
     endpoint: Arc<str>,
-    /// Whether the endpoint guarantees not to have run the request.
-    is_denied: bool,
+    state: RecordedState,
+}
+
+/// What is known of a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordedState {
+    /// The endpoint may have run the request.
+    MayHaveRun,
+    /// The endpoint guarantees not to have run the request.
+    Denied,
+    /// The endpoint may have run the request, its connection was closed, and it may get the request
+    /// again.
+    Withdrawn,
 }
 
 impl RunLedger {
@@ -23,25 +34,36 @@
     pub fn record_send(&mut self, endpoint: &str) {
         self.sent.push(RecordedSend {
             endpoint: endpoint.into(),
-            is_denied: false,
+            state: RecordedState::MayHaveRun,
         });
     }
 
     /// Records that `endpoint` guarantees not to have run the request, or that none of its bytes
     /// were written.
     pub fn record_denial(&mut self, endpoint: &str) {
+        self.settle(endpoint, RecordedState::Denied);
+    }
+
+    /// Records that the connection to `endpoint` was closed before it answered, and that it may get
+    /// the request again. It counts among those that may have run it, but only once.
+    pub(super) fn record_withdrawal(&mut self, endpoint: &str) {
+        self.settle(endpoint, RecordedState::Withdrawn);
+    }
+
+    fn settle(&mut self, endpoint: &str, state: RecordedState) {
         let mut sends = self.sent.iter_mut().rev();
-        let send = sends.find(|send| &*send.endpoint == endpoint && !send.is_denied);
-        debug_assert!(send.is_some(), "a denial without a send");
+        let send = sends
+            .find(|send| &*send.endpoint == endpoint && send.state == RecordedState::MayHaveRun);
+        debug_assert!(send.is_some(), "an outcome without a send");
         if let Some(send) = send {
-            send.is_denied = true;
+            send.state = state;
         }
     }
 
     /// Forgets the sends to endpoints that have not run the request, so that these may be asked
     /// again.
     pub(super) fn forget_denials(&mut self) {
-        self.sent.retain(|send| !send.is_denied);
+        self.sent.retain(|send| send.state != RecordedState::Denied);
     }
 
     /// The proof, unless an endpoint may have run the request.
@@ -51,7 +73,25 @@
 
     /// Number of endpoints that may have run the request.
     pub fn runs(&self) -> usize {
-        self.sent.iter().filter(|send| !send.is_denied).count()
+        let sends = self.sent.iter();
+        let sends = sends.filter(|send| send.state != RecordedState::Denied);
+        let endpoints: BTreeSet<&str> = sends.map(|send| &*send.endpoint).collect();
+        endpoints.len()
+    }
+
+    /// Whether the request may be sent to `endpoint`, if `max_endpoints` may run it.
+    pub(super) fn may_run_at(&self, endpoint: &str, max_endpoints: usize) -> bool {
+        let mut sends = self.sent.iter();
+        self.runs() < max_endpoints || sends.any(|send| send.is_withdrawn_from(endpoint))
+    }
+
+    /// Whether there may be an endpoint for another send, if `max_endpoints` may run the request.
+    pub(super) fn has_spare_endpoint(&self, max_endpoints: usize) -> bool {
+        let mut sends = self.sent.iter();
+        let may_get_again = |send: &RecordedSend| {
+            send.state == RecordedState::Withdrawn && !self.was_sent_to(&send.endpoint)
+        };
+        self.runs() < max_endpoints || sends.any(may_get_again)
     }
 
     /// Number of sends, including denied ones.
@@ -59,17 +99,25 @@
         self.sent.len()
     }
 
-    /// Endpoints that the request was sent to, in order.
+    /// Endpoints that the request was sent to and that do not get it again, in order.
     pub(super) fn endpoints(&self) -> Vec<String> {
         self.sent
             .iter()
+            .filter(|send| send.state != RecordedState::Withdrawn)
             .map(|send| send.endpoint.to_string())
             .collect()
     }
 
-    /// Whether the request was sent to `endpoint`.
+    /// Whether the request was sent to `endpoint`, which does not get it again.
     pub fn was_sent_to(&self, endpoint: &str) -> bool {
-        self.sent.iter().any(|send| &*send.endpoint == endpoint)
+        let mut sends = self.sent.iter();
+        sends.any(|send| &*send.endpoint == endpoint && send.state != RecordedState::Withdrawn)
+    }
+}
+
+impl RecordedSend {
+    fn is_withdrawn_from(&self, endpoint: &str) -> bool {
+        &*self.endpoint == endpoint && self.state == RecordedState::Withdrawn
     }
 }
 
--- a/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -9,6 +9,11 @@
 /// region. Sound endpoints answer at once, whatever they work on.
 pub(in crate::gateway) const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time from a send to the question whether its endpoint is still alive. The answer is due when the
+/// handover ends.
+pub(in crate::gateway) const HANDOVER_PROBE_DELAY: Duration =
+    HANDOVER_TIME.saturating_sub(PROBE_TIMEOUT);
+
 /// Delay before the next search after one that was refused. It doubles, since a search may make
 /// other entries work.
 const FIRST_DELAY: Duration = Duration::from_millis(200);
--- a/crates/savorywalk/src/gateway/stalled_calls/silent_replacement.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/silent_replacement.rs
@@ -3,6 +3,8 @@
 pub(in crate::gateway) enum SilentReplacement {
     /// Nothing was sent to it.
     BeforeSend,
+    /// The request was sent to it, and withdrawn.
+    AfterSend,
 }
 
 impl SilentReplacement {
@@ -10,6 +12,7 @@
     pub(in crate::gateway) const fn name(self) -> &'static str {
         match self {
             Self::BeforeSend => "before_send",
+            Self::AfterSend => "after_send",
         }
     }
 }
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -8,11 +8,11 @@
 use super::endpoint_call::EndpointCall;
 use super::forward_attempt::OpenAnswer;
 use super::forward_attempt::is_delimited;
-use super::forward_run::{ForwardRun, ResumeRefusal};
+use super::forward_run::{ForwardRun, HandoverEnd, ResumeRefusal};
 use super::stalled_calls::{ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord};
 use super::stream_end::EndProof;
 use super::stream_origins::OriginGuard;
-use super::{EventSplitter, RouteKind};
+use super::{EventSplitter, PoolMember, RouteKind};
 use crate::prelude::*;
 use crate::routing::OutstandingGuard;
 
@@ -249,7 +249,10 @@
     /// take it over.
     fn stall_limit(&self) -> Option<Duration> {
         let route = &self.run.context.route;
-        let has_spare_endpoint = self.run.ledger.runs() < route.max_endpoints as usize;
+        let has_spare_endpoint = self
+            .run
+            .ledger
+            .has_spare_endpoint(route.max_endpoints as usize);
         let may_be_resumed = self.is_resumable() && has_spare_endpoint;
         may_be_resumed.then(|| match self.has_events {
             true => (route.pause.unwrap_or(MIN_STALL) * STALL_PAUSES).max(MIN_STALL),
@@ -366,16 +369,29 @@
     }
 
     /// Sends the stream to another endpoint while the present one stays in place. Whoever answers
-    /// first has it; the present one is dropped soon after the send, so that two do not work on it.
-    /// If its connection breaks, the other one goes on alone.
+    /// first has it. Soon after the send one of both is dropped, so that two do not work on it: the present
+    /// one if the other one gives a sign of life then. If the present one's connection breaks, the other
+    /// one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
+        self.run.stalled_since = Some(self.source.heard);
+        match self.race_replacement().await {
+            Ok(end) => end,
+            Err(silent) => {
+                self.run.withdraw(&silent);
+                SearchEnd::Refused(ResumeRefusal::Silent)
+            }
+        }
+    }
+
+    /// Fails with the other endpoint if that one has fallen silent after the send.
+    async fn race_replacement(&mut self) -> Result<SearchEnd, Arc<PoolMember>> {
         let last_event = self.splitter.last_id();
         let handover = self.run.begin_handover();
-        self.run.stalled_since = Some(self.source.heard);
         let Self { run, source, .. } = self;
         let mut resuming = pin!(run.resume(last_event));
         let mut handover = pin!(handover);
         let mut broken = None;
+        let mut is_handed_over = false;
         loop {
             tokio::select! {
                 biased;
@@ -384,14 +400,20 @@
                         source.call = None;
                         broken = Some(error);
                     }
-                    Some(Ok(_)) | None => return SearchEnd::Source(frame),
+                    Some(Ok(_)) | None => return Ok(SearchEnd::Source(frame)),
                 },
-                resumed = &mut resuming => return match (resumed, broken) {
+                resumed = &mut resuming => return Ok(match (resumed, broken) {
                     (Ok(open), _) => SearchEnd::Opened(Box::new(open)),
                     (Err(_), Some(error)) => SearchEnd::Source(Some(Err(error))),
                     (Err(refusal), None) => SearchEnd::Refused(refusal),
+                }),
+                end = &mut handover, if source.call.is_some() && !is_handed_over => match end {
+                    HandoverEnd::Complete => {
+                        is_handed_over = true;
+                        source.call = None;
+                    }
+                    HandoverEnd::Silent(member) => return Err(member),
                 },
-                () = &mut handover, if source.call.is_some() => source.call = None,
             }
         }
     }
