Soak of silent engines: planned work in series, several changes at once

What was missing: the drawn series has one change each half second, so stops, reloads, documents and starts seldom met within a silence.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -209,3 +209,11 @@
     let report = play_seed(SilencePlay::Series, 2).await;
     assert!(report.is_sound(), "{report}");
 }
+
+/// Guards against streams that hold under single changes, and break when a silence meets stops,
+/// starts, reloads and documents that overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_work_in_series_breaks_off_no_sound_stream() {
+    let report = play_seed(SilencePlay::PlannedWork, 1).await;
+    assert!(report.is_sound(), "{report}");
+}
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -81,8 +81,9 @@
         }
     }
 
-    /// Starts the processes that don't run.
-    pub(crate) async fn start_stopped(&mut self) -> Result<()> {
+    /// Starts the processes that don't run, and returns their positions.
+    pub(crate) async fn start_stopped(&mut self) -> Result<Vec<usize>> {
+        let mut started = Vec::new();
         for index in 0..self.processes.len() {
             let is_running = self.processes[index]
                 .as_mut()
@@ -94,9 +95,10 @@
                 let process = SignalledProcess::start(program, &self.folder, &name, &settings)?;
                 self.processes[index] = Some(process);
                 self.has_started[index] = true;
+                started.push(index);
             }
         }
-        Ok(())
+        Ok(started)
     }
 
     /// Kills all processes, and waits until they have ended.
--- a/crates/proof/src/prompt_soak/soak_run.rs
+++ b/crates/proof/src/prompt_soak/soak_run.rs
@@ -204,7 +204,8 @@
             self.fleet.signal(index, Signal::SIGCONT)?;
         }
         self.lost_registry = None;
-        self.fleet.start_stopped().await
+        self.fleet.start_stopped().await?;
+        Ok(())
     }
 
     async fn publish(&mut self) {
--- a/crates/proof/src/retry_soak/retry_run.rs
+++ b/crates/proof/src/retry_soak/retry_run.rs
@@ -175,7 +175,8 @@
     for index in 0..fleet.len() {
         fleet.signal(index, Signal::SIGCONT)?;
     }
-    fleet.start_stopped().await
+    fleet.start_stopped().await?;
+    Ok(())
 }
 
 async fn wait_until_served(callers: &RetryCallers) {
--- a/crates/proof/src/silence_soak/gateway_timeline.rs
+++ b/crates/proof/src/silence_soak/gateway_timeline.rs
@@ -5,6 +5,7 @@
 pub(super) struct GatewayTimeline {
     kills: Vec<(usize, Instant)>,
     stops: Vec<(usize, Instant)>,
+    starts: Vec<(usize, Instant)>,
     freezes: Vec<GatewayFreeze>,
 }
 
@@ -25,6 +26,11 @@
         self.stops.push((gateway, now));
     }
 
+    /// Records that the process of a gateway was started again.
+    pub(super) fn record_start(&mut self, gateway: usize, now: Instant) {
+        self.starts.push((gateway, now));
+    }
+
     /// Records a freeze, if none of the gateway lasts.
     pub(super) fn record_freeze(&mut self, gateway: usize, now: Instant) {
         if !self.frozen().contains(&gateway) {
@@ -65,11 +71,16 @@
         kills.any(|(killed, at)| *killed == gateway && *at >= from && *at <= to)
     }
 
-    /// Times at which the gateway was asked to stop; a process may be asked again.
-    pub(super) fn stops(&self, gateway: usize) -> impl Iterator<Item = Instant> {
+    /// Times at which the process that a gateway had at `sent` was asked to stop; it may be asked
+    /// again.
+    pub(super) fn stops(&self, gateway: usize, sent: Instant) -> impl Iterator<Item = Instant> {
+        let starts = self.starts.iter();
+        let starts = starts.filter(|(started, at)| *started == gateway && *at <= sent);
+        let start = starts.map(|(_, at)| *at).max();
         let stops = self.stops.iter();
         let stops = stops.filter(move |(stopped, _)| *stopped == gateway);
-        stops.map(|(_, at)| *at)
+        let stops = stops.map(|(_, at)| *at);
+        stops.filter(move |at| start.is_none_or(|start| *at >= start))
     }
 
     /// Length of the gateway's freezes that lasted at some time in `from..=to`.
--- a/crates/proof/src/silence_soak/silence_play.rs
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -28,10 +28,13 @@
     IdleEngines,
     /// A drawn series of overlapping faults.
     Series,
+    /// A drawn series of stops, starts, reloads and documents, several at once, beside silences that
+    /// callers outlast.
+    PlannedWork,
 }
 
 impl SilencePlay {
-    /// All plays but the drawn one.
+    /// All plays but the drawn ones.
     pub const FIXED: [Self; 8] = [
         Self::SpentBudget,
         Self::SilentStages,
@@ -55,20 +58,22 @@
             Self::LostPath => "lost-path",
             Self::IdleEngines => "idle-engines",
             Self::Series => "series",
+            Self::PlannedWork => "planned-work",
         }
     }
 
     /// The play with a name; `None` if there is none.
     pub fn from_name(name: &str) -> Option<Self> {
-        let plays = Self::FIXED.into_iter().chain([Self::Series]);
-        plays.into_iter().find(|play| play.name() == name)
+        let drawn = [Self::Series, Self::PlannedWork];
+        let mut plays = Self::FIXED.into_iter().chain(drawn);
+        plays.find(|play| play.name() == name)
     }
 
-    /// Whether the budget allows next to no retries; in series every second seed.
+    /// Whether the budget allows next to no retries; in drawn series every second seed.
     pub(super) fn has_spent_budget(self, seed: u64) -> bool {
         match self {
             Self::SpentBudget => true,
-            Self::Series => seed.is_multiple_of(2),
+            Self::Series | Self::PlannedWork => seed.is_multiple_of(2),
             Self::SilentStages
             | Self::FullEngines
             | Self::PreemptedStreams
@@ -79,6 +84,21 @@
         }
     }
 
+    /// Whether faults are drawn, so that some streams may fail to be whole.
+    pub(super) const fn is_drawn(self) -> bool {
+        match self {
+            Self::Series | Self::PlannedWork => true,
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::StoppingGateway
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::IdleEngines => false,
+        }
+    }
+
     /// Time within which gateways that are asked to stop end.
     pub(super) const fn stop_time(self) -> Duration {
         match self {
@@ -90,7 +110,8 @@
             | Self::LostEngine
             | Self::LostPath
             | Self::IdleEngines
-            | Self::Series => Duration::from_secs(6),
+            | Self::Series
+            | Self::PlannedWork => Duration::from_secs(6),
         }
     }
 
@@ -105,7 +126,8 @@
             | Self::PreemptedStreams
             | Self::LostEngine
             | Self::LostPath
-            | Self::Series => gateways,
+            | Self::Series
+            | Self::PlannedWork => gateways,
         }
     }
 
@@ -120,7 +142,8 @@
             | Self::StoppingGateway
             | Self::LostEngine
             | Self::LostPath
-            | Self::Series => STREAMS_PER_GATEWAY,
+            | Self::Series
+            | Self::PlannedWork => STREAMS_PER_GATEWAY,
         }
     }
 }
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -12,7 +12,7 @@
 use super::endpoint_switch::SilenceKind;
 use super::gateway_timeline::GatewayTimeline;
 use super::silence_step::{
-    MIN_ROUTE_TIMEOUT_MS, RegistryLoss, STEP_TIME, STEPS, SilenceStep, StepScope,
+    MIN_ROUTE_TIMEOUT_MS, RegistryLoss, STEP_TIME, STEPS, SilenceStep, StepScope, draw_planned,
 };
 use super::silent_endpoint::{ENGINE_POOL, EndpointPool, STAGE_POOL};
 use super::stream_callers::StreamCallers;
@@ -148,9 +148,9 @@
     };
     run.wait_until_served(plan.gateways).await;
     tokio::time::sleep(WARM_UP).await;
-    match plan.play {
-        SilencePlay::Series => run.play_series(plan.gateways, &end).await?,
-        _ => run.play_silences(plan.gateways).await?,
+    match plan.play.is_drawn() {
+        true => run.play_series(plan.gateways, &end).await?,
+        false => run.play_silences(plan.gateways).await?,
     }
     let report = run.report();
     run.fleet.end().await?;
@@ -237,7 +237,7 @@
             SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
             SilencePlay::LostPath => self.engines.fall_silent(0, SilenceKind::Path, None),
             SilencePlay::IdleEngines => self.silence_idle_engines(),
-            SilencePlay::Series => {}
+            SilencePlay::Series | SilencePlay::PlannedWork => {}
         }
         Ok(())
     }
@@ -289,9 +289,10 @@
             gateways,
         };
         for _ in 0..STEPS {
-            let step = SilenceStep::draw(scope, &mut self.random);
-            log::info!("event=silence_step step={step:?}");
-            self.take_step(step).await?;
+            for step in self.draw_steps(scope) {
+                log::info!("event=silence_step step={step:?}");
+                self.take_step(step).await?;
+            }
             tokio::time::sleep(STEP_TIME).await;
         }
         self.heal().await?;
@@ -300,6 +301,13 @@
         Ok(())
     }
 
+    fn draw_steps(&mut self, scope: StepScope) -> Vec<SilenceStep> {
+        match self.play {
+            SilencePlay::PlannedWork => draw_planned(scope, &mut self.random),
+            _ => vec![SilenceStep::draw(scope, &mut self.random)],
+        }
+    }
+
     async fn take_step(&mut self, step: SilenceStep) -> Result<()> {
         let now = Instant::now();
         match step {
@@ -334,6 +342,7 @@
                 self.signal_gateway(gateway, Signal::SIGSTOP)?;
             }
             SilenceStep::Thaw => self.thaw()?,
+            SilenceStep::Start => self.start_stopped().await?,
             SilenceStep::Reload(gateway) => self.signal_gateway(gateway, Signal::SIGHUP)?,
             SilenceStep::LoseRegistry(_, _) if self.has_lost_registry => {}
             SilenceStep::LoseRegistry(registry, loss) => {
@@ -373,7 +382,16 @@
         for index in 0..ENGINES {
             self.engines.go_on(index);
         }
-        self.fleet.start_stopped().await
+        self.start_stopped().await
+    }
+
+    async fn start_stopped(&mut self) -> Result<()> {
+        for process in self.fleet.start_stopped().await? {
+            if let Some(gateway) = process.checked_sub(REGISTRIES) {
+                self.gateways.record_start(gateway, Instant::now());
+            }
+        }
+        Ok(())
     }
 
     fn report(&self) -> SilenceReport {
@@ -382,7 +400,7 @@
         let check = StreamCheck {
             engines,
             gateways: &self.gateways,
-            has_excuses: self.play == SilencePlay::Series,
+            has_excuses: self.play.is_drawn(),
             stop_time: self.play.stop_time(),
             route_timeout: Duration::from_millis(MIN_ROUTE_TIMEOUT_MS),
         };
--- a/crates/proof/src/silence_soak/silence_step.rs
+++ b/crates/proof/src/silence_soak/silence_step.rs
@@ -13,6 +13,10 @@
 const SHORT_SILENCE_MS: std::ops::Range<u64> = 300..1_500;
 const LONG_SILENCE_MS: std::ops::Range<u64> = 1_500..3_000;
 
+/// Part of the steps of planned work at which engines fall silent, and most changes of such a step.
+const SILENT_PART: f64 = 0.5;
+const MAX_CHANGES: usize = 3;
+
 /// Part of the silences that are longer ones, and of the changes after which engines are full.
 const LONG_PART: f64 = 0.3;
 const FULL_PART: f64 = 0.3;
@@ -50,6 +54,8 @@
     Freeze(usize),
     /// Lets all frozen gateways go on.
     Thaw,
+    /// Starts ended processes.
+    Start,
     Reload(usize),
     LoseRegistry(usize, RegistryLoss),
     /// Ends all faults but the silences with a length, and starts ended processes.
@@ -109,6 +115,41 @@
     }
 }
 
+/// Draws changes that an operator plans, at once, and often a silence that callers outlast beside
+/// them.
+pub(super) fn draw_planned(scope: StepScope, random: &mut ChaCha8Rng) -> Vec<SilenceStep> {
+    let mut steps = Vec::new();
+    if random.random_bool(SILENT_PART) {
+        let engine = random.random_range(0..scope.engines);
+        let time = Duration::from_millis(random.random_range(SHORT_SILENCE_MS));
+        steps.push(match random.random_range(0..4) {
+            0 => SilenceStep::SilenceEngines(vec![engine], draw_kind(random), Some(time)),
+            1 => {
+                let some = (0..scope.engines).filter(|_| random.random_bool(0.5));
+                SilenceStep::SilenceEngines(some.collect(), SilenceKind::Calls, Some(time))
+            }
+            2 => {
+                let all = (0..scope.engines).collect();
+                SilenceStep::SilenceEngines(all, SilenceKind::Calls, Some(time))
+            }
+            _ => SilenceStep::Preempt(engine, time),
+        });
+    }
+    for _ in 0..random.random_range(1..=MAX_CHANGES) {
+        let gateway = random.random_range(0..scope.gateways);
+        steps.push(match random.random_range(0..8) {
+            0 => SilenceStep::Stop(gateway),
+            1..4 => SilenceStep::Reload(gateway),
+            4..6 => SilenceStep::Publish(
+                random.random_range(ROUTE_TIMEOUT_MS),
+                random.random_range(IDLE_TIMEOUT_MS),
+            ),
+            _ => SilenceStep::Start,
+        });
+    }
+    steps
+}
+
 fn draw_kind(random: &mut ChaCha8Rng) -> SilenceKind {
     match random.random_range(0..3) {
         0 => SilenceKind::Calls,
--- a/crates/proof/src/silence_soak/stream_check.rs
+++ b/crates/proof/src/silence_soak/stream_check.rs
@@ -57,7 +57,8 @@
         let (sent, ended) = (outcome.sent, outcome.ended);
         let runs = self.engines.runs(&outcome.id);
         let stop_part = self.stop_time.mul_f64(STOP_PART);
-        let mut stop_ends = self.gateways.stops(gateway).map(|stop| stop + stop_part);
+        let stops = self.gateways.stops(gateway, sent);
+        let mut stop_ends = stops.map(|stop| stop + stop_part);
         let Some(first) = runs.first() else {
             return Some(StreamExcuse::NotRun);
         };
--- a/crates/proof/src/silence_soak/stream_check_tests.rs
+++ b/crates/proof/src/silence_soak/stream_check_tests.rs
@@ -123,6 +123,21 @@
     assert_eq!(excuse(&engines, &gateways, &outcome), expected);
 }
 
+// Guards against the stop of an earlier process that excuses streams of the one started after it.
+#[test]
+fn a_stop_excuses_no_stream_of_a_later_process() {
+    let engines = EndpointTimeline::default();
+    drop(engines.begin("a", 2));
+    let outcome = outcome(StreamEnd::Broken, 100);
+    let mut gateways = GatewayTimeline::default();
+    let before = |ms| outcome.ended - Duration::from_millis(ms);
+    gateways.record_stop(1, before(5_500));
+    let expected = Some(StreamExcuse::StopTimeOver);
+    assert_eq!(excuse(&engines, &gateways, &outcome), expected);
+    gateways.record_start(1, before(4_500));
+    assert_eq!(excuse(&engines, &gateways, &outcome), None);
+}
+
 // Guards against a short freeze and a short silence that are excused one by one, or never together.
 #[rstest]
 #[case(500, None)]
