Soak of silent engines: the report shows the runs and silences of a stream that is not whole

A stream that was left after 2 s could not be traced to its engine's silences: the logs of gateways do not have them. The line of each such stream now has its runs, the silences until its end, and for how long its gateway was frozen.

--- a/crates/proof/src/silence_soak/endpoint_timeline.rs
+++ b/crates/proof/src/silence_soak/endpoint_timeline.rs
@@ -1,3 +1,4 @@
+use std::fmt::Write;
 use std::sync::Mutex;
 
 use savorywalk::prelude::*;
@@ -95,6 +96,38 @@
         overlaps.max().unwrap_or_default()
     }
 
+    /// Runs of a request and the silences of their endpoints until `to`, in milliseconds after `from`.
+    pub(super) fn trace(&self, id: &str, from: Instant, to: Instant) -> String {
+        let after = |at: Instant| at.saturating_duration_since(from).as_millis();
+        let after_some = |at: Option<Instant>| at.map(after);
+        let mut trace = String::new();
+        for span in self.runs(id) {
+            let (began, sent) = (after(span.began), after_some(span.sent));
+            let ended = after_some(span.ended);
+            let endpoint = span.endpoint;
+            let _ = write!(
+                trace,
+                "; run at {endpoint}: began {began}, sent {sent:?}, ended {ended:?}"
+            );
+        }
+        let silences = self.silences.lock();
+        let silences = silences
+            .map(|silences| silences.clone())
+            .unwrap_or_default();
+        let within = silences.iter().filter(|(_, silence)| {
+            silence.began <= to && silence.ends.is_none_or(|ends| ends >= from)
+        });
+        for (endpoint, silence) in within {
+            let (kind, began) = (silence.kind, after(silence.began));
+            let ends = after_some(silence.ends);
+            let _ = write!(
+                trace,
+                "; {endpoint} silent ({kind:?}) from {began} to {ends:?}"
+            );
+        }
+        trace
+    }
+
     /// Sum of an endpoint's silences that lasted at some time in `from..=to`; `None` if one of them
     /// is for good.
     pub(super) fn silent_time(
--- a/crates/proof/src/silence_soak/stream_check.rs
+++ b/crates/proof/src/silence_soak/stream_check.rs
@@ -40,7 +40,12 @@
             return Some(format!("{outcome}; two engines at once for {overlap} ms"));
         }
         let is_sound = outcome.end == StreamEnd::Whole || self.excuse(outcome).is_some();
-        (!is_sound).then(|| outcome.to_string())
+        (!is_sound).then(|| {
+            let from = outcome.sent;
+            let trace = self.engines.trace(&outcome.id, from, outcome.ended);
+            let frozen = frozen.as_millis();
+            format!("{outcome}; its gateway was frozen for {frozen} ms{trace}")
+        })
     }
 
     /// Why a stream that is not whole is not counted, if anything excuses it.
