Soak of silent engines: a heal ends the pauses of single streams, as its timeline says

What was seen: streams counted as broken off whose engine sent nothing for 2 s. Cause: the timeline ended the pause with the silences of its engine, and the stand-in did not. Change: the stand-in ends it, too. The check is as it was.

--- a/crates/proof/src/silence_soak/endpoint_switch.rs
+++ b/crates/proof/src/silence_soak/endpoint_switch.rs
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Waits until the endpoint's silences are ended from now on.
+    pub(super) async fn wait_to_go_on(&self) {
+        let mut changes = self.silence.subscribe();
+        // The sender lives as long as this switch.
+        while changes.changed().await.is_ok() {
+            if changes.borrow_and_update().is_none() {
+                return;
+            }
+        }
+    }
+
     /// Waits until the path to the endpoint is lost.
     pub(super) async fn wait_for_lost_path(&self) {
         let mut changes = self.silence.subscribe();
--- a/crates/proof/src/silence_soak/silent_endpoint.rs
+++ b/crates/proof/src/silence_soak/silent_endpoint.rs
@@ -238,7 +238,10 @@
                     ends: Some(began + time),
                 };
                 self.timeline.record_silence(self.index, silence);
-                tokio::time::sleep(time).await;
+                tokio::select! {
+                    () = tokio::time::sleep(time) => {}
+                    () = self.switch.wait_to_go_on() => {}
+                }
             }
             self.switch.wait_until_heard(|_| true).await;
         };
