Reproduce streams whose engines are dropped for a head without an event

What callers saw: no event for longer than they wait, although the engine of their stream went on in time. Cause: race_replacement takes the head for the replacement's success and ends the handover with it, so the sign of life after the send is never asked for. Change: tests only.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -202,6 +202,14 @@
     assert!(report.is_sound(), "{report}");
 }
 
+/// Guards against streams whose engines are dropped for the head of an answer, which says nothing of
+/// its first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_while_their_replacements_send_no_event() {
+    let report = play_silences(SilencePlay::SilentAfterHead).await;
+    assert!(report.is_sound(), "{report}");
+}
+
 /// Guards against streams that hold under single silences, and break when silences of all kinds,
 /// documents, reloads, stops, kills and frozen processes overlap.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -67,8 +67,8 @@
             /// Gateways and registries before engines that fall silent and go on, one run a seed.
             cmd silence {
                 /// Play: spent-budget, silent-stages, full-engines, preempted-streams,
-                /// stopping-gateway, lost-engine, lost-path, idle-engines, planned-work or series; default
-                /// series.
+                /// stopping-gateway, lost-engine, lost-path, idle-engines, silent-after-head, planned-work
+                /// or series; default series.
                 optional --play name: String
                 /// First seed; default 1.
                 optional --seed seed: u64
--- a/crates/proof/src/silence_soak/endpoint_switch.rs
+++ b/crates/proof/src/silence_soak/endpoint_switch.rs
@@ -37,6 +37,8 @@
     silence: watch::Sender<Option<Silence>>,
     /// Pause of the next stream that sends an event, and of no other.
     preemption: Mutex<Option<Duration>>,
+    /// Silence that begins after the next head of an answer.
+    after_head: Mutex<Option<Duration>>,
     /// Whether it refuses new requests without running them.
     refuses: AtomicBool,
 }
@@ -46,6 +48,7 @@
         Self {
             silence: watch::Sender::new(None),
             preemption: Mutex::default(),
+            after_head: Mutex::default(),
             refuses: AtomicBool::new(false),
         }
     }
@@ -84,6 +87,19 @@
         self.preemption.lock().ok()?.take()
     }
 
+    /// Makes the endpoint silent for `time` once it has sent the head of an answer.
+    pub(super) fn fall_silent_after_head(&self, time: Duration) {
+        if let Ok(mut after_head) = self.after_head.lock() {
+            *after_head = Some(time);
+        }
+    }
+
+    /// Begins the silence that was to follow the head of an answer, if there is one.
+    pub(super) fn end_head(&self) -> Option<Silence> {
+        let time = self.after_head.lock().ok()?.take()?;
+        self.fall_silent(SilenceKind::Calls, Some(time))
+    }
+
     pub(super) fn set_refuses(&self, refuses: bool) {
         self.refuses.store(refuses, Ordering::Relaxed);
     }
--- a/crates/proof/src/silence_soak/silence_play.rs
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -26,6 +26,9 @@
     /// All engines fall silent at once: those with streams for a second, the idle ones for longer
     /// than callers wait.
     IdleEngines,
+    /// The engines with streams are silent for a second, and the idle ones fall silent for longer than
+    /// callers wait as soon as they have sent the head of an answer.
+    SilentAfterHead,
     /// A drawn series of overlapping faults.
     Series,
     /// A drawn series of stops, starts, reloads and documents, several at once, beside silences that
@@ -35,7 +38,7 @@
 
 impl SilencePlay {
     /// All plays but the drawn ones.
-    pub const FIXED: [Self; 8] = [
+    pub const FIXED: [Self; 9] = [
         Self::SpentBudget,
         Self::SilentStages,
         Self::FullEngines,
@@ -44,6 +47,7 @@
         Self::LostEngine,
         Self::LostPath,
         Self::IdleEngines,
+        Self::SilentAfterHead,
     ];
 
     /// Name on the command line.
@@ -57,6 +61,7 @@
             Self::LostEngine => "lost-engine",
             Self::LostPath => "lost-path",
             Self::IdleEngines => "idle-engines",
+            Self::SilentAfterHead => "silent-after-head",
             Self::Series => "series",
             Self::PlannedWork => "planned-work",
         }
@@ -80,7 +85,8 @@
             | Self::StoppingGateway
             | Self::LostEngine
             | Self::LostPath
-            | Self::IdleEngines => false,
+            | Self::IdleEngines
+            | Self::SilentAfterHead => false,
         }
     }
 
@@ -95,7 +101,8 @@
             | Self::StoppingGateway
             | Self::LostEngine
             | Self::LostPath
-            | Self::IdleEngines => false,
+            | Self::IdleEngines
+            | Self::SilentAfterHead => false,
         }
     }
 
@@ -110,6 +117,7 @@
             | Self::LostEngine
             | Self::LostPath
             | Self::IdleEngines
+            | Self::SilentAfterHead
             | Self::Series
             | Self::PlannedWork => Duration::from_secs(6),
         }
@@ -119,7 +127,7 @@
     pub(super) fn used_gateways(self, gateways: usize) -> usize {
         match self {
             Self::StoppingGateway => 1,
-            Self::IdleEngines => gateways.min(USED_ENGINES),
+            Self::IdleEngines | Self::SilentAfterHead => gateways.min(USED_ENGINES),
             Self::SpentBudget
             | Self::SilentStages
             | Self::FullEngines
@@ -134,7 +142,7 @@
     /// Streams at each of these gateways.
     pub(super) const fn streams_per_gateway(self) -> usize {
         match self {
-            Self::IdleEngines => 1,
+            Self::IdleEngines | Self::SilentAfterHead => 1,
             Self::SpentBudget
             | Self::SilentStages
             | Self::FullEngines
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -236,7 +236,7 @@
             }
             SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
             SilencePlay::LostPath => self.engines.fall_silent(0, SilenceKind::Path, None),
-            SilencePlay::IdleEngines => self.silence_idle_engines(),
+            SilencePlay::IdleEngines | SilencePlay::SilentAfterHead => self.silence_idle_engines(),
             SilencePlay::Series | SilencePlay::PlannedWork => {}
         }
         Ok(())
@@ -250,12 +250,18 @@
         }
     }
 
-    /// Makes all engines silent at once, for a second those that work on streams.
+    /// Makes the engines that work on streams silent for a second, and the others for longer: at once,
+    /// or once they have sent a head.
     fn silence_idle_engines(&mut self) {
         for index in 0..ENGINES {
-            let time = match self.engines.timeline.has_runs(index) {
-                true => self.draw_short_silence(),
-                false => IDLE_SILENCE,
+            let is_idle = !self.engines.timeline.has_runs(index);
+            if is_idle && self.play == SilencePlay::SilentAfterHead {
+                self.engines.switches[index].fall_silent_after_head(IDLE_SILENCE);
+                continue;
+            }
+            let time = match is_idle {
+                true => IDLE_SILENCE,
+                false => self.draw_short_silence(),
             };
             self.engines
                 .fall_silent(index, SilenceKind::Calls, Some(time));
--- a/crates/proof/src/silence_soak/silent_endpoint.rs
+++ b/crates/proof/src/silence_soak/silent_endpoint.rs
@@ -212,6 +212,9 @@
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         self.send(stream, &head, Duration::ZERO).await?;
+        if let Some(silence) = self.switch.end_head() {
+            self.timeline.record_silence(self.index, silence);
+        }
         for number in last + 1..=count {
             let event = event(id, number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
