Take a reset of a probe's connection for a sign of life

What callers saw: no event for longer than they wait, after their engine was lost: the engine that would have gone on with their stream was not asked. Cause: an endpoint that has its maximum of connections resets a further one, and the reset counted as silence. It comes from a process that runs.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -321,7 +321,7 @@
         let (call, was_cached) = match self.needs_sign_of_life() {
             true => {
                 let (opened, is_alive) =
-                    tokio::join!(self.open_call(member), self.node.has_sign_of_life(member));
+                    tokio::join!(self.open_call(member), self.node.answers_probe(member));
                 let opened = opened?;
                 if !is_alive {
                     return Err(CallError::Silent);
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -453,7 +453,7 @@
             };
             let ends_at = Instant::now() + HANDOVER_TIME;
             tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
-            let is_alive = node.has_sign_of_life(&member).await;
+            let is_alive = node.answers_probe(&member).await;
             tokio::time::sleep_until(ends_at.into()).await;
             match is_alive {
                 true => HandoverEnd::Complete,
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -540,9 +540,9 @@
         self.connector.open(&entries, member).await.is_ok()
     }
 
-    /// Whether an endpoint answers a question within [`PROBE_TIMEOUT`], over a connection of its own. Any
-    /// answer will do.
-    pub(super) async fn has_sign_of_life(&self, member: &PoolMember) -> bool {
+    /// Whether an endpoint reacts to a probe within [`PROBE_TIMEOUT`], over a connection of its own. Any
+    /// answer will do, and so does a reset, which says that the endpoint wants no further connection.
+    pub(super) async fn answers_probe(&self, member: &PoolMember) -> bool {
         let target = EndpointTarget {
             name: &member.name,
             address: member.address(),
@@ -551,8 +551,10 @@
             let mut call = self.connect(member).await?;
             call.probe(self.wire.probe_request(&target)).await
         };
-        let answer = tokio::time::timeout(PROBE_TIMEOUT, probing).await;
-        answer.is_ok_and(|answer| answer.is_ok())
+        match tokio::time::timeout(PROBE_TIMEOUT, probing).await {
+            Ok(Ok(()) | Err(CallError::Broken(_))) => true,
+            Ok(Err(_)) | Err(_) => false,
+        }
     }
 
     /// Connects to an endpoint to find out whether the path to it is lost.
