Count no silence of an endpoint that has left the roster as a crash

What callers saw: a prompt whose engine was silent for 1.4 s while it left counted as a suspect of a crash. Cause: an endpoint without an address counted as one that refuses connections. It may be leaving and still serve its calls; only a call that was cut shows that it ended.

--- a/crates/savorywalk/src/gateway/crash_detector.rs
+++ b/crates/savorywalk/src/gateway/crash_detector.rs
@@ -319,7 +319,8 @@
             .map(|(endpoint, address)| async move {
                 let probe = match address {
                     Some(address) => probe_endpoint(network.as_ref(), address).await,
-                    None => EndpointProbe::Refuses,
+                    // It may be leaving, and still serve its calls.
+                    None => EndpointProbe::Silent,
                 };
                 (endpoint.to_string(), probe)
             });
