Count the calls that one silence stalls as one failure of their endpoint

What callers saw: an engine that had been silent for 1.4 s got no requests for 2 s more, although it went on. Cause: each of its streams that had gone on elsewhere counted as a failure, and three in a row eject. Change: the first call that is replaced in a silence counts, until the endpoint sends something, or 2 s after the last such call. The coordinator that placed a prompt still learns of each.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -532,18 +532,13 @@
         let pool = &self.context.pool;
         let records = view.roster.records(pool);
         self.node.scores.report(pool, records, endpoint, report);
-        let placement = self.placement.as_ref();
-        // A stalled call may end after the request was placed elsewhere.
-        let placement = placement.filter(|placement| placement.endpoint == endpoint);
-        if let Some(placement) = placement {
-            let elapsed = match report {
+        self.report_to_coordinator(
+            endpoint,
+            match report {
                 AttemptReport::Succeeded(time) => Some(time),
                 AttemptReport::Failed => None,
-            };
-            self.node
-                .exchange
-                .report_placement(&self.node, placement, elapsed);
-        }
+            },
+        );
         if report == AttemptReport::Failed {
             log_event!(
                 info,
@@ -557,6 +552,18 @@
         }
     }
 
+    /// Reports to the coordinator that placed the request how its attempt ended: successfully after
+    /// `elapsed`, or not.
+    fn report_to_coordinator(&self, endpoint: &str, elapsed: Option<Duration>) {
+        let placement = self.placement.as_ref();
+        // A stalled call may end after the request was placed elsewhere.
+        let placement = placement.filter(|placement| placement.endpoint == endpoint);
+        if let Some(placement) = placement {
+            let exchange = &self.node.exchange;
+            exchange.report_placement(&self.node, placement, elapsed);
+        }
+    }
+
     /// Records that an endpoint may have crashed while it worked on the request.
     pub(super) fn suspect_crash(&mut self, endpoint: &str, failure: CallFailure) {
         let view = self.node.view.load();
@@ -670,6 +677,15 @@
         self.report(&view, endpoint, AttemptReport::Failed, reason);
     }
 
+    /// Reports that a stalled call was replaced. It counts as a failure of its endpoint once for all
+    /// calls that one silence has stalled.
+    pub(super) fn report_replaced(&self, endpoint: &str) {
+        match self.node.scores.progress.take_failure(endpoint) {
+            true => self.report_failure(endpoint, "replaced after a stall"),
+            false => self.report_to_coordinator(endpoint, None),
+        }
+    }
+
     pub(super) async fn handle_answer(&mut self, open: OpenAnswer) -> AnswerOutcome {
         match self.context.route.kind {
             RouteKind::Stream { .. } => return AnswerOutcome::Stream(Box::new(open)),
@@ -697,7 +713,7 @@
                 AnswerOutcome::Whole(response)
             }
             BodyEnd::Replaced(replacement) => {
-                self.report_failure(&open.endpoint, "replaced after a stall");
+                self.report_replaced(&open.endpoint);
                 drop(open.call);
                 Box::pin(self.handle_answer(*replacement)).await
             }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -302,7 +302,7 @@
                 (Arc::clone(&self.list_at_send), self.has_answer_begun);
             let race = self.race_once(last_event, stalled).await;
             for endpoint in race.replaced {
-                self.report_failure(&endpoint, "replaced after a stall");
+                self.report_replaced(&endpoint);
             }
             let mut end = match race.end {
                 RacedEnd::Next(end) => end,
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -44,6 +44,11 @@
         self.table().begin_stall(endpoint);
     }
 
+    /// Whether the silence of an endpoint is to be reported as a failure now.
+    pub(in crate::gateway) fn take_failure(&self, endpoint: &str) -> bool {
+        self.table().take_failure(endpoint)
+    }
+
     /// Records that an endpoint gave no sign of life.
     pub(in crate::gateway) fn record_silent_probe(&self, endpoint: &str) {
         let now = Instant::now();
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -27,9 +27,27 @@
     endpoints: FastMap<Arc<str>, EndpointProgress>,
     /// Number of stalled calls by endpoint.
     stalls: FastMap<String, usize>,
-    /// Until when endpoints count as silent whose stalled calls were replaced, or that gave no sign of
-    /// life.
-    doubted: FastMap<String, Instant>,
+    /// Endpoints whose stalled calls were replaced, or that gave no sign of life.
+    doubted: FastMap<String, EndpointDoubt>,
+}
+
+/// Why an endpoint counts as silent although it has no calls.
+#[derive(Clone, Copy, Debug)]
+struct EndpointDoubt {
+    until: Instant,
+    /// The failure of the endpoint that its silence counts as.
+    failure: SilenceFailure,
+}
+
+/// Whether a silence counts as a failure of its endpoint. All calls that are replaced in one silence
+/// are one failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SilenceFailure {
+    /// No call was replaced.
+    None,
+    /// A call was replaced, and the failure is not reported yet.
+    Unreported,
+    Reported,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -98,24 +116,44 @@
             }
         }
         if is_replaced {
-            self.doubt(now, endpoint, DOUBT_TIME);
+            let doubt = self.doubt(now, endpoint, DOUBT_TIME);
+            if doubt.failure == SilenceFailure::None {
+                doubt.failure = SilenceFailure::Unreported;
+            }
         }
     }
 
+    /// Whether the silence of an endpoint is to be reported as a failure now; true once a silence.
+    pub(in crate::gateway) fn take_failure(&mut self, endpoint: &str) -> bool {
+        let doubt = self.doubted.get_mut(endpoint);
+        let doubt = doubt.filter(|doubt| doubt.failure == SilenceFailure::Unreported);
+        let is_due = doubt.is_some();
+        if let Some(doubt) = doubt {
+            doubt.failure = SilenceFailure::Reported;
+        }
+        is_due
+    }
+
     /// Records that an endpoint gave no sign of life.
     pub(in crate::gateway) fn record_silent_probe(&mut self, now: Instant, endpoint: &str) {
         self.doubt(now, endpoint, SILENT_PROBE_TIME);
     }
 
-    fn doubt(&mut self, now: Instant, endpoint: &str, time: Duration) {
-        self.doubted.retain(|_, until| now < *until);
+    fn doubt(&mut self, now: Instant, endpoint: &str, time: Duration) -> &mut EndpointDoubt {
+        self.doubted.retain(|_, doubt| now < doubt.until);
         let until = now + time;
-        let doubt = self.doubted.entry(endpoint.to_string()).or_insert(until);
-        *doubt = until.max(*doubt);
+        let doubt = self.doubted.entry(endpoint.to_string());
+        let doubt = doubt.or_insert(EndpointDoubt {
+            until,
+            failure: SilenceFailure::None,
+        });
+        doubt.until = until.max(doubt.until);
+        doubt
     }
 
     fn is_doubted(&self, now: Instant, endpoint: &str) -> bool {
-        self.doubted.get(endpoint).is_some_and(|until| now < *until)
+        let doubt = self.doubted.get(endpoint);
+        doubt.is_some_and(|doubt| now < doubt.until)
     }
 
     /// For how long an endpoint has sent nothing on any of its calls; `None` without calls.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -149,3 +149,20 @@
     table.record_silent_probe(start, "a");
     assert!(!table.is_better(start + SILENT_PROBE_TIME, "a", STALL));
 }
+
+/// Guards against an endpoint that is ejected because several of its calls were replaced in one
+/// silence.
+#[test]
+fn a_silence_counts_as_one_failure_however_many_calls_it_stalls() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    let mut failures = Vec::new();
+    for at in [0, 10, 20, 2_030] {
+        table.begin_stall("a");
+        table.end_stall(start + Duration::from_millis(at), "a", true);
+        failures.push(table.take_failure("a"));
+    }
+    assert_eq!(failures, [true, false, false, true]);
+    table.record_heard(start + DOUBT_TIME, "a");
+    assert!(!table.take_failure("a"));
+}
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -512,8 +512,7 @@
         let silence = self.source.heard.elapsed();
         if self.stall.is_some() {
             self.finish_stall(StallEnd::Replaced);
-            self.run
-                .report_failure(&self.source.endpoint, "replaced after a stall");
+            self.run.report_replaced(&self.source.endpoint);
         }
         self.splitter.drop_partial();
         log_event!(
