Withdraw replaced sends that were cancelled, and follow only the send in progress in a handover

By reading (review): a stalled call that goes on after its request was sent elsewhere left that endpoint counted as one that keeps the request, so that a route of two endpoints could replace nothing later; and a handover that began with a send that was refused (409, other incarnation) dropped the silent call for nothing. Change: a cancelled send is withdrawn, and a handover ends only for a send that is still in progress.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -122,7 +122,8 @@
         let guard = self.node.scores.outstanding.begin_attempt(&endpoint);
         let started = Instant::now();
         self.ledger.record_send(&endpoint);
-        self.send_state = SendState::Opening(Arc::from(endpoint.as_str()));
+        let opening = SendState::Opening(Arc::from(endpoint.as_str()));
+        self.send_state.send_replace(opening);
         log_event!(
             debug,
             "attempt_sent",
@@ -261,7 +262,7 @@
         endpoint: &str,
         error: CallError,
     ) -> Result<AttemptEnd, GatewayRefusal> {
-        self.send_state = SendState::Idle;
+        self.send_state.send_replace(SendState::Idle);
         match error {
             CallError::Unsent(reason) => {
                 self.ledger.record_denial(endpoint);
@@ -367,8 +368,8 @@
         started: Instant,
         guards: (OutstandingGuard, ProgressGuard),
     ) -> PendingCall {
-        self.send_state = SendState::Sent;
-        self.sent_to.send_replace(Some(Arc::clone(member)));
+        let sent = SendState::Sent(Arc::clone(member));
+        self.send_state.send_replace(sent);
         let request = self.endpoint_request(member, last_event);
         let member = Arc::clone(member);
         PendingCall::send(opened, request, member, (started, BootClock.now()), guards)
@@ -454,6 +455,7 @@
         let (head, endpoint) = (open.head, open.endpoint);
         if head.is_other_incarnation || head.not_run {
             self.ledger.record_denial(&endpoint);
+            self.send_state.send_replace(SendState::Idle);
             let status = parts.status.as_u16();
             log_event!(
                 info,
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -76,14 +76,35 @@
 }
 
 /// How far the last send has got.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub(super) enum SendState {
     /// No send is in progress.
+    #[default]
     Idle,
     /// This endpoint is chosen, and nothing was sent to it yet.
     Opening(Arc<str>),
-    /// The request was sent.
-    Sent,
+    /// The request was sent to this endpoint.
+    Sent(Arc<PoolMember>),
+}
+
+impl SendState {
+    /// Whether the request was sent to `member`, and nothing has ended the send.
+    fn is_sent_to(&self, member: &Arc<PoolMember>) -> bool {
+        match self {
+            Self::Sent(sent) => Arc::ptr_eq(sent, member),
+            Self::Idle | Self::Opening(_) => false,
+        }
+    }
+}
+
+/// Waits until a request is sent, and returns its endpoint; `None` once the request has ended.
+async fn wait_until_sent(states: &mut watch::Receiver<SendState>) -> Option<Arc<PoolMember>> {
+    let is_sent = |state: &SendState| matches!(state, SendState::Sent(_));
+    let state = states.wait_for(is_sent).await.ok()?;
+    match &*state {
+        SendState::Sent(member) => Some(Arc::clone(member)),
+        SendState::Idle | SendState::Opening(_) => None,
+    }
 }
 
 /// One request that is being forwarded to an endpoint.
@@ -100,9 +121,7 @@
     pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
     pub(super) next_send: NextSend,
-    pub(super) send_state: SendState,
-    /// The endpoint of the last send since a handover began.
-    pub(super) sent_to: watch::Sender<Option<Arc<PoolMember>>>,
+    pub(super) send_state: watch::Sender<SendState>,
     /// Since when the endpoint that the next send would replace has been silent.
     pub(super) stalled_since: Option<Instant>,
     /// Whether the stages were executed, at least in part.
@@ -144,8 +163,7 @@
             body,
             ledger: RunLedger::default(),
             next_send: NextSend::First(token),
-            send_state: SendState::Idle,
-            sent_to: watch::Sender::default(),
+            send_state: watch::Sender::default(),
             stalled_since: None,
             has_run_stages: false,
             results: None,
@@ -439,26 +457,23 @@
     /// Returns a future that ends when either the next send, or the call that it replaces, has to be
     /// dropped.
     pub(super) fn begin_handover(&mut self) -> impl Future<Output = HandoverEnd> + use<> {
-        self.send_state = SendState::Idle;
-        self.sent_to = watch::Sender::default();
-        let mut sent_to = self.sent_to.subscribe();
+        self.send_state = watch::Sender::default();
+        let mut states = self.send_state.subscribe();
         let node = Arc::clone(&self.node);
         async move {
-            let member = match sent_to.wait_for(Option::is_some).await {
-                Ok(member) => member.clone(),
-                Err(_) => None,
-            };
-            let Some(member) = member else {
-                return std::future::pending().await;
-            };
-            let ends_at = Instant::now() + HANDOVER_TIME;
-            tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
-            let is_alive = node.answers_probe(&member).await;
-            tokio::time::sleep_until(ends_at.into()).await;
-            match is_alive {
-                true => HandoverEnd::Complete,
-                false => HandoverEnd::Silent(member),
+            while let Some(member) = wait_until_sent(&mut states).await {
+                let ends_at = Instant::now() + HANDOVER_TIME;
+                tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
+                let is_alive = node.answers_probe(&member).await;
+                tokio::time::sleep_until(ends_at.into()).await;
+                let is_still_sent = states.borrow().is_sent_to(&member);
+                match is_alive {
+                    _ if !is_still_sent => {}
+                    true => return HandoverEnd::Complete,
+                    false => return HandoverEnd::Silent(member),
+                }
             }
+            std::future::pending().await
         }
     }
 
@@ -466,7 +481,7 @@
     /// fallen silent itself.
     pub(super) fn withdraw(&mut self, member: &PoolMember) {
         let endpoint = member.endpoint();
-        self.send_state = SendState::Idle;
+        self.send_state.send_replace(SendState::Idle);
         self.ledger.record_withdrawal(endpoint);
         self.record_silent_replacement(endpoint, SilentReplacement::AfterSend);
     }
@@ -488,12 +503,13 @@
 
     /// Records that an attempt was cancelled because an earlier call went on.
     pub(super) fn cancel_attempt(&mut self) {
-        match std::mem::replace(&mut self.send_state, SendState::Idle) {
+        match self.send_state.send_replace(SendState::Idle) {
             SendState::Opening(endpoint) => {
                 self.ledger.record_denial(&endpoint);
                 self.ledger.forget_denials();
             }
-            SendState::Idle | SendState::Sent => {}
+            SendState::Sent(member) => self.ledger.record_withdrawal(member.endpoint()),
+            SendState::Idle => {}
         }
     }
 
