Probe before stages are made again for a replacement

By reading (review): while all engines are silent, a stream with an idle engine had its stages made again before that engine was asked for a sign of life, and a search tried one such engine only. Change: before stages are made, up to three endpoints are probed until one answers or makes progress.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -319,7 +319,7 @@
         started: Instant,
         guard: OutstandingGuard,
     ) -> Result<PendingCall, CallError> {
-        let (call, was_cached) = match self.needs_sign_of_life() {
+        let (call, was_cached) = match self.must_probe_first() {
             true => {
                 let (opened, is_alive) =
                     tokio::join!(self.open_call(member), self.node.answers_probe(member));
@@ -355,7 +355,7 @@
 
     /// Whether the next send replaces a stalled call that is dropped soon after it: an endpoint that
     /// is as silent must not take its place.
-    fn needs_sign_of_life(&self) -> bool {
+    pub(super) fn must_probe_first(&self) -> bool {
         let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
         is_stream && self.stalled_since.is_some()
     }
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -67,6 +67,11 @@
             .cloned()
     }
 
+    /// The endpoint that this entry would choose by itself among all available ones.
+    pub(super) fn pick_any(&self, view: &GatewayView) -> Option<Arc<PoolMember>> {
+        self.pick(view, |_| true)
+    }
+
     /// Whether the route allows the request to run at one more endpoint, if it has not been at this
     /// one.
     fn may_run_at(&self, member: &PoolMember) -> bool {
@@ -82,7 +87,7 @@
     }
 
     /// Whether an endpoint is seen to make progress, if the next send replaces a stalled call.
-    fn is_proven(&self, member: &PoolMember) -> bool {
+    pub(super) fn is_proven(&self, member: &PoolMember) -> bool {
         let progress = &self.node.scores.progress;
         self.stalled_since
             .is_none_or(|since| progress.is_proven(member.endpoint(), since.elapsed()))
@@ -274,7 +279,7 @@
         if !shard.is_whole() && self.origin.is_none() {
             return Some(shard.data_center().to_string());
         }
-        self.pick(view, |_| true)
+        self.pick_any(view)
             .map(|member| member.data_center().to_string())
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -20,8 +20,8 @@
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
 use super::stalled_calls::{
-    HANDOVER_PROBE_DELAY, HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay,
-    SilentReplacement, StallEnd, StalledCalls,
+    HANDOVER_PROBE_DELAY, HANDOVER_TIME, HeadResult, MAX_PROBES, PendingCall, ReplacementChance,
+    SearchDelay, SilentReplacement, StallEnd, StalledCalls,
 };
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
@@ -477,6 +477,21 @@
         }
     }
 
+    /// Whether an endpoint that may take the stream over is alive, before any stage is made for it.
+    async fn has_live_replacement(&self) -> bool {
+        for _ in 0..MAX_PROBES {
+            let member = self.pick_any(&self.node.view.load());
+            let Some(member) = member else {
+                return false;
+            };
+            if self.is_proven(&member) || self.node.answers_probe(&member).await {
+                return true;
+            }
+            self.record_silent_replacement(member.endpoint(), SilentReplacement::BeforeSend);
+        }
+        false
+    }
+
     /// Records that the request was withdrawn from an endpoint that was to replace another one and has
     /// fallen silent itself.
     pub(super) fn withdraw(&mut self, member: &PoolMember) {
@@ -610,6 +625,10 @@
             return Err(ResumeRefusal::NoSendLeft);
         }
         self.await_decision().await?;
+        let makes_stages = self.results.is_none() && !self.context.route.stages.is_empty();
+        if makes_stages && self.must_probe_first() && !self.has_live_replacement().await {
+            return Err(ResumeRefusal::Silent);
+        }
         let last_event = last_event.or(self.context.head.last_event);
         let mut stalled = StalledCalls::default();
         let mut has_rerun_stages = self.results.is_none();
--- a/crates/savorywalk/src/gateway/stalled_calls/mod.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -13,7 +13,7 @@
 pub(super) use progress_guard::{CallProgress, ProgressGuard};
 pub(super) use progress_table::ProgressTable;
 pub(super) use search_delay::{
-    HANDOVER_PROBE_DELAY, HANDOVER_TIME, PROBE_TIMEOUT, ReplacementChance, SearchDelay,
+    HANDOVER_PROBE_DELAY, HANDOVER_TIME, MAX_PROBES, PROBE_TIMEOUT, ReplacementChance, SearchDelay,
 };
 pub(super) use silent_replacement::SilentReplacement;
 pub(super) use stall_end::StallEnd;
--- a/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -9,6 +9,10 @@
 /// region. Sound endpoints answer at once, whatever they work on.
 pub(in crate::gateway) const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Endpoints that a search probes before it makes stages again. Each is asked once, so that a pause of
+/// all endpoints costs few questions.
+pub(in crate::gateway) const MAX_PROBES: usize = 3;
+
 /// Time from a send to the question whether its endpoint is still alive. The answer is due when the
 /// handover ends.
 pub(in crate::gateway) const HANDOVER_PROBE_DELAY: Duration =
