Resume a lost stream by a later search when a refusal may pass

What callers saw: a stream whose engine was lost broke off at once, although another engine could have gone on with it a moment later. Cause: resume_elsewhere asked once. A retry budget without a token, an engine that refused, a stage or a connection that failed ended the stream. Change: after a refusal a lost stream searches again, with the delays of stalled calls, while its caller waits and its time is not over. It ends at once if the route resumes none, no send or endpoint is left, the request is quarantined, or the stop time ends. Each send still takes a token. The lost call no longer counts as one in progress meanwhile. Tests: two guards of the other side, a_stream_that_no_engine_may_resume_ends_at_once (held before, too) and a_search_for_a_lost_stream_ends_with_its_caller.

--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -89,6 +89,26 @@
             .is_some()
     }
 
+    /// Whether the request could be sent to an endpoint now, if it needs no permit.
+    pub(super) fn has_endpoint_now(&self) -> bool {
+        let view = self.node.view.load();
+        self.pick(&view, |_| true).is_some()
+    }
+
+    /// Whether there are endpoints for the request and its stages, available now or later.
+    pub(super) fn has_endpoint_left(&self) -> bool {
+        let view = self.node.view.load();
+        let mut members = view.roster.pool(&self.context.pool).iter();
+        let has_endpoint = members.any(|member| {
+            let endpoint = member.endpoint();
+            self.context.data_center_filter.has(member.data_center())
+                && self.may_continue_at(member)
+                && !self.ledger.was_sent_to(endpoint)
+                && !self.node.availability.is_leaving(endpoint)
+        });
+        has_endpoint && (self.results.is_some() || self.has_stage_endpoints(&view))
+    }
+
     fn needs_permit(&self, member: &PoolMember) -> bool {
         self.node.needs_permit(&self.context.pool, member)
     }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -479,12 +479,17 @@
 
     /// Whether the request may be sent to another endpoint, and the retry budget probably allows it.
     pub(super) fn may_send_again(&self) -> bool {
+        self.has_send_left() && self.has_token()
+    }
+
+    /// Whether the request may be sent to another endpoint, as far as its route and its time go.
+    pub(super) fn has_send_left(&self) -> bool {
         let route = &self.context.route;
         let runs = self.ledger.runs();
         let is_allowed = runs == 0 || route.kind.is_retryable();
         let is_within = runs < route.max_endpoints as usize && self.ledger.sends() < MAX_SENDS;
         let has_time = !self.context.remaining(Instant::now()).is_zero();
-        is_allowed && is_within && has_time && self.has_token()
+        is_allowed && is_within && has_time
     }
 
     /// Whether there probably is a token for the next send.
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod limit_simulation_tests;
 mod load_exchange;
 mod load_features;
+mod lost_stream;
 mod metrics_page;
 mod nearby_slots;
 mod open_calls;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -63,8 +63,8 @@
     /// Dropped before another endpoint resumes the stream, so that the two never work on
     /// the same request.
     call: Option<EndpointCall>,
-    _guard: OutstandingGuard,
-    progress: ProgressGuard,
+    guard: Option<OutstandingGuard>,
+    progress: Option<ProgressGuard>,
 }
 
 /// The search for a replacement of a silent endpoint.
@@ -132,14 +132,23 @@
             started: open.started,
             heard: Instant::now(),
             call: Some(open.call),
-            _guard: open.guard,
-            progress: open.progress,
+            guard: Some(open.guard),
+            progress: Some(open.progress),
         }
     }
 
+    /// Ends the call to a lost endpoint, which no longer counts as one in progress.
+    fn end_call(&mut self) {
+        self.call = None;
+        self.guard = None;
+        self.progress = None;
+    }
+
     fn record_heard(&mut self) {
         self.heard = Instant::now();
-        self.progress.record_heard();
+        if let Some(progress) = &self.progress {
+            progress.record_heard();
+        }
     }
 }
 
@@ -478,13 +487,30 @@
         if !self.splitter.is_resumable() {
             return Err(ResumeRefusal::WithinEvent);
         }
-        self.source.call = None;
-        let last_event = self.splitter.last_id();
-        let open = self.run.resume(last_event).await?;
+        self.source.end_call();
+        let open = self.resume_lost().await?;
         self.replace_source(open, reason);
         Ok(())
     }
 
+    /// Resumes the stream of a lost endpoint. Nothing is left that could go on, so a refusal that may
+    /// pass is followed by another search for as long as the caller waits.
+    async fn resume_lost(&mut self) -> Result<OpenAnswer, ResumeRefusal> {
+        let last_event = self.splitter.last_id();
+        let mut delay = SearchDelay::default();
+        loop {
+            let refusal = match self.run.resume(last_event).await {
+                Ok(open) => return Ok(open),
+                Err(refusal) => refusal,
+            };
+            self.log_refusal(&refusal);
+            self.run.ledger.forget_denials();
+            if !self.run.await_resume_chance(&mut delay).await {
+                return Err(refusal);
+            }
+        }
+    }
+
     /// Goes on with the stream of another endpoint.
     fn replace_source(&mut self, open: OpenAnswer, reason: &StreamFailure) {
         let silence = self.source.heard.elapsed();
