Late placements: a coordinator keeps its other work unless it is lost

What callers saw: after one call to place a prompt, or for a permit, that took over 150 ms, this entry sent no plan, prompt or permit request to the coordinator for 0.2 to 3 s. Plans went to a second coordinator of the same shard, which interferes with the first, and permits to the fallback, which issues few.

Cause: a late answer was taken for the loss of the coordinator.

Change: a call that times out says whether the peer has acknowledged the request (LinkError::TimedOut). CoordinatorTable, without I/O, avoids a coordinator at once if its link failed or it acknowledged nothing, as before. One that acknowledged the call and is late is asked for a sign of life, and avoided only if it answers no probe within 150 ms. A late plan call, whose deadline has passed, leaves the coordinator in place as well. Probes of silent coordinators begin at once in place of after 200 ms. Log lines: coordinator_late, coordinator_unresponsive, and the evidence in coordinator_lost.

Changed in existing tests: two calls of the private function `exchange` in sizes_are_checked_at_both_ends have its new argument.

--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod call_utilization;
 mod cluster_hub;
 mod coordination_driver;
+mod coordinator_table;
 mod crash_detector;
 mod crash_report;
 mod data_center_filter;
--- a/crates/savorywalk/src/gateway/prompt_exchange.rs
+++ b/crates/savorywalk/src/gateway/prompt_exchange.rs
@@ -1,6 +1,7 @@
 use prost::Message;
 
 use super::PoolMember;
+use super::coordinator_table::CoordinatorFailure;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::request_context::RequestContext;
@@ -16,8 +17,10 @@
 use crate::transport::{LinkChannel, PeerName};
 
 /// Timeout of a call to a coordinator: many round trips within a region. Afterwards this entry
-/// chooses the engine itself, or requests the permit from the fallback.
-const PLACE_TIMEOUT: Duration = Duration::from_millis(150);
+/// chooses the engine itself, or requests the permit from the fallback, for this request alone
+/// unless [`CoordinatorTable`](super::coordinator_table::CoordinatorTable) decides that the
+/// coordinator is lost.
+pub(super) const PLACE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The engine that a coordinator has chosen for a prompt.
 #[derive(Clone, Debug)]
@@ -107,8 +110,8 @@
             None => node.place_prompt(self.hub.name().as_str(), &view, &call),
             Some(coordinator) => match self.send_place_call(&coordinator, call).await {
                 Ok(reply) => reply,
-                Err(reason) => {
-                    self.mark_unresponsive(node, coordinator, &shard, &context.id, &reason);
+                Err(failure) => {
+                    self.record_failure(node, &coordinator, &shard, &context.id, &failure);
                     return None;
                 }
             },
@@ -163,16 +166,16 @@
                     }
                     return PermitResponse::from_reply(&reply, sent);
                 }
-                Err(reason) if is_cold => {
+                Err(failure) if is_cold => {
                     log_event!(
                         debug,
                         "permit_unanswered",
                         endpoint = endpoint,
-                        reason = reason
+                        reason = failure.reason
                     );
                 }
-                Err(reason) => {
-                    self.mark_unresponsive(node, issuer.clone(), &shard, &context.id, &reason);
+                Err(failure) => {
+                    self.record_failure(node, &issuer, &shard, &context.id, &failure);
                 }
             }
         }
@@ -184,7 +187,7 @@
         &self,
         coordinator: &PeerName,
         call: PlaceCall,
-    ) -> Result<PlaceReply, String> {
+    ) -> Result<PlaceReply, CoordinatorFailure> {
         let call = WorkCall {
             call: Some(Call::Place(call)),
         };
@@ -193,8 +196,7 @@
         let answer = self
             .hub
             .call(name, LinkChannel::Work, payload, PLACE_TIMEOUT);
-        let answer = answer.await.map_err(|error| error.to_string())?;
-        PlaceReply::decode(answer).map_err(|error| error.to_string())
+        Ok(PlaceReply::decode(answer.await?)?)
     }
 
     /// Reports to the coordinator that placed a prompt how long the engine took; `taken` is
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -1,13 +1,17 @@
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use prost::Message;
 use tokio::sync::mpsc;
 
+use super::coordinator_table::{
+    CoordinatorFailure, CoordinatorTable, FailureEvidence, PROBE_INTERVAL, ProbeVerdict,
+};
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
 use super::plan_request::PlanRequest;
 use super::plan_results::{PlanFailure, PlanResults};
 use super::plan_run;
+use super::prompt_exchange::PLACE_TIMEOUT;
 use super::work_shard::{ShardMap, WorkKind, WorkShard};
 use super::{ResultHandle, ReturnTime};
 use crate::generated::work::work_call::Call;
@@ -21,13 +25,6 @@
 use crate::quarantine::RequestIdentity;
 use crate::transport::{CallRefusal, InboundCall, LinkChannel, LinkClass, LinkHub, PeerName};
 
-/// Time for which an unresponsive entry is avoided; by then the registry has reported whether
-/// it has left the cluster.
-const AVOID_TIME: Duration = Duration::from_secs(3);
-
-/// Interval between probes of an avoided entry.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Timeout of a probe: many round trips in a region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -46,14 +43,14 @@
 #[derive(Debug)]
 pub(super) struct WorkExchange {
     pub(super) hub: LinkHub,
-    avoided: Mutex<FastMap<PeerName, Instant>>,
+    coordinators: Mutex<CoordinatorTable>,
 }
 
 impl WorkExchange {
     pub(super) fn new(hub: LinkHub) -> Self {
         Self {
             hub,
-            avoided: Mutex::default(),
+            coordinators: Mutex::default(),
         }
     }
 
@@ -125,11 +122,16 @@
                 .await
             {
                 Ok(outcome) => return outcome,
-                Err(reason) => {
-                    self.mark_unresponsive(node, coordinator, shard, &request.request_id, &reason);
+                Err(failure) => {
+                    let id = &request.request_id;
+                    self.record_failure(node, &coordinator, shard, id, &failure);
                     // It may have sent pieces. They take no retries: what was in progress at one
                     // coordinator is sent again once.
                     request.is_rerun = true;
+                    if failure.evidence == FailureEvidence::Late {
+                        // It keeps its work, and the plan's deadline has passed.
+                        break;
+                    }
                 }
             }
         }
@@ -177,9 +179,8 @@
         shard: &WorkShard,
     ) -> Option<PeerName> {
         let now = Instant::now();
-        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        avoided.retain(|_, until| now < *until);
-        let is_usable = |entry: &&PeerName| !avoided.contains_key(*entry);
+        let coordinators = self.coordinators();
+        let is_usable = |entry: &&PeerName| !coordinators.is_avoided(now, entry);
         let ranked = view.ranked(kind, shard);
         let first = ranked.iter().find(is_usable);
         let among_all = || {
@@ -192,67 +193,81 @@
 
     /// Whether an entry is skipped because it recently failed to answer.
     pub(super) fn is_avoided(&self, entry: &PeerName) -> bool {
-        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        let until = avoided.get(entry);
-        until.is_some_and(|until| Instant::now() < *until)
+        self.coordinators().is_avoided(Instant::now(), entry)
+    }
+
+    fn coordinators(&self) -> MutexGuard<'_, CoordinatorTable> {
+        let coordinators = self.coordinators.lock();
+        coordinators.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a coordinator did not answer a request.
-    pub(super) fn mark_unresponsive(
+    /// Records that a call to a coordinator for a request has failed. It may be avoided from now
+    /// on, and is probed.
+    pub(super) fn record_failure(
         &self,
         node: &Arc<GatewayNode>,
-        coordinator: PeerName,
+        coordinator: &PeerName,
         shard: &WorkShard,
         request: &str,
-        reason: &str,
+        failure: &CoordinatorFailure,
     ) {
-        log_event!(
-            info,
-            "coordinator_lost",
-            request = request,
-            shard = shard.name(),
-            coordinator = coordinator,
-            reason = reason
-        );
-        self.avoid(node, coordinator);
-    }
-
-    /// Avoids an entry until it answers a probe or [`AVOID_TIME`] has passed. The time should
-    /// be short, because two entries that coordinate the same shard interfere with each other.
-    fn avoid(&self, node: &Arc<GatewayNode>, entry: PeerName) {
-        let until = Instant::now() + AVOID_TIME;
-        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_new = avoided.insert(entry.clone(), until).is_none();
-        drop(avoided);
-        if is_new {
+        let evidence = failure.evidence;
+        match evidence {
+            FailureEvidence::Lost | FailureEvidence::Silent => log_event!(
+                info,
+                "coordinator_lost",
+                request = request,
+                shard = shard.name(),
+                coordinator = coordinator,
+                evidence = evidence.name(),
+                reason = failure.reason
+            ),
+            FailureEvidence::Late => log_event!(
+                info,
+                "coordinator_late",
+                request = request,
+                shard = shard.name(),
+                coordinator = coordinator,
+                reason = failure.reason
+            ),
+        }
+        let now = Instant::now();
+        let probe_delay = self
+            .coordinators()
+            .record_failure(now, coordinator, evidence);
+        if let Some(delay) = probe_delay {
             let node = Arc::clone(node);
-            tokio::spawn(async move { node.exchange.probe(&entry).await });
+            let coordinator = coordinator.clone();
+            tokio::spawn(async move { node.exchange.probe(&coordinator, delay).await });
         }
     }
 
-    /// Sends empty calls to an avoided entry until it answers.
-    async fn probe(&self, entry: &PeerName) {
+    /// Sends empty calls to a suspected entry, the first after `delay`, until it answers or may
+    /// be used again.
+    async fn probe(&self, entry: &PeerName, delay: Duration) {
         let empty_call = Bytes::from(WorkCall::default().encode_to_vec());
+        let mut timeout = PLACE_TIMEOUT;
+        tokio::time::sleep(delay).await;
         loop {
-            tokio::time::sleep(PROBE_INTERVAL).await;
-            let is_avoided = {
-                let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-                avoided.contains_key(entry)
-            };
-            if !is_avoided {
-                return;
-            }
-            let channel = LinkChannel::Work;
             let name = entry.as_str();
             let answer = self
                 .hub
-                .call(name, channel, empty_call.clone(), PROBE_TIMEOUT);
-            if answer.await.is_ok() {
+                .call(name, LinkChannel::Work, empty_call.clone(), timeout);
+            let outcome = answer.await;
+            if outcome.is_ok() {
                 log_event!(info, "coordinator_back", coordinator = entry);
-                let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-                avoided.remove(entry);
+                self.coordinators().record_answer(entry);
                 return;
             }
+            match self.coordinators().record_unanswered(Instant::now(), entry) {
+                ProbeVerdict::Lost => {
+                    log_event!(info, "coordinator_unresponsive", coordinator = entry);
+                }
+                ProbeVerdict::Avoided => {}
+                ProbeVerdict::Expired => return,
+            }
+            timeout = PROBE_TIMEOUT;
+            tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
 
@@ -262,7 +277,7 @@
         coordinator: &PeerName,
         shard: &WorkShard,
         request: &PlanRequest,
-    ) -> Result<Result<PlanResults, PlanFailure>, String> {
+    ) -> Result<Result<PlanResults, PlanFailure>, CoordinatorFailure> {
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
         let call = WorkCall {
@@ -273,8 +288,7 @@
         let answer = self
             .hub
             .call(coordinator.as_str(), channel, payload, left + ANSWER_MARGIN);
-        let answer = answer.await.map_err(|error| error.to_string())?;
-        let reply = PlanReply::decode(answer).map_err(|error| error.to_string())?;
+        let reply = PlanReply::decode(answer.await?)?;
         match reply.end() {
             PlanEnd::Made => {
                 let handles = reply.handles.into_iter();
@@ -282,10 +296,12 @@
                 let results = PlanResults::new(node, shard, handles.collect());
                 match results.handles().len() == request.final_result_count() {
                     true => Ok(Ok(results)),
-                    false => Err("reply has a different number of results than requested".into()),
+                    false => Err(CoordinatorFailure::unusable(
+                        "reply has a different number of results than requested",
+                    )),
                 }
             }
-            PlanEnd::Unspecified => Err("reply has no valid outcome".into()),
+            PlanEnd::Unspecified => Err(CoordinatorFailure::unusable("reply has no valid outcome")),
             PlanEnd::Late => Ok(Err(PlanFailure::Late)),
             PlanEnd::Overload => Ok(Err(read_overload(&reply))),
             PlanEnd::Failed => Ok(Err(PlanFailure::Failed)),
@@ -474,3 +490,7 @@
 fn to_texts(handles: &[ResultHandle]) -> Vec<String> {
     handles.iter().map(|handle| handle.0.to_string()).collect()
 }
+
+#[cfg(test)]
+#[path = "work_exchange_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/telemetry/request_timeline.rs
+++ b/crates/savorywalk/src/telemetry/request_timeline.rs
@@ -1,6 +1,6 @@
 /// Events that touch a request, with what each of them says. The catalogue of
 /// `savorywalk explain`; docs/OPERATIONS.md leads from an id to a cause.
-pub const REQUEST_EVENTS: [(&str, &str); 18] = [
+pub const REQUEST_EVENTS: [(&str, &str); 19] = [
     (
         "plan_refused",
         "its stages can't be in time in this shard; other_shard names the next one, returns says what its caller is told",
@@ -21,6 +21,10 @@
         "coordinator_lost",
         "the entry that coordinates a shard did not answer; the next one does it",
     ),
+    (
+        "coordinator_late",
+        "the entry that coordinates a shard has its call, and did not answer in time; it is probed",
+    ),
     (
         "permit_answered",
         "requested a permit to send it to a limited endpoint; answer holds the outcome",
--- a/crates/savorywalk/src/transport/link_error.rs
+++ b/crates/savorywalk/src/transport/link_error.rs
@@ -105,6 +105,8 @@
     TimedOut {
         /// The peer.
         peer: PeerName,
+        /// Whether the peer has acknowledged all of the request: it runs and can be reached.
+        acknowledged: bool,
     },
     /// The connection was lost with a call on it.
     #[error(
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -1,4 +1,6 @@
+use std::convert::Infallible;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
 use prost::Message;
@@ -178,7 +180,8 @@
         let _guard = UseGuard::enter(connection.uses(), ConnectionUse::OwnCall);
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
-        let exchange = exchange(&slot.name, streams, request, channel);
+        let acknowledged = AtomicBool::new(false);
+        let exchange = exchange(&slot.name, streams, request, channel, &acknowledged);
         let exchange = async {
             tokio::select! {
                 outcome = exchange => outcome,
@@ -193,6 +196,7 @@
             Ok(outcome) => outcome,
             Err(_) => Err(LinkError::TimedOut {
                 peer: slot.name.clone(),
+                acknowledged: acknowledged.load(Ordering::Relaxed),
             }),
         }
     }
@@ -225,7 +229,12 @@
         let reply = match tokio::time::timeout_at(deadline, opening).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error)) => return Err(lost(&connection, peer, error.to_string())),
-            Err(_) => return Err(LinkError::TimedOut { peer }),
+            Err(_) => {
+                return Err(LinkError::TimedOut {
+                    peer,
+                    acknowledged: false,
+                });
+            }
         };
         Ok((stream, read_outcome(&peer, reply.outcome)?))
     }
@@ -323,11 +332,14 @@
     }
 }
 
+/// Sends a request and reads its answer. Sets `acknowledged` once the peer has received the whole
+/// request.
 async fn exchange(
     peer: &PeerName,
     (mut send, mut receive): CallStreams,
     request: Bytes,
     channel: LinkChannel,
+    acknowledged: &AtomicBool,
 ) -> Result<Bytes> {
     let lost = |detail: String| LinkError::Lost {
         peer: peer.clone(),
@@ -340,7 +352,16 @@
         let _ = send.finish();
     }
     let limit = channel.max_reply_bytes() + limits::REPLY_ENVELOPE_BYTES;
-    let bytes = receive.read_to_end(limit).await;
+    let acknowledgement = async {
+        if let Ok(None) = send.stopped().await {
+            acknowledged.store(true, Ordering::Relaxed);
+        }
+        std::future::pending::<Infallible>().await
+    };
+    let bytes = tokio::select! {
+        bytes = receive.read_to_end(limit) => bytes,
+        never = acknowledgement => match never {},
+    };
     let bytes = bytes.map_err(|error| lost(error.to_string()))?;
     let reply = CallReply::decode(Bytes::from(bytes));
     read_outcome(peer, reply.ok().and_then(|reply| reply.outcome))
--- a/crates/savorywalk/src/transport/link_hub_tests.rs
+++ b/crates/savorywalk/src/transport/link_hub_tests.rs
@@ -249,7 +249,14 @@
     let deadline = TokioInstant::now() + WAIT_TIMEOUT;
     let (_, streams) = open_call(&slot, deadline).await.expect("a connection");
     let request = Bytes::from(request.encode_to_vec());
-    let error = exchange(&slot.name, streams, request, CHANNEL).await;
+    let error = exchange(
+        &slot.name,
+        streams,
+        request,
+        CHANNEL,
+        &AtomicBool::default(),
+    )
+    .await;
     assert!(
         matches!(
             error,
@@ -262,7 +269,14 @@
     );
     let (_, streams) = open_call(&slot, deadline).await.expect("a connection");
     let endless = Bytes::from(vec![0; limits::MAX_STREAM_BYTES + 1]);
-    let error = exchange(&slot.name, streams, endless, CHANNEL).await;
+    let error = exchange(
+        &slot.name,
+        streams,
+        endless,
+        CHANNEL,
+        &AtomicBool::default(),
+    )
+    .await;
     assert!(
         matches!(
             error,
@@ -635,6 +649,28 @@
     );
 }
 
+/// Guards against a peer that is taken for lost because it answers late, and the reverse.
+#[tokio::test]
+async fn a_call_tells_a_late_peer_from_one_that_acknowledges_nothing() {
+    let authority = TestAuthority::new();
+    let (one, two) = (authority.hub("one"), authority.hub("two"));
+    let relay = UdpRelay::start(two.address().expect("it is open")).await;
+    one.addresses().set(two.name().clone(), relay.address);
+    echo(&two);
+    call(&one, "two").await.expect("an answer");
+    let mut unanswered = two.serve(CHANNEL);
+    for is_cut in [false, true] {
+        relay.set_cut(is_cut);
+        let timeout = Duration::from_millis(300);
+        let failed = one.call("two", CHANNEL, "hello".into(), timeout).await;
+        match failed.expect_err("no answer") {
+            LinkError::TimedOut { acknowledged, .. } => assert_eq!(acknowledged, !is_cut),
+            other => panic!("{other:?}"),
+        }
+    }
+    patiently(unanswered.recv()).await.expect("it has arrived");
+}
+
 /// Guards against a daemon that closes its links while a peer waits for its answer.
 #[tokio::test]
 async fn a_daemon_that_stops_waits_for_the_calls_that_it_serves() {
