Late stages: a begun plan waits for its next stage while it can be served

What callers saw: when a pool had no spare endpoint time, the next stage of a late plan was refused 1 s after it was queued, however long its caller still waited. The results of its earlier stages were released, and the plan began again in another shard or at the caller's next try.

Cause: take_infeasible did not tell a stage of which nothing is made from one that works on stored results.

Change: InfeasibleReason decides, without I/O. A late stage without inputs is refused after 1 s as before. One with inputs is refused after 1 s only if an answer can't come before its caller stops waiting, or if its inputs expire before a call would end. None is refused earlier than before. Log line: piece_infeasible, with the reason and the wait.

Changed in existing tests: late_stages_without_spare_capacity_are_infeasible_after_the_wait checks the reason of each piece besides its name.

--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod gateway_view;
 mod graceful_stop;
 mod guarded_stream;
+mod infeasible_reason;
 mod invalid_call;
 mod limit_exchange;
 #[cfg(test)]
@@ -110,6 +111,7 @@
 pub use gateway_daemon::GatewayDaemon;
 pub use gateway_error::GatewayError;
 pub use gateway_refusal::{GatewayRefusal, NotRunReason};
+pub use infeasible_reason::InfeasibleReason;
 pub use invalid_call::{InvalidCall, InvalidReport};
 pub use load_features::{FeatureSwitch, LoadFeatures};
 pub use open_calls::{CallNumber, CloseReason};
--- a/crates/savorywalk/src/gateway/piece_dispatcher.rs
+++ b/crates/savorywalk/src/gateway/piece_dispatcher.rs
@@ -258,7 +258,18 @@
             return;
         };
         let infeasible = self.state().queue.take_infeasible(now, &profile);
-        for piece in infeasible {
+        for (piece, reason) in infeasible {
+            log_event!(
+                info,
+                "piece_infeasible",
+                request = piece.task.request_id,
+                pool = self.pool,
+                shard = self.shard.name(),
+                stage = piece.task.stage,
+                piece = piece.piece,
+                waited_ms = now.saturating_duration_since(piece.queued).as_millis(),
+                reason = reason.name()
+            );
             self.send_update(&piece, PieceEnd::Overload);
         }
         let targets = self.targets(now, &view);
--- a/crates/savorywalk/src/gateway/piece_queue.rs
+++ b/crates/savorywalk/src/gateway/piece_queue.rs
@@ -4,8 +4,8 @@
 use super::nearby_slots::NearbySlots;
 use super::open_calls::OpenCalls;
 use super::{
-    CallNumber, CallUtilization, CloseReason, LoadReport, PieceCall, PieceProfile, PieceTarget,
-    PieceTimes, QueuedPiece, ResultCapacity, ResultHandle,
+    CallNumber, CallUtilization, CloseReason, InfeasibleReason, LoadReport, PieceCall,
+    PieceProfile, PieceTarget, PieceTimes, QueuedPiece, ResultCapacity, ResultHandle,
 };
 use crate::prelude::*;
 
@@ -24,9 +24,9 @@
 const CAPACITY_PAUSE: Duration = Duration::from_millis(500);
 
 /// How long a stage that cannot be finished in time and has not begun waits for spare endpoint
-/// time. With a longer wait, the results that it works on would expire; the caller should retry
-/// instead.
-const MAX_LATE_WAIT: Duration = Duration::from_millis(1_000);
+/// time. Afterwards the caller should retry instead, unless results of earlier stages would be
+/// lost with the stage.
+pub(super) const MAX_LATE_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Number of calls with a piece that may fail or stall; after these it is sent no more.
 const MAX_FAILURES: u32 = 4;
@@ -168,23 +168,21 @@
 
     /// Removes the pieces that have waited too long for spare endpoint time, for their requests
     /// to be notified.
-    pub fn take_infeasible(&mut self, now: Instant, profile: &PieceProfile) -> Vec<QueuedPiece> {
-        let call_time = profile.call_duration(profile.batch);
-        let is_infeasible = |piece: &QueuedPiece| {
-            let task = &piece.task;
-            let is_open = task.is_begun() || task.is_timely(now, call_time);
-            !is_open && now >= piece.queued + MAX_LATE_WAIT
-        };
-        let infeasible: Vec<PieceKey> = self
-            .waiting
-            .iter()
-            .filter(|(_, piece)| is_infeasible(piece))
-            .map(|(key, _)| *key)
-            .collect();
-        infeasible
-            .iter()
-            .filter_map(|key| self.waiting.remove(key))
-            .collect()
+    pub fn take_infeasible(
+        &mut self,
+        now: Instant,
+        profile: &PieceProfile,
+    ) -> Vec<(QueuedPiece, InfeasibleReason)> {
+        let reasons = self.waiting.iter().filter_map(|(key, piece)| {
+            let reason = InfeasibleReason::of_piece(now, profile, piece)?;
+            Some((*key, reason))
+        });
+        let infeasible: Vec<(PieceKey, InfeasibleReason)> = reasons.collect();
+        let taken = infeasible.into_iter().filter_map(|(key, reason)| {
+            let piece = self.waiting.remove(&key)?;
+            Some((piece, reason))
+        });
+        taken.collect()
     }
 
     /// Returns the calls to make now, to endpoints that are probably free, and removes their
--- a/crates/savorywalk/src/gateway/piece_queue_tests.rs
+++ b/crates/savorywalk/src/gateway/piece_queue_tests.rs
@@ -337,11 +337,52 @@
     assert!(queue.take_infeasible(now, &profile()).is_empty());
     let infeasible = queue.take_infeasible(now + MAX_LATE_WAIT, &profile());
     assert_eq!(infeasible.len(), 3);
-    assert!(
-        infeasible
-            .iter()
-            .all(|piece| &*piece.task.request_id == "late")
-    );
+    assert!(infeasible.iter().all(|(piece, reason)| {
+        &*piece.task.request_id == "late" && *reason == InfeasibleReason::NothingMade
+    }));
+}
+
+/// Guards against a begun plan that is given up because its next stage has waited for a second,
+/// although its results are stored and its caller waits for long enough.
+#[test]
+fn the_next_stage_of_a_begun_plan_waits_while_it_can_be_served() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let mut next = Arc::into_inner(task(now, "next", 0, 10)).unwrap();
+    next.source = PieceSource::Inputs([ResultHandle("r-1".into())].into());
+    push(&mut queue, now, &Arc::new(next), 2);
+    let later = now + MAX_LATE_WAIT * 2;
+    assert!(queue.take_infeasible(later, &profile()).is_empty());
+    let calls = queue.next_calls(later, &profile(), &[target("a", "x")]);
+    assert_eq!(names(&calls[0]), ["next", "next"]);
+}
+
+/// Guards against a stage that waits longer than its inputs are stored, or than its caller waits.
+#[test]
+fn the_next_stage_of_a_begun_plan_is_infeasible_without_its_inputs_or_its_caller() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::default();
+    let inputs = || PieceSource::Inputs([ResultHandle("r-1".into())].into());
+    let mut stored = Arc::into_inner(task(now, "stored", 0, 10)).unwrap();
+    stored.source = inputs();
+    let mut leaving = Arc::into_inner(task(now, "leaving", 0, 20)).unwrap();
+    leaving.source = inputs();
+    leaving.deadline = now + MAX_LATE_WAIT * 2;
+    leaving.tail = MAX_LATE_WAIT;
+    push(&mut queue, now, &Arc::new(stored), 1);
+    push(&mut queue, now, &Arc::new(leaving), 1);
+    let mut infeasible = |after: Duration| {
+        let taken = queue.take_infeasible(now + after, &profile());
+        let taken = taken.iter();
+        let named = taken.map(|(piece, reason)| (piece.task.request_id.to_string(), *reason));
+        named.collect::<Vec<_>>()
+    };
+    let leaving = ("leaving".to_string(), InfeasibleReason::CallerLeaves);
+    assert_eq!(infeasible(MAX_LATE_WAIT), [leaving]);
+    assert!(infeasible(MAX_LATE_WAIT * 2).is_empty());
+    let stored = ("stored".to_string(), InfeasibleReason::InputsExpired);
+    let call_time = profile().call_duration(profile().batch);
+    assert_eq!(infeasible(profile().result_lifetime - call_time), [stored]);
 }
 
 /// Late long requests began in slots that calls had left. Their other pieces then went before
