Suspended coordinators: a plan's call outlasts the silence of its link

What callers saw: when the entry that executes a plan was suspended for longer than the idle timeout of links between entries (1.5 s), the plan was lost there, although that entry went on a moment later. The plan began again elsewhere, and failed if that failed.

Cause: LinkHub::call ends with the silence of its connection, and the connection closed under it.

Change: plans are sent by LinkHub::call_through_silence, which tells of the silence and goes on, as streams do. The entry with the request then avoids the coordinator and begins the plan at another entry or here, at the same time as before; the first results count. The call that is left is dropped, by which its coordinator ends the plan and releases what it has made. Pieces may run at both, as before: they are marked as sent again. A refusal elsewhere still ends the request at once, so that a lost coordinator costs no wait. Log line: silent_coordinator_answered; coordinator_lost has the reason.

Test: a_plan_outlasts_the_suspension_of_its_coordinator failed on the code before (Late, at the plan's deadline).

plain_wire_tests::node is split, so that a test can give the links.

--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -14,6 +14,7 @@
 use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
 use crate::settings::ClusterSettings;
 use crate::telemetry::MetricSet;
+use crate::transport::LinkHub;
 
 /// Header with a caller's key.
 pub(super) const KEY: &str = "x-key";
@@ -138,7 +139,11 @@
         address: "127.0.8.3:0".into(),
         ..Default::default()
     });
-    let hub = hub.unwrap();
+    node_over(hub.unwrap())
+}
+
+/// An entry whose links to others are those of `hub`.
+pub(super) fn node_over(hub: LinkHub) -> Arc<GatewayNode> {
     let options = FollowOptions {
         seeds: Vec::new(),
         order_key: 0,
--- a/crates/savorywalk/src/gateway/work_exchange.rs
+++ b/crates/savorywalk/src/gateway/work_exchange.rs
@@ -1,7 +1,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use prost::Message;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::coordinator_table::{
     CoordinatorFailure, CoordinatorTable, FailureEvidence, PROBE_INTERVAL, ProbeVerdict,
@@ -112,30 +115,42 @@
         shard: &WorkShard,
         request: &mut PlanRequest,
     ) -> Result<PlanResults, PlanFailure> {
+        let mut silent_calls = FuturesUnordered::new();
         for _ in 0..MAX_COORDINATORS {
             let view = node.view.load_full();
             let Some(coordinator) = self.coordinator(&view, WorkKind::Stages, shard) else {
                 break;
             };
-            match self
-                .call_coordinator(node, &coordinator, shard, request)
-                .await
-            {
-                Ok(outcome) => return outcome,
-                Err(failure) => {
-                    let id = &request.request_id;
-                    self.record_failure(node, &coordinator, shard, id, &failure);
-                    // It may have sent pieces. They take no retries: what was in progress at one
-                    // coordinator is sent again once.
-                    request.is_rerun = true;
-                    if failure.evidence == FailureEvidence::Late {
-                        // It keeps its work, and the plan's deadline has passed.
-                        break;
-                    }
+            let silent = CancellationToken::new();
+            let sent = request.clone();
+            let call =
+                self.call_coordinator(node, coordinator.clone(), shard, sent, silent.clone());
+            let mut call = Box::pin(call);
+            let failure = tokio::select! {
+                outcome = &mut call => match outcome {
+                    Ok(outcome) => return outcome,
+                    Err(failure) => failure,
+                },
+                results = next_results(&mut silent_calls, request) => return Ok(results),
+                () = silent.cancelled() => {
+                    silent_calls.push(call);
+                    CoordinatorFailure::unusable("its link is silent; the call goes on")
                 }
+            };
+            let id = &request.request_id;
+            self.record_failure(node, &coordinator, shard, id, &failure);
+            // It may have sent pieces. They take no retries: what was in progress at one
+            // coordinator is sent again once.
+            request.is_rerun = true;
+            if failure.evidence == FailureEvidence::Late {
+                // It keeps its work, and the plan's deadline has passed.
+                break;
             }
         }
-        execute_locally(node, shard, request).await
+        tokio::select! {
+            outcome = execute_locally(node, shard, request) => outcome,
+            results = next_results(&mut silent_calls, request) => Ok(results),
+        }
     }
 
     /// Notifies the coordinator of a shard that results are released. Returns false if this
@@ -274,9 +289,10 @@
     async fn call_coordinator(
         &self,
         node: &Arc<GatewayNode>,
-        coordinator: &PeerName,
+        coordinator: PeerName,
         shard: &WorkShard,
-        request: &PlanRequest,
+        request: PlanRequest,
+        silent: CancellationToken,
     ) -> Result<Result<PlanResults, PlanFailure>, CoordinatorFailure> {
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
@@ -284,10 +300,12 @@
             call: Some(Call::Plan(request.to_call(now, shard))),
         };
         let payload = call.encode_to_vec().into();
+        let name = coordinator.as_str();
+        let timeout = left + ANSWER_MARGIN;
         let channel = LinkChannel::Work;
         let answer = self
             .hub
-            .call(coordinator.as_str(), channel, payload, left + ANSWER_MARGIN);
+            .call_through_silence(name, channel, payload, timeout, &silent);
         let reply = PlanReply::decode(answer.await?)?;
         match reply.end() {
             PlanEnd::Made => {
@@ -310,6 +328,28 @@
     }
 }
 
+/// Waits until a coordinator that was silent has executed a plan; for ever if none does.
+async fn next_results<C>(
+    silent_calls: &mut FuturesUnordered<C>,
+    request: &PlanRequest,
+) -> PlanResults
+where
+    C: Future<Output = Result<Result<PlanResults, PlanFailure>, CoordinatorFailure>>,
+{
+    loop {
+        match silent_calls.next().await {
+            Some(Ok(Ok(results))) => {
+                let request = &request.request_id;
+                log_event!(info, "silent_coordinator_answered", request = request);
+                return results;
+            }
+            // Others work on the plan, so this one doesn't decide.
+            Some(Ok(Err(_)) | Err(_)) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// Answers the calls of other entries until the hub closes.
 pub(super) async fn serve(node: Arc<GatewayNode>, mut calls: mpsc::Receiver<InboundCall>) {
     while let Some(inbound) = calls.recv().await {
--- a/crates/savorywalk/src/gateway/work_exchange_tests.rs
+++ b/crates/savorywalk/src/gateway/work_exchange_tests.rs
@@ -2,16 +2,20 @@
 use std::sync::mpsc as sync_mpsc;
 
 use super::*;
-use crate::gateway::plain_wire_tests::{PlainWire, node};
+use crate::gateway::plain_wire_tests::{PlainWire, node_over};
 use crate::gateway::prompt_exchange::PLACE_TIMEOUT;
 use crate::gateway::request_context::RequestContext;
 use crate::gateway::{CallerHead, WireFormat};
+use crate::generated::work::{PlanCall, PlannedStage};
 use crate::registry::{BootClock, FollowReply};
-use crate::transport::{LinkError, LinkOptions};
+use crate::transport::{LinkError, LinkOptions, LinkTiming};
 
 /// Far longer than anything here takes, for machines that run other builds.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Suspension for longer than the idle timeout of links between entries.
+const SUSPENSION: Duration = Duration::from_secs(2);
+
 /// What a coordinator does with its calls.
 #[derive(Clone, Copy, Debug)]
 enum CallService {
@@ -19,6 +23,8 @@
     ProbesOnly,
     /// It answers none, although its links go on.
     Nothing,
+    /// It makes plans, and is suspended for a while during each.
+    SuspendedPlans,
 }
 
 /// A coordinator on a thread of its own, which can be suspended.
@@ -74,6 +80,16 @@
     while let Some(call) = calls.recv().await {
         let is_probe = call.payload.is_empty();
         match service {
+            CallService::SuspendedPlans => {
+                // Nothing else of this thread goes on meanwhile.
+                std::thread::sleep(SUSPENSION);
+                let mut reply = PlanReply {
+                    handles: vec!["made".into()],
+                    ..Default::default()
+                };
+                reply.set_end(PlanEnd::Made);
+                call.reply.answer(reply.encode_to_vec().into());
+            }
             CallService::ProbesOnly if is_probe => drop(call.reply.answer(Bytes::new())),
             CallService::ProbesOnly | CallService::Nothing => unanswered.push(call),
         }
@@ -82,7 +98,9 @@
 
 /// Returns an entry for which `coordinator` does all work, with a link to it.
 async fn entry_of(coordinator: &TestCoordinator) -> Arc<GatewayNode> {
-    let node = node();
+    let address = SocketAddrV4::new([127, 0, 8, 3].into(), 0);
+    let hub = LinkHub::start(LinkOptions::occasional(address, 1_000_000));
+    let node = node_over(hub.unwrap());
     let hub = &node.exchange.hub;
     hub.addresses()
         .set(coordinator.name.clone(), coordinator.address);
@@ -131,6 +149,23 @@
     }
 }
 
+fn plan() -> PlanRequest {
+    let call = PlanCall {
+        request_id: "1".into(),
+        stages: vec![PlannedStage {
+            pool: "stage".into(),
+            result_bytes: 1_000,
+            pieces: 1,
+            ..Default::default()
+        }],
+        due_ms: 5_000,
+        deadline_ms: 10_000,
+        ..Default::default()
+    };
+    let (_, request) = PlanRequest::from_call(Instant::now(), call).unwrap();
+    request
+}
+
 /// Has a prompt placed, which the coordinator does not do in time.
 async fn place(node: &Arc<GatewayNode>) {
     let context = context();
@@ -198,3 +233,32 @@
     time_until(&node, &coordinator, true).await;
     println!("avoided after {:?}", start.elapsed());
 }
+
+/// Guards against a plan whose coordinator was suspended for longer than a link's idle timeout, and
+/// which is given up there before it has been made elsewhere.
+#[tokio::test]
+async fn a_plan_outlasts_the_suspension_of_its_coordinator() {
+    let coordinator = TestCoordinator::start(14, CallService::SuspendedPlans);
+    let node = entry_of(&coordinator).await;
+    let request = plan();
+    let start = Instant::now();
+    let outcome = node.exchange.execute_plan(&node, request).await;
+    let took = start.elapsed();
+    let mut results = outcome.unwrap_or_else(|failure| panic!("{failure:?} after {took:?}"));
+    assert_eq!(results.take(), [ResultHandle("made".into())]);
+}
+
+/// Guards against a plan that waits for a lost coordinator for longer than its link is silent.
+#[tokio::test]
+async fn a_plan_leaves_a_lost_coordinator_when_its_link_is_silent() {
+    let coordinator = TestCoordinator::start(15, CallService::ProbesOnly);
+    let node = entry_of(&coordinator).await;
+    coordinator.suspend(SUSPENSION * 3);
+    tokio::select! {
+        outcome = node.exchange.execute_plan(&node, plan()) => panic!("{outcome:?}"),
+        took = time_until(&node, &coordinator, true) => {
+            println!("left after {took:?}");
+            assert!(took < LinkTiming::occasional().idle_timeout * 2, "{took:?}");
+        }
+    }
+}
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -167,6 +167,33 @@
         channel: LinkChannel,
         payload: Bytes,
         timeout: Duration,
+    ) -> Result<Bytes> {
+        self.call_over(peer, channel, payload, timeout, None).await
+    }
+
+    /// Asks `peer` as [`Self::call`] does, and goes on while the peer is silent: a suspended peer
+    /// may still answer. `silent` is cancelled once it was silent for the idle timeout, so that
+    /// the caller can ask another one meanwhile.
+    pub async fn call_through_silence(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+        silent: &CancellationToken,
+    ) -> Result<Bytes> {
+        let silent = Some(silent);
+        self.call_over(peer, channel, payload, timeout, silent)
+            .await
+    }
+
+    async fn call_over(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+        silent: Option<&CancellationToken>,
     ) -> Result<Bytes> {
         check_size(channel, payload.len(), channel.max_message_bytes())?;
         let slot = self.core.slot(peer)?;
@@ -177,15 +204,27 @@
         };
         let request = Bytes::from(request.encode_to_vec());
         let (connection, streams) = open_call(&slot, deadline).await?;
-        let _guard = UseGuard::enter(connection.uses(), ConnectionUse::OwnCall);
+        // The connection outlives a silence under streams alone.
+        let connection_use = match silent {
+            Some(_) => ConnectionUse::Stream,
+            None => ConnectionUse::OwnCall,
+        };
+        let _guard = UseGuard::enter(connection.uses(), connection_use);
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
         let acknowledged = AtomicBool::new(false);
         let exchange = exchange(&slot.name, streams, request, channel, &acknowledged);
+        let silence = async {
+            connection.until_silent().await;
+            if let Some(silent) = silent {
+                silent.cancel();
+                std::future::pending().await
+            }
+        };
         let exchange = async {
             tokio::select! {
                 outcome = exchange => outcome,
-                () = connection.until_silent() => Err(LinkError::Lost {
+                () = silence => Err(LinkError::Lost {
                     peer: slot.name.clone(),
                     detail: "the peer is silent".into(),
                 }),
