--- a/crates/proof/src/silence_soak/silence_play.rs
+++ b/crates/proof/src/silence_soak/silence_play.rs
@@ -1,5 +1,11 @@
 use savorywalk::prelude::*;
 
+/// Streams at each gateway, where engines need not be idle.
+const STREAMS_PER_GATEWAY: usize = 12;
+
+/// Most engines with a stream, where the others are to be idle.
+const USED_ENGINES: usize = 2;
+
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SilencePlay {
@@ -17,13 +23,19 @@
     LostEngine,
     /// The path to one engine is lost, without a reset.
     LostPath,
+    /// All engines fall silent at once: those with streams for a second, the idle ones for longer
+    /// than callers wait.
+    IdleEngines,
     /// A drawn series of overlapping faults.
     Series,
+    /// A drawn series of stops, starts, reloads and documents, several at once, beside silences that
+    /// callers outlast.
+    PlannedWork,
 }
 
 impl SilencePlay {
-    /// All plays but the drawn one.
-    pub const FIXED: [Self; 7] = [
+    /// All plays but the drawn ones.
+    pub const FIXED: [Self; 8] = [
         Self::SpentBudget,
         Self::SilentStages,
         Self::FullEngines,
@@ -31,6 +43,7 @@
         Self::StoppingGateway,
         Self::LostEngine,
         Self::LostPath,
+        Self::IdleEngines,
     ];
 
     /// Name on the command line.
@@ -43,27 +56,46 @@
             Self::StoppingGateway => "stopping-gateway",
             Self::LostEngine => "lost-engine",
             Self::LostPath => "lost-path",
+            Self::IdleEngines => "idle-engines",
             Self::Series => "series",
+            Self::PlannedWork => "planned-work",
         }
     }
 
     /// The play with a name; `None` if there is none.
     pub fn from_name(name: &str) -> Option<Self> {
-        let plays = Self::FIXED.into_iter().chain([Self::Series]);
-        plays.into_iter().find(|play| play.name() == name)
+        let drawn = [Self::Series, Self::PlannedWork];
+        let mut plays = Self::FIXED.into_iter().chain(drawn);
+        plays.find(|play| play.name() == name)
     }
 
-    /// Whether the budget allows next to no retries; in series every second seed.
+    /// Whether the budget allows next to no retries; in drawn series every second seed.
     pub(super) fn has_spent_budget(self, seed: u64) -> bool {
         match self {
             Self::SpentBudget => true,
-            Self::Series => seed.is_multiple_of(2),
+            Self::Series | Self::PlannedWork => seed.is_multiple_of(2),
             Self::SilentStages
             | Self::FullEngines
             | Self::PreemptedStreams
             | Self::StoppingGateway
             | Self::LostEngine
-            | Self::LostPath => false,
+            | Self::LostPath
+            | Self::IdleEngines => false,
+        }
+    }
+
+    /// Whether faults are drawn, so that some streams may fail to be whole.
+    pub(super) const fn is_drawn(self) -> bool {
+        match self {
+            Self::Series | Self::PlannedWork => true,
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::StoppingGateway
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::IdleEngines => false,
         }
     }
 
@@ -77,7 +109,9 @@
             | Self::PreemptedStreams
             | Self::LostEngine
             | Self::LostPath
-            | Self::Series => Duration::from_secs(6),
+            | Self::IdleEngines
+            | Self::Series
+            | Self::PlannedWork => Duration::from_secs(6),
         }
     }
 
@@ -85,13 +119,31 @@
     pub(super) fn used_gateways(self, gateways: usize) -> usize {
         match self {
             Self::StoppingGateway => 1,
+            Self::IdleEngines => gateways.min(USED_ENGINES),
+            Self::SpentBudget
+            | Self::SilentStages
+            | Self::FullEngines
+            | Self::PreemptedStreams
+            | Self::LostEngine
+            | Self::LostPath
+            | Self::Series
+            | Self::PlannedWork => gateways,
+        }
+    }
+
+    /// Streams at each of these gateways.
+    pub(super) const fn streams_per_gateway(self) -> usize {
+        match self {
+            Self::IdleEngines => 1,
             Self::SpentBudget
             | Self::SilentStages
             | Self::FullEngines
             | Self::PreemptedStreams
+            | Self::StoppingGateway
             | Self::LostEngine
             | Self::LostPath
-            | Self::Series => gateways,
+            | Self::Series
+            | Self::PlannedWork => STREAMS_PER_GATEWAY,
         }
     }
 }
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -12,7 +12,7 @@
 use super::endpoint_switch::SilenceKind;
 use super::gateway_timeline::GatewayTimeline;
 use super::silence_step::{
-    MIN_ROUTE_TIMEOUT_MS, RegistryLoss, STEP_TIME, STEPS, SilenceStep, StepScope,
+    MIN_ROUTE_TIMEOUT_MS, RegistryLoss, STEP_TIME, STEPS, SilenceStep, StepScope, draw_planned,
 };
 use super::silent_endpoint::{ENGINE_POOL, EndpointPool, STAGE_POOL};
 use super::stream_callers::StreamCallers;
@@ -29,8 +29,7 @@
 const ENGINE_OCTET: u8 = 250;
 const STAGE_OCTET: u8 = 251;
 
-/// Streams at each gateway in a fixed play, and their events.
-const STREAMS_PER_GATEWAY: usize = 12;
+/// Events of a stream in a fixed play.
 const EVENTS: u64 = 40;
 
 /// Events of a stream that is to run until shortly before its gateway's stop time ends.
@@ -39,6 +38,9 @@
 /// Silences of sound engines, in milliseconds.
 const SHORT_SILENCE_MS: std::ops::Range<u64> = 1_200..1_300;
 
+/// Silence of idle engines, longer than callers wait.
+const IDLE_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// Silence of the endpoints of stages.
 const STAGE_SILENCE: Duration = Duration::from_secs(4);
 
@@ -146,9 +148,9 @@
     };
     run.wait_until_served(plan.gateways).await;
     tokio::time::sleep(WARM_UP).await;
-    match plan.play {
-        SilencePlay::Series => run.play_series(plan.gateways, &end).await?,
-        _ => run.play_silences(plan.gateways).await?,
+    match plan.play.is_drawn() {
+        true => run.play_series(plan.gateways, &end).await?,
+        false => run.play_silences(plan.gateways).await?,
     }
     let report = run.report();
     run.fleet.end().await?;
@@ -189,11 +191,12 @@
             SilencePlay::StoppingGateway => STOPPING_EVENTS,
             _ => EVENTS,
         };
-        let count = STREAMS_PER_GATEWAY * self.play.used_gateways(gateways);
+        let streams_per_gateway = self.play.streams_per_gateway();
+        let count = streams_per_gateway * self.play.used_gateways(gateways);
         let mut streams = JoinSet::new();
         for position in 0..count {
             let callers = Arc::clone(&self.callers);
-            let gateway = position / STREAMS_PER_GATEWAY;
+            let gateway = position / streams_per_gateway;
             streams.spawn(async move {
                 callers.send(&mut callers.connection(gateway), events).await;
             });
@@ -233,7 +236,8 @@
             }
             SilencePlay::LostEngine => self.engines.fall_silent(0, SilenceKind::Process, None),
             SilencePlay::LostPath => self.engines.fall_silent(0, SilenceKind::Path, None),
-            SilencePlay::Series => {}
+            SilencePlay::IdleEngines => self.silence_idle_engines(),
+            SilencePlay::Series | SilencePlay::PlannedWork => {}
         }
         Ok(())
     }
@@ -246,6 +250,18 @@
         }
     }
 
+    /// Makes all engines silent at once, for a second those that work on streams.
+    fn silence_idle_engines(&mut self) {
+        for index in 0..ENGINES {
+            let time = match self.engines.timeline.has_runs(index) {
+                true => self.draw_short_silence(),
+                false => IDLE_SILENCE,
+            };
+            self.engines
+                .fall_silent(index, SilenceKind::Calls, Some(time));
+        }
+    }
+
     fn draw_short_silence(&mut self) -> Duration {
         Duration::from_millis(self.random.random_range(SHORT_SILENCE_MS))
     }
@@ -273,9 +289,10 @@
             gateways,
         };
         for _ in 0..STEPS {
-            let step = SilenceStep::draw(scope, &mut self.random);
-            log::info!("event=silence_step step={step:?}");
-            self.take_step(step).await?;
+            for step in self.draw_steps(scope) {
+                log::info!("event=silence_step step={step:?}");
+                self.take_step(step).await?;
+            }
             tokio::time::sleep(STEP_TIME).await;
         }
         self.heal().await?;
@@ -284,6 +301,13 @@
         Ok(())
     }
 
+    fn draw_steps(&mut self, scope: StepScope) -> Vec<SilenceStep> {
+        match self.play {
+            SilencePlay::PlannedWork => draw_planned(scope, &mut self.random),
+            _ => vec![SilenceStep::draw(scope, &mut self.random)],
+        }
+    }
+
     async fn take_step(&mut self, step: SilenceStep) -> Result<()> {
         let now = Instant::now();
         match step {
@@ -318,6 +342,7 @@
                 self.signal_gateway(gateway, Signal::SIGSTOP)?;
             }
             SilenceStep::Thaw => self.thaw()?,
+            SilenceStep::Start => self.start_stopped().await?,
             SilenceStep::Reload(gateway) => self.signal_gateway(gateway, Signal::SIGHUP)?,
             SilenceStep::LoseRegistry(_, _) if self.has_lost_registry => {}
             SilenceStep::LoseRegistry(registry, loss) => {
@@ -357,7 +382,16 @@
         for index in 0..ENGINES {
             self.engines.go_on(index);
         }
-        self.fleet.start_stopped().await
+        self.start_stopped().await
+    }
+
+    async fn start_stopped(&mut self) -> Result<()> {
+        for process in self.fleet.start_stopped().await? {
+            if let Some(gateway) = process.checked_sub(REGISTRIES) {
+                self.gateways.record_start(gateway, Instant::now());
+            }
+        }
+        Ok(())
     }
 
     fn report(&self) -> SilenceReport {
@@ -366,7 +400,7 @@
         let check = StreamCheck {
             engines,
             gateways: &self.gateways,
-            has_excuses: self.play == SilencePlay::Series,
+            has_excuses: self.play.is_drawn(),
             stop_time: self.play.stop_time(),
             route_timeout: Duration::from_millis(MIN_ROUTE_TIMEOUT_MS),
         };
--- a/crates/proof/src/silence_soak/stream_check.rs
+++ b/crates/proof/src/silence_soak/stream_check.rs
@@ -40,7 +40,12 @@
             return Some(format!("{outcome}; two engines at once for {overlap} ms"));
         }
         let is_sound = outcome.end == StreamEnd::Whole || self.excuse(outcome).is_some();
-        (!is_sound).then(|| outcome.to_string())
+        (!is_sound).then(|| {
+            let from = outcome.sent;
+            let trace = self.engines.trace(&outcome.id, from, outcome.ended);
+            let frozen = frozen.as_millis();
+            format!("{outcome}; its gateway was frozen for {frozen} ms{trace}")
+        })
     }
 
     /// Why a stream that is not whole is not counted, if anything excuses it.
@@ -57,7 +62,8 @@
         let (sent, ended) = (outcome.sent, outcome.ended);
         let runs = self.engines.runs(&outcome.id);
         let stop_part = self.stop_time.mul_f64(STOP_PART);
-        let mut stop_ends = self.gateways.stops(gateway).map(|stop| stop + stop_part);
+        let stops = self.gateways.stops(gateway, sent);
+        let mut stop_ends = stops.map(|stop| stop + stop_part);
         let Some(first) = runs.first() else {
             return Some(StreamExcuse::NotRun);
         };
