--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -122,7 +122,8 @@
         let guard = self.node.scores.outstanding.begin_attempt(&endpoint);
         let started = Instant::now();
         self.ledger.record_send(&endpoint);
-        self.send_state = SendState::Opening(Arc::from(endpoint.as_str()));
+        let opening = SendState::Opening(Arc::from(endpoint.as_str()));
+        self.send_state.send_replace(opening);
         log_event!(
             debug,
             "attempt_sent",
@@ -261,7 +262,7 @@
         endpoint: &str,
         error: CallError,
     ) -> Result<AttemptEnd, GatewayRefusal> {
-        self.send_state = SendState::Idle;
+        self.send_state.send_replace(SendState::Idle);
         match error {
             CallError::Unsent(reason) => {
                 self.ledger.record_denial(endpoint);
@@ -318,10 +319,10 @@
         started: Instant,
         guard: OutstandingGuard,
     ) -> Result<PendingCall, CallError> {
-        let (call, was_cached) = match self.needs_sign_of_life() {
+        let (call, was_cached) = match self.must_probe_first() {
             true => {
                 let (opened, is_alive) =
-                    tokio::join!(self.open_call(member), self.node.has_sign_of_life(member));
+                    tokio::join!(self.open_call(member), self.node.answers_probe(member));
                 let opened = opened?;
                 if !is_alive {
                     return Err(CallError::Silent);
@@ -354,7 +355,7 @@
 
     /// Whether the next send replaces a stalled call that is dropped soon after it: an endpoint that
     /// is as silent must not take its place.
-    fn needs_sign_of_life(&self) -> bool {
+    pub(super) fn must_probe_first(&self) -> bool {
         let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
         is_stream && self.stalled_since.is_some()
     }
@@ -367,8 +368,8 @@
         started: Instant,
         guards: (OutstandingGuard, ProgressGuard),
     ) -> PendingCall {
-        self.send_state = SendState::Sent;
-        self.sent_to.send_replace(Some(Arc::clone(member)));
+        let sent = SendState::Sent(Arc::clone(member));
+        self.send_state.send_replace(sent);
         let request = self.endpoint_request(member, last_event);
         let member = Arc::clone(member);
         PendingCall::send(opened, request, member, (started, BootClock.now()), guards)
@@ -454,6 +455,7 @@
         let (head, endpoint) = (open.head, open.endpoint);
         if head.is_other_incarnation || head.not_run {
             self.ledger.record_denial(&endpoint);
+            self.send_state.send_replace(SendState::Idle);
             let status = parts.status.as_u16();
             log_event!(
                 info,
@@ -532,18 +534,13 @@
         let pool = &self.context.pool;
         let records = view.roster.records(pool);
         self.node.scores.report(pool, records, endpoint, report);
-        let placement = self.placement.as_ref();
-        // A stalled call may end after the request was placed elsewhere.
-        let placement = placement.filter(|placement| placement.endpoint == endpoint);
-        if let Some(placement) = placement {
-            let elapsed = match report {
+        self.report_to_coordinator(
+            endpoint,
+            match report {
                 AttemptReport::Succeeded(time) => Some(time),
                 AttemptReport::Failed => None,
-            };
-            self.node
-                .exchange
-                .report_placement(&self.node, placement, elapsed);
-        }
+            },
+        );
         if report == AttemptReport::Failed {
             log_event!(
                 info,
@@ -557,6 +554,18 @@
         }
     }
 
+    /// Reports to the coordinator that placed the request how its attempt ended: successfully after
+    /// `elapsed`, or not.
+    fn report_to_coordinator(&self, endpoint: &str, elapsed: Option<Duration>) {
+        let placement = self.placement.as_ref();
+        // A stalled call may end after the request was placed elsewhere.
+        let placement = placement.filter(|placement| placement.endpoint == endpoint);
+        if let Some(placement) = placement {
+            let exchange = &self.node.exchange;
+            exchange.report_placement(&self.node, placement, elapsed);
+        }
+    }
+
     /// Records that an endpoint may have crashed while it worked on the request.
     pub(super) fn suspect_crash(&mut self, endpoint: &str, failure: CallFailure) {
         let view = self.node.view.load();
@@ -670,6 +679,15 @@
         self.report(&view, endpoint, AttemptReport::Failed, reason);
     }
 
+    /// Reports that a stalled call was replaced. It counts as a failure of its endpoint once for all
+    /// calls that one silence has stalled.
+    pub(super) fn report_replaced(&self, endpoint: &str) {
+        match self.node.scores.progress.take_failure(endpoint) {
+            true => self.report_failure(endpoint, "replaced after a stall"),
+            false => self.report_to_coordinator(endpoint, None),
+        }
+    }
+
     pub(super) async fn handle_answer(&mut self, open: OpenAnswer) -> AnswerOutcome {
         match self.context.route.kind {
             RouteKind::Stream { .. } => return AnswerOutcome::Stream(Box::new(open)),
@@ -697,7 +715,7 @@
                 AnswerOutcome::Whole(response)
             }
             BodyEnd::Replaced(replacement) => {
-                self.report_failure(&open.endpoint, "replaced after a stall");
+                self.report_replaced(&open.endpoint);
                 drop(open.call);
                 Box::pin(self.handle_answer(*replacement)).await
             }
--- a/crates/savorywalk/src/gateway/forward_plan.rs
+++ b/crates/savorywalk/src/gateway/forward_plan.rs
@@ -67,6 +67,11 @@
             .cloned()
     }
 
+    /// The endpoint that this entry would choose by itself among all available ones.
+    pub(super) fn pick_any(&self, view: &GatewayView) -> Option<Arc<PoolMember>> {
+        self.pick(view, |_| true)
+    }
+
     /// Whether the route allows the request to run at one more endpoint, if it has not been at this
     /// one.
     fn may_run_at(&self, member: &PoolMember) -> bool {
@@ -82,7 +87,7 @@
     }
 
     /// Whether an endpoint is seen to make progress, if the next send replaces a stalled call.
-    fn is_proven(&self, member: &PoolMember) -> bool {
+    pub(super) fn is_proven(&self, member: &PoolMember) -> bool {
         let progress = &self.node.scores.progress;
         self.stalled_since
             .is_none_or(|since| progress.is_proven(member.endpoint(), since.elapsed()))
@@ -97,6 +102,26 @@
             .is_some()
     }
 
+    /// Whether the request could be sent to an endpoint now, if it needs no permit.
+    pub(super) fn has_endpoint_now(&self) -> bool {
+        let view = self.node.view.load();
+        self.pick(&view, |_| true).is_some()
+    }
+
+    /// Whether there are endpoints for the request and its stages, available now or later.
+    pub(super) fn has_endpoint_left(&self) -> bool {
+        let view = self.node.view.load();
+        let mut members = view.roster.pool(&self.context.pool).iter();
+        let has_endpoint = members.any(|member| {
+            let endpoint = member.endpoint();
+            self.context.data_center_filter.has(member.data_center())
+                && self.may_continue_at(member)
+                && !self.ledger.was_sent_to(endpoint)
+                && !self.node.availability.is_leaving(endpoint)
+        });
+        has_endpoint && (self.results.is_some() || self.has_stage_endpoints(&view))
+    }
+
     fn needs_permit(&self, member: &PoolMember) -> bool {
         self.node.needs_permit(&self.context.pool, member)
     }
@@ -274,7 +299,7 @@
         if !shard.is_whole() && self.origin.is_none() {
             return Some(shard.data_center().to_string());
         }
-        self.pick(view, |_| true)
+        self.pick_any(view)
             .map(|member| member.data_center().to_string())
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -20,8 +20,8 @@
 use super::request_context::RequestContext;
 use super::retry_budget::{RepeatReason, SendToken};
 use super::stalled_calls::{
-    HANDOVER_PROBE_DELAY, HANDOVER_TIME, HeadResult, PendingCall, ReplacementChance, SearchDelay,
-    SilentReplacement, StallEnd, StalledCalls,
+    HANDOVER_PROBE_DELAY, HANDOVER_TIME, HeadResult, MAX_PROBES, PendingCall, ReplacementChance,
+    SearchDelay, SilentReplacement, StallEnd, StalledCalls,
 };
 use super::stream_origins::StreamOrigin;
 use super::stream_relay::StreamRelay;
@@ -76,14 +76,35 @@
 }
 
 /// How far the last send has got.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub(super) enum SendState {
     /// No send is in progress.
+    #[default]
     Idle,
     /// This endpoint is chosen, and nothing was sent to it yet.
     Opening(Arc<str>),
-    /// The request was sent.
-    Sent,
+    /// The request was sent to this endpoint.
+    Sent(Arc<PoolMember>),
+}
+
+impl SendState {
+    /// Whether the request was sent to `member`, and nothing has ended the send.
+    fn is_sent_to(&self, member: &Arc<PoolMember>) -> bool {
+        match self {
+            Self::Sent(sent) => Arc::ptr_eq(sent, member),
+            Self::Idle | Self::Opening(_) => false,
+        }
+    }
+}
+
+/// Waits until a request is sent, and returns its endpoint; `None` once the request has ended.
+async fn wait_until_sent(states: &mut watch::Receiver<SendState>) -> Option<Arc<PoolMember>> {
+    let is_sent = |state: &SendState| matches!(state, SendState::Sent(_));
+    let state = states.wait_for(is_sent).await.ok()?;
+    match &*state {
+        SendState::Sent(member) => Some(Arc::clone(member)),
+        SendState::Idle | SendState::Opening(_) => None,
+    }
 }
 
 /// One request that is being forwarded to an endpoint.
@@ -100,9 +121,7 @@
     pub(super) has_answer_begun: bool,
     pub(super) ledger: RunLedger,
     pub(super) next_send: NextSend,
-    pub(super) send_state: SendState,
-    /// The endpoint of the last send since a handover began.
-    pub(super) sent_to: watch::Sender<Option<Arc<PoolMember>>>,
+    pub(super) send_state: watch::Sender<SendState>,
     /// Since when the endpoint that the next send would replace has been silent.
     pub(super) stalled_since: Option<Instant>,
     /// Whether the stages were executed, at least in part.
@@ -144,8 +163,7 @@
             body,
             ledger: RunLedger::default(),
             next_send: NextSend::First(token),
-            send_state: SendState::Idle,
-            sent_to: watch::Sender::default(),
+            send_state: watch::Sender::default(),
             stalled_since: None,
             has_run_stages: false,
             results: None,
@@ -302,7 +320,7 @@
                 (Arc::clone(&self.list_at_send), self.has_answer_begun);
             let race = self.race_once(last_event, stalled).await;
             for endpoint in race.replaced {
-                self.report_failure(&endpoint, "replaced after a stall");
+                self.report_replaced(&endpoint);
             }
             let mut end = match race.end {
                 RacedEnd::Next(end) => end,
@@ -439,34 +457,46 @@
     /// Returns a future that ends when either the next send, or the call that it replaces, has to be
     /// dropped.
     pub(super) fn begin_handover(&mut self) -> impl Future<Output = HandoverEnd> + use<> {
-        self.send_state = SendState::Idle;
-        self.sent_to = watch::Sender::default();
-        let mut sent_to = self.sent_to.subscribe();
+        self.send_state = watch::Sender::default();
+        let mut states = self.send_state.subscribe();
         let node = Arc::clone(&self.node);
         async move {
-            let member = match sent_to.wait_for(Option::is_some).await {
-                Ok(member) => member.clone(),
-                Err(_) => None,
-            };
+            while let Some(member) = wait_until_sent(&mut states).await {
+                let ends_at = Instant::now() + HANDOVER_TIME;
+                tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
+                let is_alive = node.answers_probe(&member).await;
+                tokio::time::sleep_until(ends_at.into()).await;
+                let is_still_sent = states.borrow().is_sent_to(&member);
+                match is_alive {
+                    _ if !is_still_sent => {}
+                    true => return HandoverEnd::Complete,
+                    false => return HandoverEnd::Silent(member),
+                }
+            }
+            std::future::pending().await
+        }
+    }
+
+    /// Whether an endpoint that may take the stream over is alive, before any stage is made for it.
+    async fn has_live_replacement(&self) -> bool {
+        for _ in 0..MAX_PROBES {
+            let member = self.pick_any(&self.node.view.load());
             let Some(member) = member else {
-                return std::future::pending().await;
+                return false;
             };
-            let ends_at = Instant::now() + HANDOVER_TIME;
-            tokio::time::sleep(HANDOVER_PROBE_DELAY).await;
-            let is_alive = node.has_sign_of_life(&member).await;
-            tokio::time::sleep_until(ends_at.into()).await;
-            match is_alive {
-                true => HandoverEnd::Complete,
-                false => HandoverEnd::Silent(member),
+            if self.is_proven(&member) || self.node.answers_probe(&member).await {
+                return true;
             }
+            self.record_silent_replacement(member.endpoint(), SilentReplacement::BeforeSend);
         }
+        false
     }
 
     /// Records that the request was withdrawn from an endpoint that was to replace another one and has
     /// fallen silent itself.
     pub(super) fn withdraw(&mut self, member: &PoolMember) {
         let endpoint = member.endpoint();
-        self.send_state = SendState::Idle;
+        self.send_state.send_replace(SendState::Idle);
         self.ledger.record_withdrawal(endpoint);
         self.record_silent_replacement(endpoint, SilentReplacement::AfterSend);
     }
@@ -488,12 +518,13 @@
 
     /// Records that an attempt was cancelled because an earlier call went on.
     pub(super) fn cancel_attempt(&mut self) {
-        match std::mem::replace(&mut self.send_state, SendState::Idle) {
+        match self.send_state.send_replace(SendState::Idle) {
             SendState::Opening(endpoint) => {
                 self.ledger.record_denial(&endpoint);
                 self.ledger.forget_denials();
             }
-            SendState::Idle | SendState::Sent => {}
+            SendState::Sent(member) => self.ledger.record_withdrawal(member.endpoint()),
+            SendState::Idle => {}
         }
     }
 
@@ -532,13 +563,18 @@
 
     /// Whether the request may be sent to another endpoint, and the retry budget probably allows it.
     pub(super) fn may_send_again(&self) -> bool {
+        self.has_send_left() && self.has_token()
+    }
+
+    /// Whether the request may be sent to another endpoint, as far as its route and its time go.
+    pub(super) fn has_send_left(&self) -> bool {
         let route = &self.context.route;
         let runs = self.ledger.runs();
         let is_allowed = runs == 0 || route.kind.is_retryable();
         let has_spare_endpoint = self.ledger.has_spare_endpoint(route.max_endpoints as usize);
         let is_within = has_spare_endpoint && self.ledger.sends() < MAX_SENDS;
         let has_time = !self.context.remaining(Instant::now()).is_zero();
-        is_allowed && is_within && has_time && self.has_token()
+        is_allowed && is_within && has_time
     }
 
     /// Whether there probably is a token for the next send.
@@ -594,6 +630,10 @@
             return Err(ResumeRefusal::NoSendLeft);
         }
         self.await_decision().await?;
+        let makes_stages = self.results.is_none() && !self.context.route.stages.is_empty();
+        if makes_stages && self.must_probe_first() && !self.has_live_replacement().await {
+            return Err(ResumeRefusal::Silent);
+        }
         let last_event = last_event.or(self.context.head.last_event);
         let mut stalled = StalledCalls::default();
         let mut has_rerun_stages = self.results.is_none();
--- a/crates/savorywalk/src/transport/link_hub.rs
+++ b/crates/savorywalk/src/transport/link_hub.rs
@@ -1,4 +1,6 @@
+use std::convert::Infallible;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
 use prost::Message;
@@ -165,6 +167,33 @@
         channel: LinkChannel,
         payload: Bytes,
         timeout: Duration,
+    ) -> Result<Bytes> {
+        self.call_over(peer, channel, payload, timeout, None).await
+    }
+
+    /// Asks `peer` as [`Self::call`] does, and goes on while the peer is silent: a suspended peer
+    /// may still answer. `silent` is cancelled once it was silent for the idle timeout, so that
+    /// the caller can ask another one meanwhile.
+    pub async fn call_through_silence(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+        silent: &CancellationToken,
+    ) -> Result<Bytes> {
+        let silent = Some(silent);
+        self.call_over(peer, channel, payload, timeout, silent)
+            .await
+    }
+
+    async fn call_over(
+        &self,
+        peer: &str,
+        channel: LinkChannel,
+        payload: Bytes,
+        timeout: Duration,
+        silent: Option<&CancellationToken>,
     ) -> Result<Bytes> {
         check_size(channel, payload.len(), channel.max_message_bytes())?;
         let slot = self.core.slot(peer)?;
@@ -175,14 +204,27 @@
         };
         let request = Bytes::from(request.encode_to_vec());
         let (connection, streams) = open_call(&slot, deadline).await?;
-        let _guard = UseGuard::enter(connection.uses(), ConnectionUse::OwnCall);
+        // The connection outlives a silence under streams alone.
+        let connection_use = match silent {
+            Some(_) => ConnectionUse::Stream,
+            None => ConnectionUse::OwnCall,
+        };
+        let _guard = UseGuard::enter(connection.uses(), connection_use);
         count(&self.core.metrics.calls_sent, 1);
         count(&self.core.metrics.call_bytes_sent, request.len());
-        let exchange = exchange(&slot.name, streams, request, channel);
+        let acknowledged = AtomicBool::new(false);
+        let exchange = exchange(&slot.name, streams, request, channel, &acknowledged);
+        let silence = async {
+            connection.until_silent().await;
+            if let Some(silent) = silent {
+                silent.cancel();
+                std::future::pending().await
+            }
+        };
         let exchange = async {
             tokio::select! {
                 outcome = exchange => outcome,
-                () = connection.until_silent() => Err(LinkError::Lost {
+                () = silence => Err(LinkError::Lost {
                     peer: slot.name.clone(),
                     detail: "the peer is silent".into(),
                 }),
@@ -193,6 +235,7 @@
             Ok(outcome) => outcome,
             Err(_) => Err(LinkError::TimedOut {
                 peer: slot.name.clone(),
+                acknowledged: acknowledged.load(Ordering::Relaxed),
             }),
         }
     }
@@ -225,7 +268,12 @@
         let reply = match tokio::time::timeout_at(deadline, opening).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error)) => return Err(lost(&connection, peer, error.to_string())),
-            Err(_) => return Err(LinkError::TimedOut { peer }),
+            Err(_) => {
+                return Err(LinkError::TimedOut {
+                    peer,
+                    acknowledged: false,
+                });
+            }
         };
         Ok((stream, read_outcome(&peer, reply.outcome)?))
     }
@@ -323,11 +371,14 @@
     }
 }
 
+/// Sends a request and reads its answer. Sets `acknowledged` once the peer has received the whole
+/// request.
 async fn exchange(
     peer: &PeerName,
     (mut send, mut receive): CallStreams,
     request: Bytes,
     channel: LinkChannel,
+    acknowledged: &AtomicBool,
 ) -> Result<Bytes> {
     let lost = |detail: String| LinkError::Lost {
         peer: peer.clone(),
@@ -340,7 +391,16 @@
         let _ = send.finish();
     }
     let limit = channel.max_reply_bytes() + limits::REPLY_ENVELOPE_BYTES;
-    let bytes = receive.read_to_end(limit).await;
+    let acknowledgement = async {
+        if let Ok(None) = send.stopped().await {
+            acknowledged.store(true, Ordering::Relaxed);
+        }
+        std::future::pending::<Infallible>().await
+    };
+    let bytes = tokio::select! {
+        bytes = receive.read_to_end(limit) => bytes,
+        never = acknowledgement => match never {},
+    };
     let bytes = bytes.map_err(|error| lost(error.to_string()))?;
     let reply = CallReply::decode(Bytes::from(bytes));
     read_outcome(peer, reply.ok().and_then(|reply| reply.outcome))
