Let a replacement succeed by an event, not by the head of its answer

What callers saw: no event for longer than they wait, although the engine of their stream went on in time. Cause: race_replacement took the head of the replacement's answer for its success, 2 to 6 ms after the send, and dropped the silent call; a head says that the request was accepted, and the sign of life after the send was never asked for. Change: the stalled call stays open beside the opened answer until the replacement's first event or the end of the handover. A replacement that is cut meanwhile counts as a failed call and leaves the stalled one in place. Not changed: requests before the first event (race_once), where the head still decides.

--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -55,6 +55,8 @@
     /// Whether the endpoint has sent an event.
     has_events: bool,
     body: Incoming,
+    /// What was read of the body before this source took the place of another one.
+    early: Option<SourceFrame>,
     endpoint: String,
     version: Option<Arc<str>>,
     started: Instant,
@@ -75,12 +77,35 @@
     next_search: Instant,
 }
 
+/// How the race of a stalled call and its replacement ended.
+enum RaceEnd {
+    Search(SearchEnd),
+    /// The replacement has fallen silent after the send.
+    Silent(Arc<PoolMember>),
+    /// The replacement at this endpoint was cut after the head of its answer.
+    Cut(String, hyper::Error),
+}
+
+impl RaceEnd {
+    fn opened(source: Box<StreamSource>) -> Self {
+        Self::Search(SearchEnd::Opened(source))
+    }
+}
+
+/// Waits for the next frame of a replacement; for ever without one.
+async fn next_frame_of(opened: &mut Option<Box<StreamSource>>) -> SourceFrame {
+    match opened {
+        Some(source) => source.frame().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What a search for a replacement came to.
 enum SearchEnd {
     /// The endpoint sent a frame, or its connection ended.
     Source(SourceFrame),
     /// Another endpoint goes on with the stream.
-    Opened(Box<OpenAnswer>),
+    Opened(Box<StreamSource>),
     /// There is no replacement now.
     Refused(ResumeRefusal),
 }
@@ -127,6 +152,7 @@
             proof: EndProof::of(&head),
             has_events: false,
             body,
+            early: None,
             endpoint: open.endpoint,
             version: open.version,
             started: open.started,
@@ -137,6 +163,14 @@
         }
     }
 
+    /// Waits for the next frame of the body. Cancelling the wait loses nothing.
+    async fn frame(&mut self) -> SourceFrame {
+        match self.early.take() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
+
     /// Ends the call to a lost endpoint, which no longer counts as one in progress.
     fn end_call(&mut self) {
         self.call = None;
@@ -302,7 +336,7 @@
             let deadline = self.run.context.deadline;
             let next_search = self.next_search();
             let wake_at = next_search.map_or(deadline, |next| next.min(deadline));
-            let waiting = tokio::time::timeout_at(wake_at.into(), self.source.body.frame());
+            let waiting = tokio::time::timeout_at(wake_at.into(), self.source.frame());
             if let Ok(frame) = waiting.await {
                 self.end_stall(&frame);
                 return Ok(frame);
@@ -358,8 +392,8 @@
                 self.run.has_answer_begun = has_answer_begun;
                 Ok(Some(frame))
             }
-            SearchEnd::Opened(open) => {
-                self.replace_source(*open, &StreamFailure::TimedOut);
+            SearchEnd::Opened(next) => {
+                self.replace_source(*next, &StreamFailure::TimedOut);
                 Ok(None)
             }
             SearchEnd::Refused(refusal) => {
@@ -377,23 +411,27 @@
         }
     }
 
-    /// Sends the stream to another endpoint while the present one stays in place. Whoever answers
-    /// first has it. Soon after the send one of both is dropped, so that two do not work on it: the present
-    /// one if the other one gives a sign of life then. If the present one's connection breaks, the other
-    /// one goes on alone.
+    /// Sends the stream to another endpoint while the present one stays in place. The first that sends
+    /// something has it: the present one by any byte, the other one by its first event. Soon after the
+    /// send one of both is dropped, so that two do not work on it: the present one if the other one gives
+    /// a sign of life then. If the present one's connection breaks, the other one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
         self.run.stalled_since = Some(self.source.heard);
         match self.race_replacement().await {
-            Ok(end) => end,
-            Err(silent) => {
-                self.run.withdraw(&silent);
+            RaceEnd::Search(end) => end,
+            RaceEnd::Silent(member) => {
+                self.run.withdraw(&member);
                 SearchEnd::Refused(ResumeRefusal::Silent)
             }
+            RaceEnd::Cut(endpoint, error) => {
+                let (failure, reason) = (Some(CallFailure::Cut), error.to_string());
+                self.run.record_failure(&endpoint, failure, &reason).await;
+                SearchEnd::Refused(ResumeRefusal::Lost)
+            }
         }
     }
 
-    /// Fails with the other endpoint if that one has fallen silent after the send.
-    async fn race_replacement(&mut self) -> Result<SearchEnd, Arc<PoolMember>> {
+    async fn race_replacement(&mut self) -> RaceEnd {
         let last_event = self.splitter.last_id();
         let handover = self.run.begin_handover();
         let Self { run, source, .. } = self;
@@ -401,27 +439,48 @@
         let mut handover = pin!(handover);
         let mut broken = None;
         let mut is_handed_over = false;
+        // The head of an answer may come before an engine reads the prompt, so it ends nothing.
+        let mut opened: Option<Box<StreamSource>> = None;
         loop {
             tokio::select! {
                 biased;
-                frame = source.body.frame(), if source.call.is_some() => match frame {
-                    Some(Err(error)) => {
+                frame = source.frame(), if source.call.is_some() => match (frame, opened.take()) {
+                    (Some(Err(_)), Some(next)) => return RaceEnd::opened(next),
+                    (Some(Err(error)), None) => {
                         source.call = None;
                         broken = Some(error);
                     }
-                    Some(Ok(_)) | None => return Ok(SearchEnd::Source(frame)),
+                    (frame @ (Some(Ok(_)) | None), _) => {
+                        return RaceEnd::Search(SearchEnd::Source(frame));
+                    }
+                },
+                resumed = &mut resuming, if opened.is_none() => match (resumed, broken.take()) {
+                    (Ok(open), None) if source.call.is_some() => {
+                        opened = Some(Box::new(StreamSource::new(open)));
+                    }
+                    (Ok(open), _) => return RaceEnd::opened(Box::new(StreamSource::new(open))),
+                    (Err(_), Some(error)) => {
+                        return RaceEnd::Search(SearchEnd::Source(Some(Err(error))));
+                    }
+                    (Err(refusal), None) => return RaceEnd::Search(SearchEnd::Refused(refusal)),
+                },
+                frame = next_frame_of(&mut opened) => match (frame, opened.take()) {
+                    (Some(Err(error)), Some(next)) => return RaceEnd::Cut(next.endpoint, error),
+                    (frame, Some(mut next)) => {
+                        next.early = Some(frame);
+                        return RaceEnd::opened(next);
+                    }
+                    (_, None) => {}
                 },
-                resumed = &mut resuming => return Ok(match (resumed, broken) {
-                    (Ok(open), _) => SearchEnd::Opened(Box::new(open)),
-                    (Err(_), Some(error)) => SearchEnd::Source(Some(Err(error))),
-                    (Err(refusal), None) => SearchEnd::Refused(refusal),
-                }),
                 end = &mut handover, if source.call.is_some() && !is_handed_over => match end {
                     HandoverEnd::Complete => {
                         is_handed_over = true;
                         source.call = None;
+                        if let Some(next) = opened.take() {
+                            return RaceEnd::opened(next);
+                        }
                     }
-                    HandoverEnd::Silent(member) => return Err(member),
+                    HandoverEnd::Silent(member) => return RaceEnd::Silent(member),
                 },
             }
         }
@@ -511,7 +570,7 @@
         }
         self.source.end_call();
         let open = self.resume_lost().await?;
-        self.replace_source(open, reason);
+        self.replace_source(StreamSource::new(open), reason);
         Ok(())
     }
 
@@ -534,7 +593,7 @@
     }
 
     /// Goes on with the stream of another endpoint.
-    fn replace_source(&mut self, open: OpenAnswer, reason: &StreamFailure) {
+    fn replace_source(&mut self, next: StreamSource, reason: &StreamFailure) {
         let silence = self.source.heard.elapsed();
         if self.stall.is_some() {
             self.finish_stall(StallEnd::Replaced);
@@ -548,12 +607,12 @@
             digest = self.run.identity.digest,
             prompt = self.run.context.prompt_text(),
             from = self.source.endpoint,
-            to = open.endpoint,
+            to = next.endpoint,
             last_event = format!("{:?}", self.splitter.last_id()),
             silent_ms = silence.as_millis(),
             reason = reason
         );
         self.run.node.metrics.record_resume(&self.run.context.pool);
-        self.source = StreamSource::new(open);
+        self.source = next;
     }
 }
