--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -99,7 +99,7 @@
         self.sender.send_request(request).await.map_err(broken)
     }
 
-    /// Asks the endpoint a question that it answers at once, and waits for the head of the answer.
+    /// Sends a probe, and waits for the head of the answer.
     pub(super) async fn probe(&mut self, request: Request<Bytes>) -> Result<(), CallError> {
         let broken = |error: hyper::Error| CallError::Broken(error.to_string());
         let sending = self.sender.send_request(request.map(Full::new));
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -501,7 +501,7 @@
         self.record_silent_replacement(endpoint, SilentReplacement::AfterSend);
     }
 
-    /// Records that an endpoint that was to replace another one gave no sign of life.
+    /// Records that an endpoint that was to replace another one answered no probe.
     pub(super) fn record_silent_replacement(&self, endpoint: &str, found: SilentReplacement) {
         let node = &self.node;
         node.scores.progress.record_silent_probe(endpoint);
--- a/crates/savorywalk/src/gateway/run_ledger.rs
+++ b/crates/savorywalk/src/gateway/run_ledger.rs
@@ -14,12 +14,12 @@
 #[derive(Clone, Debug)]
 struct RecordedSend {
     endpoint: Arc<str>,
-    state: RecordedState,
+    outcome: SendOutcome,
 }
 
 /// What is known of a send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RecordedState {
+enum SendOutcome {
     /// The endpoint may have run the request.
     MayHaveRun,
     /// The endpoint guarantees not to have run the request.
@@ -34,36 +34,36 @@
     pub fn record_send(&mut self, endpoint: &str) {
         self.sent.push(RecordedSend {
             endpoint: endpoint.into(),
-            state: RecordedState::MayHaveRun,
+            outcome: SendOutcome::MayHaveRun,
         });
     }
 
     /// Records that `endpoint` guarantees not to have run the request, or that none of its bytes
     /// were written.
     pub fn record_denial(&mut self, endpoint: &str) {
-        self.settle(endpoint, RecordedState::Denied);
+        self.set_outcome(endpoint, SendOutcome::Denied);
     }
 
     /// Records that the connection to `endpoint` was closed before it answered, and that it may get
     /// the request again. It counts among those that may have run it, but only once.
     pub(super) fn record_withdrawal(&mut self, endpoint: &str) {
-        self.settle(endpoint, RecordedState::Withdrawn);
+        self.set_outcome(endpoint, SendOutcome::Withdrawn);
     }
 
-    fn settle(&mut self, endpoint: &str, state: RecordedState) {
+    fn set_outcome(&mut self, endpoint: &str, outcome: SendOutcome) {
         let mut sends = self.sent.iter_mut().rev();
         let send = sends
-            .find(|send| &*send.endpoint == endpoint && send.state == RecordedState::MayHaveRun);
+            .find(|send| &*send.endpoint == endpoint && send.outcome == SendOutcome::MayHaveRun);
         debug_assert!(send.is_some(), "an outcome without a send");
         if let Some(send) = send {
-            send.state = state;
+            send.outcome = outcome;
         }
     }
 
     /// Forgets the sends to endpoints that have not run the request, so that these may be asked
     /// again.
     pub(super) fn forget_denials(&mut self) {
-        self.sent.retain(|send| send.state != RecordedState::Denied);
+        self.sent.retain(|send| send.outcome != SendOutcome::Denied);
     }
 
     /// The proof, unless an endpoint may have run the request.
@@ -74,7 +74,7 @@
     /// Number of endpoints that may have run the request.
     pub fn runs(&self) -> usize {
         let sends = self.sent.iter();
-        let sends = sends.filter(|send| send.state != RecordedState::Denied);
+        let sends = sends.filter(|send| send.outcome != SendOutcome::Denied);
         let endpoints: BTreeSet<&str> = sends.map(|send| &*send.endpoint).collect();
         endpoints.len()
     }
@@ -89,12 +89,12 @@
     pub(super) fn has_spare_endpoint(&self, max_endpoints: usize) -> bool {
         let mut sends = self.sent.iter();
         let may_get_again = |send: &RecordedSend| {
-            send.state == RecordedState::Withdrawn && !self.was_sent_to(&send.endpoint)
+            send.outcome == SendOutcome::Withdrawn && !self.was_sent_to(&send.endpoint)
         };
         self.runs() < max_endpoints || sends.any(may_get_again)
     }
 
-    /// Number of sends, including denied ones.
+    /// Number of sends, including denied ones that were not forgotten.
     pub fn sends(&self) -> usize {
         self.sent.len()
     }
@@ -103,7 +103,7 @@
     pub(super) fn endpoints(&self) -> Vec<String> {
         self.sent
             .iter()
-            .filter(|send| send.state != RecordedState::Withdrawn)
+            .filter(|send| send.outcome != SendOutcome::Withdrawn)
             .map(|send| send.endpoint.to_string())
             .collect()
     }
@@ -111,13 +111,13 @@
     /// Whether the request was sent to `endpoint`, which does not get it again.
     pub fn was_sent_to(&self, endpoint: &str) -> bool {
         let mut sends = self.sent.iter();
-        sends.any(|send| &*send.endpoint == endpoint && send.state != RecordedState::Withdrawn)
+        sends.any(|send| &*send.endpoint == endpoint && send.outcome != SendOutcome::Withdrawn)
     }
 }
 
 impl RecordedSend {
     fn is_withdrawn_from(&self, endpoint: &str) -> bool {
-        &*self.endpoint == endpoint && self.state == RecordedState::Withdrawn
+        &*self.endpoint == endpoint && self.outcome == SendOutcome::Withdrawn
     }
 }
 
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -49,7 +49,7 @@
         self.table().take_failure(endpoint)
     }
 
-    /// Records that an endpoint gave no sign of life.
+    /// Records that an endpoint answered no probe.
     pub(in crate::gateway) fn record_silent_probe(&self, endpoint: &str) {
         let now = Instant::now();
         self.table().record_silent_probe(now, endpoint);
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -13,7 +13,7 @@
 /// something.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which an endpoint that gave no sign of life replaces no other one, unless it sends
+/// Time for which an endpoint that answered no probe replaces no other one, unless it sends
 /// something. Shorter than the doubt after a stall, as it was asked once only.
 const SILENT_PROBE_TIME: Duration = Duration::from_millis(500);
 
@@ -27,7 +27,7 @@
     endpoints: FastMap<Arc<str>, EndpointProgress>,
     /// Number of stalled calls by endpoint.
     stalls: FastMap<String, usize>,
-    /// Endpoints whose stalled calls were replaced, or that gave no sign of life.
+    /// Endpoints whose stalled calls were replaced, or that answered no probe.
     doubted: FastMap<String, EndpointDoubt>,
 }
 
@@ -134,7 +134,7 @@
         is_due
     }
 
-    /// Records that an endpoint gave no sign of life.
+    /// Records that an endpoint answered no probe.
     pub(in crate::gateway) fn record_silent_probe(&mut self, now: Instant, endpoint: &str) {
         self.doubt(now, endpoint, SILENT_PROBE_TIME);
     }
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -139,7 +139,7 @@
     assert!(table.is_better(start + SILENT_PROBE_TIME, "idle", STALL));
 }
 
-/// Guards against a longer doubt that is cut short by a question without an answer.
+/// Guards against a longer doubt that is cut short by a probe without an answer.
 #[test]
 fn a_silent_probe_shortens_no_doubt() {
     let start = Instant::now();
--- a/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/search_delay.rs
@@ -5,16 +5,15 @@
 /// for longer.
 pub(in crate::gateway) const HANDOVER_TIME: Duration = Duration::from_millis(200);
 
-/// Longest time for which an endpoint may take to give a sign of life: many round trips within a
+/// Longest time for which an endpoint may take to answer a probe: many round trips within a
 /// region. Sound endpoints answer at once, whatever they work on.
 pub(in crate::gateway) const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Endpoints that a search probes before it makes stages again. Each is asked once, so that a pause of
-/// all endpoints costs few questions.
+/// all endpoints costs few probes.
 pub(in crate::gateway) const MAX_PROBES: usize = 3;
 
-/// Time from a send to the question whether its endpoint is still alive. The answer is due when the
-/// handover ends.
+/// Time from a send to the probe of its endpoint. The answer is due when the handover ends.
 pub(in crate::gateway) const HANDOVER_PROBE_DELAY: Duration =
     HANDOVER_TIME.saturating_sub(PROBE_TIMEOUT);
 
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -413,8 +413,8 @@
 
     /// Sends the stream to another endpoint while the present one stays in place. The first that sends
     /// something has it: the present one by any byte, the other one by its first event. Soon after the
-    /// send one of both is dropped, so that two do not work on it: the present one if the other one gives
-    /// a sign of life then. If the present one's connection breaks, the other one goes on alone.
+    /// send one of both is dropped, so that two do not work on it: the present one if the other one answers
+    /// a probe then. If the present one's connection breaks, the other one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
         self.run.stalled_since = Some(self.source.heard);
         match self.race_replacement().await {
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -59,8 +59,8 @@
     /// it is invalid.
     fn read_pieces(&self, body: &[u8]) -> Result<Vec<PieceOutcome>, String>;
 
-    /// Writes a question that an endpoint answers at once, whatever its load, and without running
-    /// anything.
+    /// Writes a probe: a request that an endpoint answers at once, whatever its load, and without
+    /// running anything.
     fn probe_request(&self, target: &EndpointTarget<'_>) -> Request<Bytes>;
 
     /// Writes a call that releases results at the endpoint that holds them.
