--- a/crates/proof/src/run_address.rs
+++ b/crates/proof/src/run_address.rs
@@ -17,8 +17,8 @@
 /// Networks of this process so far.
 static NETWORKS: AtomicU32 = AtomicU32::new(0);
 
-/// Networks that a process has before they may be those of another process.
-const NETWORKS_PER_PROCESS: u32 = 16;
+/// Networks that a process has before it gets them again: more than the plays of one test program.
+const NETWORKS_PER_PROCESS: u32 = 32;
 
 /// Returns a loopback network of 256 addresses for the processes of one run, each at an address of its
 /// own. Runs of one process, and of others with near ids, have different ones.
@@ -28,3 +28,7 @@
     let [_, _, high, low] = number.to_be_bytes();
     Ipv4Addr::new(127, 64 | (high & 0x3f), low, 0)
 }
+
+#[cfg(test)]
+#[path = "run_address_tests.rs"]
+mod tests;
