Keep a silent call until the first event of its replacement

What callers saw: a stream whose engine was silent before its first event was sent to another one. That one sent the head of its answer at once and fell silent as well; the first engine went on after 1.4 s, and its call was closed already. The caller left without an event.

Cause: `race_once` took the head of the replacement's answer for its begin. An engine may send the head before it reads the prompt.

Change: an opened answer of a stream stays beside the stalled calls until its first frame, the end of the handover (0.2 s after the send, by a second probe), or the loss of the last stalled call. The frame is kept in `OpenAnswer`, which `StreamRelay` uses as well. A replacement that is cut after its head counts as failed and leaves the stalled call in place.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -1,4 +1,5 @@
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use hyper::{Request, Response};
@@ -46,6 +47,29 @@
     pub(super) call: EndpointCall,
     pub(super) guard: OutstandingGuard,
     pub(super) progress: ProgressGuard,
+    /// What was read of the body of a stream before it took the place of a stalled call.
+    pub(super) early: Option<SourceFrame>,
+}
+
+/// What an endpoint's connection gives next; `None` at the end of the answer.
+pub(super) type SourceFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+impl OpenAnswer {
+    /// Waits for the next frame of the body. Cancelling the wait loses nothing.
+    pub(super) async fn frame(&mut self) -> SourceFrame {
+        match self.early.take() {
+            Some(frame) => frame,
+            None => self.response.body_mut().frame().await,
+        }
+    }
+}
+
+/// Waits for the next frame of a replacement; for ever without one.
+pub(super) async fn next_frame_of(opened: &mut Option<Box<OpenAnswer>>) -> SourceFrame {
+    match opened {
+        Some(open) => open.frame().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// How an attempt ended, before the body of a successful answer is read.
@@ -251,6 +275,7 @@
             call,
             guard: pending.guard,
             progress: pending.progress,
+            early: None,
         };
         self.classify_answer(&view, open).await
     }
@@ -527,6 +552,7 @@
             call: open.call,
             guard: open.guard,
             progress: open.progress,
+            early: open.early,
         })))
     }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -9,9 +9,9 @@
 use tokio::sync::watch;
 
 use super::call_handler::{GatewayBody, full_body};
-use super::crash_detector::DecisionWait;
+use super::crash_detector::{CallFailure, DecisionWait};
 use super::endpoint_call::{CallError, MAX_RESPONSE_BYTES};
-use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer};
+use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, next_frame_of};
 use super::forward_plan::HOPELESS_RETRY;
 use super::gateway_node::GatewayNode;
 use super::gateway_view::GatewayView;
@@ -330,6 +330,13 @@
                     self.has_answer_begun = has_answer_begun;
                     Ok(AttemptEnd::Unsent)
                 }
+                RacedEnd::Cut(endpoint, error) => {
+                    let (failure, reason) = (Some(CallFailure::Cut), error.to_string());
+                    self.record_failure(&endpoint, failure, &reason).await;
+                    self.list_at_send = list_at_send;
+                    self.has_answer_begun = has_answer_begun;
+                    Ok(AttemptEnd::Lost)
+                }
                 RacedEnd::Stalled(call, result) => {
                     self.cancel_attempt();
                     self.list_at_send = list_at_send;
@@ -366,15 +373,19 @@
     }
 
     /// Sends the request once more beside the stalled calls. A stalled call that fails or refuses
-    /// does not end the race, since the other one may succeed.
+    /// does not end the race, since the other one may succeed; neither does the head of a stream, which
+    /// an engine may send before it reads the prompt.
     async fn race_once(&mut self, last_event: Option<u64>, stalled: &mut StalledCalls) -> CallRace {
         let is_stream = matches!(self.context.route.kind, RouteKind::Stream { .. });
         let handover = self.begin_handover();
         let (mut useless, mut replaced) = (Vec::new(), Vec::new());
         let mut attempting = pin!(self.attempt(last_event));
         let mut handover = pin!(handover);
-        let mut is_handed_over = false;
+        let mut opened: Option<Box<OpenAnswer>> = None;
         let end = loop {
+            if let Some(open) = opened.take_if(|_| stalled.is_empty()) {
+                break RacedEnd::Next(Ok(AttemptEnd::Open(open)));
+            }
             tokio::select! {
                 biased;
                 (call, result) = stalled.next(), if !stalled.is_empty() => match &result {
@@ -383,16 +394,22 @@
                     }
                     Ok(_) | Err(_) => useless.push((call, result)),
                 },
-                end = &mut attempting => break RacedEnd::Next(end),
-                end = &mut handover, if is_stream && !stalled.is_empty() && !is_handed_over => {
-                    match end {
-                        HandoverEnd::Complete => {
-                            is_handed_over = true;
-                            replaced.extend(stalled.finish_replaced());
-                        }
-                        HandoverEnd::Silent(member) => break RacedEnd::Silent(member),
+                end = &mut attempting, if opened.is_none() => match end {
+                    Ok(AttemptEnd::Open(open)) if is_stream => opened = Some(open),
+                    end => break RacedEnd::Next(end),
+                },
+                frame = next_frame_of(&mut opened) => match (frame, opened.take()) {
+                    (Some(Err(error)), Some(open)) => break RacedEnd::Cut(open.endpoint, error),
+                    (frame, Some(mut open)) => {
+                        open.early = Some(frame);
+                        break RacedEnd::Next(Ok(AttemptEnd::Open(open)));
                     }
-                }
+                    (_, None) => {}
+                },
+                end = &mut handover, if is_stream && !stalled.is_empty() => match end {
+                    HandoverEnd::Complete => replaced.extend(stalled.finish_replaced()),
+                    HandoverEnd::Silent(member) => break RacedEnd::Silent(member),
+                },
             }
         };
         if let RacedEnd::Next(Ok(AttemptEnd::Open(_))) = end {
@@ -715,6 +732,8 @@
     Next(Result<AttemptEnd, GatewayRefusal>),
     /// The endpoint of the attempt beside it has fallen silent.
     Silent(Arc<PoolMember>),
+    /// The attempt beside it, at this endpoint, was cut after the head of its answer.
+    Cut(String, hyper::Error),
 }
 
 /// How a handover ended.
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -6,8 +6,7 @@
 use super::call_handler::{BodyError, GatewayBody};
 use super::crash_detector::CallFailure;
 use super::endpoint_call::EndpointCall;
-use super::forward_attempt::OpenAnswer;
-use super::forward_attempt::is_delimited;
+use super::forward_attempt::{OpenAnswer, SourceFrame, is_delimited, next_frame_of};
 use super::forward_run::{ForwardRun, HandoverEnd, ResumeRefusal};
 use super::stalled_calls::{ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord};
 use super::stream_end::EndProof;
@@ -43,9 +42,6 @@
     origin_guard: Option<OriginGuard>,
 }
 
-/// What an endpoint's connection gives next; `None` at the end of the answer.
-type SourceFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 /// The endpoint's side of the stream.
 struct StreamSource {
     /// Whether the stream shows where it ends.
@@ -87,16 +83,8 @@
 }
 
 impl RaceEnd {
-    fn opened(source: Box<StreamSource>) -> Self {
-        Self::Search(SearchEnd::Opened(source))
-    }
-}
-
-/// Waits for the next frame of a replacement; for ever without one.
-async fn next_frame_of(opened: &mut Option<Box<StreamSource>>) -> SourceFrame {
-    match opened {
-        Some(source) => source.frame().await,
-        None => std::future::pending().await,
+    fn opened(open: Box<OpenAnswer>) -> Self {
+        Self::Search(SearchEnd::Opened(open))
     }
 }
 
@@ -105,7 +93,7 @@
     /// The endpoint sent a frame, or its connection ended.
     Source(SourceFrame),
     /// Another endpoint goes on with the stream.
-    Opened(Box<StreamSource>),
+    Opened(Box<OpenAnswer>),
     /// There is no replacement now.
     Refused(ResumeRefusal),
 }
@@ -152,7 +140,7 @@
             proof: EndProof::of(&head),
             has_events: false,
             body,
-            early: None,
+            early: open.early,
             endpoint: open.endpoint,
             version: open.version,
             started: open.started,
@@ -393,7 +381,7 @@
                 Ok(Some(frame))
             }
             SearchEnd::Opened(next) => {
-                self.replace_source(*next, &StreamFailure::TimedOut);
+                self.replace_source(StreamSource::new(*next), &StreamFailure::TimedOut);
                 Ok(None)
             }
             SearchEnd::Refused(refusal) => {
@@ -440,7 +428,7 @@
         let mut broken = None;
         let mut is_handed_over = false;
         // The head of an answer may come before an engine reads the prompt, so it ends nothing.
-        let mut opened: Option<Box<StreamSource>> = None;
+        let mut opened: Option<Box<OpenAnswer>> = None;
         loop {
             tokio::select! {
                 biased;
@@ -456,9 +444,9 @@
                 },
                 resumed = &mut resuming, if opened.is_none() => match (resumed, broken.take()) {
                     (Ok(open), None) if source.call.is_some() => {
-                        opened = Some(Box::new(StreamSource::new(open)));
+                        opened = Some(Box::new(open));
                     }
-                    (Ok(open), _) => return RaceEnd::opened(Box::new(StreamSource::new(open))),
+                    (Ok(open), _) => return RaceEnd::opened(Box::new(open)),
                     (Err(_), Some(error)) => {
                         return RaceEnd::Search(SearchEnd::Source(Some(Err(error))));
                     }
