Read a late body on until another one is complete

What callers saw: the body of an idempotent answer paused for 1.4 s. After two objectives the request was sent to another endpoint as well, which sent the head of its answer and fell silent. The first endpoint went on, but its call was closed at that head; the caller left without an answer.

Cause: `read_body` took the head of another answer for the end of the race. The first body, of which nothing, much or nearly all had been read, was dropped for an answer of which nothing was known but its head. The same class as streams and heads: something sound is given up before there is something better.

Change: all bodies of a request are read side by side (`AnswerBodies`), and the first complete one goes to the caller; a body that breaks off ends neither the others nor an attempt in progress. When another endpoint is asked is as before, two objectives after the newest head, so a lost endpoint is not waited for longer.

--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -4,7 +4,7 @@
 use hyper::http::response;
 use hyper::{Request, Response};
 
-use super::call_handler::{GatewayBody, full_body};
+use super::call_handler::GatewayBody;
 use super::crash_detector::{CallFailure, FailedCall};
 use super::endpoint_call::{CallError, EndpointCall, read_complete};
 use super::forward_run::{ForwardRun, SendState};
@@ -96,7 +96,7 @@
 /// A single attempt at one endpoint, and the reports on its outcome.
 impl ForwardRun {
     /// Time after which a call without a head, or a whole body, has stalled.
-    fn stall_limit(&self) -> Duration {
+    pub(super) fn stall_limit(&self) -> Duration {
         (self.context.route.objective * STALL_OBJECTIVES).max(MIN_STALL)
     }
 
@@ -716,105 +716,8 @@
 
     pub(super) async fn handle_answer(&mut self, open: OpenAnswer) -> AnswerOutcome {
         match self.context.route.kind {
-            RouteKind::Stream { .. } => return AnswerOutcome::Stream(Box::new(open)),
-            RouteKind::Idempotent | RouteKind::NonIdempotent => {}
-        }
-        let (parts, body) = open.response.into_parts();
-        let is_delimited = is_delimited(&parts);
-        match self.read_body(body).await {
-            BodyEnd::Read(Ok(_)) if !is_delimited && self.has_crashed(&open.endpoint).await => {
-                let reason = "the endpoint accepts no connections after an end without framing";
-                self.record_failure(&open.endpoint, Some(CallFailure::Cut), reason)
-                    .await;
-                AnswerOutcome::Lost
-            }
-            BodyEnd::Read(Ok(body)) => {
-                self.report_success(&open.endpoint, open.started.elapsed());
-                self.record_served(is_delimited);
-                if self.context.route.kind == RouteKind::Idempotent && is_delimited {
-                    let cache = &self.node.connection_cache;
-                    cache.put(&open.endpoint, open.call, &open.head);
-                }
-                let mut response = Response::new(full_body(body));
-                *response.status_mut() = parts.status;
-                *response.headers_mut() = self.node.wire.caller_headers(&parts);
-                AnswerOutcome::Whole(response)
-            }
-            BodyEnd::Replaced(replacement) => {
-                self.report_replaced(&open.endpoint);
-                drop(open.call);
-                Box::pin(self.handle_answer(*replacement)).await
-            }
-            BodyEnd::Read(Err(error)) => {
-                let failure = Some(CallFailure::Cut);
-                self.record_failure(&open.endpoint, failure, &error.to_string())
-                    .await;
-                AnswerOutcome::Lost
-            }
-            BodyEnd::TimedOut => {
-                let reason = "no complete answer within the timeout";
-                self.record_failure(&open.endpoint, Some(CallFailure::TimedOut), reason)
-                    .await;
-                AnswerOutcome::Lost
-            }
-        }
-    }
-}
-
-/// How the reading of an answer's body ended.
-enum BodyEnd {
-    Read(Result<Bytes, CallError>),
-    /// Another endpoint has begun to answer before the body was complete.
-    Replaced(Box<OpenAnswer>),
-    TimedOut,
-}
-
-impl ForwardRun {
-    /// Reads the body of an answer until it is complete, until another endpoint answers after it has
-    /// stalled, or until the deadline.
-    async fn read_body(&mut self, body: Incoming) -> BodyEnd {
-        let mut reading = std::pin::pin!(read_complete(body));
-        let started = Instant::now();
-        let mut limit = started + self.stall_limit();
-        let mut delay = SearchDelay::default();
-        loop {
-            let wake_at = limit.min(self.context.deadline).into();
-            if let Ok(body) = tokio::time::timeout_at(wake_at, &mut reading).await {
-                return BodyEnd::Read(body);
-            }
-            if self.context.remaining(Instant::now()).is_zero() {
-                return BodyEnd::TimedOut;
-            }
-            match self.find_replacement(started.elapsed()) {
-                ReplacementChance::Likely => {}
-                ReplacementChance::NoEndpoint => {
-                    limit = Instant::now() + SearchDelay::AFTER_NONE;
-                    continue;
-                }
-                ReplacementChance::Denied => {
-                    limit = Instant::now() + delay.after_refusal();
-                    continue;
-                }
-            }
-            self.set_repeat_reason(RepeatReason::Stalled);
-            self.stalled_since = Some(started);
-            let raced = tokio::select! {
-                biased;
-                body = &mut reading => Err(body),
-                end = self.attempt(None) => Ok(end),
-            };
-            self.stalled_since = None;
-            match raced {
-                Err(body) => {
-                    self.cancel_attempt();
-                    return BodyEnd::Read(body);
-                }
-                Ok(Ok(AttemptEnd::Open(open))) => return BodyEnd::Replaced(open),
-                Ok(_) => {
-                    self.ledger.forget_denials();
-                    limit = Instant::now() + delay.after_refusal();
-                }
-            }
+            RouteKind::Stream { .. } => AnswerOutcome::Stream(Box::new(open)),
+            RouteKind::Idempotent | RouteKind::NonIdempotent => self.read_whole(open).await,
         }
     }
 }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -138,7 +138,7 @@
     /// Pending decision of control on the call that failed last; a resend waits for it.
     pub(super) decision: Option<DecisionWait>,
     /// Error answer of an endpoint, returned if no other endpoint answers successfully.
-    last_answer: Option<Response<Bytes>>,
+    pub(super) last_answer: Option<Response<Bytes>>,
 }
 
 impl ForwardRun {
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -1,7 +1,9 @@
 //! The gateway routes requests by host and path, has their stages executed in pieces, and
 //! forwards each request to one endpoint. See docs/design/gateway.md.
 
+mod answer_bodies;
 mod answered_requests;
+mod body_race;
 mod body_reader;
 mod cached_connections;
 mod call_handler;
