--- a/crates/proof/src/silence_soak/endpoint_timeline.rs
+++ b/crates/proof/src/silence_soak/endpoint_timeline.rs
@@ -33,13 +33,18 @@
 impl EndpointTimeline {
     /// Records that an endpoint begins to work on a request.
     pub(super) fn begin(&self, id: &str, endpoint: usize) -> RunGuard<'_> {
+        self.begin_at(id, endpoint, Instant::now())
+    }
+
+    /// Records that an endpoint began to work on a request at `began`.
+    pub(super) fn begin_at(&self, id: &str, endpoint: usize, began: Instant) -> RunGuard<'_> {
         let mut index = 0;
         if let Ok(mut runs) = self.runs.lock() {
             let spans = runs.entry(id.to_string()).or_default();
             index = spans.len();
             spans.push(RunSpan {
                 endpoint,
-                began: Instant::now(),
+                began,
                 sent: None,
                 ended: None,
             });
@@ -145,6 +150,23 @@
             .map(|(_, silence)| Some(silence.ends?.saturating_duration_since(silence.began)))
             .sum()
     }
+
+    /// Time in `from..to` in which an endpoint was not silent.
+    pub(super) fn speaking_time(&self, endpoint: usize, from: Instant, to: Instant) -> Duration {
+        let silences = self.silences.lock().map(|silences| silences.clone());
+        let silences = silences.unwrap_or_default().into_iter();
+        let silences = silences.filter(|(index, _)| *index == endpoint);
+        let mut spans: Vec<(Instant, Instant)> = silences
+            .map(|(_, silence)| (silence.began, silence.ends.unwrap_or(to)))
+            .collect();
+        spans.sort_unstable();
+        let (mut time, mut at) = (Duration::ZERO, from);
+        for (began, ends) in spans {
+            time += began.min(to).saturating_duration_since(at);
+            at = at.max(ends);
+        }
+        time + to.saturating_duration_since(at)
+    }
 }
 
 impl RunGuard<'_> {
--- a/crates/proof/src/silence_soak/stream_check_tests.rs
+++ b/crates/proof/src/silence_soak/stream_check_tests.rs
@@ -138,6 +138,47 @@
     assert_eq!(excuse(&engines, &gateways, &outcome), None);
 }
 
+// Guards against a stream that counts as broken off although both endpoints that its route allows were
+// silent until its caller left, and against one that is excused although one of them went on.
+#[rstest]
+#[case(2_480, 2_070, Some(StreamExcuse::Silent))]
+#[case(1_500, 2_070, None)]
+#[case(2_480, 1_300, None)]
+fn silences_of_all_endpoints_of_a_stream_excuse_together(
+    #[case] first_until_ms: u64,
+    #[case] second_until_ms: u64,
+    #[case] expected: Option<StreamExcuse>,
+) {
+    const SECOND_SILENT_MS: u64 = 1_280;
+    let engines = EndpointTimeline::default();
+    let sent = Instant::now();
+    let after = |ms| sent + Duration::from_millis(ms);
+    engines.begin_at("a", 2, after(0));
+    engines.begin_at("a", 3, after(1_200));
+    for (endpoint, began, until) in [
+        (2, 130, first_until_ms),
+        (3, SECOND_SILENT_MS, second_until_ms),
+    ] {
+        let silence = Silence {
+            kind: SilenceKind::Calls,
+            began: after(began),
+            ends: Some(after(until)),
+        };
+        engines.record_silence(endpoint, silence);
+    }
+    let left = StreamOutcome {
+        sent,
+        heard: sent,
+        ended: after(2_000),
+        events: 0,
+        ..outcome(StreamEnd::Left, 0)
+    };
+    assert_eq!(
+        excuse(&engines, &GatewayTimeline::default(), &left),
+        expected
+    );
+}
+
 // Guards against a short freeze and a short silence that are excused one by one, or never together.
 #[rstest]
 #[case(500, None)]
