Doubt no endpoint that makes progress on another call

A call that was replaced made its endpoint count as silent for 2 s, and as failed once, also if another call had just shown that the endpoint goes on. The doubt ends with the next byte from it, so an endpoint whose calls have all ended by then gets no requests for 2 s although it is sound.

Change: the end of a stall doubts its endpoint only if nothing was heard from it, on any call, in the later half of the stall. A silence of the whole endpoint is as before: nothing is heard in it.

a_replacement_doubts_no_endpoint_that_makes_progress fails without the change; progress_before_a_silence_leaves_the_endpoint_doubted holds with and without it. The 21 tests of the table pass.

--- a/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_guard.rs
@@ -55,11 +55,11 @@
         self.table().record_silent_probe(now, endpoint);
     }
 
-    /// Records that the stall of a call has ended.
-    pub(in crate::gateway) fn end_stall(&self, endpoint: &str, end: StallEnd) {
-        let is_replaced = end == StallEnd::Replaced;
+    /// Records that the stall of a call has ended, which was silent for `silence`.
+    pub(in crate::gateway) fn end_stall(&self, endpoint: &str, end: StallEnd, silence: Duration) {
+        let replaced_after = (end == StallEnd::Replaced).then_some(silence);
         self.table()
-            .end_stall(Instant::now(), endpoint, is_replaced);
+            .end_stall(Instant::now(), endpoint, replaced_after);
     }
 
     /// Records that a call begins at an endpoint.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -102,12 +102,14 @@
         *self.stalls.entry(endpoint.to_string()).or_default() += 1;
     }
 
-    /// Records that the stall of a call has ended; `is_replaced` if another endpoint took its place.
+    /// Records that the stall of a call has ended. If another endpoint took its place, `replaced_after`
+    /// is the time for which the call was silent. Progress on other calls shows that the endpoint is
+    /// sound.
     pub(in crate::gateway) fn end_stall(
         &mut self,
         now: Instant,
         endpoint: &str,
-        is_replaced: bool,
+        replaced_after: Option<Duration>,
     ) {
         if let Some(count) = self.stalls.get_mut(endpoint) {
             *count -= 1;
@@ -115,7 +117,7 @@
                 self.stalls.remove(endpoint);
             }
         }
-        if is_replaced {
+        if replaced_after.is_some_and(|stall| !self.makes_progress(now, endpoint, stall)) {
             let doubt = self.doubt(now, endpoint, DOUBT_TIME);
             if doubt.failure == SilenceFailure::None {
                 doubt.failure = SilenceFailure::Unreported;
@@ -123,6 +125,13 @@
         }
     }
 
+    /// Whether an endpoint has sent something in the later part of a stall, on another call.
+    fn makes_progress(&self, now: Instant, endpoint: &str, stall: Duration) -> bool {
+        let heard = self.endpoints.get(endpoint);
+        let heard = heard.and_then(|progress| progress.heard);
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) < stall / BETTER_FRACTION)
+    }
+
     /// Whether the silence of an endpoint is to be reported as a failure now; true once a silence.
     pub(in crate::gateway) fn take_failure(&mut self, endpoint: &str) -> bool {
         let doubt = self.doubted.get_mut(endpoint);
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -65,7 +65,7 @@
     }
     assert_eq!(table.stalled_count(), 2);
     for endpoint in ["a", "a", "b"] {
-        table.end_stall(start, endpoint, false);
+        table.end_stall(start, endpoint, None);
     }
     assert_eq!(table.stalled_count(), 0);
 }
@@ -79,7 +79,7 @@
     table.begin_stall("a");
     let now = start + STALL;
     table.end("a");
-    table.end_stall(now, "a", true);
+    table.end_stall(now, "a", Some(STALL));
     assert!(table.is_avoided(now, "a"));
     assert!(!table.is_better(now, "a", STALL));
     assert!(table.is_better(now + DOUBT_TIME, "a", STALL));
@@ -145,11 +145,38 @@
     let start = Instant::now();
     let mut table = ProgressTable::default();
     table.begin_stall("a");
-    table.end_stall(start, "a", true);
+    table.end_stall(start, "a", Some(STALL));
     table.record_silent_probe(start, "a");
     assert!(!table.is_better(start + SILENT_PROBE_TIME, "a", STALL));
 }
 
+/// Guards against an endpoint that gets no requests for seconds, because a call to it was replaced just
+/// after another one had shown that it goes on.
+#[test]
+fn a_replacement_doubts_no_endpoint_that_makes_progress() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    table.begin_stall("a");
+    let now = start + STALL;
+    table.record_heard(now - Duration::from_millis(5), "a");
+    table.end_stall(now, "a", Some(STALL));
+    assert!(!table.is_avoided(now, "a"));
+    assert!(!table.take_failure("a"));
+}
+
+/// Guards against a silent endpoint that stays in use, because it made progress before the silence.
+#[test]
+fn progress_before_a_silence_leaves_the_endpoint_doubted() {
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    table.record_heard(start, "a");
+    table.begin_stall("a");
+    let now = start + STALL;
+    table.end_stall(now, "a", Some(STALL));
+    assert!(table.is_avoided(now, "a"));
+    assert!(table.take_failure("a"));
+}
+
 /// Guards against an endpoint that is ejected because several of its calls were replaced in one
 /// silence.
 #[test]
@@ -159,7 +186,7 @@
     let mut failures = Vec::new();
     for at in [0, 10, 20, 2_030] {
         table.begin_stall("a");
-        table.end_stall(start + Duration::from_millis(at), "a", true);
+        table.end_stall(start + Duration::from_millis(at), "a", Some(STALL));
         failures.push(table.take_failure("a"));
     }
     assert_eq!(failures, [true, false, false, true]);
--- a/crates/savorywalk/src/gateway/stalled_calls/stall_record.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/stall_record.rs
@@ -53,7 +53,7 @@
     fn drop(&mut self) {
         let silence = self.since.elapsed();
         let progress = &self.node.scores.progress;
-        progress.end_stall(&self.endpoint, self.end);
+        progress.end_stall(&self.endpoint, self.end, silence);
         log_event!(
             info,
             "call_stall_ended",
