--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table.rs
@@ -129,7 +129,8 @@
     fn makes_progress(&self, now: Instant, endpoint: &str, stall: Duration) -> bool {
         let heard = self.endpoints.get(endpoint);
         let heard = heard.and_then(|progress| progress.heard);
-        heard.is_some_and(|heard| now.saturating_duration_since(heard) < stall / BETTER_FRACTION)
+        let limit = (stall / BETTER_FRACTION).min(AVOIDED_SILENCE);
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) < limit)
     }
 
     /// Whether the silence of an endpoint is to be reported as a failure now; true once a silence.
--- a/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/progress_table_tests.rs
@@ -193,3 +193,19 @@
     table.record_heard(start + DOUBT_TIME, "a");
     assert!(!table.take_failure("a"));
 }
+
+/// Guards against an endpoint that is avoided while its silent call is open, and gets new requests as
+/// soon as that call was replaced, since it made progress early in a long stall.
+#[test]
+fn a_replacement_leaves_an_avoided_endpoint_avoided() {
+    let stall = Duration::from_secs(4);
+    let start = Instant::now();
+    let mut table = table_of(start, &["a"]);
+    table.begin_stall("a");
+    let now = start + stall;
+    table.record_heard(now - Duration::from_millis(1_500), "a");
+    assert!(table.is_avoided(now, "a"));
+    table.end_stall(now, "a", Some(stall));
+    table.end("a");
+    assert!(table.is_avoided(now, "a"));
+}
