Keep a silent call if its replacement closes after the head

What callers saw: a stream silent before its first event was sent to another engine, which sent the head of an answer without length or chunks and closed, as a crashing one does. The silent call was dropped at that end (`end=replaced`), and the stream broke 1 ms later; the first engine would have answered.

Cause: only an error counted as a cut; an end without a frame counted as the replacement's first event. An end that only the connection shows is now a cut as well, before the first event and between events.

`is_delimited` takes headers, so that it is one function for answers with and without a body.

--- a/crates/savorywalk/src/gateway/body_race.rs
+++ b/crates/savorywalk/src/gateway/body_race.rs
@@ -146,7 +146,7 @@
         let bytes = body.take_bytes();
         let open = body.open;
         let (parts, _) = open.response.into_parts();
-        let is_delimited = is_delimited(&parts);
+        let is_delimited = is_delimited(&parts.headers);
         if !is_delimited && self.has_crashed(&open.endpoint).await {
             let reason = "the endpoint accepts no connections after an end without framing";
             self.record_failure(&open.endpoint, Some(CallFailure::Cut), reason)
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -1,7 +1,6 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::http::response;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 
 use super::call_handler::GatewayBody;
@@ -62,6 +61,17 @@
             None => self.response.body_mut().frame().await,
         }
     }
+
+    /// Why the answer was cut, if its first frame shows it: an error, or an end that only the end of the
+    /// connection shows.
+    pub(super) fn cut_reason(&self, frame: &SourceFrame) -> Option<String> {
+        match frame {
+            Some(Ok(_)) => None,
+            Some(Err(error)) => Some(error.to_string()),
+            None if is_delimited(self.response.headers()) => None,
+            None => Some("the connection ended after the head".to_string()),
+        }
+    }
 }
 
 /// Waits for the next frame of a replacement; for ever without one.
@@ -532,7 +542,7 @@
                 }
                 return Ok(AttemptEnd::Lost);
             };
-            self.record_answered(is_delimited(&parts));
+            self.record_answered(is_delimited(&parts.headers));
             if head.promises_not_run && !self.context.route.kind.is_retryable() {
                 // The request may have run, although callers take this status as a guarantee
                 // that it has not.
@@ -724,8 +734,7 @@
 
 /// Whether an answer shows where it ends. One that ends with its connection may be
 /// truncated.
-pub(super) fn is_delimited(head: &response::Parts) -> bool {
-    let headers = &head.headers;
+pub(super) fn is_delimited(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -330,8 +330,8 @@
                     self.has_answer_begun = has_answer_begun;
                     Ok(AttemptEnd::Unsent)
                 }
-                RacedEnd::Cut(endpoint, error) => {
-                    let (failure, reason) = (Some(CallFailure::Cut), error.to_string());
+                RacedEnd::Cut(endpoint, reason) => {
+                    let failure = Some(CallFailure::Cut);
                     self.record_failure(&endpoint, failure, &reason).await;
                     self.list_at_send = list_at_send;
                     self.has_answer_begun = has_answer_begun;
@@ -398,13 +398,12 @@
                     Ok(AttemptEnd::Open(open)) if is_stream => opened = Some(open),
                     end => break RacedEnd::Next(end),
                 },
-                frame = next_frame_of(&mut opened) => match (frame, opened.take()) {
-                    (Some(Err(error)), Some(open)) => break RacedEnd::Cut(open.endpoint, error),
-                    (frame, Some(mut open)) => {
-                        open.early = Some(frame);
-                        break RacedEnd::Next(Ok(AttemptEnd::Open(open)));
+                frame = next_frame_of(&mut opened) => if let Some(mut open) = opened.take() {
+                    if let Some(reason) = open.cut_reason(&frame) {
+                        break RacedEnd::Cut(open.endpoint, reason);
                     }
-                    (_, None) => {}
+                    open.early = Some(frame);
+                    break RacedEnd::Next(Ok(AttemptEnd::Open(open)));
                 },
                 end = &mut handover, if is_stream && !stalled.is_empty() => match end {
                     HandoverEnd::Complete => replaced.extend(stalled.finish_replaced()),
@@ -732,8 +731,8 @@
     Next(Result<AttemptEnd, GatewayRefusal>),
     /// The endpoint of the attempt beside it has fallen silent.
     Silent(Arc<PoolMember>),
-    /// The attempt beside it, at this endpoint, was cut after the head of its answer.
-    Cut(String, hyper::Error),
+    /// The attempt beside it, at this endpoint, was cut after the head of its answer for this reason.
+    Cut(String, String),
 }
 
 /// How a handover ended.
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -139,7 +139,7 @@
         return Err(CallError::Lost(format!("status {}", parts.status)));
     }
     let body = read_complete(body).await?;
-    if is_delimited(&parts) {
+    if is_delimited(&parts.headers) {
         node.connection_cache.put(member.endpoint(), call, &head);
     }
     let outcomes = wire.read_pieces(&body).map_err(CallError::Lost)?;
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -200,7 +200,7 @@
     }
     read_complete(body).await?;
     if let Some((_, member)) = member
-        && is_delimited(&parts)
+        && is_delimited(&parts.headers)
     {
         node.connection_cache.put(member.endpoint(), call, &head);
     }
--- a/crates/savorywalk/src/gateway/stream_end.rs
+++ b/crates/savorywalk/src/gateway/stream_end.rs
@@ -25,7 +25,7 @@
         match content_type {
             Some(text) if is_event_stream(text) => Self::Events,
             Some(_) => Self::Framing,
-            None if is_delimited(head) => Self::Framing,
+            None if is_delimited(&head.headers) => Self::Framing,
             None => Self::Events,
         }
     }
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -78,8 +78,8 @@
     Search(SearchEnd),
     /// The replacement has fallen silent after the send.
     Silent(Arc<PoolMember>),
-    /// The replacement at this endpoint was cut after the head of its answer.
-    Cut(String, hyper::Error),
+    /// The replacement at this endpoint was cut after the head of its answer for this reason.
+    Cut(String, String),
 }
 
 impl RaceEnd {
@@ -136,7 +136,7 @@
     fn new(open: OpenAnswer) -> Self {
         let (head, body) = open.response.into_parts();
         Self {
-            is_delimited: is_delimited(&head),
+            is_delimited: is_delimited(&head.headers),
             proof: EndProof::of(&head),
             has_events: false,
             body,
@@ -411,8 +411,8 @@
                 self.run.withdraw(&member);
                 SearchEnd::Refused(ResumeRefusal::Silent)
             }
-            RaceEnd::Cut(endpoint, error) => {
-                let (failure, reason) = (Some(CallFailure::Cut), error.to_string());
+            RaceEnd::Cut(endpoint, reason) => {
+                let failure = Some(CallFailure::Cut);
                 self.run.record_failure(&endpoint, failure, &reason).await;
                 SearchEnd::Refused(ResumeRefusal::Lost)
             }
@@ -452,13 +452,12 @@
                     }
                     (Err(refusal), None) => return RaceEnd::Search(SearchEnd::Refused(refusal)),
                 },
-                frame = next_frame_of(&mut opened) => match (frame, opened.take()) {
-                    (Some(Err(error)), Some(next)) => return RaceEnd::Cut(next.endpoint, error),
-                    (frame, Some(mut next)) => {
-                        next.early = Some(frame);
-                        return RaceEnd::opened(next);
+                frame = next_frame_of(&mut opened) => if let Some(mut next) = opened.take() {
+                    if let Some(reason) = next.cut_reason(&frame) {
+                        return RaceEnd::Cut(next.endpoint, reason);
                     }
-                    (_, None) => {}
+                    next.early = Some(frame);
+                    return RaceEnd::opened(next);
                 },
                 end = &mut handover, if source.call.is_some() && !is_handed_over => match end {
                     HandoverEnd::Complete => {
