Keep a late replacement of a body beside a third endpoint

What callers saw: a body was late, its request was sent to a second endpoint, and that one was late with its head. It was dropped (`end=abandoned`), and a third endpoint was asked, which was silent; the second would have answered. It needs a route with three attempts.

Cause: the race of a late body with a further send swallowed the stalled call. The send now goes by `attempt_beside`, which keeps stalled calls open beside the next one. A cancelled send no longer withdraws the endpoint of a body that is still read.

--- a/crates/savorywalk/src/gateway/body_race.rs
+++ b/crates/savorywalk/src/gateway/body_race.rs
@@ -7,9 +7,9 @@
 use super::crash_detector::CallFailure;
 use super::endpoint_call::CallError;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, is_delimited};
-use super::forward_run::ForwardRun;
+use super::forward_run::{ForwardRun, SendState};
 use super::retry_budget::RepeatReason;
-use super::stalled_calls::{ReplacementChance, SearchDelay, StallEnd, StallRecord};
+use super::stalled_calls::{ReplacementChance, SearchDelay, StallEnd, StallRecord, StalledCalls};
 use super::{GatewayRefusal, RouteKind};
 use crate::prelude::*;
 
@@ -85,6 +85,8 @@
     ) -> Option<AnswerOutcome> {
         self.set_repeat_reason(RepeatReason::Stalled);
         self.stalled_since = Some(late_since);
+        // The endpoint of an open body is not the one of a cancelled attempt.
+        self.send_state.send_replace(SendState::Idle);
         let race = self.race_bodies(bodies).await;
         self.stalled_since = None;
         if race.attempt.is_none() {
@@ -108,7 +110,15 @@
 
     async fn race_bodies(&mut self, bodies: &mut AnswerBodies) -> BodyRace {
         let mut broken = Vec::new();
-        let mut attempting = pin!(self.attempt(None));
+        let mut stalled = StalledCalls::default();
+        let mut attempting = pin!(async {
+            loop {
+                match self.attempt_beside(None, &mut stalled).await {
+                    Ok(AttemptEnd::Stalled(call)) => stalled.push(*call),
+                    end => return end,
+                }
+            }
+        });
         loop {
             tokio::select! {
                 biased;
