Log silent voters, the size of a majority and failed pre-votes

The logs could not tell three causes apart: successors promoted as extra voters, lost voters that are never removed, or voters that run but do not elect.

The leader logs which voters it does not hear and the voters, silent voters and quorum of each membership change; a candidate logs a pre-vote that failed. The gauge savorywalk_control_silent_voters counts them. No logic changes.

--- a/crates/savorywalk/src/consensus/core_admission.rs
+++ b/crates/savorywalk/src/consensus/core_admission.rs
@@ -318,12 +318,7 @@
     /// tries it again.
     fn attempt_change(&mut self, change: MembershipChange) {
         if let Ok(index) = self.try_change(change) {
-            log_event!(
-                info,
-                "membership_change",
-                index = index,
-                change = format!("{change:?}")
-            );
+            self.log_membership_change(index, change);
         }
     }
 }
--- a/crates/savorywalk/src/consensus/core_election.rs
+++ b/crates/savorywalk/src/consensus/core_election.rs
@@ -21,6 +21,7 @@
     /// Starts a pre-vote: asks the voters whether they would vote for this
     /// replica, without an effect on the current leader.
     fn start_pre_vote(&mut self) {
+        self.log_failed_pre_vote();
         self.leader = None;
         let granted = BTreeSet::from([self.id]);
         self.role = CoreRole::PreCandidate { granted };
@@ -28,6 +29,21 @@
         self.count_pre_votes();
     }
 
+    /// Logs how many voters granted the last pre-vote, if it did not lead to an election.
+    fn log_failed_pre_vote(&self) {
+        if let CoreRole::PreCandidate { granted } = &self.role {
+            let quorum = self.log.membership().map_or(0, |members| members.quorum());
+            log_event!(
+                info,
+                "pre_vote_failed",
+                term = self.term,
+                granted = granted.len(),
+                voters = self.voter_count(),
+                quorum = quorum
+            );
+        }
+    }
+
     pub(super) fn start_election(&mut self, transfer: bool) {
         self.term += 1;
         self.vote = Some(self.id);
--- a/crates/savorywalk/src/consensus/core_leader.rs
+++ b/crates/savorywalk/src/consensus/core_leader.rs
@@ -34,6 +34,7 @@
         if is_heartbeat_due {
             self.allow_probes();
             self.broadcast_round();
+            self.log_silent_voters();
             self.advance_admission();
         }
     }
--- a/crates/savorywalk/src/consensus/leader_state.rs
+++ b/crates/savorywalk/src/consensus/leader_state.rs
@@ -23,6 +23,8 @@
     pub(super) lease_forfeited: bool,
     /// Voter that was silent when a newcomer was promoted; it is removed next.
     pub(super) replaced_voter: Option<ReplicaId>,
+    /// Voters that were silent at the last heartbeat, as logged.
+    pub(super) silent_voters: BTreeSet<ReplicaId>,
     pub(super) elected_at: Instant,
     pub(super) heartbeat_due: Instant,
     pub(super) quorum_check_due: Instant,
@@ -53,6 +55,7 @@
             lease_start: None,
             lease_forfeited: false,
             replaced_voter: None,
+            silent_voters: BTreeSet::new(),
             elected_at: now,
             heartbeat_due: now,
             quorum_check_due: now + election_timeout,
--- a/crates/savorywalk/src/consensus/mod.rs
+++ b/crates/savorywalk/src/consensus/mod.rs
@@ -8,6 +8,7 @@
 mod core_leader;
 mod core_reads;
 mod core_snapshot;
+mod core_voters;
 mod disk_writer;
 mod driver_options;
 mod election_jitter;
--- a/crates/savorywalk/src/consensus/replica_status.rs
+++ b/crates/savorywalk/src/consensus/replica_status.rs
@@ -22,6 +22,8 @@
     pub snapshot_index: u64,
     /// The newest membership in the log; empty before the replica belongs to a cluster.
     pub membership: ReplicaMembership,
+    /// Voters that have not answered this replica for an election timeout, while it leads.
+    pub silent_voters: usize,
     /// Number of messages dropped because a check failed.
     pub dropped_messages: u64,
     /// Reason why the replica has stopped, if it has.
@@ -40,6 +42,7 @@
             last_index: core.last_index(),
             snapshot_index: core.snapshot_index(),
             membership: core.membership().cloned().unwrap_or_default(),
+            silent_voters: core.silent_voters(),
             dropped_messages: core.dropped_messages(),
             stopped: None,
         }
--- a/crates/savorywalk/src/control/voter_service.rs
+++ b/crates/savorywalk/src/control/voter_service.rs
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Registers the gauges of this voter: leadership, right to vote, number of voters and
-    /// commit index.
+    /// Registers the gauges of this voter: leadership, right to vote, number of voters,
+    /// silent voters and commit index.
     pub fn register_metrics(&self, meter: &Meter) {
         let replica = self.replica.clone();
         meter
@@ -184,6 +184,12 @@
             })
             .build();
         let replica = self.replica.clone();
+        meter
+            .u64_observable_gauge("savorywalk_control_silent_voters")
+            .with_description("Voters that do not answer this voter while it leads control")
+            .with_callback(move |gauge| gauge.observe(replica.status().silent_voters as u64, &[]))
+            .build();
+        let replica = self.replica.clone();
         meter
             .u64_observable_gauge("savorywalk_control_commit_index")
             .with_description("Last index of the log known to be committed")
