Keep lost voters from outliving their successors

Cause: a successor that had caught up was promoted as an extra voter while there were fewer than nine, whether or not a voter was silent. Its predecessor counted as lost only after 2.5 s, measured anew by each leader, and was marked for removal only at that promotion, in the leader's memory. Three replacements of the leader made eight voters of which five ran; the fourth left four of eight.

Evidence: pre_vote_failed granted=4 voters=8 quorum=5 at all voters that ran, after Promote with silent=1, 2 and 3 (docs/incidents/lost-control-majority.md). Ruled out: voters that run and do not grant; all four granted.

Change (docs/design/voter-replacement.md): a newcomer votes beside the others only once every voter has answered a heartbeat sent after it joined; otherwise it waits until the silent voter answers or is lost. A lost voter goes wherever fewer votes then make a majority, under any leader. Heartbeats name the silent voters, so that a silence counts on under the next leader, which confirms it.

--- a/crates/savorywalk/src/consensus/core_admission.rs
+++ b/crates/savorywalk/src/consensus/core_admission.rs
@@ -16,11 +16,11 @@
 const MAX_MEMBERS: usize = 32;
 
 /// Silence, in multiples of `replace_after`, after which a voter is removed
-/// even if no newcomer replaces it.
+/// even if that makes the majority no smaller.
 const REMOVAL_SILENCE_FACTOR: u32 = 10;
 
-/// A silent voter is removed without a replacement only while there are more
-/// voters than this: three voters tolerate the loss of one.
+/// A lost voter is removed only while there are more voters than this: three
+/// voters tolerate the loss of one.
 const MIN_VOTERS: usize = 3;
 
 /// Maximum number of leader hints kept. All are dropped as stale when it is
@@ -233,85 +233,60 @@
         self.attempt_change(change);
     }
 
-    /// Removes a voter that was replaced or has been silent for too long;
-    /// otherwise promotes a learner that has caught up.
+    /// Removes a member that was replaced or is lost; otherwise promotes a learner that has
+    /// caught up.
     pub(super) fn advance_admission(&mut self) {
         if !matches!(self.role, CoreRole::Leader(_)) {
             return;
         }
-        let removable = self.removable_voter();
         let Some(membership) = self.log.membership() else {
             return;
         };
-        if let Some(replaced) = membership.replaced().or(removable) {
+        if let Some(replaced) = membership.replaced().or(self.removable_voter()) {
             return self.attempt_change(MembershipChange::Remove(replaced));
         }
-        let is_ready = |id: ReplicaId| {
-            (membership.is_replacement(id) || self.has_voter_slot()) && self.is_caught_up(id)
-        };
-        let learners = membership.members().filter(|(_, member)| !member.voter);
-        let ready = learners.map(|(id, _)| id).find(|id| is_ready(*id));
-        if let Some(ready) = ready {
-            self.promote(ready);
+        if let Some(learner) = self.promotable_learner() {
+            return self.attempt_change(MembershipChange::Promote(learner));
         }
     }
 
-    /// Whether a learner that replaces no member on its own node may become a
-    /// voter.
-    fn has_voter_slot(&self) -> bool {
-        let NodeDiscovery::Seeds {
-            max_voters,
-            replace_after,
-            ..
-        } = self.options.discovery
-        else {
-            return false;
-        };
-        let Some(membership) = self.log.membership() else {
-            return false;
-        };
-        membership.voters().count() < max_voters || self.silent_voter(replace_after).is_some()
-    }
-
-    /// Returns a silent voter to remove: one that a promoted newcomer replaces,
-    /// or one that has been silent for `REMOVAL_SILENCE_FACTOR` times
-    /// `replace_after` while there are more than `MIN_VOTERS` voters.
-    fn removable_voter(&mut self) -> Option<ReplicaId> {
-        let NodeDiscovery::Seeds { replace_after, .. } = self.options.discovery else {
+    /// Returns a lost voter whose removal makes the majority smaller, or one that has been
+    /// silent for [`REMOVAL_SILENCE_FACTOR`] times as long.
+    fn removable_voter(&self) -> Option<ReplicaId> {
+        let voters = self.voter_count();
+        if voters <= MIN_VOTERS {
             return None;
+        }
+        let lost_after = self.lost_after()?;
+        let silence = match voters.is_multiple_of(2) {
+            true => lost_after,
+            false => lost_after * REMOVAL_SILENCE_FACTOR,
         };
-        let long_silent = self.silent_voter(replace_after * REMOVAL_SILENCE_FACTOR);
-        let silent = self.silent_voter(replace_after);
-        let voters = self.log.membership()?.voters().count();
-        let leader = self.leader_state()?;
-        let replaced = leader.replaced_voter.filter(|id| Some(*id) == silent);
-        leader.replaced_voter = replaced;
-        replaced.or(long_silent.filter(|_| voters > MIN_VOTERS))
+        self.lost_voter(silence)
     }
 
-    /// Returns a voter that has not answered this leader for `silence`.
-    fn silent_voter(&self, silence: Duration) -> Option<ReplicaId> {
-        let CoreRole::Leader(leader) = &self.role else {
-            return None;
-        };
+    /// Returns a learner that has caught up and may vote: it replaces a voter on its own node
+    /// or a lost one, or there is room for another voter and none is silent.
+    fn promotable_learner(&self) -> Option<ReplicaId> {
         let membership = self.log.membership()?;
-        membership.voters().find(|id| {
-            let peer = leader.peers.get(id);
-            let contact = peer.map(|peer| peer.contact.unwrap_or(leader.elected_at));
-            contact.is_some_and(|at| self.now >= at + silence)
-        })
+        let lost_after = self.lost_after();
+        let replaces_lost = lost_after.is_some_and(|time| self.lost_voter(time).is_some());
+        let mut learners = membership.members().filter(|(_, member)| !member.voter);
+        let ready = learners.find(|(id, _)| {
+            let may_vote = membership.is_replacement(*id)
+                || replaces_lost
+                || (self.has_voter_slot() && self.has_heard_all_since(*id));
+            may_vote && self.is_caught_up(*id)
+        });
+        ready.map(|(id, _)| id)
     }
 
-    /// Promotes a learner and marks a silent voter, if there is one, for removal.
-    fn promote(&mut self, learner: ReplicaId) {
-        let silent = match self.options.discovery {
-            NodeDiscovery::Seeds { replace_after, .. } => self.silent_voter(replace_after),
-            NodeDiscovery::Listed => None,
-        };
-        if let Some(leader) = self.leader_state() {
-            leader.replaced_voter = silent.filter(|voter| voter.node() != learner.node());
+    /// Whether there may be one more voter.
+    fn has_voter_slot(&self) -> bool {
+        match self.options.discovery {
+            NodeDiscovery::Seeds { max_voters, .. } => self.voter_count() < max_voters,
+            NodeDiscovery::Listed => false,
         }
-        self.attempt_change(MembershipChange::Promote(learner));
     }
 
     /// Tries a change and ignores a refusal: the next heartbeat or join request
--- a/crates/savorywalk/src/consensus/core_election.rs
+++ b/crates/savorywalk/src/consensus/core_election.rs
@@ -169,6 +169,7 @@
         self.leader = Some(self.id);
         self.receiver = None;
         self.refresh_peers();
+        self.inherit_silence();
         self.broadcast_round();
         log_event!(info, "replica_leads", replica = self.id, term = self.term);
     }
@@ -183,8 +184,11 @@
         }
         self.leader = leader;
         let reason = self.not_leader();
+        let silence = self.reported_silence();
         let role = std::mem::replace(&mut self.role, CoreRole::Follower);
         if let CoreRole::Leader(state) = role {
+            self.record_silence(&silence);
+            self.last_leader = None;
             let refused = state.reads.iter().map(|read| ReplicaAction::ReadRefused {
                 id: read.id,
                 reason,
--- a/crates/savorywalk/src/consensus/core_follower.rs
+++ b/crates/savorywalk/src/consensus/core_follower.rs
@@ -23,6 +23,7 @@
             CoreRole::Follower => {}
         }
         self.leader = Some(leader);
+        self.last_leader = Some(leader);
         self.leader_contact = self.now;
         self.reset_election();
         true
@@ -58,6 +59,7 @@
         if !self.follow(from) {
             return;
         }
+        self.record_silence(&request.silent_voters);
         let prev = request.prev_index;
         if prev >= self.commit && self.log.term_at(prev) != Some(request.prev_term) {
             let hint = self.conflict_hint(prev);
--- a/crates/savorywalk/src/consensus/core_leader.rs
+++ b/crates/savorywalk/src/consensus/core_leader.rs
@@ -67,10 +67,11 @@
 
     pub(super) fn refresh_peers(&mut self) {
         let next_index = self.log.last_index().max(1);
+        let now = self.now;
         if let CoreRole::Leader(leader) = &mut self.role
             && let Some(membership) = self.log.membership()
         {
-            leader.refresh_peers(self.id, membership, next_index);
+            leader.refresh_peers(self.id, membership, next_index, now);
         }
     }
 
@@ -215,6 +216,7 @@
             entries,
             commit,
             round,
+            silent_voters: self.reported_silence(),
         };
         self.send(to, MessageGate::HardState, Body::AppendRequest(request));
     }
@@ -254,6 +256,7 @@
             return false;
         }
         peer.contact = Some(now);
+        peer.heard = now;
         peer.acked_round = peer.acked_round.max(round);
         self.refresh_lease();
         true
--- a/crates/savorywalk/src/consensus/core_voters.rs
+++ b/crates/savorywalk/src/consensus/core_voters.rs
@@ -1,8 +1,12 @@
 use super::replica_core::{CoreRole, ReplicaCore};
-use super::{MembershipChange, ReplicaId};
+use super::{MembershipChange, NodeDiscovery, ReplicaId, VoterSilence};
 use crate::prelude::*;
 
-/// Which voters still answer this leader.
+/// Time, in election timeouts, that a new leader sends heartbeats of its own before it acts on
+/// what an earlier leader knew of silent voters.
+const CONFIRMATION_TIMEOUTS: u32 = 2;
+
+/// Evidence that a voter is lost; see docs/design/voter-replacement.md.
 impl ReplicaCore {
     /// Number of voters that have not answered this leader for an election timeout; 0 at
     /// other replicas.
@@ -21,14 +25,91 @@
         membership.voters().filter(is_silent).collect()
     }
 
-    /// Time since a voter last answered this leader, or since the election.
+    /// Time since a voter last answered this leader or, as far as this leader was told, an
+    /// earlier one.
     fn voter_silence(&self, voter: ReplicaId) -> Option<Duration> {
         let CoreRole::Leader(leader) = &self.role else {
             return None;
         };
         let peer = leader.peers.get(&voter)?;
-        let heard = peer.contact.unwrap_or(leader.elected_at);
-        Some(self.now.saturating_duration_since(heard))
+        Some(self.now.saturating_duration_since(peer.heard))
+    }
+
+    /// Returns a voter that has been silent for `silence` and has left this leader's own
+    /// heartbeats unanswered for [`CONFIRMATION_TIMEOUTS`].
+    pub(super) fn lost_voter(&self, silence: Duration) -> Option<ReplicaId> {
+        let CoreRole::Leader(leader) = &self.role else {
+            return None;
+        };
+        let confirmation = self.options.election_timeout * CONFIRMATION_TIMEOUTS;
+        let is_confirmed = self.now >= leader.elected_at + confirmation;
+        let lost = || self.voters_silent_for(silence).into_iter().next();
+        is_confirmed.then(lost).flatten()
+    }
+
+    /// Time without an answer after which a voter counts as lost, where voters are discovered.
+    pub(super) fn lost_after(&self) -> Option<Duration> {
+        match self.options.discovery {
+            NodeDiscovery::Seeds { replace_after, .. } => Some(replace_after),
+            NodeDiscovery::Listed => None,
+        }
+    }
+
+    /// Whether every voter has answered a round that began after `newcomer` became a peer. A
+    /// voter that was lost before that has not, however short its silence is.
+    pub(super) fn has_heard_all_since(&self, newcomer: ReplicaId) -> bool {
+        let (CoreRole::Leader(leader), Some(membership)) = (&self.role, self.log.membership())
+        else {
+            return false;
+        };
+        let Some(peer) = leader.peers.get(&newcomer) else {
+            return false;
+        };
+        let first_round = peer.first_round;
+        let mut voters = membership.voters().filter(|id| *id != self.id);
+        voters.all(|id| {
+            leader
+                .peers
+                .get(&id)
+                .is_some_and(|voter| voter.acked_round > first_round)
+        })
+    }
+
+    /// The silent voters, as heartbeats name them.
+    pub(super) fn reported_silence(&self) -> Vec<VoterSilence> {
+        let silent = self.voters_silent_for(self.options.election_timeout);
+        let reports = silent.into_iter().map(|voter| VoterSilence {
+            replica: voter.as_u64(),
+            silent_ms: self.voter_silence(voter).unwrap_or_default().as_millis() as u64,
+        });
+        reports.collect()
+    }
+
+    /// Records what a leader last knew of silent voters.
+    pub(super) fn record_silence(&mut self, silent: &[VoterSilence]) {
+        let silent = silent.iter().map(|silence| {
+            let voter = ReplicaId::from_u64(silence.replica);
+            (voter, Duration::from_millis(silence.silent_ms))
+        });
+        self.known_silence = silent.collect();
+    }
+
+    /// Begins with the silence that the last leader knew. That leader itself was silent for an
+    /// election timeout, as the majority that elected this one granted no vote before.
+    pub(super) fn inherit_silence(&mut self) {
+        let (now, timeout) = (self.now, self.options.election_timeout);
+        let mut known = std::mem::take(&mut self.known_silence);
+        if let Some(last) = self.last_leader.take() {
+            known.insert(last, timeout);
+        }
+        let Some(leader) = self.leader_state() else {
+            return;
+        };
+        for (voter, silence) in known {
+            if let Some(peer) = leader.peers.get_mut(&voter) {
+                peer.heard = now.checked_sub(silence).unwrap_or(now);
+            }
+        }
     }
 
     /// Logs which voters have fallen silent, or answer again, since the last call.
--- a/crates/savorywalk/src/consensus/discovery_tests.rs
+++ b/crates/savorywalk/src/consensus/discovery_tests.rs
@@ -1,107 +1,10 @@
 //! Discovery from seed nodes, over a network whose only faults are isolated
 //! nodes.
 
+use super::seed_network::{REPLACE_AFTER, SeedNetwork, number};
 use super::*;
 use crate::prelude::*;
 
-const STEP: Duration = Duration::from_millis(20);
-const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
-
-/// Replicas that share one clock and whose disks sync immediately.
-struct SeedNetwork {
-    now: Instant,
-    cores: BTreeMap<NodeNumber, ReplicaCore>,
-    isolated: BTreeSet<NodeNumber>,
-    messages: VecDeque<Box<ReplicaMessage>>,
-}
-
-fn number(node: u32) -> NodeNumber {
-    NodeNumber::new(node)
-}
-
-fn options(may_found: bool, seed: u64) -> ReplicaOptions {
-    let mut options = ReplicaOptions::new((1..=3).map(number).collect(), seed);
-    options.lease_margin_permille = 1_000;
-    options.discovery = NodeDiscovery::Seeds {
-        may_found,
-        max_voters: 5,
-        replace_after: REPLACE_AFTER,
-    };
-    options
-}
-
-impl SeedNetwork {
-    fn new() -> Self {
-        Self {
-            now: Instant::now(),
-            cores: BTreeMap::new(),
-            isolated: BTreeSet::new(),
-            messages: VecDeque::new(),
-        }
-    }
-
-    fn start(&mut self, node: u32, incarnation: u32, may_found: bool) {
-        let id = ReplicaId::new(number(node), incarnation);
-        let options = options(may_found, u64::from(node * 31 + incarnation));
-        let core = ReplicaCore::new(self.now, id, options, RecoveredState::default());
-        self.cores.insert(number(node), core);
-    }
-
-    fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.now < end {
-            self.now += STEP;
-            let nodes: Vec<NodeNumber> = self.cores.keys().copied().collect();
-            for node in nodes {
-                self.feed(node, ReplicaEvent::Tick);
-            }
-            while let Some(message) = self.messages.pop_front() {
-                let to = ReplicaId::from_u64(message.to).node();
-                let from = ReplicaId::from_u64(message.from).node();
-                if !self.isolated.contains(&to) && !self.isolated.contains(&from) {
-                    self.feed(to, ReplicaEvent::Message(message));
-                }
-            }
-        }
-    }
-
-    fn feed(&mut self, node: NodeNumber, event: ReplicaEvent) {
-        let Some(core) = self.cores.get_mut(&node) else {
-            return;
-        };
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            for action in core.handle(self.now, event) {
-                match action {
-                    ReplicaAction::Persist(batch) => {
-                        let sequence = batch.sequence;
-                        events.push_back(ReplicaEvent::Persisted { sequence });
-                    }
-                    ReplicaAction::Send(message) => self.messages.push_back(message),
-                    _ => {}
-                }
-            }
-        }
-    }
-
-    fn leader(&self) -> &ReplicaCore {
-        let leads = |core: &&ReplicaCore| {
-            core.role() == ReplicaRole::Leader && !self.isolated.contains(&core.id().node())
-        };
-        let mut leaders: Vec<&ReplicaCore> = self.cores.values().filter(leads).collect();
-        leaders.sort_by_key(|core| core.term());
-        leaders.pop().expect("a leader")
-    }
-
-    fn voters(&self) -> Vec<String> {
-        let membership = self.leader().membership().expect("a membership");
-        let voters = membership.voters();
-        voters
-            .map(|id| format!("{}.{}", id.node().as_u32(), id.incarnation()))
-            .collect()
-    }
-}
-
 fn founded() -> SeedNetwork {
     let mut network = SeedNetwork::new();
     (1..=5).for_each(|node| network.start(node, 1, true));
--- a/crates/savorywalk/src/consensus/leader_state.rs
+++ b/crates/savorywalk/src/consensus/leader_state.rs
@@ -21,8 +21,6 @@
     /// True once this leader has started to transfer its leadership: it no
     /// longer relies on a lease.
     pub(super) lease_forfeited: bool,
-    /// Voter that was silent when a newcomer was promoted; it is removed next.
-    pub(super) replaced_voter: Option<ReplicaId>,
     /// Voters that were silent at the last heartbeat, as logged.
     pub(super) silent_voters: BTreeSet<ReplicaId>,
     pub(super) elected_at: Instant,
@@ -54,7 +52,6 @@
             quorum_round: 0,
             lease_start: None,
             lease_forfeited: false,
-            replaced_voter: None,
             silent_voters: BTreeSet::new(),
             elected_at: now,
             heartbeat_due: now,
@@ -70,10 +67,12 @@
         own: ReplicaId,
         membership: &ReplicaMembership,
         next_index: u64,
+        now: Instant,
     ) {
+        let round = self.round;
         self.peers.retain(|id, _| membership.get(*id).is_some());
         for (id, _) in membership.members().filter(|(id, _)| *id != own) {
-            let new = || PeerProgress::new(next_index);
+            let new = || PeerProgress::new(next_index, round, now);
             self.peers.entry(id).or_insert_with(new);
         }
     }
--- a/crates/savorywalk/src/consensus/message_check.rs
+++ b/crates/savorywalk/src/consensus/message_check.rs
@@ -8,6 +8,9 @@
 /// It keeps sums from overflowing.
 const NUMBER_LIMIT: u64 = 1 << 62;
 
+/// Most voters that a heartbeat names as silent.
+const MAX_SILENT_VOTERS: usize = 64;
+
 /// Why a message from another replica was dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum MessageError {
@@ -113,6 +116,14 @@
 fn check_append(term: u64, request: &AppendRequest) -> Result<(), MessageError> {
     check_term(term)?;
     check_number("prev_index", request.prev_index)?;
+    check_length(
+        "silent_voters",
+        request.silent_voters.len(),
+        MAX_SILENT_VOTERS,
+    )?;
+    for silence in &request.silent_voters {
+        check_number("silent_ms", silence.silent_ms)?;
+    }
     if (request.prev_index == 0) != (request.prev_term == 0) {
         return Err(MessageError::OutOfBounds("prev_term"));
     }
--- a/crates/savorywalk/src/consensus/mod.rs
+++ b/crates/savorywalk/src/consensus/mod.rs
@@ -36,13 +36,17 @@
 #[cfg(test)]
 mod discovery_tests;
 #[cfg(test)]
+mod replacement_tests;
+#[cfg(test)]
+mod seed_network;
+#[cfg(test)]
 mod simulation;
 
 pub use crate::generated::consensus::{
     AppendReply, AppendRequest, EntryKind, FormationOffer, FrameRecord, HardState, IdentityRecord,
     JoinHint, JoinRequest, LogEntry, LogFrame, MemberRecord, MembershipRecord, ReplicaMessage,
     SnapshotChunk, SnapshotMark, SnapshotRecord, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
-    replica_message::Body,
+    VoterSilence, replica_message::Body,
 };
 pub use driver_options::DriverOptions;
 pub use message_check::MessageError;
--- a/crates/savorywalk/src/consensus/peer_progress.rs
+++ b/crates/savorywalk/src/consensus/peer_progress.rs
@@ -11,8 +11,13 @@
     pub(super) state: PeerState,
     /// Newest heartbeat round that it answered.
     pub(super) acked_round: u64,
+    /// Round of the leader at which it became a peer.
+    pub(super) first_round: u64,
     /// Time of its latest answer.
     pub(super) contact: Option<Instant>,
+    /// Time from which its silence counts: its latest answer, or an earlier leader's
+    /// knowledge of it.
+    pub(super) heard: Instant,
     /// Commit index sent to it last.
     pub(super) told_commit: u64,
 }
@@ -56,13 +61,15 @@
 }
 
 impl PeerProgress {
-    pub(super) fn new(next_index: u64) -> Self {
+    pub(super) fn new(next_index: u64, round: u64, now: Instant) -> Self {
         Self {
             match_index: 0,
             next_index,
             state: PeerState::Probe { sent: false },
             acked_round: 0,
+            first_round: round,
             contact: None,
+            heard: now,
             told_commit: 0,
         }
     }
--- /dev/null
+++ b/crates/savorywalk/src/consensus/replacement_tests.rs
@@ -0,0 +1,137 @@
+//! Replacement of voters by replicas with empty disks at other addresses. See
+//! docs/design/voter-replacement.md.
+
+use super::seed_network::{REPLACE_AFTER, SeedNetwork, number};
+use super::*;
+use crate::prelude::*;
+
+/// Least time between the start of a successor and the next removal, by the deployment's
+/// bounds.
+const CATCH_UP: Duration = Duration::from_secs(4);
+const REPLACEMENTS: u32 = 12;
+
+/// Which replica is removed next.
+#[derive(Clone, Copy, Debug)]
+enum Victim {
+    Leader,
+    Oldest,
+}
+
+fn next_victim(network: &SeedNetwork, victim: Victim) -> NodeNumber {
+    match victim {
+        Victim::Leader => network.leader().id().node(),
+        Victim::Oldest => *network.cores.keys().next().expect("a replica"),
+    }
+}
+
+/// Fails if the newest leader's membership needs more votes than its running voters have.
+fn assert_majority_runs(network: &SeedNetwork, context: &str) {
+    let leader = network.find_leader();
+    let leader = leader.unwrap_or_else(|| panic!("no leader {context}"));
+    let membership = leader.membership().expect("a membership");
+    let running = network.cores.values().map(ReplicaCore::id).collect();
+    assert!(
+        membership.is_quorum(&running),
+        "no majority runs {context}: {:?}",
+        network.voters()
+    );
+}
+
+/// Guards against voters that are lost for good and still count, until those that run are no
+/// majority any more.
+#[rstest::rstest]
+fn replacements_one_at_a_time_keep_a_majority(
+    #[values(3, 5, 15)] nodes: u32,
+    #[values(Victim::Leader, Victim::Oldest)] victim: Victim,
+    #[values(0, 200, 1_000, 10_000)] pause_ms: u64,
+) {
+    let mut network = SeedNetwork::founded(nodes);
+    for replacement in 1..=REPLACEMENTS {
+        let removed = next_victim(&network, victim);
+        network.cores.remove(&removed);
+        network.run(Duration::from_millis(pause_ms));
+        network.start(100 + replacement, 1, false);
+        network.run(CATCH_UP);
+        let context = format!("after replacement {replacement}");
+        assert_majority_runs(&network, &context);
+        assert!(
+            !network
+                .leader()
+                .membership()
+                .unwrap()
+                .voters()
+                .any(|id| id.node() == removed),
+            "the lost voter still counts {context}"
+        );
+    }
+    assert_eq!(network.voters().len(), nodes.min(9) as usize);
+}
+
+/// Guards against voters that are lost right after their successor was promoted, as in a
+/// planned replacement.
+#[rstest::rstest]
+fn replacements_whose_successor_starts_first_keep_a_majority(#[values(3, 5, 15)] nodes: u32) {
+    let mut network = SeedNetwork::founded(nodes);
+    for replacement in 1..=REPLACEMENTS {
+        let removed = next_victim(&network, Victim::Oldest);
+        network.start(100 + replacement, 1, false);
+        network.run(CATCH_UP);
+        network.cores.remove(&removed);
+        network.run(Duration::from_secs(3));
+        assert_majority_runs(&network, &format!("after replacement {replacement}"));
+    }
+}
+
+/// Guards against a newcomer that is promoted as an extra voter before its predecessor counts
+/// as lost.
+#[test]
+fn a_newcomer_waits_while_a_voter_is_silent() {
+    let mut network = SeedNetwork::founded(5);
+    network.cores.remove(&number(2));
+    network.start(9, 1, false);
+    network.run(REPLACE_AFTER / 2);
+    assert_eq!(network.voters(), ["1.1", "2.1", "3.1", "4.1", "5.1"]);
+    network.run(REPLACE_AFTER);
+    assert_eq!(network.voters(), ["1.1", "3.1", "4.1", "5.1", "9.1"]);
+}
+
+/// Guards against a silence that is counted anew by each leader, so that it never ends where
+/// leaders change more often than that.
+#[test]
+fn a_silence_counts_on_under_a_new_leader() {
+    let mut network = SeedNetwork::founded(7);
+    let leader = network.leader().id().node();
+    let silent = *network.cores.keys().find(|node| **node != leader).unwrap();
+    network.cores.remove(&silent);
+    network.run(REPLACE_AFTER - Duration::from_millis(300));
+    network.cores.remove(&leader);
+    network.start(9, 1, false);
+    network.run(Duration::from_millis(2_000));
+    let voters = network.leader().membership().unwrap();
+    assert!(voters.voters().all(|id| id.node() != silent));
+    assert!(voters.voters().any(|id| id.node() == number(9)));
+}
+
+/// Guards against the loss of a voter that lives: it was only frozen or cut off, for less than
+/// the time after which it counts as lost, while a newcomer waited.
+#[test]
+fn a_voter_that_answers_again_in_time_is_not_replaced() {
+    let mut network = SeedNetwork::founded(5);
+    network.isolated.insert(number(2));
+    network.start(9, 1, false);
+    network.run(REPLACE_AFTER - Duration::from_millis(500));
+    network.isolated.clear();
+    network.run(Duration::from_secs(2));
+    assert_eq!(network.voters(), ["1.1", "2.1", "3.1", "4.1", "5.1", "9.1"]);
+}
+
+/// Guards against a majority side of a split that shrinks to a few voters.
+#[test]
+fn a_split_removes_no_voter_from_an_odd_number() {
+    let mut network = SeedNetwork::founded(5);
+    let leader = network.leader().id().node();
+    let others = network.cores.keys().copied().filter(|node| *node != leader);
+    network.isolated = others.take(2).collect();
+    network.run(REPLACE_AFTER * 4);
+    assert_eq!(network.voters().len(), 5);
+}
--- a/crates/savorywalk/src/consensus/replica_core.rs
+++ b/crates/savorywalk/src/consensus/replica_core.rs
@@ -34,6 +34,10 @@
     pub(super) leader: Option<ReplicaId>,
     pub(super) now: Instant,
     pub(super) leader_contact: Instant,
+    /// The other replica that this one followed last.
+    pub(super) last_leader: Option<ReplicaId>,
+    /// Voters that the last leader did not hear, with their silence then.
+    pub(super) known_silence: BTreeMap<ReplicaId, Duration>,
     pub(super) election_due: Instant,
     pub(super) join_due: Instant,
     pub(super) newcomers: BTreeMap<NodeNumber, Newcomer>,
@@ -147,6 +151,8 @@
             leader: None,
             now,
             leader_contact,
+            last_leader: None,
+            known_silence: BTreeMap::new(),
             election_due,
             join_due: now,
             newcomers: BTreeMap::new(),
