Let a voter vote again once it is admitted anew

A replica that a leader once told that it is no member kept that until its process restarted: it neither voted nor stood for election, also after it was admitted again and counted as a voter. Each such voter makes the majority larger without ever answering an election; enough of them, and control has no leader although all run.

The notice now ends one admission, named by the index of its entry, and not a later one. It carries the index of the committed membership that lacks the replica, so a leader that has not heard of the admission yet can't end it.

Before: a_voter_that_was_replaced_and_admitted_again_votes failed at is_voter. After: it passes, and a_notice_of_expulsion_counts_if_its_membership_is_newer.

--- a/crates/savorywalk/src/consensus/core_admission.rs
+++ b/crates/savorywalk/src/consensus/core_admission.rs
@@ -40,7 +40,7 @@
             return;
         }
         self.join_due = self.now + self.options.join_interval;
-        if self.is_member() && !self.expelled && self.has_promise() {
+        if self.is_member() && self.has_promise() {
             return;
         }
         for node in self.join_targets() {
@@ -77,6 +77,7 @@
         let hint = JoinHint {
             leader: leader.as_u64(),
             expelled,
+            membership_index: self.log.membership_index(),
         };
         self.send(to, MessageGate::Nothing, Body::JoinHint(hint));
     }
@@ -86,7 +87,8 @@
     pub(super) fn answer_stranger(&mut self, from: ReplicaId) {
         let membership = self.log.membership();
         let is_non_member = membership.is_some_and(|membership| membership.get(from).is_none());
-        if is_non_member && matches!(self.role, CoreRole::Leader(_)) {
+        let is_committed = self.log.membership_index() <= self.commit;
+        if is_non_member && is_committed && matches!(self.role, CoreRole::Leader(_)) {
             self.send_join_hint(from, true);
         }
     }
@@ -100,16 +102,31 @@
             self.hints.clear();
         }
         let is_new = self.hints.insert(leader.node());
-        if hint.expelled && !self.expelled && !matches!(self.role, CoreRole::Leader(_)) {
-            self.expelled = true;
+        if hint.expelled && self.is_expelled_by(hint.membership_index) {
+            self.expelled = self.own_member().map(|member| member.admitted);
             self.become_follower(self.term, None);
-            log_event!(info, "replica_expelled", replica = self.id, leader = leader);
+            log_event!(
+                info,
+                "replica_expelled",
+                replica = self.id,
+                leader = leader,
+                index = hint.membership_index
+            );
         }
         if is_new {
             self.join_due = self.now;
         }
     }
 
+    /// Whether the committed membership at `index`, which lacks this replica, ends the
+    /// admission that it knows of. An older one does not: its leader was not told yet.
+    fn is_expelled_by(&self, index: u64) -> bool {
+        let is_leader = matches!(self.role, CoreRole::Leader(_));
+        let is_newer = |admitted: u64| index == 0 || index > admitted;
+        let member = self.own_member();
+        !is_leader && member.is_some_and(|member| is_newer(member.admitted))
+    }
+
     pub(super) fn on_join_request(&mut self, from: ReplicaId, cluster: u64) {
         let is_open = self.options.discovery.is_open();
         if !is_open && !self.options.nodes.contains(&from.node()) {
@@ -246,7 +263,7 @@
             return self.attempt_change(MembershipChange::Remove(replaced));
         }
         if let Some(learner) = self.promotable_learner() {
-            return self.attempt_change(MembershipChange::Promote(learner));
+            self.attempt_change(MembershipChange::Promote(learner));
         }
     }
 
--- a/crates/savorywalk/src/consensus/core_admission_tests.rs
+++ b/crates/savorywalk/src/consensus/core_admission_tests.rs
@@ -92,6 +92,33 @@
     assert_eq!(bodies, [request.clone(), request]);
 }
 
+/// Guards against a leader that has not heard of this voter's admission yet and says that it is
+/// no member.
+#[rstest::rstest]
+#[case::older_than_the_admission(1, true)]
+#[case::newer_than_the_admission(2, false)]
+fn a_notice_of_expulsion_counts_if_its_membership_is_newer(
+    #[case] membership_index: u64,
+    #[case] stays: bool,
+) {
+    let now = Instant::now();
+    let mut core = ReplicaCore::new(now, id(1, 1), options(), recovered_state(&founding()));
+    let hint = JoinHint {
+        leader: id(2, 1).as_u64(),
+        expelled: true,
+        membership_index,
+    };
+    let event = ReplicaEvent::Message(Box::new(ReplicaMessage {
+        cluster: founding().cluster_number(),
+        from: id(2, 1).as_u64(),
+        to: id(1, 1).as_u64(),
+        term: 1,
+        body: Some(Body::JoinHint(hint)),
+    }));
+    core.handle(now, event);
+    assert_eq!(core.is_voter(), stays);
+}
+
 #[test]
 fn a_new_replica_neither_votes_nor_starts_an_election() {
     let start = Instant::now();
--- a/crates/savorywalk/src/consensus/replacement_tests.rs
+++ b/crates/savorywalk/src/consensus/replacement_tests.rs
@@ -135,3 +135,23 @@
     network.run(REPLACE_AFTER * 4);
     assert_eq!(network.voters().len(), 5);
 }
+
+/// Guards against a voter that was told once that it is no member, and never votes or stands
+/// for election again although it was admitted anew.
+#[test]
+fn a_voter_that_was_replaced_and_admitted_again_votes() {
+    let mut network = SeedNetwork::founded(5);
+    network.isolated.insert(number(3));
+    network.start(9, 1, false);
+    network.run(REPLACE_AFTER * 2);
+    network.isolated.clear();
+    network.run(Duration::from_secs(5));
+    assert!(network.voters().contains(&"3.1".to_string()));
+    assert!(network.cores[&number(3)].is_voter());
+    let others: Vec<NodeNumber> = [1, 2, 4].map(number).into();
+    for node in others {
+        network.cores.remove(&node);
+        network.run(Duration::from_secs(4));
+    }
+    assert_majority_runs(&network, "with the voter admitted again");
+}
--- a/crates/savorywalk/src/consensus/replica_core.rs
+++ b/crates/savorywalk/src/consensus/replica_core.rs
@@ -6,8 +6,8 @@
 use super::snapshot_receiver::SnapshotReceiver;
 use super::{
     Body, EntryKind, HardState, LogEntry, NodeNumber, PersistBatch, RecoveredState, RefusalReason,
-    ReplicaAction, ReplicaEvent, ReplicaId, ReplicaMembership, ReplicaMessage, ReplicaOptions,
-    SnapshotRecord,
+    ReplicaAction, ReplicaEvent, ReplicaId, ReplicaMember, ReplicaMembership, ReplicaMessage,
+    ReplicaOptions, SnapshotRecord,
 };
 use crate::prelude::*;
 
@@ -43,8 +43,9 @@
     pub(super) newcomers: BTreeMap<NodeNumber, Newcomer>,
     /// Nodes of leaders that other replicas have named in join hints.
     pub(super) hints: BTreeSet<NodeNumber>,
-    /// Set once a leader has reported that this replica is not a member any more.
-    pub(super) expelled: bool,
+    /// Index of the entry that admitted this replica, once a leader has reported that it is not
+    /// a member any more. A later admission is not affected.
+    pub(super) expelled: Option<u64>,
     pub(super) jitter: ElectionJitter,
     pub(super) ledger: PersistLedger,
     pub(super) receiver: Option<SnapshotReceiver>,
@@ -157,7 +158,7 @@
             join_due: now,
             newcomers: BTreeMap::new(),
             hints: BTreeSet::new(),
-            expelled: false,
+            expelled: None,
             jitter,
             receiver: None,
             staged: StagedPersist::default(),
@@ -252,17 +253,18 @@
         self.dropped_messages
     }
 
+    /// This replica's own row of the membership, unless a leader has said that it is outdated.
+    pub(super) fn own_member(&self) -> Option<ReplicaMember> {
+        let member = self.log.membership()?.get(self.id)?;
+        (self.expelled != Some(member.admitted)).then_some(member)
+    }
+
     pub(super) fn is_member(&self) -> bool {
-        let membership = self.log.membership();
-        membership.is_some_and(|membership| membership.get(self.id).is_some())
+        self.own_member().is_some()
     }
 
     pub(super) fn is_voter(&self) -> bool {
-        if self.expelled {
-            return false;
-        }
-        let membership = self.log.membership();
-        membership.is_some_and(|membership| membership.is_voter(self.id))
+        self.own_member().is_some_and(|member| member.voter)
     }
 
     fn on_tick(&mut self) {
