Remove learners that are gone for good

A VM that is removed while its replica is a learner stayed a member for ever. It has no vote, but a membership has 32 places: with ten control VMs, nine voters and one learner, 22 replacements of the learner fill it, and from then on no newcomer is admitted, so no lost voter is replaced.

Heartbeats name silent learners beside silent voters, so that the time counts on over elections.

Before: learners_that_are_gone_leave_room_for_newcomers failed, no running learner was admitted any more. After: it passes.

--- a/crates/savorywalk/src/consensus/core_admission.rs
+++ b/crates/savorywalk/src/consensus/core_admission.rs
@@ -15,8 +15,8 @@
 /// them in every round.
 const MAX_MEMBERS: usize = 32;
 
-/// Silence, in multiples of `replace_after`, after which a voter is removed
-/// even if that makes the majority no smaller.
+/// Silence, in multiples of `replace_after`, after which a learner is removed,
+/// and a voter even if that makes the majority no smaller.
 const REMOVAL_SILENCE_FACTOR: u32 = 10;
 
 /// A lost voter is removed only while there are more voters than this: three
@@ -263,8 +263,22 @@
             return self.attempt_change(MembershipChange::Remove(replaced));
         }
         if let Some(learner) = self.promotable_learner() {
-            self.attempt_change(MembershipChange::Promote(learner));
+            return self.attempt_change(MembershipChange::Promote(learner));
         }
+        if let Some(learner) = self.lost_learner() {
+            self.attempt_change(MembershipChange::Remove(learner));
+        }
+    }
+
+    /// Returns a learner that has been silent for [`REMOVAL_SILENCE_FACTOR`] times the time
+    /// after which a voter is lost. It has no vote, but takes the place of a member.
+    fn lost_learner(&self) -> Option<ReplicaId> {
+        let silence = self.lost_after()? * REMOVAL_SILENCE_FACTOR;
+        let mut learners = self.log.membership()?.members();
+        let lost = learners.find(|(id, member)| {
+            !member.voter && self.silence(*id).is_some_and(|time| time >= silence)
+        });
+        lost.map(|(id, _)| id)
     }
 
     /// Returns a lost voter whose removal makes the majority smaller, or one that has been
--- a/crates/savorywalk/src/consensus/core_follower.rs
+++ b/crates/savorywalk/src/consensus/core_follower.rs
@@ -59,7 +59,7 @@
         if !self.follow(from) {
             return;
         }
-        self.record_silence(&request.silent_voters);
+        self.record_silence(&request.silent_members);
         let prev = request.prev_index;
         if prev >= self.commit && self.log.term_at(prev) != Some(request.prev_term) {
             let hint = self.conflict_hint(prev);
--- a/crates/savorywalk/src/consensus/core_leader.rs
+++ b/crates/savorywalk/src/consensus/core_leader.rs
@@ -216,7 +216,7 @@
             entries,
             commit,
             round,
-            silent_voters: self.reported_silence(),
+            silent_members: self.reported_silence(),
         };
         self.send(to, MessageGate::HardState, Body::AppendRequest(request));
     }
--- a/crates/savorywalk/src/consensus/core_voters.rs
+++ b/crates/savorywalk/src/consensus/core_voters.rs
@@ -1,5 +1,5 @@
 use super::replica_core::{CoreRole, ReplicaCore};
-use super::{MembershipChange, NodeDiscovery, ReplicaId, VoterSilence};
+use super::{MemberSilence, MembershipChange, NodeDiscovery, ReplicaId};
 use crate::prelude::*;
 
 /// Time, in election timeouts, that a new leader sends heartbeats of its own before it acts on
@@ -20,18 +20,17 @@
         let Some(membership) = self.log.membership() else {
             return Vec::new();
         };
-        let is_silent =
-            |id: &ReplicaId| self.voter_silence(*id).is_some_and(|time| time >= silence);
+        let is_silent = |id: &ReplicaId| self.silence(*id).is_some_and(|time| time >= silence);
         membership.voters().filter(is_silent).collect()
     }
 
-    /// Time since a voter last answered this leader or, as far as this leader was told, an
+    /// Time since a member last answered this leader or, as far as this leader was told, an
     /// earlier one.
-    fn voter_silence(&self, voter: ReplicaId) -> Option<Duration> {
+    pub(super) fn silence(&self, member: ReplicaId) -> Option<Duration> {
         let CoreRole::Leader(leader) = &self.role else {
             return None;
         };
-        let peer = leader.peers.get(&voter)?;
+        let peer = leader.peers.get(&member)?;
         Some(self.now.saturating_duration_since(peer.heard))
     }
 
@@ -75,21 +74,29 @@
         })
     }
 
-    /// The silent voters, as heartbeats name them.
-    pub(super) fn reported_silence(&self) -> Vec<VoterSilence> {
-        let silent = self.voters_silent_for(self.options.election_timeout);
-        let reports = silent.into_iter().map(|voter| VoterSilence {
-            replica: voter.as_u64(),
-            silent_ms: self.voter_silence(voter).unwrap_or_default().as_millis() as u64,
+    /// The silent members, as heartbeats name them.
+    pub(super) fn reported_silence(&self) -> Vec<MemberSilence> {
+        let CoreRole::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let timeout = self.options.election_timeout;
+        let silences = leader
+            .peers
+            .keys()
+            .filter_map(|id| Some((*id, self.silence(*id)?)));
+        let silent = silences.filter(|(_, silence)| *silence >= timeout);
+        let reports = silent.map(|(id, silence)| MemberSilence {
+            replica: id.as_u64(),
+            silent_ms: silence.as_millis() as u64,
         });
         reports.collect()
     }
 
-    /// Records what a leader last knew of silent voters.
-    pub(super) fn record_silence(&mut self, silent: &[VoterSilence]) {
+    /// Records what a leader last knew of silent members.
+    pub(super) fn record_silence(&mut self, silent: &[MemberSilence]) {
         let silent = silent.iter().map(|silence| {
-            let voter = ReplicaId::from_u64(silence.replica);
-            (voter, Duration::from_millis(silence.silent_ms))
+            let member = ReplicaId::from_u64(silence.replica);
+            (member, Duration::from_millis(silence.silent_ms))
         });
         self.known_silence = silent.collect();
     }
@@ -105,8 +112,8 @@
         let Some(leader) = self.leader_state() else {
             return;
         };
-        for (voter, silence) in known {
-            if let Some(peer) = leader.peers.get_mut(&voter) {
+        for (member, silence) in known {
+            if let Some(peer) = leader.peers.get_mut(&member) {
                 peer.heard = now.checked_sub(silence).unwrap_or(now);
             }
         }
--- a/crates/savorywalk/src/consensus/message_check.rs
+++ b/crates/savorywalk/src/consensus/message_check.rs
@@ -8,8 +8,8 @@
 /// It keeps sums from overflowing.
 const NUMBER_LIMIT: u64 = 1 << 62;
 
-/// Most voters that a heartbeat names as silent.
-const MAX_SILENT_VOTERS: usize = 64;
+/// Most members that a heartbeat names as silent.
+const MAX_SILENT_MEMBERS: usize = 64;
 
 /// Why a message from another replica was dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -117,11 +117,11 @@
     check_term(term)?;
     check_number("prev_index", request.prev_index)?;
     check_length(
-        "silent_voters",
-        request.silent_voters.len(),
-        MAX_SILENT_VOTERS,
+        "silent_members",
+        request.silent_members.len(),
+        MAX_SILENT_MEMBERS,
     )?;
-    for silence in &request.silent_voters {
+    for silence in &request.silent_members {
         check_number("silent_ms", silence.silent_ms)?;
     }
     if (request.prev_index == 0) != (request.prev_term == 0) {
--- a/crates/savorywalk/src/consensus/message_check_tests.rs
+++ b/crates/savorywalk/src/consensus/message_check_tests.rs
@@ -31,7 +31,7 @@
         entries: entries.collect(),
         commit: 0,
         round: 1,
-        silent_voters: Vec::new(),
+        silent_members: Vec::new(),
     })
 }
 
--- a/crates/savorywalk/src/consensus/mod.rs
+++ b/crates/savorywalk/src/consensus/mod.rs
@@ -44,9 +44,9 @@
 
 pub use crate::generated::consensus::{
     AppendReply, AppendRequest, EntryKind, FormationOffer, FrameRecord, HardState, IdentityRecord,
-    JoinHint, JoinRequest, LogEntry, LogFrame, MemberRecord, MembershipRecord, ReplicaMessage,
-    SnapshotChunk, SnapshotMark, SnapshotRecord, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
-    VoterSilence, replica_message::Body,
+    JoinHint, JoinRequest, LogEntry, LogFrame, MemberRecord, MemberSilence, MembershipRecord,
+    ReplicaMessage, SnapshotChunk, SnapshotMark, SnapshotRecord, SnapshotReply, TimeoutNow,
+    VoteReply, VoteRequest, replica_message::Body,
 };
 pub use driver_options::DriverOptions;
 pub use message_check::MessageError;
--- a/crates/savorywalk/src/consensus/replacement_tests.rs
+++ b/crates/savorywalk/src/consensus/replacement_tests.rs
@@ -155,3 +155,25 @@
     }
     assert_majority_runs(&network, "with the voter admitted again");
 }
+
+/// Guards against learners that are gone for good and fill the places of members, so that no
+/// successor of a voter is admitted any more.
+#[test]
+fn learners_that_are_gone_leave_room_for_newcomers() {
+    let mut network = SeedNetwork::founded(10);
+    for replacement in 1..=40 {
+        let membership = network.leader().membership().expect("a membership");
+        let is_learner = |id: &ReplicaId| membership.get(*id).is_some_and(|member| !member.voter);
+        let mut running = network.cores.values().map(ReplicaCore::id);
+        let learner = running.find(is_learner).expect("a learner");
+        network.cores.remove(&learner.node());
+        network.start(100 + replacement, 1, false);
+        network.run(CATCH_UP);
+    }
+    let newest = ReplicaId::new(number(140), 1);
+    let membership = network.leader().membership().expect("a membership");
+    assert!(
+        membership.get(newest).is_some(),
+        "the newcomer has no place"
+    );
+}
