Draw replacements of replicas in the consensus simulation

Between and beside the replacements: elections, pauses, one-way and two-way partitions, power losses, failed syncs, lost disks. Checked as before, and that the voters that are left are a majority whenever one is removed within the tolerance.

--- a/crates/savorywalk/src/consensus/simulation/cluster_simulation.rs
+++ b/crates/savorywalk/src/consensus/simulation/cluster_simulation.rs
@@ -1,6 +1,8 @@
 use rand::RngExt;
 
-use super::{FaultSchedule, HistoryCheck, ListMachine, SimulatedReplica, Violation};
+use super::{
+    FaultSchedule, HistoryCheck, ListMachine, ReplacementTrace, SimulatedReplica, Violation,
+};
 use crate::consensus::{
     EntryKind, LogEntry, NodeNumber, ReplicaAction, ReplicaEvent, ReplicaId, ReplicaMessage,
     ReplicaOptions, ReplicaProposal, ReplicaRole,
@@ -8,18 +10,18 @@
 use crate::prelude::*;
 use crate::storage::{LogStorage, StorageError};
 
-const FAULTY_TIME: Duration = Duration::from_millis(2_500);
+pub(super) const FAULTY_TIME: Duration = Duration::from_millis(2_500);
 const FAULT_FREE_TIME: Duration = Duration::from_millis(3_000);
-const MAX_EVENTS: u64 = 100_000;
+pub(super) const MAX_EVENTS: u64 = 100_000;
 const LOG_CHECK_EVENTS: u64 = 64;
 
 /// Simulates several replicas under one fault schedule, in virtual time.
 #[derive(Debug)]
 pub(super) struct ClusterSimulation {
-    schedule: FaultSchedule,
-    replicas: Vec<SimulatedReplica>,
+    pub(super) schedule: FaultSchedule,
+    pub(super) replicas: Vec<SimulatedReplica>,
     epoch: Instant,
-    now: Duration,
+    pub(super) now: Duration,
     queue: BTreeMap<(Duration, u64), SimulatedEvent>,
     event_count: u64,
     next_number: u64,
@@ -29,11 +31,12 @@
     /// Identity that the replica on that node had before.
     lost_id: Option<ReplicaId>,
     pub(super) disks_lost: u64,
+    pub(super) replacements: ReplacementTrace,
     pub(super) check: HistoryCheck,
 }
 
 #[derive(Clone, Debug)]
-enum SimulatedEvent {
+pub(super) enum SimulatedEvent {
     Deliver(Box<ReplicaMessage>),
     Handle {
         node: usize,
@@ -54,6 +57,12 @@
     },
     Client,
     Fault,
+    /// Removes a replica for good, if all others count as whole.
+    Replace,
+    /// Starts the successor of a removed replica.
+    Succeed,
+    /// Ends all partitions.
+    Heal,
 }
 
 impl ClusterSimulation {
@@ -72,6 +81,7 @@
             repairing: None,
             lost_id: None,
             disks_lost: 0,
+            replacements: ReplacementTrace::default(),
             check: HistoryCheck::default(),
         }
     }
@@ -84,8 +94,13 @@
         self.schedule_after(Duration::from_millis(300), SimulatedEvent::Fault);
         self.schedule_after(Duration::from_millis(100), SimulatedEvent::Client);
         self.run_until(FAULTY_TIME)?;
+        self.finish()
+    }
+
+    /// Runs without faults and checks the end state.
+    pub(super) fn finish(&mut self) -> Result<(), Violation> {
         self.clear_faults();
-        self.run_until(FAULTY_TIME + FAULT_FREE_TIME)?;
+        self.run_until(self.now + FAULT_FREE_TIME)?;
         self.check_end();
         self.result()
     }
@@ -97,7 +112,7 @@
         }
     }
 
-    fn run_until(&mut self, end: Duration) -> Result<(), Violation> {
+    pub(super) fn run_until(&mut self, end: Duration) -> Result<(), Violation> {
         while let Some((key, event)) = self.queue.pop_first() {
             if key.0 > end {
                 self.queue.insert(key, event);
@@ -110,7 +125,7 @@
                 self.check_logs();
                 self.update_repair();
             }
-            if self.event_count > MAX_EVENTS {
+            if self.event_count > self.schedule.max_events {
                 self.check.report(Violation::NoProgress);
             }
             self.result()?;
@@ -124,13 +139,13 @@
         self.next_number
     }
 
-    fn schedule_after(&mut self, delay: Duration, event: SimulatedEvent) {
+    pub(super) fn schedule_after(&mut self, delay: Duration, event: SimulatedEvent) {
         let number = self.unique_number();
         self.queue.insert((self.now + delay, number), event);
     }
 
     fn is_faulty(&self) -> bool {
-        self.now < FAULTY_TIME
+        self.now < self.schedule.faulty_time
     }
 
     fn step(&mut self, event: SimulatedEvent) {
@@ -152,6 +167,9 @@
             }
             SimulatedEvent::Client => self.act_as_client(),
             SimulatedEvent::Fault => self.inject_fault(),
+            SimulatedEvent::Replace => self.replace(),
+            SimulatedEvent::Succeed => self.start_successor(),
+            SimulatedEvent::Heal => self.blocked.clear(),
         }
     }
 
@@ -167,10 +185,13 @@
         options.snapshot_chunk_bytes = 100;
         options.trailing_entries = self.schedule.trailing_entries;
         options.mistake = self.schedule.mistake;
+        if self.schedule.replaces {
+            self.discover_by_seeds(&mut options);
+        }
         options
     }
 
-    fn restart(&mut self, node: usize) {
+    pub(super) fn restart(&mut self, node: usize) {
         let options = self.options();
         let replica = &mut self.replicas[node];
         let now = replica.clock(self.epoch, self.now);
@@ -378,7 +399,7 @@
 
     /// Picks a replica in the leader role, possibly of an old term; a random node
     /// if there is none.
-    fn pick_leader(&mut self) -> usize {
+    pub(super) fn pick_leader(&mut self) -> usize {
         let start = self.schedule.node();
         let count = self.replicas.len();
         let mut nodes = (0..count).map(|step| (start + step) % count);
@@ -399,6 +420,12 @@
             true => self.pick_leader(),
             false => self.schedule.node(),
         };
+        if self.replacements.removed.contains(&node) {
+            return;
+        }
+        if self.schedule.replaces {
+            self.note_fault();
+        }
         match self.schedule.random.random_range(0..12) {
             0..=2 => self.partition(node),
             3 | 4 => self.blocked.clear(),
@@ -447,7 +474,8 @@
     /// Erases a node's disk if its replica is a committed voter and no other
     /// disk is being repaired.
     fn lose_disk(&mut self, node: usize) {
-        if self.repairing.is_some() || !self.is_committed_voter(node) {
+        let is_whole = !self.schedule.replaces || self.replacements.is_whole(self.now);
+        if self.repairing.is_some() || !is_whole || !self.is_committed_voter(node) {
             return;
         }
         self.repairing = Some(node);
@@ -473,7 +501,7 @@
     }
 
     /// Voters of the newest leader's membership, if that is committed.
-    fn leader_membership(&self) -> Option<Vec<ReplicaId>> {
+    pub(super) fn leader_membership(&self) -> Option<Vec<ReplicaId>> {
         let cores = self
             .replicas
             .iter()
@@ -531,12 +559,15 @@
 
     fn check_end(&mut self) {
         self.check_logs();
-        let first = &self.replicas[0].machine;
-        let is_same = |replica: &SimulatedReplica| replica.machine == *first;
-        let has_leader = self.leader_membership().is_some();
-        if !has_leader || !self.replicas.iter().all(is_same) {
+        let replicas = self.replicas.iter().enumerate();
+        let running = replicas.filter(|(node, _)| !self.replacements.removed.contains(node));
+        let machines: Vec<ListMachine> = running
+            .map(|(_, replica)| replica.machine.clone())
+            .collect();
+        let is_same = machines.iter().all(|machine| *machine == machines[0]);
+        if self.leader_membership().is_none() || !is_same {
             self.check.report(Violation::NotConverged);
         }
-        self.check.on_end(&self.replicas[0].machine);
+        self.check.on_end(&machines[0]);
     }
 }
--- a/crates/savorywalk/src/consensus/simulation/fault_schedule.rs
+++ b/crates/savorywalk/src/consensus/simulation/fault_schedule.rs
@@ -1,6 +1,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::cluster_simulation::{FAULTY_TIME, MAX_EVENTS};
 use crate::consensus::SeededMistake;
 use crate::prelude::*;
 
@@ -23,6 +24,12 @@
     pub(super) trailing_entries: u64,
     pub(super) segment_bytes: usize,
     pub(super) loses_disks: bool,
+    /// Whether replicas are replaced by others at new nodes; they find each other by seeds.
+    pub(super) replaces: bool,
+    /// Time during which faults are injected.
+    pub(super) faulty_time: Duration,
+    /// Most events of a run.
+    pub(super) max_events: u64,
     /// Whether all other nodes lose power at the moment when a disk is lost.
     pub(super) loses_all_power: bool,
     pub(super) mistake: Option<SeededMistake>,
@@ -43,6 +50,9 @@
             trailing_entries: random.random_range(0..=5),
             segment_bytes: random.random_range(200..=4_000),
             loses_disks: random.random_bool(0.5),
+            replaces: false,
+            faulty_time: FAULTY_TIME,
+            max_events: MAX_EVENTS,
             loses_all_power: false,
             mistake,
             random,
--- a/crates/savorywalk/src/consensus/simulation/history_check.rs
+++ b/crates/savorywalk/src/consensus/simulation/history_check.rs
@@ -19,6 +19,8 @@
     StaleRead { index: u64, floor: u64 },
     /// An acknowledged command is missing at the end.
     LostCommand { command: u64 },
+    /// Fewer voters run than a majority takes, though one replica was lost at a time.
+    NoMajorityRuns { voters: usize, running: usize },
     /// A run had more than `MAX_EVENTS` events.
     NoProgress,
     /// The replicas had no leader or different states after all faults had ended.
--- a/crates/savorywalk/src/consensus/simulation/mod.rs
+++ b/crates/savorywalk/src/consensus/simulation/mod.rs
@@ -6,6 +6,8 @@
 mod history_check;
 mod list_machine;
 mod model_tests;
+mod replacement_tests;
+mod replacements;
 mod schedule_tests;
 mod simulated_replica;
 
@@ -13,4 +15,5 @@
 use fault_schedule::FaultSchedule;
 use history_check::{HistoryCheck, Violation};
 use list_machine::ListMachine;
+use replacements::ReplacementTrace;
 use simulated_replica::SimulatedReplica;
