--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -442,6 +442,7 @@
                         number = newest,
                         before = number,
                         routes = read.routes().count(),
+                        needs_keys = read.needs_keys(),
                         workspace_ranks = format!("{ranks:?}")
                     );
                     route_history = Arc::new(route_history.updated(now, &read));
