--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -51,17 +51,18 @@
             name: "p".into(),
             ..Default::default()
         }],
-        workspaces: vec![WorkspaceRule {
+        workspaces: Some(vec![WorkspaceRule {
             name: "w".into(),
             keys: vec![word()],
             rank: None,
             allowed_regions: Vec::new(),
             share: ShareRule::default(),
-        }],
+        }]),
         limits: Default::default(),
     };
     if let Some(weight) = words.next() {
-        parts.workspaces[0].share.weight = weight.parse().unwrap();
+        let workspaces = parts.workspaces.as_mut().unwrap();
+        workspaces[0].share.weight = weight.parse().unwrap();
     }
     parts
 }
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -9,6 +9,8 @@
     /// Routes by host, longest prefix first.
     hosts: BTreeMap<String, Vec<Arc<RouteRule>>>,
     pools: BTreeMap<String, Arc<PoolProfile>>,
+    /// Whether the document lists workspaces, be it none.
+    needs_keys: bool,
     workspaces: Vec<Arc<WorkspaceRule>>,
     keys: BTreeMap<String, Arc<WorkspaceRule>>,
     limits: RequestLimits,
@@ -98,8 +100,9 @@
     pub routes: Vec<RouteRule>,
     /// Pools, in any order.
     pub pools: Vec<PoolProfile>,
-    /// Workspaces; empty if requests need no key.
-    pub workspaces: Vec<WorkspaceRule>,
+    /// Workspaces, or `None` if requests need no key. An empty list admits no key, so requests
+    /// are served on open routes only.
+    pub workspaces: Option<Vec<WorkspaceRule>>,
     /// Limits on the requests of all callers.
     pub limits: RequestLimits,
 }
@@ -113,6 +116,7 @@
     pub fn build(parts: TableParts) -> Result<Self, TableError> {
         let mut table = Self {
             number: parts.number,
+            needs_keys: parts.workspaces.is_some(),
             limits: parts.limits,
             ..Self::default()
         };
@@ -125,10 +129,11 @@
         for route in parts.routes {
             table.add_route(route)?;
         }
-        let workspaces = parts.workspaces.iter();
-        let shares = workspaces.map(|workspace| (workspace.name.as_str(), workspace.share));
+        let workspaces = parts.workspaces.unwrap_or_default();
+        let shares = workspaces.iter();
+        let shares = shares.map(|workspace| (workspace.name.as_str(), workspace.share));
         ShareRule::check_all(shares)?;
-        for workspace in parts.workspaces {
+        for workspace in workspaces {
             table.add_workspace(workspace)?;
         }
         for routes in table.hosts.values_mut() {
@@ -194,7 +199,7 @@
 
     /// Whether requests need a key, except on open routes.
     pub fn needs_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        self.needs_keys
     }
 
     /// Returns the workspace that `key` belongs to.
