--- a/crates/savorywalk/src/gateway/route_table_tests.rs
+++ b/crates/savorywalk/src/gateway/route_table_tests.rs
@@ -107,7 +107,7 @@
         share: ShareRule::default(),
     };
     let mut parts = parts(vec![route("r", "/a/")]);
-    parts.workspaces = vec![workspace("one"), workspace("two")];
+    parts.workspaces = Some(vec![workspace("one"), workspace("two")]);
     let error = RouteTable::build(parts).unwrap_err();
     assert!(matches!(error, TableError::DuplicateKey { .. }));
 }
@@ -132,7 +132,7 @@
             },
             ..WorkspaceRule::default()
         });
-        parts.workspaces = workspaces.collect();
+        parts.workspaces = Some(workspaces.collect());
         RouteTable::build(parts).map(drop)
     };
     for weight in [0.0, -1.0, 0.0009, 1_001.0, f64::NAN, f64::INFINITY] {
