Bound answers without end, for each answer and for an entry

Cause: each answer had a limit of 16 MiB, but nothing bounded their sum; heads were bounded one by one, so interim heads had no limit; a stream counted as one whatever its bytes were, and a line or comments without end were passed on.

Change (docs/design/answer-limits.md): an answer that is held as a whole may use as much memory as is still free of 40 MiB, so many endless ones share it and are given up while small ones find room. A frame counts as 64 bytes at least. An answer over a limit counts against its endpoint, not against the request, and the connection is closed at once.

--- a/crates/savorywalk/src/gateway/answer_bodies.rs
+++ b/crates/savorywalk/src/gateway/answer_bodies.rs
@@ -1,4 +1,5 @@
-use super::endpoint_call::{CallError, MAX_RESPONSE_BYTES};
+use super::answer_memory::{AnswerBuffer, AnswerHold};
+use super::endpoint_call::CallError;
 use super::forward_attempt::OpenAnswer;
 use super::stalled_calls::{StallEnd, StallRecord};
 use crate::prelude::*;
@@ -7,8 +8,7 @@
 #[derive(Debug)]
 pub(super) struct AnswerBody {
     pub(super) open: OpenAnswer,
-    chunks: Vec<Bytes>,
-    bytes: usize,
+    buffer: AnswerBuffer,
     /// When its head arrived.
     begun: Instant,
     /// When the endpoint last sent something.
@@ -23,12 +23,11 @@
 pub(super) struct AnswerBodies(Vec<AnswerBody>);
 
 impl AnswerBody {
-    fn new(open: OpenAnswer) -> Self {
+    fn new(open: OpenAnswer, hold: AnswerHold) -> Self {
         let begun = Instant::now();
         Self {
             open,
-            chunks: Vec::new(),
-            bytes: 0,
+            buffer: AnswerBuffer::new(hold),
             begun,
             heard: begun,
             stall: None,
@@ -44,12 +43,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.bytes += data.len();
-            if self.bytes > MAX_RESPONSE_BYTES {
-                let reason = format!("the body has more than {MAX_RESPONSE_BYTES} bytes");
-                return Err(CallError::Broken(reason));
-            }
-            self.chunks.push(data);
+            self.buffer.push(&data)?;
         }
         Ok(())
     }
@@ -67,22 +61,20 @@
         }
     }
 
-    /// Takes what was read of the body.
-    pub(super) fn take_bytes(&mut self) -> Bytes {
-        match std::mem::take(&mut self.chunks).as_slice() {
-            [whole] => whole.clone(),
-            chunks => chunks.concat().into(),
-        }
+    /// Splits the answer into its parts: the head, what was read of the body, and its memory.
+    pub(super) fn into_parts(self) -> (OpenAnswer, Bytes, AnswerHold) {
+        let (bytes, hold) = self.buffer.into_parts();
+        (self.open, bytes, hold)
     }
 }
 
 impl AnswerBodies {
-    pub(super) fn new(open: OpenAnswer) -> Self {
-        Self(vec![AnswerBody::new(open)])
+    pub(super) fn new(open: OpenAnswer, hold: AnswerHold) -> Self {
+        Self(vec![AnswerBody::new(open, hold)])
     }
 
-    pub(super) fn push(&mut self, open: OpenAnswer) {
-        self.0.push(AnswerBody::new(open));
+    pub(super) fn push(&mut self, open: OpenAnswer, hold: AnswerHold) {
+        self.0.push(AnswerBody::new(open, hold));
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- /dev/null
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -0,0 +1,274 @@
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
+
+use super::call_handler::GatewayBody;
+use super::endpoint_call::CallError;
+use crate::prelude::*;
+
+/// Bytes of answers that an entry holds at a time, over all requests. With buffers that grow by
+/// doubling, that is at most a third of the memory of the smallest VM, 256 MB.
+const MAX_HELD_BYTES: usize = 40 << 20;
+
+/// Bytes of one answer that is held as a whole.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Bytes that a frame of an answer counts for at least, as frames of a few bytes cost more time
+/// than memory.
+const MIN_FRAME_COST: usize = 64;
+
+/// A limit on what an endpoint may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum AnswerLimit {
+    /// The head, together with interim heads.
+    #[error("the head of the answer is too large")]
+    Head,
+    /// The body of one answer.
+    #[error("the answer has more than {bytes} bytes")]
+    Answer {
+        /// What one answer may have.
+        bytes: usize,
+    },
+    /// The bodies of all answers that the entry holds.
+    #[error("the entry holds {held} bytes of answers, too many for {bytes} bytes of this one")]
+    Entry {
+        /// What the entry holds for all answers.
+        held: usize,
+        /// What this answer needs.
+        bytes: usize,
+    },
+    /// The bytes of a stream that contain no event.
+    #[error("the stream has {bytes} bytes without an event")]
+    Event {
+        /// Bytes since the last event.
+        bytes: usize,
+    },
+}
+
+impl AnswerLimit {
+    const NAMES: [&str; 4] = ["head", "answer", "entry", "event"];
+
+    fn index(self) -> usize {
+        match self {
+            Self::Head => 0,
+            Self::Answer { .. } => 1,
+            Self::Entry { .. } => 2,
+            Self::Event { .. } => 3,
+        }
+    }
+}
+
+/// Bounds the memory for answers that an entry holds before it passes them on.
+///
+/// An answer may hold as much as is still free. So one answer may use half of the memory, many
+/// that grow without end share it and are given up, and a small one always finds room. See
+/// docs/design/answer-limits.md.
+#[derive(Debug, Default)]
+pub(super) struct AnswerMemory {
+    held: AtomicUsize,
+    peak: AtomicUsize,
+    exceeded: [AtomicU64; AnswerLimit::NAMES.len()],
+}
+
+/// The memory of one answer; released on drop.
+#[derive(Debug)]
+pub(super) struct AnswerHold {
+    memory: Arc<AnswerMemory>,
+    bytes: usize,
+}
+
+impl AnswerMemory {
+    /// Begins to hold an answer.
+    pub(super) fn hold(self: &Arc<Self>) -> AnswerHold {
+        AnswerHold {
+            memory: Arc::clone(self),
+            bytes: 0,
+        }
+    }
+
+    /// Counts an answer that has exceeded a limit.
+    pub(super) fn record_exceeded(&self, limit: AnswerLimit) {
+        self.exceeded[limit.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Registers the gauges and the counter of held and oversized answers.
+    pub(super) fn register_metrics(self: &Arc<Self>, meter: &Meter) {
+        let memory = Arc::clone(self);
+        meter
+            .u64_observable_gauge("savorywalk_gateway_answer_bytes")
+            .with_description("Bytes of answers that are held before they are passed on")
+            .with_callback(move |gauge| {
+                gauge.observe(memory.held.load(Ordering::Relaxed) as u64, &[]);
+            })
+            .build();
+        let memory = Arc::clone(self);
+        meter
+            .u64_observable_gauge("savorywalk_gateway_answer_peak_bytes")
+            .with_description("Most bytes of answers that were held at a time")
+            .with_callback(move |gauge| {
+                gauge.observe(memory.peak.load(Ordering::Relaxed) as u64, &[]);
+            })
+            .build();
+        let memory = Arc::clone(self);
+        meter
+            .u64_observable_counter("savorywalk_gateway_oversized_answers")
+            .with_description("Answers that were given up, by the limit that they exceeded")
+            .with_callback(move |counter| {
+                for (name, count) in AnswerLimit::NAMES.iter().zip(&memory.exceeded) {
+                    let limit = KeyValue::new("limit", *name);
+                    counter.observe(count.load(Ordering::Relaxed), &[limit]);
+                }
+            })
+            .build();
+    }
+}
+
+impl Drop for AnswerHold {
+    fn drop(&mut self) {
+        self.memory.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl AnswerHold {
+    /// Sets the number of bytes that the answer holds.
+    ///
+    /// # Errors
+    ///
+    /// The limit that it would exceed; it then holds as much as before.
+    pub(super) fn resize(&mut self, bytes: usize) -> Result<(), AnswerLimit> {
+        if bytes <= self.bytes {
+            self.memory
+                .held
+                .fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+            self.bytes = bytes;
+            return Ok(());
+        }
+        if bytes > MAX_ANSWER_BYTES {
+            let limit = AnswerLimit::Answer {
+                bytes: MAX_ANSWER_BYTES,
+            };
+            return Err(self.exceed(limit));
+        }
+        let more = bytes - self.bytes;
+        let grow = |held: usize| {
+            let free = MAX_HELD_BYTES.checked_sub(held + more)?;
+            (bytes <= free).then_some(held + more)
+        };
+        let held = &self.memory.held;
+        match held.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow) {
+            Ok(before) => {
+                self.memory.peak.fetch_max(before + more, Ordering::Relaxed);
+                self.bytes = bytes;
+                Ok(())
+            }
+            Err(held) => Err(self.exceed(AnswerLimit::Entry { held, bytes })),
+        }
+    }
+
+    /// Counts that the answer has exceeded a limit.
+    pub(super) fn exceed(&self, limit: AnswerLimit) -> AnswerLimit {
+        self.memory.record_exceeded(limit);
+        limit
+    }
+}
+
+/// An answer that is read as a whole, with the memory that it needs.
+#[derive(Debug)]
+pub(super) struct AnswerBuffer {
+    bytes: BytesMut,
+    /// What counts for the frames that were read.
+    cost: usize,
+    hold: AnswerHold,
+}
+
+impl AnswerBuffer {
+    pub(super) fn new(hold: AnswerHold) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            cost: 0,
+            hold,
+        }
+    }
+
+    /// Adds the data of a frame.
+    ///
+    /// # Errors
+    ///
+    /// The limit that the answer exceeds.
+    pub(super) fn push(&mut self, data: &[u8]) -> Result<(), AnswerLimit> {
+        self.cost += data.len().max(MIN_FRAME_COST);
+        self.hold.resize(self.cost)?;
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Splits the buffer into the answer and its memory.
+    pub(super) fn into_parts(self) -> (Bytes, AnswerHold) {
+        (self.bytes.freeze(), self.hold)
+    }
+}
+
+/// Reads the body of an answer to its proven end.
+pub(super) async fn read_complete(
+    mut body: Incoming,
+    hold: AnswerHold,
+) -> Result<(Bytes, AnswerHold), CallError> {
+    let mut buffer = AnswerBuffer::new(hold);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallError::Broken(error.to_string()))?;
+        // Trailers carry nothing that is used.
+        if let Ok(data) = frame.into_data() {
+            buffer.push(&data)?;
+        }
+    }
+    Ok(buffer.into_parts())
+}
+
+/// A body whose memory counts until the caller has got it.
+pub(super) fn held_body(bytes: Bytes, hold: AnswerHold) -> GatewayBody {
+    HeldBody {
+        bytes: Some(bytes),
+        _hold: hold,
+    }
+    .map_err(|never| match never {})
+    .boxed_unsync()
+}
+
+struct HeldBody {
+    bytes: Option<Bytes>,
+    _hold: AnswerHold,
+}
+
+impl hyper::body::Body for HeldBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let bytes = self.bytes.take().filter(|bytes| !bytes.is_empty());
+        std::task::Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        let length = self.bytes.as_ref().map_or(0, Bytes::len);
+        hyper::body::SizeHint::with_exact(length as u64)
+    }
+}
+
+#[cfg(test)]
+#[path = "answer_memory_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/savorywalk/src/gateway/answer_memory_tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+const ENDLESS: usize = 4_000;
+const STEP_BYTES: usize = 4 << 10;
+const SMALL_BYTES: usize = 800;
+
+/// Guards against answers without end that together use up the memory of an entry.
+#[test]
+fn answers_without_end_share_the_memory_of_an_entry() {
+    let memory = Arc::new(AnswerMemory::default());
+    for count in [1, 40, ENDLESS] {
+        let mut holds: Vec<AnswerHold> = (0..count).map(|_| memory.hold()).collect();
+        let mut is_growing = true;
+        let mut bytes = 0;
+        while is_growing {
+            bytes += STEP_BYTES;
+            let grown = holds.iter_mut().map(|hold| hold.resize(bytes).is_ok());
+            is_growing = grown.fold(false, |any, has_grown| any | has_grown);
+        }
+        assert!(memory.held.load(Ordering::Relaxed) <= MAX_HELD_BYTES);
+        let mut small = memory.hold();
+        assert_eq!(small.resize(SMALL_BYTES), Ok(()), "beside {count} answers");
+        drop((holds, small));
+        assert_eq!(memory.held.load(Ordering::Relaxed), 0);
+    }
+}
+
+/// Guards against a large answer that is refused although no other one needs the memory.
+#[test]
+fn one_answer_may_have_its_whole_size() {
+    let memory = Arc::new(AnswerMemory::default());
+    let mut hold = memory.hold();
+    assert_eq!(hold.resize(MAX_ANSWER_BYTES), Ok(()));
+    let limit = AnswerLimit::Answer {
+        bytes: MAX_ANSWER_BYTES,
+    };
+    assert_eq!(hold.resize(MAX_ANSWER_BYTES + 1), Err(limit));
+    assert_eq!(hold.resize(SMALL_BYTES), Ok(()));
+    assert_eq!(memory.held.load(Ordering::Relaxed), SMALL_BYTES);
+}
--- a/crates/savorywalk/src/gateway/body_race.rs
+++ b/crates/savorywalk/src/gateway/body_race.rs
@@ -3,7 +3,7 @@
 use hyper::Response;
 
 use super::answer_bodies::{AnswerBodies, AnswerBody};
-use super::call_handler::full_body;
+use super::answer_memory::held_body;
 use super::crash_detector::CallFailure;
 use super::endpoint_call::CallError;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, is_delimited};
@@ -31,7 +31,7 @@
     /// Reads the body of an answer. If it is late, another endpoint is asked as well, and the first body
     /// that is complete goes to the caller.
     pub(super) async fn read_whole(&mut self, open: OpenAnswer) -> AnswerOutcome {
-        let mut bodies = AnswerBodies::new(open);
+        let mut bodies = AnswerBodies::new(open, self.node.answer_memory.hold());
         let mut delay = SearchDelay::default();
         let mut next_search = Instant::now();
         while let Some(begun) = bodies.begun() {
@@ -101,7 +101,9 @@
             return Some(outcome);
         }
         match race.attempt {
-            Some(Ok(AttemptEnd::Open(open))) => bodies.push(*open),
+            Some(Ok(AttemptEnd::Open(open))) => {
+                bodies.push(*open, self.node.answer_memory.hold());
+            }
             Some(Ok(AttemptEnd::Failed(response))) => self.last_answer = Some(response),
             Some(Ok(_) | Err(_)) | None => self.ledger.forget_denials(),
         }
@@ -146,15 +148,14 @@
     /// Ends a body that was read; `None` if it came to nothing and others are still read.
     async fn end_body(
         &mut self,
-        (mut body, result): BodyEnd,
+        (body, result): BodyEnd,
         bodies: &mut AnswerBodies,
     ) -> Option<AnswerOutcome> {
         if let Err(error) = result {
             self.end_broken(body, &error).await;
             return bodies.is_empty().then_some(AnswerOutcome::Lost);
         }
-        let bytes = body.take_bytes();
-        let open = body.open;
+        let (open, bytes, hold) = body.into_parts();
         let (parts, _) = open.response.into_parts();
         let is_delimited = is_delimited(&parts.headers);
         if !is_delimited && self.has_crashed(&open.endpoint).await {
@@ -175,7 +176,7 @@
             let cache = &self.node.connection_cache;
             cache.put(&open.endpoint, open.call, &open.head);
         }
-        let mut response = Response::new(full_body(bytes));
+        let mut response = Response::new(held_body(bytes, hold));
         *response.status_mut() = parts.status;
         *response.headers_mut() = self.node.wire.caller_headers(&parts);
         Some(AnswerOutcome::Whole(response))
@@ -183,7 +184,7 @@
 
     async fn end_broken(&mut self, mut body: AnswerBody, error: &CallError) {
         body.finish_stall(StallEnd::Failed);
-        let failure = Some(CallFailure::Cut);
+        let failure = CallFailure::of(error);
         self.record_failure(&body.open.endpoint, failure, &error.to_string())
             .await;
     }
--- a/crates/savorywalk/src/gateway/crash_detector.rs
+++ b/crates/savorywalk/src/gateway/crash_detector.rs
@@ -3,6 +3,7 @@
 
 use super::answered_requests::AnsweredRequests;
 use super::crash_report::{CrashReport, FailedCalls, build_reports};
+use super::endpoint_call::CallError;
 use super::endpoint_paths::EndpointNetwork;
 use crate::prelude::*;
 use crate::quarantine::{
@@ -88,6 +89,22 @@
     TimedOut,
 }
 
+impl CallFailure {
+    /// How a call failed whose answer had begun; `None` if that shows nothing about a crash,
+    /// because the entry itself closed the connection.
+    pub(super) fn of(error: &CallError) -> Option<Self> {
+        match error {
+            CallError::TooLarge(_) => None,
+            CallError::Unsent(_)
+            | CallError::Withheld(_)
+            | CallError::OverBudget
+            | CallError::Silent
+            | CallError::Broken(_)
+            | CallError::Lost(_) => Some(Self::Cut),
+        }
+    }
+}
+
 /// Ends a [`DecisionWait`] when it is dropped.
 pub(super) type DecisionSender = oneshot::Sender<()>;
 
--- a/crates/savorywalk/src/gateway/endpoint_call.rs
+++ b/crates/savorywalk/src/gateway/endpoint_call.rs
@@ -1,18 +1,19 @@
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use super::answer_memory::AnswerLimit;
 use super::endpoint_paths::EndpointStream;
-use super::guarded_stream::GuardedStream;
+use super::guarded_stream::{GuardedStream, HeadMeter};
 use super::retry_budget::SendToken;
 use crate::prelude::*;
 use crate::registry::IncarnationToken;
 
-/// Size limit of a response body that is read completely.
-pub(super) const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Size of the read buffer of a connection, and of the largest head.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 
 /// Why a call to an endpoint failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -32,6 +33,9 @@
     /// The connection broke before the response was complete.
     #[error("connection broke before the response was complete: {0}")]
     Broken(String),
+    /// The answer exceeded a limit, so the connection was closed.
+    #[error("the answer was given up: {0}")]
+    TooLarge(#[from] AnswerLimit),
     /// The request was sent, but no usable response came back.
     #[error("no usable response: {0}")]
     Lost(String),
@@ -43,6 +47,7 @@
 pub(super) struct EndpointCall {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    head_meter: Arc<HeadMeter>,
     is_relayed: bool,
 }
 
@@ -60,9 +65,12 @@
         incarnation_token: &IncarnationToken,
     ) -> Result<Self, CallError> {
         let is_relayed = stream.is_relayed();
+        let stream = GuardedStream::new(stream, incarnation_token);
+        let head_meter = stream.head_meter();
         let handshake = http1::Builder::new()
             .preserve_header_case(true)
-            .handshake(TokioIo::new(GuardedStream::new(stream, incarnation_token)))
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) =
             handshake.map_err(|error| CallError::Unsent(error.to_string()))?;
@@ -74,6 +82,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            head_meter,
             is_relayed,
         })
     }
@@ -94,22 +103,21 @@
         request: Request<Bytes>,
         _token: SendToken,
     ) -> Result<Response<Incoming>, CallError> {
-        let broken = |error: hyper::Error| CallError::Broken(error.to_string());
-        let request = request.map(Full::new);
-        self.sender.send_request(request).await.map_err(broken)
+        self.exchange(request).await
     }
 
     /// Sends a probe, and waits for the head of the answer.
     pub(super) async fn probe(&mut self, request: Request<Bytes>) -> Result<(), CallError> {
-        let broken = |error: hyper::Error| CallError::Broken(error.to_string());
-        let sending = self.sender.send_request(request.map(Full::new));
-        sending.await.map(drop).map_err(broken)
+        self.exchange(request).await.map(drop)
     }
-}
 
-/// Reads a response body to its proven end.
-pub(super) async fn read_complete(body: Incoming) -> Result<Bytes, CallError> {
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
-    Ok(body.to_bytes())
+    async fn exchange(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
+        self.head_meter.start();
+        let response = self.sender.send_request(request.map(Full::new)).await;
+        let is_exceeded = self.head_meter.stop();
+        response.map_err(|error| match is_exceeded || error.is_parse_too_large() {
+            true => CallError::TooLarge(AnswerLimit::Head),
+            false => CallError::Broken(error.to_string()),
+        })
+    }
 }
--- a/crates/savorywalk/src/gateway/event_splitter_tests.rs
+++ b/crates/savorywalk/src/gateway/event_splitter_tests.rs
@@ -93,6 +93,41 @@
     assert_eq!(splitter.last_id(), Some(2));
 }
 
+/// Guards against a stream that consists of a line without an end, or of comments, and is passed
+/// on until the deadline.
+#[rstest::rstest]
+#[case::line(b"x".as_slice())]
+#[case::comments(b": c\n")]
+#[case::empty_comments(b":\n\n")]
+fn bytes_without_an_event_are_bounded(#[case] unit: &[u8]) {
+    let bytes = unit.repeat(1 << 10);
+    for (first, limit) in [
+        ("", MAX_EVENT_BYTES),
+        ("id: 1\ndata: a\n\n", MAX_PASSED_BYTES),
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push_events(first.as_bytes()).unwrap();
+        let pushes = (0..).find(|_| splitter.push_events(&bytes).is_err());
+        let pushed = pushes.unwrap() * bytes.len();
+        assert!(pushed <= limit && pushed + bytes.len() > limit, "{pushed}");
+        assert_eq!(
+            splitter.is_resumable(),
+            first.is_empty() || unit.contains(&b':')
+        );
+    }
+}
+
+/// Guards against a long stream of events, with comments between them, that is taken for one
+/// without events.
+#[test]
+fn events_and_comments_may_come_in_any_number() {
+    let mut splitter = EventSplitter::default();
+    for _ in 0..20_000 {
+        let events = splitter.push_events(b": comment\n\nid: 1\ndata: abcdefghijklmnopq\n\n");
+        assert!(events.unwrap().is_some());
+    }
+}
+
 fn event_list() -> impl Strategy<Value = Vec<String>> {
     let line_break = prop::sample::select(vec!["\n", "\r\n", "\r"]);
     let event = (line_break, "[a-z:]{0,9}", any::<bool>()).prop_map(|(end, data, has_comment)| {
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -3,9 +3,10 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 
+use super::answer_memory::read_complete;
 use super::call_handler::GatewayBody;
 use super::crash_detector::{CallFailure, FailedCall};
-use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::endpoint_call::{CallError, EndpointCall};
 use super::forward_run::{ForwardRun, SendState};
 use super::gateway_view::GatewayView;
 use super::plan_results::PlanResults;
@@ -329,6 +330,11 @@
                     .await;
                 Ok(AttemptEnd::Lost)
             }
+            CallError::TooLarge(limit) => {
+                self.record_failure(endpoint, None, &limit.to_string())
+                    .await;
+                Ok(AttemptEnd::Lost)
+            }
             CallError::Lost(reason) => {
                 self.record_failure(endpoint, None, &reason).await;
                 Ok(AttemptEnd::Lost)
@@ -531,16 +537,22 @@
                 parts.status.as_str(),
             );
             let time = self.context.remaining(Instant::now());
-            let body = tokio::time::timeout(time, read_complete(body)).await;
-            let Ok(Ok(body)) = body else {
-                let failure = match body {
-                    Err(_) => CallFailure::TimedOut,
-                    Ok(_) => CallFailure::Cut,
-                };
-                if !self.has_lost_path(&endpoint, failure).await {
-                    self.suspect_crash(&endpoint, failure);
+            let reading = read_complete(body, self.node.answer_memory.hold());
+            let body = match tokio::time::timeout(time, reading).await {
+                Ok(Ok((body, _))) => body,
+                unread => {
+                    let failure = match unread {
+                        Ok(Ok(_)) => None,
+                        Ok(Err(error)) => CallFailure::of(&error),
+                        Err(_) => Some(CallFailure::TimedOut),
+                    };
+                    if let Some(failure) = failure
+                        && !self.has_lost_path(&endpoint, failure).await
+                    {
+                        self.suspect_crash(&endpoint, failure);
+                    }
+                    return Ok(AttemptEnd::Lost);
                 }
-                return Ok(AttemptEnd::Lost);
             };
             self.record_answered(is_delimited(&parts.headers));
             if head.promises_not_run && !self.context.route.kind.is_retryable() {
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -1,6 +1,5 @@
 use std::pin::pin;
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::http::request;
@@ -8,9 +7,10 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
+use super::answer_memory::{AnswerBuffer, AnswerHold, held_body};
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::{CallFailure, DecisionWait};
-use super::endpoint_call::{CallError, MAX_RESPONSE_BYTES};
+use super::endpoint_call::CallError;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, next_frame_of};
 use super::forward_plan::HOPELESS_RETRY;
 use super::gateway_node::GatewayNode;
@@ -617,10 +617,11 @@
         let headers = self.node.wire.caller_headers(&parts);
         let status = parts.status;
         let response = Response::from_parts(parts, body);
+        let hold = self.node.answer_memory.hold();
         let relay = StreamRelay::start(self, OpenAnswer { response, ..open });
         let mut body = relay.into_body();
         if !knows_chunks {
-            body = collect_stream(body).await?;
+            body = collect_stream(body, hold).await?;
         }
         let mut response = Response::new(body);
         *response.status_mut() = status;
@@ -745,17 +746,22 @@
 }
 
 /// Reads a stream to its end, as the body of an answer with a length.
-async fn collect_stream(mut body: GatewayBody) -> Result<GatewayBody, GatewayRefusal> {
-    let mut whole = BytesMut::new();
+async fn collect_stream(
+    mut body: GatewayBody,
+    hold: AnswerHold,
+) -> Result<GatewayBody, GatewayRefusal> {
+    let mut buffer = AnswerBuffer::new(hold);
     while let Some(frame) = body.frame().await {
         let data = frame.map(Frame::into_data);
-        match data {
-            Ok(Ok(data)) if whole.len() + data.len() <= MAX_RESPONSE_BYTES => whole.extend(data),
-            Ok(_) | Err(_) => {
-                log_event!(info, "stream_not_collected", bytes = whole.len());
-                return Err(GatewayRefusal::OutcomeUnknown);
-            }
+        let added = match data {
+            Ok(Ok(data)) => buffer.push(&data).is_ok(),
+            Ok(Err(_)) | Err(_) => false,
+        };
+        if !added {
+            log_event!(info, "stream_not_collected", bytes = buffer.len());
+            return Err(GatewayRefusal::OutcomeUnknown);
         }
     }
-    Ok(full_body(whole.freeze()))
+    let (whole, hold) = buffer.into_parts();
+    Ok(held_body(whole, hold))
 }
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -2,6 +2,7 @@
 
 use tokio::sync::watch;
 
+use super::answer_memory::AnswerMemory;
 use super::cached_connections::ConnectionCache;
 use super::coordination_driver;
 use super::crash_detector::{CallFailure, CrashDetector};
@@ -57,6 +58,7 @@
     /// Connections that this entry relays for others.
     pub(super) relay_service: RelayService,
     pub(super) connection_cache: ConnectionCache,
+    pub(super) answer_memory: Arc<AnswerMemory>,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_detector: CrashDetector,
@@ -116,6 +118,7 @@
             connector: EndpointConnector::new(parts.network, parts.hub.clone()),
             relay_service: RelayService::default(),
             connection_cache: ConnectionCache::default(),
+            answer_memory: Arc::default(),
             wire: parts.wire,
             follower: parts.follower,
             data_center: parts.data_center,
@@ -146,6 +149,7 @@
             plan_admissions: Mutex::default(),
             shard_loads: Mutex::default(),
         });
+        node.answer_memory.register_metrics(node.metric_set.meter());
         node.register_view_age();
         node.register_quarantine();
         node.register_evacuations();
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! forwards each request to one endpoint. See docs/design/gateway.md.
 
 mod answer_bodies;
+mod answer_memory;
 mod answered_requests;
 mod body_race;
 mod body_reader;
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -1,5 +1,6 @@
+use super::answer_memory::read_complete;
 use super::crash_detector::CallFailure;
-use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::endpoint_call::{CallError, EndpointCall};
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
 use super::retry_budget::SendToken;
@@ -55,7 +56,8 @@
                 CallError::Unsent(_)
                 | CallError::Withheld(_)
                 | CallError::OverBudget
-                | CallError::Silent => None,
+                | CallError::Silent
+                | CallError::TooLarge(_) => None,
             },
         }
     }
@@ -138,7 +140,7 @@
     if !parts.status.is_success() {
         return Err(CallError::Lost(format!("status {}", parts.status)));
     }
-    let body = read_complete(body).await?;
+    let (body, _hold) = read_complete(body, node.answer_memory.hold()).await?;
     if is_delimited(&parts.headers) {
         node.connection_cache.put(member.endpoint(), call, &head);
     }
--- a/crates/savorywalk/src/gateway/release_queue.rs
+++ b/crates/savorywalk/src/gateway/release_queue.rs
@@ -1,7 +1,8 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use super::endpoint_call::{CallError, EndpointCall, read_complete};
+use super::answer_memory::read_complete;
+use super::endpoint_call::{CallError, EndpointCall};
 use super::endpoint_paths::EndpointStream;
 use super::forward_attempt::is_delimited;
 use super::gateway_node::GatewayNode;
@@ -198,7 +199,7 @@
     if let Some((pool, member)) = &member {
         node.record_response_head(pool, member.endpoint(), sent, &head);
     }
-    read_complete(body).await?;
+    read_complete(body, node.answer_memory.hold()).await?;
     if let Some((_, member)) = member
         && is_delimited(&parts.headers)
     {
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -3,6 +3,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use super::answer_memory::{AnswerHold, AnswerLimit};
 use super::call_handler::{BodyError, GatewayBody};
 use super::crash_detector::CallFailure;
 use super::endpoint_call::EndpointCall;
@@ -34,6 +35,8 @@
     run: ForwardRun,
     source: StreamSource,
     splitter: EventSplitter,
+    /// Memory of the event that is not complete yet.
+    hold: AnswerHold,
     has_events: bool,
     state: RelayState,
     /// The search for a replacement, while the endpoint is silent for long.
@@ -127,6 +130,9 @@
     TimedOut,
     #[error("a frame without data")]
     NoData,
+    /// What the endpoint sends is no stream of events, or too much is held of it.
+    #[error("{0}")]
+    TooLarge(AnswerLimit),
     /// The endpoint was silent, and the one that the stream was handed over to has failed.
     #[error("no event in time, and its replacement failed: {0}")]
     HandedOver(String),
@@ -178,6 +184,7 @@
     pub(super) fn start(run: ForwardRun, open: OpenAnswer) -> Self {
         Self {
             splitter: EventSplitter::after(run.context.head.last_event),
+            hold: run.node.answer_memory.hold(),
             run,
             source: StreamSource::new(open),
             has_events: false,
@@ -311,12 +318,27 @@
         let Ok(data) = frame.into_data() else {
             return RelayStep::Failed(StreamFailure::NoData);
         };
-        match self.splitter.push(&data) {
-            Some(events) => RelayStep::Events(events),
-            None => Box::pin(self.step()).await,
+        match self.split(&data) {
+            Ok(Some(events)) => RelayStep::Events(events),
+            Ok(None) => Box::pin(self.step()).await,
+            Err(limit) => RelayStep::Failed(StreamFailure::TooLarge(limit)),
         }
     }
 
+    /// Returns the events that are complete with `data`. Bytes that hold none are no answer, unless
+    /// the stream is one of other content.
+    fn split(&mut self, data: &[u8]) -> Result<Option<Bytes>, AnswerLimit> {
+        let events = match self.source.proof {
+            EndProof::Framing => self.splitter.push(data),
+            EndProof::Events => self.splitter.push_events(data).map_err(|missing| {
+                let bytes = missing.0;
+                self.hold.exceed(AnswerLimit::Event { bytes })
+            })?,
+        };
+        self.hold.resize(self.splitter.partial_bytes())?;
+        Ok(events)
+    }
+
     /// Waits for the next frame of the endpoint. While it is silent for long, another endpoint is
     /// sought, and takes its place once it goes on with the stream.
     async fn next_frame(&mut self) -> Result<SourceFrame, StreamFailure> {
@@ -544,7 +566,9 @@
                 Some(CallFailure::Cut)
             }
             StreamFailure::TimedOut => Some(CallFailure::TimedOut),
-            StreamFailure::NoData | StreamFailure::HandedOver(_) => None,
+            StreamFailure::NoData | StreamFailure::TooLarge(_) | StreamFailure::HandedOver(_) => {
+                None
+            }
         };
         self.run
             .record_failure(&self.source.endpoint, failure, &reason.to_string())
