Soak: replace control VMs while endpoints answer without end

savorywalk-proof replacements runs gateways and registries as processes. Control VMs are replaced one at a time (the leader or the oldest; killed, stopped, or with the successor started first) by ones with empty disks at new addresses; beside that gateways are killed, stopped, frozen and reloaded, documents are published and endpoints send bytes without end in heads and bodies. Callers use their connections until the process is gone. Checked: documents are accepted and read back, all gateways serve at the end, no request that may run once runs twice or runs after a refusal, and no gateway has more than 256 MB.

--- a/crates/daemon/tests/fault_runs.rs
+++ b/crates/daemon/tests/fault_runs.rs
@@ -8,8 +8,9 @@
 
 use rstest::rstest;
 use savorywalk_proof::{
-    FaultScript, PromptPlan, ProofPlan, ProofReport, RetryPlan, RetryPlay, RetryReport,
-    SilencePlan, SilencePlay, SilenceReport, run_prompts, run_proof, run_retries, run_silences,
+    FaultScript, PromptPlan, ProofPlan, ProofReport, ReplacementPlan, RetryPlan, RetryPlay,
+    RetryReport, SilencePlan, SilencePlay, SilenceReport, run_prompts, run_proof, run_replacements,
+    run_retries, run_silences,
 };
 use savorywalk_standin::Deployment;
 
@@ -225,3 +226,23 @@
     let report = play_seed(SilencePlay::PlannedWork, 1).await;
     assert!(report.is_sound(), "{report}");
 }
+
+/// Guards against a control that loses its majority for good while its VMs are replaced one after
+/// the other, and against entries that answers without end take down.
+#[rstest]
+#[case(3)]
+#[case(5)]
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_control_vms_and_endless_answers_break_no_promise(#[case] registries: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = ReplacementPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        registries,
+        gateways: 3,
+        replacements: 5,
+        seed: 1,
+    };
+    let report = run_replacements(&plan).await.unwrap();
+    assert!(report.is_sound(), "{report}");
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arguments::{Prompts, Retries, SavorywalkProof, SavorywalkProofCmd, Silence};
+use arguments::{Prompts, Replacements, Retries, SavorywalkProof, SavorywalkProofCmd, Silence};
 use savorywalk_proof::{
-    FaultScript, PromptPlan, ProofPlan, RetryPlan, RetryPlay, SilencePlan, SilencePlay,
-    run_prompts, run_proof, run_retries, run_silences,
+    FaultScript, PromptPlan, ProofPlan, ReplacementPlan, RetryPlan, RetryPlay, SilencePlan,
+    SilencePlay, run_prompts, run_proof, run_replacements, run_retries, run_silences,
 };
 use savorywalk_standin::Deployment;
 
@@ -77,6 +77,20 @@
                 /// Gateways; default 6.
                 optional --gateways gateways: usize
             }
+            /// Gateways and registries while control VMs are replaced and endpoints answer without
+            /// end, one run a seed.
+            cmd replacements {
+                /// First seed; default 1.
+                optional --seed seed: u64
+                /// Runs, each with the next seed; default 1.
+                optional --runs runs: u64
+                /// Control VMs; default 5.
+                optional --registries registries: usize
+                /// Gateways; default 6.
+                optional --gateways gateways: usize
+                /// Control VMs to replace; default 6, 30 at most.
+                optional --replacements count: usize
+            }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
                 /// Seed; default 1.
@@ -96,6 +110,12 @@
 /// Most gateways of a soak, each a process.
 const MAX_GATEWAYS: usize = 200;
 
+/// Control VMs of a soak of replacements, and how many of them are replaced.
+const DEFAULT_REGISTRIES: usize = 5;
+const MAX_REGISTRIES: usize = 15;
+const DEFAULT_REPLACEMENTS: usize = 6;
+const MAX_REPLACEMENTS: usize = 30;
+
 /// Gateways of a soak of retries.
 const RETRY_GATEWAYS: usize = 8;
 
@@ -125,6 +145,9 @@
             seeds.map(script).collect()
         }
         SavorywalkProofCmd::Prompts(prompts) => return soak_prompts(program, &prompts).await,
+        SavorywalkProofCmd::Replacements(replacements) => {
+            return soak_replacements(program, &replacements).await;
+        }
         SavorywalkProofCmd::Retries(retries) => return soak_retries(program, &retries).await,
         SavorywalkProofCmd::Silence(silence) => return soak_silence(program, &silence).await,
         SavorywalkProofCmd::Pairs(pairs) => {
@@ -188,6 +211,41 @@
     })
 }
 
+/// Runs the soak of replacements, one run a seed.
+async fn soak_replacements(
+    program: PathBuf,
+    replacements: &Replacements,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let first = replacements.seed.unwrap_or(1);
+    let count = replacements.replacements.unwrap_or(DEFAULT_REPLACEMENTS);
+    let registries = replacements.registries.unwrap_or(DEFAULT_REGISTRIES);
+    let mut is_sound = true;
+    for seed in first..first + replacements.runs.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = ReplacementPlan {
+            program: program.clone(),
+            folder: folder.path().to_path_buf(),
+            registries: registries.clamp(3, MAX_REGISTRIES),
+            gateways: replacements
+                .gateways
+                .unwrap_or(ENTRIES)
+                .clamp(1, MAX_GATEWAYS),
+            replacements: count.min(MAX_REPLACEMENTS),
+            seed,
+        };
+        let report = run_replacements(&plan).await?;
+        println!("seed {seed}: {report}");
+        if !report.is_sound() {
+            println!("seed {seed}: logs are kept in {}", folder.keep().display());
+            is_sound = false;
+        }
+    }
+    Ok(match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
 /// Runs a play of retries, one run a seed.
 async fn soak_retries(
     program: PathBuf,
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -16,6 +16,13 @@
 const FIRST_REGISTRY: u8 = 1;
 const FIRST_GATEWAY: u8 = 10;
 
+/// Last octets of the addresses of further registries, and of those that replace others.
+const FIRST_SUCCESSOR: u8 = 211;
+const LAST_SUCCESSOR: u8 = 249;
+
+/// Number of registries that a daemon is told.
+const SEEDS: usize = 3;
+
 /// Usual time within which a gateway that is asked to stop ends, in milliseconds.
 pub(crate) const STOP_TIME_MS: u64 = 3_000;
 
@@ -49,13 +56,26 @@
     earlier_program: Option<PathBuf>,
     processes: Vec<Option<SignalledProcess>>,
     has_started: Vec<bool>,
+    /// Address of each process.
+    hosts: Vec<Ipv4Addr>,
+    /// Last octet of the next registry that replaces another one.
+    next_successor: u8,
+    /// Whether the registries have founded their cluster.
+    is_founded: bool,
 }
 
 impl ProcessFleet {
     /// A fleet of which no process runs, at addresses of the network of `base`.
     pub(crate) fn new(program: &Path, folder: &Path, base: Ipv4Addr, plan: FleetPlan) -> Self {
         let count = plan.registries + plan.gateways;
+        let further = plan
+            .registries
+            .saturating_sub(usize::from(FIRST_GATEWAY - FIRST_REGISTRY));
+        let hosts = (0..count).map(|index| first_host(base, plan.registries, index));
         Self {
+            hosts: hosts.collect(),
+            next_successor: FIRST_SUCCESSOR + further as u8,
+            is_founded: false,
             program: program.to_path_buf(),
             folder: folder.to_path_buf(),
             base,
@@ -85,22 +105,79 @@
     pub(crate) async fn start_stopped(&mut self) -> Result<Vec<usize>> {
         let mut started = Vec::new();
         for index in 0..self.processes.len() {
-            let is_running = self.processes[index]
-                .as_mut()
-                .is_some_and(SignalledProcess::is_running);
-            if !is_running {
-                let settings = self.settings(index)?;
-                let name = format!("daemon-{index}");
-                let program = self.program(index);
-                let process = SignalledProcess::start(program, &self.folder, &name, &settings)?;
-                self.processes[index] = Some(process);
-                self.has_started[index] = true;
+            if !self.is_running(index) {
+                self.start_at(index)?;
                 started.push(index);
             }
         }
         Ok(started)
     }
 
+    /// Starts the process at `index`.
+    pub(crate) fn start_at(&mut self, index: usize) -> Result<()> {
+        let settings = self.settings(index)?;
+        let name = format!("daemon-{index}");
+        let program = self.program(index);
+        let process = SignalledProcess::start(program, &self.folder, &name, &settings)?;
+        self.processes[index] = Some(process);
+        self.has_started[index] = true;
+        Ok(())
+    }
+
+    /// Whether the process at `index` runs.
+    pub(crate) fn is_running(&mut self, index: usize) -> bool {
+        let process = self.processes[index].as_mut();
+        process.is_some_and(SignalledProcess::is_running)
+    }
+
+    /// Records that the cluster is founded, so that registries that start later join it.
+    pub(crate) fn set_founded(&mut self) {
+        self.is_founded = true;
+    }
+
+    /// Starts a registry with an empty disk at a new address, at a position where none runs.
+    /// Returns false if there is no further address.
+    pub(crate) fn start_successor(&mut self, index: usize) -> Result<bool> {
+        if self.next_successor > LAST_SUCCESSOR {
+            return Ok(false);
+        }
+        let [first, second, third, _] = self.base.octets();
+        self.hosts[index] = Ipv4Addr::new(first, second, third, self.next_successor);
+        self.next_successor += 1;
+        self.start_at(index)?;
+        Ok(true)
+    }
+
+    /// Position of the registry that leads, by the newest line of the logs.
+    pub(crate) fn find_leader(&self) -> Option<usize> {
+        let mut newest: Option<(u64, usize)> = None;
+        for index in 0..self.plan.registries {
+            let path = self.folder.join(format!("daemon-{index}.log"));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            let own = format!("replica={:08x}.", u32::from(self.hosts[index]));
+            let elections = log
+                .lines()
+                .filter(|line| line.contains("event=replica_leads"));
+            for line in elections.filter(|line| line.contains(&own)) {
+                let mut words = line.split(' ');
+                let term = words.find_map(|word| word.strip_prefix("term=")?.parse().ok());
+                newest = newest.max(term.map(|term| (term, index)));
+            }
+        }
+        newest.map(|(_, index)| index)
+    }
+
+    /// Largest memory that the process at `index` has had, in bytes; `None` if it does not run.
+    pub(crate) fn peak_memory(&self, index: usize) -> Option<u64> {
+        let id = self.processes[index].as_ref()?.id()?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     /// Kills all processes, and waits until they have ended.
     pub(crate) async fn end(self) -> Result<()> {
         for process in self.processes.into_iter().flatten() {
@@ -149,23 +226,20 @@
     }
 
     fn ip(&self, index: usize) -> Ipv4Addr {
-        let [first, second, third, _] = self.base.octets();
-        let last = match index.checked_sub(self.plan.registries) {
-            Some(gateway) => FIRST_GATEWAY + gateway as u8,
-            None => FIRST_REGISTRY + index as u8,
-        };
-        Ipv4Addr::new(first, second, third, last)
+        self.hosts[index]
     }
 
     fn settings(&self, index: usize) -> Result<String> {
         let ip = self.ip(index);
-        let seeds: Vec<String> = (0..self.plan.registries)
-            .map(|registry| format!("{}:{CLUSTER_PORT}", self.ip(registry)))
-            .collect();
-        let first_start = index < self.plan.registries && !self.has_started[index];
+        let is_seed = |registry: &usize| !self.is_founded || self.processes[*registry].is_some();
+        let seeds = (0..self.plan.registries).filter(is_seed);
+        let seeds = seeds.map(|registry| format!("{}:{CLUSTER_PORT}", self.ip(registry)));
+        let seeds: Vec<String> = seeds.take(SEEDS).collect();
+        let is_new = index < self.plan.registries && !self.has_started[index];
+        let first_start = is_new && !self.is_founded;
         let role = match index < self.plan.registries {
             true => {
-                let data = self.folder.join(format!("data-{index}"));
+                let data = self.folder.join(format!("data-{ip}"));
                 std::fs::create_dir_all(&data)?;
                 format!(
                     "[registry]\naddress = {ip}:{FIRST_PORT}\ndata_folder = {}\n\
@@ -243,6 +317,18 @@
     }
 }
 
+/// Address of the process at `index` of a fleet that starts for the first time.
+fn first_host(base: Ipv4Addr, registries: usize, index: usize) -> Ipv4Addr {
+    let [first, second, third, _] = base.octets();
+    let low = usize::from(FIRST_GATEWAY - FIRST_REGISTRY);
+    let last = match index.checked_sub(registries) {
+        Some(gateway) => FIRST_GATEWAY + gateway as u8,
+        None if index < low => FIRST_REGISTRY + index as u8,
+        None => FIRST_SUCCESSOR + (index - low) as u8,
+    };
+    Ipv4Addr::new(first, second, third, last)
+}
+
 fn read_metric(page: &str, name: &str) -> Option<f64> {
     let line = page.lines().find(|line| line.starts_with(name))?;
     line.rsplit(' ').next()?.parse().ok()
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -14,6 +14,7 @@
 mod prompt_soak;
 mod proof_report;
 mod proof_run;
+mod replacement_soak;
 mod retry_soak;
 mod run_address;
 mod signalled_process;
@@ -30,6 +31,7 @@
 pub use prompt_soak::{PromptPlan, PromptReport, run_prompts};
 pub use proof_report::ProofReport;
 pub use proof_run::{ProofError, ProofPlan, run_proof};
+pub use replacement_soak::{ReplacementPlan, ReplacementReport, run_replacements};
 pub use retry_soak::{
     ArrivalLog, BudgetLimits, BudgetUse, PoolArrivals, RetryPlan, RetryPlay, RetryReport,
     run_retries,
--- /dev/null
+++ b/crates/proof/src/replacement_soak/mod.rs
@@ -0,0 +1,14 @@
+//! Plays of gateways and registries as processes, in which control VMs are replaced by others with
+//! empty disks while endpoints answer without end, because both can take a whole deployment down. See
+//! docs/design/proof.md.
+
+mod replacement_callers;
+mod replacement_report;
+mod replacement_run;
+mod replacement_step;
+mod troubled_endpoint;
+
+pub use replacement_report::ReplacementReport;
+pub use replacement_run::{ReplacementPlan, run_replacements};
+
+use crate::gateway_fleet::Result;
--- a/crates/proof/src/signalled_process.rs
+++ b/crates/proof/src/signalled_process.rs
@@ -54,6 +54,11 @@
         Ok(())
     }
 
+    /// Id of the process; `None` once it has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
