--- a/crates/savorywalk/src/gateway/answer_bodies.rs
+++ b/crates/savorywalk/src/gateway/answer_bodies.rs
@@ -61,10 +61,9 @@
         }
     }
 
-    /// Splits the answer into its parts: the head, what was read of the body, and its memory.
-    pub(super) fn into_parts(self) -> (OpenAnswer, Bytes, AnswerHold) {
-        let (bytes, hold) = self.buffer.into_parts();
-        (self.open, bytes, hold)
+    /// Splits the answer into its head and what was read of its body.
+    pub(super) fn into_parts(self) -> (OpenAnswer, AnswerBuffer) {
+        (self.open, self.buffer)
     }
 }
 
--- a/crates/savorywalk/src/gateway/answer_memory.rs
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -1,8 +1,11 @@
+use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
 
@@ -10,10 +13,14 @@
 use super::endpoint_call::CallError;
 use crate::prelude::*;
 
-/// Bytes of answers that an entry holds at a time, over all requests. With buffers that grow by
-/// doubling, that is at most a third of the memory of the smallest VM, 256 MB.
+/// Bytes of answers that an entry holds at a time, over all requests: less than a sixth of the
+/// memory of the smallest VM, 256 MB.
 const MAX_HELD_BYTES: usize = 40 << 20;
 
+/// Bytes after which a block of an answer is full. Buffers that double, and whole answers that are
+/// copied to grow, would take several times what is held.
+const BLOCK_BYTES: usize = 64 << 10;
+
 /// Bytes of one answer that is held as a whole.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -179,7 +186,10 @@
 /// An answer that is read as a whole, with the memory that it needs.
 #[derive(Debug)]
 pub(super) struct AnswerBuffer {
-    bytes: BytesMut,
+    /// Full blocks, in order.
+    blocks: VecDeque<Bytes>,
+    /// The last block.
+    open: BytesMut,
     /// What counts for the frames that were read.
     cost: usize,
     hold: AnswerHold,
@@ -188,7 +198,8 @@
 impl AnswerBuffer {
     pub(super) fn new(hold: AnswerHold) -> Self {
         Self {
-            bytes: BytesMut::new(),
+            blocks: VecDeque::new(),
+            open: BytesMut::new(),
             cost: 0,
             hold,
         }
@@ -202,17 +213,33 @@
     pub(super) fn push(&mut self, data: &[u8]) -> Result<(), AnswerLimit> {
         self.cost += data.len().max(MIN_FRAME_COST);
         self.hold.resize(self.cost)?;
-        self.bytes.extend_from_slice(data);
+        self.open.extend_from_slice(data);
+        if self.open.len() >= BLOCK_BYTES {
+            self.blocks
+                .push_back(std::mem::take(&mut self.open).freeze());
+        }
         Ok(())
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.bytes.len()
+    /// The answer in one piece.
+    fn into_bytes(mut self) -> Bytes {
+        if self.blocks.is_empty() {
+            return self.open.freeze();
+        }
+        self.blocks.push_back(self.open.freeze());
+        self.blocks.make_contiguous().concat().into()
     }
 
-    /// Splits the buffer into the answer and its memory.
-    pub(super) fn into_parts(self) -> (Bytes, AnswerHold) {
-        (self.bytes.freeze(), self.hold)
+    /// The answer as a body, whose memory counts until the caller has got it.
+    pub(super) fn into_body(mut self) -> GatewayBody {
+        if !self.open.is_empty() {
+            self.blocks.push_back(self.open.freeze());
+        }
+        let body = HeldBody {
+            blocks: self.blocks,
+            _hold: self.hold,
+        };
+        body.map_err(|never| match never {}).boxed_unsync()
     }
 }
 
@@ -220,7 +247,7 @@
 pub(super) async fn read_complete(
     mut body: Incoming,
     hold: AnswerHold,
-) -> Result<(Bytes, AnswerHold), CallError> {
+) -> Result<Bytes, CallError> {
     let mut buffer = AnswerBuffer::new(hold);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| CallError::Broken(error.to_string()))?;
@@ -229,43 +256,34 @@
             buffer.push(&data)?;
         }
     }
-    Ok(buffer.into_parts())
-}
-
-/// A body whose memory counts until the caller has got it.
-pub(super) fn held_body(bytes: Bytes, hold: AnswerHold) -> GatewayBody {
-    HeldBody {
-        bytes: Some(bytes),
-        _hold: hold,
-    }
-    .map_err(|never| match never {})
-    .boxed_unsync()
+    Ok(buffer.into_bytes())
 }
 
+/// The blocks of an answer that the caller has not got yet.
 struct HeldBody {
-    bytes: Option<Bytes>,
+    blocks: VecDeque<Bytes>,
     _hold: AnswerHold,
 }
 
-impl hyper::body::Body for HeldBody {
+impl Body for HeldBody {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = Infallible;
 
     fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let bytes = self.bytes.take().filter(|bytes| !bytes.is_empty());
-        std::task::Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let block = self.blocks.pop_front();
+        Poll::Ready(block.map(|block| Ok(Frame::data(block))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.bytes.as_ref().is_none_or(Bytes::is_empty)
+        self.blocks.is_empty()
     }
 
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        let length = self.bytes.as_ref().map_or(0, Bytes::len);
-        hyper::body::SizeHint::with_exact(length as u64)
+    fn size_hint(&self) -> SizeHint {
+        let bytes: usize = self.blocks.iter().map(Bytes::len).sum();
+        SizeHint::with_exact(bytes as u64)
     }
 }
 
--- a/crates/savorywalk/src/gateway/answer_memory_tests.rs
+++ b/crates/savorywalk/src/gateway/answer_memory_tests.rs
@@ -38,3 +38,19 @@
     assert_eq!(hold.resize(SMALL_BYTES), Ok(()));
     assert_eq!(memory.held.load(Ordering::Relaxed), SMALL_BYTES);
 }
+
+/// Guards against an answer whose blocks come in another order, or not all.
+#[tokio::test]
+async fn an_answer_of_many_blocks_is_passed_on_whole() {
+    let memory = Arc::new(AnswerMemory::default());
+    let mut buffer = AnswerBuffer::new(memory.hold());
+    let whole: Vec<u8> = (0..3 * BLOCK_BYTES + 7).map(|byte| byte as u8).collect();
+    for frame in whole.chunks(1_000) {
+        buffer.push(frame).unwrap();
+    }
+    let body = buffer.into_body();
+    assert_eq!(body.size_hint().exact(), Some(whole.len() as u64));
+    let collected = body.collect().await.unwrap();
+    assert_eq!(collected.to_bytes(), whole);
+    assert_eq!(memory.held.load(Ordering::Relaxed), 0);
+}
--- a/crates/savorywalk/src/gateway/body_race.rs
+++ b/crates/savorywalk/src/gateway/body_race.rs
@@ -3,7 +3,6 @@
 use hyper::Response;
 
 use super::answer_bodies::{AnswerBodies, AnswerBody};
-use super::answer_memory::held_body;
 use super::crash_detector::CallFailure;
 use super::endpoint_call::CallError;
 use super::forward_attempt::{AnswerOutcome, AttemptEnd, OpenAnswer, is_delimited};
@@ -155,7 +154,7 @@
             self.end_broken(body, &error).await;
             return bodies.is_empty().then_some(AnswerOutcome::Lost);
         }
-        let (open, bytes, hold) = body.into_parts();
+        let (open, buffer) = body.into_parts();
         let (parts, _) = open.response.into_parts();
         let is_delimited = is_delimited(&parts.headers);
         if !is_delimited && self.has_crashed(&open.endpoint).await {
@@ -176,7 +175,7 @@
             let cache = &self.node.connection_cache;
             cache.put(&open.endpoint, open.call, &open.head);
         }
-        let mut response = Response::new(held_body(bytes, hold));
+        let mut response = Response::new(buffer.into_body());
         *response.status_mut() = parts.status;
         *response.headers_mut() = self.node.wire.caller_headers(&parts);
         Some(AnswerOutcome::Whole(response))
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -539,7 +539,7 @@
             let time = self.context.remaining(Instant::now());
             let reading = read_complete(body, self.node.answer_memory.hold());
             let body = match tokio::time::timeout(time, reading).await {
-                Ok(Ok((body, _))) => body,
+                Ok(Ok(body)) => body,
                 unread => {
                     let failure = match unread {
                         Ok(Ok(_)) => None,
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::answer_memory::{AnswerBuffer, AnswerHold, held_body};
+use super::answer_memory::{AnswerBuffer, AnswerHold};
 use super::call_handler::{GatewayBody, full_body};
 use super::crash_detector::{CallFailure, DecisionWait};
 use super::endpoint_call::CallError;
@@ -754,14 +754,14 @@
     while let Some(frame) = body.frame().await {
         let data = frame.map(Frame::into_data);
         let added = match data {
-            Ok(Ok(data)) => buffer.push(&data).is_ok(),
-            Ok(Err(_)) | Err(_) => false,
+            Ok(Ok(data)) => buffer.push(&data).map_err(|limit| limit.to_string()),
+            Ok(Err(_)) => Err("a frame without data".to_string()),
+            Err(error) => Err(error.to_string()),
         };
-        if !added {
-            log_event!(info, "stream_not_collected", bytes = buffer.len());
+        if let Err(reason) = added {
+            log_event!(info, "stream_not_collected", reason = reason);
             return Err(GatewayRefusal::OutcomeUnknown);
         }
     }
-    let (whole, hold) = buffer.into_parts();
-    Ok(held_body(whole, hold))
+    Ok(buffer.into_body())
 }
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -140,7 +140,7 @@
     if !parts.status.is_success() {
         return Err(CallError::Lost(format!("status {}", parts.status)));
     }
-    let (body, _hold) = read_complete(body, node.answer_memory.hold()).await?;
+    let body = read_complete(body, node.answer_memory.hold()).await?;
     if is_delimited(&parts.headers) {
         node.connection_cache.put(member.endpoint(), call, &head);
     }
