Count oversized heads, and let the soak wait for gateways that stop

savorywalk_gateway_oversized_answers stayed 0 for heads: only bodies were counted.

The soak now waits for gateways that it has asked to stop, as the platform starts each process again that has ended.

--- a/crates/proof/src/replacement_soak/replacement_run.rs
+++ b/crates/proof/src/replacement_soak/replacement_run.rs
@@ -67,6 +67,8 @@
     by_age: Vec<usize>,
     endpoints: TroubledEndpoints,
     frozen: Vec<usize>,
+    /// Gateways that were asked to stop.
+    stopped: Vec<usize>,
     document: u64,
     report: ReplacementReport,
 }
@@ -106,6 +108,7 @@
         by_age: (0..plan.registries).collect(),
         endpoints,
         frozen: Vec::new(),
+        stopped: Vec::new(),
         document: 0,
         report: ReplacementReport::default(),
     };
@@ -216,7 +219,11 @@
         let gateway = |index: usize| self.registries + 1 + index;
         match step {
             SideStep::Kill(index) => self.fleet.signal(gateway(index), Signal::SIGKILL),
-            SideStep::Stop(index) => self.fleet.signal(gateway(index), Signal::SIGTERM),
+            SideStep::Stop(index) => {
+                let index = gateway(index);
+                self.stopped.push(index);
+                self.fleet.signal(index, Signal::SIGTERM)
+            }
             SideStep::Freeze(index) => {
                 let index = gateway(index);
                 self.frozen.push(index);
@@ -254,6 +261,7 @@
         for index in self.registries + 1..self.fleet.len() {
             if !self.fleet.is_running(index) {
                 self.fleet.start_at(index)?;
+                self.stopped.retain(|stopped| *stopped != index);
             }
         }
         Ok(())
@@ -262,6 +270,11 @@
     async fn heal(&mut self) -> Result<()> {
         self.thaw()?;
         self.recover_endpoints();
+        // One that is still stopping would not be started again.
+        for index in std::mem::take(&mut self.stopped) {
+            let fleet = &mut self.fleet;
+            wait_until(async || !fleet.is_running(index)).await;
+        }
         self.start_gateways()
     }
 
--- a/crates/savorywalk/src/gateway/answer_memory.rs
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -97,8 +97,14 @@
         }
     }
 
-    /// Counts an answer that has exceeded a limit.
-    pub(super) fn record_exceeded(&self, limit: AnswerLimit) {
+    /// Counts an answer whose head exceeded its limit. Bodies count as they are held.
+    pub(super) fn record_failure(&self, error: &CallError) {
+        if let CallError::TooLarge(limit @ AnswerLimit::Head) = error {
+            self.record_exceeded(*limit);
+        }
+    }
+
+    fn record_exceeded(&self, limit: AnswerLimit) {
         self.exceeded[limit.index()].fetch_add(1, Ordering::Relaxed);
     }
 
--- a/crates/savorywalk/src/gateway/event_splitter.rs
+++ b/crates/savorywalk/src/gateway/event_splitter.rs
@@ -53,8 +53,8 @@
     ///
     /// # Errors
     ///
-    /// The number of bytes without an event, if they are too many: [`MAX_EVENT_BYTES`] before the
-    /// first event and [`MAX_PASSED_BYTES`] later. They are not passed on.
+    /// The number of bytes without an event, if they are too many: more than 256 KiB before the
+    /// first event, or 1 MiB later. They are not passed on.
     pub fn push_events(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, MissingEvent> {
         let end = self.add(bytes);
         let limit = match self.has_event {
--- a/crates/savorywalk/src/gateway/forward_attempt.rs
+++ b/crates/savorywalk/src/gateway/forward_attempt.rs
@@ -299,6 +299,7 @@
         error: CallError,
     ) -> Result<AttemptEnd, GatewayRefusal> {
         self.send_state.send_replace(SendState::Idle);
+        self.node.answer_memory.record_failure(&error);
         match error {
             CallError::Unsent(reason) => {
                 self.ledger.record_denial(endpoint);
--- a/crates/savorywalk/src/gateway/piece_call.rs
+++ b/crates/savorywalk/src/gateway/piece_call.rs
@@ -102,7 +102,10 @@
     (pieces, token): (&[QueuedPiece], SendToken),
 ) -> CallResult {
     let exchange = exchange(node, pool, member, call, (pieces, token));
-    exchange.await.unwrap_or_else(CallResult::Failed)
+    exchange.await.unwrap_or_else(|error| {
+        node.answer_memory.record_failure(&error);
+        CallResult::Failed(error)
+    })
 }
 
 async fn exchange(
