Never raise the majority while a lost voter is listed

A lost voter was replaced by a promotion and then a removal: five voters with a majority of three became six with four in between. One more loss at that moment, of the newcomer too, leaves no majority at three control VMs. Found by reading the change again; no deployment has shown it.

Now a promotion needs an even number of voters, so that the majority stays, or answers of all voters; a lost voter is removed from an odd number as soon as a newcomer has caught up, and the newcomer votes next. The log names the ground of each change and the silence of its member. voter_heard is voter_answers.

Before: no_promotion_raises_the_majority_beside_a_lost_voter failed at 3, 5 and 15 nodes (3 of 2, 4 of 3, 6 of 5).

--- a/crates/savorywalk/src/consensus/core_admission.rs
+++ b/crates/savorywalk/src/consensus/core_admission.rs
@@ -19,14 +19,38 @@
 /// and a voter even if that makes the majority no smaller.
 const REMOVAL_SILENCE_FACTOR: u32 = 10;
 
-/// A lost voter is removed only while there are more voters than this: three
-/// voters tolerate the loss of one.
+/// A lost voter without a successor is removed only while there are more voters than
+/// this: three voters tolerate the loss of one.
 const MIN_VOTERS: usize = 3;
 
 /// Maximum number of leader hints kept. All are dropped as stale when it is
 /// reached.
 const MAX_LEADER_HINTS: usize = 16;
 
+/// Why the leader changes the membership by itself; see docs/design/voter-replacement.md.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChangeGround {
+    /// A newcomer asks to join, or takes the place of an earlier learner on its node.
+    JoinRequest,
+    /// The node of a member has a newer voter.
+    Superseded,
+    /// The newcomer is on the node of a voter that it replaces.
+    SameNode,
+    /// The majority is the same with one more voter.
+    SameMajority,
+    /// Every voter answers, and there is room for one more.
+    AllAnswer,
+    /// The voter is lost, and a newcomer takes its place.
+    Successor,
+    /// The voter is lost, and the majority is smaller without it.
+    SmallerMajority,
+    /// The member has been lost for long.
+    LongLost,
+}
+
+/// A change and its ground.
+type GroundedChange = (MembershipChange, ChangeGround);
+
 /// Founding of a cluster, and admission of new replicas, for instance of those
 /// that have lost their disk.
 impl ReplicaCore {
@@ -119,7 +143,8 @@
     }
 
     /// Whether the committed membership at `index`, which lacks this replica, ends the
-    /// admission that it knows of. An older one does not: its leader was not told yet.
+    /// admission that it knows of. An older one does not: its leader may
+    /// lack the entry of the admission.
     fn is_expelled_by(&self, index: u64) -> bool {
         let is_leader = matches!(self.role, CoreRole::Leader(_));
         let is_newer = |admitted: u64| index == 0 || index > admitted;
@@ -247,69 +272,90 @@
             Some(stale) => MembershipChange::Remove(stale),
             None => MembershipChange::AddLearner(from),
         };
-        self.attempt_change(change);
+        self.attempt_change(change, ChangeGround::JoinRequest);
     }
 
-    /// Removes a member that was replaced or is lost; otherwise promotes a learner that has
-    /// caught up.
+    /// Makes the next change of the membership that is due, if there is one. Each leaves the
+    /// majority as it is or makes it smaller while a lost voter is listed.
     pub(super) fn advance_admission(&mut self) {
         if !matches!(self.role, CoreRole::Leader(_)) {
             return;
         }
-        let Some(membership) = self.log.membership() else {
-            return;
-        };
-        if let Some(replaced) = membership.replaced().or(self.removable_voter()) {
-            return self.attempt_change(MembershipChange::Remove(replaced));
-        }
-        if let Some(learner) = self.promotable_learner() {
-            return self.attempt_change(MembershipChange::Promote(learner));
-        }
-        if let Some(learner) = self.lost_learner() {
-            self.attempt_change(MembershipChange::Remove(learner));
+        let due = self
+            .superseded_member()
+            .or_else(|| self.due_promotion())
+            .or_else(|| self.due_removal())
+            .or_else(|| self.lost_learner());
+        if let Some((change, ground)) = due {
+            self.attempt_change(change, ground);
         }
     }
 
-    /// Returns a learner that has been silent for [`REMOVAL_SILENCE_FACTOR`] times the time
-    /// after which a voter is lost. It has no vote, but takes the place of a member.
-    fn lost_learner(&self) -> Option<ReplicaId> {
-        let silence = self.lost_after()? * REMOVAL_SILENCE_FACTOR;
-        let mut learners = self.log.membership()?.members();
-        let lost = learners.find(|(id, member)| {
-            !member.voter && self.silence(*id).is_some_and(|time| time >= silence)
-        });
-        lost.map(|(id, _)| id)
+    /// The removal of a member whose node has a newer voter.
+    fn superseded_member(&self) -> Option<GroundedChange> {
+        let member = self.log.membership()?.replaced()?;
+        Some((MembershipChange::Remove(member), ChangeGround::Superseded))
     }
 
-    /// Returns a lost voter whose removal makes the majority smaller, or one that has been
-    /// silent for [`REMOVAL_SILENCE_FACTOR`] times as long.
-    fn removable_voter(&self) -> Option<ReplicaId> {
-        let voters = self.voter_count();
-        if voters <= MIN_VOTERS {
-            return None;
-        }
+    /// The promotion of a learner that has caught up: it replaces a voter on its own node, or
+    /// there is room for another voter and either the majority stays as it is, from an even
+    /// number, or every voter answers.
+    fn due_promotion(&self) -> Option<GroundedChange> {
+        let membership = self.log.membership()?;
+        let keeps_majority = self.voter_count().is_multiple_of(2);
+        self.learners().find_map(|learner| {
+            let ground = if membership.is_replacement(learner) {
+                ChangeGround::SameNode
+            } else if !self.has_voter_slot() {
+                return None;
+            } else if keeps_majority {
+                ChangeGround::SameMajority
+            } else if self.have_all_answered_since(learner) {
+                ChangeGround::AllAnswer
+            } else {
+                return None;
+            };
+            let is_ready = self.is_caught_up(learner);
+            is_ready.then_some((MembershipChange::Promote(learner), ground))
+        })
+    }
+
+    /// The removal of a lost voter: from an even number, as the majority is then smaller; from an
+    /// odd one if a learner that has caught up takes its place, or after
+    /// [`REMOVAL_SILENCE_FACTOR`] times the silence.
+    fn due_removal(&self) -> Option<GroundedChange> {
         let lost_after = self.lost_after()?;
-        let silence = match voters.is_multiple_of(2) {
-            true => lost_after,
-            false => lost_after * REMOVAL_SILENCE_FACTOR,
+        let lost = self.lost_voter(lost_after)?;
+        let long_lost = self.lost_voter(lost_after * REMOVAL_SILENCE_FACTOR);
+        let voters = self.voter_count();
+        let has_successor = self.learners().any(|learner| self.is_caught_up(learner));
+        let (voter, ground) = match (voters.is_multiple_of(2), long_lost) {
+            (false, _) if has_successor => (lost, ChangeGround::Successor),
+            (true, _) if voters > MIN_VOTERS => (lost, ChangeGround::SmallerMajority),
+            (false, Some(lost)) if voters > MIN_VOTERS => (lost, ChangeGround::LongLost),
+            (true | false, _) => return None,
         };
-        self.lost_voter(silence)
+        Some((MembershipChange::Remove(voter), ground))
     }
 
-    /// Returns a learner that has caught up and may vote: it replaces a voter on its own node
-    /// or a lost one, or there is room for another voter and none is silent.
-    fn promotable_learner(&self) -> Option<ReplicaId> {
-        let membership = self.log.membership()?;
-        let lost_after = self.lost_after();
-        let replaces_lost = lost_after.is_some_and(|time| self.lost_voter(time).is_some());
-        let mut learners = membership.members().filter(|(_, member)| !member.voter);
-        let ready = learners.find(|(id, _)| {
-            let may_vote = membership.is_replacement(*id)
-                || replaces_lost
-                || (self.has_voter_slot() && self.has_heard_all_since(*id));
-            may_vote && self.is_caught_up(*id)
-        });
-        ready.map(|(id, _)| id)
+    /// The removal of a learner that has been silent for [`REMOVAL_SILENCE_FACTOR`] times the time
+    /// after which a voter is lost. It has no vote, but takes the place of a member.
+    fn lost_learner(&self) -> Option<GroundedChange> {
+        let silence = self.lost_after()? * REMOVAL_SILENCE_FACTOR;
+        let is_lost = |id: &ReplicaId| self.silence(*id).is_some_and(|time| time >= silence);
+        let learner = self.learners().find(is_lost)?;
+        Some((MembershipChange::Remove(learner), ChangeGround::LongLost))
+    }
+
+    fn learners(&self) -> impl Iterator<Item = ReplicaId> {
+        let members = self
+            .log
+            .membership()
+            .into_iter()
+            .flat_map(|all| all.members());
+        members
+            .filter(|(_, member)| !member.voter)
+            .map(|(id, _)| id)
     }
 
     /// Whether there may be one more voter.
@@ -322,9 +368,15 @@
 
     /// Tries a change and ignores a refusal: the next heartbeat or join request
     /// tries it again.
-    fn attempt_change(&mut self, change: MembershipChange) {
+    fn attempt_change(&mut self, change: MembershipChange, ground: ChangeGround) {
+        let member = match change {
+            MembershipChange::AddLearner(id)
+            | MembershipChange::Promote(id)
+            | MembershipChange::Remove(id) => id,
+        };
+        let silence = self.silence(member).unwrap_or_default();
         if let Ok(index) = self.try_change(change) {
-            self.log_membership_change(index, change);
+            self.log_membership_change(index, change, ground, silence);
         }
     }
 }
--- a/crates/savorywalk/src/consensus/core_leader.rs
+++ b/crates/savorywalk/src/consensus/core_leader.rs
@@ -256,7 +256,7 @@
             return false;
         }
         peer.contact = Some(now);
-        peer.heard = now;
+        peer.silent_since = now;
         peer.acked_round = peer.acked_round.max(round);
         self.refresh_lease();
         true
--- a/crates/savorywalk/src/consensus/core_voters.rs
+++ b/crates/savorywalk/src/consensus/core_voters.rs
@@ -1,3 +1,4 @@
+use super::core_admission::ChangeGround;
 use super::replica_core::{CoreRole, ReplicaCore};
 use super::{MemberSilence, MembershipChange, NodeDiscovery, ReplicaId};
 use crate::prelude::*;
@@ -24,14 +25,14 @@
         membership.voters().filter(is_silent).collect()
     }
 
-    /// Time since a member last answered this leader or, as far as this leader was told, an
-    /// earlier one.
+    /// Time since a member last answered this leader or, by the report of an earlier leader, that
+    /// one.
     pub(super) fn silence(&self, member: ReplicaId) -> Option<Duration> {
         let CoreRole::Leader(leader) = &self.role else {
             return None;
         };
         let peer = leader.peers.get(&member)?;
-        Some(self.now.saturating_duration_since(peer.heard))
+        Some(self.now.saturating_duration_since(peer.silent_since))
     }
 
     /// Returns a voter that has been silent for `silence` and has left this leader's own
@@ -56,7 +57,7 @@
 
     /// Whether every voter has answered a round that began after `newcomer` became a peer. A
     /// voter that was lost before that has not, however short its silence is.
-    pub(super) fn has_heard_all_since(&self, newcomer: ReplicaId) -> bool {
+    pub(super) fn have_all_answered_since(&self, newcomer: ReplicaId) -> bool {
         let (CoreRole::Leader(leader), Some(membership)) = (&self.role, self.log.membership())
         else {
             return false;
@@ -114,7 +115,7 @@
         };
         for (member, silence) in known {
             if let Some(peer) = leader.peers.get_mut(&member) {
-                peer.heard = now.checked_sub(silence).unwrap_or(now);
+                peer.silent_since = now.checked_sub(silence).unwrap_or(now);
             }
         }
     }
@@ -132,19 +133,27 @@
             log_event!(info, "voter_silent", voter = voter, voters = voters);
         }
         for voter in logged.difference(&silent) {
-            log_event!(info, "voter_heard", voter = voter, voters = voters);
+            log_event!(info, "voter_answers", voter = voter, voters = voters);
         }
     }
 
-    /// Logs a change of the membership with what it leaves: the voters, how many of them
-    /// are silent, and the votes that a majority takes.
-    pub(super) fn log_membership_change(&self, index: u64, change: MembershipChange) {
+    /// Logs a change of the membership with its ground, the silence of the member, and what it
+    /// leaves: the voters, how many of them are silent, and the votes that a majority takes.
+    pub(super) fn log_membership_change(
+        &self,
+        index: u64,
+        change: MembershipChange,
+        ground: ChangeGround,
+        silence: Duration,
+    ) {
         let quorum = self.log.membership().map_or(0, |next| next.quorum());
         log_event!(
             info,
             "membership_change",
             index = index,
             change = format!("{change:?}"),
+            ground = format!("{ground:?}"),
+            silent_ms = silence.as_millis(),
             voters = self.voter_count(),
             silent = self.silent_voters(),
             quorum = quorum
--- a/crates/savorywalk/src/consensus/peer_progress.rs
+++ b/crates/savorywalk/src/consensus/peer_progress.rs
@@ -17,7 +17,7 @@
     pub(super) contact: Option<Instant>,
     /// Time from which its silence counts: its latest answer, or an earlier leader's
     /// knowledge of it.
-    pub(super) heard: Instant,
+    pub(super) silent_since: Instant,
     /// Commit index sent to it last.
     pub(super) told_commit: u64,
 }
@@ -69,7 +69,7 @@
             acked_round: 0,
             first_round: round,
             contact: None,
-            heard: now,
+            silent_since: now,
             told_commit: 0,
         }
     }
--- a/crates/savorywalk/src/consensus/replacement_tests.rs
+++ b/crates/savorywalk/src/consensus/replacement_tests.rs
@@ -136,8 +136,8 @@
     assert_eq!(network.voters().len(), 5);
 }
 
-/// Guards against a voter that was told once that it is no member, and never votes or stands
-/// for election again although it was admitted anew.
+/// Guards against a voter that never votes or stands for election again after an expulsion,
+/// although it was admitted anew.
 #[test]
 fn a_voter_that_was_replaced_and_admitted_again_votes() {
     let mut network = SeedNetwork::founded(5);
@@ -156,10 +156,10 @@
     assert_majority_runs(&network, "with the voter admitted again");
 }
 
-/// Guards against learners that are gone for good and fill the places of members, so that no
+/// Guards against learners that are lost for good and fill the places of members, so that no
 /// successor of a voter is admitted any more.
 #[test]
-fn learners_that_are_gone_leave_room_for_newcomers() {
+fn lost_learners_leave_room_for_newcomers() {
     let mut network = SeedNetwork::founded(10);
     for replacement in 1..=40 {
         let membership = network.leader().membership().expect("a membership");
@@ -177,3 +177,34 @@
         "the newcomer has no place"
     );
 }
+
+/// Guards against a majority that grows by a promotion while a lost voter is listed: one more loss
+/// at that moment would then end control for good.
+#[rstest::rstest]
+fn no_promotion_raises_the_majority_beside_a_lost_voter(#[values(3, 5, 6, 15)] nodes: u32) {
+    let mut network = SeedNetwork::founded(nodes);
+    let quorum = network.leader().membership().unwrap().quorum();
+    network.largest_quorum = 0;
+    for replacement in 1..=4 {
+        let removed = next_victim(&network, Victim::Leader);
+        network.cores.remove(&removed);
+        network.start(100 + replacement, 1, false);
+        network.run(CATCH_UP);
+    }
+    assert_eq!(network.largest_quorum, quorum);
+}
+
+/// Guards against a split in which the side with a majority removes voters of the other side that
+/// live, and is left with few.
+#[test]
+fn a_split_removes_one_voter_at_most_from_an_even_number() {
+    let mut network = SeedNetwork::founded(8);
+    let leader = network.leader().id().node();
+    let others = network.cores.keys().copied().filter(|node| *node != leader);
+    network.isolated = others.take(3).collect();
+    network.run(REPLACE_AFTER * 4);
+    assert_eq!(network.voters().len(), 7);
+    network.isolated.clear();
+    network.run(Duration::from_secs(5));
+    assert_eq!(network.voters().len(), 8);
+}
--- a/crates/savorywalk/src/consensus/replica_core.rs
+++ b/crates/savorywalk/src/consensus/replica_core.rs
@@ -36,7 +36,7 @@
     pub(super) leader_contact: Instant,
     /// The other replica that this one followed last.
     pub(super) last_leader: Option<ReplicaId>,
-    /// Members that the last leader did not hear, with their silence then.
+    /// Members that did not answer the last leader, with their silence then.
     pub(super) known_silence: BTreeMap<ReplicaId, Duration>,
     pub(super) election_due: Instant,
     pub(super) join_due: Instant,
--- a/crates/savorywalk/src/consensus/seed_network.rs
+++ b/crates/savorywalk/src/consensus/seed_network.rs
@@ -13,13 +13,15 @@
     pub(super) isolated: BTreeSet<NodeNumber>,
     messages: VecDeque<Box<ReplicaMessage>>,
     max_voters: usize,
+    /// Largest majority of a membership in any log since it was last set.
+    pub(super) largest_quorum: usize,
 }
 
 pub(super) fn number(node: u32) -> NodeNumber {
     NodeNumber::new(node)
 }
 
-/// Number of nodes that a new replica is told, as the platform does.
+/// Number of seeds in the settings of a new replica.
 const SEEDS: usize = 3;
 
 fn options(seeds: Vec<NodeNumber>, may_found: bool, max_voters: usize) -> ReplicaOptions {
@@ -41,6 +43,7 @@
             isolated: BTreeSet::new(),
             messages: VecDeque::new(),
             max_voters: 5,
+            largest_quorum: 0,
         }
     }
 
@@ -94,7 +97,10 @@
         };
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
-            for action in core.handle(self.now, event) {
+            let actions = core.handle(self.now, event);
+            let quorum = core.membership().map_or(0, ReplicaMembership::quorum);
+            self.largest_quorum = self.largest_quorum.max(quorum);
+            for action in actions {
                 match action {
                     ReplicaAction::Persist(batch) => {
                         let sequence = batch.sequence;
--- a/crates/savorywalk/src/consensus/simulation/replacements.rs
+++ b/crates/savorywalk/src/consensus/simulation/replacements.rs
@@ -16,7 +16,7 @@
 const FOUNDING_TIME: Duration = Duration::from_millis(300);
 /// Most voters of the cluster.
 const MAX_VOTERS: usize = 9;
-/// Nodes that a new replica is told.
+/// Seeds in the settings of a new replica.
 const SEEDS: usize = 3;
 
 /// What has been removed, and until when the deployment is not whole.
