--- a/review/standin-2/large_bodies.rs
+++ b/review/standin-2/large_bodies.rs
@@ -122,7 +122,7 @@
     record.say(&format!("peaks: {}", peaks.collect::<Vec<_>>().join(", ")));
     platform.stop();
     for own in platform.ends.lock().unwrap().iter() {
-        record.say(&format!("{} used {} MB of 260 and was ended", own.node, own.memory_mb));
+        record.say(&format!("{} used {} MB of 260 and was ended; it wrote last: {}", own.node, own.memory_mb, own.last_line));
     }
     outcome
 }
