Review cases: write settings before a start only

The platform's part rewrote a daemon's settings right after its start, so that a slow start could read the later ones, or half a file: once a registry ended, once no cluster was founded.

--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -39,6 +39,7 @@
     pub role: Role,
     pub ip: String,
     memory_mb: u64,
+    seeds: String,
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
@@ -54,7 +55,9 @@
 }
 
 impl Node {
-    fn render(&self, top: &Path, seeds: &str, first_start: bool) {
+    /// Writes the settings in effect. It is called before a start only, so that no process reads a
+    /// file that is half written.
+    fn render(&self, top: &Path, first_start: bool) {
         let template = match self.role {
             Role::Gateway => "deploy/gateway.ini",
             Role::Registry => "deploy/registry.ini",
@@ -70,7 +73,7 @@
             ("{{region}}", "addis".to_string()),
             ("{{ip}}", self.ip.clone()),
             ("{{internalPorts.0}}", LINK_PORT.to_string()),
-            ("{{seeds}}", seeds.to_string()),
+            ("{{seeds}}", self.seeds.clone()),
             ("{{bootstrap}}", first_start.to_string()),
             ("{{listen.front}}", format!("{}:{FRONT_PORT}", self.ip)),
             ("{{listen.readyAddress}}", format!("{}:{READY_PORT}", self.ip)),
@@ -153,6 +156,7 @@
                 name,
                 role,
                 memory_mb,
+                seeds: seeds.clone(),
                 child: Mutex::default(),
                 peak_mb: Mutex::default(),
             })
@@ -167,12 +171,10 @@
         let ends = Arc::new(Mutex::new(Vec::new()));
         let stopping = Arc::new(AtomicBool::new(false));
         for node in &nodes {
-            node.render(top, &seeds, true);
+            node.render(top, true);
             node.start(top);
         }
         for node in &nodes {
-            // Later starts are no first start of the whole system.
-            node.render(top, &seeds, false);
             let (node, top, ends) = (Arc::clone(node), top.to_path_buf(), Arc::clone(&ends));
             let stopping = Arc::clone(&stopping);
             thread::spawn(move || watch(&node, &top, &ends, &stopping));
@@ -224,6 +226,8 @@
         });
         thread::sleep(RESTART_DELAY);
         if !stopping.load(Ordering::SeqCst) {
+            // A later start is no first start of the whole system.
+            node.render(top, false);
             node.start(top);
         }
     }
