--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -30,6 +30,7 @@
     thread::spawn(|| {
         thread::sleep(MAX_TIME);
         eprintln!("the case took too long");
+        platform::kill_all();
         exit(2);
     });
     let play = match name.as_str() {
@@ -41,7 +42,9 @@
             exit(2);
         }
     };
-    match play(&top, has_trouble, &record) {
+    let played = std::panic::catch_unwind(|| play(&top, has_trouble, &record));
+    platform::kill_all();
+    match played.unwrap_or_else(|_| Err("it met an error of its own".into())) {
         Ok(true) => {
             record.say("the rule held");
             exit(0);
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -16,6 +16,17 @@
 const LINK_PORT: u16 = 7740;
 const ZONES: [&str; 3] = ["bole", "kality", "piassa"];
 
+/// Processes that run now, for a case that ends before its time.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all daemons that this program has started.
+pub fn kill_all() {
+    let running = RUNNING.lock().unwrap_or_else(|poison| poison.into_inner());
+    for id in running.iter() {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
+}
+
 /// Delay before a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -111,7 +122,9 @@
             .stdout(log.try_clone().expect("the log"))
             .stderr(log)
             .spawn();
-        *self.child.lock().unwrap() = Some(child.expect("the program of the deploy file"));
+        let child = child.expect("the program of the deploy file");
+        RUNNING.lock().unwrap().push(child.id());
+        *self.child.lock().unwrap() = Some(child);
     }
 
     /// Memory that the process has written, in MB; pages of files do not count.
@@ -129,6 +142,7 @@
 
     fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
+            RUNNING.lock().unwrap().retain(|id| *id != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
