--- a/review/standin-2/endless_event.rs
+++ b/review/standin-2/endless_event.rs
@@ -237,6 +237,12 @@
         unanswered.count()
     ));
     record.say(&format!("{lost} of those without an answer had been passed on to a sound worker"));
+    for (id, end) in ends.iter() {
+        record.line(&format!("sent: confirmation {id}: {end:?}"));
+    }
+    for id in begun.iter() {
+        record.line(&format!("run by a sound worker: {id}"));
+    }
     Ok(lost <= MAX_LOST)
 }
 
--- a/review/standin-2/large_bodies.rs
+++ b/review/standin-2/large_bodies.rs
@@ -204,6 +204,9 @@
         ends.iter().filter(|(_, end)| matches!(end, End::Status(_))).count()
     ));
     record.say(&format!("{lost} of those without an answer had been passed on to a sound worker"));
+    for id in begun.iter() {
+        record.line(&format!("run by a sound worker: {id}"));
+    }
     Ok(lost <= MAX_LOST)
 }
 
