--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -31,6 +31,7 @@
     piece_stall_seconds: Histogram<f64>,
     resumes: Counter<u64>,
     broken_streams: Counter<u64>,
+    partial_frames: Counter<u64>,
     silent_replacements: Counter<u64>,
     stalls: Histogram<f64>,
     taken_up: Counter<u64>,
@@ -86,6 +87,10 @@
                 .u64_counter("savorywalk_gateway_broken_streams")
                 .with_description("Streams that broke off at their callers")
                 .build(),
+            partial_frames: meter
+                .u64_counter("savorywalk_gateway_partial_frames")
+                .with_description("Frames of streams that completed no event")
+                .build(),
             silent_replacements: meter
                 .u64_counter("savorywalk_gateway_silent_replacements")
                 .with_description("Endpoints that were to replace a silent one and were silent too")
@@ -212,6 +217,12 @@
         self.broken_streams.add(1, &[pool]);
     }
 
+    /// Counts a frame of a stream that completed no event.
+    pub(super) fn record_partial_frame(&self, pool: &str) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        self.partial_frames.add(1, &[pool]);
+    }
+
     pub(super) fn record_stall(&self, pool: &str, end: StallEnd, silence: Duration) {
         let pool = KeyValue::new("pool", pool.to_string());
         let end = KeyValue::new("end", end.name());
--- a/crates/savorywalk/src/gateway/stalled_calls/mod.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -8,6 +8,7 @@
 mod silent_replacement;
 mod stall_end;
 mod stall_record;
+mod stream_progress;
 
 pub(super) use pending_call::{HeadResult, OpenedCall, PendingCall, StalledCalls};
 pub(super) use progress_guard::{CallProgress, ProgressGuard};
@@ -18,3 +19,4 @@
 pub(super) use silent_replacement::SilentReplacement;
 pub(super) use stall_end::StallEnd;
 pub(super) use stall_record::StallRecord;
+pub(super) use stream_progress::StreamProgress;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -9,7 +9,9 @@
 use super::endpoint_call::EndpointCall;
 use super::forward_attempt::{OpenAnswer, SourceFrame, is_delimited, next_frame_of};
 use super::forward_run::{ForwardRun, HandoverEnd, ResumeRefusal};
-use super::stalled_calls::{ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord};
+use super::stalled_calls::{
+    ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord, StreamProgress,
+};
 use super::stream_end::EndProof;
 use super::stream_origins::OriginGuard;
 use super::{EventSplitter, PoolMember, RouteKind};
@@ -59,13 +61,12 @@
     endpoint: String,
     version: Option<Arc<str>>,
     started: Instant,
-    /// When the endpoint last sent something.
-    heard: Instant,
+    progress: StreamProgress,
     /// Dropped before another endpoint resumes the stream, so that the two never work on
     /// the same request.
     call: Option<EndpointCall>,
     guard: Option<OutstandingGuard>,
-    progress: Option<ProgressGuard>,
+    progress_guard: Option<ProgressGuard>,
 }
 
 /// The search for a replacement of a silent endpoint.
@@ -150,10 +151,10 @@
             endpoint: open.endpoint,
             version: open.version,
             started: open.started,
-            heard: Instant::now(),
+            progress: StreamProgress::begin(Instant::now()),
             call: Some(open.call),
             guard: Some(open.guard),
-            progress: Some(open.progress),
+            progress_guard: Some(open.progress),
         }
     }
 
@@ -169,13 +170,22 @@
     fn end_call(&mut self) {
         self.call = None;
         self.guard = None;
-        self.progress = None;
+        self.progress_guard = None;
     }
 
-    fn record_heard(&mut self) {
-        self.heard = Instant::now();
-        if let Some(progress) = &self.progress {
-            progress.record_heard();
+    /// Records a frame of the body for `run`.
+    fn record_frame(&mut self, run: &ForwardRun) {
+        if let Some(guard) = &self.progress_guard {
+            guard.record_heard();
+        }
+        if self.progress.record_frame(Instant::now()) {
+            log_event!(
+                info,
+                "events_in_pieces",
+                request = run.context.id,
+                endpoint = self.endpoint,
+                partial_frames = self.progress.partial_frames()
+            );
         }
     }
 }
@@ -232,7 +242,9 @@
                             prompt = self.run.context.prompt_text(),
                             endpoint = self.source.endpoint,
                             last_event = format!("{:?}", self.splitter.last_id()),
-                            silent_ms = self.source.heard.elapsed().as_millis(),
+                            silent_ms = self.source.progress.heard().elapsed().as_millis(),
+                            frames = self.source.progress.frames(),
+                            partial_frames = self.source.progress.partial_frames(),
                             reason = reason,
                             not_resumed = refusal
                         );
@@ -253,6 +265,7 @@
             delimited = self.source.is_delimited,
             last_event = format!("{:?}", self.splitter.last_id()),
             partial_bytes = partial_bytes,
+            frames = self.source.progress.frames(),
             ms = self.source.started.elapsed().as_millis()
         );
     }
@@ -301,7 +314,7 @@
     /// When a replacement of the endpoint is sought next, if it stays silent.
     fn next_search(&self) -> Option<Instant> {
         let limit = self.stall_limit()?;
-        let stalled = self.source.heard + limit;
+        let stalled = self.source.progress.heard() + limit;
         let next = self.stall.as_ref().map(|stall| stall.next_search);
         Some(next.map_or(stalled, |next| next.max(stalled)))
     }
@@ -336,6 +349,14 @@
             })?,
         };
         self.hold.resize(self.splitter.partial_bytes())?;
+        match &events {
+            Some(_) => self.source.progress.record_events(),
+            None => self
+                .run
+                .node
+                .metrics
+                .record_partial_frame(&self.run.context.pool),
+        }
         Ok(events)
     }
 
@@ -364,9 +385,9 @@
 
     /// Seeks another endpoint for the stream once. Returns what the endpoint has sent meanwhile.
     async fn search(&mut self) -> Result<Option<SourceFrame>, StreamFailure> {
-        let silence = self.source.heard.elapsed();
+        let silence = self.source.progress.heard().elapsed();
         if self.stall.is_none() {
-            let (endpoint, since) = (self.source.endpoint.clone(), self.source.heard);
+            let (endpoint, since) = (self.source.endpoint.clone(), self.source.progress.heard());
             self.stall = Some(StreamStall {
                 record: self.run.begin_stall(&endpoint, since).await,
                 delay: SearchDelay::default(),
@@ -426,7 +447,7 @@
     /// send one of both is dropped, so that two do not work on it: the present one if the other one answers
     /// a probe then. If the present one's connection breaks, the other one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
-        self.run.stalled_since = Some(self.source.heard);
+        self.run.stalled_since = Some(self.source.progress.heard());
         match self.race_replacement().await {
             RaceEnd::Search(end) => end,
             RaceEnd::Silent(member) => {
@@ -514,7 +535,7 @@
             Some(Err(_)) => StallEnd::Failed,
         });
         if let Some(Ok(_)) = frame {
-            self.source.record_heard();
+            self.source.record_frame(&self.run);
         }
     }
 
@@ -530,7 +551,7 @@
             "replacement_refused",
             request = self.run.context.id,
             endpoint = self.source.endpoint,
-            silent_ms = self.source.heard.elapsed().as_millis(),
+            silent_ms = self.source.progress.heard().elapsed().as_millis(),
             reason = refusal
         );
     }
@@ -605,7 +626,7 @@
 
     /// Goes on with the stream of another endpoint.
     fn replace_source(&mut self, next: StreamSource, reason: &StreamFailure) {
-        let silence = self.source.heard.elapsed();
+        let silence = self.source.progress.heard().elapsed();
         if self.stall.is_some() {
             self.finish_stall(StallEnd::Replaced);
             self.run.report_replaced(&self.source.endpoint);
