Read the frames of a stream in a loop, as recursion overflowed the stack

What callers saw: a gateway that reads a stream whose event comes in some hundred pieces aborts, and all of its requests end without an answer. The endpoint need not be in trouble: a sound event of 6 KB in 1,500 chunks does it.

Cause: StreamRelay::step called itself for each frame that completes no event. The nested futures are polled from the outermost one, so each poll takes a level of the stack, and the time of a level, for each frame since the last event.

Without a change of logic both tests of events_in_pieces.rs ended with SIGABRT; the log had events_in_pieces partial_frames=32 just before it (unoptimised build, which overflows before 100 frames, so the line now comes at 32). Events of the same length in few frames pass in broken_off_answers.rs. That rules out the drop of the futures, as no caller had left, and the reader below, as bodies in chunks of one byte pass.

Change: a loop. No state is held across its waits but in the relay, so cancelling the wait loses nothing as before; consume_budget lets other tasks run while frames are ready.

--- a/crates/savorywalk/src/gateway/stalled_calls/stream_progress.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/stream_progress.rs
@@ -2,7 +2,7 @@
 
 /// Frames of one event from which it is logged that events come in pieces. An event holds a few tokens
 /// and usually comes in one frame.
-const MIN_LOGGED_FRAMES: u64 = 100;
+const MIN_LOGGED_FRAMES: u64 = 32;
 
 /// How the body of a stream arrives from one endpoint, as a state machine without I/O.
 #[derive(Clone, Copy, Debug)]
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -319,22 +319,26 @@
         Some(next.map_or(stalled, |next| next.max(stalled)))
     }
 
+    /// Waits until frames of the endpoint complete events, or the stream ends.
     async fn step(&mut self) -> RelayStep {
-        let frame = match self.next_frame().await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
-                return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
+        loop {
+            let frame = match self.next_frame().await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => {
+                    return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
+                }
+                Ok(None) => return self.end().await,
+                Err(failure) => return RelayStep::Failed(failure),
+            };
+            let Ok(data) = frame.into_data() else {
+                return RelayStep::Failed(StreamFailure::NoData);
+            };
+            match self.split(&data) {
+                Ok(Some(events)) => return RelayStep::Events(events),
+                // Frames may be ready for as long as the endpoint sends: other tasks have their turn.
+                Ok(None) => tokio::task::coop::consume_budget().await,
+                Err(limit) => return RelayStep::Failed(StreamFailure::TooLarge(limit)),
             }
-            Ok(None) => return self.end().await,
-            Err(failure) => return RelayStep::Failed(failure),
-        };
-        let Ok(data) = frame.into_data() else {
-            return RelayStep::Failed(StreamFailure::NoData);
-        };
-        match self.split(&data) {
-            Ok(Some(events)) => RelayStep::Events(events),
-            Ok(None) => Box::pin(self.step()).await,
-            Err(limit) => RelayStep::Failed(StreamFailure::TooLarge(limit)),
         }
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod announcement_options;
 mod announcer;
+mod answer_pieces;
 mod deployment;
 mod endpoint_fault;
 mod endpoint_order;
@@ -34,6 +35,7 @@
 
 pub use announcement_options::AnnouncementOptions;
 pub use announcer::{AnnounceTarget, start_announcer};
+pub use answer_pieces::AnswerPieces;
 pub use deployment::{Deployment, DeploymentPlan, PlannedEndpoint, token_for};
 pub use endpoint_fault::EndpointFault;
 pub use endpoint_order::{EndpointOrder, FencingNumber, OrderAction};
