Count only what callers get as progress of a stream

Cause: StreamRelay noted the time of each frame, and the stall limits count from it. Any byte began them anew, and ended the search for a replacement. Callers get events, so for them such a stream stands still.

Change: StreamProgress holds when the caller last got something: an event, a comment that ends like one, a part of an event that is passed on in parts, and any part of other content. Stall limits, the race with a replacement and the progress table use it, so the endpoint counts as silent and as failed once its stream is replaced. The reading of frames moves to EventBody, which a search may cancel at any piece; the present endpoint keeps the stream if it completes an event before the handover ends.

Tests without network: pieces are no progress, other tasks run while pieces are ready, a cancelled read loses nothing (property). A sound event that takes longer than the limit at every endpoint stays whole.

--- a/crates/savorywalk/src/gateway/stalled_calls/mod.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/mod.rs
@@ -19,4 +19,4 @@
 pub(super) use silent_replacement::SilentReplacement;
 pub(super) use stall_end::StallEnd;
 pub(super) use stall_record::StallRecord;
-pub(super) use stream_progress::StreamProgress;
+pub(super) use stream_progress::{FrameKind, StreamProgress};
--- a/crates/savorywalk/src/gateway/stalled_calls/stream_progress.rs
+++ b/crates/savorywalk/src/gateway/stalled_calls/stream_progress.rs
@@ -5,46 +5,63 @@
 const MIN_LOGGED_FRAMES: u64 = 32;
 
 /// How the body of a stream arrives from one endpoint, as a state machine without I/O.
+///
+/// Callers wait for events, so bytes that complete none are no progress, however many they are.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::gateway) struct StreamProgress {
-    /// When the endpoint last sent something.
-    heard: Instant,
+    /// When something last arrived that callers get; at first, when the head did.
+    progressed: Instant,
     frames: u64,
-    /// Frames since the last one that completed an event.
+    /// Frames since the last progress.
     partial_frames: u64,
     /// Whether it was logged that events come in pieces.
     is_logged: bool,
 }
 
+/// What a frame of a stream is for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum FrameKind {
+    /// The caller gets something with it.
+    Progress,
+    /// A piece of an event that is not complete yet.
+    Partial {
+        /// Whether it is to be logged that events come in pieces; once a stream.
+        is_due: bool,
+    },
+}
+
 impl StreamProgress {
     /// Begins with the head of the answer.
     pub(in crate::gateway) fn begin(now: Instant) -> Self {
         Self {
-            heard: now,
+            progressed: now,
             frames: 0,
             partial_frames: 0,
             is_logged: false,
         }
     }
 
-    /// Records a frame. Returns whether events now count as coming in pieces, once a stream.
-    pub(in crate::gateway) fn record_frame(&mut self, now: Instant) -> bool {
-        self.heard = now;
+    /// Records a frame, and whether the caller gets something with it.
+    pub(in crate::gateway) fn record_frame(
+        &mut self,
+        now: Instant,
+        is_progress: bool,
+    ) -> FrameKind {
         self.frames += 1;
+        if is_progress {
+            self.progressed = now;
+            self.partial_frames = 0;
+            return FrameKind::Progress;
+        }
         self.partial_frames += 1;
         let is_due = self.partial_frames >= MIN_LOGGED_FRAMES && !self.is_logged;
         self.is_logged |= is_due;
-        is_due
+        FrameKind::Partial { is_due }
     }
 
-    /// Records that the last frame completed an event, or another part that callers get.
-    pub(in crate::gateway) fn record_events(&mut self) {
-        self.partial_frames = 0;
-    }
-
-    /// When the endpoint last sent something.
-    pub(in crate::gateway) fn heard(&self) -> Instant {
-        self.heard
+    /// When something last arrived that callers get.
+    pub(in crate::gateway) fn progressed(&self) -> Instant {
+        self.progressed
     }
 
     /// Frames so far.
@@ -52,8 +69,12 @@
         self.frames
     }
 
-    /// Frames since the last one that completed an event.
+    /// Frames since the last progress.
     pub(in crate::gateway) fn partial_frames(&self) -> u64 {
         self.partial_frames
     }
 }
+
+#[cfg(test)]
+#[path = "stream_progress_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/stream_relay.rs
+++ b/crates/savorywalk/src/gateway/stream_relay.rs
@@ -1,22 +1,21 @@
 use std::pin::pin;
 
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
-use super::answer_memory::{AnswerHold, AnswerLimit};
 use super::call_handler::{BodyError, GatewayBody};
 use super::crash_detector::CallFailure;
-use super::endpoint_call::EndpointCall;
-use super::forward_attempt::{OpenAnswer, SourceFrame, is_delimited, next_frame_of};
+use super::event_body::EventRead;
+use super::event_buffer::EventBuffer;
+use super::forward_attempt::{OpenAnswer, next_frame_of};
 use super::forward_run::{ForwardRun, HandoverEnd, ResumeRefusal};
-use super::stalled_calls::{
-    ProgressGuard, ReplacementChance, SearchDelay, StallEnd, StallRecord, StreamProgress,
-};
+use super::stalled_calls::{ReplacementChance, SearchDelay, StallEnd, StallRecord};
 use super::stream_end::EndProof;
+use super::stream_failure::StreamFailure;
 use super::stream_origins::OriginGuard;
-use super::{EventSplitter, PoolMember, RouteKind};
+use super::stream_source::StreamSource;
+use super::{PoolMember, RouteKind};
 use crate::prelude::*;
-use crate::routing::OutstandingGuard;
 
 /// Time without an event, in multiples of the route's longest pause, after which a stream has
 /// stalled and a replacement of its endpoint is sought. Callers wait for eight pauses.
@@ -36,9 +35,7 @@
 pub(super) struct StreamRelay {
     run: ForwardRun,
     source: StreamSource,
-    splitter: EventSplitter,
-    /// Memory of the event that is not complete yet.
-    hold: AnswerHold,
+    buffer: EventBuffer,
     has_events: bool,
     state: RelayState,
     /// The search for a replacement, while the endpoint is silent for long.
@@ -47,28 +44,6 @@
     origin_guard: Option<OriginGuard>,
 }
 
-/// The endpoint's side of the stream.
-struct StreamSource {
-    /// Whether the stream shows where it ends.
-    is_delimited: bool,
-    /// What shows that the stream is complete.
-    proof: EndProof,
-    /// Whether the endpoint has sent an event.
-    has_events: bool,
-    body: Incoming,
-    /// What was read of the body before this source took the place of another one.
-    early: Option<SourceFrame>,
-    endpoint: String,
-    version: Option<Arc<str>>,
-    started: Instant,
-    progress: StreamProgress,
-    /// Dropped before another endpoint resumes the stream, so that the two never work on
-    /// the same request.
-    call: Option<EndpointCall>,
-    guard: Option<OutstandingGuard>,
-    progress_guard: Option<ProgressGuard>,
-}
-
 /// The search for a replacement of a silent endpoint.
 #[derive(Debug)]
 struct StreamStall {
@@ -94,8 +69,8 @@
 
 /// What a search for a replacement came to.
 enum SearchEnd {
-    /// The endpoint sent a frame, or its connection ended.
-    Source(SourceFrame),
+    /// The stream goes on at its endpoint, or has ended there.
+    Source(EventRead),
     /// Another endpoint goes on with the stream.
     Opened(Box<OpenAnswer>),
     /// There is no replacement now.
@@ -115,88 +90,12 @@
     Failed(StreamFailure),
 }
 
-/// Why a stream failed.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-enum StreamFailure {
-    /// The connection ended before the stream.
-    #[error("{0}")]
-    Cut(String),
-    /// The connection was closed as after a complete answer, but the stream is not complete.
-    #[error("the stream ended within an event or without any")]
-    Unfinished,
-    /// The connection was closed as after a complete answer, but the endpoint has crashed.
-    #[error("the endpoint accepts no connections after an end that only its connection shows")]
-    Crashed,
-    #[error("no event in time")]
-    TimedOut,
-    #[error("a frame without data")]
-    NoData,
-    /// What the endpoint sends is no stream of events, or too much is held of it.
-    #[error("{0}")]
-    TooLarge(AnswerLimit),
-    /// The endpoint was silent, and the one that the stream was handed over to has failed.
-    #[error("no event in time, and its replacement failed: {0}")]
-    HandedOver(String),
-}
-
-impl StreamSource {
-    fn new(open: OpenAnswer) -> Self {
-        let (head, body) = open.response.into_parts();
-        Self {
-            is_delimited: is_delimited(&head.headers),
-            proof: EndProof::of(&head),
-            has_events: false,
-            body,
-            early: open.early,
-            endpoint: open.endpoint,
-            version: open.version,
-            started: open.started,
-            progress: StreamProgress::begin(Instant::now()),
-            call: Some(open.call),
-            guard: Some(open.guard),
-            progress_guard: Some(open.progress),
-        }
-    }
-
-    /// Waits for the next frame of the body. Cancelling the wait loses nothing.
-    async fn frame(&mut self) -> SourceFrame {
-        match self.early.take() {
-            Some(frame) => frame,
-            None => self.body.frame().await,
-        }
-    }
-
-    /// Ends the call to a lost endpoint, which no longer counts as one in progress.
-    fn end_call(&mut self) {
-        self.call = None;
-        self.guard = None;
-        self.progress_guard = None;
-    }
-
-    /// Records a frame of the body for `run`.
-    fn record_frame(&mut self, run: &ForwardRun) {
-        if let Some(guard) = &self.progress_guard {
-            guard.record_heard();
-        }
-        if self.progress.record_frame(Instant::now()) {
-            log_event!(
-                info,
-                "events_in_pieces",
-                request = run.context.id,
-                endpoint = self.endpoint,
-                partial_frames = self.progress.partial_frames()
-            );
-        }
-    }
-}
-
 impl StreamRelay {
     pub(super) fn start(run: ForwardRun, open: OpenAnswer) -> Self {
         Self {
-            splitter: EventSplitter::after(run.context.head.last_event),
-            hold: run.node.answer_memory.hold(),
+            buffer: EventBuffer::after(run.context.head.last_event, run.node.answer_memory.hold()),
+            source: StreamSource::new(&run, open),
             run,
-            source: StreamSource::new(open),
             has_events: false,
             state: RelayState::Open,
             stall: None,
@@ -241,10 +140,10 @@
                             digest = self.run.identity.digest,
                             prompt = self.run.context.prompt_text(),
                             endpoint = self.source.endpoint,
-                            last_event = format!("{:?}", self.splitter.last_id()),
-                            silent_ms = self.source.progress.heard().elapsed().as_millis(),
-                            frames = self.source.progress.frames(),
-                            partial_frames = self.source.progress.partial_frames(),
+                            last_event = format!("{:?}", self.buffer.splitter.last_id()),
+                            silent_ms = self.silence().as_millis(),
+                            frames = self.source.progress().frames(),
+                            partial_frames = self.source.progress().partial_frames(),
                             reason = reason,
                             not_resumed = refusal
                         );
@@ -263,9 +162,9 @@
             request = self.run.context.id,
             endpoint = self.source.endpoint,
             delimited = self.source.is_delimited,
-            last_event = format!("{:?}", self.splitter.last_id()),
+            last_event = format!("{:?}", self.buffer.splitter.last_id()),
             partial_bytes = partial_bytes,
-            frames = self.source.progress.frames(),
+            frames = self.source.progress().frames(),
             ms = self.source.started.elapsed().as_millis()
         );
     }
@@ -292,6 +191,16 @@
         self.run.release_results();
     }
 
+    /// When the caller last got something of the stream, or when the answer of its present endpoint
+    /// began.
+    fn progressed(&self) -> Instant {
+        self.source.progress().progressed()
+    }
+
+    fn silence(&self) -> Duration {
+        self.progressed().elapsed()
+    }
+
     fn is_resumable(&self) -> bool {
         self.run.context.route.kind == RouteKind::Stream { resumable: true }
     }
@@ -314,91 +223,58 @@
     /// When a replacement of the endpoint is sought next, if it stays silent.
     fn next_search(&self) -> Option<Instant> {
         let limit = self.stall_limit()?;
-        let stalled = self.source.progress.heard() + limit;
+        let stalled = self.progressed() + limit;
         let next = self.stall.as_ref().map(|stall| stall.next_search);
         Some(next.map_or(stalled, |next| next.max(stalled)))
     }
 
-    /// Waits until frames of the endpoint complete events, or the stream ends.
+    /// Waits for events, or for the end of the stream.
     async fn step(&mut self) -> RelayStep {
         loop {
-            let frame = match self.next_frame().await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    return RelayStep::Failed(StreamFailure::Cut(error.to_string()));
-                }
-                Ok(None) => return self.end().await,
-                Err(failure) => return RelayStep::Failed(failure),
-            };
-            let Ok(data) = frame.into_data() else {
-                return RelayStep::Failed(StreamFailure::NoData);
-            };
-            match self.split(&data) {
-                Ok(Some(events)) => return RelayStep::Events(events),
-                // Frames may be ready for as long as the endpoint sends: other tasks have their turn.
-                Ok(None) => tokio::task::coop::consume_budget().await,
-                Err(limit) => return RelayStep::Failed(StreamFailure::TooLarge(limit)),
+            match self.read().await {
+                EventRead::Events(events) => return RelayStep::Events(events),
+                EventRead::Content => tokio::task::coop::consume_budget().await,
+                EventRead::Ended => return self.end().await,
+                EventRead::Failed(failure) => return RelayStep::Failed(failure),
             }
         }
     }
 
-    /// Returns the events that are complete with `data`. Bytes that hold none are no answer, unless
-    /// the stream is one of other content.
-    fn split(&mut self, data: &[u8]) -> Result<Option<Bytes>, AnswerLimit> {
-        let events = match self.source.proof {
-            EndProof::Framing => self.splitter.push(data),
-            EndProof::Events => self.splitter.push_events(data).map_err(|missing| {
-                let bytes = missing.0;
-                self.hold.exceed(AnswerLimit::Event { bytes })
-            })?,
-        };
-        self.hold.resize(self.splitter.partial_bytes())?;
-        match &events {
-            Some(_) => self.source.progress.record_events(),
-            None => self
-                .run
-                .node
-                .metrics
-                .record_partial_frame(&self.run.context.pool),
-        }
-        Ok(events)
-    }
-
-    /// Waits for the next frame of the endpoint. While it is silent for long, another endpoint is
-    /// sought, and takes its place once it goes on with the stream.
-    async fn next_frame(&mut self) -> Result<SourceFrame, StreamFailure> {
+    /// Reads the next part of the stream. While it makes no progress for long, another endpoint is
+    /// sought, and takes the place of the present one once it goes on with the stream.
+    async fn read(&mut self) -> EventRead {
         loop {
             let deadline = self.run.context.deadline;
             let next_search = self.next_search();
             let wake_at = next_search.map_or(deadline, |next| next.min(deadline));
-            let waiting = tokio::time::timeout_at(wake_at.into(), self.source.frame());
-            if let Ok(frame) = waiting.await {
-                self.end_stall(&frame);
-                return Ok(frame);
+            let reading = self.source.read(&mut self.buffer);
+            if let Ok(read) = tokio::time::timeout_at(wake_at.into(), reading).await {
+                self.end_stall(&read);
+                return read;
             }
             if self.run.context.remaining(Instant::now()).is_zero() {
                 self.finish_stall(StallEnd::Failed);
-                return Err(StreamFailure::TimedOut);
+                return EventRead::Failed(StreamFailure::TimedOut);
             }
-            if let Some(frame) = self.search().await? {
-                self.end_stall(&frame);
-                return Ok(frame);
+            if let Some(read) = self.search().await {
+                self.end_stall(&read);
+                return read;
             }
         }
     }
 
-    /// Seeks another endpoint for the stream once. Returns what the endpoint has sent meanwhile.
-    async fn search(&mut self) -> Result<Option<SourceFrame>, StreamFailure> {
-        let silence = self.source.progress.heard().elapsed();
+    /// Seeks another endpoint for the stream once. Returns what was read of the stream meanwhile.
+    async fn search(&mut self) -> Option<EventRead> {
+        let silence = self.silence();
         if self.stall.is_none() {
-            let (endpoint, since) = (self.source.endpoint.clone(), self.source.progress.heard());
+            let (endpoint, since) = (self.source.endpoint.clone(), self.progressed());
             self.stall = Some(StreamStall {
                 record: self.run.begin_stall(&endpoint, since).await,
                 delay: SearchDelay::default(),
                 next_search: Instant::now(),
             });
         }
-        let chance = match self.splitter.is_resumable() {
+        let chance = match self.buffer.splitter.is_resumable() {
             true => self.run.find_replacement(silence),
             false => ReplacementChance::NoEndpoint,
         };
@@ -406,11 +282,11 @@
             ReplacementChance::Likely => {}
             ReplacementChance::NoEndpoint => {
                 self.delay_search(SearchDelay::AFTER_NONE);
-                return Ok(None);
+                return None;
             }
             ReplacementChance::Denied => {
                 self.delay_after_refusal();
-                return Ok(None);
+                return None;
             }
         }
         let list_at_send = Arc::clone(&self.run.list_at_send);
@@ -418,40 +294,41 @@
         let end = self.try_replace().await;
         self.run.stalled_since = None;
         match end {
-            SearchEnd::Source(frame) => {
+            SearchEnd::Source(read) => {
                 self.run.cancel_attempt();
                 if self.has_events {
                     self.run.release_results();
                 }
                 self.run.list_at_send = list_at_send;
                 self.run.has_answer_begun = has_answer_begun;
-                Ok(Some(frame))
+                Some(read)
             }
             SearchEnd::Opened(next) => {
-                self.replace_source(StreamSource::new(*next), &StreamFailure::TimedOut);
-                Ok(None)
+                let next = StreamSource::new(&self.run, *next);
+                self.replace_source(next, &StreamFailure::TimedOut);
+                None
             }
             SearchEnd::Refused(refusal) => {
                 self.log_refusal(&refusal);
                 self.run.list_at_send = list_at_send;
                 self.run.has_answer_begun = has_answer_begun;
                 self.run.ledger.forget_denials();
-                if self.source.call.is_none() {
-                    self.finish_stall(StallEnd::Failed);
-                    return Err(StreamFailure::HandedOver(refusal.to_string()));
+                if !self.source.has_call() {
+                    let failure = StreamFailure::HandedOver(refusal.to_string());
+                    return Some(EventRead::Failed(failure));
                 }
                 self.delay_after_refusal();
-                Ok(None)
+                None
             }
         }
     }
 
-    /// Sends the stream to another endpoint while the present one stays in place. The first that sends
-    /// something has it: the present one by any byte, the other one by its first event. Soon after the
+    /// Sends the stream to another endpoint while the present one stays in place. The first that makes
+    /// progress has it: the present one by an event, the other one by its first bytes. Soon after the
     /// send one of both is dropped, so that two do not work on it: the present one if the other one answers
     /// a probe then. If the present one's connection breaks, the other one goes on alone.
     async fn try_replace(&mut self) -> SearchEnd {
-        self.run.stalled_since = Some(self.source.progress.heard());
+        self.run.stalled_since = Some(self.progressed());
         match self.race_replacement().await {
             RaceEnd::Search(end) => end,
             RaceEnd::Silent(member) => {
@@ -467,9 +344,14 @@
     }
 
     async fn race_replacement(&mut self) -> RaceEnd {
-        let last_event = self.splitter.last_id();
+        let last_event = self.buffer.splitter.last_id();
         let handover = self.run.begin_handover();
-        let Self { run, source, .. } = self;
+        let Self {
+            run,
+            source,
+            buffer,
+            ..
+        } = self;
         let mut resuming = pin!(run.resume(last_event));
         let mut handover = pin!(handover);
         let mut broken = None;
@@ -479,23 +361,21 @@
         loop {
             tokio::select! {
                 biased;
-                frame = source.frame(), if source.call.is_some() => match (frame, opened.take()) {
-                    (Some(Err(_)), Some(next)) => return RaceEnd::opened(next),
-                    (Some(Err(error)), None) => {
-                        source.call = None;
-                        broken = Some(error);
-                    }
-                    (frame @ (Some(Ok(_)) | None), _) => {
-                        return RaceEnd::Search(SearchEnd::Source(frame));
+                read = source.read(buffer), if source.has_call() => match (read, opened.take()) {
+                    (EventRead::Failed(_), Some(next)) => return RaceEnd::opened(next),
+                    (EventRead::Failed(failure), None) => {
+                        source.close();
+                        broken = Some(failure);
                     }
+                    (read, _) => return RaceEnd::Search(SearchEnd::Source(read)),
                 },
                 resumed = &mut resuming, if opened.is_none() => match (resumed, broken.take()) {
-                    (Ok(open), None) if source.call.is_some() => {
+                    (Ok(open), None) if source.has_call() => {
                         opened = Some(Box::new(open));
                     }
                     (Ok(open), _) => return RaceEnd::opened(Box::new(open)),
-                    (Err(_), Some(error)) => {
-                        return RaceEnd::Search(SearchEnd::Source(Some(Err(error))));
+                    (Err(_), Some(failure)) => {
+                        return RaceEnd::Search(SearchEnd::Source(EventRead::Failed(failure)));
                     }
                     (Err(refusal), None) => return RaceEnd::Search(SearchEnd::Refused(refusal)),
                 },
@@ -506,10 +386,10 @@
                     next.early = Some(frame);
                     return RaceEnd::opened(next);
                 },
-                end = &mut handover, if source.call.is_some() && !is_handed_over => match end {
+                end = &mut handover, if source.has_call() && !is_handed_over => match end {
                     HandoverEnd::Complete => {
                         is_handed_over = true;
-                        source.call = None;
+                        source.close();
                         if let Some(next) = opened.take() {
                             return RaceEnd::opened(next);
                         }
@@ -532,15 +412,12 @@
         }
     }
 
-    /// Records that the endpoint has sent something, or that its connection has ended.
-    fn end_stall(&mut self, frame: &SourceFrame) {
-        self.finish_stall(match frame {
-            Some(Ok(_)) | None => StallEnd::WentOn,
-            Some(Err(_)) => StallEnd::Failed,
+    /// Records that the stream has gone on, or that its connection has ended.
+    fn end_stall(&mut self, read: &EventRead) {
+        self.finish_stall(match read {
+            EventRead::Events(_) | EventRead::Content | EventRead::Ended => StallEnd::WentOn,
+            EventRead::Failed(_) => StallEnd::Failed,
         });
-        if let Some(Ok(_)) = frame {
-            self.source.record_frame(&self.run);
-        }
     }
 
     fn finish_stall(&mut self, end: StallEnd) {
@@ -555,7 +432,7 @@
             "replacement_refused",
             request = self.run.context.id,
             endpoint = self.source.endpoint,
-            silent_ms = self.source.progress.heard().elapsed().as_millis(),
+            silent_ms = self.silence().as_millis(),
             reason = refusal
         );
     }
@@ -569,17 +446,17 @@
         if !source.is_delimited && self.run.has_crashed(&source.endpoint).await {
             return RelayStep::Failed(StreamFailure::Crashed);
         }
-        RelayStep::Ended(self.splitter.finish())
+        RelayStep::Ended(self.buffer.splitter.finish())
     }
 
     /// Whether the stream is complete, once its body has ended without an error.
     fn is_complete(&self) -> bool {
-        match self.source.proof {
+        match self.source.proof() {
             EndProof::Framing => true,
             // An endpoint that crashes closes its connection like one that has finished.
             EndProof::Events => {
                 let has_proof = self.source.is_delimited || self.source.has_events;
-                has_proof && !self.splitter.is_within_event()
+                has_proof && !self.buffer.splitter.is_within_event()
             }
         }
     }
@@ -601,19 +478,20 @@
         if !self.is_resumable() {
             return Err(ResumeRefusal::NotResumable);
         }
-        if !self.splitter.is_resumable() {
+        if !self.buffer.splitter.is_resumable() {
             return Err(ResumeRefusal::WithinEvent);
         }
         self.source.end_call();
         let open = self.resume_lost().await?;
-        self.replace_source(StreamSource::new(open), reason);
+        let next = StreamSource::new(&self.run, open);
+        self.replace_source(next, reason);
         Ok(())
     }
 
     /// Resumes the stream of a lost endpoint. Nothing is left that could go on, so a refusal that may
     /// pass is followed by another search for as long as the caller waits.
     async fn resume_lost(&mut self) -> Result<OpenAnswer, ResumeRefusal> {
-        let last_event = self.splitter.last_id();
+        let last_event = self.buffer.splitter.last_id();
         let mut delay = SearchDelay::default();
         loop {
             let refusal = match self.run.resume(last_event).await {
@@ -630,12 +508,12 @@
 
     /// Goes on with the stream of another endpoint.
     fn replace_source(&mut self, next: StreamSource, reason: &StreamFailure) {
-        let silence = self.source.progress.heard().elapsed();
+        let silence = self.silence();
         if self.stall.is_some() {
             self.finish_stall(StallEnd::Replaced);
             self.run.report_replaced(&self.source.endpoint);
         }
-        self.splitter.drop_partial();
+        self.buffer.splitter.drop_partial();
         log_event!(
             info,
             "stream_resumed",
@@ -644,7 +522,7 @@
             prompt = self.run.context.prompt_text(),
             from = self.source.endpoint,
             to = next.endpoint,
-            last_event = format!("{:?}", self.splitter.last_id()),
+            last_event = format!("{:?}", self.buffer.splitter.last_id()),
             silent_ms = silence.as_millis(),
             reason = reason
         );
