Copy the pieces of whole bodies, as each kept the read buffer that it came in

What callers see: nothing up to the limit of a body, then a process that ends for want of memory, with all of its requests.

Cause: bodies were collected as a list of pieces. Each piece is a slice of the read buffer of its connection, with an entry of its own, and all are kept until the body is whole.

Change: collect_body copies pieces into one buffer and gives other tasks their turn.

--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -1,12 +1,12 @@
 //! Reads what several calls need of a request: token, headers, body.
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 
 use super::{ApiError, BodyLimit, Result};
+use crate::http_bodies::{BodyFailure, collect_body};
 use crate::prelude::*;
 
 /// Scheme of the token; HTTP compares schemes without regard to case.
@@ -89,18 +89,16 @@
 /// Reads a whole body within `limit`.
 pub(super) async fn read_body(body: Incoming, limit: impl Into<BodyLimit>) -> Result<Bytes> {
     let BodyLimit { bytes, timeout } = limit.into();
-    let limit = bytes;
-    let collected = Limited::new(body, limit as usize).collect();
-    let Ok(collected) = tokio::time::timeout(timeout, collected).await else {
+    let collecting = collect_body(body, bytes as usize);
+    let Ok(collected) = tokio::time::timeout(timeout, collecting).await else {
         return Err(ApiError::BodyTimeout { timeout });
     };
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ApiError::BodyTooLarge { limit }),
-        Err(error) => Err(ApiError::InvalidRequest(format!(
-            "the body could not be read: {error}; send it again"
-        ))),
-    }
+    collected.map_err(|failure| match failure {
+        BodyFailure::TooLarge { .. } => ApiError::BodyTooLarge { limit: bytes },
+        BodyFailure::Broken(reason) => ApiError::InvalidRequest(format!(
+            "the body could not be read: {reason}; send it again"
+        )),
+    })
 }
 
 /// Reads a JSON body.
--- a/crates/savorywalk/src/attempt/endpoint_client.rs
+++ b/crates/savorywalk/src/attempt/endpoint_client.rs
@@ -1,4 +1,4 @@
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode};
@@ -13,6 +13,7 @@
     StageEvent,
 };
 use crate::configuration::StageKind;
+use crate::http_bodies::collect_body;
 use crate::prelude::*;
 
 /// Request header with the attempt's identity; the endpoint echoes it in its answer.
@@ -274,9 +275,8 @@
 }
 
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes> {
-    let body = Limited::new(body, max_bytes).collect().await;
-    let body = body.map_err(|error| AttemptError::Cut(error.to_string()))?;
-    Ok(body.to_bytes())
+    let body = collect_body(body, max_bytes).await;
+    body.map_err(|failure| AttemptError::Cut(failure.to_string()))
 }
 
 /// Returns the engine's name of its stream, if it is valid in a path.
--- a/crates/savorywalk/src/gateway/body_reader.rs
+++ b/crates/savorywalk/src/gateway/body_reader.rs
@@ -1,6 +1,6 @@
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use crate::http_bodies::{BodyFailure, collect_body};
 use crate::prelude::*;
 
 /// Why a caller's body could not be read.
@@ -21,11 +21,10 @@
     max_bytes: u64,
     timeout: Duration,
 ) -> Result<Bytes, BodyReadError> {
-    let limited = Limited::new(body, max_bytes as usize).collect();
-    match tokio::time::timeout(timeout, limited).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyReadError::TooLarge),
-        Ok(Err(_)) => Err(BodyReadError::Failed),
+    match tokio::time::timeout(timeout, collect_body(body, max_bytes as usize)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyFailure::TooLarge { .. })) => Err(BodyReadError::TooLarge),
+        Ok(Err(BodyFailure::Broken(_))) => Err(BodyReadError::Failed),
         Err(_) => Err(BodyReadError::TimedOut),
     }
 }
--- a/crates/savorywalk/src/lib.rs
+++ b/crates/savorywalk/src/lib.rs
@@ -20,6 +20,7 @@
 #[rustfmt::skip]
 pub mod generated;
 mod hashing;
+mod http_bodies;
 pub mod membership;
 pub mod orders;
 pub mod pipeline;
