Give the parser of completion streams whole lines

What callers see: an engine of the product's own entry that sends a long line in small pieces takes the entry's processor, and one that never ends an event fills its memory.

Cause: for each piece, the parser of events searches the line that is not complete from its start, so the time grows with the square of its pieces; nothing bounded the line.

Change: EventLines finds whole events by EventSplitter, which moves beside the other readers of bodies and searches each byte once, and passes them on line by line. Bytes without an event have the limits that gateways have (256 KiB, 1 MiB after an event); the stream counts as cut then. Other tasks have their turn between frames.

--- a/crates/savorywalk/src/attempt/completion_stream.rs
+++ b/crates/savorywalk/src/attempt/completion_stream.rs
@@ -1,15 +1,16 @@
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures::{Stream, StreamExt};
-use http_body_util::BodyDataStream;
-use hyper::body::Incoming;
+use hyper::body::Body;
 
 use super::stage_formats::CompletionChunk;
 use super::{AttemptError, Result, TokenEvent};
+use crate::http_bodies::{EventFailure, EventLines};
+use crate::prelude::*;
 
 /// Data of the event that ends a completion stream.
 const END_OF_STREAM: &str = "[DONE]";
 
-type StreamError = EventStreamError<hyper::Error>;
+type StreamError = EventStreamError<EventFailure>;
 
 /// One item read from a completion stream.
 #[derive(Debug)]
@@ -30,9 +31,14 @@
 
 impl CompletionStream {
     /// Creates a reader of `body`.
-    pub(super) fn new(body: Incoming) -> Self {
+    pub(super) fn new<B>(body: B) -> Self
+    where
+        B: Body<Data = Bytes, Error: std::fmt::Display> + Send + Unpin + 'static,
+    {
+        // The parser searches an unfinished line from its start for each piece, so it gets whole ones.
+        let lines = EventLines::new(body).into_stream();
         Self {
-            events: BodyDataStream::new(body).eventsource().boxed(),
+            events: lines.eventsource().boxed(),
             tokens: 0,
             finished: false,
         }
@@ -82,3 +88,7 @@
         Ok(StreamItem::End(self.tokens))
     }
 }
+
+#[cfg(test)]
+#[path = "completion_stream_tests.rs"]
+mod tests;
--- a/crates/savorywalk/src/gateway/event_buffer.rs
+++ b/crates/savorywalk/src/gateway/event_buffer.rs
@@ -1,7 +1,7 @@
 use super::EventSplitter;
 use super::answer_memory::{AnswerHold, AnswerLimit};
-use super::event_splitter::MissingEvent;
 use super::stream_end::EndProof;
+use crate::http_bodies::MissingEvent;
 use crate::prelude::*;
 
 /// The event of a stream that is not complete yet, with the memory that it needs.
--- a/crates/savorywalk/src/gateway/event_splitter.rs
+++ b/crates/savorywalk/src/http_bodies/event_splitter.rs
@@ -186,6 +186,12 @@
     }
 }
 
+/// Takes the first line out of whole events, with its line break.
+pub(super) fn take_line(events: &mut Bytes) -> Bytes {
+    let bytes = next_line(events, 0).map_or(events.len(), |line| line.bytes);
+    events.split_to(bytes)
+}
+
 /// A line with its line break.
 struct EventLine {
     /// Length with the line break.
--- a/crates/savorywalk/src/http_bodies/mod.rs
+++ b/crates/savorywalk/src/http_bodies/mod.rs
@@ -1,8 +1,13 @@
-//! Reading of HTTP bodies as a whole, as their senders decide how many pieces they have. See
-//! docs/design/answer-limits.md.
+//! Reading of HTTP bodies at a cost that does not grow with their pieces, whose number their senders
+//! decide. See docs/design/answer-limits.md.
 
+mod event_lines;
+mod event_splitter;
 mod whole_body;
 
+pub(crate) use event_lines::{EventFailure, EventLines};
+pub use event_splitter::EventSplitter;
+pub(crate) use event_splitter::MissingEvent;
 pub(crate) use whole_body::{BodyFailure, collect_body};
 
 /// Result of reading a body.
