Give other tasks their turn while pieces of an answer are ready

What callers see: requests of one thread of a gateway wait while an endpoint sends the pieces of an answer, or of results of a stage, without a pause; and the deadline of that request is not looked at meanwhile.

Cause: read_complete and AnswerBody::read return to the runtime only once no frame is ready. The HTTP library's bodies have no budget of their own.

--- a/crates/savorywalk/src/gateway/answer_bodies.rs
+++ b/crates/savorywalk/src/gateway/answer_bodies.rs
@@ -44,6 +44,9 @@
                 continue;
             };
             self.buffer.push(&data)?;
+            // Frames may be ready for as long as the endpoint sends: other tasks have their turn, and
+            // the deadline is looked at.
+            tokio::task::coop::consume_budget().await;
         }
         Ok(())
     }
--- a/crates/savorywalk/src/gateway/answer_memory.rs
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
 
@@ -250,10 +250,10 @@
 }
 
 /// Reads the body of an answer to its proven end.
-pub(super) async fn read_complete(
-    mut body: Incoming,
-    hold: AnswerHold,
-) -> Result<Bytes, CallError> {
+pub(super) async fn read_complete<B>(mut body: B, hold: AnswerHold) -> Result<Bytes, CallError>
+where
+    B: Body<Data = Bytes, Error: std::fmt::Display> + Unpin,
+{
     let mut buffer = AnswerBuffer::new(hold);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| CallError::Broken(error.to_string()))?;
@@ -261,6 +261,8 @@
         if let Ok(data) = frame.into_data() {
             buffer.push(&data)?;
         }
+        // Frames may be ready for as long as the endpoint sends: other tasks have their turn.
+        tokio::task::coop::consume_budget().await;
     }
     Ok(buffer.into_bytes())
 }
--- a/crates/savorywalk/src/gateway/answer_memory_tests.rs
+++ b/crates/savorywalk/src/gateway/answer_memory_tests.rs
@@ -54,3 +54,31 @@
     assert_eq!(collected.to_bytes(), whole);
     assert_eq!(memory.held.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against an entry that serves nobody else while an endpoint sends pieces without a pause.
+#[test]
+fn other_tasks_run_while_pieces_of_an_answer_are_ready() {
+    const PIECES: usize = 100_000;
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    runtime.expect("a runtime").block_on(async {
+        let turns = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&turns);
+        tokio::spawn(async move {
+            loop {
+                counter.fetch_add(1, Ordering::Relaxed);
+                tokio::task::yield_now().await;
+            }
+        });
+        let piece = || Ok::<_, Infallible>(Frame::data(Bytes::from_static(b"x")));
+        let pieces = futures::stream::iter(std::iter::repeat_with(piece).take(PIECES));
+        let body = http_body_util::StreamBody::new(pieces);
+        let hold = Arc::<AnswerMemory>::default().hold();
+        let whole = tokio::spawn(read_complete(body, hold)).await;
+        assert_eq!(
+            whole.expect("no panic").map(|whole| whole.len()),
+            Ok(PIECES)
+        );
+        let turns = turns.load(Ordering::Relaxed);
+        assert!(turns > PIECES / 1_000, "{turns} turns of another task");
+    });
+}
