Measure stages without recursion over their chains

What callers see: a document whose route has stages that depend on many others takes the processors of all gateways at the first request; one with a very long chain ends them with a stack overflow. Documents of the platform bound no number of stages; only the product's own configuration does (16).

Cause: chain_length, tail and completion_time called themselves for each dependent or input, so they walked every chain: their number may be exponential in the stages. recompute_released nested as deep as the chain of released stages.

Change: chains are measured once, from the last stage to the first, each dependency once; the forecast holds tails and completion times. Stages to make again are a list.

--- a/crates/savorywalk/src/gateway/plan_admission.rs
+++ b/crates/savorywalk/src/gateway/plan_admission.rs
@@ -331,7 +331,7 @@
                     .full_call(request.result_bytes_of(stage)),
             })
             .collect();
-        StageForecast::new(Arc::clone(&request.graph), &calls)
+        StageForecast::new(&request.graph, &calls)
     }
 
     fn dispatcher(&self, request: &PlanRequest, stage: usize) -> Arc<PieceDispatcher> {
--- a/crates/savorywalk/src/gateway/plan_progress.rs
+++ b/crates/savorywalk/src/gateway/plan_progress.rs
@@ -158,10 +158,14 @@
     }
 
     fn recompute_released(&mut self, stage: usize) {
-        for input in self.graph.rules()[stage].after.clone() {
-            if self.states[input] == StageState::Released {
-                self.states[input] = StageState::Waiting;
-                self.recompute_released(input);
+        let graph = Arc::clone(&self.graph);
+        let mut stages = vec![stage];
+        while let Some(stage) = stages.pop() {
+            for input in &graph.rules()[stage].after {
+                if self.states[*input] == StageState::Released {
+                    self.states[*input] = StageState::Waiting;
+                    stages.push(*input);
+                }
             }
         }
     }
--- a/crates/savorywalk/src/gateway/plan_progress_tests.rs
+++ b/crates/savorywalk/src/gateway/plan_progress_tests.rs
@@ -120,3 +120,23 @@
     let starts = progress.start_ready();
     assert!(!starts.is_empty() && starts.iter().all(|start| start.is_rerun));
 }
+
+/// Guards against a stack that grows with the stages whose results have to be made again.
+#[test]
+fn released_results_of_a_long_chain_are_recomputed_without_stack() {
+    const STAGES: usize = 100_000;
+    let rules = (0..STAGES).map(|index| StageRule {
+        pool: "pool".into(),
+        after: index.checked_sub(1).into_iter().collect(),
+        result_bytes: 1,
+    });
+    let mut progress = PlanProgress::new(Arc::new(rules.collect()));
+    progress.states.fill(StageState::Released);
+    assert_eq!(progress.recompute_inputs(STAGES - 1), Ok(Vec::new()));
+    assert!(
+        progress
+            .states
+            .iter()
+            .all(|state| *state == StageState::Waiting)
+    );
+}
--- a/crates/savorywalk/src/gateway/stage_forecast_tests.rs
+++ b/crates/savorywalk/src/gateway/stage_forecast_tests.rs
@@ -25,7 +25,7 @@
 
 #[test]
 fn the_tail_of_a_stage_is_its_longest_chain_of_later_stages() {
-    let forecast = StageForecast::new(graph(1), &[CALL; 4]);
+    let forecast = StageForecast::new(&graph(1), &[CALL; 4]);
     assert_eq!(forecast.tail(3), Duration::ZERO);
     assert_eq!(forecast.tail(2), STEP);
     assert_eq!(forecast.tail(1), STEP * 2);
@@ -36,14 +36,14 @@
 #[test]
 fn stages_that_are_left_out_take_no_time() {
     let calls = [CALL, CALL, Duration::ZERO, CALL];
-    let forecast = StageForecast::new(graph(1), &calls);
+    let forecast = StageForecast::new(&graph(1), &calls);
     assert_eq!(forecast.tail(1), STEP);
     assert_eq!(forecast.completion_time(3), STEP * 2);
 }
 
 #[test]
 fn stages_with_large_results_end_with_the_others() {
-    let forecast = StageForecast::new(graph(LARGE_RESULT_BYTES), &[CALL; 4]);
+    let forecast = StageForecast::new(&graph(LARGE_RESULT_BYTES), &[CALL; 4]);
     assert_eq!(forecast.completion_time(0), STEP * 3);
     assert_eq!(forecast.completion_time(1), STEP);
 }
--- a/crates/savorywalk/src/gateway/stage_graph.rs
+++ b/crates/savorywalk/src/gateway/stage_graph.rs
@@ -8,12 +8,17 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StageGraph {
     rules: Vec<StageRule>,
+    /// Number of stages in the longest chain that begins with each stage.
+    chain_lengths: Vec<usize>,
 }
 
 impl FromIterator<StageRule> for StageGraph {
     fn from_iter<T: IntoIterator<Item = StageRule>>(rules: T) -> Self {
+        let rules: Vec<StageRule> = rules.into_iter().collect();
+        let later = longest_tails(&rules, |_| 1);
         Self {
-            rules: rules.into_iter().collect(),
+            chain_lengths: later.into_iter().map(|length| 1 + length).collect(),
+            rules,
         }
     }
 }
@@ -60,10 +65,37 @@
 
     /// Returns the number of stages in the longest chain that begins with `stage`.
     pub fn chain_length(&self, stage: usize) -> usize {
-        let dependents = self.dependents_of(stage);
-        1 + dependents
-            .map(|dependent| self.chain_length(dependent))
-            .max()
-            .unwrap_or(0)
+        self.chain_lengths[stage]
+    }
+
+    /// Returns the longest sum of `cost` over a chain of stages after each stage.
+    pub(super) fn longest_tails<T>(&self, cost: impl Fn(usize) -> T) -> Vec<T>
+    where
+        T: Copy + Default + Ord + std::ops::Add<Output = T>,
+    {
+        longest_tails(&self.rules, cost)
     }
 }
+
+/// Longest sum of `cost` over a chain of stages after each stage. A stage comes after its inputs, so each
+/// dependency is looked at once, from the last stage to the first; the number of chains may be
+/// exponential.
+fn longest_tails<T>(rules: &[StageRule], cost: impl Fn(usize) -> T) -> Vec<T>
+where
+    T: Copy + Default + Ord + std::ops::Add<Output = T>,
+{
+    let mut tails = vec![T::default(); rules.len()];
+    for (stage, rule) in rules.iter().enumerate().rev() {
+        let chain = cost(stage) + tails[stage];
+        for input in &rule.after {
+            if let Some(tail) = tails.get_mut(*input) {
+                *tail = chain.max(*tail);
+            }
+        }
+    }
+    tails
+}
+
+#[cfg(test)]
+#[path = "stage_graph_tests.rs"]
+mod tests;
