Bound request bodies in sum over all connections

Cause: collect_body bounded each body and nothing bounded their sum. The block of a body doubled, so that the old and the new one were alive at once.

Change: BodyMemory, until now part of AnswerMemory, bounds both directions. A hold is taken before bytes are kept, for the state and head of a request, then for its body, and released with the last copy, however the request ends. A body may hold as much as is free; an announced length over the limit or the room is refused before it is read; a body without progress yields its room while less than a quarter is free. Refusals are 503 memory_full, which promise that nothing has run. [limits] memory_mb and request_bytes set the bound, an eighth of the memory by default.

Why it works: what is kept never exceeds what is held, and holds are guards.

Unit tests: bodies that grow together leave room for a small one, all room is given back, a stalled body yields only while memory is short.

BodyFailure of answers at the product's entry keeps its own limits. deploy_templates.rs fills in limits.memoryMb, which the templates now use.

--- a/crates/daemon/tests/deploy_templates.rs
+++ b/crates/daemon/tests/deploy_templates.rs
@@ -38,6 +38,7 @@
         ("heartbeatMs", "1200"),
         ("contracts", "base,drain,stages"),
         ("limits.cpuShare", "0.12"),
+        ("limits.memoryMb", "260"),
         ("bounds.revokeMs", "5000"),
         ("bounds.retryBudgetRatio", "0.2"),
         ("bounds.retryExtra", "52"),
--- a/crates/savorywalk/src/api/api_error.rs
+++ b/crates/savorywalk/src/api/api_error.rs
@@ -63,6 +63,9 @@
         /// The limit.
         limit: u32,
     },
+    /// The body does not fit beside those of other requests.
+    #[error("the daemon holds too many bytes of other requests; send it again in a second")]
+    MemoryFull,
     /// A configuration was found wrong.
     #[error(transparent)]
     BadConfiguration(#[from] ConfigurationReport),
@@ -139,6 +142,7 @@
             Self::BodyTimeout { .. } => "body_timeout",
             Self::HeaderTooLarge { .. } => "header_too_large",
             Self::TooManyConnections { .. } => "too_many_connections",
+            Self::MemoryFull => "memory_full",
             Self::BadConfiguration(_) => "invalid_configuration",
             Self::Pipeline(error) => error.kind(),
             Self::Claim(error) => claim_kind(error),
@@ -162,9 +166,10 @@
             Self::BodyTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::HeaderTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BadConfiguration(_) | Self::InvalidChange(_) => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::TooManyConnections { .. } | Self::Control(_) | Self::Unavailable(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::TooManyConnections { .. }
+            | Self::MemoryFull
+            | Self::Control(_)
+            | Self::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Claim(error) => claim_status(error),
             Self::VersionRequired => StatusCode::PRECONDITION_REQUIRED,
             Self::VersionMismatch(_) => StatusCode::PRECONDITION_FAILED,
@@ -177,9 +182,10 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Pipeline(PipelineError::NotRun(refusal)) => Some(refusal.retry_after),
-            Self::TooManyConnections { .. } | Self::Control(_) | Self::Unavailable(_) => {
-                Some(Duration::from_secs(1))
-            }
+            Self::TooManyConnections { .. }
+            | Self::MemoryFull
+            | Self::Control(_)
+            | Self::Unavailable(_) => Some(Duration::from_secs(1)),
             Self::Pipeline(_)
             | Self::Claim(_)
             | Self::VersionRequired
@@ -235,6 +241,7 @@
             | Self::BodyTimeout { .. }
             | Self::HeaderTooLarge { .. }
             | Self::TooManyConnections { .. }
+            | Self::MemoryFull
             | Self::BadConfiguration(_)
             | Self::BadAnnouncement(_)
             | Self::Pipeline(_)
--- a/crates/savorywalk/src/api/api_handler.rs
+++ b/crates/savorywalk/src/api/api_handler.rs
@@ -47,12 +47,13 @@
     pub fn new(kind: ListenerKind, node: Arc<EntryNode>, settings: &ListenerSettings) -> Self {
         Self {
             kind,
-            node,
             body_limit: BodyLimit {
                 bytes: settings.max_body_bytes,
                 timeout: Duration::from_millis(settings.body_timeout_ms.into()),
+                memory: Arc::clone(node.request_memory()),
             },
             max_header_bytes: settings.max_header_bytes,
+            node,
         }
     }
 
@@ -66,7 +67,7 @@
             return Ok(response);
         }
         let node = &self.node;
-        let limit = self.body_limit;
+        let limit = self.body_limit.clone();
         match self.kind {
             ListenerKind::Callers => caller_api::handle(node, id, &head, body, limit).await,
             ListenerKind::Operators => operator_api::handle(node, &head, body, limit).await,
--- a/crates/savorywalk/src/api/body_limit.rs
+++ b/crates/savorywalk/src/api/body_limit.rs
@@ -1,22 +1,20 @@
+use crate::http_bodies::{BodyHold, BodyMemory};
 use crate::prelude::*;
 
-/// Time for a body where a listener names none.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// How large a request's body may be and how long it may take to arrive.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub(crate) struct BodyLimit {
     /// Largest size, in bytes.
     pub bytes: u32,
     /// Longest time from the head to the body's end.
     pub timeout: Duration,
+    /// Memory of all bodies of the daemon.
+    pub memory: Arc<BodyMemory>,
 }
 
-impl From<u32> for BodyLimit {
-    fn from(bytes: u32) -> Self {
-        Self {
-            bytes,
-            timeout: DEFAULT_TIMEOUT,
-        }
+impl BodyLimit {
+    /// Begins to hold a body.
+    pub(crate) fn hold(&self) -> BodyHold {
+        self.memory.hold()
     }
 }
--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -87,13 +87,15 @@
 }
 
 /// Reads a whole body within `limit`.
-pub(super) async fn read_body(body: Incoming, limit: impl Into<BodyLimit>) -> Result<Bytes> {
-    let BodyLimit { bytes, timeout } = limit.into();
-    let collecting = collect_body(body, bytes as usize);
+pub(super) async fn read_body(body: Incoming, limit: BodyLimit) -> Result<Bytes> {
+    let hold = limit.hold();
+    let BodyLimit { bytes, timeout, .. } = limit;
+    let collecting = collect_body(body, bytes as usize, hold);
     let Ok(collected) = tokio::time::timeout(timeout, collecting).await else {
         return Err(ApiError::BodyTimeout { timeout });
     };
     collected.map_err(|failure| match failure {
+        BodyFailure::MemoryFull(_) => ApiError::MemoryFull,
         BodyFailure::TooLarge { .. } => ApiError::BodyTooLarge { limit: bytes },
         BodyFailure::Broken(reason) => ApiError::InvalidRequest(format!(
             "the body could not be read: {reason}; send it again"
--- a/crates/savorywalk/src/attempt/endpoint_client.rs
+++ b/crates/savorywalk/src/attempt/endpoint_client.rs
@@ -13,7 +13,7 @@
     StageEvent,
 };
 use crate::configuration::StageKind;
-use crate::http_bodies::collect_body;
+use crate::http_bodies::{BodyHold, collect_body};
 use crate::prelude::*;
 
 /// Request header with the attempt's identity; the endpoint echoes it in its answer.
@@ -275,7 +275,7 @@
 }
 
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes> {
-    let body = collect_body(body, max_bytes).await;
+    let body = collect_body(body, max_bytes, BodyHold::unbounded()).await;
     body.map_err(|failure| AttemptError::Cut(failure.to_string()))
 }
 
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -14,10 +14,11 @@
 use crate::control::{ControlClient, ControlError};
 use crate::cost::CostLedger;
 use crate::directory::{DirectoryLink, start_directory};
+use crate::http_bodies::BodyMemory;
 use crate::pipeline::PipelineRunner;
 use crate::prelude::*;
 use crate::routing::{EndpointRouter, RoutingPolicy};
-use crate::settings::{DaemonSettings, EntrySettings, ListenerSettings};
+use crate::settings::{DaemonLimits, DaemonSettings, EntrySettings, ListenerSettings};
 use crate::telemetry::{AttemptMetrics, MetricError, MetricSet};
 use crate::transport::{InvalidPeerName, LinkError};
 
@@ -232,6 +233,8 @@
     let directory = start_directory(parts.link).await;
     let directory = directory.map_err(|error| EntryError::Actor(error.to_string()))?;
     let metrics = Arc::new(MetricSet::new()?);
+    let request_memory = BodyMemory::new(DaemonLimits::new(settings).request_bytes);
+    request_memory.register_metrics(metrics.meter(), "savorywalk_entry_request");
     let ledger = Arc::new(CostLedger::default());
     let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
     let router = EndpointRouter::new(policy, &node_settings.data_center);
@@ -254,6 +257,7 @@
         directory,
         runner,
         metrics,
+        request_memory,
         ledger,
         readiness: watch::Sender::new(ReadinessState::Warming),
         standing: ArcSwap::from_pointee(parts.standing),
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -10,6 +10,7 @@
 use crate::control::ControlClient;
 use crate::cost::CostLedger;
 use crate::directory::{CacheEvent, DirectoryHandle};
+use crate::http_bodies::BodyMemory;
 use crate::pipeline::{PipelineAnswer, PipelineRequest, PipelineRunner, Result};
 use crate::prelude::*;
 use crate::queueing::{QueueTable, UsageReport};
@@ -31,6 +32,7 @@
     pub(super) directory: DirectoryHandle,
     pub(super) runner: PipelineRunner,
     pub(super) metrics: Arc<MetricSet>,
+    pub(super) request_memory: Arc<BodyMemory>,
     pub(super) ledger: Arc<CostLedger>,
     pub(super) readiness: watch::Sender<ReadinessState>,
     pub(super) standing: ArcSwap<FollowerStanding>,
@@ -69,6 +71,11 @@
         &self.directory
     }
 
+    /// Memory of the bodies that are read.
+    pub(crate) fn request_memory(&self) -> &Arc<BodyMemory> {
+        &self.request_memory
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &MetricSet {
         &self.metrics
--- a/crates/savorywalk/src/gateway/answer_memory.rs
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -1,6 +1,6 @@
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::BytesMut;
@@ -11,6 +11,7 @@
 
 use super::call_handler::GatewayBody;
 use super::endpoint_call::CallError;
+use crate::http_bodies::{BodyHold, BodyMemory, MemoryFull};
 use crate::prelude::*;
 
 /// Bytes of answers that an entry holds at a time, over all requests: less than a sixth of the
@@ -69,23 +70,28 @@
     }
 }
 
-/// Bounds the memory for answers that an entry holds before it passes them on.
-///
-/// An answer may hold as much as is still free. So one answer may use half of the memory, many
-/// that grow without end share it and are given up, and a small one always finds room. See
+/// Bounds the memory for answers that an entry holds before it passes them on. See
 /// docs/design/answer-limits.md.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct AnswerMemory {
-    held: AtomicUsize,
-    peak: AtomicUsize,
+    bodies: Arc<BodyMemory>,
     exceeded: [AtomicU64; AnswerLimit::NAMES.len()],
 }
 
+impl Default for AnswerMemory {
+    fn default() -> Self {
+        Self {
+            bodies: BodyMemory::new(MAX_HELD_BYTES),
+            exceeded: Default::default(),
+        }
+    }
+}
+
 /// The memory of one answer; released on drop.
 #[derive(Debug)]
 pub(super) struct AnswerHold {
     memory: Arc<AnswerMemory>,
-    bytes: usize,
+    hold: BodyHold,
 }
 
 impl AnswerMemory {
@@ -93,7 +99,7 @@
     pub(super) fn hold(self: &Arc<Self>) -> AnswerHold {
         AnswerHold {
             memory: Arc::clone(self),
-            bytes: 0,
+            hold: self.bodies.hold(),
         }
     }
 
@@ -115,7 +121,7 @@
             .u64_observable_gauge("savorywalk_gateway_answer_bytes")
             .with_description("Bytes of answers that are held before they are passed on")
             .with_callback(move |gauge| {
-                gauge.observe(memory.held.load(Ordering::Relaxed) as u64, &[]);
+                gauge.observe(memory.bodies.held() as u64, &[]);
             })
             .build();
         let memory = Arc::clone(self);
@@ -123,7 +129,7 @@
             .u64_observable_gauge("savorywalk_gateway_answer_peak_bytes")
             .with_description("Most bytes of answers that were held at a time")
             .with_callback(move |gauge| {
-                gauge.observe(memory.peak.load(Ordering::Relaxed) as u64, &[]);
+                gauge.observe(memory.bodies.peak() as u64, &[]);
             })
             .build();
         let memory = Arc::clone(self);
@@ -140,12 +146,6 @@
     }
 }
 
-impl Drop for AnswerHold {
-    fn drop(&mut self) {
-        self.memory.held.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 impl AnswerHold {
     /// Sets the number of bytes that the answer holds.
     ///
@@ -153,33 +153,15 @@
     ///
     /// The limit that it would exceed; it then holds as much as before.
     pub(super) fn resize(&mut self, bytes: usize) -> Result<(), AnswerLimit> {
-        if bytes <= self.bytes {
-            self.memory
-                .held
-                .fetch_sub(self.bytes - bytes, Ordering::Relaxed);
-            self.bytes = bytes;
-            return Ok(());
-        }
         if bytes > MAX_ANSWER_BYTES {
             let limit = AnswerLimit::Answer {
                 bytes: MAX_ANSWER_BYTES,
             };
             return Err(self.exceed(limit));
         }
-        let more = bytes - self.bytes;
-        let grow = |held: usize| {
-            let free = MAX_HELD_BYTES.checked_sub(held + more)?;
-            (bytes <= free).then_some(held + more)
-        };
-        let held = &self.memory.held;
-        match held.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow) {
-            Ok(before) => {
-                self.memory.peak.fetch_max(before + more, Ordering::Relaxed);
-                self.bytes = bytes;
-                Ok(())
-            }
-            Err(held) => Err(self.exceed(AnswerLimit::Entry { held, bytes })),
-        }
+        let resized = self.hold.resize(bytes);
+        resized
+            .map_err(|MemoryFull { held, bytes }| self.exceed(AnswerLimit::Entry { held, bytes }))
     }
 
     /// Counts that the answer has exceeded a limit.
--- a/crates/savorywalk/src/gateway/answer_memory_tests.rs
+++ b/crates/savorywalk/src/gateway/answer_memory_tests.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::AtomicUsize;
+
 use super::*;
 
 const ENDLESS: usize = 4_000;
@@ -17,11 +19,11 @@
             let grown = holds.iter_mut().map(|hold| hold.resize(bytes).is_ok());
             is_growing = grown.fold(false, |any, has_grown| any | has_grown);
         }
-        assert!(memory.held.load(Ordering::Relaxed) <= MAX_HELD_BYTES);
+        assert!(memory.bodies.held() <= MAX_HELD_BYTES);
         let mut small = memory.hold();
         assert_eq!(small.resize(SMALL_BYTES), Ok(()), "beside {count} answers");
         drop((holds, small));
-        assert_eq!(memory.held.load(Ordering::Relaxed), 0);
+        assert_eq!(memory.bodies.held(), 0);
     }
 }
 
@@ -36,7 +38,7 @@
     };
     assert_eq!(hold.resize(MAX_ANSWER_BYTES + 1), Err(limit));
     assert_eq!(hold.resize(SMALL_BYTES), Ok(()));
-    assert_eq!(memory.held.load(Ordering::Relaxed), SMALL_BYTES);
+    assert_eq!(memory.bodies.held(), SMALL_BYTES);
 }
 
 /// Guards against an answer whose blocks come in another order, or not all.
@@ -52,7 +54,7 @@
     assert_eq!(body.size_hint().exact(), Some(whole.len() as u64));
     let collected = body.collect().await.unwrap();
     assert_eq!(collected.to_bytes(), whole);
-    assert_eq!(memory.held.load(Ordering::Relaxed), 0);
+    assert_eq!(memory.bodies.held(), 0);
 }
 
 /// Guards against an entry that serves nobody else while an endpoint sends pieces without a pause.
--- a/crates/savorywalk/src/gateway/body_reader.rs
+++ b/crates/savorywalk/src/gateway/body_reader.rs
@@ -1,6 +1,6 @@
 use hyper::body::Incoming;
 
-use crate::http_bodies::{BodyFailure, collect_body};
+use crate::http_bodies::{BodyFailure, BodyHold, collect_body};
 use crate::prelude::*;
 
 /// Why a caller's body could not be read.
@@ -10,20 +10,24 @@
     TooLarge,
     /// The body did not arrive in time.
     TimedOut,
+    /// It does not fit beside other bodies, or made no progress while they needed its room.
+    MemoryFull,
     /// The connection failed, or the caller sent an invalid body.
     Failed,
 }
 
 /// Reads a complete body of at most `max_bytes` within `timeout`, so that it can be sent
-/// more than once.
+/// more than once. `hold` grows with the body, and is released with its last copy.
 pub(super) async fn read(
     body: Incoming,
     max_bytes: u64,
     timeout: Duration,
+    hold: BodyHold,
 ) -> Result<Bytes, BodyReadError> {
-    match tokio::time::timeout(timeout, collect_body(body, max_bytes as usize)).await {
+    match tokio::time::timeout(timeout, collect_body(body, max_bytes as usize, hold)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyFailure::TooLarge { .. })) => Err(BodyReadError::TooLarge),
+        Ok(Err(BodyFailure::MemoryFull(_))) => Err(BodyReadError::MemoryFull),
         Ok(Err(BodyFailure::Broken(_))) => Err(BodyReadError::Failed),
         Err(_) => Err(BodyReadError::TimedOut),
     }
--- a/crates/savorywalk/src/gateway/forward_run.rs
+++ b/crates/savorywalk/src/gateway/forward_run.rs
@@ -57,6 +57,7 @@
         | NotRunReason::Denied
         | NotRunReason::Overload
         | NotRunReason::StageFailed
+        | NotRunReason::MemoryFull
         | NotRunReason::BodyLate
         | NotRunReason::TimeOver
         | NotRunReason::RateLimited
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -10,7 +10,7 @@
 use crate::api::HttpServer;
 use crate::prelude::*;
 use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
-use crate::settings::{ClusterSettings, DaemonSettings, GatewaySettings};
+use crate::settings::{ClusterSettings, DaemonLimits, DaemonSettings, GatewaySettings};
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkHub, LinkThread};
 
@@ -100,6 +100,7 @@
             },
             region_map: RegionMap::parse(&cluster.data_centers)?,
             announce_interval,
+            limits: DaemonLimits::new(settings),
         });
         let callers = serve(&gateway.callers, &node, CallHandlerKind::Callers).await?;
         let probes = serve(&gateway.probes, &node, CallHandlerKind::Probes).await?;
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -31,9 +31,11 @@
 use super::{
     EndpointRoster, EndpointTarget, LoadFeatures, PoolMember, ResultHandle, RetryLimits, WireFormat,
 };
+use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::quarantine::QuarantineList;
 use crate::registry::{BootClock, EntryFollower, FollowState};
+use crate::settings::DaemonLimits;
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkChannel, LinkHub};
 
@@ -59,6 +61,8 @@
     pub(super) relay_service: RelayService,
     pub(super) connection_cache: ConnectionCache,
     pub(super) answer_memory: Arc<AnswerMemory>,
+    /// Memory of the requests that this entry holds.
+    pub(super) request_memory: Arc<BodyMemory>,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_detector: CrashDetector,
@@ -108,6 +112,7 @@
     pub(super) region_map: RegionMap,
     /// Interval between two announcements of an endpoint.
     pub(super) announce_interval: Duration,
+    pub(super) limits: DaemonLimits,
 }
 
 impl GatewayNode {
@@ -119,6 +124,7 @@
             relay_service: RelayService::default(),
             connection_cache: ConnectionCache::default(),
             answer_memory: Arc::default(),
+            request_memory: BodyMemory::new(parts.limits.request_bytes),
             wire: parts.wire,
             follower: parts.follower,
             data_center: parts.data_center,
@@ -150,6 +156,8 @@
             shard_loads: Mutex::default(),
         });
         node.answer_memory.register_metrics(node.metric_set.meter());
+        node.request_memory
+            .register_metrics(node.metric_set.meter(), "savorywalk_gateway_request");
         node.register_view_age();
         node.register_quarantine();
         node.register_evacuations();
--- a/crates/savorywalk/src/gateway/gateway_refusal.rs
+++ b/crates/savorywalk/src/gateway/gateway_refusal.rs
@@ -43,6 +43,8 @@
     Overload,
     /// A stage failed.
     StageFailed,
+    /// Its body does not fit beside those of other requests.
+    MemoryFull,
     /// Its body did not arrive in time.
     BodyLate,
     /// Its deadline passed before it could be sent.
@@ -73,6 +75,7 @@
             Self::Denied => "denied",
             Self::Overload => "overload",
             Self::StageFailed => "stage_failed",
+            Self::MemoryFull => "memory_full",
             Self::BodyLate => "body_late",
             Self::TimeOver => "time_over",
             Self::Quarantined => "quarantined",
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -12,7 +12,7 @@
 };
 use crate::prelude::*;
 use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
-use crate::settings::ClusterSettings;
+use crate::settings::{ClusterSettings, DaemonLimits, DaemonSettings};
 use crate::telemetry::MetricSet;
 use crate::transport::LinkHub;
 
@@ -176,5 +176,6 @@
         cold_bounds: Default::default(),
         region_map: Default::default(),
         announce_interval: Duration::from_millis(1_200),
+        limits: DaemonLimits::new(&DaemonSettings::default()),
     })
 }
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -4,9 +4,10 @@
 use super::{GatewayError, Result, WireFormat, cluster_hub};
 use crate::api::HttpServer;
 use crate::control::VoterRoster;
+use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::registry::{RegistryNode, RegistryOptions};
-use crate::settings::DaemonSettings;
+use crate::settings::{DaemonLimits, DaemonSettings};
 use crate::transport::LinkHub;
 
 /// Time allowed for calls in progress when the daemon stops; each takes at most a second.
@@ -53,7 +54,10 @@
         };
         let node = RegistryNode::start(hub.clone(), options);
         let metrics = RegistryMetrics::new()?;
+        let call_memory = BodyMemory::new(DaemonLimits::new(settings).request_bytes);
+        call_memory.register_metrics(metrics.meter(), "savorywalk_registry_call");
         let handler = RegistryHandler {
+            call_memory,
             wire,
             node: Arc::clone(&node),
             fault_counter: Arc::default(),
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -9,6 +9,7 @@
 use super::registry_metrics::RegistryMetrics;
 use super::{InvalidCall, RegistryAnswer, RegistryCall, WireFormat};
 use crate::api::HttpHandler;
+use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
 
@@ -25,6 +26,8 @@
     pub(super) node: Arc<RegistryNode>,
     pub(super) fault_counter: Arc<Mutex<FaultCounter>>,
     pub(super) metrics: RegistryMetrics,
+    /// Memory of the calls that are read.
+    pub(super) call_memory: Arc<BodyMemory>,
     /// Address at which endpoints reach this daemon.
     pub(super) address: Option<SocketAddr>,
 }
@@ -34,7 +37,8 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
         let (parts, body) = request.into_parts();
-        let body = match body_reader::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+        let hold = self.call_memory.hold();
+        let body = match body_reader::read(body, MAX_BODY_BYTES, BODY_TIMEOUT, hold).await {
             Ok(body) => body,
             Err(error) => return self.reject_body(error),
         };
@@ -68,6 +72,11 @@
     /// Rejects an invalid call. Clients may send any number of these, so all are counted and
     /// only few are logged.
     fn reject(&self, kind: &'static str, reason: String) -> RegistryAnswer {
+        self.count_rejection(kind, &reason);
+        RegistryAnswer::Invalid(reason)
+    }
+
+    fn count_rejection(&self, kind: &'static str, reason: &str) {
         self.metrics.record_rejection(kind);
         let mut fault_counter = self
             .fault_counter
@@ -82,14 +91,16 @@
                 reason = reason
             );
         }
-        RegistryAnswer::Invalid(reason)
     }
 
     fn reject_body(&self, error: BodyReadError) -> Response<GatewayBody> {
+        if error == BodyReadError::MemoryFull {
+            self.count_rejection("memory_full", "too many bytes of calls are held");
+        }
         let status = match error {
             BodyReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             BodyReadError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            BodyReadError::Failed => StatusCode::SERVICE_UNAVAILABLE,
+            BodyReadError::MemoryFull | BodyReadError::Failed => StatusCode::SERVICE_UNAVAILABLE,
         };
         let mut response = Response::new(full_body(Bytes::new()));
         *response.status_mut() = status;
--- a/crates/savorywalk/src/gateway/registry_metrics.rs
+++ b/crates/savorywalk/src/gateway/registry_metrics.rs
@@ -1,7 +1,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::{Counter, Meter};
 
 use super::call_handler::{GatewayBody, full_body};
 use super::{Result, metrics_page};
@@ -30,6 +30,10 @@
         })
     }
 
+    pub(super) fn meter(&self) -> &Meter {
+        self.set.meter()
+    }
+
     pub(super) fn record_rejection(&self, kind: &'static str) {
         self.faults.add(1, &[KeyValue::new("kind", kind)]);
     }
--- a/crates/savorywalk/src/gateway/request_service.rs
+++ b/crates/savorywalk/src/gateway/request_service.rs
@@ -19,6 +19,12 @@
 /// Longest time for reading a caller's body; the request's deadline may be earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Memory of the state of one request, in bytes.
+const REQUEST_COST: usize = 4 << 10;
+
+/// Times that the fields of a head are kept: as received, and as read.
+const HEAD_COPIES: usize = 2;
+
 /// Serves one request of a caller.
 pub(super) async fn serve(
     node: &Arc<GatewayNode>,
@@ -91,6 +97,13 @@
     age.map_or_else(|| "none".into(), |age| age.as_millis().to_string())
 }
 
+/// Memory that a request takes beside its body, in bytes.
+fn head_cost(parts: &request::Parts) -> usize {
+    let headers = parts.headers.iter();
+    let bytes = headers.map(|(name, value)| name.as_str().len() + value.len());
+    REQUEST_COST + bytes.sum::<usize>() * HEAD_COPIES
+}
+
 async fn forward(
     node: &Arc<GatewayNode>,
     view: &GatewayView,
@@ -106,10 +119,15 @@
     let limits = view.table.as_ref().map(|table| table.limits());
     let max_bytes = limits.unwrap_or_default().body_bytes;
     let timeout = context.remaining(Instant::now()).min(BODY_TIMEOUT);
-    let body = match body_reader::read(body, max_bytes, timeout).await {
+    let mut hold = node.request_memory.hold();
+    if hold.resize(head_cost(&parts)).is_err() {
+        return Err(not_run(NotRunReason::MemoryFull));
+    }
+    let body = match body_reader::read(body, max_bytes, timeout, hold).await {
         Ok(body) => body,
         Err(BodyReadError::TooLarge) => return Err(GatewayRefusal::BodyTooLarge),
         Err(BodyReadError::TimedOut) => return Err(not_run(NotRunReason::BodyLate)),
+        Err(BodyReadError::MemoryFull) => return Err(not_run(NotRunReason::MemoryFull)),
         Err(BodyReadError::Failed) => return Err(GatewayRefusal::Malformed("the body broke off")),
     };
     let token = node.retry_gate.admit(&context.pool);
--- a/crates/savorywalk/src/http_bodies/mod.rs
+++ b/crates/savorywalk/src/http_bodies/mod.rs
@@ -1,10 +1,12 @@
 //! Reading of HTTP bodies at a cost that does not grow with their pieces, whose number their senders
 //! decide. See docs/design/answer-limits.md.
 
+mod body_memory;
 mod event_lines;
 mod event_splitter;
 mod whole_body;
 
+pub(crate) use body_memory::{BodyHold, BodyMemory, MemoryFull};
 pub(crate) use event_lines::{EventFailure, EventLines};
 pub use event_splitter::EventSplitter;
 pub(crate) use event_splitter::MissingEvent;
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon, read from INI against the table that is generated
 //! from schema/settings.proto. See docs/operators/settings.md.
 
+mod daemon_limits;
 mod figure_reader;
 mod role_set;
 mod setting_adjustment;
@@ -11,10 +12,11 @@
 mod settings_rules;
 
 pub use crate::generated::settings::{
-    ClusterSettings, ControlSettings, DaemonSettings, EntrySettings, GatewaySettings, LinkSettings,
-    ListenerSettings, LogSettings, NodeSettings, RegistrySettings,
+    ClusterSettings, ControlSettings, DaemonSettings, EntrySettings, GatewaySettings,
+    LimitSettings, LinkSettings, ListenerSettings, LogSettings, NodeSettings, RegistrySettings,
 };
 pub use crate::generated::settings_table::SETTING_KEYS;
+pub use daemon_limits::DaemonLimits;
 pub use role_set::RoleSet;
 pub use setting_adjustment::{AdjustmentReason, SettingAdjustment};
 pub use setting_key::{SafeSide, SettingKey, SettingKind};
