Bound the streams of HTTP/2 connections; gateways speak HTTP/1.1 alone

Callers saw: four connections of 100 streams, each with a body one byte short, took 1,673 MB of a gateway and six took 659 MB of an entry (VM of 256 MB).

Cause: every listener spoke HTTP/2 without being asked, with 200 streams and windows of 1 MiB a stream and a connection by the library's default, so that a connection held what the sum of bodies does not count: bytes that have arrived and are not read, and heads.

Change: max_streams of a listener, 16 by default; windows of 64 and 128 KiB; heads at the product's interface count with bodies. Gateways and registries speak HTTP/1.1 alone, which is what the deployments speak, also in the TLS handshake.

Why it works: a connection holds at most its window and 16 heads beside the bodies that are counted.

--- a/crates/savorywalk/src/api/api_handler.rs
+++ b/crates/savorywalk/src/api/api_handler.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Times that the fields of a head are kept: as received, and as read.
+const HEAD_COPIES: usize = 2;
+
 /// Handles the calls of one listener.
 #[derive(Clone, Debug)]
 pub struct ApiHandler {
@@ -68,6 +71,11 @@
         }
         let node = &self.node;
         let limit = self.body_limit.clone();
+        let mut head_hold = limit.hold();
+        let head_bytes = head.header_bytes() * HEAD_COPIES;
+        head_hold
+            .grow(head_bytes)
+            .map_err(|_| ApiError::MemoryFull)?;
         match self.kind {
             ListenerKind::Callers => caller_api::handle(node, id, &head, body, limit).await,
             ListenerKind::Operators => operator_api::handle(node, &head, body, limit).await,
--- a/crates/savorywalk/src/api/bound_listener.rs
+++ b/crates/savorywalk/src/api/bound_listener.rs
@@ -20,6 +20,9 @@
 /// up a stop no longer than both together.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
 const PING_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes of a body, and of all bodies of an HTTP/2 connection, that may arrive before they are read.
+const STREAM_WINDOW: u32 = 64 << 10;
+const CONNECTION_WINDOW: u32 = 128 << 10;
 
 /// A listener that is bound and not yet served.
 pub(crate) struct BoundListener {
@@ -78,6 +81,13 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
+        .max_concurrent_streams(settings.max_streams)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(CONNECTION_WINDOW as usize)
         .max_header_list_size(settings.max_header_bytes + HEADER_SLACK as u32);
-    builder
+    match settings.max_streams {
+        0 => builder.http1_only(),
+        _ => builder,
+    }
 }
--- a/crates/savorywalk/src/api/tls_setup.rs
+++ b/crates/savorywalk/src/api/tls_setup.rs
@@ -36,6 +36,10 @@
         .with_no_client_auth()
         .with_single_cert(chain, key)
         .map_err(|error| fail(&error))?;
-    config.alpn_protocols = PROTOCOLS.iter().map(|name| name.to_vec()).collect();
+    let offered = match settings.max_streams {
+        0 => &PROTOCOLS[1..],
+        _ => &PROTOCOLS[..],
+    };
+    config.alpn_protocols = offered.iter().map(|name| name.to_vec()).collect();
     Ok(Some(TlsAcceptor::from(Arc::new(config))))
 }
