Bound read buffers and heads in sum, and the cost of an idle connection

Callers saw: 2,600 connections with a head of 120 KB and no end took 402 MB of a gateway, 301 MB of a registry and 385 MB by the port for probes (VM of 256 MB); after 2,600 starts of bodies read buffers of 128 KiB stayed.

Cause: the library's read buffer of a connection grows to its maximum, 128 KiB at gateways and registries, and nothing bounds the sum. The document's limit on heads was read and used nowhere. And an idle connection cost 54 KB, since the library reserves the size of a call's future, 37 KB, for each connection: found by measuring silent connections after HTTP/1.1 alone had made them dearer.

Change: MeteredStream reads at most 8 KiB at a time, so that buffers stay as small, and holds memory for what goes beyond 8 KiB of a head before it is read ([limits] head_bytes, a sixteenth of the memory). Gateways keep to the document's limit on heads. The future of a call is boxed. The counter of faults moves to telemetry, as listeners use it too; its code is the same.

Why it works: a connection has its first 8 KiB and what it holds.

--- a/crates/savorywalk/src/api/bound_listener.rs
+++ b/crates/savorywalk/src/api/bound_listener.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection_acceptor::ConnectionAcceptor;
-use super::{HttpHandler, HttpServer};
+use super::{ClientIntake, HttpHandler, HttpServer};
 use crate::prelude::*;
 use crate::settings::ListenerSettings;
 
@@ -43,13 +43,14 @@
 
 impl BoundListener {
     /// Serves `handler` until the server is closed.
-    pub(crate) fn serve<S: HttpHandler>(self, handler: S) -> HttpServer {
+    pub(crate) fn serve<S: HttpHandler>(self, handler: S, intake: ClientIntake) -> HttpServer {
         let stopping = CancellationToken::new();
         let acceptor = ConnectionAcceptor {
             slots: Arc::new(Semaphore::new(self.settings.max_connections as usize)),
             refusals: Arc::new(Semaphore::new(REFUSAL_CONNECTIONS)),
             builder: connection_builder(&self.settings),
             handler,
+            intake,
             tls: self.tls,
             limit: self.settings.max_connections,
             header_timeout: header_timeout(&self.settings),
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -3,7 +3,7 @@
 use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
@@ -13,7 +13,12 @@
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 
-use super::{HttpHandler, response_body};
+use super::call_body::CallBody;
+use super::client_intake::CloseReason;
+use super::connection_state::ConnectionState;
+use super::metered_stream::MeteredStream;
+use super::{ClientIntake, HttpHandler, response_body};
+use crate::http_bodies::MemoryFull;
 use crate::prelude::*;
 
 /// Pause after a failed accept, so that a lack of descriptors is no busy loop.
@@ -23,6 +28,8 @@
 /// After the last accept, how long a call that had already reached this VM
 /// has to be read, before connections without a call are closed.
 const BACKLOG_GRACE: Duration = Duration::from_millis(100);
+/// Smallest read buffer that the library takes, in bytes.
+const MIN_READ_BUFFER: usize = 8 << 10;
 
 /// Accepts the connections of one listener and serves each in its own task.
 #[derive(Clone)]
@@ -30,6 +37,7 @@
     pub(super) slots: Arc<Semaphore>,
     pub(super) refusals: Arc<Semaphore>,
     pub(super) builder: auto::Builder<TokioExecutor>,
+    pub(super) intake: ClientIntake,
     pub(super) handler: S,
     pub(super) tls: Option<TlsAcceptor>,
     pub(super) limit: u32,
@@ -105,25 +113,51 @@
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let called = CancellationToken::new();
-        let service = service_fn(|request| {
+        let state = ConnectionState::new(Instant::now());
+        let service = service_fn(|request: Request<Incoming>| {
             called.cancel();
+            let call = state.begin_call(request.version() == Version::HTTP_2);
             let answer = self.answer(request, place.refused);
-            async move { Ok::<_, Infallible>(answer.await) }
+            // Boxed, since the library reserves the size of this future for each connection.
+            Box::pin(async move {
+                let answer = answer.await;
+                Ok::<_, Infallible>(answer.map(|body| CallBody { body, _call: call }))
+            })
         });
+        let heads = self.intake.heads.hold();
+        let stream = MeteredStream::new(stream, Arc::clone(&state), heads);
         let connection = self
-            .builder
+            .connection_builder()
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         tokio::select! {
             ended = watcher.watch(connection) => {
                 if let Err(error) = ended {
-                    log_event!(debug, "connection_ended", error = error);
+                    self.record_end(&*error);
                 }
             }
             () = self.no_call(&called) => log_event!(debug, "connection_without_call_closed"),
         }
     }
 
+    /// The settings of a connection that is accepted now.
+    fn connection_builder(&self) -> auto::Builder<TokioExecutor> {
+        let mut builder = self.builder.clone();
+        if let Some(bytes) = self.handler.max_head_bytes() {
+            builder.http1().max_buf_size(bytes.max(MIN_READ_BUFFER));
+        }
+        builder
+    }
+
+    fn record_end(&self, error: &(dyn std::error::Error + 'static)) {
+        let mut causes = std::iter::successors(Some(error), |error| error.source());
+        let is_full = causes.any(is_memory_full);
+        if is_full {
+            self.intake.record_closed(CloseReason::HeadMemory);
+        }
+        log_event!(debug, "connection_ended", error = error);
+    }
+
     /// Answers one call; a refused connection is closed after its refusal.
     fn answer(
         &self,
@@ -150,3 +184,10 @@
         }
     }
 }
+
+/// Whether a connection has ended since its head did not fit.
+fn is_memory_full(error: &(dyn std::error::Error + 'static)) -> bool {
+    let error = error.downcast_ref::<std::io::Error>();
+    let cause = error.and_then(|error| error.get_ref());
+    cause.is_some_and(|cause| cause.is::<MemoryFull>())
+}
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -7,7 +7,7 @@
     EntryNode, FollowerStanding, ReadinessGate, ReadinessState, Result, entry_gauges, queue_gauges,
 };
 use crate::admission::{AdmissionControl, AdmissionMode};
-use crate::api::{ApiHandler, HttpServer, ListenerKind, ServerError};
+use crate::api::{ApiHandler, ClientIntake, HttpServer, ListenerKind, ServerError};
 use crate::attempt::{EndpointClient, StageDispatcher};
 use crate::claims::{ClaimClient, LocalClaims};
 use crate::configuration::{ConfigurationCell, ConfigurationReport, ConfigurationSnapshot};
@@ -219,7 +219,7 @@
 ) -> Result<HttpServer> {
     let listener = HttpServer::bind(settings).await?;
     let handler = ApiHandler::new(kind, Arc::clone(node), settings);
-    Ok(listener.serve(handler))
+    Ok(listener.serve(handler, node.intake().clone()))
 }
 
 /// Makes what the request path of one daemon shares; it is not open yet.
@@ -233,7 +233,9 @@
     let directory = start_directory(parts.link).await;
     let directory = directory.map_err(|error| EntryError::Actor(error.to_string()))?;
     let metrics = Arc::new(MetricSet::new()?);
-    let request_memory = BodyMemory::new(DaemonLimits::new(settings).request_bytes);
+    let limits = DaemonLimits::new(settings);
+    let intake = ClientIntake::new(&limits, metrics.meter());
+    let request_memory = BodyMemory::new(limits.request_bytes);
     request_memory.register_metrics(metrics.meter(), "savorywalk_entry_request");
     let ledger = Arc::new(CostLedger::default());
     let policy = RoutingPolicy::from_name(&entry.routing).unwrap_or(RoutingPolicy::Adaptive);
@@ -258,6 +260,7 @@
         runner,
         metrics,
         request_memory,
+        intake,
         ledger,
         readiness: watch::Sender::new(ReadinessState::Warming),
         standing: ArcSwap::from_pointee(parts.standing),
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -5,6 +5,7 @@
 
 use super::{EntryStatus, FollowerStanding, ReadinessState, ReadinessView};
 use crate::admission::RefusalReason;
+use crate::api::ClientIntake;
 use crate::claims::ClaimClient;
 use crate::configuration::ConfigurationCell;
 use crate::control::ControlClient;
@@ -33,6 +34,7 @@
     pub(super) runner: PipelineRunner,
     pub(super) metrics: Arc<MetricSet>,
     pub(super) request_memory: Arc<BodyMemory>,
+    pub(super) intake: ClientIntake,
     pub(super) ledger: Arc<CostLedger>,
     pub(super) readiness: watch::Sender<ReadinessState>,
     pub(super) standing: ArcSwap<FollowerStanding>,
@@ -76,6 +78,11 @@
         &self.request_memory
     }
 
+    /// What the listeners take.
+    pub(crate) fn intake(&self) -> &ClientIntake {
+        &self.intake
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &MetricSet {
         &self.metrics
--- a/crates/savorywalk/src/gateway/call_handler.rs
+++ b/crates/savorywalk/src/gateway/call_handler.rs
@@ -23,6 +23,9 @@
         .boxed_unsync()
 }
 
+/// Room for a request's line beside the fields of its head, in bytes.
+const HEAD_LINE_BYTES: usize = 4 << 10;
+
 /// Handles callers' requests, or the platform's readiness and metrics probes.
 #[derive(Clone, Debug)]
 pub(super) struct CallHandler {
@@ -56,6 +59,12 @@
         }
     }
 
+    fn max_head_bytes(&self) -> Option<usize> {
+        let view = self.node.view.load();
+        let limits = view.table.as_ref().map(|table| table.limits());
+        Some(limits.unwrap_or_default().head_bytes as usize + HEAD_LINE_BYTES)
+    }
+
     fn refuse_connection(&self, _limit: u32) -> Response<Self::Body> {
         let mut response = Response::new(full_body(Bytes::new()));
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/savorywalk/src/gateway/cluster_hub.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddrV4;
 
 use super::{GatewayError, Result};
-use crate::api::{HttpHandler, HttpServer};
+use crate::api::{ClientIntake, HttpHandler, HttpServer};
 use crate::prelude::*;
 use crate::settings::{ClusterSettings, ListenerSettings};
 use crate::transport::{LinkHub, LinkOptions, PeerName};
@@ -20,8 +20,8 @@
 /// Maximum request body size; the document in force may set a lower limit.
 const MAX_BODY_BYTES: u32 = 16 << 20;
 
-/// Maximum request head size; the document in force may set a lower limit.
-const MAX_HEAD_BYTES: u32 = 64 << 10;
+/// Maximum request head size where no document sets another limit.
+const MAX_HEAD_BYTES: u32 = 16 << 10;
 
 /// Time allowed to notify peers that links are closing: many round trips in a region, and only
 /// part of the time left for a stop.
@@ -96,13 +96,17 @@
 }
 
 /// Opens a listener at `address` whose calls `handler` answers.
-pub(super) async fn listen<S: HttpHandler>(address: &str, handler: S) -> Result<HttpServer> {
+pub(super) async fn listen<S: HttpHandler>(
+    address: &str,
+    handler: S,
+    intake: &ClientIntake,
+) -> Result<HttpServer> {
     let bound = HttpServer::bind(&listener_settings(address)).await;
     let bound = bound.map_err(|error| GatewayError::Listen {
         address: address.to_string(),
         reason: error.to_string(),
     })?;
-    Ok(bound.serve(handler))
+    Ok(bound.serve(handler, intake.clone()))
 }
 
 #[cfg(test)]
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -7,7 +7,7 @@
 use super::permit_gate::ColdBounds;
 use super::region_map::RegionMap;
 use super::{GatewayError, Result, RetryLimits, WireFormat, cluster_hub};
-use crate::api::HttpServer;
+use crate::api::{ClientIntake, HttpServer};
 use crate::prelude::*;
 use crate::registry::{EntryCapacity, EntryFollower, FollowOptions};
 use crate::settings::{ClusterSettings, DaemonLimits, DaemonSettings, GatewaySettings};
@@ -83,6 +83,8 @@
         let crash_detector = start_crash_detector(&links, &follower, &network, &metric_set);
         let features = wire.load_features(&gateway.platform_terms);
         let features = features.with_settings(gateway);
+        let limits = DaemonLimits::new(settings);
+        let intake = ClientIntake::new(&limits, metric_set.meter());
         let node = GatewayNode::start(NodeParts {
             features,
             hub: hub.clone(),
@@ -100,13 +102,13 @@
             },
             region_map: RegionMap::parse(&cluster.data_centers)?,
             announce_interval,
-            limits: DaemonLimits::new(settings),
+            limits,
         });
-        let callers = serve(&gateway.callers, &node, CallHandlerKind::Callers).await?;
-        let probes = serve(&gateway.probes, &node, CallHandlerKind::Probes).await?;
+        let callers = serve(&gateway.callers, &node, CallHandlerKind::Callers, &intake).await?;
+        let probes = serve(&gateway.probes, &node, CallHandlerKind::Probes, &intake).await?;
         let metrics = match gateway.metrics.as_str() {
             "" => None,
-            address => Some(serve(address, &node, CallHandlerKind::Probes).await?),
+            address => Some(serve(address, &node, CallHandlerKind::Probes, &intake).await?),
         };
         log_event!(
             info,
@@ -215,12 +217,13 @@
     address: &str,
     node: &Arc<GatewayNode>,
     kind: CallHandlerKind,
+    intake: &ClientIntake,
 ) -> Result<HttpServer> {
     let handler = CallHandler {
         node: Arc::clone(node),
         kind,
     };
-    cluster_hub::listen(address, handler).await
+    cluster_hub::listen(address, handler, intake).await
 }
 
 /// Hashes the address of an entry, to distribute entries over the registry daemons.
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -28,7 +28,6 @@
 mod entry_capacity;
 mod event_body;
 mod event_buffer;
-mod fault_counter;
 mod first_event_times;
 mod forward_attempt;
 mod forward_plan;
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -2,7 +2,7 @@
 use super::registry_handler::RegistryHandler;
 use super::registry_metrics::RegistryMetrics;
 use super::{GatewayError, Result, WireFormat, cluster_hub};
-use crate::api::HttpServer;
+use crate::api::{ClientIntake, HttpServer};
 use crate::control::VoterRoster;
 use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
@@ -54,7 +54,9 @@
         };
         let node = RegistryNode::start(hub.clone(), options);
         let metrics = RegistryMetrics::new()?;
-        let call_memory = BodyMemory::new(DaemonLimits::new(settings).request_bytes);
+        let limits = DaemonLimits::new(settings);
+        let intake = ClientIntake::new(&limits, metrics.meter());
+        let call_memory = BodyMemory::new(limits.request_bytes);
         call_memory.register_metrics(metrics.meter(), "savorywalk_registry_call");
         let handler = RegistryHandler {
             call_memory,
@@ -64,10 +66,10 @@
             metrics: metrics.clone(),
             address: registry.address.parse().ok(),
         };
-        let server = cluster_hub::listen(&registry.address, handler).await?;
+        let server = cluster_hub::listen(&registry.address, handler, &intake).await?;
         let metrics = match registry.metrics.as_str() {
             "" => None,
-            address => Some(cluster_hub::listen(address, metrics).await?),
+            address => Some(cluster_hub::listen(address, metrics, &intake).await?),
         };
         log_event!(
             info,
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -5,13 +5,13 @@
 
 use super::body_reader::{self, BodyReadError};
 use super::call_handler::{GatewayBody, full_body};
-use super::fault_counter::FaultCounter;
 use super::registry_metrics::RegistryMetrics;
 use super::{InvalidCall, RegistryAnswer, RegistryCall, WireFormat};
 use crate::api::HttpHandler;
 use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
+use crate::telemetry::FaultCounter;
 
 /// Maximum body size of a call: a document with about a thousand routes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
--- a/crates/savorywalk/src/settings/daemon_limits_tests.rs
+++ b/crates/savorywalk/src/settings/daemon_limits_tests.rs
@@ -5,6 +5,7 @@
         limits: Some(LimitSettings {
             memory_mb,
             request_bytes,
+            ..Default::default()
         }),
         ..Default::default()
     })
--- a/crates/savorywalk/src/gateway/fault_counter.rs
+++ b/crates/savorywalk/src/telemetry/fault_counter.rs
@@ -7,7 +7,7 @@
 /// Counts rejected calls by kind and decides when to log one, as a state machine without
 /// I/O.
 #[derive(Debug, Default)]
-pub(super) struct FaultCounter {
+pub(crate) struct FaultCounter {
     kinds: FastMap<&'static str, KindCount>,
 }
 
@@ -19,7 +19,7 @@
 
 impl FaultCounter {
     /// Counts one rejected call; returns the total of its kind when a log line is due.
-    pub(super) fn count(&mut self, now: Instant, kind: &'static str) -> Option<u64> {
+    pub(crate) fn count(&mut self, now: Instant, kind: &'static str) -> Option<u64> {
         let count = self.kinds.entry(kind).or_default();
         count.total += 1;
         let is_due = count
--- a/crates/savorywalk/src/telemetry/mod.rs
+++ b/crates/savorywalk/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 //! See docs/operators/monitoring.md.
 
 mod attempt_metrics;
+mod fault_counter;
 mod log_event;
 mod log_pipe;
 mod metric_set;
@@ -9,6 +10,7 @@
 mod time_text;
 
 pub use attempt_metrics::AttemptMetrics;
+pub(crate) use fault_counter::FaultCounter;
 pub use log_event::{LogValue, init_daemon_logging, init_logging};
 pub use log_pipe::finish_logging;
 pub use metric_set::{MetricError, MetricSet, RequestOutcome, StageLabels};
