Give large bodies pages of their own

Cause: blocks that grow through 64 KiB, 256 KiB, 1 MiB and 4 MiB come from the arenas of the allocator, one for each thread, which keep what was freed there.

Change: a body over 64 KiB is read into anonymous pages as large as it may become, of which only what is written takes memory, and which go back to the system with it (memmap2, a new dependency). There is no copy as a body grows.

--- a/crates/savorywalk/src/http_bodies/mod.rs
+++ b/crates/savorywalk/src/http_bodies/mod.rs
@@ -1,6 +1,7 @@
 //! Reading of HTTP bodies at a cost that does not grow with their pieces, whose number their senders
 //! decide. See docs/design/answer-limits.md.
 
+mod body_buffer;
 mod body_memory;
 mod event_lines;
 mod event_splitter;
--- a/crates/savorywalk/src/http_bodies/whole_body.rs
+++ b/crates/savorywalk/src/http_bodies/whole_body.rs
@@ -3,18 +3,13 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
+use super::body_buffer::BodyBuffer;
 use super::{BodyHold, MemoryFull, Result};
 use crate::prelude::*;
 
 /// Time without a byte after which a body leaves its room to others while memory is short.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Capacity of the first block of a body whose length is not known to be smaller.
-const FIRST_CAPACITY: usize = 64 << 10;
-
-/// Factor by which the block of a body grows.
-const GROWTH: usize = 4;
-
 /// Why a body could not be read as a whole.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum BodyFailure {
@@ -31,13 +26,13 @@
 
 /// A body with the memory that it holds.
 struct HeldBody {
-    data: Vec<u8>,
+    data: BodyBuffer,
     _hold: BodyHold,
 }
 
 impl AsRef<[u8]> for HeldBody {
     fn as_ref(&self) -> &[u8] {
-        &self.data
+        self.data.as_ref()
     }
 }
 
@@ -60,9 +55,9 @@
         return Err(BodyFailure::TooLarge { limit });
     }
     hold.check_room(announced)?;
-    let expected = body.size_hint().exact().map_or(limit, |_| announced);
+    let most = body.size_hint().exact().map_or(limit, |_| announced);
     let mut body = pin!(body);
-    let mut whole = Vec::new();
+    let mut whole = BodyBuffer::new(announced);
     loop {
         let Ok(frame) = tokio::time::timeout(STALL_TIME, body.frame()).await else {
             hold.check_stalled()?;
@@ -72,12 +67,12 @@
         let frame = frame.map_err(|error| BodyFailure::Broken(error.to_string()))?;
         // Trailers carry nothing that is used.
         if let Ok(data) = frame.into_data() {
-            if data.len() > limit - whole.len() {
+            if data.len() > most - whole.len() {
                 return Err(BodyFailure::TooLarge { limit });
             }
             hold.grow(data.len())?;
-            reserve(&mut whole, data.len(), expected);
-            whole.extend_from_slice(&data);
+            let pushed = whole.push(&data, most);
+            pushed.map_err(|error| BodyFailure::Broken(error.to_string()))?;
         }
         // Frames may be ready for as long as the sender sends: other tasks have their turn.
         tokio::task::coop::consume_budget().await;
@@ -88,18 +83,6 @@
     }))
 }
 
-/// Makes room for `more` bytes. Blocks grow in few steps, since each leaves a gap of its size, and no
-/// further than to the expected size.
-fn reserve(whole: &mut Vec<u8>, more: usize, expected: usize) {
-    let needed = whole.len() + more;
-    if needed <= whole.capacity() {
-        return;
-    }
-    let grown = (whole.capacity() * GROWTH).max(FIRST_CAPACITY);
-    let capacity = grown.min(expected).max(needed);
-    whole.reserve_exact(capacity - whole.len());
-}
-
 #[cfg(test)]
 #[path = "whole_body_tests.rs"]
 mod tests;
