Give a new connection the place of one without a request; bound connections

Callers saw: beside 3,300 connections that sent nothing, or half a head, an ordinary request got no answer (a reset or 503) for 20 s.

Cause: the listener refused new connections while silent ones kept all 3,000 places, for as long as a fixed 20 s. The document's headerTimeoutMs and idleTimeoutMs were read and used nowhere. The listeners of a gateway could open more descriptors than its VM has (3,064 each, 4,100 in all).

Change: ConnectionTable gives a new connection the place of one that has never had a request, the oldest first, then of one that has waited for more than a second; never of one with a call. Time limits of heads and of silence are those of the document, counted after what has arrived is read. [limits] connections follows from descriptors and memory; probes take 256. Requests count 40 KiB of state; their bound is a fifth of the memory.

Why it works: a client that sends no request can't hold a place that another client wants, and a client that does is never closed for it.

--- a/crates/savorywalk/src/api/bound_listener.rs
+++ b/crates/savorywalk/src/api/bound_listener.rs
@@ -6,7 +6,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection_acceptor::ConnectionAcceptor;
-use super::{ClientIntake, HttpHandler, HttpServer};
+use super::connection_table::ConnectionTable;
+use super::{ClientIntake, ConnectionLimits, HttpHandler, HttpServer};
 use crate::prelude::*;
 use crate::settings::ListenerSettings;
 
@@ -46,14 +47,14 @@
     pub(crate) fn serve<S: HttpHandler>(self, handler: S, intake: ClientIntake) -> HttpServer {
         let stopping = CancellationToken::new();
         let acceptor = ConnectionAcceptor {
-            slots: Arc::new(Semaphore::new(self.settings.max_connections as usize)),
+            table: ConnectionTable::new(self.settings.max_connections as usize),
             refusals: Arc::new(Semaphore::new(REFUSAL_CONNECTIONS)),
             builder: connection_builder(&self.settings),
             handler,
             intake,
             tls: self.tls,
             limit: self.settings.max_connections,
-            header_timeout: header_timeout(&self.settings),
+            limits: connection_limits(&self.settings),
             stopping: stopping.clone(),
         };
         let address = self.address;
@@ -66,8 +67,13 @@
     }
 }
 
-fn header_timeout(settings: &ListenerSettings) -> Duration {
-    Duration::from_millis(settings.header_timeout_ms.into())
+fn connection_limits(settings: &ListenerSettings) -> ConnectionLimits {
+    let timeout = Duration::from_millis(settings.header_timeout_ms.into());
+    ConnectionLimits {
+        head_bytes: settings.max_header_bytes as usize + HEADER_SLACK,
+        head_time: timeout,
+        idle_time: timeout,
+    }
 }
 
 fn connection_builder(settings: &ListenerSettings) -> auto::Builder<TokioExecutor> {
@@ -75,8 +81,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout(settings))
-        .max_buf_size(settings.max_header_bytes as usize + HEADER_SLACK);
+        // The listener has limits of its own.
+        .header_read_timeout(None);
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/crates/savorywalk/src/api/client_intake.rs
+++ b/crates/savorywalk/src/api/client_intake.rs
@@ -1,7 +1,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Meter};
+use opentelemetry::metrics::{Counter, Meter, UpDownCounter};
 
 use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
@@ -13,6 +13,12 @@
 pub(super) enum CloseReason {
     /// The heads that are arriving have no memory left.
     HeadMemory,
+    /// A head has not ended in time.
+    LateHead,
+    /// No request has come in time.
+    Idle,
+    /// A new connection needed the place.
+    Yielded,
 }
 
 impl CloseReason {
@@ -20,6 +26,9 @@
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::HeadMemory => "head_memory",
+            Self::LateHead => "late_head",
+            Self::Idle => "idle",
+            Self::Yielded => "yielded",
         }
     }
 }
@@ -30,16 +39,31 @@
 pub(crate) struct ClientIntake {
     /// Memory of the heads that are arriving.
     pub(super) heads: Arc<BodyMemory>,
+    open: UpDownCounter<i64>,
     closed: Counter<u64>,
     closed_counter: Arc<Mutex<FaultCounter>>,
 }
 
+/// Counts an open connection; ends on drop.
+#[derive(Debug)]
+pub(super) struct OpenCount(UpDownCounter<i64>);
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.add(-1, &[]);
+    }
+}
+
 impl ClientIntake {
     pub(crate) fn new(limits: &DaemonLimits, meter: &Meter) -> Self {
         let heads = BodyMemory::new(limits.head_bytes);
         heads.register_metrics(meter, "savorywalk_head");
         Self {
             heads,
+            open: meter
+                .i64_up_down_counter("savorywalk_connections")
+                .with_description("Connections of clients that are open")
+                .build(),
             closed: meter
                 .u64_counter("savorywalk_connections_closed")
                 .with_description("Connections that a listener closed, by its reason")
@@ -48,6 +72,12 @@
         }
     }
 
+    /// Counts a connection that is open until the returned guard is dropped.
+    pub(super) fn count_open(&self) -> OpenCount {
+        self.open.add(1, &[]);
+        OpenCount(self.open.clone())
+    }
+
     /// Counts a connection that a listener has closed. Clients may cause any number of these, so few
     /// are logged.
     pub(super) fn record_closed(&self, reason: CloseReason) {
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -9,15 +9,15 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 
 use super::call_body::CallBody;
-use super::client_intake::CloseReason;
-use super::connection_state::ConnectionState;
+use super::client_intake::{CloseReason, OpenCount};
+use super::connection_table::{ConnectionTable, OpenConnection};
 use super::metered_stream::MeteredStream;
-use super::{ClientIntake, HttpHandler, response_body};
+use super::{ClientIntake, ConnectionLimits, HttpHandler, response_body};
 use crate::http_bodies::MemoryFull;
 use crate::prelude::*;
 
@@ -34,22 +34,23 @@
 /// Accepts the connections of one listener and serves each in its own task.
 #[derive(Clone)]
 pub(super) struct ConnectionAcceptor<S> {
-    pub(super) slots: Arc<Semaphore>,
+    pub(super) table: Arc<ConnectionTable>,
     pub(super) refusals: Arc<Semaphore>,
     pub(super) builder: auto::Builder<TokioExecutor>,
     pub(super) intake: ClientIntake,
     pub(super) handler: S,
     pub(super) tls: Option<TlsAcceptor>,
     pub(super) limit: u32,
-    pub(super) header_timeout: Duration,
+    pub(super) limits: ConnectionLimits,
     pub(super) stopping: CancellationToken,
 }
 
-/// A place among a listener's connections, given back when it is dropped.
+/// A connection with its place, given back when it is dropped.
 struct ConnectionPlace {
-    _permit: OwnedSemaphorePermit,
+    connection: OpenConnection,
     /// True for a connection over the limit, which gets a typed refusal.
     refused: bool,
+    _count: OpenCount,
 }
 
 impl<S: HttpHandler> ConnectionAcceptor<S> {
@@ -99,12 +100,20 @@
     }
 
     fn place(&self) -> Option<ConnectionPlace> {
-        let slot = Arc::clone(&self.slots).try_acquire_owned().ok();
-        let refused = slot.is_none();
-        let permit = slot.or_else(|| Arc::clone(&self.refusals).try_acquire_owned().ok())?;
+        let now = Instant::now();
+        let place = self.table.take_place(now);
+        let refused = place.is_none();
+        let connection = match place {
+            Some(permit) => self.table.open(permit, now),
+            None => {
+                let permit = Arc::clone(&self.refusals).try_acquire_owned().ok()?;
+                self.table.open_apart(permit, now)
+            }
+        };
         Some(ConnectionPlace {
-            _permit: permit,
+            connection,
             refused,
+            _count: self.intake.count_open(),
         })
     }
 
@@ -112,10 +121,9 @@
     where
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let called = CancellationToken::new();
-        let state = ConnectionState::new(Instant::now());
+        let limits = self.handler.connection_limits().unwrap_or(self.limits);
+        let state = Arc::clone(&place.connection.state);
         let service = service_fn(|request: Request<Incoming>| {
-            called.cancel();
             let call = state.begin_call(request.version() == Version::HTTP_2);
             let answer = self.answer(request, place.refused);
             // Boxed, since the library reserves the size of this future for each connection.
@@ -127,25 +135,25 @@
         let heads = self.intake.heads.hold();
         let stream = MeteredStream::new(stream, Arc::clone(&state), heads);
         let connection = self
-            .connection_builder()
+            .connection_builder(&limits)
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         tokio::select! {
+            // What has arrived is read before a time limit counts.
+            biased;
             ended = watcher.watch(connection) => {
                 if let Err(error) = ended {
                     self.record_end(&*error);
                 }
             }
-            () = self.no_call(&called) => log_event!(debug, "connection_without_call_closed"),
+            reason = state.until_closed(&limits) => self.intake.record_closed(reason),
         }
     }
 
-    /// The settings of a connection that is accepted now.
-    fn connection_builder(&self) -> auto::Builder<TokioExecutor> {
+    fn connection_builder(&self, limits: &ConnectionLimits) -> auto::Builder<TokioExecutor> {
         let mut builder = self.builder.clone();
-        if let Some(bytes) = self.handler.max_head_bytes() {
-            builder.http1().max_buf_size(bytes.max(MIN_READ_BUFFER));
-        }
+        let head_bytes = limits.head_bytes.max(MIN_READ_BUFFER);
+        builder.http1().max_buf_size(head_bytes);
         builder
     }
 
@@ -175,14 +183,6 @@
             response
         }
     }
-
-    /// Ends when the connection has brought no call within the time for a head.
-    async fn no_call(&self, called: &CancellationToken) {
-        let first = tokio::time::timeout(self.header_timeout, called.cancelled()).await;
-        if first.is_ok() {
-            std::future::pending().await
-        }
-    }
 }
 
 /// Whether a connection has ended since its head did not fit.
--- a/crates/savorywalk/src/api/connection_state.rs
+++ b/crates/savorywalk/src/api/connection_state.rs
@@ -1,7 +1,18 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
+use std::sync::{Mutex, PoisonError};
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio_util::sync::CancellationToken;
+
+use super::client_intake::CloseReason;
+use super::http_handler::ConnectionLimits;
 use crate::prelude::*;
 
+/// Time after a call before its connection yields its place: the caller may be sending the next
+/// request.
+pub(super) const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
@@ -26,6 +37,18 @@
     has_called: AtomicBool,
     /// Whether calls share the connection, so that the bytes between them are no head.
     is_multiplexed: AtomicBool,
+    /// The place of the connection until it yields it.
+    place: Mutex<Option<OwnedSemaphorePermit>>,
+    yielded: CancellationToken,
+}
+
+/// Order in which connections yield their places, the first one first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum YieldOrder {
+    /// It was accepted then and has never had a request.
+    NeverCalled(Instant),
+    /// It has waited for a request since then.
+    Waiting(Instant),
 }
 
 /// A call in progress; ends on drop.
@@ -35,7 +58,7 @@
 }
 
 impl ConnectionState {
-    pub(super) fn new(accepted: Instant) -> Arc<Self> {
+    pub(super) fn new(accepted: Instant, place: OwnedSemaphorePermit) -> Arc<Self> {
         Arc::new(Self {
             accepted,
             since_ms: AtomicU64::default(),
@@ -43,6 +66,8 @@
             head_bytes: AtomicUsize::default(),
             has_called: AtomicBool::default(),
             is_multiplexed: AtomicBool::default(),
+            place: Mutex::new(Some(place)),
+            yielded: CancellationToken::new(),
         })
     }
 
@@ -90,6 +115,68 @@
         }
     }
 
+    /// Where the connection stands among those that may yield their places; `None` if it may not.
+    pub(super) fn yield_order(&self, now: Instant) -> Option<YieldOrder> {
+        if self.phase() == ConnectionPhase::Call || self.has_yielded() {
+            return None;
+        }
+        if !self.has_called.load(Ordering::Relaxed) {
+            return Some(YieldOrder::NeverCalled(self.accepted));
+        }
+        let since = self.since();
+        let is_idle = now.saturating_duration_since(since) >= MIN_IDLE_TIME;
+        is_idle.then_some(YieldOrder::Waiting(since))
+    }
+
+    /// Gives the place away; the connection is then closed.
+    pub(super) fn yield_place(&self) -> Option<OwnedSemaphorePermit> {
+        self.yielded.cancel();
+        let mut place = self.place.lock().unwrap_or_else(PoisonError::into_inner);
+        place.take()
+    }
+
+    /// Whether the place was given away.
+    pub(super) fn has_yielded(&self) -> bool {
+        self.yielded.is_cancelled()
+    }
+
+    /// Waits until the connection has to be closed.
+    pub(super) async fn until_closed(&self, limits: &ConnectionLimits) -> CloseReason {
+        tokio::select! {
+            () = self.yielded.cancelled() => CloseReason::Yielded,
+            reason = self.until_expired(limits) => reason,
+        }
+    }
+
+    async fn until_expired(&self, limits: &ConnectionLimits) -> CloseReason {
+        loop {
+            let now = Instant::now();
+            let wake_at = match self.expiry(limits) {
+                Some((at, reason)) if at <= now => return reason,
+                Some((at, _)) => at,
+                None => now + limits.head_time.min(limits.idle_time),
+            };
+            tokio::time::sleep_until(wake_at.into()).await;
+        }
+    }
+
+    /// When the connection is closed if nothing happens, and why; `None` during calls. Connections
+    /// that calls share are asked for signs of life by the library.
+    fn expiry(&self, limits: &ConnectionLimits) -> Option<(Instant, CloseReason)> {
+        if self.is_multiplexed.load(Ordering::Relaxed) {
+            return None;
+        }
+        match self.phase() {
+            ConnectionPhase::Call => None,
+            ConnectionPhase::Head => Some((self.since() + limits.head_time, CloseReason::LateHead)),
+            ConnectionPhase::Idle => Some((self.since() + limits.idle_time, CloseReason::Idle)),
+        }
+    }
+
+    fn since(&self) -> Instant {
+        self.accepted + Duration::from_millis(self.since_ms.load(Ordering::Relaxed))
+    }
+
     fn set_since(&self, now: Instant) {
         let since = now.saturating_duration_since(self.accepted);
         self.since_ms
--- a/crates/savorywalk/src/api/http_handler.rs
+++ b/crates/savorywalk/src/api/http_handler.rs
@@ -3,6 +3,17 @@
 
 use crate::prelude::*;
 
+/// Limits on what a connection sends between calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Largest head of a request, with its line, in bytes.
+    pub head_bytes: usize,
+    /// Longest time from the first byte of a head to its end.
+    pub head_time: Duration,
+    /// Longest time without a request.
+    pub idle_time: Duration,
+}
+
 /// What answers the calls of one listener.
 pub trait HttpHandler: Clone + Send + Sync + 'static {
     /// Body of its answers; an error in it ends the connection early.
@@ -17,9 +28,8 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
 
-    /// Largest head of a request on a connection that is accepted now, in bytes, if it is not that of
-    /// the listener's settings.
-    fn max_head_bytes(&self) -> Option<usize> {
+    /// Limits of a connection that is accepted now, if they are not those of the listener's settings.
+    fn connection_limits(&self) -> Option<ConnectionLimits> {
         None
     }
 
--- a/crates/savorywalk/src/gateway/call_handler.rs
+++ b/crates/savorywalk/src/gateway/call_handler.rs
@@ -7,7 +7,7 @@
 use super::gateway_node::GatewayNode;
 use super::metrics_page::{self, METRICS_PATH};
 use super::request_service;
-use crate::api::HttpHandler;
+use crate::api::{ConnectionLimits, HttpHandler};
 use crate::prelude::*;
 
 /// Why the body of an answer could not be completed; the connection then ends early.
@@ -59,10 +59,15 @@
         }
     }
 
-    fn max_head_bytes(&self) -> Option<usize> {
+    fn connection_limits(&self) -> Option<ConnectionLimits> {
         let view = self.node.view.load();
         let limits = view.table.as_ref().map(|table| table.limits());
-        Some(limits.unwrap_or_default().head_bytes as usize + HEAD_LINE_BYTES)
+        let limits = limits.unwrap_or_default();
+        Some(ConnectionLimits {
+            head_bytes: limits.head_bytes as usize + HEAD_LINE_BYTES,
+            head_time: limits.head_time,
+            idle_time: limits.idle_time,
+        })
     }
 
     fn refuse_connection(&self, _limit: u32) -> Response<Self::Body> {
--- a/crates/savorywalk/src/gateway/cluster_hub.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub.rs
@@ -10,8 +10,8 @@
 /// the full table of 200 endpoints sent to a daemon that has just started is 20 KB.
 const LINK_BUDGET_BYTES_PER_SECOND: u32 = 1_000_000;
 
-/// Maximum connections per listener.
-const MAX_CONNECTIONS: u32 = 3_000;
+/// Maximum connections of a listener for probes or metrics alone.
+pub(super) const MAX_PROBE_CONNECTIONS: u32 = 256;
 
 /// Time allowed for a request to arrive on an open connection. Documents limit it to 15 s and
 /// callers use four fifths of that, so the server never closes a connection first.
@@ -74,10 +74,10 @@
 }
 
 /// Returns the settings of a listener at `address`.
-fn listener_settings(address: &str) -> ListenerSettings {
+fn listener_settings(address: &str, max_connections: u32) -> ListenerSettings {
     ListenerSettings {
         address: address.to_string(),
-        max_connections: MAX_CONNECTIONS,
+        max_connections,
         max_body_bytes: MAX_BODY_BYTES,
         max_header_bytes: MAX_HEAD_BYTES,
         header_timeout_ms: REQUEST_TIMEOUT_MS,
@@ -100,8 +100,9 @@
     address: &str,
     handler: S,
     intake: &ClientIntake,
+    max_connections: u32,
 ) -> Result<HttpServer> {
-    let bound = HttpServer::bind(&listener_settings(address)).await;
+    let bound = HttpServer::bind(&listener_settings(address, max_connections)).await;
     let bound = bound.map_err(|error| GatewayError::Listen {
         address: address.to_string(),
         reason: error.to_string(),
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -104,11 +104,28 @@
             announce_interval,
             limits,
         });
-        let callers = serve(&gateway.callers, &node, CallHandlerKind::Callers, &intake).await?;
-        let probes = serve(&gateway.probes, &node, CallHandlerKind::Probes, &intake).await?;
+        let serve_probes = |address| {
+            let connections = cluster_hub::MAX_PROBE_CONNECTIONS;
+            serve(
+                address,
+                &node,
+                CallHandlerKind::Probes,
+                &intake,
+                connections,
+            )
+        };
+        let callers = serve(
+            &gateway.callers,
+            &node,
+            CallHandlerKind::Callers,
+            &intake,
+            limits.connections,
+        )
+        .await?;
+        let probes = serve_probes(&gateway.probes).await?;
         let metrics = match gateway.metrics.as_str() {
             "" => None,
-            address => Some(serve(address, &node, CallHandlerKind::Probes, &intake).await?),
+            address => Some(serve_probes(address).await?),
         };
         log_event!(
             info,
@@ -218,12 +235,13 @@
     node: &Arc<GatewayNode>,
     kind: CallHandlerKind,
     intake: &ClientIntake,
+    max_connections: u32,
 ) -> Result<HttpServer> {
     let handler = CallHandler {
         node: Arc::clone(node),
         kind,
     };
-    cluster_hub::listen(address, handler, intake).await
+    cluster_hub::listen(address, handler, intake, max_connections).await
 }
 
 /// Hashes the address of an entry, to distribute entries over the registry daemons.
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -66,10 +66,19 @@
             metrics: metrics.clone(),
             address: registry.address.parse().ok(),
         };
-        let server = cluster_hub::listen(&registry.address, handler, &intake).await?;
+        let server =
+            cluster_hub::listen(&registry.address, handler, &intake, limits.connections).await?;
         let metrics = match registry.metrics.as_str() {
             "" => None,
-            address => Some(cluster_hub::listen(address, metrics, &intake).await?),
+            address => Some(
+                cluster_hub::listen(
+                    address,
+                    metrics,
+                    &intake,
+                    cluster_hub::MAX_PROBE_CONNECTIONS,
+                )
+                .await?,
+            ),
         };
         log_event!(
             info,
--- a/crates/savorywalk/src/gateway/request_service.rs
+++ b/crates/savorywalk/src/gateway/request_service.rs
@@ -19,8 +19,8 @@
 /// Longest time for reading a caller's body; the request's deadline may be earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Memory of the state of one request, in bytes.
-const REQUEST_COST: usize = 4 << 10;
+/// Memory of the state of one request and of its connection to an endpoint, in bytes.
+const REQUEST_COST: usize = 40 << 10;
 
 /// Times that the fields of a head are kept: as received, and as read.
 const HEAD_COPIES: usize = 2;
--- a/crates/savorywalk/src/settings/daemon_limits.rs
+++ b/crates/savorywalk/src/settings/daemon_limits.rs
@@ -3,8 +3,17 @@
 /// Memory of a VM that names none, in MiB.
 const DEFAULT_MEMORY_MB: u32 = 256;
 
+/// Descriptors of a VM that names none.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+
 /// Part of the memory that requests may hold, as a divisor.
-const REQUEST_PART: u64 = 8;
+const REQUEST_PART: u64 = 5;
+
+/// Memory for each connection, in bytes: four times the cost of an idle one.
+const CONNECTION_MEMORY: u64 = 64 << 10;
+
+/// Most connections of clients, whatever the VM has.
+const MAX_CONNECTIONS: u32 = 3_000;
 
 /// Part of the memory that arriving heads may hold, as a divisor.
 const HEAD_PART: u64 = 16;
@@ -16,6 +25,8 @@
     pub request_bytes: usize,
     /// Bytes of read buffers with the heads that are arriving, over all connections.
     pub head_bytes: usize,
+    /// Connections of clients, beside those for probes and metrics.
+    pub connections: u32,
 }
 
 impl DaemonLimits {
@@ -37,7 +48,18 @@
             given => given,
         };
         let bytes = |bytes| usize::try_from(bytes).unwrap_or(usize::MAX);
+        let descriptors = match limits.descriptors {
+            0 => DEFAULT_DESCRIPTORS,
+            given => given,
+        };
+        let connections = match limits.connections {
+            0 => (descriptors / 8 * 5)
+                .min(u32::try_from(memory / CONNECTION_MEMORY).unwrap_or(u32::MAX))
+                .clamp(1, MAX_CONNECTIONS),
+            given => given,
+        };
         Self {
+            connections,
             request_bytes: bytes(request_bytes),
             head_bytes: bytes(head_bytes),
         }
