Refuse heads whose counts take memory far beyond their size

Callers saw: one request of a few hundred bytes that named 20,000,000 pieces took 1,166 MB of the gateway that coordinates its stages, and got no answer for 12 s; four thousand million would end the process.

Cause: counts of pieces were taken as sent, and a plan queued each of them. Prompt parts of no tokens were kept in the model of an engine's cache without a bound, sums of tokens could overflow, and an identity of up to a whole head stayed in tables after its request.

Change: head_limits::check refuses as malformed a request with more than [limits] pieces, 256 parts, 2^32 tokens or an identity of more than 256 bytes; a cached part counts 16 tokens at least.

Why it works: what a head makes a gateway keep is now bounded by constants.

Crowds of whole bodies now wait for their answers before memory is read, which is stricter. Only suspected, not shown by a process test: parts without tokens, overflowing sums, long identities.

--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -93,6 +93,12 @@
     assert_held(&play(CrowdTarget::Callers, kind, 60, 5).await);
 }
 
+/// Guards against one small request whose head asks for more pieces than the memory holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_for_millions_of_pieces_stays_within_memory() {
+    assert_held(&play(CrowdTarget::Pieces, CrowdKind::WholeBody(1), 1, 1).await);
+}
+
 /// Guards against streams of one connection that each hold a body and a window.
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_streams_of_http_2_at_a_gateway_stay_within_its_memory() {
--- a/crates/proof/src/unruly_clients/client_crowd.rs
+++ b/crates/proof/src/unruly_clients/client_crowd.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    /// Waits until every client has sent everything, or lost its connection, or is held up.
+    /// Waits until every client has sent everything (and got an answer to a whole request), or lost its
+    /// connection, or is held up.
     pub async fn settle(&mut self) {
         let clients = self.clients;
         let settled = self.sent.wait_for(|sent| *sent == clients);
@@ -99,8 +100,13 @@
     if send(&mut stream, request, kind).await.is_err() {
         return;
     }
-    drop(done);
     let mut answer = Vec::new();
+    if let CrowdKind::WholeBody(_) = kind {
+        // What a whole request takes shows once it is answered.
+        let begun = stream.read_buf(&mut answer).await;
+        log::debug!("event=answer_begun bytes={begun:?}");
+    }
+    drop(done);
     if let Err(error) = stream.read_to_end(&mut answer).await {
         log::debug!("event=client_cut reason={error}");
     }
--- a/crates/proof/src/unruly_clients/crowd_run.rs
+++ b/crates/proof/src/unruly_clients/crowd_run.rs
@@ -23,6 +23,8 @@
 pub enum CrowdTarget {
     /// The callers' port of a gateway.
     Callers,
+    /// The same, on a route with a stage, of which a request asks for twenty million pieces.
+    Pieces,
     /// The port for readiness and metrics of a gateway.
     Probes,
     /// The port for operators and endpoints of a registry.
@@ -85,7 +87,7 @@
     let gateway = fleet.gateways()[0];
     wait_until(async || send_ordinary(gateway).await == 200).await;
     let (address, process) = match plan.target {
-        CrowdTarget::Callers => (gateway, GATEWAY),
+        CrowdTarget::Callers | CrowdTarget::Pieces => (gateway, GATEWAY),
         CrowdTarget::Probes => (fleet.probes()[0], GATEWAY),
         CrowdTarget::Registry => (fleet.registries()[0], REGISTRY),
     };
@@ -126,6 +128,10 @@
 fn request(target: CrowdTarget) -> CrowdRequest {
     let (line, headers) = match target {
         CrowdTarget::Callers => ("POST /safe/x", caller_headers()),
+        CrowdTarget::Pieces => {
+            let pieces = "X-Segment-Key: k\r\nX-Segment-Count: 20000000\r\n";
+            ("POST /staged/x", caller_headers() + pieces)
+        }
         CrowdTarget::Probes => ("POST /ready", String::new()),
         CrowdTarget::Registry => ("POST /config/put", String::new()),
     };
@@ -138,6 +144,6 @@
 /// A document with the limits that the pages show.
 fn document(version: u64) -> String {
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":10000,"targetLatencyMs":500,"service":"{POOL}","maxAttempts":2}}],"services":[{{"name":"{POOL}","maxConnections":1000}}],"tenants":[{{"name":"w","apiKeys":["key-w"]}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+        r#"{{"version":{version},"routes":[{{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":10000,"targetLatencyMs":500,"service":"{POOL}","maxAttempts":2}},{{"name":"staged","host":"h.example","pathPrefix":"/staged/","kind":"safe","timeoutMs":10000,"targetLatencyMs":5000,"service":"{POOL}","maxAttempts":2,"stages":[{{"service":"{POOL}","after":[],"bytes":1000}}]}}],"services":[{{"name":"{POOL}","maxConnections":1000,"segments":{{"slots":1,"queue":2,"batch":8,"callMs":150,"itemMs":16,"headroomMb":36,"handleS":4,"linkMbps":10000}}}}],"tenants":[{{"name":"w","apiKeys":["key-w"]}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     )
 }
--- a/crates/savorywalk/src/gateway/engine_model.rs
+++ b/crates/savorywalk/src/gateway/engine_model.rs
@@ -28,6 +28,9 @@
 /// Cost that each running request adds to an engine, as it lengthens the engine's steps.
 const RUNNING_REQUEST_COST: Duration = Duration::from_millis(4);
 
+/// Tokens that a cached part counts for at least, so that parts of none have a bound as well.
+const MIN_PART_TOKENS: u64 = 16;
+
 /// Fraction of an engine's memory assumed to cache shared parts; running requests and their own
 /// parts use the rest.
 const SHARED_CACHE_FRACTION: f64 = 0.6;
@@ -164,12 +167,13 @@
         let answer = query.answer_tokens as u32 * USUAL_ANSWER_PERMILLE / 1_000;
         self.request_ends.push_back(read_at + TOKEN_TIME * answer);
         for part in query.shared() {
+            let tokens = part.tokens.max(MIN_PART_TOKENS);
             let cached = CachedPart {
-                tokens: part.tokens,
+                tokens,
                 last_used: now,
             };
             if self.parts.insert(part.id, cached).is_none() {
-                self.cached_tokens += part.tokens;
+                self.cached_tokens += tokens;
             }
         }
         let max_tokens = (memory_tokens as f64 * SHARED_CACHE_FRACTION) as u64;
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -63,6 +63,8 @@
     pub(super) answer_memory: Arc<AnswerMemory>,
     /// Memory of the requests that this entry holds.
     pub(super) request_memory: Arc<BodyMemory>,
+    /// Most pieces of one request.
+    pub(super) max_pieces: u32,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_detector: CrashDetector,
@@ -125,6 +127,7 @@
             connection_cache: ConnectionCache::default(),
             answer_memory: Arc::default(),
             request_memory: BodyMemory::new(parts.limits.request_bytes),
+            max_pieces: parts.limits.pieces,
             wire: parts.wire,
             follower: parts.follower,
             data_center: parts.data_center,
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod gateway_view;
 mod graceful_stop;
 mod guarded_stream;
+mod head_limits;
 mod infeasible_reason;
 mod invalid_call;
 mod limit_exchange;
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -4,7 +4,10 @@
 use super::gateway_node::GatewayNode;
 use super::gateway_view::AgedView;
 use super::request_context::RequestContext;
-use super::{GatewayRefusal, NotRun, NotRunReason, RouteRule, RouteTable, request_rank, turn_rank};
+use super::{
+    GatewayRefusal, NotRun, NotRunReason, RouteRule, RouteTable, head_limits, request_rank,
+    turn_rank,
+};
 use crate::prelude::*;
 
 /// Retry time given by an entry that has no fresh document; by then other entries serve its
@@ -34,6 +37,7 @@
     if head.request_id.is_empty() {
         return Err(GatewayRefusal::Malformed("the request has no identity"));
     }
+    head_limits::check(&head, node.max_pieces)?;
     let route = table.find(&head.host, parts.uri.path());
     let Some(route) = route else {
         // The route may have been added since, so only an entry with fresh routes reports
--- a/crates/savorywalk/src/settings/daemon_limits.rs
+++ b/crates/savorywalk/src/settings/daemon_limits.rs
@@ -6,6 +6,9 @@
 /// Descriptors of a VM that names none.
 const DEFAULT_DESCRIPTORS: u32 = 4_096;
 
+/// Most pieces of one request where none are named.
+const DEFAULT_PIECES: u32 = 1_024;
+
 /// Part of the memory that requests may hold, as a divisor.
 const REQUEST_PART: u64 = 5;
 
@@ -27,6 +30,8 @@
     pub head_bytes: usize,
     /// Connections of clients, beside those for probes and metrics.
     pub connections: u32,
+    /// Pieces of all stages of one request.
+    pub pieces: u32,
 }
 
 impl DaemonLimits {
@@ -58,8 +63,13 @@
                 .clamp(1, MAX_CONNECTIONS),
             given => given,
         };
+        let pieces = match limits.pieces {
+            0 => DEFAULT_PIECES,
+            given => given,
+        };
         Self {
             connections,
+            pieces,
             request_bytes: bytes(request_bytes),
             head_bytes: bytes(head_bytes),
         }
