--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -156,6 +156,20 @@
     assert_held(&play(CrowdTarget::Registry, kind, 60, 1).await);
 }
 
+/// Guards against announcements whose texts are kept whatever their size.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcements_with_long_texts_stay_within_memory_of_a_registry() {
+    let kind = CrowdKind::Announcement(120 << 10);
+    assert_held(&play(CrowdTarget::Announcements, kind, 3_000, 1).await);
+}
+
+/// Guards against whole documents that are parsed at the same time, at several times their size.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_calls_at_a_registry_stay_within_its_memory() {
+    let kind = CrowdKind::WholeBody(CALL_BYTES);
+    assert_held(&play(CrowdTarget::Registry, kind, 60, 1).await);
+}
+
 /// Guards against heads without end at a registry.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_at_a_registry_stay_within_its_memory() {
--- a/crates/proof/src/unruly_clients/client_crowd.rs
+++ b/crates/proof/src/unruly_clients/client_crowd.rs
@@ -4,6 +4,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::crowd_kind::announcement;
 use super::{CrowdKind, http2_client};
 
 /// Longest wait for a crowd to have sent everything; a server that does not read holds it up.
@@ -21,7 +22,7 @@
 /// What all clients of a crowd ask for.
 #[derive(Clone, Debug)]
 pub struct CrowdRequest {
-    /// Method and path.
+    /// Method and path; `{client}` stands for the number of the client.
     pub line: String,
     /// Further lines of the head; each ends with a line break.
     pub headers: String,
@@ -47,8 +48,9 @@
         let (sender, sent) = watch::channel(0);
         let connecting = Arc::new(tokio::sync::Semaphore::new(CONNECTING));
         let mut tasks = JoinSet::new();
-        for _ in 0..clients {
-            let (sender, request) = (sender.clone(), request.clone());
+        for client in 0..clients {
+            let (sender, mut request) = (sender.clone(), request.clone());
+            request.line = request.line.replace("{client}", &client.to_string());
             let connecting = Arc::clone(&connecting);
             tasks.spawn(async move {
                 let permit = connecting.acquire_owned().await;
@@ -101,7 +103,7 @@
         return;
     }
     let mut answer = Vec::new();
-    if let CrowdKind::WholeBody(_) = kind {
+    if let CrowdKind::WholeBody(_) | CrowdKind::Announcement(_) = kind {
         // What a whole request takes shows once it is answered.
         let begun = stream.read_buf(&mut answer).await;
         log::debug!("event=answer_begun bytes={begun:?}");
@@ -131,6 +133,7 @@
     }
     stream.write_all(head.as_bytes()).await?;
     let block = match kind {
+        CrowdKind::Announcement(bytes) => announcement(bytes).into_bytes(),
         CrowdKind::SmallChunks(_) => SMALL_CHUNK.repeat(WRITE_BYTES / SMALL_CHUNK.len()),
         _ => vec![b'x'; WRITE_BYTES],
     };
--- a/crates/proof/src/unruly_clients/crowd_kind.rs
+++ b/crates/proof/src/unruly_clients/crowd_kind.rs
@@ -16,6 +16,8 @@
     },
     /// A whole body with a length of this many bytes.
     WholeBody(usize),
+    /// An announcement of an endpoint of its own, with texts of this many bytes.
+    Announcement(usize),
     /// One chunk of this many bytes, but for its last one.
     UnfinishedChunk(usize),
     /// Chunks of one byte, this many of them, without the last chunk.
@@ -37,6 +39,10 @@
             Self::UnfinishedBody(length)
             | Self::WholeBody(length)
             | Self::BodyStart { length, .. } => Some(format!("Content-Length: {length}\r\n")),
+            Self::Announcement(bytes) => {
+                let length = announcement(bytes).len();
+                Some(format!("Content-Length: {length}\r\n"))
+            }
             Self::UnfinishedChunk(_) | Self::SmallChunks(_) => {
                 Some("Transfer-Encoding: chunked\r\n".into())
             }
@@ -49,8 +55,17 @@
             Self::Silence | Self::UnfinishedStreams { .. } => 0,
             Self::UnfinishedBody(length) | Self::UnfinishedChunk(length) => length - 1,
             Self::BodyStart { sent, .. } => sent,
+            Self::Announcement(bytes) => announcement(bytes).len(),
             Self::WholeBody(length) | Self::EndlessHead(length) => length,
             Self::SmallChunks(count) => count * super::client_crowd::SMALL_CHUNK.len(),
         }
     }
 }
+
+/// The announcement of an endpoint whose texts have `bytes` bytes.
+pub(super) fn announcement(bytes: usize) -> String {
+    let text = "x".repeat(bytes);
+    format!(
+        r#"{{"service":"unknown","address":"127.0.0.1:9","zone":"z","version":"{text}","slots":1,"state":"ready","coldRemainingMs":0,"sequence":1}}"#
+    )
+}
--- a/crates/proof/src/unruly_clients/crowd_run.rs
+++ b/crates/proof/src/unruly_clients/crowd_run.rs
@@ -29,6 +29,8 @@
     Probes,
     /// The port for operators and endpoints of a registry.
     Registry,
+    /// The same, for announcements.
+    Announcements,
 }
 
 /// Crowds that come one after the other.
@@ -89,7 +91,7 @@
     let (address, process) = match plan.target {
         CrowdTarget::Callers | CrowdTarget::Pieces => (gateway, GATEWAY),
         CrowdTarget::Probes => (fleet.probes()[0], GATEWAY),
-        CrowdTarget::Registry => (fleet.registries()[0], REGISTRY),
+        CrowdTarget::Registry | CrowdTarget::Announcements => (fleet.registries()[0], REGISTRY),
     };
     let request = request(plan.target);
     let mut usage = None;
@@ -134,6 +136,7 @@
         }
         CrowdTarget::Probes => ("POST /ready", String::new()),
         CrowdTarget::Registry => ("POST /config/put", String::new()),
+        CrowdTarget::Announcements => ("POST /instances/x-{client}/heartbeat", String::new()),
     };
     CrowdRequest {
         line: line.into(),
--- a/crates/savorywalk/src/gateway/plain_wire_tests.rs
+++ b/crates/savorywalk/src/gateway/plain_wire_tests.rs
@@ -94,6 +94,10 @@
         None
     }
 
+    fn carries_document(&self, _: &request::Parts) -> bool {
+        false
+    }
+
     fn registry_answer(&self, _: &RegistryAnswer) -> Response<Bytes> {
         Response::default()
     }
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -13,8 +13,11 @@
 use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
 use crate::telemetry::FaultCounter;
 
-/// Maximum body size of a call: a document with about a thousand routes.
-const MAX_BODY_BYTES: u64 = 8 << 20;
+/// Maximum size of a document: about a thousand routes.
+const MAX_DOCUMENT_BYTES: u64 = 8 << 20;
+
+/// Maximum size of the body of another call, in bytes. Its parsed form may take ten times as much.
+const MAX_REPORT_BYTES: u64 = 64 << 10;
 
 /// Time allowed for reading a call's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -38,7 +41,11 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
         let (parts, body) = request.into_parts();
         let hold = self.call_memory.hold();
-        let body = match body_reader::read(body, MAX_BODY_BYTES, BODY_TIMEOUT, hold).await {
+        let max_bytes = match self.wire.carries_document(&parts) {
+            true => MAX_DOCUMENT_BYTES,
+            false => MAX_REPORT_BYTES,
+        };
+        let body = match body_reader::read(body, max_bytes, BODY_TIMEOUT, hold).await {
             Ok(body) => body,
             Err(error) => return self.reject_body(error),
         };
--- a/crates/savorywalk/src/gateway/wire_format.rs
+++ b/crates/savorywalk/src/gateway/wire_format.rs
@@ -23,6 +23,9 @@
         body: &Bytes,
     ) -> Option<Result<RegistryCall, InvalidCall>>;
 
+    /// Whether a call to the registry carries a configuration document. Other calls are small.
+    fn carries_document(&self, head: &http::request::Parts) -> bool;
+
     /// Writes the answer to a call to the registry.
     fn registry_answer(&self, answer: &RegistryAnswer) -> Response<Bytes>;
 
