--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -11,8 +11,8 @@
 use std::path::PathBuf;
 
 use savorywalk_proof::{
-    ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdTarget, ProcessUsage,
-    run_crowd,
+    ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdSoakPlan, CrowdTarget,
+    ProcessUsage, run_crowd, run_crowd_soak,
 };
 use support::http_call::ListenerKind;
 use support::serve_test::ServeTest;
@@ -237,3 +237,21 @@
     )
     .await;
 }
+
+/// Guards against a process that bears crowds, and faults, and not both, or a promise that breaks then.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_beside_faults_break_no_promise(#[values(1, 2)] seed: u64) {
+    let _alone = ALONE.lock().await;
+    let folder = tempfile::tempdir().unwrap();
+    let plan = CrowdSoakPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: folder.path().to_path_buf(),
+        registries: 3,
+        gateways: 3,
+        clients: 100,
+        seed,
+    };
+    let report = run_crowd_soak(&plan).await.unwrap();
+    assert!(report.is_sound(), "seed {seed}: {report}");
+}
--- a/crates/proof/src/bin/savorywalk-proof.rs
+++ b/crates/proof/src/bin/savorywalk-proof.rs
@@ -4,10 +4,13 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arguments::{Prompts, Replacements, Retries, SavorywalkProof, SavorywalkProofCmd, Silence};
+use arguments::{
+    Crowds, Prompts, Replacements, Retries, SavorywalkProof, SavorywalkProofCmd, Silence,
+};
 use savorywalk_proof::{
-    FaultScript, PromptPlan, ProofPlan, ReplacementPlan, RetryPlan, RetryPlay, SilencePlan,
-    SilencePlay, run_prompts, run_proof, run_replacements, run_retries, run_silences,
+    CrowdSoakPlan, FaultScript, PromptPlan, ProofPlan, ReplacementPlan, RetryPlan, RetryPlay,
+    SilencePlan, SilencePlay, run_crowd_soak, run_prompts, run_proof, run_replacements,
+    run_retries, run_silences,
 };
 use savorywalk_standin::Deployment;
 
@@ -91,6 +94,18 @@
                 /// Control VMs to replace; default 6, 30 at most.
                 optional --replacements count: usize
             }
+            /// Crowds of clients that keep to no limits beside ordinary callers, while processes are
+            /// stopped, killed, frozen and started again, one run a seed.
+            cmd crowds {
+                /// First seed; default 1.
+                optional --seed seed: u64
+                /// Runs, each with the next seed; default 1.
+                optional --runs runs: u64
+                /// Gateways; default 3.
+                optional --gateways gateways: usize
+                /// Most clients of a crowd; default 200.
+                optional --clients clients: usize
+            }
             /// Pairs of faults at once, drawn from a seed.
             cmd pairs {
                 /// Seed; default 1.
@@ -116,6 +131,11 @@
 const DEFAULT_REPLACEMENTS: usize = 6;
 const MAX_REPLACEMENTS: usize = 30;
 
+/// Gateways, control VMs and most clients of a crowd in a soak of crowds.
+const CROWD_GATEWAYS: usize = 3;
+const CROWD_REGISTRIES: usize = 3;
+const CROWD_CLIENTS: usize = 200;
+
 /// Gateways of a soak of retries.
 const RETRY_GATEWAYS: usize = 8;
 
@@ -148,6 +168,7 @@
         SavorywalkProofCmd::Replacements(replacements) => {
             return soak_replacements(program, &replacements).await;
         }
+        SavorywalkProofCmd::Crowds(crowds) => return soak_crowds(program, &crowds).await,
         SavorywalkProofCmd::Retries(retries) => return soak_retries(program, &retries).await,
         SavorywalkProofCmd::Silence(silence) => return soak_silence(program, &silence).await,
         SavorywalkProofCmd::Pairs(pairs) => {
@@ -246,6 +267,37 @@
     })
 }
 
+/// Runs the soak of crowds, one run a seed.
+async fn soak_crowds(
+    program: PathBuf,
+    crowds: &Crowds,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let first = crowds.seed.unwrap_or(1);
+    let gateways = crowds.gateways.unwrap_or(CROWD_GATEWAYS);
+    let mut is_sound = true;
+    for seed in first..first + crowds.runs.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = CrowdSoakPlan {
+            program: program.clone(),
+            folder: folder.path().to_path_buf(),
+            registries: CROWD_REGISTRIES,
+            gateways: gateways.clamp(2, MAX_GATEWAYS),
+            clients: crowds.clients.unwrap_or(CROWD_CLIENTS).max(1),
+            seed,
+        };
+        let report = run_crowd_soak(&plan).await?;
+        println!("seed {seed}: {report}");
+        if !report.is_sound() {
+            println!("seed {seed}: logs are kept in {}", folder.keep().display());
+            is_sound = false;
+        }
+    }
+    Ok(match is_sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
 /// Runs a play of retries, one run a seed.
 async fn soak_retries(
     program: PathBuf,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -43,6 +43,6 @@
     run_silences,
 };
 pub use unruly_clients::{
-    ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdTarget, ProcessUsage,
-    run_crowd,
+    ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdSoakPlan, CrowdSoakReport,
+    CrowdTarget, ProcessUsage, run_crowd, run_crowd_soak,
 };
--- a/crates/proof/src/replacement_soak/mod.rs
+++ b/crates/proof/src/replacement_soak/mod.rs
@@ -9,7 +9,9 @@
 mod replacement_step;
 mod troubled_endpoint;
 
+pub(crate) use replacement_callers::{CallKind, ReplacementCallers};
 pub use replacement_report::ReplacementReport;
+pub(crate) use replacement_run::document;
 pub use replacement_run::{ReplacementPlan, run_replacements};
 pub(crate) use troubled_endpoint::{POOL, TroubledEndpoints};
 
--- a/crates/proof/src/replacement_soak/replacement_callers.rs
+++ b/crates/proof/src/replacement_soak/replacement_callers.rs
@@ -17,7 +17,7 @@
 
 /// Kinds of requests, each on a route of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallKind {
+pub(crate) enum CallKind {
     Idempotent,
     NonIdempotent,
     /// A resumable stream.
@@ -49,7 +49,7 @@
 
 /// Callers that use their connections until the process at the other end is gone.
 #[derive(Debug)]
-pub(super) struct ReplacementCallers {
+pub(crate) struct ReplacementCallers {
     gateways: Vec<SocketAddr>,
     next_id: AtomicU64,
     records: Mutex<Vec<CallRecord>>,
@@ -57,7 +57,7 @@
 }
 
 impl ReplacementCallers {
-    pub(super) fn new(gateways: Vec<SocketAddr>, ended: watch::Receiver<bool>) -> Self {
+    pub(crate) fn new(gateways: Vec<SocketAddr>, ended: watch::Receiver<bool>) -> Self {
         Self {
             gateways,
             next_id: AtomicU64::new(1),
@@ -67,7 +67,7 @@
     }
 
     /// Sends requests over one connection until the run ends.
-    pub(super) async fn run(self: Arc<Self>, caller: usize) {
+    pub(crate) async fn run(self: Arc<Self>, caller: usize) {
         let mut connection = self.connection(caller);
         let mut number = caller;
         while !*self.ended.borrow() {
@@ -79,13 +79,13 @@
         }
     }
 
-    pub(super) fn connection(&self, caller: usize) -> KeptConnection {
+    pub(crate) fn connection(&self, caller: usize) -> KeptConnection {
         KeptConnection::new(self.gateways[caller % self.gateways.len()])
     }
 
     /// Sends a request, with its body in chunks of one byte if `has_pieces`; returns its status, 0
     /// without a whole answer.
-    pub(super) async fn send(
+    pub(crate) async fn send(
         &self,
         connection: &mut KeptConnection,
         kind: CallKind,
@@ -117,7 +117,7 @@
     }
 
     /// Requests by status.
-    pub(super) fn statuses(&self) -> BTreeMap<u16, usize> {
+    pub(crate) fn statuses(&self) -> BTreeMap<u16, usize> {
         let mut statuses = BTreeMap::new();
         for record in self.records().iter() {
             *statuses.entry(record.status).or_default() += 1;
@@ -126,7 +126,7 @@
     }
 
     /// What the answers and the endpoints' records show against a promise.
-    pub(super) fn breaches(&self, endpoints: &EndpointState) -> Vec<String> {
+    pub(crate) fn breaches(&self, endpoints: &EndpointState) -> Vec<String> {
         let records = self.records();
         let breaches = records.iter().filter_map(|record| {
             let runs = endpoints.runs(&record.id);
--- a/crates/proof/src/replacement_soak/replacement_run.rs
+++ b/crates/proof/src/replacement_soak/replacement_run.rs
@@ -145,7 +145,7 @@
     Ok(report)
 }
 
-fn document(version: u64) -> String {
+pub(crate) fn document(version: u64) -> String {
     format!(
         r#"{{"version":{version},"routes":[{{"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":3000,"targetLatencyMs":500,"service":"{POOL}","maxAttempts":2}},{{"name":"unsafe","host":"h.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"service":"{POOL}","maxAttempts":2}},{{"name":"stream","host":"h.example","pathPrefix":"/stream/","kind":"stream","timeoutMs":3000,"targetLatencyMs":500,"targetGapMs":100,"service":"{POOL}","maxAttempts":2,"resumable":true}}],"services":[{{"name":"{POOL}","maxConnections":1000}}],"tenants":[{{"name":"w","apiKeys":["key-w"]}}]}}"#
     )
--- a/crates/proof/src/replacement_soak/troubled_endpoint.rs
+++ b/crates/proof/src/replacement_soak/troubled_endpoint.rs
@@ -22,7 +22,7 @@
 
 /// State that the endpoints of a run share.
 #[derive(Debug)]
-pub(super) struct EndpointState {
+pub(crate) struct EndpointState {
     kinds: Mutex<Vec<Option<AnswerKind>>>,
     /// Requests by id, and how often each arrived.
     runs: Mutex<FastMap<String, usize>>,
@@ -71,7 +71,7 @@
 
 /// Endpoints that answer properly, in pieces or without end. They stop when dropped.
 pub(crate) struct TroubledEndpoints {
-    pub(super) state: Arc<EndpointState>,
+    pub(crate) state: Arc<EndpointState>,
     _tasks: JoinSet<()>,
 }
 
--- a/crates/proof/src/unruly_clients/crowd_run.rs
+++ b/crates/proof/src/unruly_clients/crowd_run.rs
@@ -127,7 +127,7 @@
     "X-Request-Id: 9c41d07be2a35f68\r\nX-Api-Key: key-w\r\nX-Deadline-Remaining: 10000\r\n".into()
 }
 
-fn request(target: CrowdTarget) -> CrowdRequest {
+pub(super) fn request(target: CrowdTarget) -> CrowdRequest {
     let (line, headers) = match target {
         CrowdTarget::Callers => ("POST /safe/x", caller_headers()),
         CrowdTarget::Pieces => {
