Clamp the time limits of a document before connections keep to them

Found by reading the diff.

Cause: limits of the document are in force since connections keep to them, and a document without a sensible value is valid.

Change: time limits lie between a second and an hour, heads at 1 MiB at most.

Evidence: absurd_limits_of_a_document_leave_connections_usable. It can't be run on the code before, where connections took the document's values as they are (head_time zero, idle_time overflowing an Instant); by reading.

--- a/crates/savorywalk/src/gateway/call_handler.rs
+++ b/crates/savorywalk/src/gateway/call_handler.rs
@@ -23,9 +23,6 @@
         .boxed_unsync()
 }
 
-/// Room for a request's line beside the fields of its head, in bytes.
-const HEAD_LINE_BYTES: usize = 4 << 10;
-
 /// Handles callers' requests, or the platform's readiness and metrics probes.
 #[derive(Clone, Debug)]
 pub(super) struct CallHandler {
@@ -62,12 +59,7 @@
     fn connection_limits(&self) -> Option<ConnectionLimits> {
         let view = self.node.view.load();
         let limits = view.table.as_ref().map(|table| table.limits());
-        let limits = limits.unwrap_or_default();
-        Some(ConnectionLimits {
-            head_bytes: limits.head_bytes as usize + HEAD_LINE_BYTES,
-            head_time: limits.head_time,
-            idle_time: limits.idle_time,
-        })
+        Some(limits.unwrap_or_default().connection_limits())
     }
 
     fn refuse_connection(&self, _limit: u32) -> Response<Self::Body> {
--- a/crates/savorywalk/src/gateway/route_table.rs
+++ b/crates/savorywalk/src/gateway/route_table.rs
@@ -1,4 +1,5 @@
 use super::{RouteRule, ShareRule, TableError, WorkspaceRule};
+use crate::api::ConnectionLimits;
 use crate::prelude::*;
 
 /// The validated contents of a document, indexed for look-ups.
@@ -91,6 +92,29 @@
     }
 }
 
+/// Shortest and longest time limit of a connection, whatever a document names: a shorter one would
+/// close connections that are in use.
+const MIN_CONNECTION_TIME: Duration = Duration::from_secs(1);
+const MAX_CONNECTION_TIME: Duration = Duration::from_secs(3_600);
+
+/// Most bytes of a head, whatever a document names.
+const MAX_HEAD_BYTES: u64 = 1 << 20;
+
+/// Room for a request's line beside the fields of its head, in bytes.
+const HEAD_LINE_BYTES: u64 = 4 << 10;
+
+impl RequestLimits {
+    /// Limits of a connection on which requests come.
+    pub(super) fn connection_limits(&self) -> ConnectionLimits {
+        let time = |time: Duration| time.clamp(MIN_CONNECTION_TIME, MAX_CONNECTION_TIME);
+        ConnectionLimits {
+            head_bytes: (self.head_bytes.min(MAX_HEAD_BYTES) + HEAD_LINE_BYTES) as usize,
+            head_time: time(self.head_time),
+            idle_time: time(self.idle_time),
+        }
+    }
+}
+
 /// The contents of a document, before validation.
 #[derive(Clone, Debug, Default)]
 pub struct TableParts {
--- a/crates/savorywalk/src/gateway/route_table_tests.rs
+++ b/crates/savorywalk/src/gateway/route_table_tests.rs
@@ -148,3 +148,22 @@
     assert!(matches!(error, TableError::FloorSum(_)), "{error}");
     assert_eq!(build(&[(0.5, 0.1); 10]), Ok(()));
 }
+
+/// Guards against a document without time limits, or with absurd ones, that closes every connection
+/// at once or makes a time overflow.
+#[test]
+fn absurd_limits_of_a_document_leave_connections_usable() {
+    let limits = RequestLimits {
+        head_bytes: u64::MAX,
+        body_bytes: 0,
+        head_time: Duration::ZERO,
+        idle_time: Duration::MAX,
+    };
+    let limits = limits.connection_limits();
+    assert_eq!(limits.head_bytes, (1 << 20) + (4 << 10));
+    assert_eq!(limits.head_time, Duration::from_secs(1));
+    assert_eq!(limits.idle_time, Duration::from_secs(3_600));
+    let usual = RequestLimits::default().connection_limits();
+    assert_eq!(usual.head_time, Duration::from_secs(3));
+    assert_eq!(usual.idle_time, Duration::from_secs(15));
+}
