--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -18,7 +18,7 @@
 use support::serve_test::ServeTest;
 use tokio::sync::Mutex;
 
-/// Memory of the VM of a daemon that is told nothing else, in bytes.
+/// Memory of a VM that the settings do not name, in bytes.
 const VM_MEMORY: u64 = 256 << 20;
 
 /// Descriptors of a VM, without those that it reserves for other files.
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -46,6 +46,21 @@
     pub(crate) log_level: &'static str,
 }
 
+impl FleetPlan {
+    /// A fleet with few retries, a short time to stop and a log of its decisions.
+    pub(crate) fn new(registries: usize, gateways: usize) -> Self {
+        Self {
+            registries,
+            gateways,
+            retry_share: 0.2,
+            retry_extra: 20.0,
+            retry_window_ms: 2_000,
+            stop_time_ms: STOP_TIME_MS,
+            log_level: "info",
+        }
+    }
+}
+
 /// Processes of a deployment: registries, then gateways.
 pub(crate) struct ProcessFleet {
     program: PathBuf,
--- a/crates/proof/src/replacement_soak/replacement_run.rs
+++ b/crates/proof/src/replacement_soak/replacement_run.rs
@@ -83,15 +83,7 @@
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_replacements(plan: &ReplacementPlan) -> Result<ReplacementReport> {
     let base = run_address::next_network();
-    let fleet_plan = FleetPlan {
-        registries: plan.registries + 1,
-        gateways: plan.gateways,
-        retry_share: 0.2,
-        retry_extra: 20.0,
-        retry_window_ms: 2_000,
-        stop_time_ms: 3_000,
-        log_level: "info",
-    };
+    let fleet_plan = FleetPlan::new(plan.registries + 1, plan.gateways);
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     for index in (0..fleet.len()).filter(|index| *index != plan.registries) {
         fleet.start_at(index)?;
--- a/crates/proof/src/unruly_clients/crowd_run.rs
+++ b/crates/proof/src/unruly_clients/crowd_run.rs
@@ -71,15 +71,7 @@
 /// [`crate::ProcessError`] if a process can't be started.
 pub async fn run_crowd(plan: &CrowdPlan) -> Result<CrowdReport> {
     let base = run_address::next_network();
-    let fleet_plan = FleetPlan {
-        registries: 1,
-        gateways: 1,
-        retry_share: 0.2,
-        retry_extra: 20.0,
-        retry_window_ms: 2_000,
-        stop_time_ms: 3_000,
-        log_level: "info",
-    };
+    let fleet_plan = FleetPlan::new(1, 1);
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
     let [first, second, third, _] = base.octets();
--- a/crates/proof/src/unruly_clients/crowd_soak.rs
+++ b/crates/proof/src/unruly_clients/crowd_soak.rs
@@ -73,15 +73,7 @@
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_crowd_soak(plan: &CrowdSoakPlan) -> Result<CrowdSoakReport> {
     let base = run_address::next_network();
-    let fleet_plan = FleetPlan {
-        registries: plan.registries,
-        gateways: plan.gateways,
-        retry_share: 0.2,
-        retry_extra: 20.0,
-        retry_window_ms: 2_000,
-        stop_time_ms: 3_000,
-        log_level: "info",
-    };
+    let fleet_plan = FleetPlan::new(plan.registries, plan.gateways);
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
     let [first, second, third, _] = base.octets();
