--- a/crates/savorywalk/src/settings/daemon_limits.rs
+++ b/crates/savorywalk/src/settings/daemon_limits.rs
@@ -1,10 +1,5 @@
-use super::{DaemonSettings, LimitSettings};
-
-/// Memory of a VM that names none, in MiB.
-const DEFAULT_MEMORY_MB: u32 = 256;
-
-/// Descriptors of a VM that names none.
-const DEFAULT_DESCRIPTORS: u32 = 4_096;
+use super::DaemonSettings;
+use super::system_limits::SystemLimits;
 
 /// Most pieces of one request where none are named.
 const DEFAULT_PIECES: u32 = 1_024;
@@ -35,47 +30,35 @@
 }
 
 impl DaemonLimits {
-    /// Bounds that follow from settings.
+    /// Bounds that follow from settings, and from the system where they name none.
     pub fn new(settings: &DaemonSettings) -> Self {
+        Self::on(SystemLimits::read(), settings)
+    }
+
+    fn on(system: SystemLimits, settings: &DaemonSettings) -> Self {
         let limits = settings.limits.unwrap_or_default();
-        let LimitSettings { memory_mb, .. } = limits;
-        let memory_mb = match memory_mb {
-            0 => DEFAULT_MEMORY_MB,
-            given => given,
-        };
-        let memory = u64::from(memory_mb) << 20;
-        let request_bytes = match limits.request_bytes {
-            0 => memory / REQUEST_PART,
-            given => given,
-        };
-        let head_bytes = match limits.head_bytes {
-            0 => memory / HEAD_PART,
-            given => given,
-        };
+        let memory = u64::from(named(limits.memory_mb, system.memory_mb)) << 20;
+        let descriptors = named(limits.descriptors, system.descriptors);
+        let by_memory = u32::try_from(memory / CONNECTION_MEMORY).unwrap_or(u32::MAX);
+        let connections = (descriptors / 8 * 5).min(by_memory);
         let bytes = |bytes| usize::try_from(bytes).unwrap_or(usize::MAX);
-        let descriptors = match limits.descriptors {
-            0 => DEFAULT_DESCRIPTORS,
-            given => given,
-        };
-        let connections = match limits.connections {
-            0 => (descriptors / 8 * 5)
-                .min(u32::try_from(memory / CONNECTION_MEMORY).unwrap_or(u32::MAX))
-                .clamp(1, MAX_CONNECTIONS),
-            given => given,
-        };
-        let pieces = match limits.pieces {
-            0 => DEFAULT_PIECES,
-            given => given,
-        };
         Self {
-            connections,
-            pieces,
-            request_bytes: bytes(request_bytes),
-            head_bytes: bytes(head_bytes),
+            request_bytes: bytes(named(limits.request_bytes, memory / REQUEST_PART)),
+            head_bytes: bytes(named(limits.head_bytes, memory / HEAD_PART)),
+            connections: named(limits.connections, connections.clamp(1, MAX_CONNECTIONS)),
+            pieces: named(limits.pieces, DEFAULT_PIECES),
         }
     }
 }
 
+/// The value that settings name, or the default in place of 0.
+fn named<T: Default + PartialEq>(given: T, default: T) -> T {
+    match given == T::default() {
+        true => default,
+        false => given,
+    }
+}
+
 #[cfg(test)]
 #[path = "daemon_limits_tests.rs"]
 mod tests;
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -10,6 +10,7 @@
 mod settings_file;
 mod settings_paths;
 mod settings_rules;
+mod system_limits;
 
 pub use crate::generated::settings::{
     ClusterSettings, ControlSettings, DaemonSettings, EntrySettings, GatewaySettings,
