Read on only after a refusal, so that a stop is not held up

Cause: read on for a second after every request with a body, also after a success, which has had its whole body. Change: only after a refusal.

--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -125,11 +125,16 @@
         let state = Arc::clone(&place.connection.state);
         let service = service_fn(|request: Request<Incoming>| {
             let call = state.begin_call(request.version() == Version::HTTP_2);
-            state.set_has_body(!request.body().is_end_stream());
+            let has_body = !request.body().is_end_stream();
             let answer = self.answer(request, place.refused);
+            let state = Arc::clone(&state);
             // Boxed, since the library reserves the size of this future for each connection.
             Box::pin(async move {
                 let answer = answer.await;
+                // A success needs the whole body, a refusal may come before its end.
+                let status = answer.status();
+                let is_refusal = status.is_client_error() || status.is_server_error();
+                state.set_body_left(has_body && is_refusal);
                 Ok::<_, Infallible>(answer.map(|body| CallBody { body, _call: call }))
             })
         });
--- a/crates/savorywalk/src/api/connection_state.rs
+++ b/crates/savorywalk/src/api/connection_state.rs
@@ -37,8 +37,8 @@
     has_called: AtomicBool,
     /// Whether calls share the connection, so that the bytes between them are no head.
     is_multiplexed: AtomicBool,
-    /// Whether the last request has a body.
-    has_body: AtomicBool,
+    /// Whether a part of the body of the last request may still come.
+    has_body_left: AtomicBool,
     /// The place of the connection until it yields it.
     place: Mutex<Option<OwnedSemaphorePermit>>,
     yielded: CancellationToken,
@@ -68,7 +68,7 @@
             head_bytes: AtomicUsize::default(),
             has_called: AtomicBool::default(),
             is_multiplexed: AtomicBool::default(),
-            has_body: AtomicBool::default(),
+            has_body_left: AtomicBool::default(),
             place: Mutex::new(Some(place)),
             yielded: CancellationToken::new(),
         })
@@ -118,16 +118,16 @@
         }
     }
 
-    /// Records whether the request that has just begun has a body.
-    pub(super) fn set_has_body(&self, has_body: bool) {
-        self.has_body.store(has_body, Ordering::Relaxed);
+    /// Records whether a part of the body of the last request may still come.
+    pub(super) fn set_body_left(&self, has_body_left: bool) {
+        self.has_body_left.store(has_body_left, Ordering::Relaxed);
     }
 
     /// Whether a part of the last request may still come. The library reads shared connections to
     /// their end by itself.
     pub(super) fn may_have_body_left(&self) -> bool {
         let is_multiplexed = self.is_multiplexed.load(Ordering::Relaxed);
-        self.has_body.load(Ordering::Relaxed) && !is_multiplexed
+        self.has_body_left.load(Ordering::Relaxed) && !is_multiplexed
     }
 
     /// Where the connection stands among those that may yield their places; `None` if it may not.
