--- a/crates/daemon/tests/support/serve_test.rs
+++ b/crates/daemon/tests/support/serve_test.rs
@@ -12,6 +12,7 @@
     callers: String,
     operators: String,
     entry: String,
+    limits: String,
     log: String,
     files: Vec<(String, String)>,
     log_variable: Option<String>,
@@ -32,6 +33,7 @@
             callers: String::new(),
             operators: String::new(),
             entry: "drain_notice_ms = 0\n".into(),
+            limits: String::new(),
             log: "level = info\n".into(),
             files: Vec::new(),
             log_variable: None,
@@ -56,6 +58,12 @@
         self
     }
 
+    /// Adds keys to [limits].
+    pub fn limits(mut self, keys: &str) -> Self {
+        self.limits.push_str(keys);
+        self
+    }
+
     /// Replaces the keys of [log].
     pub fn log(mut self, keys: &str) -> Self {
         self.log = keys.into();
@@ -111,6 +119,7 @@
             callers,
             operators,
             entry,
+            limits,
             log,
             ..
         } = self;
@@ -120,6 +129,7 @@
              [operators]\naddress = 127.0.0.1:0\n{operators}\n\
              [endpoints]\naddress = 127.0.0.1:0\n\
              [entry]\nwarm_up_ms = 0\nconfiguration = configuration.json\n{entry}\n\
+             [limits]\n{limits}\n\
              [log]\n{log}\n"
         )
     }
--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -14,6 +14,7 @@
     ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdSoakPlan, CrowdTarget,
     ProcessUsage, run_crowd, run_crowd_soak,
 };
+use support::held_engine::HeldEngine;
 use support::http_call::ListenerKind;
 use support::serve_test::ServeTest;
 use tokio::sync::Mutex;
@@ -21,6 +22,14 @@
 /// Memory of a VM that the settings do not name, in bytes.
 const VM_MEMORY: u64 = 256 << 20;
 
+/// Memory of a small VM, in bytes, and the settings that name it.
+const SMALL_VM_MEMORY: u64 = 120 << 20;
+const SMALL_VM: &str = "memory_mb = 120\ndescriptors = 3075\n";
+
+/// Descriptors of a process that has few, and the settings that name them.
+const FEW_DESCRIPTORS: usize = 400;
+const FEW_DESCRIPTORS_SETTING: &str = "descriptors = 400\n";
+
 /// Descriptors of a VM, without those that it reserves for other files.
 const VM_DESCRIPTORS: usize = 4_096 - 200;
 
@@ -36,21 +45,48 @@
 /// Serialises the tests: each fills the memory that another one measures.
 static ALONE: Mutex<()> = Mutex::const_new(());
 
+/// One crowd of `clients`, with the settings of an ordinary VM.
+fn plan(target: CrowdTarget, kind: CrowdKind, clients: usize) -> CrowdPlan {
+    CrowdPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
+        folder: PathBuf::new(),
+        target,
+        kind,
+        clients,
+        crowds: 1,
+        beside: Vec::new(),
+        limits: "",
+    }
+}
+
 async fn play(target: CrowdTarget, kind: CrowdKind, clients: usize, crowds: usize) -> CrowdReport {
+    play_plan(CrowdPlan {
+        crowds,
+        ..plan(target, kind, clients)
+    })
+    .await
+}
+
+async fn play_plan(plan: CrowdPlan) -> CrowdReport {
     let _alone = ALONE.lock().await;
     savorywalk::telemetry::init_logging("error");
     let folder = tempfile::tempdir().unwrap();
     let plan = CrowdPlan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_savorywalk")),
         folder: folder.path().to_path_buf(),
-        target,
-        kind,
-        clients,
-        crowds,
+        ..plan
     };
     run_crowd(&plan).await.unwrap()
 }
 
+/// Plays a crowd against daemons with few places for connections.
+async fn play_with_few_places(kind: CrowdKind) -> CrowdReport {
+    play_plan(CrowdPlan {
+        limits: "connections = 64\n",
+        ..plan(CrowdTarget::Callers, kind, 300)
+    })
+    .await
+}
+
 #[track_caller]
 fn assert_within_vm(usage: Option<ProcessUsage>) {
     let usage = usage.expect("the process has ended");
@@ -63,6 +99,14 @@
     assert_within_vm(report.usage);
     assert_eq!(report.status_after, 200, "{report:?}");
     assert!(report.accepts_document, "{report:?}");
+    assert!(report.holds_nothing, "{report:?}");
+}
+
+/// An ordinary request was answered while the crowd was connected, and before any of its bodies was late.
+#[track_caller]
+fn assert_answered_beside(report: &CrowdReport) {
+    assert!(report.beside.open > 0, "{report:?}");
+    assert_eq!(report.beside.late, 0.0, "{report:?}");
 }
 
 /// Guards against bodies that are bounded each and not in sum.
@@ -149,6 +193,53 @@
     assert_eq!(report.status_beside, 200, "{report:?}");
 }
 
+/// Guards against small bodies that stop midway and take all places.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ordinary_request_is_answered_beside_unfinished_small_bodies() {
+    let kind = CrowdKind::UnfinishedBody(2_000);
+    let report = play_with_few_places(kind).await;
+    assert_held(&report);
+    assert_answered_beside(&report);
+}
+
+/// Guards against small chunked bodies that stop midway and take all places.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ordinary_request_is_answered_beside_unfinished_small_chunks() {
+    let kind = CrowdKind::UnfinishedChunk(2_000);
+    let report = play_with_few_places(kind).await;
+    assert_held(&report);
+    assert_answered_beside(&report);
+}
+
+/// Guards against requests that are kept while answers to earlier ones are unread.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_sent_ahead_of_answers_stay_within_memory() {
+    let kind = CrowdKind::SentAhead {
+        requests: 20,
+        bytes: 64 << 10,
+    };
+    assert_held(&play(CrowdTarget::Callers, kind, 100, 1).await);
+}
+
+/// Guards against bounds that each fit a small VM and together do not.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_of_all_kinds_at_once_stay_within_the_memory_of_a_small_vm() {
+    let kind = CrowdKind::UnfinishedBody(BODY_BYTES);
+    let report = play_plan(CrowdPlan {
+        beside: vec![
+            (CrowdKind::EndlessHead(120 << 10), 600),
+            (CrowdKind::UnfinishedChunk(60_000), 600),
+            (CrowdKind::Silence, 1_200),
+        ],
+        limits: SMALL_VM,
+        ..plan(CrowdTarget::Callers, kind, 60)
+    })
+    .await;
+    assert_held(&report);
+    let peak_memory = report.usage.map(|usage| usage.peak_memory);
+    assert!(peak_memory < Some(SMALL_VM_MEMORY), "{report:?}");
+}
+
 /// Guards against calls at a registry that are bounded each and not in sum.
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_calls_at_a_registry_stay_within_its_memory() {
@@ -170,6 +261,13 @@
     assert_held(&play(CrowdTarget::Registry, kind, 60, 1).await);
 }
 
+/// Guards against documents whose parsed form takes many times their size.
+#[tokio::test(flavor = "multi_thread")]
+async fn documents_of_many_small_texts_stay_within_memory_of_a_registry() {
+    let kind = CrowdKind::ManyTexts(CALL_BYTES - 1_000);
+    assert_held(&play(CrowdTarget::Registry, kind, 60, 3).await);
+}
+
 /// Guards against heads without end at a registry.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end_at_a_registry_stay_within_its_memory() {
@@ -238,6 +336,65 @@
     .await;
 }
 
+/// Plays a crowd of callers whose requests wait for an engine.
+async fn play_waiting_inputs(kind: CrowdKind) {
+    let _alone = ALONE.lock().await;
+    let daemon = ServeTest::new().start();
+    let engine = HeldEngine::start().await;
+    for pool in ["engines", "crew-roster"] {
+        engine.announce(&daemon, pool).await;
+    }
+    let token = savorywalk_standin::token_for("addis-dispatch");
+    let request = CrowdRequest {
+        line: "POST /v1/pipelines/draft".into(),
+        headers: format!("Authorization: Bearer {token}\r\n"),
+    };
+    let callers = daemon.address(ListenerKind::Callers);
+    let mut crowd = ClientCrowd::start(callers, &request, kind, 120);
+    crowd.settle().await;
+    let usage = ProcessUsage::read(daemon.id());
+    drop(crowd);
+    engine.release();
+    assert_within_vm(usage);
+    daemon.assert_up().await;
+}
+
+/// Guards against inputs whose parsed form takes many times their size while they wait for endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn inputs_of_many_small_documents_stay_within_memory_of_an_entry() {
+    play_waiting_inputs(CrowdKind::ManyDocuments(ENTRY_BODY_BYTES - 1_000)).await;
+}
+
+/// Guards against inputs that are kept as they came, parsed and as the body of a call at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_inputs_stay_within_memory_of_an_entry() {
+    play_waiting_inputs(CrowdKind::LongInput(ENTRY_BODY_BYTES - 1_000)).await;
+}
+
+/// Guards against listeners that open more descriptors together than their process has.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_at_all_listeners_stay_within_the_descriptors_of_an_entry() {
+    let _alone = ALONE.lock().await;
+    let daemon = ServeTest::new().limits(FEW_DESCRIPTORS_SETTING).start();
+    let request = CrowdRequest {
+        line: String::new(),
+        headers: String::new(),
+    };
+    let begin = |listener: &ListenerKind| {
+        let address = daemon.address(*listener);
+        ClientCrowd::start(address, &request, CrowdKind::Silence, 300)
+    };
+    let mut crowds: Vec<ClientCrowd> = ListenerKind::ALL.iter().map(begin).collect();
+    for crowd in &mut crowds {
+        crowd.settle().await;
+    }
+    daemon.assert_up().await;
+    let usage = ProcessUsage::read(daemon.id()).expect("the process has ended");
+    assert!(usage.descriptors < FEW_DESCRIPTORS, "{usage:?}");
+    drop(crowds);
+    daemon.assert_up().await;
+}
+
 /// Guards against a process that bears crowds, and faults, and not both, or a promise that breaks then.
 #[rstest::rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/proof/src/gateway_fleet/process_fleet.rs
+++ b/crates/proof/src/gateway_fleet/process_fleet.rs
@@ -44,6 +44,8 @@
     pub(crate) stop_time_ms: u64,
     /// Level of the daemons' logs.
     pub(crate) log_level: &'static str,
+    /// Lines of the section `limits` of all daemons.
+    pub(crate) limits: &'static str,
 }
 
 impl FleetPlan {
@@ -57,6 +59,7 @@
             retry_window_ms: 2_000,
             stop_time_ms: STOP_TIME_MS,
             log_level: "info",
+            limits: "",
         }
     }
 }
@@ -292,8 +295,9 @@
         Ok(format!(
             "[node]\nname = {kind}-{index}\ndata_center = z\nregion = north\nroles = {kind}\n\
              [cluster]\naddress = {ip}:{CLUSTER_PORT}\nseeds = {}\nfirst_start = {first_start}\n\
-             data_centers = z:north\n{role}[log]\nlevel = {}\n",
+             data_centers = z:north\n{role}[limits]\n{}[log]\nlevel = {}\n",
             seeds.join(","),
+            self.plan.limits,
             self.plan.log_level
         ))
     }
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -44,5 +44,5 @@
 };
 pub use unruly_clients::{
     ClientCrowd, CrowdKind, CrowdPlan, CrowdReport, CrowdRequest, CrowdSoakPlan, CrowdSoakReport,
-    CrowdTarget, ProcessUsage, run_crowd, run_crowd_soak,
+    CrowdStanding, CrowdTarget, ProcessUsage, run_crowd, run_crowd_soak,
 };
--- a/crates/proof/src/prompt_soak/soak_run.rs
+++ b/crates/proof/src/prompt_soak/soak_run.rs
@@ -81,6 +81,7 @@
         retry_window_ms: RETRY_WINDOW_MS,
         stop_time_ms: STOP_TIME_MS,
         log_level: "warn",
+        limits: "",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
--- a/crates/proof/src/retry_soak/retry_run.rs
+++ b/crates/proof/src/retry_soak/retry_run.rs
@@ -89,6 +89,7 @@
         retry_window_ms: LIMITS.window.as_millis() as u64,
         stop_time_ms: STOP_TIME_MS,
         log_level: "info",
+        limits: "",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.mix_versions(plan.earlier_program.clone());
--- a/crates/proof/src/silence_soak/silence_run.rs
+++ b/crates/proof/src/silence_soak/silence_run.rs
@@ -119,6 +119,7 @@
         retry_window_ms: RETRY_WINDOW_MS,
         stop_time_ms: plan.play.stop_time().as_millis() as u64,
         log_level: "info",
+        limits: "",
     };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
--- a/crates/proof/src/unruly_clients/client_crowd.rs
+++ b/crates/proof/src/unruly_clients/client_crowd.rs
@@ -4,7 +4,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::crowd_kind::announcement;
 use super::{CrowdKind, http2_client};
 
 /// Longest wait for a crowd to have sent everything; a server that does not read holds it up.
@@ -99,11 +98,13 @@
     if let CrowdKind::UnfinishedStreams { streams, bytes } = kind {
         return http2_client::play(stream, request, streams, bytes, done).await;
     }
-    if send(&mut stream, request, kind).await.is_err() {
-        return;
+    for _ in 0..kind.requests() {
+        if send(&mut stream, request, kind).await.is_err() {
+            return;
+        }
     }
     let mut answer = Vec::new();
-    if let CrowdKind::WholeBody(_) | CrowdKind::Announcement(_) = kind {
+    if kind.is_whole() {
         // What a whole request takes shows once it is answered.
         let begun = stream.read_buf(&mut answer).await;
         log::debug!("event=answer_begun bytes={begun:?}");
@@ -132,8 +133,10 @@
         head.push_str(&format!("{bytes:x}\r\n"));
     }
     stream.write_all(head.as_bytes()).await?;
+    if let Some(content) = kind.content() {
+        return stream.write_all(content.as_bytes()).await;
+    }
     let block = match kind {
-        CrowdKind::Announcement(bytes) => announcement(bytes).into_bytes(),
         CrowdKind::SmallChunks(_) => SMALL_CHUNK.repeat(WRITE_BYTES / SMALL_CHUNK.len()),
         _ => vec![b'x'; WRITE_BYTES],
     };
--- a/crates/proof/src/unruly_clients/crowd_kind.rs
+++ b/crates/proof/src/unruly_clients/crowd_kind.rs
@@ -18,6 +18,19 @@
     WholeBody(usize),
     /// An announcement of an endpoint of its own, with texts of this many bytes.
     Announcement(usize),
+    /// A document of this many bytes, nearly all of them empty texts, without the pools that it needs.
+    ManyTexts(usize),
+    /// The input of a pipeline of this many bytes, nearly all of them empty documents.
+    ManyDocuments(usize),
+    /// The input of a pipeline, a text of this many bytes.
+    LongInput(usize),
+    /// Whole requests, all sent before an answer is read.
+    SentAhead {
+        /// Number of requests.
+        requests: usize,
+        /// Bytes of each body.
+        bytes: usize,
+    },
     /// One chunk of this many bytes, but for its last one.
     UnfinishedChunk(usize),
     /// Chunks of one byte, this many of them, without the last chunk.
@@ -39,10 +52,11 @@
             Self::UnfinishedBody(length)
             | Self::WholeBody(length)
             | Self::BodyStart { length, .. } => Some(format!("Content-Length: {length}\r\n")),
-            Self::Announcement(bytes) => {
-                let length = announcement(bytes).len();
-                Some(format!("Content-Length: {length}\r\n"))
-            }
+            Self::SentAhead { bytes, .. } => Some(format!("Content-Length: {bytes}\r\n")),
+            Self::Announcement(_)
+            | Self::ManyTexts(_)
+            | Self::ManyDocuments(_)
+            | Self::LongInput(_) => Some(format!("Content-Length: {}\r\n", self.body_bytes())),
             Self::UnfinishedChunk(_) | Self::SmallChunks(_) => {
                 Some("Transfer-Encoding: chunked\r\n".into())
             }
@@ -55,15 +69,65 @@
             Self::Silence | Self::UnfinishedStreams { .. } => 0,
             Self::UnfinishedBody(length) | Self::UnfinishedChunk(length) => length - 1,
             Self::BodyStart { sent, .. } => sent,
-            Self::Announcement(bytes) => announcement(bytes).len(),
+            Self::Announcement(_)
+            | Self::ManyTexts(_)
+            | Self::ManyDocuments(_)
+            | Self::LongInput(_) => self.content().map_or(0, |content| content.len()),
+            Self::SentAhead { bytes, .. } => bytes,
             Self::WholeBody(length) | Self::EndlessHead(length) => length,
             Self::SmallChunks(count) => count * super::client_crowd::SMALL_CHUNK.len(),
         }
     }
+
+    /// The body, where its content matters.
+    pub(super) fn content(self) -> Option<String> {
+        match self {
+            Self::Announcement(bytes) => Some(announcement(bytes)),
+            Self::ManyTexts(bytes) => Some(format!(
+                r#"{{"version":9,"tenants":[{{"name":"w","apiKeys":[{}]}}],"routes":[]}}"#,
+                empty_texts(bytes)
+            )),
+            Self::ManyDocuments(bytes) => Some(format!(
+                r#"{{"input":"x","documents":[{}]}}"#,
+                empty_texts(bytes)
+            )),
+            Self::LongInput(bytes) => Some(format!(r#"{{"input":"{}"}}"#, "x".repeat(bytes))),
+            Self::Silence
+            | Self::EndlessHead(_)
+            | Self::UnfinishedBody(_)
+            | Self::BodyStart { .. }
+            | Self::WholeBody(_)
+            | Self::SentAhead { .. }
+            | Self::UnfinishedChunk(_)
+            | Self::SmallChunks(_)
+            | Self::UnfinishedStreams { .. } => None,
+        }
+    }
+
+    /// Whether a client sends whole requests, which are answered.
+    pub(super) fn is_whole(self) -> bool {
+        let is_plain = matches!(self, Self::WholeBody(_) | Self::SentAhead { .. });
+        is_plain || self.content().is_some()
+    }
+
+    /// Number of requests that a client sends over its connection.
+    pub(super) fn requests(self) -> usize {
+        if let Self::SentAhead { requests, .. } = self {
+            return requests;
+        }
+        1
+    }
+}
+
+/// About `bytes` bytes of empty texts, separated by commas.
+fn empty_texts(bytes: usize) -> String {
+    let mut texts = r#""","#.repeat(bytes / 3);
+    texts.push_str(r#""""#);
+    texts
 }
 
 /// The announcement of an endpoint whose texts have `bytes` bytes.
-pub(super) fn announcement(bytes: usize) -> String {
+fn announcement(bytes: usize) -> String {
     let text = "x".repeat(bytes);
     format!(
         r#"{{"service":"unknown","address":"127.0.0.1:9","zone":"z","version":"{text}","slots":1,"state":"ready","coldRemainingMs":0,"sequence":1}}"#
--- a/crates/proof/src/unruly_clients/crowd_run.rs
+++ b/crates/proof/src/unruly_clients/crowd_run.rs
@@ -48,6 +48,19 @@
     pub clients: usize,
     /// Number of crowds.
     pub crowds: usize,
+    /// What clients of further crowds send, which connect to the same port, and their number.
+    pub beside: Vec<(CrowdKind, usize)>,
+    /// Lines of the section `limits` of all settings.
+    pub limits: &'static str,
+}
+
+/// What has become of a crowd.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrowdStanding {
+    /// Clients that are connected.
+    pub open: usize,
+    /// Requests that were refused since their bodies had not arrived in time.
+    pub late: f64,
 }
 
 /// What the process that a crowd met had used, and whether it still serves.
@@ -58,10 +71,14 @@
     /// Status of an ordinary request while the last crowd is connected and sends nothing more; 0 without
     /// an answer.
     pub status_beside: u16,
+    /// What had become of the last crowd when an ordinary request was answered.
+    pub beside: CrowdStanding,
     /// Status of an ordinary request after the last crowd has left.
     pub status_after: u16,
     /// Whether a document was accepted after the last crowd had left.
     pub accepts_document: bool,
+    /// Whether the gateway held no byte of requests and heads after the last crowd had left.
+    pub holds_nothing: bool,
 }
 
 /// Plays crowds against a registry and a gateway as processes.
@@ -71,7 +88,10 @@
 /// [`crate::ProcessError`] if a process can't be started.
 pub async fn run_crowd(plan: &CrowdPlan) -> Result<CrowdReport> {
     let base = run_address::next_network();
-    let fleet_plan = FleetPlan::new(1, 1);
+    let fleet_plan = FleetPlan {
+        limits: plan.limits,
+        ..FleetPlan::new(1, 1)
+    };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
     let [first, second, third, _] = base.octets();
@@ -88,25 +108,62 @@
     let request = request(plan.target);
     let mut usage = None;
     let mut status_beside = 0;
+    let mut beside = CrowdStanding::default();
     for _ in 0..plan.crowds {
-        let mut crowd = ClientCrowd::start(address, &request, plan.kind, plan.clients);
-        crowd.settle().await;
+        let begin = |kind, clients| ClientCrowd::start(address, &request, kind, clients);
+        let further = plan
+            .beside
+            .iter()
+            .map(|(kind, clients)| begin(*kind, *clients));
+        let mut further: Vec<ClientCrowd> = further.collect();
+        let mut crowd = begin(plan.kind, plan.clients);
+        for crowd in further.iter_mut().chain([&mut crowd]) {
+            crowd.settle().await;
+        }
         status_beside = send_ordinary(gateway).await;
         usage = fleet.process_id(process).and_then(ProcessUsage::read);
+        beside = wait_for_answer(&mut crowd, status_beside, &fleet).await;
         log::info!("event=crowd_settled open={} usage={usage:?}", crowd.open());
     }
     let status_after = send_ordinary(gateway).await;
     let accepts_document = fleet.publish(&document(2)).await;
+    let holds_nothing = wait_until(async || {
+        let requests = fleet
+            .sum_metric("savorywalk_gateway_request_bytes", "")
+            .await;
+        let heads = fleet.sum_metric("savorywalk_head_bytes", "").await;
+        requests + heads == 0.0
+    });
+    let holds_nothing = holds_nothing.await;
     let is_running = fleet.is_running(process);
     fleet.end().await?;
     Ok(CrowdReport {
         usage: usage.filter(|_| is_running),
         status_beside,
+        beside,
         status_after,
         accepts_document,
+        holds_nothing,
     })
 }
 
+/// Repeats an ordinary request until it is answered or the crowd has left.
+async fn wait_for_answer(
+    crowd: &mut ClientCrowd,
+    mut status: u16,
+    fleet: &ProcessFleet,
+) -> CrowdStanding {
+    while status != 200 && crowd.open() > 0 {
+        status = send_ordinary(fleet.gateways()[0]).await;
+    }
+    CrowdStanding {
+        open: crowd.open(),
+        late: fleet
+            .sum_metric("savorywalk_gateway_requests", "body_late")
+            .await,
+    }
+}
+
 /// Sends one ordinary request over a connection of its own.
 async fn send_ordinary(gateway: SocketAddr) -> u16 {
     let mut connection = KeptConnection::new(gateway);
--- a/crates/proof/src/unruly_clients/mod.rs
+++ b/crates/proof/src/unruly_clients/mod.rs
@@ -12,7 +12,7 @@
 
 pub use client_crowd::{ClientCrowd, CrowdRequest};
 pub use crowd_kind::CrowdKind;
-pub use crowd_run::{CrowdPlan, CrowdReport, CrowdTarget, run_crowd};
+pub use crowd_run::{CrowdPlan, CrowdReport, CrowdStanding, CrowdTarget, run_crowd};
 pub use crowd_soak::{CrowdSoakPlan, run_crowd_soak};
 pub use crowd_soak_report::CrowdSoakReport;
 pub use process_usage::ProcessUsage;
