Divide the descriptors of an entry between its listeners

Callers saw: nothing yet; operators would see accept_failed and endpoints that can't be reached. A crowd of silent connections at the three listeners of an entry opened 914 descriptors where its process has 400, since each listener takes max_connections (4,096) whatever the process may open.

Cause: [limits] connections bounded gateways and registries only. The ports for probes (256 each) and the connections that wait for a refusal (64 for each listener) did not follow from the descriptors either.

Change: an entry's callers may have half of [limits] connections, endpoints three eighths and operators an eighth; [limits] probe_connections is new, and both it and the refusals follow from the descriptors. With 4,096 descriptors the bounds for probes and refusals are as before. Refused and dropped connections are counted and logged as closed ones are (reasons refused and dropped).

Why it works: all listeners together leave a sixth of the descriptors at least (all_listeners_leave_a_sixth_of_the_descriptors_free).

--- a/crates/savorywalk/src/api/bound_listener.rs
+++ b/crates/savorywalk/src/api/bound_listener.rs
@@ -11,9 +11,6 @@
 use crate::prelude::*;
 use crate::settings::ListenerSettings;
 
-/// Connections over the limit that still get a typed refusal; further ones
-/// are closed without a word.
-const REFUSAL_CONNECTIONS: usize = 64;
 /// Room above `max_header_bytes`, so that a head over it can be refused by name.
 const HEADER_SLACK: usize = 64 << 10;
 /// How often an HTTP/2 connection is asked for a sign of life, and how long
@@ -48,7 +45,7 @@
         let stopping = CancellationToken::new();
         let acceptor = ConnectionAcceptor {
             table: ConnectionTable::new(self.settings.max_connections as usize),
-            refusals: Arc::new(Semaphore::new(REFUSAL_CONNECTIONS)),
+            refusals: Arc::new(Semaphore::new(intake.refusal_connections)),
             builder: connection_builder(&self.settings),
             handler,
             intake,
--- a/crates/savorywalk/src/api/client_intake.rs
+++ b/crates/savorywalk/src/api/client_intake.rs
@@ -19,6 +19,10 @@
     Idle,
     /// A new connection needed the place.
     Yielded,
+    /// All places were taken, so the connection got a refusal.
+    Refused,
+    /// As many connections as may were waiting for their refusals.
+    Dropped,
 }
 
 impl CloseReason {
@@ -29,6 +33,8 @@
             Self::LateHead => "late_head",
             Self::Idle => "idle",
             Self::Yielded => "yielded",
+            Self::Refused => "refused",
+            Self::Dropped => "dropped",
         }
     }
 }
@@ -39,6 +45,9 @@
 pub(crate) struct ClientIntake {
     /// Memory of the heads that are arriving.
     pub(super) heads: Arc<BodyMemory>,
+    /// Connections over the limit of a listener that still get a typed refusal; further ones are closed
+    /// without one.
+    pub(super) refusal_connections: usize,
     open: UpDownCounter<i64>,
     closed: Counter<u64>,
     closed_counter: Arc<Mutex<FaultCounter>>,
@@ -60,6 +69,7 @@
         heads.register_metrics(meter, "savorywalk_head");
         Self {
             heads,
+            refusal_connections: limits.refusal_connections as usize,
             open: meter
                 .i64_up_down_counter("savorywalk_connections")
                 .with_description("Connections of clients that are open")
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -80,8 +80,7 @@
 
     fn spawn(&self, stream: TcpStream, watcher: Watcher) {
         let Some(place) = self.place() else {
-            log_event!(debug, "connection_dropped", limit = self.limit);
-            return;
+            return self.intake.record_closed(CloseReason::Dropped);
         };
         if let Err(error) = stream.set_nodelay(true) {
             log_event!(debug, "nodelay_not_set", error = error);
@@ -107,6 +106,7 @@
             Some(permit) => self.table.open(permit, now),
             None => {
                 let permit = Arc::clone(&self.refusals).try_acquire_owned().ok()?;
+                self.intake.record_closed(CloseReason::Refused);
                 self.table.open_apart(permit, now)
             }
         };
--- a/crates/savorywalk/src/entry/entry_daemon.rs
+++ b/crates/savorywalk/src/entry/entry_daemon.rs
@@ -23,6 +23,8 @@
 use crate::transport::{InvalidPeerName, LinkError};
 
 const DEFAULT_MAX_REQUESTS: u32 = 4096;
+/// Parts into which the connections of a daemon are divided between its listeners.
+const PLACE_PARTS: u32 = 8;
 /// Longest wait for operators' and endpoints' calls at a stop; they are short,
 /// and each may be sent again elsewhere.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -217,11 +219,37 @@
     kind: ListenerKind,
     node: &Arc<EntryNode>,
 ) -> Result<HttpServer> {
-    let listener = HttpServer::bind(settings).await?;
-    let handler = ApiHandler::new(kind, Arc::clone(node), settings);
+    let mut settings = settings.clone();
+    bound_connections(&mut settings, kind, node.max_connections);
+    let listener = HttpServer::bind(&settings).await?;
+    let handler = ApiHandler::new(kind, Arc::clone(node), &settings);
     Ok(listener.serve(handler, node.intake().clone()))
 }
 
+/// Bounds the connections of a listener by its part of the daemon's.
+fn bound_connections(settings: &mut ListenerSettings, kind: ListenerKind, of_daemon: u32) {
+    let limit = (of_daemon / PLACE_PARTS * place_parts(kind)).max(1);
+    if limit < settings.max_connections {
+        log_event!(
+            info,
+            "listener_bounded",
+            listener = kind.name(),
+            connections = limit,
+            max_connections = settings.max_connections
+        );
+        settings.max_connections = limit;
+    }
+}
+
+/// Parts of a daemon's connections that a listener may have, of [`PLACE_PARTS`].
+const fn place_parts(kind: ListenerKind) -> u32 {
+    match kind {
+        ListenerKind::Callers => 4,
+        ListenerKind::Endpoints => 3,
+        ListenerKind::Operators => 1,
+    }
+}
+
 /// Makes what the request path of one daemon shares; it is not open yet.
 pub(super) async fn build_node(
     settings: &DaemonSettings,
@@ -265,6 +293,7 @@
         readiness: watch::Sender::new(ReadinessState::Warming),
         standing: ArcSwap::from_pointee(parts.standing),
         in_progress: AtomicU32::new(0),
+        max_connections: limits.connections,
         max_requests: match entry.max_requests {
             0 => DEFAULT_MAX_REQUESTS,
             given => given,
--- a/crates/savorywalk/src/entry/entry_node.rs
+++ b/crates/savorywalk/src/entry/entry_node.rs
@@ -40,6 +40,8 @@
     pub(super) standing: ArcSwap<FollowerStanding>,
     pub(super) in_progress: AtomicU32,
     pub(super) max_requests: u32,
+    /// Connections of all listeners.
+    pub(super) max_connections: u32,
     pub(super) control: ControlClient,
     pub(super) claims: ClaimClient,
     /// Runs that their callers' leaving doesn't stop.
--- a/crates/savorywalk/src/gateway/cluster_hub.rs
+++ b/crates/savorywalk/src/gateway/cluster_hub.rs
@@ -10,9 +10,6 @@
 /// the full table of 200 endpoints sent to a daemon that has just started is 20 KB.
 const LINK_BUDGET_BYTES_PER_SECOND: u32 = 1_000_000;
 
-/// Maximum connections of a listener for probes or metrics alone.
-pub(super) const MAX_PROBE_CONNECTIONS: u32 = 256;
-
 /// Time allowed for a request to arrive on an open connection. Documents limit it to 15 s and
 /// callers use four fifths of that, so the server never closes a connection first.
 const REQUEST_TIMEOUT_MS: u32 = 20_000;
--- a/crates/savorywalk/src/gateway/gateway_daemon.rs
+++ b/crates/savorywalk/src/gateway/gateway_daemon.rs
@@ -105,7 +105,7 @@
             limits,
         });
         let serve_probes = |address| {
-            let connections = cluster_hub::MAX_PROBE_CONNECTIONS;
+            let connections = limits.probe_connections;
             serve(
                 address,
                 &node,
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -71,13 +71,7 @@
         let metrics = match registry.metrics.as_str() {
             "" => None,
             address => Some(
-                cluster_hub::listen(
-                    address,
-                    metrics,
-                    &intake,
-                    cluster_hub::MAX_PROBE_CONNECTIONS,
-                )
-                .await?,
+                cluster_hub::listen(address, metrics, &intake, limits.probe_connections).await?,
             ),
         };
         log_event!(
--- a/crates/savorywalk/src/settings/daemon_limits.rs
+++ b/crates/savorywalk/src/settings/daemon_limits.rs
@@ -13,6 +13,16 @@
 /// Most connections of clients, whatever the VM has.
 const MAX_CONNECTIONS: u32 = 3_000;
 
+/// Connections of one port for probes or metrics, whatever the VM has, and the part of the descriptors
+/// that they are otherwise, as a divisor.
+const MAX_PROBE_CONNECTIONS: u32 = 256;
+const PROBE_PART: u32 = 16;
+
+/// Connections of one listener that may wait for their refusal at once; the part of the descriptors
+/// that they are otherwise, as a divisor.
+const MAX_REFUSAL_CONNECTIONS: u32 = 64;
+const REFUSAL_PART: u32 = 64;
+
 /// Part of the memory that arriving heads may hold, as a divisor.
 const HEAD_PART: u64 = 16;
 
@@ -25,6 +35,10 @@
     pub head_bytes: usize,
     /// Connections of clients, beside those for probes and metrics.
     pub connections: u32,
+    /// Connections of each port for probes or metrics alone.
+    pub probe_connections: u32,
+    /// Connections of each listener that wait for their refusal, beside those that it serves.
+    pub refusal_connections: u32,
     /// Pieces of all stages of one request.
     pub pieces: u32,
 }
@@ -46,6 +60,11 @@
             request_bytes: bytes(named(limits.request_bytes, memory / REQUEST_PART)),
             head_bytes: bytes(named(limits.head_bytes, memory / HEAD_PART)),
             connections: named(limits.connections, connections.clamp(1, MAX_CONNECTIONS)),
+            probe_connections: named(
+                limits.probe_connections,
+                (descriptors / PROBE_PART).clamp(1, MAX_PROBE_CONNECTIONS),
+            ),
+            refusal_connections: (descriptors / REFUSAL_PART).clamp(1, MAX_REFUSAL_CONNECTIONS),
             pieces: named(limits.pieces, DEFAULT_PIECES),
         }
     }
--- a/crates/savorywalk/src/settings/daemon_limits_tests.rs
+++ b/crates/savorywalk/src/settings/daemon_limits_tests.rs
@@ -55,3 +55,20 @@
     assert_eq!(connections(512, 16_384), 3_000);
     assert_eq!(connections(160, 400), 250);
 }
+
+/// Guards against listeners that open more descriptors together than their process has.
+#[test]
+fn all_listeners_leave_a_sixth_of_the_descriptors_free() {
+    for descriptors in [400, 3_075, 4_100, 16_384] {
+        let settings = DaemonSettings {
+            limits: Some(LimitSettings {
+                descriptors,
+                ..Default::default()
+            }),
+            ..Default::default()
+        };
+        let limits = DaemonLimits::on(SYSTEM, &settings);
+        let listeners = 3 * limits.refusal_connections + 2 * limits.probe_connections;
+        assert!(limits.connections + listeners <= descriptors / 6 * 5);
+    }
+}
