Give a new connection the place of one whose body has stopped midway

Callers saw: 503 and closed connections for up to five seconds, the longest time for a body, while a crowd of bodies of 2 KB that stop one byte short keeps all places of a gateway. Memory was not short, so nothing made them yield. Beside 64 places and 300 such clients 38 to 64 bodies were late before an ordinary request was answered.

Cause: a connection with a call never yielded its place, whether or not its body had arrived.

Change: ClientBody tells its connection when a part of the body arrives, ends or is not wanted any more. A connection whose body has not had a byte for a second yields after those that wait for a request, the longest stalled first; never one that calls share. The reason is yielded, as before, in log and counter.

Why it works: with all places taken a new connection waits for a second at most for bodies that make no progress. A body that arrives, however slowly, and a request that waits for its answer keep their place.

Decisions: three tests of connection_table_tests.rs.

Ruled out: a shorter limit for all bodies, which slow lines within the limits would meet in calm.

--- a/crates/savorywalk/src/api/api_handler.rs
+++ b/crates/savorywalk/src/api/api_handler.rs
@@ -1,10 +1,9 @@
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 
 use super::request_parts::{self, RequestHead};
 use super::{
-    ApiBody, ApiError, ApiResponse, BodyLimit, HttpHandler, Result, caller_api, endpoint_api,
-    operator_api, response_body,
+    ApiBody, ApiError, ApiResponse, BodyLimit, ClientBody, HttpHandler, Result, caller_api,
+    endpoint_api, operator_api, response_body,
 };
 use crate::attempt::RequestId;
 use crate::entry::{EntryNode, ReadinessState};
@@ -60,7 +59,7 @@
         }
     }
 
-    async fn route(&self, id: RequestId, request: Request<Incoming>) -> Result<ApiResponse> {
+    async fn route(&self, id: RequestId, request: Request<ClientBody>) -> Result<ApiResponse> {
         let (head, body) = request_parts::split(request);
         let limit = self.max_header_bytes;
         if head.header_bytes() > limit as usize {
@@ -110,7 +109,7 @@
     /// Answers one call; an error becomes its JSON form. While the daemon is
     /// not ready, each answer closes its connection, so that callers move on
     /// before the listener closes.
-    async fn handle(&self, request: Request<Incoming>) -> ApiResponse {
+    async fn handle(&self, request: Request<ClientBody>) -> ApiResponse {
         let id = RequestId::random();
         let version = request.version();
         let mut response = match self.route(id, request).await {
--- a/crates/savorywalk/src/api/caller_api.rs
+++ b/crates/savorywalk/src/api/caller_api.rs
@@ -1,12 +1,11 @@
 //! `POST /v1/pipelines/{pipeline}`.
 
-use hyper::body::Incoming;
 use hyper::header::ACCEPT;
 use hyper::{Method, StatusCode};
 use sha2::{Digest, Sha256};
 
 use super::request_parts::{self, RequestHead};
-use super::{ApiError, ApiResponse, BodyLimit, Result, answer_stream, response_body};
+use super::{ApiError, ApiResponse, BodyLimit, ClientBody, Result, answer_stream, response_body};
 use crate::admission::{RequestDeadline, RequestPhase};
 use crate::attempt::RequestId;
 use crate::claims::{ClaimAnswer, ClaimKey, ClaimTicket};
@@ -28,7 +27,7 @@
     node: &Arc<EntryNode>,
     id: RequestId,
     head: &RequestHead,
-    body: Incoming,
+    body: ClientBody,
     body_limit: BodyLimit,
 ) -> Result<ApiResponse> {
     let arrived = Instant::now();
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -17,7 +17,7 @@
 use super::client_intake::{CloseReason, OpenCount};
 use super::connection_table::{ConnectionTable, OpenConnection};
 use super::metered_stream::MeteredStream;
-use super::{ClientIntake, ConnectionLimits, HttpHandler, response_body};
+use super::{ClientBody, ClientIntake, ConnectionLimits, HttpHandler, response_body};
 use crate::http_bodies::MemoryFull;
 use crate::prelude::*;
 
@@ -126,6 +126,8 @@
         let service = service_fn(|request: Request<Incoming>| {
             let call = state.begin_call(request.version() == Version::HTTP_2);
             let has_body = !request.body().is_end_stream();
+            let now = Instant::now();
+            let request = request.map(|body| ClientBody::new(body, Arc::clone(&state), now));
             let answer = self.answer(request, place.refused);
             let state = Arc::clone(&state);
             // Boxed, since the library reserves the size of this future for each connection.
@@ -175,7 +177,7 @@
     /// Answers one call; a refused connection is closed after its refusal.
     fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         refused: bool,
     ) -> impl Future<Output = Response<S::Body>> + Send + 'static {
         let handler = self.handler.clone();
--- a/crates/savorywalk/src/api/connection_state.rs
+++ b/crates/savorywalk/src/api/connection_state.rs
@@ -7,12 +7,16 @@
 
 use super::client_intake::CloseReason;
 use super::http_handler::ConnectionLimits;
+use crate::http_bodies::STALL_TIME;
 use crate::prelude::*;
 
 /// Time after a call before its connection yields its place: the caller may be sending the next
 /// request.
 pub(super) const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
 
+/// In place of the time of the last byte of a body: none is arriving.
+const NO_BODY: u64 = u64::MAX;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
@@ -32,6 +36,8 @@
     since_ms: AtomicU64,
     /// Calls in progress.
     calls: AtomicU32,
+    /// Milliseconds from the accept to the last byte of the body that is arriving, or [`NO_BODY`].
+    body_ms: AtomicU64,
     /// Bytes of the head that is arriving.
     head_bytes: AtomicUsize,
     has_called: AtomicBool,
@@ -51,6 +57,8 @@
     NeverCalled(Instant),
     /// It has waited for a request since then.
     Waiting(Instant),
+    /// The body of its request has stopped then.
+    StalledBody(Instant),
 }
 
 /// A call in progress; ends on drop.
@@ -65,6 +73,7 @@
             accepted,
             since_ms: AtomicU64::default(),
             calls: AtomicU32::default(),
+            body_ms: AtomicU64::new(NO_BODY),
             head_bytes: AtomicUsize::default(),
             has_called: AtomicBool::default(),
             is_multiplexed: AtomicBool::default(),
@@ -118,6 +127,30 @@
         }
     }
 
+    /// Records that a body has begun, or that a part of it has arrived.
+    pub(super) fn record_body_progress(&self, now: Instant) {
+        let since = now.saturating_duration_since(self.accepted);
+        self.body_ms
+            .store(since.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Records that no further part of a body is read.
+    pub(super) fn end_body(&self) {
+        self.body_ms.store(NO_BODY, Ordering::Relaxed);
+    }
+
+    /// Since when the body of the only call has stopped midway; `None` if none has.
+    fn stalled_since(&self, now: Instant) -> Option<Instant> {
+        let is_multiplexed = self.is_multiplexed.load(Ordering::Relaxed);
+        let body_ms = self.body_ms.load(Ordering::Relaxed);
+        if is_multiplexed || body_ms == NO_BODY {
+            return None;
+        }
+        let since = self.accepted + Duration::from_millis(body_ms);
+        let is_stalled = now.saturating_duration_since(since) >= STALL_TIME;
+        is_stalled.then_some(since)
+    }
+
     /// Records whether a part of the body of the last request may still come.
     pub(super) fn set_body_left(&self, has_body_left: bool) {
         self.has_body_left.store(has_body_left, Ordering::Relaxed);
@@ -132,9 +165,12 @@
 
     /// Where the connection stands among those that may yield their places; `None` if it may not.
     pub(super) fn yield_order(&self, now: Instant) -> Option<YieldOrder> {
-        if self.phase() == ConnectionPhase::Call || self.has_yielded() {
+        if self.has_yielded() {
             return None;
         }
+        if self.phase() == ConnectionPhase::Call {
+            return self.stalled_since(now).map(YieldOrder::StalledBody);
+        }
         if !self.has_called.load(Ordering::Relaxed) {
             return Some(YieldOrder::NeverCalled(self.accepted));
         }
--- a/crates/savorywalk/src/api/connection_table_tests.rs
+++ b/crates/savorywalk/src/api/connection_table_tests.rs
@@ -1,5 +1,6 @@
 use super::super::connection_state::MIN_IDLE_TIME;
 use super::*;
+use crate::http_bodies::STALL_TIME;
 
 const PLACES: usize = 3;
 
@@ -77,3 +78,48 @@
     assert!(!refused.state.has_yielded());
     drop(call);
 }
+
+/// Guards against bodies that stop midway and keep all places.
+#[test]
+fn a_connection_whose_body_has_stopped_yields_after_those_that_wait() {
+    let table = ConnectionTable::new(2);
+    let start = Instant::now();
+    let stalled = open(&table, start);
+    let _stalled_call = stalled.state.begin_call(false);
+    stalled.state.record_body_progress(start);
+    let waiting = open(&table, start);
+    drop(waiting.state.begin_call(false));
+    let now = Instant::now() + MIN_IDLE_TIME + STALL_TIME;
+    let third = open(&table, now);
+    assert!(waiting.state.has_yielded());
+    assert!(!stalled.state.has_yielded());
+    let _third_call = third.state.begin_call(false);
+    let _fourth = open(&table, now);
+    assert!(stalled.state.has_yielded());
+}
+
+/// Guards against a request that is cut though its body arrives, or has arrived.
+#[test]
+fn a_connection_whose_body_arrives_keeps_its_place() {
+    let table = ConnectionTable::new(1);
+    let start = Instant::now();
+    let connection = open(&table, start);
+    let _call = connection.state.begin_call(false);
+    connection.state.record_body_progress(start);
+    let later = start + STALL_TIME * 2;
+    connection.state.record_body_progress(later);
+    assert!(table.take_place(later + STALL_TIME / 2).is_none());
+    connection.state.end_body();
+    assert!(table.take_place(later + STALL_TIME * 2).is_none());
+}
+
+/// Guards against the other calls of a shared connection, which would be cut with a stalled one.
+#[test]
+fn a_connection_that_calls_share_keeps_its_place() {
+    let table = ConnectionTable::new(1);
+    let start = Instant::now();
+    let connection = open(&table, start);
+    let _call = connection.state.begin_call(true);
+    connection.state.record_body_progress(start);
+    assert!(table.take_place(start + STALL_TIME * 2).is_none());
+}
--- a/crates/savorywalk/src/api/endpoint_api.rs
+++ b/crates/savorywalk/src/api/endpoint_api.rs
@@ -1,10 +1,9 @@
 //! Endpoints' announcements.
 
-use hyper::body::Incoming;
 use hyper::{Method, StatusCode};
 
 use super::request_parts::{self, RequestHead};
-use super::{ApiError, ApiResponse, BodyLimit, Result, response_body};
+use super::{ApiError, ApiResponse, BodyLimit, ClientBody, Result, response_body};
 use crate::directory::{AnnouncementOutcome, EndpointAnnouncement, MAX_SPREAD_LEASE};
 use crate::entry::EntryNode;
 use crate::prelude::*;
@@ -19,7 +18,7 @@
 pub(super) async fn handle(
     node: &EntryNode,
     head: &RequestHead,
-    body: Incoming,
+    body: ClientBody,
     body_limit: BodyLimit,
 ) -> Result<ApiResponse> {
     let configuration = node.configuration().load();
--- a/crates/savorywalk/src/api/http_handler.rs
+++ b/crates/savorywalk/src/api/http_handler.rs
@@ -1,6 +1,7 @@
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::{Request, Response};
 
+use super::ClientBody;
 use crate::prelude::*;
 
 /// Limits on what a connection sends between calls.
@@ -25,7 +26,7 @@
     /// Answers one call.
     fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
 
     /// Limits of a connection that is accepted now, if they are not those of the listener's settings.
--- a/crates/savorywalk/src/api/operator_api.rs
+++ b/crates/savorywalk/src/api/operator_api.rs
@@ -1,11 +1,10 @@
 //! Operators' calls: configuration, its history, the audit trail and status.
 
-use hyper::body::Incoming;
 use hyper::header::{ETAG, HeaderValue, IF_MATCH};
 use hyper::{Method, StatusCode};
 
 use super::request_parts::{self, RequestHead};
-use super::{ApiError, ApiResponse, BodyLimit, Result, response_body};
+use super::{ApiError, ApiResponse, BodyLimit, ClientBody, Result, response_body};
 use crate::attempt::RequestId;
 use crate::control::{ControlStatus, PatchChange, PatchCommand, PatchVerdict, RangeQuery};
 use crate::entry::{EntryNode, EntryStatus};
@@ -41,7 +40,7 @@
 pub(super) async fn handle(
     node: &EntryNode,
     head: &RequestHead,
-    body: Incoming,
+    body: ClientBody,
     body_limit: BodyLimit,
 ) -> Result<ApiResponse> {
     let configuration = node.configuration().load();
--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -1,11 +1,10 @@
 //! Reads what several calls need of a request: token, headers, body.
 
-use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 
-use super::{ApiError, BodyLimit, Result};
+use super::{ApiError, BodyLimit, ClientBody, Result};
 use crate::http_bodies::{BodyFailure, collect_body};
 use crate::prelude::*;
 
@@ -22,7 +21,7 @@
 }
 
 /// Splits a request into its head and its body.
-pub(super) fn split(request: Request<Incoming>) -> (RequestHead, Incoming) {
+pub(super) fn split(request: Request<ClientBody>) -> (RequestHead, ClientBody) {
     let (parts, body) = request.into_parts();
     let head = RequestHead {
         method: parts.method,
@@ -87,7 +86,7 @@
 }
 
 /// Reads a whole body within `limit`.
-pub(super) async fn read_body(body: Incoming, limit: BodyLimit) -> Result<Bytes> {
+pub(super) async fn read_body(body: ClientBody, limit: BodyLimit) -> Result<Bytes> {
     let hold = limit.hold();
     let BodyLimit { bytes, timeout, .. } = limit;
     let collecting = collect_body(body, bytes as usize, hold);
--- a/crates/savorywalk/src/gateway/body_reader.rs
+++ b/crates/savorywalk/src/gateway/body_reader.rs
@@ -1,5 +1,4 @@
-use hyper::body::Incoming;
-
+use crate::api::ClientBody;
 use crate::http_bodies::{BodyFailure, BodyHold, collect_body};
 use crate::prelude::*;
 
@@ -19,7 +18,7 @@
 /// Reads a complete body of at most `max_bytes` within `timeout`, so that it can be sent
 /// more than once. `hold` grows with the body, and is released with its last copy.
 pub(super) async fn read(
-    body: Incoming,
+    body: ClientBody,
     max_bytes: u64,
     timeout: Duration,
     hold: BodyHold,
--- a/crates/savorywalk/src/gateway/call_handler.rs
+++ b/crates/savorywalk/src/gateway/call_handler.rs
@@ -1,13 +1,12 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
 use super::gateway_node::GatewayNode;
 use super::metrics_page::{self, METRICS_PATH};
 use super::request_service;
-use crate::api::{ConnectionLimits, HttpHandler};
+use crate::api::{ClientBody, ConnectionLimits, HttpHandler};
 use crate::prelude::*;
 
 /// Why the body of an answer could not be completed; the connection then ends early.
@@ -42,7 +41,7 @@
 impl HttpHandler for CallHandler {
     type Body = GatewayBody;
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<Self::Body> {
         match self.kind {
             CallHandlerKind::Probes => self.probe(&request.into_parts().0),
             CallHandlerKind::Callers => {
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -1,13 +1,12 @@
 use std::sync::{Mutex, PoisonError};
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use super::body_reader::{self, BodyReadError};
 use super::call_handler::{GatewayBody, full_body};
 use super::registry_metrics::RegistryMetrics;
 use super::{InvalidCall, RegistryAnswer, RegistryCall, WireFormat};
-use crate::api::HttpHandler;
+use crate::api::{ClientBody, HttpHandler};
 use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
@@ -38,7 +37,7 @@
 impl HttpHandler for RegistryHandler {
     type Body = GatewayBody;
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<Self::Body> {
         let (parts, body) = request.into_parts();
         let hold = self.call_memory.hold();
         let max_bytes = match self.wire.carries_document(&parts) {
--- a/crates/savorywalk/src/gateway/registry_metrics.rs
+++ b/crates/savorywalk/src/gateway/registry_metrics.rs
@@ -1,11 +1,10 @@
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 
 use super::call_handler::{GatewayBody, full_body};
 use super::{Result, metrics_page};
-use crate::api::HttpHandler;
+use crate::api::{ClientBody, HttpHandler};
 use crate::prelude::*;
 use crate::telemetry::MetricSet;
 
@@ -42,7 +41,7 @@
 impl HttpHandler for RegistryMetrics {
     type Body = GatewayBody;
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Self::Body> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<Self::Body> {
         if request.uri().path() == metrics_page::METRICS_PATH {
             return metrics_page::answer(&self.set);
         }
--- a/crates/savorywalk/src/gateway/request_service.rs
+++ b/crates/savorywalk/src/gateway/request_service.rs
@@ -1,4 +1,3 @@
-use hyper::body::Incoming;
 use hyper::http::request;
 use hyper::{Request, Response};
 
@@ -9,6 +8,7 @@
 use super::gateway_view::{AgedView, GatewayView};
 use super::request_context::RequestContext;
 use super::{GatewayRefusal, NotRun, NotRunReason, request_admission};
+use crate::api::ClientBody;
 use crate::prelude::*;
 
 /// Longest wait of a request for the first document of a daemon that has just started.
@@ -28,7 +28,7 @@
 /// Serves one request of a caller.
 pub(super) async fn serve(
     node: &Arc<GatewayNode>,
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
 ) -> Response<GatewayBody> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
@@ -109,7 +109,7 @@
     view: &GatewayView,
     context: RequestContext,
     parts: request::Parts,
-    body: Incoming,
+    body: ClientBody,
 ) -> Result<Response<GatewayBody>, GatewayRefusal> {
     let not_run = |reason| GatewayRefusal::NotRun {
         proof: NotRun::for_unsent(),
--- a/crates/savorywalk/src/http_bodies/mod.rs
+++ b/crates/savorywalk/src/http_bodies/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use event_lines::{EventFailure, EventLines};
 pub use event_splitter::EventSplitter;
 pub(crate) use event_splitter::MissingEvent;
-pub(crate) use whole_body::{BodyFailure, collect_body};
+pub(crate) use whole_body::{BodyFailure, STALL_TIME, collect_body};
 
 /// Result of reading a body.
 pub(crate) type Result<T, E = BodyFailure> = std::result::Result<T, E>;
--- a/crates/savorywalk/src/http_bodies/whole_body.rs
+++ b/crates/savorywalk/src/http_bodies/whole_body.rs
@@ -7,8 +7,9 @@
 use super::{BodyHold, MemoryFull, Result};
 use crate::prelude::*;
 
-/// Time without a byte after which a body leaves its room to others while memory is short.
-const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time without a byte after which a body leaves its room to others while memory is short, and its
+/// connection its place while all are taken.
+pub(crate) const STALL_TIME: Duration = Duration::from_secs(1);
 
 /// Why a body could not be read as a whole.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
