Count the parsed form of a document before it is parsed

Operators saw: a registry that takes 391 to 404 MB (its VM has 256) when clients send documents of 8 MiB whose lists hold empty texts. Anybody who reaches the port can send them; they need not be valid.

Cause: bodies are bounded in sum, but not what becomes of them. A text of three bytes takes 24 bytes and its place in a list that grows, and each thread parses a document of its own.

Change: parsed_size counts the values of a JSON text outside of its texts, at 128 bytes each, and its bytes. A registry holds that much of request_bytes before it parses a call, and releases it afterwards. A body that would not fit if it were alone is refused as too large (413): 503 would promise that a retry helps. Both refusals are counted and logged (registry_call_invalid).

Why it works: memory is held before it is filled, at no less than it can become (small_texts_take_no_more_than_counted), and the sum is bounded as that of bodies is.

Ruled out: parsing one document at a time, which bounds nothing on a small VM.

--- a/crates/savorywalk/src/gateway/answer_memory.rs
+++ b/crates/savorywalk/src/gateway/answer_memory.rs
@@ -160,8 +160,9 @@
             return Err(self.exceed(limit));
         }
         let resized = self.hold.resize(bytes);
-        resized
-            .map_err(|MemoryFull { held, bytes }| self.exceed(AnswerLimit::Entry { held, bytes }))
+        resized.map_err(|MemoryFull { held, bytes, .. }| {
+            self.exceed(AnswerLimit::Entry { held, bytes })
+        })
     }
 
     /// Counts that the answer has exceeded a limit.
--- a/crates/savorywalk/src/gateway/body_reader.rs
+++ b/crates/savorywalk/src/gateway/body_reader.rs
@@ -1,5 +1,5 @@
 use crate::api::ClientBody;
-use crate::http_bodies::{BodyFailure, BodyHold, collect_body};
+use crate::http_bodies::{BodyFailure, BodyHold, MemoryFull, collect_body, parsed_size};
 use crate::prelude::*;
 
 /// Why a caller's body could not be read.
@@ -15,6 +15,21 @@
     Failed,
 }
 
+impl From<MemoryFull> for BodyReadError {
+    fn from(full: MemoryFull) -> Self {
+        match full.is_permanent() {
+            true => Self::TooLarge,
+            false => Self::MemoryFull,
+        }
+    }
+}
+
+/// Holds the memory that a JSON body takes while it is parsed, in addition to what `hold` has.
+pub(super) fn hold_parsed(body: &[u8], mut hold: BodyHold) -> Result<BodyHold, BodyReadError> {
+    hold.grow(parsed_size(body))?;
+    Ok(hold)
+}
+
 /// Reads a complete body of at most `max_bytes` within `timeout`, so that it can be sent
 /// more than once. `hold` grows with the body, and is released with its last copy.
 pub(super) async fn read(
@@ -26,7 +41,7 @@
     match tokio::time::timeout(timeout, collect_body(body, max_bytes as usize, hold)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyFailure::TooLarge { .. })) => Err(BodyReadError::TooLarge),
-        Ok(Err(BodyFailure::MemoryFull(_))) => Err(BodyReadError::MemoryFull),
+        Ok(Err(BodyFailure::MemoryFull(full))) => Err(full.into()),
         Ok(Err(BodyFailure::Broken(_))) => Err(BodyReadError::Failed),
         Err(_) => Err(BodyReadError::TimedOut),
     }
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -48,7 +48,13 @@
             Ok(body) => body,
             Err(error) => return self.reject_body(error),
         };
-        let answer = match self.wire.read_registry_call(&parts, &body) {
+        let parsed_hold = match body_reader::hold_parsed(&body, self.call_memory.hold()) {
+            Ok(hold) => hold,
+            Err(error) => return self.reject_body(error),
+        };
+        let call = self.wire.read_registry_call(&parts, &body);
+        drop(parsed_hold);
+        let answer = match call {
             None => RegistryAnswer::Unknown,
             Some(Err(error)) => self.reject_call(&error),
             Some(Ok(call)) => self.answer(call).await,
@@ -100,8 +106,14 @@
     }
 
     fn reject_body(&self, error: BodyReadError) -> Response<GatewayBody> {
-        if error == BodyReadError::MemoryFull {
-            self.count_rejection("memory_full", "too many bytes of calls are held");
+        match error {
+            BodyReadError::MemoryFull => {
+                self.count_rejection("memory_full", "too many bytes of calls are held");
+            }
+            BodyReadError::TooLarge => {
+                self.count_rejection("body_too_large", "the body has too many bytes or values");
+            }
+            BodyReadError::TimedOut | BodyReadError::Failed => {}
         }
         let status = match error {
             BodyReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/savorywalk/src/http_bodies/body_memory.rs
+++ b/crates/savorywalk/src/http_bodies/body_memory.rs
@@ -31,6 +31,15 @@
     pub(crate) held: usize,
     /// What this body needs.
     pub(crate) bytes: usize,
+    /// Most that any body may hold, when it is alone.
+    pub(crate) most: usize,
+}
+
+impl MemoryFull {
+    /// Whether the body would not fit either if it were alone, so that there is no point in a retry.
+    pub(crate) fn is_permanent(&self) -> bool {
+        self.bytes > self.most
+    }
 }
 
 impl BodyMemory {
@@ -66,6 +75,14 @@
         self.held() > self.capacity / 4 * 3
     }
 
+    fn full(&self, held: usize, bytes: usize) -> MemoryFull {
+        MemoryFull {
+            held,
+            bytes,
+            most: self.capacity / 2,
+        }
+    }
+
     /// Registers gauges of what is held and a counter of what was refused, under names that begin with
     /// `prefix`.
     pub(crate) fn register_metrics(self: &Arc<Self>, meter: &Meter, prefix: &str) {
@@ -125,7 +142,7 @@
             }
             Err(held) => {
                 self.record_refusal();
-                Err(MemoryFull { held, bytes })
+                Err(memory.full(held, bytes))
             }
         }
     }
@@ -160,10 +177,7 @@
             return Ok(());
         }
         self.record_refusal();
-        Err(MemoryFull {
-            held: self.memory.held(),
-            bytes: self.bytes,
-        })
+        Err(self.memory.full(self.memory.held(), self.bytes))
     }
 
     fn record_refusal(&self) {
--- a/crates/savorywalk/src/http_bodies/whole_body_tests.rs
+++ b/crates/savorywalk/src/http_bodies/whole_body_tests.rs
@@ -118,9 +118,19 @@
         over_room,
         Err(BodyFailure::MemoryFull(MemoryFull {
             held: 0,
-            bytes: 800
+            bytes: 800,
+            most: 500
         }))
     );
+    let MemoryFull { bytes, most, .. } = memory.hold().check_room(800).expect_err("no room");
+    assert!(
+        MemoryFull {
+            held: 0,
+            bytes,
+            most
+        }
+        .is_permanent()
+    );
     assert_eq!(memory.peak(), 0);
 }
 
