Count the parsed form of an input until its run has ended

Callers saw: an entry that takes 538 to 543 MB (its VM has 256) when 120 callers with a key send inputs of 1 MiB whose documents are empty texts, and their stages wait for an endpoint.

Cause: an entry counted the body as it came, and neither the parsed input, which lives until the run has ended, nor the body of a call to an endpoint, which holds the input once more. Announcements and patches were parsed uncounted as well.

Change: parse_json holds what the parsed form may take before it is parsed. The hold of a caller's input is part of its request, so it is released by drop when the run ends, is cancelled or its caller leaves. An input that can never fit is refused with 413 (RequestTooLarge), which says what one request may take.

--- a/crates/savorywalk/src/api/api_error.rs
+++ b/crates/savorywalk/src/api/api_error.rs
@@ -5,6 +5,7 @@
 use crate::configuration::ConfigurationReport;
 use crate::control::{ControlError, InvalidConfiguration, VersionMismatch};
 use crate::directory::AnnouncementError;
+use crate::http_bodies::MemoryFull;
 use crate::pipeline::PipelineError;
 use crate::prelude::*;
 
@@ -42,6 +43,16 @@
         /// The limit, in bytes.
         limit: u32,
     },
+    /// The request would take more memory than any one may.
+    #[error(
+        "the request would take {bytes} bytes with its values, and one may take {most}; send a shorter one or raise request_bytes of [limits]"
+    )]
+    RequestTooLarge {
+        /// What it would take, in bytes.
+        bytes: usize,
+        /// What one may take, in bytes.
+        most: usize,
+    },
     /// The body did not come in time.
     #[error(
         "the body did not come within {} ms; send it faster or raise body_timeout_ms",
@@ -129,6 +140,16 @@
     pub completed_stages: Vec<String>,
 }
 
+impl From<MemoryFull> for ApiError {
+    fn from(full: MemoryFull) -> Self {
+        let MemoryFull { bytes, most, .. } = full;
+        match full.is_permanent() {
+            true => Self::RequestTooLarge { bytes, most },
+            false => Self::MemoryFull,
+        }
+    }
+}
+
 impl ApiError {
     /// The kind that callers match on.
     pub fn kind(&self) -> &'static str {
@@ -138,7 +159,7 @@
             Self::Forbidden { .. } => "forbidden",
             Self::NotFound(_) => "not_found",
             Self::MethodNotAllowed(_) => "method_not_allowed",
-            Self::BodyTooLarge { .. } => "body_too_large",
+            Self::BodyTooLarge { .. } | Self::RequestTooLarge { .. } => "body_too_large",
             Self::BodyTimeout { .. } => "body_timeout",
             Self::HeaderTooLarge { .. } => "header_too_large",
             Self::TooManyConnections { .. } => "too_many_connections",
@@ -162,7 +183,9 @@
             Self::Forbidden { .. } => StatusCode::FORBIDDEN,
             Self::NotFound(_) => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
-            Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooLarge { .. } | Self::RequestTooLarge { .. } => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
             Self::BodyTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::HeaderTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BadConfiguration(_) | Self::InvalidChange(_) => StatusCode::UNPROCESSABLE_ENTITY,
@@ -198,6 +221,7 @@
             | Self::NotFound(_)
             | Self::MethodNotAllowed(_)
             | Self::BodyTooLarge { .. }
+            | Self::RequestTooLarge { .. }
             | Self::BodyTimeout { .. }
             | Self::HeaderTooLarge { .. }
             | Self::BadConfiguration(_)
@@ -238,6 +262,7 @@
             | Self::NotFound(_)
             | Self::MethodNotAllowed(_)
             | Self::BodyTooLarge { .. }
+            | Self::RequestTooLarge { .. }
             | Self::BodyTimeout { .. }
             | Self::HeaderTooLarge { .. }
             | Self::TooManyConnections { .. }
--- a/crates/savorywalk/src/api/api_handler.rs
+++ b/crates/savorywalk/src/api/api_handler.rs
@@ -72,9 +72,7 @@
         let limit = self.body_limit.clone();
         let mut head_hold = limit.hold();
         let head_bytes = head.header_bytes() * HEAD_COPIES;
-        head_hold
-            .grow(head_bytes)
-            .map_err(|_| ApiError::MemoryFull)?;
+        head_hold.grow(head_bytes)?;
         match self.kind {
             ListenerKind::Callers => caller_api::handle(node, id, &head, body, limit).await,
             ListenerKind::Operators => operator_api::handle(node, &head, body, limit).await,
--- a/crates/savorywalk/src/api/caller_api.rs
+++ b/crates/savorywalk/src/api/caller_api.rs
@@ -10,6 +10,7 @@
 use crate::attempt::RequestId;
 use crate::claims::{ClaimAnswer, ClaimKey, ClaimTicket};
 use crate::entry::{ClaimedAnswer, ClaimedRun, EntryNode};
+use crate::http_bodies::BodyHold;
 use crate::pipeline::{PipelineAnswer, PipelineError, PipelineInput, PipelineRequest};
 use crate::prelude::*;
 
@@ -36,9 +37,11 @@
         return Err(ApiError::NotFound(message.into()));
     };
     head.require(&Method::POST, "POST")?;
-    let mut request = read_head(node, id, head, pipeline, arrived)?;
+    let mut request = read_head(node, id, head, pipeline, arrived, body_limit.hold())?;
     let body = request_parts::read_body(body, body_limit).await?;
-    request.input = request_parts::parse_json::<PipelineInput>(&body)?;
+    // The body of a call to an endpoint holds the input once more.
+    request.hold.grow(body.len())?;
+    request.input = request_parts::parse_json::<PipelineInput>(&body, &mut request.hold)?;
     if let Some(ticket) = claim_ticket(head, &request, &body)? {
         return run_claimed(node, head, ticket, request).await;
     }
@@ -56,6 +59,7 @@
     head: &RequestHead,
     pipeline: &str,
     arrived: Instant,
+    hold: BodyHold,
 ) -> Result<PipelineRequest> {
     let configuration = node.configuration().load();
     let workspace = configuration.workspace_of(head.token()?);
@@ -82,6 +86,7 @@
         priority: priority(head)?,
         idempotent: is_idempotent(head)?,
         sink: None,
+        hold,
         phase: RequestPhase::new(),
     })
 }
--- a/crates/savorywalk/src/api/endpoint_api.rs
+++ b/crates/savorywalk/src/api/endpoint_api.rs
@@ -29,8 +29,9 @@
         return Err(ApiError::NotFound(message.into()));
     }
     head.require(&Method::POST, "POST")?;
+    let mut hold = body_limit.hold();
     let body = request_parts::read_body(body, body_limit).await?;
-    let announcement: EndpointAnnouncement = request_parts::parse_json(&body)?;
+    let announcement: EndpointAnnouncement = request_parts::parse_json(&body, &mut hold)?;
     let max_lease = configuration.max_lease.min(MAX_SPREAD_LEASE);
     let lease = Duration::from_millis(announcement.lease_ms.into()).min(max_lease);
     let (endpoint, cache_events) = (
--- a/crates/savorywalk/src/api/operator_api.rs
+++ b/crates/savorywalk/src/api/operator_api.rs
@@ -8,6 +8,7 @@
 use crate::attempt::RequestId;
 use crate::control::{ControlStatus, PatchChange, PatchCommand, PatchVerdict, RangeQuery};
 use crate::entry::{EntryNode, EntryStatus};
+use crate::http_bodies::parsed_size;
 use crate::prelude::*;
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -49,7 +50,9 @@
     match head.path.as_str() {
         "/v1/config" if head.method == Method::PATCH => {
             let expected_version = expected_version(head)?;
+            let mut hold = body_limit.hold();
             let body = request_parts::read_body(body, body_limit).await?;
+            hold.grow(parsed_size(&body))?;
             let command = PatchCommand {
                 patch_id: patch_id(head)?,
                 author: operator.to_string(),
@@ -66,8 +69,9 @@
         "/v1/config/rollback" => {
             head.require(&Method::POST, "POST")?;
             let expected_version = expected_version(head)?;
+            let mut hold = body_limit.hold();
             let body = request_parts::read_body(body, body_limit).await?;
-            let request: RollbackRequest = request_parts::parse_json(&body)?;
+            let request: RollbackRequest = request_parts::parse_json(&body, &mut hold)?;
             let command = PatchCommand {
                 patch_id: patch_id(head)?,
                 author: operator.to_string(),
--- a/crates/savorywalk/src/api/request_parts.rs
+++ b/crates/savorywalk/src/api/request_parts.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{ApiError, BodyLimit, ClientBody, Result};
-use crate::http_bodies::{BodyFailure, collect_body};
+use crate::http_bodies::{BodyFailure, BodyHold, collect_body, parsed_size};
 use crate::prelude::*;
 
 /// Scheme of the token; HTTP compares schemes without regard to case.
@@ -94,7 +94,7 @@
         return Err(ApiError::BodyTimeout { timeout });
     };
     collected.map_err(|failure| match failure {
-        BodyFailure::MemoryFull(_) => ApiError::MemoryFull,
+        BodyFailure::MemoryFull(full) => full.into(),
         BodyFailure::TooLarge { .. } => ApiError::BodyTooLarge { limit: bytes },
         BodyFailure::Broken(reason) => ApiError::InvalidRequest(format!(
             "the body could not be read: {reason}; send it again"
@@ -102,8 +102,9 @@
     })
 }
 
-/// Reads a JSON body.
-pub(super) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+/// Reads a JSON body, whose parsed form `hold` has for as long as the value is in use.
+pub(super) fn parse_json<T: DeserializeOwned>(body: &[u8], hold: &mut BodyHold) -> Result<T> {
+    hold.grow(parsed_size(body))?;
     serde_json::from_slice(body).map_err(|error| {
         ApiError::InvalidRequest(format!(
             "the body is not the JSON that this call takes: {error}; see docs/API.md"
--- a/crates/savorywalk/src/pipeline/pipeline_request.rs
+++ b/crates/savorywalk/src/pipeline/pipeline_request.rs
@@ -1,6 +1,7 @@
 use crate::admission::{RequestDeadline, RequestPhase};
 use crate::attempt::{RequestId, TokenSink};
 use crate::configuration::{PipelinePlan, WorkspacePlan};
+use crate::http_bodies::BodyHold;
 use crate::prelude::*;
 
 /// Body of `POST /v1/pipelines/{pipeline}`.
@@ -35,6 +36,8 @@
     pub idempotent: bool,
     /// Where generated text goes as it arrives.
     pub sink: Option<TokenSink>,
+    /// Memory of the input, parsed and in calls to endpoints.
+    pub(crate) hold: BodyHold,
     /// Whether any endpoint may have seen a part of it.
     pub phase: RequestPhase,
 }
