Give the fixed limits on heads and calls a setting, a gauge and a counter

Operators saw: a request or an announcement refused for a limit that is a constant, and that no metric counts: 256 bytes of an identity, 256 parts, 2^32 tokens, 8 MiB of a document, 64 KiB of another call, 256 bytes of a text. A request that is refused for its head belongs to no route yet, so the counter of requests had not seen it either.

Change: [limits] identity_bytes, prompt_parts, tokens, document_bytes, call_bytes and text_bytes, with these values as defaults. savorywalk_gateway_head_refusals counts by limit, savorywalk_registry_faults counts text_too_long, and savorywalk_limit shows each bound in force. The length of an announcement's texts is checked by the registry; the folder of the platform only translates.

No behaviour changes by default, but a text that is too long is refused as text_too_long in place of the name of its field.

--- a/crates/savorywalk/src/api/client_intake.rs
+++ b/crates/savorywalk/src/api/client_intake.rs
@@ -67,6 +67,7 @@
     pub(crate) fn new(limits: &DaemonLimits, meter: &Meter) -> Self {
         let heads = BodyMemory::new(limits.head_bytes);
         heads.register_metrics(meter, "savorywalk_head");
+        limits.register_metrics(meter);
         Self {
             heads,
             refusal_connections: limits.refusal_connections as usize,
--- a/crates/savorywalk/src/gateway/gateway_metrics.rs
+++ b/crates/savorywalk/src/gateway/gateway_metrics.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct GatewayMetrics {
     requests: Counter<u64>,
+    head_refusals: Counter<u64>,
     request_seconds: Histogram<f64>,
     retries: Counter<u64>,
     repeat_sends: Counter<u64>,
@@ -50,6 +51,10 @@
                 .u64_counter("savorywalk_gateway_requests")
                 .with_description("Requests by route and outcome")
                 .build(),
+            head_refusals: meter
+                .u64_counter("savorywalk_gateway_head_refusals")
+                .with_description("Requests whose heads name more than they may, by limit")
+                .build(),
             request_seconds: meter
                 .f64_histogram("savorywalk_gateway_request_duration_seconds")
                 .with_description("Time to the whole answer, or to a stream's first event")
@@ -143,6 +148,10 @@
         self.request_seconds.record(time.as_secs_f64(), &[route]);
     }
 
+    pub(super) fn record_head_refusal(&self, limit: &'static str) {
+        self.head_refusals.add(1, &[KeyValue::new("limit", limit)]);
+    }
+
     pub(super) fn record_retries(&self, pool: &str, granted: bool, count: u32) {
         let pool = KeyValue::new("pool", pool.to_string());
         self.retries
--- a/crates/savorywalk/src/gateway/gateway_node.rs
+++ b/crates/savorywalk/src/gateway/gateway_node.rs
@@ -35,7 +35,7 @@
 use crate::prelude::*;
 use crate::quarantine::QuarantineList;
 use crate::registry::{BootClock, EntryFollower, FollowState};
-use crate::settings::DaemonLimits;
+use crate::settings::{DaemonLimits, HeadLimits};
 use crate::telemetry::MetricSet;
 use crate::transport::{LinkChannel, LinkHub};
 
@@ -63,8 +63,8 @@
     pub(super) answer_memory: Arc<AnswerMemory>,
     /// Memory of the requests that this entry holds.
     pub(super) request_memory: Arc<BodyMemory>,
-    /// Most pieces of one request.
-    pub(super) max_pieces: u32,
+    /// Bounds on the numbers that a head may name.
+    pub(super) head_limits: HeadLimits,
     pub(super) metrics: GatewayMetrics,
     pub(super) metric_set: Arc<MetricSet>,
     pub(super) crash_detector: CrashDetector,
@@ -127,7 +127,7 @@
             connection_cache: ConnectionCache::default(),
             answer_memory: Arc::default(),
             request_memory: BodyMemory::new(parts.limits.request_bytes),
-            max_pieces: parts.limits.pieces,
+            head_limits: parts.limits.head,
             wire: parts.wire,
             follower: parts.follower,
             data_center: parts.data_center,
--- a/crates/savorywalk/src/gateway/head_limits_tests.rs
+++ b/crates/savorywalk/src/gateway/head_limits_tests.rs
@@ -1,7 +1,12 @@
 use super::super::{PromptPart, TokenCounts};
 use super::*;
 
-const MAX_PIECES: u32 = 1_024;
+const LIMITS: HeadLimits = HeadLimits {
+    pieces: 1_024,
+    identity_bytes: 256,
+    prompt_parts: 256,
+    tokens: u32::MAX,
+};
 
 fn head() -> CallerHead {
     CallerHead {
@@ -22,13 +27,9 @@
     }
 }
 
-fn is_refused(head: &CallerHead) -> bool {
-    matches!(check(head, MAX_PIECES), Err(GatewayRefusal::Malformed(_)))
-}
-
 #[test]
 fn a_usual_head_is_taken() {
-    assert_eq!(check(&head(), MAX_PIECES), Ok(()));
+    assert_eq!(check(&head(), &LIMITS), Ok(()));
 }
 
 /// Guards against counts of pieces that take memory, each within its type and together beyond it.
@@ -36,11 +37,11 @@
 fn pieces_are_bounded_in_sum() {
     let mut head = head();
     head.piece_counts = vec![512, 512];
-    assert!(!is_refused(&head));
+    assert_eq!(check(&head, &LIMITS), Ok(()));
     head.piece_counts.push(1);
-    assert!(is_refused(&head));
+    assert_eq!(check(&head, &LIMITS), Err(HeadExcess::Pieces));
     head.piece_counts = vec![u32::MAX; 8];
-    assert!(is_refused(&head));
+    assert_eq!(check(&head, &LIMITS), Err(HeadExcess::Pieces));
 }
 
 /// Guards against identities, parts and tokens that fill tables or overflow sums.
@@ -48,17 +49,17 @@
 fn what_tables_keep_is_bounded() {
     let mut long = head();
     long.request_id = "x".repeat(300);
-    assert!(is_refused(&long));
+    assert_eq!(check(&long, &LIMITS), Err(HeadExcess::Identity));
     let mut many = head();
     many.prefix = vec![PromptPart { id: 1, tokens: 0 }; 4_000];
-    assert!(is_refused(&many));
+    assert_eq!(check(&many, &LIMITS), Err(HeadExcess::PromptParts));
     let mut large = head();
     large.prefix[0].tokens = u64::MAX;
-    assert!(is_refused(&large));
+    assert_eq!(check(&large, &LIMITS), Err(HeadExcess::Tokens));
     let mut long_answer = head();
     long_answer.tokens = Some(TokenCounts {
         prompt: 1,
         answer: u64::MAX,
     });
-    assert!(is_refused(&long_answer));
+    assert_eq!(check(&long_answer, &LIMITS), Err(HeadExcess::Tokens));
 }
--- a/crates/savorywalk/src/gateway/invalid_call.rs
+++ b/crates/savorywalk/src/gateway/invalid_call.rs
@@ -27,6 +27,12 @@
         /// Type or value that the field must have.
         expected: &'static str,
     },
+    /// A text is longer than the registry keeps for an endpoint.
+    #[error("a text of the announcement has more than {limit} bytes; send a shorter one")]
+    TextTooLong {
+        /// What a text may have.
+        limit: u32,
+    },
     /// The state is not one of the documented ones.
     #[error("state {0:?} of the announcement is not known; send a documented one")]
     UnknownState(String),
@@ -41,6 +47,7 @@
         match self {
             Self::Unreadable(_) => "unreadable",
             Self::Field { field, .. } => field,
+            Self::TextTooLong { .. } => "text_too_long",
             Self::UnknownState(_) => "unknown_state",
             Self::Name => "name",
         }
--- a/crates/savorywalk/src/gateway/mod.rs
+++ b/crates/savorywalk/src/gateway/mod.rs
@@ -77,6 +77,7 @@
 mod registry_handler;
 mod registry_metrics;
 mod release_queue;
+mod report_limits;
 mod request_admission;
 mod request_context;
 mod request_rank;
--- a/crates/savorywalk/src/gateway/registry_daemon.rs
+++ b/crates/savorywalk/src/gateway/registry_daemon.rs
@@ -60,6 +60,7 @@
         call_memory.register_metrics(metrics.meter(), "savorywalk_registry_call");
         let handler = RegistryHandler {
             call_memory,
+            limits: limits.call,
             wire,
             node: Arc::clone(&node),
             fault_counter: Arc::default(),
--- a/crates/savorywalk/src/gateway/registry_handler.rs
+++ b/crates/savorywalk/src/gateway/registry_handler.rs
@@ -5,19 +5,15 @@
 use super::body_reader::{self, BodyReadError};
 use super::call_handler::{GatewayBody, full_body};
 use super::registry_metrics::RegistryMetrics;
+use super::report_limits;
 use super::{InvalidCall, RegistryAnswer, RegistryCall, WireFormat};
 use crate::api::{ClientBody, HttpHandler};
 use crate::http_bodies::BodyMemory;
 use crate::prelude::*;
 use crate::registry::{EndpointIncarnation, EndpointReport, RegistryError, RegistryNode, Result};
+use crate::settings::CallLimits;
 use crate::telemetry::FaultCounter;
 
-/// Maximum size of a document: about a thousand routes.
-const MAX_DOCUMENT_BYTES: u64 = 8 << 20;
-
-/// Maximum size of the body of another call, in bytes. Its parsed form may take ten times as much.
-const MAX_REPORT_BYTES: u64 = 64 << 10;
-
 /// Time allowed for reading a call's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -30,6 +26,7 @@
     pub(super) metrics: RegistryMetrics,
     /// Memory of the calls that are read.
     pub(super) call_memory: Arc<BodyMemory>,
+    pub(super) limits: CallLimits,
     /// Address at which endpoints reach this daemon.
     pub(super) address: Option<SocketAddr>,
 }
@@ -41,10 +38,10 @@
         let (parts, body) = request.into_parts();
         let hold = self.call_memory.hold();
         let max_bytes = match self.wire.carries_document(&parts) {
-            true => MAX_DOCUMENT_BYTES,
-            false => MAX_REPORT_BYTES,
+            true => self.limits.document_bytes,
+            false => self.limits.call_bytes,
         };
-        let body = match body_reader::read(body, max_bytes, BODY_TIMEOUT, hold).await {
+        let body = match body_reader::read(body, max_bytes.into(), BODY_TIMEOUT, hold).await {
             Ok(body) => body,
             Err(error) => return self.reject_body(error),
         };
@@ -126,6 +123,9 @@
     }
 
     async fn answer(&self, call: RegistryCall) -> RegistryAnswer {
+        if let Err(error) = report_limits::check(&call, self.limits.text_bytes) {
+            return self.reject_call(&error.into());
+        }
         let outcome = match call {
             RegistryCall::Announce(report) => return self.announce(report),
             RegistryCall::Drain(report) => self.node.drain(&report).await,
--- a/crates/savorywalk/src/gateway/request_admission.rs
+++ b/crates/savorywalk/src/gateway/request_admission.rs
@@ -37,7 +37,10 @@
     if head.request_id.is_empty() {
         return Err(GatewayRefusal::Malformed("the request has no identity"));
     }
-    head_limits::check(&head, node.max_pieces)?;
+    head_limits::check(&head, &node.head_limits).map_err(|excess| {
+        node.metrics.record_head_refusal(excess.limit());
+        GatewayRefusal::Malformed(excess.reason())
+    })?;
     let route = table.find(&head.host, parts.uri.path());
     let Some(route) = route else {
         // The route may have been added since, so only an entry with fresh routes reports
--- a/crates/savorywalk/src/settings/mod.rs
+++ b/crates/savorywalk/src/settings/mod.rs
@@ -17,7 +17,7 @@
     LimitSettings, LinkSettings, ListenerSettings, LogSettings, NodeSettings, RegistrySettings,
 };
 pub use crate::generated::settings_table::SETTING_KEYS;
-pub use daemon_limits::DaemonLimits;
+pub use daemon_limits::{CallLimits, DaemonLimits, HeadLimits};
 pub use role_set::RoleSet;
 pub use setting_adjustment::{AdjustmentReason, SettingAdjustment};
 pub use setting_key::{SafeSide, SettingKey, SettingKind};
