--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -8,6 +8,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use savorywalk_proof::{
@@ -17,6 +18,8 @@
 use support::held_engine::HeldEngine;
 use support::http_call::ListenerKind;
 use support::serve_test::ServeTest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
 /// Memory of a VM that the settings do not name, in bytes.
@@ -395,6 +398,67 @@
     daemon.assert_up().await;
 }
 
+/// Guards against TLS handshakes that go on after their connections have yielded their places.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_handshakes_stay_within_the_descriptors_of_an_entry() {
+    let _alone = ALONE.lock().await;
+    let certificate = rcgen::generate_simple_self_signed(["entry.example".to_string()]).unwrap();
+    let daemon = ServeTest::new()
+        .limits(FEW_DESCRIPTORS_SETTING)
+        .callers("certificate = entry.pem\nkey = entry.key\n")
+        .file("entry.pem", &certificate.cert.pem())
+        .file("entry.key", &certificate.signing_key.serialize_pem())
+        .start();
+    let request = CrowdRequest {
+        line: String::new(),
+        headers: String::new(),
+    };
+    let callers = daemon.address(ListenerKind::Callers);
+    let mut crowd = ClientCrowd::start(callers, &request, CrowdKind::Silence, 1_500);
+    crowd.settle().await;
+    let answer = daemon.call(ListenerKind::Operators, "GET", "/healthz");
+    assert_eq!(answer.send().await.status, 200);
+    let usage = ProcessUsage::read(daemon.id()).expect("the process has ended");
+    assert!(usage.descriptors < FEW_DESCRIPTORS, "{usage:?}");
+    drop(crowd);
+}
+
+/// Guards against streams of HTTP/2 that stop midway and take all places with their connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ordinary_request_is_answered_beside_unfinished_streams_of_http_2() {
+    let _alone = ALONE.lock().await;
+    let daemon = ServeTest::new().limits("connections = 128\n").start();
+    let token = savorywalk_standin::token_for("addis-dispatch");
+    let request = CrowdRequest {
+        line: "POST /v1/pipelines/summarise".into(),
+        headers: format!("Authorization: Bearer {token}\r\n"),
+    };
+    let kind = CrowdKind::UnfinishedStreams {
+        streams: 1,
+        bytes: 2_000,
+    };
+    let callers = daemon.address(ListenerKind::Callers);
+    let mut crowd = ClientCrowd::start(callers, &request, kind, 300);
+    crowd.settle().await;
+    while crowd.open() > 0 && read_status(callers).await != Some(200) {}
+    let metrics = daemon.call(ListenerKind::Operators, "GET", "/metrics");
+    let late = metrics.send().await.body.contains("body_timeout");
+    assert!(crowd.open() > 0, "the crowd has left before an answer");
+    assert!(!late, "bodies of the crowd were late before an answer");
+    drop(crowd);
+    daemon.assert_up().await;
+}
+
+/// Status of an ordinary call over a connection of its own; `None` if that is closed.
+async fn read_status(address: SocketAddr) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let head = b"GET /healthz HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+    stream.write_all(head).await.ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok()?;
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
 /// Guards against a process that bears crowds, and faults, and not both, or a promise that breaks then.
 #[rstest::rstest]
 #[tokio::test(flavor = "multi_thread")]
