End a TLS handshake when its connection yields its place

Callers saw: nothing yet; operators would see accept_failed. 1,500 clients that connect to a listener with TLS and send nothing made an entry open 1,280 to 1,461 descriptors where 400 are its own.

Cause: a new connection takes the place of one that has sent nothing, and that one is then closed; but only once it is served. A connection in its handshake went on for up to ten seconds without a place.

Change: the handshake ends when the place is given away, counted and logged as yielded; one that takes too long is counted as late_handshake.

Why it works: every connection that has no place is now closed at once, whatever it is doing.

--- a/crates/savorywalk/src/api/client_intake.rs
+++ b/crates/savorywalk/src/api/client_intake.rs
@@ -15,6 +15,8 @@
     HeadMemory,
     /// A head has not ended in time.
     LateHead,
+    /// A TLS handshake has not ended in time.
+    LateHandshake,
     /// No request has come in time.
     Idle,
     /// A new connection needed the place.
@@ -31,6 +33,7 @@
         match self {
             Self::HeadMemory => "head_memory",
             Self::LateHead => "late_head",
+            Self::LateHandshake => "late_handshake",
             Self::Idle => "idle",
             Self::Yielded => "yielded",
             Self::Refused => "refused",
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -90,10 +90,18 @@
             let Some(tls) = acceptor.tls.clone() else {
                 return acceptor.serve(stream, watcher, place).await;
             };
-            match tokio::time::timeout(TLS_TIMEOUT, tls.accept(stream)).await {
+            let state = Arc::clone(&place.connection.state);
+            let handshake = tokio::time::timeout(TLS_TIMEOUT, tls.accept(stream));
+            let accepted = tokio::select! {
+                () = state.until_yielded() => {
+                    return acceptor.intake.record_closed(CloseReason::Yielded);
+                }
+                accepted = handshake => accepted,
+            };
+            match accepted {
                 Ok(Ok(stream)) => acceptor.serve(stream, watcher, place).await,
                 Ok(Err(error)) => log_event!(debug, "handshake_failed", error = error),
-                Err(_) => log_event!(debug, "handshake_timed_out"),
+                Err(_) => acceptor.intake.record_closed(CloseReason::LateHandshake),
             }
         });
     }
--- a/crates/savorywalk/src/api/connection_state.rs
+++ b/crates/savorywalk/src/api/connection_state.rs
@@ -191,10 +191,15 @@
         self.yielded.is_cancelled()
     }
 
+    /// Waits until the place was given away.
+    pub(super) async fn until_yielded(&self) {
+        self.yielded.cancelled().await;
+    }
+
     /// Waits until the connection has to be closed.
     pub(super) async fn until_closed(&self, limits: &ConnectionLimits) -> CloseReason {
         tokio::select! {
-            () = self.yielded.cancelled() => CloseReason::Yielded,
+            () = self.until_yielded() => CloseReason::Yielded,
             reason = self.until_expired(limits) => reason,
         }
     }
