Let a shared connection yield once all its bodies have stopped

Callers of an entry saw: refusals for as long as bodies may take (ten seconds), again and again, while 300 clients of HTTP/2 keep all places with one stalled body each.

Change: a connection counts the bodies that arrive (BodyArrival, a guard) beside its calls. It is stalled if every call waits for its body and none had a byte for a second; HTTP/1.1 is the case of one call.

Why it works: a call that has its whole body, or whose body arrives, keeps the connection; a client with stalled bodies only does not.

--- a/crates/savorywalk/src/api/client_body.rs
+++ b/crates/savorywalk/src/api/client_body.rs
@@ -3,7 +3,7 @@
 
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::connection_state::ConnectionState;
+use super::connection_state::{BodyArrival, ConnectionState};
 use crate::prelude::*;
 
 /// The body of a request, whose progress its connection follows: a body that has stopped midway may
@@ -11,15 +11,15 @@
 #[derive(Debug)]
 pub struct ClientBody {
     body: Incoming,
-    state: Arc<ConnectionState>,
+    /// None once the body has ended.
+    arrival: Option<BodyArrival>,
 }
 
 impl ClientBody {
-    pub(super) fn new(body: Incoming, state: Arc<ConnectionState>, now: Instant) -> Self {
-        if !body.is_end_stream() {
-            state.record_body_progress(now);
-        }
-        Self { body, state }
+    pub(super) fn new(body: Incoming, state: &Arc<ConnectionState>, now: Instant) -> Self {
+        let has_body = !body.is_end_stream();
+        let arrival = has_body.then(|| state.begin_body(now));
+        Self { body, arrival }
     }
 }
 
@@ -32,11 +32,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        match &frame {
-            Some(Ok(_)) if !self.body.is_end_stream() => {
-                self.state.record_body_progress(Instant::now());
+        match (&frame, &self.arrival) {
+            (Some(Ok(_)), Some(arrival)) if !self.body.is_end_stream() => {
+                arrival.record_progress(Instant::now());
             }
-            Some(_) | None => self.state.end_body(),
+            _ => self.arrival = None,
         }
         Poll::Ready(frame)
     }
@@ -49,9 +49,3 @@
         self.body.size_hint()
     }
 }
-
-impl Drop for ClientBody {
-    fn drop(&mut self) {
-        self.state.end_body();
-    }
-}
--- a/crates/savorywalk/src/api/connection_acceptor.rs
+++ b/crates/savorywalk/src/api/connection_acceptor.rs
@@ -135,7 +135,7 @@
             let call = state.begin_call(request.version() == Version::HTTP_2);
             let has_body = !request.body().is_end_stream();
             let now = Instant::now();
-            let request = request.map(|body| ClientBody::new(body, Arc::clone(&state), now));
+            let request = request.map(|body| ClientBody::new(body, &state, now));
             let answer = self.answer(request, place.refused);
             let state = Arc::clone(&state);
             // Boxed, since the library reserves the size of this future for each connection.
--- a/crates/savorywalk/src/api/connection_state.rs
+++ b/crates/savorywalk/src/api/connection_state.rs
@@ -14,9 +14,6 @@
 /// request.
 pub(super) const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
 
-/// In place of the time of the last byte of a body: none is arriving.
-const NO_BODY: u64 = u64::MAX;
-
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionPhase {
@@ -36,7 +33,9 @@
     since_ms: AtomicU64,
     /// Calls in progress.
     calls: AtomicU32,
-    /// Milliseconds from the accept to the last byte of the body that is arriving, or [`NO_BODY`].
+    /// Bodies of calls that have not ended.
+    bodies: AtomicU32,
+    /// Milliseconds from the accept to the last byte of a body.
     body_ms: AtomicU64,
     /// Bytes of the head that is arriving.
     head_bytes: AtomicUsize,
@@ -57,8 +56,8 @@
     NeverCalled(Instant),
     /// It has waited for a request since then.
     Waiting(Instant),
-    /// The body of its request has stopped then.
-    StalledBody(Instant),
+    /// The bodies of all its requests have stopped then.
+    Stalled(Instant),
 }
 
 /// A call in progress; ends on drop.
@@ -67,13 +66,20 @@
     state: Arc<ConnectionState>,
 }
 
+/// A body that is arriving; on drop it has ended, or is not wanted any more.
+#[derive(Debug)]
+pub(super) struct BodyArrival {
+    state: Arc<ConnectionState>,
+}
+
 impl ConnectionState {
     pub(super) fn new(accepted: Instant, place: OwnedSemaphorePermit) -> Arc<Self> {
         Arc::new(Self {
             accepted,
             since_ms: AtomicU64::default(),
             calls: AtomicU32::default(),
-            body_ms: AtomicU64::new(NO_BODY),
+            bodies: AtomicU32::default(),
+            body_ms: AtomicU64::default(),
             head_bytes: AtomicUsize::default(),
             has_called: AtomicBool::default(),
             is_multiplexed: AtomicBool::default(),
@@ -127,26 +133,23 @@
         }
     }
 
-    /// Records that a body has begun, or that a part of it has arrived.
-    pub(super) fn record_body_progress(&self, now: Instant) {
-        let since = now.saturating_duration_since(self.accepted);
-        self.body_ms
-            .store(since.as_millis() as u64, Ordering::Relaxed);
-    }
-
-    /// Records that no further part of a body is read.
-    pub(super) fn end_body(&self) {
-        self.body_ms.store(NO_BODY, Ordering::Relaxed);
+    /// Begins to receive the body of a call.
+    pub(super) fn begin_body(self: &Arc<Self>, now: Instant) -> BodyArrival {
+        self.bodies.fetch_add(1, Ordering::Relaxed);
+        let arrival = BodyArrival {
+            state: Arc::clone(self),
+        };
+        arrival.record_progress(now);
+        arrival
     }
 
-    /// Since when the body of the only call has stopped midway; `None` if none has.
+    /// Since when the bodies of all calls have stopped midway; `None` if one arrives, or if a call has
+    /// its whole body.
     fn stalled_since(&self, now: Instant) -> Option<Instant> {
-        let is_multiplexed = self.is_multiplexed.load(Ordering::Relaxed);
-        let body_ms = self.body_ms.load(Ordering::Relaxed);
-        if is_multiplexed || body_ms == NO_BODY {
+        if self.bodies.load(Ordering::Relaxed) < self.calls.load(Ordering::Relaxed) {
             return None;
         }
-        let since = self.accepted + Duration::from_millis(body_ms);
+        let since = self.accepted + Duration::from_millis(self.body_ms.load(Ordering::Relaxed));
         let is_stalled = now.saturating_duration_since(since) >= STALL_TIME;
         is_stalled.then_some(since)
     }
@@ -169,7 +172,7 @@
             return None;
         }
         if self.phase() == ConnectionPhase::Call {
-            return self.stalled_since(now).map(YieldOrder::StalledBody);
+            return self.stalled_since(now).map(YieldOrder::Stalled);
         }
         if !self.has_called.load(Ordering::Relaxed) {
             return Some(YieldOrder::NeverCalled(self.accepted));
@@ -240,6 +243,22 @@
     }
 }
 
+impl BodyArrival {
+    /// Records that a part of the body has arrived.
+    pub(super) fn record_progress(&self, now: Instant) {
+        let since = now.saturating_duration_since(self.state.accepted);
+        self.state
+            .body_ms
+            .store(since.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+impl Drop for BodyArrival {
+    fn drop(&mut self) {
+        self.state.bodies.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.state.set_since(Instant::now());
