Soak of crowds: small chunks, requests sent ahead, many values, few places

Every second seed leaves 64 places for connections, so that crowds take all of them. The body of a crowd is built once, not for each client.

--- a/crates/proof/src/unruly_clients/client_crowd.rs
+++ b/crates/proof/src/unruly_clients/client_crowd.rs
@@ -46,18 +46,20 @@
     ) -> Self {
         let (sender, sent) = watch::channel(0);
         let connecting = Arc::new(tokio::sync::Semaphore::new(CONNECTING));
+        let content = kind.content().map(Arc::<str>::from);
         let mut tasks = JoinSet::new();
         for client in 0..clients {
             let (sender, mut request) = (sender.clone(), request.clone());
             request.line = request.line.replace("{client}", &client.to_string());
             let connecting = Arc::clone(&connecting);
+            let content = content.clone();
             tasks.spawn(async move {
                 let permit = connecting.acquire_owned().await;
                 let stream = TcpStream::connect(address).await;
                 drop(permit);
                 let done = SentMark(sender);
                 if let Ok(stream) = stream {
-                    play(stream, &request, kind, done).await;
+                    play(stream, &request, kind, content.as_deref(), done).await;
                 }
             });
         }
@@ -94,17 +96,24 @@
     }
 }
 
-async fn play(mut stream: TcpStream, request: &CrowdRequest, kind: CrowdKind, done: SentMark) {
+async fn play(
+    mut stream: TcpStream,
+    request: &CrowdRequest,
+    kind: CrowdKind,
+    content: Option<&str>,
+    done: SentMark,
+) {
     if let CrowdKind::UnfinishedStreams { streams, bytes } = kind {
         return http2_client::play(stream, request, streams, bytes, done).await;
     }
     for _ in 0..kind.requests() {
-        if send(&mut stream, request, kind).await.is_err() {
+        if send(&mut stream, request, kind, content).await.is_err() {
             return;
         }
     }
     let mut answer = Vec::new();
-    if kind.is_whole() {
+    let is_plain = matches!(kind, CrowdKind::WholeBody(_) | CrowdKind::SentAhead { .. });
+    if is_plain || content.is_some() {
         // What a whole request takes shows once it is answered.
         let begun = stream.read_buf(&mut answer).await;
         log::debug!("event=answer_begun bytes={begun:?}");
@@ -119,13 +128,14 @@
     stream: &mut TcpStream,
     request: &CrowdRequest,
     kind: CrowdKind,
+    content: Option<&str>,
 ) -> std::io::Result<()> {
     if kind == CrowdKind::Silence {
         return Ok(());
     }
     let CrowdRequest { line, headers } = request;
     let mut head = format!("{line} HTTP/1.1\r\nHost: h.example\r\n{headers}");
-    match kind.framing() {
+    match kind.framing(content) {
         Some(framing) => head.push_str(&format!("{framing}\r\n")),
         None => head.push_str("X-Long: "),
     }
@@ -133,7 +143,7 @@
         head.push_str(&format!("{bytes:x}\r\n"));
     }
     stream.write_all(head.as_bytes()).await?;
-    if let Some(content) = kind.content() {
+    if let Some(content) = content {
         return stream.write_all(content.as_bytes()).await;
     }
     let block = match kind {
--- a/crates/proof/src/unruly_clients/crowd_kind.rs
+++ b/crates/proof/src/unruly_clients/crowd_kind.rs
@@ -45,35 +45,39 @@
 }
 
 impl CrowdKind {
-    /// The lines of the head that say how the body is delimited; `None` where the head has no end.
-    pub(super) fn framing(self) -> Option<String> {
+    /// The lines of the head that say how the body is delimited, whose content may be `content`; `None`
+    /// where the head has no end.
+    pub(super) fn framing(self, content: Option<&str>) -> Option<String> {
+        if let Some(content) = content {
+            return Some(format!("Content-Length: {}\r\n", content.len()));
+        }
         match self {
             Self::Silence | Self::EndlessHead(_) | Self::UnfinishedStreams { .. } => None,
             Self::UnfinishedBody(length)
             | Self::WholeBody(length)
+            | Self::SentAhead { bytes: length, .. }
             | Self::BodyStart { length, .. } => Some(format!("Content-Length: {length}\r\n")),
-            Self::SentAhead { bytes, .. } => Some(format!("Content-Length: {bytes}\r\n")),
             Self::Announcement(_)
             | Self::ManyTexts(_)
             | Self::ManyDocuments(_)
-            | Self::LongInput(_) => Some(format!("Content-Length: {}\r\n", self.body_bytes())),
-            Self::UnfinishedChunk(_) | Self::SmallChunks(_) => {
-                Some("Transfer-Encoding: chunked\r\n".into())
-            }
+            | Self::LongInput(_)
+            | Self::UnfinishedChunk(_)
+            | Self::SmallChunks(_) => Some("Transfer-Encoding: chunked\r\n".into()),
         }
     }
 
-    /// Bytes sent after the head.
+    /// Bytes sent after the head where their content does not matter.
     pub(super) fn body_bytes(self) -> usize {
         match self {
-            Self::Silence | Self::UnfinishedStreams { .. } => 0,
-            Self::UnfinishedBody(length) | Self::UnfinishedChunk(length) => length - 1,
-            Self::BodyStart { sent, .. } => sent,
-            Self::Announcement(_)
+            Self::Silence
+            | Self::UnfinishedStreams { .. }
+            | Self::Announcement(_)
             | Self::ManyTexts(_)
             | Self::ManyDocuments(_)
-            | Self::LongInput(_) => self.content().map_or(0, |content| content.len()),
+            | Self::LongInput(_) => 0,
+            Self::UnfinishedBody(length) | Self::UnfinishedChunk(length) => length - 1,
             Self::SentAhead { bytes, .. } => bytes,
+            Self::BodyStart { sent, .. } => sent,
             Self::WholeBody(length) | Self::EndlessHead(length) => length,
             Self::SmallChunks(count) => count * super::client_crowd::SMALL_CHUNK.len(),
         }
@@ -104,12 +108,6 @@
         }
     }
 
-    /// Whether a client sends whole requests, which are answered.
-    pub(super) fn is_whole(self) -> bool {
-        let is_plain = matches!(self, Self::WholeBody(_) | Self::SentAhead { .. });
-        is_plain || self.content().is_some()
-    }
-
     /// Number of requests that a client sends over its connection.
     pub(super) fn requests(self) -> usize {
         if let Self::SentAhead { requests, .. } = self {
--- a/crates/proof/src/unruly_clients/crowd_soak.rs
+++ b/crates/proof/src/unruly_clients/crowd_soak.rs
@@ -73,7 +73,10 @@
 /// [`crate::ProcessError`] if a process can't be started or signalled.
 pub async fn run_crowd_soak(plan: &CrowdSoakPlan) -> Result<CrowdSoakReport> {
     let base = run_address::next_network();
-    let fleet_plan = FleetPlan::new(plan.registries, plan.gateways);
+    let fleet_plan = FleetPlan {
+        limits: limits(plan.seed),
+        ..FleetPlan::new(plan.registries, plan.gateways)
+    };
     let mut fleet = ProcessFleet::new(&plan.program, &plan.folder, base, fleet_plan);
     fleet.start_stopped().await?;
     let [first, second, third, _] = base.octets();
@@ -116,6 +119,14 @@
     Ok(report)
 }
 
+/// Lines of the section `limits`: with every second seed crowds take all places.
+fn limits(seed: u64) -> &'static str {
+    match seed.is_multiple_of(2) {
+        true => "connections = 64\n",
+        false => "",
+    }
+}
+
 impl CrowdSoak {
     async fn take_step(&mut self) -> Result<()> {
         let step = CrowdStep::draw(&mut self.random);
--- a/crates/proof/src/unruly_clients/crowd_step.rs
+++ b/crates/proof/src/unruly_clients/crowd_step.rs
@@ -63,6 +63,11 @@
             CrowdKind::WholeBody(LARGE_BODY),
             CrowdKind::WholeBody(LARGE_BODY * 2),
             CrowdKind::UnfinishedChunk(LARGE_BODY),
+            CrowdKind::UnfinishedChunk(2_000),
+            CrowdKind::SentAhead {
+                requests: 20,
+                bytes: 16 << 10,
+            },
             CrowdKind::SmallChunks(40_000),
             CrowdKind::UnfinishedStreams {
                 streams: 20,
@@ -70,13 +75,14 @@
             },
         ];
         let kind = kinds[random.random_range(0..kinds.len())];
-        match random.random_range(0..10) {
+        match random.random_range(0..11) {
             0 => (CrowdTarget::Probes, kind),
             1..=2 => (CrowdTarget::Registry, kind),
             3 => (
                 CrowdTarget::Announcements,
                 CrowdKind::Announcement(LONG_HEAD),
             ),
+            4 => (CrowdTarget::Registry, CrowdKind::ManyTexts(LARGE_BODY)),
             _ => (CrowdTarget::Callers, kind),
         }
     }
