--- a/crates/daemon/tests/unruly_clients.rs
+++ b/crates/daemon/tests/unruly_clients.rs
@@ -126,6 +126,23 @@
     assert_held(&play(CrowdTarget::Callers, kind, 120, 1).await);
 }
 
+/// Guards against bodies that are read although the length that they announce is far over the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_announced_far_over_the_limit_stay_within_memory() {
+    let kind = CrowdKind::BodyStart {
+        sent: 5 * BODY_BYTES,
+        length: 1_000 * BODY_BYTES,
+    };
+    assert_held(&play(CrowdTarget::Callers, kind, 60, 1).await);
+}
+
+/// Guards against chunks that are read on once a body is over the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_far_over_the_limit_stay_within_memory() {
+    let kind = CrowdKind::UnfinishedChunk(5 * BODY_BYTES);
+    assert_held(&play(CrowdTarget::Callers, kind, 60, 1).await);
+}
+
 /// Guards against whole bodies that wait for endpoints and are not bounded in sum.
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_bodies_at_a_gateway_stay_within_its_memory() {
